--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and launchers; nothing here runs in CI."""
--- /dev/null
+++ b/cicadahoist/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for small fleets of language-model engines."""
--- /dev/null
+++ b/cicadahoist/application.py
@@ -0,0 +1,90 @@
+"""A process: settings, logs, metrics, and tasks that start and stop."""
+
+import signal
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+from twisted.internet.defer import Deferred
+
+from cicadahoist.clock import Clock
+from cicadahoist.config import Config
+from cicadahoist.log import configure_logging, get_logger
+from cicadahoist.metrics import Metrics
+from cicadahoist.settings import LOG_FORMAT, LOG_LEVEL
+
+logger = get_logger(__name__)
+
+
+class Task(Protocol):
+    """A part of a process that owns its sockets and its state."""
+
+    async def start(self) -> None:
+        """Open sockets and begin work."""
+
+    async def stop(self) -> None:
+        """Finish open work, then close sockets."""
+
+
+class Application:
+    """
+    Runs tasks until SIGTERM or SIGINT, then stops them.
+
+    Tasks start in the order in which they were added and stop in the
+    opposite order.
+
+    :param config: checked settings
+    :param reactor: the twisted reactor
+    """
+
+    __slots__ = ('_leaving', '_reactor', '_tasks', 'clock', 'config', 'metrics')
+
+    def __init__(self, config: Config, reactor: Any) -> None:
+        self.config = config
+        self.clock = Clock.from_reactor(reactor)
+        self.metrics = Metrics.exposed()
+        self._reactor = reactor
+        self._tasks: list[Task] = []
+        self._leaving = False
+
+    @classmethod
+    def from_config(cls, config: Config) -> 'Application':
+        """Return an application on the default reactor, logging set up."""
+        from twisted.internet import reactor  # noqa: PLC0415, WPS433
+
+        configure_logging(config.read(LOG_FORMAT), config.read(LOG_LEVEL))
+        return cls(config, reactor)
+
+    def add(self, task: Task) -> None:
+        """Add a task."""
+        self._tasks.append(task)
+
+    def run(self) -> None:
+        """Run until a signal arrives and all tasks have stopped."""
+        self._reactor.callWhenRunning(self._spawn, self._start())
+        self._reactor.run(installSignalHandlers=False)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        Deferred.fromCoroutine(work).addErrback(self._fail)
+
+    async def _start(self) -> None:
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(signum, self._on_signal)
+        for task in self._tasks:
+            await task.start()
+
+    def _on_signal(self, signum: int, frame: Any) -> None:
+        self._reactor.callFromThread(self._leave)
+
+    def _leave(self) -> None:
+        if not self._leaving:
+            self._leaving = True
+            self._spawn(self._stop())
+
+    async def _stop(self) -> None:
+        for task in reversed(self._tasks):
+            await task.stop()
+        self._reactor.stop()
+
+    def _fail(self, failure: Any) -> None:
+        logger.error('stopping after an error: {0}', failure.getTraceback())
+        self._reactor.stop()
--- /dev/null
+++ b/cicadahoist/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/cicadahoist/control/__init__.py
@@ -0,0 +1,1 @@
+"""Zone duties: leases, orders, roles, scaling and usage reports."""
--- /dev/null
+++ b/cicadahoist/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Data path: authenticates, admits, routes and relays requests."""
--- /dev/null
+++ b/cicadahoist/errors.py
@@ -0,0 +1,71 @@
+"""Typed errors; every message names its remedy."""
+
+
+class CicadahoistError(Exception):
+    """
+    Base of all errors of this package.
+
+    :param problem: what went wrong
+    :param remedy: what the reader can do about it
+    """
+
+    kind = 'error'
+
+    def __init__(self, problem: str, *, remedy: str) -> None:
+        super().__init__(f'{problem}; {remedy}')
+        self.problem = problem
+        self.remedy = remedy
+
+
+class ConfigError(CicadahoistError):
+    """A setting or a registered name is wrong."""
+
+    kind = 'config'
+
+
+class StoreError(CicadahoistError):
+    """The platform's store did not do what was asked; nothing was written."""
+
+    kind = 'store'
+
+
+class StoreUnavailableError(StoreError):
+    """The store is away or slow; a write may or may not have taken effect."""
+
+    kind = 'store-unavailable'
+
+
+class StoreBusyError(StoreError):
+    """The store refused the call because of its rate limit."""
+
+    kind = 'store-busy'
+
+
+class VersionConflictError(StoreError):
+    """A conditional update met another version of the object."""
+
+    kind = 'version-conflict'
+
+
+class TableConflictError(CicadahoistError):
+    """Another operator saved the same row first."""
+
+    kind = 'table-conflict'
+
+
+class TargetError(CicadahoistError):
+    """A target could not be reached or broke off."""
+
+    kind = 'target'
+
+
+class FencedError(CicadahoistError):
+    """An order carried an old fencing number."""
+
+    kind = 'fenced'
+
+
+class WireError(CicadahoistError):
+    """A message could not be decoded."""
+
+    kind = 'wire'
--- /dev/null
+++ b/cicadahoist/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances over pynng."""
--- /dev/null
+++ b/cicadahoist/messages.py
@@ -0,0 +1,208 @@
+"""Messages between instances and between the entry and control processes."""
+
+import msgspec
+
+from cicadahoist.errors import WireError
+
+
+class InstanceInfo(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Identity and address of one running process of an instance.
+
+    :param incarnation: drawn anew at each start, so that a restart under
+        the same name is told apart from a pause
+    """
+
+    name: str
+    zone: str
+    address: str
+    port: int
+    incarnation: str
+
+
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """
+    State of the sender, sent to each peer in each round.
+
+    :param heard: incarnations that the sender heard within the peer timeout,
+        by name; shows one-way cuts
+    :param revision: table revision in force at the sender
+    :param in_force_ms: how long that revision has been in force
+    :param leaving: whether the sender is draining
+    """
+
+    heard: dict[str, str]
+    revision: int
+    in_force_ms: int
+    leaving: bool = False
+
+
+class KnownInstances(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Addresses of live instances, for newcomers."""
+
+    instances: list[InstanceInfo]
+
+
+class TableDelta(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """
+    Shard objects that changed since an older revision.
+
+    :param base: revision to which the delta applies
+    :param head: encoded :class:`~cicadahoist.table.Head`
+    :param shards: encoded shard objects, by object name
+    """
+
+    base: int
+    head: bytes
+    shards: dict[str, bytes]
+
+
+class TableWanted(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks a peer for what changed since ``revision``."""
+
+    revision: int
+
+
+class UsageCount(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """
+    Usage of one finished or broken-off request.
+
+    :param request: identifier of the request, counted at most once
+    :param window: number of the billing window
+    """
+
+    request: str
+    entry: str
+    window: int
+    workspace: str
+    route: str
+    prompt_tokens: int
+    output_tokens: int
+
+
+class UsageCopied(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Acknowledges that the sender keeps copies of these counts."""
+
+    requests: list[str]
+
+
+class UsageFlushed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Tells peers that these counts are in the store."""
+
+    requests: list[str]
+
+
+class DrainNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """
+    Asks every entry to send no new work to a target.
+
+    :param order: identifier of the drain, ``epoch.seq``
+    :param active: false takes the drain back
+    """
+
+    target: str
+    order: str
+    active: bool = True
+
+
+class DrainAck(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """
+    Acknowledges a drain.
+
+    :param open_requests: requests of the sender that still run there
+    """
+
+    target: str
+    order: str
+    instance: str
+    incarnation: str
+    open_requests: int
+
+
+class Demand(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """
+    Recent demand at the sender, from which limits are split.
+
+    :param by_rule: requests, tokens and open requests of the last period,
+        by ``workspace/route``
+    """
+
+    by_rule: dict[str, tuple[int, int, int]]
+
+
+class LoadView(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Cost in flight from the sender, in prompt-token units, by target."""
+
+    by_target: dict[str, tuple[int, int]]
+
+
+class Blame(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """
+    A request ran on a target while that target died.
+
+    :param alone: whether no other request ran there
+    """
+
+    digest: str
+    target: str
+    alone: bool
+
+
+class Quarantined(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Bodies with this digest are refused everywhere for a time."""
+
+    digest: str
+    for_ms: int
+
+
+Message = (
+    Heartbeat
+    | KnownInstances
+    | TableDelta
+    | TableWanted
+    | UsageCount
+    | UsageCopied
+    | UsageFlushed
+    | DrainNotice
+    | DrainAck
+    | Demand
+    | LoadView
+    | Blame
+    | Quarantined
+)
+
+
+class Batch(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    All messages for one peer in one round.
+
+    :param sequence: rises with each batch of one incarnation to one peer
+    """
+
+    sender: InstanceInfo
+    sequence: int
+    messages: list[Message]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Batch)
+
+
+def encode_batch(batch: Batch) -> bytes:
+    """Return the wire form (MessagePack) of a batch."""
+    return _encoder.encode(batch)
+
+
+def decode_batch(wire: bytes) -> Batch:
+    """
+    Decode a batch.
+
+    :raises WireError: the bytes are no batch of this version
+    """
+    try:
+        return _decoder.decode(wire)
+    except msgspec.MsgspecError as error:
+        raise WireError(
+            f'undecodable batch: {error}',
+            remedy='run the same version on all instances',
+        ) from error
--- /dev/null
+++ b/cicadahoist/outside/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform and to targets."""
--- /dev/null
+++ b/cicadahoist/outside/tablestore.py
@@ -0,0 +1,208 @@
+"""
+The operators' table in the platform's store.
+
+Rows live in immutable shard objects. The head object names the shards of a
+revision, so that one conditional update of the head commits any number of
+rows at once, and a reader of an old head still finds its shards.
+"""
+
+import msgspec
+
+from cicadahoist.errors import (
+    StoreUnavailableError,
+    TableConflictError,
+    VersionConflictError,
+)
+from cicadahoist.ids import fast_hash, new_nonce
+from cicadahoist.outside.store import ABSENT, Store
+from cicadahoist.table import (
+    HEAD_NAME,
+    SHARD_COUNT,
+    Head,
+    KeyGrant,
+    Route,
+    Row,
+    Rule,
+    Shard,
+    Table,
+    Target,
+    Workspace,
+    row_key,
+)
+
+COMMIT_ATTEMPTS = 8
+COMMITS_KEPT = 64
+
+_decode_head = msgspec.json.Decoder(Head).decode
+_decode_shard = msgspec.json.Decoder(Shard).decode
+
+
+class RowChange(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    A row to save or remove.
+
+    :param row: the new row, or the row to remove
+    :param remove: whether the row is removed
+    """
+
+    row: Row
+    remove: bool = False
+
+
+class TableStore:
+    """
+    Reads and commits table revisions.
+
+    :param store: the platform's store
+    """
+
+    __slots__ = ('_shards_by_name', '_store')
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._shards_by_name: dict[str, Shard] = {}
+
+    async def read_head(self) -> tuple[Head, int]:
+        """Return the head and its version; an empty head where none is."""
+        stored = await self._store.read(HEAD_NAME)
+        if stored is None:
+            return Head(), ABSENT
+        return _decode_head(stored.payload), stored.version
+
+    async def watch_head(
+        self, after: int, wait_ms: int
+    ) -> tuple[Head, int] | None:
+        """Return the next head after a version, or none within the time."""
+        stored = await self._store.watch(HEAD_NAME, after, wait_ms)
+        if stored is None:
+            return None
+        return _decode_head(stored.payload), stored.version
+
+    async def load(self, head: Head) -> Table:
+        """Return the table of a head; only unknown shards are read."""
+        shards = {}
+        for name in head.shards.values():
+            shards[name] = await self._shard(name)
+        self._shards_by_name = shards
+        return Table(head.revision, list(shards.values()))
+
+    async def commit(self, changes: list[RowChange]) -> int:
+        """
+        Save rows; each row's ``revision`` must be the one last read.
+
+        :return: the revision that holds the changes
+        :raises TableConflictError: another operator saved a row first
+        :raises StoreUnavailableError: the store is away
+        """
+        nonce = new_nonce()
+        for _ in range(COMMIT_ATTEMPTS):
+            revision = await self._try_commit(changes, nonce)
+            if revision:
+                return revision
+        raise TableConflictError(
+            'other operators commit all the time', remedy='try again'
+        )
+
+    async def _try_commit(self, changes: list[RowChange], nonce: str) -> int:
+        head, version = await self.read_head()
+        if nonce in head.commits:
+            return head.revision - (
+                len(head.commits) - 1 - head.commits.index(nonce)
+            )
+        updated = await self._with_changes(head, changes, nonce)
+        payload = msgspec.json.encode(updated)
+        try:
+            await self._store.write(HEAD_NAME, payload, version)
+        except VersionConflictError:
+            return 0
+        except StoreUnavailableError:
+            if not await self._is_committed(nonce):
+                return 0
+        return updated.revision
+
+    async def _is_committed(self, nonce: str) -> bool:
+        head, _ = await self.read_head()
+        return nonce in head.commits
+
+    async def _with_changes(
+        self, head: Head, changes: list[RowChange], nonce: str
+    ) -> Head:
+        by_shard: dict[str, list[RowChange]] = {}
+        for change in changes:
+            by_shard.setdefault(shard_of(change.row), []).append(change)
+        revision = head.revision + 1
+        shards = dict(head.shards)
+        for number, group in by_shard.items():
+            shard = Shard()
+            current = shards.get(number)
+            if current is not None:
+                shard = await self._shard(current)
+            name = f'table/shards/{number}/{new_nonce()}'
+            await self._store.write(
+                name,
+                msgspec.json.encode(_apply(shard, group, revision)),
+                ABSENT,
+            )
+            shards[number] = name
+        return Head(
+            revision=revision,
+            shards=shards,
+            commits=[*head.commits, nonce][-COMMITS_KEPT:],
+        )
+
+    async def _shard(self, name: str) -> Shard:
+        known = self._shards_by_name.get(name)
+        if known is not None:
+            return known
+        stored = await self._store.read(name)
+        if stored is None:
+            raise StoreUnavailableError(
+                f'shard {name} is absent', remedy='read the head again'
+            )
+        shard = _decode_shard(stored.payload)
+        self._shards_by_name[name] = shard
+        return shard
+
+
+def shard_of(row: Row) -> str:
+    """Return the number of the shard that holds a row."""
+    number = fast_hash(row_key(row)) % SHARD_COUNT
+    return f'{number:02d}'
+
+
+def _apply(shard: Shard, changes: list[RowChange], revision: int) -> Shard:
+    rows: list[Row] = [
+        *shard.workspaces,
+        *shard.keys,
+        *shard.targets,
+        *shard.routes,
+        *shard.rules,
+    ]
+    by_key = {row_key(row): row for row in rows}
+    for change in changes:
+        key = row_key(change.row)
+        _check_unchanged(by_key.get(key), change.row)
+        if change.remove:
+            by_key.pop(key, None)
+        else:
+            by_key[key] = msgspec.structs.replace(change.row, revision=revision)
+    return _to_shard(list(by_key.values()))
+
+
+def _check_unchanged(stored: Row | None, given: Row) -> None:
+    stored_revision = stored.revision if stored else 0
+    if stored_revision != given.revision:
+        raise TableConflictError(
+            f'stored: {stored!r}, yours: {given!r}',
+            remedy='merge the two and save with the stored revision',
+        )
+
+
+def _to_shard(rows: list[Row]) -> Shard:
+    return Shard(
+        workspaces=[row for row in rows if isinstance(row, Workspace)],
+        keys=[row for row in rows if isinstance(row, KeyGrant)],
+        targets=[row for row in rows if isinstance(row, Target)],
+        routes=[row for row in rows if isinstance(row, Route)],
+        rules=[row for row in rows if isinstance(row, Rule)],
+    )
--- /dev/null
+++ b/cicadahoist/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no I/O, and time is an argument."""
--- /dev/null
+++ b/cicadahoist/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""State machines for leases, orders, claims, windows and revisions."""
--- /dev/null
+++ b/cicadahoist/settings.py
@@ -0,0 +1,287 @@
+"""Every setting of every program, declared once."""
+
+from cicadahoist.config import Option, OptionSet
+
+SETTINGS = OptionSet()
+_declare = SETTINGS.declare
+
+MAX_PORT = 65535
+
+INSTANCE_NAME = _declare(
+    Option(
+        'instance',
+        'name',
+        'instance-1',
+        summary='Name of this instance, unique in the deployment.',
+    )
+)
+INSTANCE_ZONE = _declare(
+    Option(
+        'instance',
+        'zone',
+        'zone-a',
+        summary='Availability zone of this instance.',
+    )
+)
+INSTANCE_ADDRESS = _declare(
+    Option(
+        'instance',
+        'address',
+        '127.0.0.1',
+        summary='IP number under which other instances reach this one.',
+    )
+)
+LOG_FORMAT = _declare(
+    Option(
+        'log',
+        'format',
+        'text',
+        choices=('text', 'json'),
+        summary='Form of the log lines on standard error.',
+    )
+)
+LOG_LEVEL = _declare(
+    Option(
+        'log',
+        'level',
+        'INFO',
+        choices=('DEBUG', 'INFO', 'WARNING', 'ERROR'),
+        summary='Lowest level that is written.',
+    )
+)
+ENTRY_PORT = _declare(
+    Option(
+        'entry',
+        'port',
+        8080,
+        lowest=0,
+        highest=MAX_PORT,
+        summary='TCP port for callers.',
+    )
+)
+BODY_LIMIT = _declare(
+    Option(
+        'entry',
+        'body_limit',
+        8_388_608,
+        unit='bytes',
+        lowest=1024,
+        summary='Longest request body that is accepted.',
+    )
+)
+HEADER_TIMEOUT = _declare(
+    Option(
+        'entry',
+        'header_timeout',
+        10_000,
+        unit='ms',
+        lowest=100,
+        summary='Longest time a caller may take to send a request.',
+    )
+)
+CONNECT_TIMEOUT = _declare(
+    Option(
+        'entry',
+        'connect_timeout',
+        500,
+        unit='ms',
+        lowest=10,
+        summary='Longest time to connect to a target.',
+    )
+)
+STALL_TIMEOUT = _declare(
+    Option(
+        'entry',
+        'stall_timeout',
+        2000,
+        unit='ms',
+        lowest=50,
+        summary='Longest silence of a stream before it is resumed elsewhere.',
+    )
+)
+DRAIN_GRACE = _declare(
+    Option(
+        'entry',
+        'drain_grace',
+        2000,
+        unit='ms',
+        lowest=0,
+        summary='Time after SIGTERM until the entry takes no connections.',
+    )
+)
+DRAIN_LIMIT = _declare(
+    Option(
+        'entry',
+        'drain_limit',
+        600_000,
+        unit='ms',
+        lowest=0,
+        summary='Longest time that open requests have to finish.',
+    )
+)
+MESH_PORT = _declare(
+    Option(
+        'mesh',
+        'port',
+        8090,
+        lowest=0,
+        highest=MAX_PORT,
+        summary='TCP port for other instances.',
+    )
+)
+MESH_SEEDS = _declare(
+    Option(
+        'mesh',
+        'seeds',
+        '',
+        summary='Addresses (host:port, comma-separated) of known instances.',
+    )
+)
+HEARTBEAT_PERIOD = _declare(
+    Option(
+        'mesh',
+        'heartbeat_period',
+        500,
+        unit='ms',
+        lowest=50,
+        summary='Time between two batches to a peer.',
+    )
+)
+PEER_TIMEOUT = _declare(
+    Option(
+        'mesh',
+        'peer_timeout',
+        2000,
+        unit='ms',
+        lowest=200,
+        summary='Silence after which a peer counts as away.',
+    )
+)
+LOCAL_PORT = _declare(
+    Option(
+        'mesh',
+        'local_port',
+        8091,
+        lowest=0,
+        highest=MAX_PORT,
+        summary='Loopback port between entry and control of one instance.',
+    )
+)
+STORE_ADAPTER = _declare(
+    Option(
+        'store',
+        'adapter',
+        'http',
+        summary='Registered adapter for the store of the platform.',
+    )
+)
+STORE_URL = _declare(
+    Option(
+        'store',
+        'url',
+        'http://127.0.0.1:8070',
+        summary='Address of the store of the platform.',
+    )
+)
+STORE_TIMEOUT = _declare(
+    Option(
+        'store',
+        'timeout',
+        1000,
+        unit='ms',
+        lowest=10,
+        summary='Longest wait for an answer of the store.',
+    )
+)
+STORE_WATCH_WAIT = _declare(
+    Option(
+        'store',
+        'watch_wait',
+        20_000,
+        unit='ms',
+        lowest=100,
+        summary='How long one watch waits for a change.',
+    )
+)
+STORE_PREFIX = _declare(
+    Option(
+        'store',
+        'prefix',
+        'cicadahoist',
+        summary='First part of the names of all stored objects.',
+    )
+)
+ENGINE_ADAPTER = _declare(
+    Option(
+        'targets',
+        'engine_adapter',
+        'openai-http',
+        summary='Registered adapter for engines.',
+    )
+)
+ENGINE_CREDENTIAL = _declare(
+    Option(
+        'targets',
+        'engine_credential',
+        '',
+        summary="Bearer token towards engines; never a caller's key.",
+    )
+)
+SERVICE_ADAPTER = _declare(
+    Option(
+        'targets',
+        'service_adapter',
+        'http',
+        summary='Registered adapter for plain services.',
+    )
+)
+LEASE_TERM = _declare(
+    Option(
+        'control',
+        'lease_term',
+        6000,
+        unit='ms',
+        lowest=500,
+        summary='Time after which an unrenewed lease may be taken over.',
+    )
+)
+LEASE_MARGIN = _declare(
+    Option(
+        'control',
+        'lease_margin',
+        500,
+        unit='ms',
+        lowest=50,
+        summary='How long before its end a holder stops using a lease.',
+    )
+)
+ORDER_BOUND = _declare(
+    Option(
+        'control',
+        'order_bound',
+        1000,
+        unit='ms',
+        lowest=50,
+        summary='Longest time that a sent order can be on its way.',
+    )
+)
+USAGE_WINDOW = _declare(
+    Option(
+        'usage',
+        'window',
+        60_000,
+        unit='ms',
+        lowest=1000,
+        summary='Length of a billing window.',
+    )
+)
+USAGE_FLUSH_PERIOD = _declare(
+    Option(
+        'usage',
+        'flush_period',
+        2000,
+        unit='ms',
+        lowest=100,
+        summary='Time between two writes of usage counts to the store.',
+    )
+)
--- /dev/null
+++ b/cicadahoist/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for targets."""
--- /dev/null
+++ b/proof/__init__.py
@@ -0,0 +1,1 @@
+"""Model checking and the fault matrix."""
