--- a/cicadahoist/outside/store.py
+++ b/cicadahoist/outside/store.py
@@ -107,7 +107,7 @@
     ) -> None:
         pool = HTTPConnectionPool(reactor)
         pool.maxPersistentPerHost = MAX_CONNECTIONS
-        self._agent = Agent(reactor, pool=pool)
+        self._agent: Any = Agent(reactor, pool=pool)
         self._reactor = reactor
         self._base = base.rstrip('/')
         self._prefix = prefix
