--- /dev/null
+++ b/cicadahoist/entry/answer_stream.py
@@ -0,0 +1,134 @@
+"""
+One streamed answer over all its attempts.
+
+An answer that breaks off goes on from the last token that the caller has, so
+chunks are ordered by token offset: what the caller has already is dropped,
+and a gap ends the attempt.
+"""
+
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+from cicadahoist.entry.events import (
+    DONE,
+    Chunk,
+    Usage,
+    decode_chunk,
+    encode_event,
+)
+
+
+class Progress(Enum):
+    """What an event means for the answer."""
+
+    going_on = 'going on'
+    complete = 'complete'
+    broken = 'broken'
+
+
+class AnswerStream:
+    """
+    Turns events of attempts into the events of one whole answer.
+
+    :param wants_usage: whether the caller asked for a usage chunk
+    """
+
+    __slots__ = (
+        '_answer_id',
+        '_finished',
+        '_rewrites',
+        '_wants_usage',
+        'next_offset',
+        'usage',
+    )
+
+    def __init__(self, *, wants_usage: bool) -> None:
+        self.next_offset = 0
+        self.usage = Usage()
+        self._wants_usage = wants_usage
+        self._finished = False
+        self._answer_id = ''
+        self._rewrites = False
+
+    def begin_attempt(self) -> None:
+        """Take further events as those of a new attempt."""
+        self._rewrites = bool(self._answer_id)
+
+    def accept(self, payload: bytes, out: list[bytes]) -> Progress:
+        """
+        Take one event of the attempt in progress.
+
+        :param payload: payload of the event
+        :param out: receives the encoded events for the caller; the end of
+            the stream is not among them
+        """
+        if payload == DONE:
+            return Progress.complete if self._finished else Progress.broken
+        try:
+            chunk = decode_chunk(payload)
+        except msgspec.MsgspecError:
+            return Progress.broken
+        if chunk.error is not None:
+            return Progress.broken
+        self._answer_id = self._answer_id or chunk.id
+        if chunk.usage is not None:
+            self._accept_usage(chunk.usage)
+        if chunk.choices:
+            return self._accept_tokens(chunk, payload, out)
+        if chunk.usage is not None and self._wants_usage:
+            out.append(self._encode(payload))
+        return Progress.going_on
+
+    def _accept_tokens(
+        self, chunk: Chunk, payload: bytes, out: list[bytes]
+    ) -> Progress:
+        choice = chunk.choices[0]
+        tokens = chunk.tokens
+        if chunk.token_offset is None:
+            tokens = int(choice.has_output)
+        elif chunk.token_offset != self.next_offset:
+            return self._misplaced(chunk.token_offset + tokens)
+        is_end = choice.finish_reason is not None
+        if self._is_repeated(tokens, is_end=is_end):
+            return Progress.going_on
+        self.next_offset += tokens
+        self._finished = self._finished or is_end
+        out.append(self._encode(payload))
+        return Progress.going_on
+
+    def _misplaced(self, end: int) -> Progress:
+        if end <= self.next_offset:
+            return Progress.going_on
+        return Progress.broken
+
+    def _is_repeated(self, tokens: int, *, is_end: bool) -> bool:
+        """Tell whether the caller got this chunk from an earlier attempt."""
+        if is_end:
+            return self._finished
+        return self._rewrites and not tokens
+
+    def _accept_usage(self, usage: Usage) -> None:
+        self.usage.prompt_tokens = usage.prompt_tokens
+        self.usage.completion_tokens = max(
+            usage.completion_tokens, self.next_offset
+        )
+
+    def _encode(self, payload: bytes) -> bytes:
+        if self._rewrites:
+            return encode_event(self._rewritten(payload))
+        return encode_event(payload)
+
+    def _rewritten(self, payload: bytes) -> bytes:
+        """Return a chunk of a later attempt as one of the first."""
+        fields: dict[str, Any] = msgspec.json.decode(
+            payload, type=dict[str, Any]
+        )
+        fields['id'] = self._answer_id
+        if fields.get('usage'):
+            prompt = self.usage.prompt_tokens
+            output = self.usage.completion_tokens
+            fields['usage']['completion_tokens'] = output
+            fields['usage']['total_tokens'] = prompt + output
+        return msgspec.json.encode(fields)
--- /dev/null
+++ b/cicadahoist/entry/auth.py
@@ -0,0 +1,101 @@
+"""Authentication: which workspace a request runs for, and on what terms."""
+
+import msgspec
+
+from cicadahoist.entry.caller import CallerRequest
+from cicadahoist.entry.refusal import RequestRefusedError
+from cicadahoist.ids import key_digest
+from cicadahoist.reasons import Refusal
+from cicadahoist.table import KeyGrant, Route, RouteKind, Rule, Table
+
+OPEN_WORKSPACE = 'open'
+
+
+class Grant(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    The right of one request to run.
+
+    :param workspace: the workspace for which it runs
+    :param key_digest: digest of the key, empty on a route open to all
+    :param rule: weights and limits
+    """
+
+    workspace: str
+    key_digest: str
+    route: Route
+    rule: Rule
+
+
+def authenticate(table: Table, request: CallerRequest) -> KeyGrant:
+    """
+    Return the key that came with a request.
+
+    :raises RequestRefusedError: no key, an unknown or a withdrawn one
+    """
+    key = request.bearer()
+    if not key:
+        raise RequestRefusedError(Refusal.no_key, 'no key was sent')
+    grant = table.keys_by_digest.get(key_digest(key))
+    if grant is None:
+        raise RequestRefusedError(Refusal.wrong_key, 'the key is unknown')
+    if not is_valid(table, grant.digest):
+        raise RequestRefusedError(Refusal.key_withdrawn, 'the key is withdrawn')
+    return grant
+
+
+def is_valid(table: Table, digest: str) -> bool:
+    """Tell whether a key grants access at this revision."""
+    grant = table.keys_by_digest.get(digest)
+    if grant is None or grant.withdrawn:
+        return False
+    workspace = table.workspaces_by_name.get(grant.workspace)
+    return workspace is not None and workspace.enabled
+
+
+def authorize(
+    table: Table, request: CallerRequest, name: str, kind: RouteKind
+) -> Grant:
+    """
+    Return the right of a request to use a route.
+
+    :param name: name of the route
+    :raises RequestRefusedError: the key or the route does not allow it
+    """
+    route = table.routes_by_name.get(name)
+    if route is not None and route.kind is not kind:
+        route = None
+    if route is not None and route.open_to_all and not request.bearer():
+        return _open_grant(table, route)
+    key = authenticate(table, request)
+    if route is None:
+        raise RequestRefusedError(
+            Refusal.unknown_route, f'no {kind.value} {name!r}'
+        )
+    rule = table.rules_by_pair.get((key.workspace, name))
+    if rule is None:
+        raise RequestRefusedError(
+            Refusal.forbidden_route,
+            f'workspace {key.workspace!r} has no row for {name!r}',
+        )
+    return Grant(
+        workspace=key.workspace, key_digest=key.digest, route=route, rule=rule
+    )
+
+
+def _open_grant(table: Table, route: Route) -> Grant:
+    rule = table.rules_by_pair.get((OPEN_WORKSPACE, route.name))
+    if rule is None:
+        rule = Rule(workspace=OPEN_WORKSPACE, route=route.name)
+    return Grant(
+        workspace=OPEN_WORKSPACE, key_digest='', route=route, rule=rule
+    )
+
+
+def allowed_routes(table: Table, workspace: str) -> list[Route]:
+    """Return the model routes that a workspace may use, by name."""
+    return [
+        route
+        for name, route in sorted(table.routes_by_name.items())
+        if route.kind is RouteKind.model
+        and (route.open_to_all or (workspace, name) in table.rules_by_pair)
+    ]
--- /dev/null
+++ b/cicadahoist/entry/events.py
@@ -0,0 +1,80 @@
+"""Server-sent events of a streamed answer."""
+
+import msgspec
+
+EVENT_END = b'\n\n'
+DATA_PREFIX = b'data:'
+DONE = b'[DONE]'
+
+
+class Delta(msgspec.Struct):
+    """New text of a chat answer."""
+
+    content: str | None = None
+    tool_calls: msgspec.Raw | None = None
+
+
+class Choice(msgspec.Struct):
+    """The part of a choice that the entry reads."""
+
+    finish_reason: str | None = None
+    text: str | None = None
+    delta: Delta | None = None
+
+    @property
+    def has_output(self) -> bool:
+        """Whether the choice holds output, not only a role or an end."""
+        if self.delta is None:
+            return bool(self.text)
+        return bool(self.delta.content or self.delta.tool_calls)
+
+
+class Usage(msgspec.Struct):
+    """Token counts of an answer."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class Chunk(msgspec.Struct):
+    """
+    The parts of a chunk that the entry reads.
+
+    :param token_offset: place of its first token in the answer
+    :param tokens: how many tokens it holds, where it has an offset
+    """
+
+    id: str = ''
+    choices: list[Choice] = []
+    usage: Usage | None = None
+    token_offset: int | None = None
+    tokens: int = 1
+    error: msgspec.Raw | None = None
+
+
+decode_chunk = msgspec.json.Decoder(Chunk).decode
+
+
+class EventSplitter:
+    """Cuts a byte stream into events."""
+
+    __slots__ = ('_rest',)
+
+    def __init__(self) -> None:
+        self._rest = b''
+
+    def feed(self, received: bytes) -> list[bytes]:
+        """Return the payloads of the events that are now complete."""
+        buffered = self._rest + received if self._rest else received
+        events = buffered.split(EVENT_END)
+        self._rest = events.pop()
+        return [
+            event.removeprefix(DATA_PREFIX).strip()
+            for event in events
+            if event.startswith(DATA_PREFIX)
+        ]
+
+
+def encode_event(payload: bytes) -> bytes:
+    """Return an event with this payload."""
+    return b'data: %b\n\n' % payload
--- /dev/null
+++ b/cicadahoist/entry/model_request.py
@@ -0,0 +1,119 @@
+"""Requests of the usual model interface."""
+
+from typing import Any
+
+import msgspec
+
+from cicadahoist.entry.refusal import RequestRefusedError
+from cicadahoist.reasons import Refusal
+
+BYTES_PER_TOKEN = 4
+DEFAULT_MAX_TOKENS = 512
+
+
+class StreamOptions(msgspec.Struct):
+    """Options of a streamed answer."""
+
+    include_usage: bool = False
+
+
+class ModelFields(msgspec.Struct):
+    """The fields that the entry reads; all others pass through."""
+
+    model: str
+    messages: list[Any] | None = None
+    prompt: str | list[Any] | None = None
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    choices: int | None = msgspec.field(name='n', default=None)
+
+
+class ModelRequest:
+    """
+    A checked request for an answer of a model.
+
+    :param fields: the fields that the entry reads
+    :param raw: all fields, undecoded
+    :param size: length of the body in bytes
+    """
+
+    __slots__ = ('_raw', 'fields', 'size')
+
+    def __init__(
+        self, fields: ModelFields, raw: dict[str, msgspec.Raw], size: int
+    ) -> None:
+        self.fields = fields
+        self.size = size
+        self._raw = raw
+
+    @classmethod
+    def from_body(cls, body: bytes, *, is_chat: bool) -> 'ModelRequest':
+        """
+        Check a body.
+
+        :raises RequestRefusedError: it is no request of this interface
+        """
+        try:
+            fields = _decode_fields(body)
+            raw = _decode_raw(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise RequestRefusedError(
+                Refusal.bad_request, str(error)
+            ) from error
+        wanted = 'messages' if is_chat else 'prompt'
+        if getattr(fields, wanted) is None:
+            raise RequestRefusedError(
+                Refusal.bad_request, f'the field {wanted!r} is missing'
+            )
+        if fields.choices not in {None, 1}:
+            raise RequestRefusedError(
+                Refusal.bad_request, 'only one choice (n = 1) is served'
+            )
+        return cls(fields, raw, len(body))
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is to be streamed."""
+        return self.fields.stream
+
+    @property
+    def wants_usage(self) -> bool:
+        """Whether the stream is to end with a usage chunk."""
+        options = self.fields.stream_options
+        return options is not None and options.include_usage
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimated length of the prompt."""
+        return max(1, self.size // BYTES_PER_TOKEN)
+
+    @property
+    def max_tokens(self) -> int:
+        """Longest output that the caller asked for."""
+        return (
+            self.fields.max_completion_tokens
+            or self.fields.max_tokens
+            or DEFAULT_MAX_TOKENS
+        )
+
+    def for_target(self, resume_from: int = 0) -> bytes:
+        """
+        Return the body for a target.
+
+        A stream always asks for usage, as bills are made from it.
+
+        :param resume_from: number of output tokens the caller has already
+        """
+        fields: dict[str, Any] = dict(self._raw)
+        if self.is_stream:
+            fields['stream_options'] = StreamOptions(include_usage=True)
+        fields.pop('resume_from', None)
+        if resume_from:
+            fields['resume_from'] = resume_from
+        return msgspec.json.encode(fields)
+
+
+_decode_fields = msgspec.json.Decoder(ModelFields).decode
+_decode_raw = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
--- /dev/null
+++ b/cicadahoist/entry/open_requests.py
@@ -0,0 +1,120 @@
+"""Requests that are open at this entry."""
+
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred
+
+from cicadahoist.entry.auth import Grant
+from cicadahoist.entry.caller import CallerRequest
+from cicadahoist.entry.refusal import RequestRefusedError
+from cicadahoist.ids import new_nonce
+
+
+class OpenRequest:
+    """
+    One open request.
+
+    :param caller: who asked
+    :param grant: the right under which it runs
+    """
+
+    __slots__ = (
+        '_stop',
+        'attempt',
+        'billing_id',
+        'caller',
+        'grant',
+        'refused',
+        'target',
+        'was_sent',
+    )
+
+    def __init__(self, caller: CallerRequest, grant: Grant) -> None:
+        self.caller = caller
+        self.grant = grant
+        self.billing_id = new_nonce()
+        self.attempt = ''
+        self.target = ''
+        self.was_sent = False
+        self.refused: RequestRefusedError | None = None
+        self._stop: Callable[[], None] | None = None
+        caller.on_gone(self._stop_attempt)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no further attempt is wanted."""
+        return self.refused is not None or self.caller.gone
+
+    def begin_attempt(self, target: str) -> str:
+        """Note the target of a new attempt and return the attempt's id."""
+        self.target = target
+        self.attempt = new_nonce()
+        return self.attempt
+
+    def end_attempt(self) -> None:
+        """Note that no target works on the request."""
+        self.target = ''
+        self._stop = None
+
+    def on_stop(self, stop: Callable[[], None]) -> None:
+        """Set what ends the attempt or the wait in progress."""
+        self._stop = stop
+        if self.is_over:
+            stop()
+
+    def cut_off(self, refused: RequestRefusedError) -> None:
+        """End the request with a refusal."""
+        if self.refused is None:
+            self.refused = refused
+            self._stop_attempt()
+
+    def _stop_attempt(self) -> None:
+        if self._stop is not None:
+            self._stop()
+
+
+class OpenRequests:
+    """All open requests of this entry."""
+
+    __slots__ = ('_requests', '_waiting')
+
+    def __init__(self) -> None:
+        self._requests: set[OpenRequest] = set()
+        self._waiting: list[Deferred[None]] = []
+
+    def __len__(self) -> int:
+        return len(self._requests)
+
+    def add(self, request: OpenRequest) -> None:
+        """Add a request."""
+        self._requests.add(request)
+
+    def remove(self, request: OpenRequest) -> None:
+        """Remove a request."""
+        self._requests.discard(request)
+        if not self._requests:
+            waiting = self._waiting
+            self._waiting = []
+            for idle in waiting:
+                idle.callback(None)
+
+    def count_on(self, target: str) -> int:
+        """Return how many requests run on a target."""
+        return sum(request.target == target for request in self._requests)
+
+    def cut_off_where(
+        self,
+        matches: Callable[[Grant], bool],
+        refused: RequestRefusedError,
+    ) -> None:
+        """End all requests whose grant matches."""
+        for request in list(self._requests):
+            if matches(request.grant):
+                request.cut_off(refused)
+
+    async def until_none(self) -> None:
+        """Wait until no request is open."""
+        if self._requests:
+            idle: Deferred[None] = Deferred()
+            self._waiting.append(idle)
+            await idle
--- /dev/null
+++ b/cicadahoist/entry/stall_watch.py
@@ -0,0 +1,86 @@
+"""
+Finds attempts whose target has stopped working.
+
+A silent target may be frozen or only busy with a long prompt, so it is asked
+about the attempt before the attempt is given up.
+"""
+
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred
+
+from cicadahoist.clock import Timer
+from cicadahoist.entry.context import EntryContext
+from cicadahoist.errors import CicadahoistError
+from cicadahoist.table import Target
+
+WORKING_STATES = frozenset(('queued', 'running'))
+
+
+class StallWatch:
+    """
+    Watches one attempt.
+
+    :param heard_ms: returns when the attempt last received something
+    :param on_stalled: called once when the target has stopped working
+    """
+
+    __slots__ = (
+        '_attempt',
+        '_context',
+        '_heard_ms',
+        '_is_open',
+        '_on_stalled',
+        '_target',
+        '_timer',
+    )
+
+    def __init__(
+        self,
+        context: EntryContext,
+        target: Target,
+        attempt: str,
+        heard_ms: Callable[[], int],
+        on_stalled: Callable[[], None],
+    ) -> None:
+        self._context = context
+        self._target = target
+        self._attempt = attempt
+        self._heard_ms = heard_ms
+        self._on_stalled = on_stalled
+        self._is_open = True
+        self._timer = self._arm(context.stall_timeout_ms)
+
+    def stop(self) -> None:
+        """Watch no longer."""
+        self._is_open = False
+        if self._timer.active():
+            self._timer.cancel()
+
+    def _arm(self, delay_ms: float) -> Timer:
+        return self._context.clock.call_later(delay_ms, self._check)
+
+    def _check(self) -> None:
+        timeout_ms = self._context.stall_timeout_ms
+        silent_ms = self._context.clock.now_ms() - self._heard_ms()
+        if silent_ms < timeout_ms:
+            self._timer = self._arm(timeout_ms - silent_ms)
+        else:
+            Deferred.fromCoroutine(self._probe())
+
+    async def _probe(self) -> None:
+        try:
+            found = await self._context.engines.state(
+                self._target, self._attempt
+            )
+        except CicadahoistError:
+            is_working = False
+        else:
+            is_working = found.state in WORKING_STATES
+        if not self._is_open:
+            return
+        if is_working:
+            self._timer = self._arm(self._context.stall_timeout_ms)
+        else:
+            self._is_open = False
+            self._on_stalled()
--- /dev/null
+++ b/cicadahoist/entry/stream_attempt.py
@@ -0,0 +1,103 @@
+"""One attempt at a streamed answer: relays events from a target."""
+
+from enum import Enum
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol
+
+from cicadahoist.clock import Clock
+from cicadahoist.entry.answer_stream import AnswerStream, Progress
+from cicadahoist.entry.caller import CallerRequest
+from cicadahoist.entry.events import EventSplitter
+
+
+class AttemptEnd(Enum):
+    """How an attempt ended."""
+
+    complete = 'complete'
+    broken = 'broken'
+    stalled = 'stalled'
+    stopped = 'stopped'
+
+
+class StreamAttempt(Protocol):
+    """
+    Receives the body of a target's answer and writes it to the caller.
+
+    Bytes that arrive after the attempt has ended are dropped.
+
+    :param answer: the answer that the attempt goes on with
+    :param caller: receives the events
+    """
+
+    def __init__(
+        self, answer: AnswerStream, caller: CallerRequest, clock: Clock
+    ) -> None:
+        self.ended: Deferred[AttemptEnd] = Deferred()
+        self._answer = answer
+        self._caller = caller
+        self._clock = clock
+        self._splitter = EventSplitter()
+        self._is_open = True
+        self._is_paused = False
+        self._heard_ms = clock.now_ms()
+
+    def heard_ms(self) -> int:
+        """Return when the target last sent or was last kept from sending."""
+        if self._is_paused:
+            return self._clock.now_ms()
+        return self._heard_ms
+
+    def connectionMade(self) -> None:
+        """Let the caller's connection pause the target's."""
+        if not self._caller.gone:
+            self._caller.http.registerProducer(self, streaming=True)
+
+    def dataReceived(self, received: bytes) -> None:
+        """Relay what has arrived."""
+        if not self._is_open:
+            return
+        self._heard_ms = self._clock.now_ms()
+        out: list[bytes] = []
+        progress = Progress.going_on
+        for payload in self._splitter.feed(received):
+            progress = self._answer.accept(payload, out)
+            if progress is not Progress.going_on:
+                break
+        if out and not self._caller.gone:
+            self._caller.http.write(b''.join(out))
+        if progress is Progress.complete:
+            self.end(AttemptEnd.complete)
+        elif progress is Progress.broken:
+            self.end(AttemptEnd.broken)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """End an attempt whose target broke off."""
+        self.end(AttemptEnd.broken)
+
+    def end(self, end: AttemptEnd) -> None:
+        """End the attempt."""
+        if not self._is_open:
+            return
+        self._is_open = False
+        if not self._caller.gone:
+            self._caller.http.unregisterProducer()
+        if end is not AttemptEnd.complete and self.transport is not None:
+            self.transport.stopProducing()
+        self.ended.callback(end)
+
+    def pauseProducing(self) -> None:
+        """Read no more from the target, as the caller reads slowly."""
+        self._is_paused = True
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """Read from the target again."""
+        self._is_paused = False
+        self._heard_ms = self._clock.now_ms()
+        self.transport.resumeProducing()
+
+    def stopProducing(self) -> None:
+        """End the attempt, as the caller is gone."""
+        self.end(AttemptEnd.stopped)
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -20,7 +20,12 @@
 
     no_key = (401, Outcome.not_run, 'send Authorization: Bearer with your key')
     wrong_key = (401, Outcome.not_run, 'check the key with your operator')
-    key_withdrawn = (401, Outcome.failed, 'ask your operator for a new key')
+    key_withdrawn = (401, Outcome.not_run, 'ask your operator for a new key')
+    key_withdrawn_midway = (
+        401,
+        Outcome.failed,
+        'ask your operator for a new key',
+    )
     forbidden_route = (
         403,
         Outcome.not_run,
