Add the operators' command line

Workspaces, keys, models, routes, targets and rules of the table, with conditional saves, typed errors and an exit code for each kind of failure. Config.replaced() gives settings with one other value.

--- /dev/null
+++ b/cicadahoist/cmd/operator/app.py
@@ -0,0 +1,47 @@
+"""The ``cicadahoist`` command: groups and options for all commands."""
+
+from functools import partial
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from cicadahoist.cmd.operator.keys import keys
+from cicadahoist.cmd.operator.routes import models, routes
+from cicadahoist.cmd.operator.session import Session
+from cicadahoist.cmd.operator.tables import tables
+from cicadahoist.cmd.operator.targets import targets
+from cicadahoist.cmd.operator.workspaces import workspaces
+
+app = typer.Typer(
+    name='cicadahoist',
+    help='Drives cicadahoist from its table.',
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+app.add_typer(tables, name='table')
+app.add_typer(workspaces, name='workspace')
+app.add_typer(keys, name='key')
+app.add_typer(models, name='model')
+app.add_typer(routes, name='route')
+app.add_typer(targets, name='target')
+
+
+@app.callback()
+def prepare(
+    context: typer.Context,
+    config: Annotated[
+        Path | None, typer.Option(help='INI file with settings.')
+    ] = None,
+    store_url: Annotated[
+        str | None, typer.Option(help='Address of the store.')
+    ] = None,
+) -> None:
+    """Drive cicadahoist from its table."""
+    if context.obj is None:
+        context.obj = partial(Session.from_options, config, store_url)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/cicadahoist/cmd/operator/keys.py
@@ -0,0 +1,119 @@
+"""Commands for callers' keys."""
+
+import secrets
+import sys
+from typing import Annotated
+
+import msgspec
+import typer
+
+from cicadahoist.cmd.operator.command import command
+from cicadahoist.cmd.operator.exits import RejectedError
+from cicadahoist.cmd.operator.rows import require, require_absent, save_row
+from cicadahoist.cmd.operator.session import Session
+from cicadahoist.ids import key_digest
+from cicadahoist.table import KeyGrant, Table
+
+KEY_BYTES = 24
+MIN_DIGEST_PREFIX = 8
+READ_FROM_STDIN = '-'
+
+keys = typer.Typer(help="Callers' keys.", no_args_is_help=True)
+
+
+class CreatedKey(msgspec.Struct, frozen=True, kw_only=True):
+    """A new key, shown once."""
+
+    key: str
+    digest: str
+    workspace: str
+    label: str
+
+
+@command(keys, 'list')
+async def list_keys(
+    session: Session,
+    workspace: Annotated[
+        str | None, typer.Option(help='Only keys of this workspace.')
+    ] = None,
+) -> None:
+    """List keys by digest; the keys themselves are not stored."""
+    table = await session.read_table()
+    granted = sorted(table.keys_by_digest.values(), key=_listing_order)
+    session.show([row for row in granted if workspace in {None, row.workspace}])
+
+
+@command(keys, 'create')
+async def create_key(
+    session: Session,
+    workspace: Annotated[str, typer.Argument(help='Workspace of the key.')],
+    key: Annotated[
+        str | None,
+        typer.Option(help='Key to grant, - to read it; drawn by default.'),
+    ] = None,
+    label: Annotated[str, typer.Option(help='Note for operators.')] = '',
+) -> None:
+    """Grant a key, print it once and store its digest."""
+    secret = _given_key(key) or secrets.token_urlsafe(KEY_BYTES)
+    digest = key_digest(secret)
+    table = await session.read_table()
+    require(table.workspaces_by_name.get(workspace), f'workspace {workspace}')
+    require_absent(table.keys_by_digest.get(digest), 'this key')
+    await save_row(
+        session, KeyGrant(digest=digest, workspace=workspace, label=label)
+    )
+    session.show(
+        [
+            CreatedKey(
+                key=secret, digest=digest, workspace=workspace, label=label
+            )
+        ]
+    )
+
+
+@command(keys, 'withdraw')
+async def withdraw_key(
+    session: Session,
+    digest: Annotated[
+        str | None,
+        typer.Argument(help='Digest of the key, or its first 8 characters up.'),
+    ] = None,
+    key: Annotated[
+        str | None, typer.Option(help='The key itself, - to read it.')
+    ] = None,
+) -> None:
+    """Withdraw a key; open requests of its callers are cut off."""
+    secret = _given_key(key)
+    prefix = key_digest(secret) if secret else digest or ''
+    table = await session.read_table()
+    row = _find_key(table, prefix)
+    await save_row(session, msgspec.structs.replace(row, withdrawn=True))
+
+
+def _listing_order(row: KeyGrant) -> tuple[str, str]:
+    return (row.workspace, row.digest)
+
+
+def _given_key(key: str | None) -> str | None:
+    if key == READ_FROM_STDIN:
+        return sys.stdin.readline().strip()
+    return key
+
+
+def _find_key(table: Table, prefix: str) -> KeyGrant:
+    if len(prefix) < MIN_DIGEST_PREFIX:
+        raise RejectedError(
+            f'digest {prefix!r} is too short',
+            remedy=f'give {MIN_DIGEST_PREFIX} characters or more, or --key',
+        )
+    found = [
+        row
+        for row in table.keys_by_digest.values()
+        if row.digest.startswith(prefix)
+    ]
+    if len(found) > 1:
+        raise RejectedError(
+            f'{len(found)} keys start with {prefix}',
+            remedy='give more characters of the digest',
+        )
+    return require(found[0] if found else None, f'key {prefix}')
--- /dev/null
+++ b/cicadahoist/cmd/operator/output.py
@@ -0,0 +1,53 @@
+"""Output of the operators' command line as aligned columns or JSON."""
+
+from collections.abc import Sequence
+from enum import Enum
+from typing import Any
+
+import msgspec
+import typer
+
+COLUMN_GAP = '  '
+
+
+class Output(Enum):
+    """Forms of output."""
+
+    table = 'table'
+    json = 'json'
+
+
+def print_rows(rows: Sequence[msgspec.Struct], output: Output) -> None:
+    """Print rows of one kind in the form asked for."""
+    if output is Output.json:
+        typer.echo(msgspec.json.format(msgspec.json.encode(rows)).decode())
+        return
+    for line in align(rows):
+        typer.echo(line)
+
+
+def align(rows: Sequence[msgspec.Struct]) -> list[str]:
+    """Return a heading and one line for each row, in aligned columns."""
+    if not rows:
+        return ['(none)']
+    names = rows[0].__struct_fields__
+    cells = [[name.upper() for name in names]]
+    cells.extend(
+        [to_cell(getattr(row, name)) for name in names] for row in rows
+    )
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return [
+        COLUMN_GAP.join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in cells
+    ]
+
+
+def to_cell(field: Any) -> str:
+    """Return a field's text in a column or a sheet."""
+    if isinstance(field, bool):
+        return 'yes' if field else 'no'
+    if isinstance(field, Enum):
+        return str(field.value)
+    return str(field)
--- /dev/null
+++ b/cicadahoist/cmd/operator/routes.py
@@ -0,0 +1,102 @@
+"""Commands for routes and models."""
+
+from typing import Annotated
+
+import typer
+
+from cicadahoist.cmd.operator.command import command
+from cicadahoist.cmd.operator.exits import RejectedError
+from cicadahoist.cmd.operator.rows import (
+    require,
+    require_absent,
+    save,
+    save_row,
+)
+from cicadahoist.cmd.operator.session import Session
+from cicadahoist.outside.tablestore import RowChange
+from cicadahoist.table import Route, RouteKind
+
+routes = typer.Typer(
+    help='Routes to models and services.', no_args_is_help=True
+)
+models = typer.Typer(help='Routes to models.', no_args_is_help=True)
+
+NameArgument = Annotated[str, typer.Argument(help='Name of the route.')]
+PoolOption = Annotated[str, typer.Option(help='Pool of targets.')]
+KindOption = Annotated[RouteKind, typer.Option(help='What serves the route.')]
+VersionOption = Annotated[str, typer.Option(help='Version of the model.')]
+UnrepeatableOption = Annotated[
+    bool, typer.Option('--unrepeatable', help='A request runs at most once.')
+]
+OpenOption = Annotated[
+    bool, typer.Option('--open', help='Callers need no key.')
+]
+
+
+@command(routes, 'list')
+async def list_routes(session: Session) -> None:
+    """List all routes, models included."""
+    by_name = (await session.read_table()).routes_by_name
+    session.show([by_name[name] for name in sorted(by_name)])
+
+
+@command(models, 'list')
+async def list_models(session: Session) -> None:
+    """List routes to models."""
+    by_name = (await session.read_table()).routes_by_name
+    session.show(
+        [
+            by_name[name]
+            for name in sorted(by_name)
+            if by_name[name].kind is RouteKind.model
+        ]
+    )
+
+
+@command(routes, 'create')
+async def create_route(
+    session: Session,
+    name: NameArgument,
+    pool: PoolOption,
+    kind: KindOption = RouteKind.model,
+    version: VersionOption = '1',
+    unrepeatable: UnrepeatableOption = False,
+    open_to_all: OpenOption = False,
+) -> None:
+    """Create a route."""
+    row = Route(
+        name=name,
+        pool=pool,
+        kind=kind,
+        version=version,
+        repeatable=not unrepeatable,
+        open_to_all=open_to_all,
+    )
+    table = await session.read_table()
+    require_absent(table.routes_by_name.get(name), f'route {name}')
+    await save_row(session, row)
+
+
+@command(models, 'create')
+async def create_model(
+    session: Session,
+    name: NameArgument,
+    pool: PoolOption,
+    version: VersionOption = '1',
+) -> None:
+    """Create a route to a model."""
+    await create_route(session, name, pool, RouteKind.model, version)
+
+
+@command(routes, 'remove')
+async def remove_route(session: Session, name: NameArgument) -> None:
+    """Remove a route that no rule of the table uses."""
+    table = await session.read_table()
+    row = require(table.routes_by_name.get(name), f'route {name}')
+    used_by = [pair for pair in table.rules_by_pair if pair[1] == name]
+    if used_by:
+        raise RejectedError(
+            f'{len(used_by)} rules use route {name}',
+            remedy='remove them with "table remove" first',
+        )
+    await save(session, [RowChange(row=row, remove=True)])
--- /dev/null
+++ b/cicadahoist/cmd/operator/rows.py
@@ -0,0 +1,89 @@
+"""Saving rows, with both rows shown on a clash."""
+
+from collections.abc import Sequence
+from typing import TypeVar
+
+import typer
+
+from cicadahoist.cmd.operator.exits import NotFoundError, RejectedError
+from cicadahoist.cmd.operator.output import align
+from cicadahoist.cmd.operator.session import Session
+from cicadahoist.errors import TableConflictError
+from cicadahoist.outside.tablestore import RowChange
+from cicadahoist.table import Row, row_key
+
+Found = TypeVar('Found')
+
+
+async def save(session: Session, changes: Sequence[RowChange]) -> int:
+    """
+    Commit changes in one revision.
+
+    :return: the new revision
+    :raises TableConflictError: another operator saved a row first; both
+        rows have been printed
+    """
+    try:
+        return await session.table_store.commit(list(changes))
+    except TableConflictError:
+        await _print_clashes(session, changes)
+        raise TableConflictError(
+            'another operator saved first; nothing was saved',
+            remedy='merge the two rows and save with the stored revision',
+        ) from None
+
+
+async def save_row(session: Session, row: Row) -> None:
+    """Commit one row and print the revision that holds it."""
+    revision = await save(session, [RowChange(row=row)])
+    typer.echo(f'saved {row_key(row)} in revision {revision}', err=True)
+
+
+def require(row: Found | None, what: str) -> Found:
+    """
+    Return a row that has to exist.
+
+    :raises NotFoundError: there is none
+    """
+    if row is None:
+        raise NotFoundError(
+            f'the table holds no {what}', remedy='list what it holds'
+        )
+    return row
+
+
+def require_absent(row: Row | None, what: str) -> None:
+    """
+    Check that a row to create is new.
+
+    :raises RejectedError: the table holds it already
+    """
+    if row is not None:
+        raise RejectedError(
+            f'the table already holds {what}', remedy='choose another name'
+        )
+
+
+async def _print_clashes(
+    session: Session, changes: Sequence[RowChange]
+) -> None:
+    table = await session.read_table()
+    stored_by_key = {row_key(row): row for row in table.rows()}
+    for change in changes:
+        stored = stored_by_key.get(row_key(change.row))
+        stored_revision = stored.revision if stored else 0
+        if stored_revision != change.row.revision:
+            print_clash(stored, change.row)
+
+
+def print_clash(stored: Row | None, given: Row) -> None:
+    """Print the stored row and the one that was to be saved."""
+    typer.echo(f'clash on {row_key(given)}', err=True)
+    _print_side('stored', stored)
+    _print_side('yours', given)
+
+
+def _print_side(side: str, row: Row | None) -> None:
+    lines = align([row] if row else [])
+    for line in lines:
+        typer.echo(f'  {side}: {line}', err=True)
--- /dev/null
+++ b/cicadahoist/cmd/operator/session.py
@@ -0,0 +1,117 @@
+"""One run of the operators' command line."""
+
+from collections.abc import Coroutine, Sequence
+from pathlib import Path
+from typing import Any, Generic, TypeVar
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from cicadahoist.cmd.operator.exits import InterruptedCommandError
+from cicadahoist.cmd.operator.output import Output, print_rows
+from cicadahoist.config import Config
+from cicadahoist.outside.store import STORES, Store
+from cicadahoist.outside.tablestore import TableStore
+from cicadahoist.settings import SETTINGS, STORE_ADAPTER, STORE_URL
+from cicadahoist.table import Table
+
+Answer = TypeVar('Answer')
+
+
+class Session:
+    """
+    Settings, store and output form of one command.
+
+    :param store: the platform's store
+    :param config: checked settings
+    """
+
+    __slots__ = ('config', 'output', 'store', 'table_store')
+
+    def __init__(self, store: Store, config: Config) -> None:
+        self.config = config
+        self.store = store
+        self.table_store = TableStore(store)
+        self.output = Output.table
+
+    @classmethod
+    def from_options(
+        cls, path: Path | None, store_url: str | None
+    ) -> 'Session':
+        """
+        Return a session on the store that file or address names.
+
+        :raises ConfigError: the file holds a wrong setting
+        """
+        from twisted.internet import reactor  # noqa: PLC0415, WPS433
+
+        config = Config.from_values()
+        if path is not None:
+            config = Config.from_file(path, SETTINGS)
+        if store_url is not None:
+            config = config.replaced(STORE_URL, store_url)
+        adapter = STORES.get(config.read(STORE_ADAPTER))
+        return cls(adapter.from_config(config, reactor), config)
+
+    async def read_table(self) -> Table:
+        """Return the table of the newest revision."""
+        head, _ = await self.table_store.read_head()
+        return await self.table_store.load(head)
+
+    def show(self, rows: Sequence[msgspec.Struct]) -> None:
+        """Print rows in the form asked for."""
+        print_rows(rows, self.output)
+
+
+class Completion(Generic[Answer]):
+    """Result of a coroutine that a run of the reactor waits for."""
+
+    __slots__ = ('_outcome',)
+
+    def __init__(self) -> None:
+        self._outcome: list[Answer | Failure] = []
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the coroutine has ended."""
+        return bool(self._outcome)
+
+    def settle(self, outcome: Answer | Failure) -> None:
+        """Keep the outcome."""
+        self._outcome.append(outcome)
+
+    def answer(self) -> Answer:
+        """
+        Return the answer, or raise the coroutine's error.
+
+        :raises InterruptedCommandError: the coroutine has not ended
+        """
+        if not self._outcome:
+            raise InterruptedCommandError(
+                'interrupted; a change may or may not have been saved',
+                remedy='look at the table before saving again',
+            )
+        outcome = self._outcome[0]
+        if isinstance(outcome, Failure):
+            outcome.raiseException()
+        return outcome
+
+
+def run_coroutine(work: Coroutine[Any, Any, Answer]) -> Answer:
+    """
+    Run a coroutine to its end.
+
+    The reactor runs only if the coroutine has to wait, so a store in memory
+    needs none.
+    """
+    from twisted.internet import reactor  # noqa: PLC0415, WPS433
+
+    loop: Any = reactor
+    completion: Completion[Answer] = Completion()
+    waiting = Deferred.fromCoroutine(work)
+    waiting.addBoth(completion.settle)
+    if not completion.is_settled:
+        waiting.addBoth(lambda _: loop.stop())
+        loop.run()
+    return completion.answer()
--- /dev/null
+++ b/cicadahoist/cmd/operator/targets.py
@@ -0,0 +1,94 @@
+"""Commands for targets."""
+
+from typing import Annotated
+
+import msgspec
+import typer
+
+from cicadahoist.cmd.operator.command import command
+from cicadahoist.cmd.operator.rows import (
+    require,
+    require_absent,
+    save,
+    save_row,
+)
+from cicadahoist.cmd.operator.session import Session
+from cicadahoist.outside.tablestore import RowChange
+from cicadahoist.table import RouteKind, Target
+
+DEFAULT_PRICE = 1000
+
+targets = typer.Typer(help='Engines and services.', no_args_is_help=True)
+
+NameArgument = Annotated[str, typer.Argument(help='Name of the target.')]
+PoolOption = Annotated[str, typer.Option(help='Pool that it serves.')]
+UrlOption = Annotated[str, typer.Option(help='Address, http://ip:port.')]
+ZoneOption = Annotated[str, typer.Option(help='Availability zone.')]
+KindOption = Annotated[RouteKind, typer.Option(help='Engine or service.')]
+FencingOption = Annotated[
+    bool, typer.Option(help='It refuses orders with an old fencing number.')
+]
+ReclaimableOption = Annotated[
+    bool, typer.Option('--reclaimable', help='The platform may take it away.')
+]
+PriceOption = Annotated[
+    int,
+    typer.Option(min=0, help='Cost in thousandths of a unit an hour.'),
+]
+
+
+@command(targets, 'list')
+async def list_targets(session: Session) -> None:
+    """List all targets."""
+    by_name = (await session.read_table()).targets_by_name
+    session.show([by_name[name] for name in sorted(by_name)])
+
+
+@command(targets, 'add')
+async def add_target(
+    session: Session,
+    name: NameArgument,
+    pool: PoolOption,
+    url: UrlOption,
+    zone: ZoneOption,
+    kind: KindOption = RouteKind.model,
+    fencing: FencingOption = True,
+    reclaimable: ReclaimableOption = False,
+    price: PriceOption = DEFAULT_PRICE,
+) -> None:
+    """Add a target to a pool."""
+    row = Target(
+        name=name,
+        pool=pool,
+        url=url,
+        zone=zone,
+        kind=kind,
+        fencing=fencing,
+        reclaimable=reclaimable,
+        price=price,
+    )
+    table = await session.read_table()
+    require_absent(table.targets_by_name.get(name), f'target {name}')
+    await save_row(session, row)
+
+
+@command(targets, 'drain')
+async def drain_target(
+    session: Session,
+    name: NameArgument,
+    undo: Annotated[
+        bool, typer.Option('--undo', help='Send it new work again.')
+    ] = False,
+) -> None:
+    """Send a target no new work; its open requests finish."""
+    table = await session.read_table()
+    row = require(table.targets_by_name.get(name), f'target {name}')
+    await save_row(session, msgspec.structs.replace(row, draining=not undo))
+
+
+@command(targets, 'remove')
+async def remove_target(session: Session, name: NameArgument) -> None:
+    """Remove a target; drain it first."""
+    table = await session.read_table()
+    row = require(table.targets_by_name.get(name), f'target {name}')
+    await save(session, [RowChange(row=row, remove=True)])
--- a/cicadahoist/config.py
+++ b/cicadahoist/config.py
@@ -119,6 +119,11 @@
             pairs[section, key] = given
         return cls(pairs)
 
+    def replaced(self, option: Option[Setting], given: Setting) -> 'Config':
+        """Return settings with another value for one option."""
+        by_option = {**self._by_option, (option.section, option.key): given}
+        return Config(by_option)
+
     def read(self, option: Option[Setting]) -> Setting:
         """Return the value of an option, or its default."""
         return self._by_option.get((option.section, option.key), option.default)
--- /dev/null
+++ b/tests/test_cmd/conftest.py
@@ -0,0 +1,82 @@
+import json
+
+import pytest
+from typer.testing import CliRunner
+
+from cicadahoist.cmd.operator.app import app
+from cicadahoist.cmd.operator.session import Session
+from cicadahoist.config import Config
+from cicadahoist.errors import VersionConflictError
+from cicadahoist.outside.store import Stored
+
+
+class MemoryStore:
+    """Versioned objects; ``before_write`` runs before each write."""
+
+    def __init__(self):
+        self.by_name = {}
+        self.before_write = None
+
+    async def read(self, name):
+        return self.by_name.get(name)
+
+    async def write(self, name, payload, expected):
+        if self.before_write:
+            await self.before_write(name)
+        current = self.by_name.get(name)
+        version = current.version if current else 0
+        if version != expected:
+            raise VersionConflictError(name, remedy='read again')
+        self.by_name[name] = Stored(name, version + 1, payload)
+        return version + 1
+
+    async def names(self, prefix):
+        return {
+            name: stored.version
+            for name, stored in self.by_name.items()
+            if name.startswith(prefix)
+        }
+
+
+class Operator:
+    """Runs commands against one store."""
+
+    def __init__(self, store):
+        self.store = store
+
+    def run(self, line, **options):
+        return CliRunner().invoke(
+            app,
+            line if isinstance(line, list) else line.split(),
+            obj=lambda: Session(self.store, Config.from_values()),
+            **options,
+        )
+
+    def done(self, line, **options):
+        result = self.run(line, **options)
+        assert result.exit_code == 0, result.output
+        return result
+
+    def rows(self, line):
+        return json.loads(self.done(f'{line} --output json').stdout)
+
+
+@pytest.fixture
+def store():
+    return MemoryStore()
+
+
+@pytest.fixture
+def operator(store):
+    return Operator(store)
+
+
+@pytest.fixture
+def deployed(operator):
+    """Return an operator whose table holds a workspace and two routes."""
+    operator.done('workspace create tayside')
+    operator.done('model create ledger --pool engines')
+    operator.done(
+        'route create filing --pool filing --kind service --unrepeatable'
+    )
+    return operator
--- /dev/null
+++ b/tests/test_cmd/test_operator_rows.py
@@ -0,0 +1,101 @@
+import pytest
+
+from cicadahoist.cmd.operator.exits import Exit
+from cicadahoist.ids import key_digest
+
+
+def test_workspace_is_created_once(operator):
+    operator.done('workspace create tayside')
+    again = operator.run('workspace create tayside')
+    assert again.exit_code == Exit.rejected
+    assert 'remedy: choose another name' in again.stderr
+    assert [row['name'] for row in operator.rows('workspace list')] == [
+        'tayside'
+    ]
+
+
+def test_workspace_is_disabled_and_enabled(deployed):
+    deployed.done('workspace disable tayside')
+    assert deployed.rows('workspace list')[0]['enabled'] is False
+    deployed.done('workspace enable tayside')
+    assert deployed.rows('workspace list')[0]['enabled'] is True
+
+
+def test_key_is_printed_once_and_stored_as_digest(deployed):
+    deployed.done('key create tayside --key secret-of-clerk --label desk')
+    listed = deployed.rows('key list')
+    assert listed[0]['digest'] == key_digest('secret-of-clerk')
+    assert listed[0]['label'] == 'desk'
+    payloads = [stored.payload for stored in deployed.store.by_name.values()]
+    assert not any(b'secret-of-clerk' in payload for payload in payloads)
+
+
+def test_drawn_key_matches_its_digest(deployed):
+    created = deployed.rows('key create tayside')[0]
+    assert created['digest'] == key_digest(created['key'])
+
+
+@pytest.mark.parametrize('by', ['digest', 'key', 'stdin'])
+def test_key_is_withdrawn(deployed, by):
+    deployed.done('key create tayside --key secret')
+    line = {
+        'digest': 'key withdraw ' + key_digest('secret')[:8],
+        'key': 'key withdraw --key secret',
+        'stdin': 'key withdraw --key -',
+    }[by]
+    deployed.done(line, input='secret\n')
+    assert deployed.rows('key list')[0]['withdrawn'] is True
+
+
+@pytest.mark.parametrize(
+    ('line', 'code'),
+    [
+        ('key withdraw 0123', Exit.rejected),
+        ('key withdraw 0123456789', Exit.not_found),
+        ('key create nobody', Exit.not_found),
+        ('workspace disable nobody', Exit.not_found),
+        ('target drain nothing', Exit.not_found),
+        ('target add e1 --pool p', Exit.usage),
+        ('route remove nothing', Exit.not_found),
+    ],
+)
+def test_wrong_arguments_have_their_own_codes(deployed, line, code):
+    before = deployed.store.by_name.copy()
+    assert deployed.run(line).exit_code == code
+    assert deployed.store.by_name == before
+
+
+def test_routes_keep_kind_and_repeat_rule(deployed):
+    by_name = {row['name']: row for row in deployed.rows('route list')}
+    assert by_name['filing']['kind'] == 'service'
+    assert by_name['filing']['repeatable'] is False
+    assert by_name['ledger']['repeatable'] is True
+    assert [row['name'] for row in deployed.rows('model list')] == ['ledger']
+
+
+def test_route_in_use_stays(deployed):
+    deployed.done('table set tayside ledger')
+    assert deployed.run('route remove ledger').exit_code == Exit.rejected
+    deployed.done('table remove tayside ledger')
+    deployed.done('route remove ledger')
+    assert [row['name'] for row in deployed.rows('route list')] == ['filing']
+
+
+def test_target_is_drained_and_taken_back(deployed):
+    deployed.done(
+        'target add e1 --pool engines --url http://127.0.0.1:9001'
+        ' --zone zone-a --no-fencing --reclaimable --price 300'
+    )
+    deployed.done('target drain e1')
+    row = deployed.rows('target list')[0]
+    assert row['draining'] is True
+    assert row['fencing'] is False
+    assert row['price'] == 300
+    deployed.done('target drain e1 --undo')
+    assert deployed.rows('target list')[0]['draining'] is False
+
+
+def test_columns_are_aligned(deployed):
+    lines = deployed.done('workspace list').stdout.splitlines()
+    assert lines[0].split() == ['NAME', 'ENABLED', 'REVISION']
+    assert lines[1].index('yes') == lines[0].index('ENABLED')
