--- a/cicadahoist/cmd/operator/tables.py
+++ b/cicadahoist/cmd/operator/tables.py
@@ -8,7 +8,7 @@
 from cicadahoist.cmd.operator.command import command
 from cicadahoist.cmd.operator.rows import require, save, save_row
 from cicadahoist.cmd.operator.session import Session
-from cicadahoist.cmd.operator.sheet import parse_fields
+from cicadahoist.cmd.operator.sheet import with_fields
 from cicadahoist.outside.tablestore import RowChange
 from cicadahoist.table import Rule, Table
 
@@ -66,7 +66,7 @@
     row = table.rules_by_pair.get(
         (workspace, route), Rule(workspace=workspace, route=route)
     )
-    changed = parse_fields(row, fields or [])
+    changed = with_fields(row, fields or [])
     if revision is not None:
         changed = msgspec.structs.replace(changed, revision=revision)
     await save_row(session, changed)
--- a/cicadahoist/cmd/operator/targets.py
+++ b/cicadahoist/cmd/operator/targets.py
@@ -13,11 +13,10 @@
     save_row,
 )
 from cicadahoist.cmd.operator.session import Session
+from cicadahoist.cmd.operator.sheet import with_fields
 from cicadahoist.outside.tablestore import RowChange
 from cicadahoist.table import RouteKind, Target
 
-DEFAULT_PRICE = 1000
-
 targets = typer.Typer(help='Engines and services.', no_args_is_help=True)
 
 NameArgument = Annotated[str, typer.Argument(help='Name of the target.')]
@@ -31,10 +30,6 @@
 ReclaimableOption = Annotated[
     bool, typer.Option('--reclaimable', help='The platform may take it away.')
 ]
-PriceOption = Annotated[
-    int,
-    typer.Option(min=0, help='Cost in thousandths of a unit an hour.'),
-]
 
 
 @command(targets, 'list')
@@ -54,7 +49,6 @@
     kind: KindOption = RouteKind.model,
     fencing: FencingOption = True,
     reclaimable: ReclaimableOption = False,
-    price: PriceOption = DEFAULT_PRICE,
 ) -> None:
     """Add a target to a pool."""
     row = Target(
@@ -65,13 +59,26 @@
         kind=kind,
         fencing=fencing,
         reclaimable=reclaimable,
-        price=price,
     )
     table = await session.read_table()
     require_absent(table.targets_by_name.get(name), f'target {name}')
     await save_row(session, row)
 
 
+@command(targets, 'set')
+async def set_target(
+    session: Session,
+    name: NameArgument,
+    fields: Annotated[
+        list[str], typer.Argument(help='FIELD=VALUE, any number.')
+    ],
+) -> None:
+    """Change fields of a target, such as its price."""
+    table = await session.read_table()
+    row = require(table.targets_by_name.get(name), f'target {name}')
+    await save_row(session, with_fields(row, fields))
+
+
 @command(targets, 'drain')
 async def drain_target(
     session: Session,
--- a/tests/test_cmd/test_operator_rows.py
+++ b/tests/test_cmd/test_operator_rows.py
@@ -84,8 +84,9 @@
 def test_target_is_drained_and_taken_back(deployed):
     deployed.done(
         'target add e1 --pool engines --url http://127.0.0.1:9001'
-        ' --zone zone-a --no-fencing --reclaimable --price 300'
+        ' --zone zone-a --no-fencing --reclaimable'
     )
+    deployed.done('target set e1 price=300')
     deployed.done('target drain e1')
     row = deployed.rows('target list')[0]
     assert row['draining'] is True
