--- a/cicadahoist/errors.py
+++ b/cicadahoist/errors.py
@@ -69,3 +69,9 @@
     """A message could not be decoded."""
 
     kind = 'wire'
+
+
+class ChartError(CicadahoistError):
+    """A state chart names something unknown or is inconsistent."""
+
+    kind = 'chart'
--- /dev/null
+++ b/cicadahoist/protocol/chart.py
@@ -0,0 +1,146 @@
+"""State charts, loaded from TOML files and checked."""
+
+import tomllib
+from collections.abc import Iterable
+from importlib.resources import files
+
+import msgspec
+
+from cicadahoist.errors import ChartError
+
+
+class Transition(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """
+    One transition of a chart.
+
+    :param source: state in which it can be taken
+    :param on: event that takes it
+    :param when: guards that must all hold
+    :param to: next state
+    :param run: outputs, in order
+    """
+
+    source: str
+    on: str
+    to: str
+    when: tuple[str, ...] = ()
+    run: tuple[str, ...] = ()
+
+    @property
+    def input_name(self) -> str:
+        """Name of the automat input: the event and its guards."""
+        return '__'.join((self.on, *self.when))
+
+
+class Chart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """
+    A state chart.
+
+    Transitions of one state and event are tried in the order of the file; an
+    event without a transition in a state changes nothing there.
+
+    :param summary_by_state: meaning of each state
+    :param summary_by_guard: meaning of each guard
+    """
+
+    name: str
+    initial: str
+    events: tuple[str, ...]
+    outputs: tuple[str, ...]
+    summary_by_state: dict[str, str]
+    summary_by_guard: dict[str, str]
+    transitions: tuple[Transition, ...]
+
+    @classmethod
+    def load(cls, name: str) -> 'Chart':
+        """
+        Load a chart of this package.
+
+        :raises ChartError: the file is unreadable or inconsistent
+        """
+        path = files('cicadahoist.protocol') / 'charts' / f'{name}.toml'
+        return cls.parse(path.read_text())
+
+    @classmethod
+    def parse(cls, text: str) -> 'Chart':
+        """
+        Read a chart from TOML text.
+
+        :raises ChartError: the text is unreadable or inconsistent
+        """
+        try:
+            chart = msgspec.convert(tomllib.loads(text), cls)
+        except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+            raise ChartError(
+                f'unreadable chart: {error}', remedy='correct the chart file'
+            ) from error
+        _check_names(chart)
+        _check_order(chart)
+        return chart
+
+    def find(self, state: str, event: str) -> list[Transition]:
+        """Return the transitions of a state and event, in order."""
+        return [
+            transition
+            for transition in self.transitions
+            if (transition.source, transition.on) == (state, event)
+        ]
+
+    def without_guard(self, guard: str) -> 'Chart':
+        """
+        Return this chart with one guard taken as always true.
+
+        :raises ChartError: the chart has no such guard
+        """
+        check_known(self, 'guard', guard, self.summary_by_guard)
+        transitions: dict[tuple[str, str], Transition] = {}
+        for transition in self.transitions:
+            kept = tuple(name for name in transition.when if name != guard)
+            relaxed = msgspec.structs.replace(transition, when=kept)
+            key = (relaxed.source, relaxed.input_name)
+            transitions.setdefault(key, relaxed)
+        return msgspec.structs.replace(
+            self, transitions=tuple(transitions.values())
+        )
+
+
+def _check_names(chart: Chart) -> None:
+    states = chart.summary_by_state
+    check_known(chart, 'state', chart.initial, states)
+    for transition in chart.transitions:
+        check_known(chart, 'state', transition.source, states)
+        check_known(chart, 'state', transition.to, states)
+        check_known(chart, 'event', transition.on, chart.events)
+        for guard in transition.when:
+            check_known(chart, 'guard', guard, chart.summary_by_guard)
+        for output in transition.run:
+            check_known(chart, 'output', output, chart.outputs)
+
+
+def _check_order(chart: Chart) -> None:
+    closed: set[tuple[str, str]] = set()
+    for transition in chart.transitions:
+        key = (transition.source, transition.on)
+        if key in closed:
+            raise ChartError(
+                f'chart {chart.name}: {key} has a transition that is never '
+                'reached',
+                remedy='put the transition without guards last',
+            )
+        if not transition.when:
+            closed.add(key)
+
+
+def check_known(
+    chart: Chart, kind: str, name: str, known: Iterable[str]
+) -> None:
+    """
+    Check that a name is one of those known.
+
+    :raises ChartError: it is not
+    """
+    if name not in known:
+        raise ChartError(
+            f'chart {chart.name}: unknown {kind} {name!r}',
+            remedy='choose one of: {0}'.format(', '.join(sorted(known))),
+        )
--- /dev/null
+++ b/cicadahoist/protocol/lease.py
@@ -0,0 +1,146 @@
+"""Leases with fencing numbers on objects of the platform's store."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from cicadahoist.config import Config
+from cicadahoist.ids import new_nonce
+from cicadahoist.protocol.actions import Action, WriteObject
+from cicadahoist.protocol.events import ObjectRead, WriteConfirmed, nonce_of
+from cicadahoist.protocol.lease_guards import GUARDS
+from cicadahoist.protocol.lease_outputs import OUTPUTS
+from cicadahoist.protocol.machine import ChartKit, ChartRunner
+from cicadahoist.protocol.records import LeaseRecord, encode_record
+from cicadahoist.protocol.timing import LeaseTiming
+
+HOLDER_STATES = frozenset(('holding', 'renewing', 'reviewing'))
+LEASE_KIT = ChartKit.load('lease', GUARDS, OUTPUTS)
+
+
+class SeenVersion:
+    """The newest version seen of the lease object, and since when."""
+
+    __slots__ = ('since_ms', 'version')
+
+    def __init__(self) -> None:
+        self.version = -1
+        self.since_ms = 0
+
+    def note(self, version: int, now_ms: int) -> None:
+        """Take in a version that was read or written."""
+        if version != self.version:
+            self.version = version
+            self.since_ms = now_ms
+
+
+class LeaseKeeper:
+    """
+    Stands for one lease and holds it.
+
+    The caller passes events and carries out the returned actions in order.
+    Times are readings of one clock that does not stand still while the
+    instance is suspended.
+
+    :param name: name of the lease object
+    :param holder: name and incarnation of this process
+    :param timing: times of the lease
+    :param kit: the chart to follow
+    :param draw_nonce: returns a value that no other process draws
+    """
+
+    __slots__ = (
+        '_draw_nonce',
+        'actions',
+        'attempts',
+        'deadline_ms',
+        'holder',
+        'leaving',
+        'name',
+        'pending',
+        'record',
+        'runner',
+        'seen',
+        'timing',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        holder: str,
+        timing: LeaseTiming,
+        kit: ChartKit | None = None,
+        draw_nonce: Callable[[], str] = new_nonce,
+    ) -> None:
+        self.name = name
+        self.holder = holder
+        self.timing = timing
+        self._draw_nonce = draw_nonce
+        self.record = LeaseRecord()
+        self.pending = LeaseRecord()
+        self.seen = SeenVersion()
+        self.attempts: dict[str, int] = {}
+        self.deadline_ms = 0
+        self.leaving = False
+        self.actions: list[Action] = []
+        self.runner: ChartRunner = (kit or LEASE_KIT).start(self)
+
+    @classmethod
+    def from_config(
+        cls, config: Config, name: str, holder: str
+    ) -> 'LeaseKeeper':
+        """Return a keeper with the times that the settings give."""
+        return cls(name, holder, LeaseTiming.from_config(config))
+
+    @property
+    def state(self) -> str:
+        """State of the chart."""
+        return self.runner.state
+
+    @property
+    def step_down_ms(self) -> int:
+        """When the holder stops using the lease."""
+        return self.kill_ms - self.timing.margin_ms
+
+    @property
+    def kill_ms(self) -> int:
+        """When the kernel ends the holder."""
+        return self.deadline_ms - self.timing.margin_ms
+
+    def handle(self, event: Any, now_ms: int) -> list[Action]:
+        """
+        Take in an event.
+
+        :param now_ms: reading of the clock, taken before the actions run
+        :return: actions to carry out in order
+        """
+        self.runner.offer(event, now_ms)
+        actions = self.actions
+        self.actions = []
+        return actions
+
+    def is_holder(self, now_ms: int) -> bool:
+        """Tell whether this process may use the lease at this moment."""
+        if self.state not in HOLDER_STATES:
+            return False
+        return now_ms < self.step_down_ms
+
+    def write(self, record: LeaseRecord, now_ms: int) -> None:
+        """Send a write of the record; its term counts from now on."""
+        nonce = self._draw_nonce()
+        self.pending = msgspec.structs.replace(record, nonce=nonce)
+        self.attempts[nonce] = now_ms
+        self.actions.append(
+            WriteObject(
+                self.name,
+                encode_record(self.pending),
+                self.seen.version,
+                nonce,
+            )
+        )
+
+    def deadline_of(self, event: ObjectRead | WriteConfirmed) -> int:
+        """Return the end of the term that an own write gives."""
+        nonce = nonce_of(event)
+        return self.attempts[nonce] + self.timing.term_ms
--- /dev/null
+++ b/cicadahoist/protocol/lease_guards.py
@@ -0,0 +1,69 @@
+"""Guards of the lease chart."""
+
+from typing import TYPE_CHECKING, Any
+
+from cicadahoist.protocol.events import ObjectRead, nonce_of
+from cicadahoist.protocol.machine import Guard
+from cicadahoist.protocol.records import decode_record
+from cicadahoist.registry import Registry
+
+if TYPE_CHECKING:
+    from cicadahoist.protocol.lease import LeaseKeeper
+
+GUARDS: Registry[Guard] = Registry('guard of the lease chart')
+
+
+@GUARDS.register('lease_free')
+def _lease_free(lease: 'LeaseKeeper', event: ObjectRead, now_ms: int) -> bool:
+    record = decode_record(event.payload)
+    return record.released or not record.epoch
+
+
+@GUARDS.register('waited_out')
+def _waited_out(lease: 'LeaseKeeper', event: ObjectRead, now_ms: int) -> bool:
+    if event.version != lease.seen.version:
+        return False
+    return now_ms - lease.seen.since_ms >= lease.timing.takeover_ms
+
+
+@GUARDS.register('term_left')
+def _term_left(lease: 'LeaseKeeper', event: Any, now_ms: int) -> bool:
+    return now_ms < lease.deadline_of(event) - 2 * lease.timing.margin_ms
+
+
+@GUARDS.register('attempt_known')
+def _attempt_known(lease: 'LeaseKeeper', event: Any, now_ms: int) -> bool:
+    return event.nonce == lease.pending.nonce and bool(lease.attempts)
+
+
+@GUARDS.register('nonce_own')
+def _nonce_own(lease: 'LeaseKeeper', event: ObjectRead, now_ms: int) -> bool:
+    return nonce_of(event) in lease.attempts
+
+
+@GUARDS.register('version_unchanged')
+def _version_unchanged(
+    lease: 'LeaseKeeper', event: ObjectRead, now_ms: int
+) -> bool:
+    return event.version == lease.seen.version
+
+
+@GUARDS.register('term_over')
+def _term_over(lease: 'LeaseKeeper', event: Any, now_ms: int) -> bool:
+    return now_ms >= lease.step_down_ms
+
+
+@GUARDS.register('renewal_due')
+def _renewal_due(lease: 'LeaseKeeper', event: Any, now_ms: int) -> bool:
+    written_ms = lease.deadline_ms - lease.timing.term_ms
+    return now_ms - written_ms >= lease.timing.renewal_ms
+
+
+@GUARDS.register('orders_settled')
+def _orders_settled(lease: 'LeaseKeeper', event: Any, now_ms: int) -> bool:
+    return lease.record.all_settled
+
+
+@GUARDS.register('leaving')
+def _leaving(lease: 'LeaseKeeper', event: Any, now_ms: int) -> bool:
+    return lease.leaving
--- /dev/null
+++ b/cicadahoist/protocol/machine.py
@@ -0,0 +1,158 @@
+"""Runs state charts as automat machines."""
+
+import re
+from collections.abc import Callable
+from types import new_class
+from typing import Any, Protocol
+
+from automat import TypeMachineBuilder
+
+from cicadahoist.protocol.chart import Chart, Transition, check_known
+from cicadahoist.registry import Registry
+
+Guard = Callable[[Any, Any, int], bool]
+Output = Callable[[Any, Any, int], None]
+
+_WORD_START = re.compile('(?<!^)(?=[A-Z])')
+
+
+class ChartKit:
+    """
+    A chart joined with the guards and outputs that it names.
+
+    :param chart: the chart
+    :param guards: guard functions by name
+    :param outputs: output functions by name
+    :raises ChartError: the chart names a guard or output that does not exist
+    """
+
+    __slots__ = ('_guards', '_machine', '_outputs', 'chart')
+
+    def __init__(
+        self, chart: Chart, guards: Registry[Guard], outputs: Registry[Output]
+    ) -> None:
+        for guard in chart.summary_by_guard:
+            check_known(chart, 'guard', guard, guards.names())
+        for output in chart.outputs:
+            check_known(chart, 'output', output, outputs.names())
+        self.chart = chart
+        self._guards = guards
+        self._outputs = outputs
+        self._machine = _build_machine(chart)
+
+    @classmethod
+    def load(
+        cls, name: str, guards: Registry[Guard], outputs: Registry[Output]
+    ) -> 'ChartKit':
+        """Load a chart of this package and join it with its functions."""
+        return cls(Chart.load(name), guards, outputs)
+
+    def without_guard(self, guard: str) -> 'ChartKit':
+        """Return a kit in which one guard is taken as always true."""
+        chart = self.chart.without_guard(guard)
+        return ChartKit(chart, self._guards, self._outputs)
+
+    def start(self, core: Any) -> 'ChartRunner':
+        """Return a machine in the initial state that works on ``core``."""
+        runner = ChartRunner(self, core)
+        runner.inputs = self._machine(runner)
+        return runner
+
+    def allows(
+        self, transition: Transition, core: Any, event: Any, now_ms: int
+    ) -> bool:
+        """Tell whether all guards of a transition hold."""
+        return all(
+            self._guards.get(name)(core, event, now_ms)
+            for name in transition.when
+        )
+
+    def run_outputs(
+        self, transition: Transition, core: Any, event: Any, now_ms: int
+    ) -> None:
+        """Run the outputs of a transition."""
+        for name in transition.run:
+            self._outputs.get(name)(core, event, now_ms)
+
+
+class ChartRunner:
+    """
+    One running machine of a chart.
+
+    :param kit: the chart and its functions
+    :param core: what guards and outputs work on
+    """
+
+    __slots__ = ('core', 'inputs', 'kit', 'observer', 'state')
+
+    def __init__(self, kit: ChartKit, core: Any) -> None:
+        self.kit = kit
+        self.core = core
+        self.state = kit.chart.initial
+        self.inputs: Any = None
+        self.observer: Callable[[Transition], None] | None = None
+
+    def offer(self, event: Any, now_ms: int) -> bool:
+        """
+        Take the first transition that the event and the guards allow.
+
+        :return: whether a transition was taken
+        """
+        for transition in self.kit.chart.find(self.state, event_name(event)):
+            if self.kit.allows(transition, self.core, event, now_ms):
+                take = getattr(self.inputs, transition.input_name)
+                take(event, now_ms)
+                return True
+        return False
+
+    def enter(self, transition: Transition, event: Any, now_ms: int) -> None:
+        """Go to a transition's next state and run its outputs."""
+        self.state = transition.to
+        if self.observer is not None:
+            self.observer(transition)
+        self.kit.run_outputs(transition, self.core, event, now_ms)
+
+
+def event_name(event: Any) -> str:
+    """Return the name of an event in charts: its type, in snake case."""
+    return _WORD_START.sub('_', type(event).__name__).lower()
+
+
+def _build_machine(chart: Chart) -> Callable[[ChartRunner], Any]:
+    names = {transition.input_name for transition in chart.transitions}
+    inputs = _input_protocol(sorted(names))
+    builder: Any = TypeMachineBuilder(inputs, ChartRunner)
+    states = {chart.initial: builder.state(chart.initial)}
+    for state in chart.summary_by_state:
+        if state != chart.initial:
+            states[state] = builder.state(state)
+    for transition in chart.transitions:
+        symbol = getattr(inputs, transition.input_name)
+        route = states[transition.source].upon(symbol)
+        route.to(states[transition.to])(_entering(transition))
+    return builder.build()
+
+
+def _entering(transition: Transition) -> Callable[..., None]:
+    def enter(
+        inputs: Any, runner: ChartRunner, event: Any, now_ms: int
+    ) -> None:
+        runner.enter(transition, event, now_ms)
+
+    return enter
+
+
+def _input_protocol(names: list[str]) -> Any:
+    members: dict[str, Any] = {name: _input_method(name) for name in names}
+    return new_class(
+        'Inputs', (Protocol,), {}, lambda body: body.update(members)
+    )
+
+
+def _input_method(name: str) -> Callable[..., None]:
+    def method(self: Any, event: Any, now_ms: int) -> None:
+        """Offer an event."""
+
+    method.__name__ = name
+    method.__qualname__ = f'Inputs.{name}'
+    return method
--- /dev/null
+++ b/cicadahoist/protocol/records.py
@@ -0,0 +1,91 @@
+"""What a lease object in the store holds."""
+
+import msgspec
+
+from cicadahoist.errors import WireError
+
+
+class JournalEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    The last order to one target.
+
+    :param epoch: epoch of the holder that wrote the entry
+    :param seq: rises with each entry of one lease object
+    :param kind: kind of the order, as the target's interface names it
+    :param argument: argument of the order
+    :param settled: whether the outcome is known
+    """
+
+    target: str
+    epoch: int
+    seq: int
+    kind: str
+    argument: str = ''
+    settled: bool = False
+
+    @property
+    def token(self) -> str:
+        """Idempotency token under which the order is sent."""
+        return f'{self.epoch}.{self.seq}'
+
+
+class LeaseRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    A lease and its order journal.
+
+    :param epoch: fencing number, rises with each win
+    :param holder: name and incarnation of the holder
+    :param nonce: drawn anew for each write
+    :param released: whether the holder gave the lease back
+    :param seq: highest sequence number given out
+    :param orders: last order by target
+    """
+
+    epoch: int = 0
+    holder: str = ''
+    nonce: str = ''
+    released: bool = False
+    seq: int = 0
+    orders: dict[str, JournalEntry] = {}
+
+    @property
+    def all_settled(self) -> bool:
+        """Whether the outcome of every order is known."""
+        return all(entry.settled for entry in self.orders.values())
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(LeaseRecord)
+
+
+def encode_record(record: LeaseRecord) -> bytes:
+    """Return the stored form (JSON) of a record."""
+    return _encoder.encode(record)
+
+
+def decode_record(payload: bytes) -> LeaseRecord:
+    """
+    Decode a record.
+
+    :param payload: stored form, empty for an object that does not exist
+    :raises WireError: the payload is no record of this version
+    """
+    if not payload:
+        return LeaseRecord()
+    try:
+        return _decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise WireError(
+            f'undecodable lease: {error}',
+            remedy='run the same version on all instances',
+        ) from error
+
+
+def lease_name(zone: str, duty: str) -> str:
+    """
+    Return the name of a lease object.
+
+    :param zone: the zone, or ``usage`` for a usage shard
+    :param duty: ``engines``, ``targets`` or the number of a usage shard
+    """
+    return f'leases/{zone}/{duty}'
--- /dev/null
+++ b/cicadahoist/protocol/timing.py
@@ -0,0 +1,42 @@
+"""Times of leases."""
+
+import msgspec
+
+from cicadahoist.config import Config
+from cicadahoist.settings import LEASE_MARGIN, LEASE_TERM, ORDER_BOUND
+
+RENEWALS_PER_TERM = 3
+
+
+class LeaseTiming(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Times of a lease in milliseconds.
+
+    :param term_ms: how long a write keeps the lease
+    :param margin_ms: the kernel ends the holder this long before the term
+        does, and the holder steps down another margin earlier
+    :param bound_ms: longest time that a sent order can be on its way
+    """
+
+    term_ms: int
+    margin_ms: int
+    bound_ms: int
+
+    @classmethod
+    def from_config(cls, config: Config) -> 'LeaseTiming':
+        """Return the times that the settings give."""
+        return cls(
+            term_ms=config.read(LEASE_TERM),
+            margin_ms=config.read(LEASE_MARGIN),
+            bound_ms=config.read(ORDER_BOUND),
+        )
+
+    @property
+    def takeover_ms(self) -> int:
+        """How long a version must be unchanged before a takeover."""
+        return self.term_ms + self.bound_ms
+
+    @property
+    def renewal_ms(self) -> int:
+        """Time between two renewals."""
+        return self.term_ms // RENEWALS_PER_TERM
