--- /dev/null
+++ b/cicadahoist/mesh/memory_transport.py
@@ -0,0 +1,117 @@
+"""Transport in memory with seeded loss, delay and cuts, for tests."""
+
+from random import Random
+
+from cicadahoist.clock import Clock
+from cicadahoist.mesh.transport import Receiver
+
+
+class MemoryNetwork:
+    """
+    Connects transports of one process.
+
+    :param clock: usually a manual clock
+    :param seed: seed of losses and delays
+    :param loss: share of messages that are lost
+    :param delay_ms: shortest and longest delay of a message
+    """
+
+    __slots__ = (
+        '_clock',
+        '_cuts',
+        '_delay_ms',
+        '_random',
+        '_receiver_by_address',
+        'loss',
+        'sent_bytes',
+        'sent_messages',
+    )
+
+    def __init__(
+        self,
+        clock: Clock,
+        *,
+        seed: int = 0,
+        loss: float = 0,
+        delay_ms: tuple[int, int] = (1, 1),
+    ) -> None:
+        self._clock = clock
+        self._random = Random(seed)
+        self._delay_ms = delay_ms
+        self._cuts: set[tuple[str, str]] = set()
+        self._receiver_by_address: dict[str, Receiver] = {}
+        self.loss = loss
+        self.sent_messages = 0
+        self.sent_bytes = 0
+
+    def transport(self, address: str) -> 'MemoryTransport':
+        """Return the transport of one address."""
+        return MemoryTransport(self, address)
+
+    def cut(self, source: str, destination: str) -> None:
+        """Lose all messages in one direction."""
+        self._cuts.add((source, destination))
+
+    def cut_between(self, left: list[str], right: list[str]) -> None:
+        """Lose all messages between two groups of addresses."""
+        for one in left:
+            for other in right:
+                self.cut(one, other)
+                self.cut(other, one)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cuts.clear()
+
+    def attach(self, address: str, receiver: Receiver) -> None:
+        """Deliver messages for an address to a receiver."""
+        self._receiver_by_address[address] = receiver
+
+    def detach(self, address: str) -> None:
+        """Lose all further messages for an address."""
+        self._receiver_by_address.pop(address, None)
+
+    def post(self, source: str, destination: str, wire: bytes) -> None:
+        """Deliver a message later, or lose it."""
+        self.sent_messages += 1
+        self.sent_bytes += len(wire)
+        lost = self._random.random() < self.loss
+        delay_ms = self._random.randint(*self._delay_ms)
+        if not lost and (source, destination) not in self._cuts:
+            self._clock.call_later(delay_ms, self._deliver, destination, wire)
+
+    def _deliver(self, destination: str, wire: bytes) -> None:
+        receiver = self._receiver_by_address.get(destination)
+        if receiver is not None:
+            receiver(wire)
+
+
+class MemoryTransport:
+    """
+    One address of a network in memory.
+
+    :param network: the network
+    :param address: own address
+    """
+
+    __slots__ = ('_address', '_network')
+
+    def __init__(self, network: MemoryNetwork, address: str) -> None:
+        self._network = network
+        self._address = address
+
+    def start(self, receiver: Receiver) -> None:
+        """Begin to pass received messages to ``receiver``."""
+        self._network.attach(self._address, receiver)
+
+    def send(self, address: str, wire: bytes) -> bool:
+        """Post a message."""
+        self._network.post(self._address, address, wire)
+        return True
+
+    def forget(self, address: str) -> None:
+        """Do nothing: messages on their way are delivered or lost."""
+
+    def stop(self) -> None:
+        """Lose all further messages."""
+        self._network.detach(self._address)
