--- /dev/null
+++ b/bench/launch.py
@@ -0,0 +1,141 @@
+"""Starts the system on stand-ins as separate processes on loopback."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+START_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 20
+POLL_S = 0.05
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def free_port() -> int:
+    """Return a TCP port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+class Fleet:
+    """Processes of one deployment, ended together."""
+
+    def __init__(self) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.port_by_name: dict[str, int] = {}
+
+    def __enter__(self) -> 'Fleet':
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def path(self, name: str) -> Path:
+        return Path(self.folder.name) / name
+
+    def spawn(self, name: str, module: str, *arguments: str) -> None:
+        """Start a process whose log goes to a file of its own."""
+        log = self.path(f'{name}.log').open('ab')
+        self.by_name[name] = subprocess.Popen(
+            [sys.executable, '-m', module, *arguments],
+            cwd=ROOT,
+            env={**os.environ, 'PYTHONPATH': str(ROOT)},
+            stdout=log,
+            stderr=log,
+        )
+
+    def standin(self, name: str, kind: str, *arguments: str) -> str:
+        """Start a stand-in and return its address."""
+        port = free_port()
+        self.spawn(
+            name,
+            'cicadahoist.cmd.standin',
+            kind,
+            '--port',
+            str(port),
+            *arguments,
+        )
+        self.port_by_name[name] = port
+        self.wait_for_text(name, 'ready')
+        return f'http://127.0.0.1:{port}'
+
+    def daemon(self, name: str, program: str, settings: str) -> None:
+        """Start a daemon with the given settings."""
+        path = self.path(f'{name}.ini')
+        path.write_text(settings)
+        self.spawn(name, f'cicadahoist.cmd.{program}', '--config', str(path))
+
+    def operator(self, store_url: str, *arguments: str) -> str:
+        """Run a command of the operators' command line."""
+        done = subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'cicadahoist.cmd.operator',
+                '--store-url',
+                store_url,
+                *arguments,
+            ],
+            cwd=ROOT,
+            env={**os.environ, 'PYTHONPATH': str(ROOT)},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        if done.returncode:
+            raise RuntimeError(f'{arguments}: {done.stdout}{done.stderr}')
+        return done.stdout
+
+    def wait_for_text(self, name: str, text: str) -> None:
+        """Wait until the log of a process holds a text."""
+        path = self.path(f'{name}.log')
+        self.wait_until(name, lambda: text in path.read_text())
+
+    def wait_for_url(self, name: str, url: str) -> None:
+        """Wait until a process answers with status 200."""
+        self.wait_until(name, lambda: is_answered(url))
+
+    def wait_until(self, name: str, is_met) -> None:
+        """Wait for a condition while a process runs."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while not is_met():
+            late = time.monotonic() > deadline
+            if late or self.by_name[name].poll() is not None:
+                log = self.path(f'{name}.log').read_text()
+                raise RuntimeError(f'{name} did not start:\n{log}')
+            time.sleep(POLL_S)
+
+    def terminate(self, name: str, signum: int = signal.SIGTERM) -> int:
+        """End one process and return its exit code."""
+        process = self.by_name.pop(name)
+        process.send_signal(signum)
+        return process.wait(STOP_TIMEOUT_S)
+
+    def stop(self) -> None:
+        """End all processes that this fleet started."""
+        for process in self.by_name.values():
+            process.terminate()
+        for process in self.by_name.values():
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+        self.by_name.clear()
+        self.folder.cleanup()
+
+
+def is_answered(url: str) -> bool:
+    """Tell whether a URL answers with status 200."""
+    try:
+        with urllib.request.urlopen(url, timeout=1) as answer:
+            return answer.status == 200
+    except (OSError, urllib.error.URLError):
+        return False
