Add stand-ins for store, engine and service, and their adapters

The entry needs something to speak to: adapters tell calls of which no byte was written from calls that were lost afterwards, and connections are not re-sent on by themselves. One object model serves the HTTP stand-in and the in-memory store of tests. Adds the setting targets/timeout and typed target errors. Not covered by tests yet.

--- /dev/null
+++ b/cicadahoist/cmd/standin.py
@@ -0,0 +1,98 @@
+"""``cicadahoist-standin``: small stand-ins for targets and the platform."""
+
+from typing import Annotated, Any
+
+import typer
+
+from cicadahoist.clock import Clock
+from cicadahoist.log import configure_logging
+from cicadahoist.standin.engine import Engine, EngineOptions
+from cicadahoist.standin.engine_batch import EngineLimits
+from cicadahoist.standin.engine_server import EngineServer
+from cicadahoist.standin.objects import READS_PER_S, WRITES_PER_S, ObjectModel
+from cicadahoist.standin.service import ServiceServer
+from cicadahoist.standin.store import StoreServer
+from cicadahoist.standin.web import WebApp
+
+app = typer.Typer(no_args_is_help=True, help=__doc__)
+
+Port = Annotated[int, typer.Option(help='TCP port on loopback, 0 for any.')]
+Name = Annotated[str, typer.Option(help='Name of this stand-in.')]
+
+
+@app.command()
+def store(
+    port: Port = 0,
+    writes_per_s: Annotated[
+        int, typer.Option(help='Rate limit of writes, 0 for none.')
+    ] = WRITES_PER_S,
+    reads_per_s: Annotated[
+        int, typer.Option(help='Rate limit of reads, 0 for none.')
+    ] = READS_PER_S,
+    seed: Annotated[int, typer.Option(help='Seed of random faults.')] = 0,
+) -> None:
+    """Versioned objects with conditional updates and watches."""
+    model = ObjectModel(seed, writes_per_s, reads_per_s)
+    _serve(lambda clock: StoreServer(model, clock).app, port)
+
+
+@app.command()
+def engine(
+    port: Port = 0,
+    name: Name = 'engine-1',
+    model: Annotated[
+        list[str] | None, typer.Option(help='A loaded model; repeatable.')
+    ] = None,
+    fencing: Annotated[
+        bool, typer.Option(help='Whether old fencing numbers are refused.')
+    ] = True,
+    step_ms: Annotated[int, typer.Option(help='Time of one step, in ms.')] = 10,
+    token_budget: Annotated[
+        int, typer.Option(help='Tokens that one step processes.')
+    ] = 2048,
+    max_running: Annotated[
+        int, typer.Option(help='Requests in the batch.')
+    ] = 256,
+    change_ms: Annotated[
+        int, typer.Option(help='Time that a change of role takes, in ms.')
+    ] = 3000,
+) -> None:
+    """One language-model engine."""
+    options = EngineOptions(
+        name=name,
+        models=tuple(model or ('demo-model',)),
+        fencing=fencing,
+        change_ms=change_ms,
+        limits=EngineLimits(
+            step_ms=step_ms,
+            token_budget=token_budget,
+            max_running=max_running,
+        ),
+    )
+    _serve(lambda clock: EngineServer(Engine(options, clock), clock).app, port)
+
+
+@app.command()
+def service(port: Port = 0, name: Name = 'service-1') -> None:
+    """One instance of a plain service."""
+    _serve(lambda clock: ServiceServer(name, clock).app, port)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+def _serve(build: Any, port: int) -> None:
+    from twisted.internet import reactor as installed  # noqa: PLC0415, WPS433
+
+    reactor: Any = installed
+    configure_logging('text', 'INFO')
+    web: WebApp = build(Clock.from_reactor(reactor))
+    listening = web.listen(reactor, port)
+    typer.echo(f'ready {listening.getHost().port}')
+    reactor.run()
+
+
+if __name__ == '__main__':
+    main()
--- a/cicadahoist/errors.py
+++ b/cicadahoist/errors.py
@@ -59,6 +59,30 @@
     kind = 'target'
 
 
+class NotSentError(TargetError):
+    """No byte of the call reached the target."""
+
+    kind = 'not-sent'
+
+
+class LostAfterSendError(TargetError):
+    """The call may have reached the target; what it did is unknown."""
+
+    kind = 'lost-after-send'
+
+
+class RefusedError(TargetError):
+    """The target answered that it does not do what was asked."""
+
+    kind = 'refused'
+
+
+class BusyError(RefusedError):
+    """The target or the platform refused the call for now."""
+
+    kind = 'busy'
+
+
 class FencedError(CicadahoistError):
     """An order carried an old fencing number."""
 
--- /dev/null
+++ b/cicadahoist/outside/engine.py
@@ -0,0 +1,318 @@
+"""Engines: the usual completion interface, orders, KV cache, by HTTP."""
+
+from typing import Any, Protocol
+from urllib.parse import quote
+
+import msgspec
+
+from cicadahoist.config import Config
+from cicadahoist.errors import BusyError, FencedError, RefusedError
+from cicadahoist.outside.http import (
+    HTTP_BUSY,
+    HTTP_CONFLICT,
+    HTTP_LOCKED,
+    HTTP_MULTIPLE_CHOICES,
+    HTTP_UNAVAILABLE,
+    HttpClient,
+    TargetResponse,
+)
+from cicadahoist.registry import Registry
+from cicadahoist.settings import (
+    CONNECT_TIMEOUT,
+    ENGINE_CREDENTIAL,
+    ORDER_BOUND,
+    TARGET_TIMEOUT,
+)
+from cicadahoist.table import Target
+
+JSON_TYPE = 'application/json'
+
+
+class AttemptState(msgspec.Struct, frozen=True):
+    """
+    What an engine knows of one attempt.
+
+    :param state: ``absent``, ``queued``, ``running``, ``finished`` or
+        ``cancelled``
+    :param tokens: output tokens so far
+    """
+
+    state: str
+    tokens: int = 0
+
+
+class EngineLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Load report of an engine, ``age_ms`` old.
+
+    :param prefill_tokens: prompt tokens that wait for prefill
+    :param decode_tokens: output tokens that running requests may still make
+    :param kv_used: KV cache in use, in tokens
+    """
+
+    age_ms: int
+    role: str
+    running: int
+    queued: int
+    prefill_tokens: int
+    decode_tokens: int
+    kv_used: int
+    kv_total: int
+    models: list[str]
+    draining: bool
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """A block that an engine stored or evicted; ``seq`` may have gaps."""
+
+    seq: int
+    kind: str
+    block: str
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """Cache events after a sequence number."""
+
+    events: list[CacheEvent]
+    next: int
+
+
+class EngineOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    An order to an engine.
+
+    :param epoch: fencing number of the lease under which it is sent
+    :param seq: rises with each order to one engine
+    :param kind: ``role``, ``model``, ``adapter``, ``version`` or ``drain``
+    """
+
+    epoch: int
+    seq: int
+    kind: str
+    argument: str = ''
+
+
+class EngineOrders(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    The last order that an engine took, and its state.
+
+    :param changing: whether that order is still in progress
+    """
+
+    epoch: int
+    seq: int
+    role: str
+    models: list[str]
+    adapters: list[str]
+    versions: dict[str, str]
+    changing: bool
+
+
+class EngineAdapter(Protocol):
+    """
+    Calls towards engines.
+
+    Every call may raise :exc:`NotSentError` when no byte reached the engine
+    and :exc:`LostAfterSendError` when it may have arrived.
+    """
+
+    async def open_stream(
+        self,
+        target: Target,
+        attempt: str,
+        path: str,
+        body: bytes,
+        priority: int,
+    ) -> TargetResponse:
+        """Start a request and return its answer once headers arrived."""
+
+    async def cancel(self, target: Target, attempt: str) -> None:
+        """Cancel an attempt."""
+
+    async def state(self, target: Target, attempt: str) -> AttemptState:
+        """Return what the engine knows of an attempt."""
+
+    async def load(self, target: Target) -> EngineLoad:
+        """Return the lagged load report."""
+
+    async def cache_events(self, target: Target, after: int) -> CacheEvents:
+        """Return cache events after a sequence number."""
+
+    async def kv_export(self, target: Target, attempt: str) -> str:
+        """Return a handle to the KV cache of an attempt."""
+
+    async def kv_import(
+        self, target: Target, handle: str, source: Target
+    ) -> str:
+        """Have an engine fetch KV cache from another one."""
+
+    async def read_orders(self, target: Target) -> EngineOrders:
+        """Return the last order and the state of an engine."""
+
+    async def send_order(self, target: Target, order: EngineOrder) -> None:
+        """
+        Send an order.
+
+        :raises FencedError: the engine knows a newer fencing number
+        :raises BusyError: another order is in progress
+        """
+
+
+ENGINES: Registry[Any] = Registry('engine adapter')
+
+
+@ENGINES.register('openai-http')
+class OpenAiHttpEngine:
+    """
+    Engines over HTTP.
+
+    :param kept: client whose connections are kept
+    :param orders: client with a new connection for each order, whose unsent
+        bytes the kernel drops within the order bound
+    """
+
+    __slots__ = (
+        '_credential',
+        '_kept',
+        '_order_bound_ms',
+        '_orders',
+        '_timeout_ms',
+    )
+
+    def __init__(
+        self,
+        kept: HttpClient,
+        orders: HttpClient,
+        credential: str,
+        timeout_ms: int,
+        order_bound_ms: int,
+    ) -> None:
+        self._kept = kept
+        self._orders = orders
+        self._credential = credential
+        self._timeout_ms = timeout_ms
+        self._order_bound_ms = order_bound_ms
+
+    @classmethod
+    def from_config(cls, config: Config, reactor: Any) -> 'OpenAiHttpEngine':
+        """Return the adapter that the settings describe."""
+        connect_ms = config.read(CONNECT_TIMEOUT)
+        bound_ms = config.read(ORDER_BOUND)
+        return cls(
+            HttpClient(reactor, connect_ms),
+            HttpClient(
+                reactor, connect_ms, reuse=False, send_timeout_ms=bound_ms
+            ),
+            config.read(ENGINE_CREDENTIAL),
+            config.read(TARGET_TIMEOUT),
+            bound_ms,
+        )
+
+    async def open_stream(
+        self,
+        target: Target,
+        attempt: str,
+        path: str,
+        body: bytes,
+        priority: int,
+    ) -> TargetResponse:
+        """Start a request and return its answer once headers arrived."""
+        headers = self._headers()
+        headers['X-Request-Id'] = attempt
+        headers['X-Priority'] = str(priority)
+        return await self._kept.call(
+            'POST', _url(target, path), headers=headers, body=body
+        )
+
+    async def cancel(self, target: Target, attempt: str) -> None:
+        """Cancel an attempt."""
+        await self._ask(target, 'DELETE', f'/requests/{quote(attempt)}')
+
+    async def state(self, target: Target, attempt: str) -> AttemptState:
+        """Return what the engine knows of an attempt."""
+        answer = await self._ask(target, 'GET', f'/requests/{quote(attempt)}')
+        return msgspec.json.decode(answer, type=AttemptState)
+
+    async def load(self, target: Target) -> EngineLoad:
+        """Return the lagged load report."""
+        answer = await self._ask(target, 'GET', '/load')
+        return msgspec.json.decode(answer, type=EngineLoad)
+
+    async def cache_events(self, target: Target, after: int) -> CacheEvents:
+        """Return cache events after a sequence number."""
+        path = f'/cache-events?after={after}'
+        answer = await self._ask(target, 'GET', path)
+        return msgspec.json.decode(answer, type=CacheEvents)
+
+    async def kv_export(self, target: Target, attempt: str) -> str:
+        """Return a handle to the KV cache of an attempt."""
+        body = msgspec.json.encode({'attempt': attempt})
+        answer = await self._ask(target, 'POST', '/kv/export', body)
+        return msgspec.json.decode(answer)['handle']
+
+    async def kv_import(
+        self, target: Target, handle: str, source: Target
+    ) -> str:
+        """Have an engine fetch KV cache from another one."""
+        body = msgspec.json.encode({'handle': handle, 'source': source.url})
+        answer = await self._ask(target, 'POST', '/kv/import', body)
+        return msgspec.json.decode(answer)['handle']
+
+    async def read_orders(self, target: Target) -> EngineOrders:
+        """Return the last order and the state of an engine."""
+        answer = await self._ask(target, 'GET', '/orders')
+        return msgspec.json.decode(answer, type=EngineOrders)
+
+    async def send_order(self, target: Target, order: EngineOrder) -> None:
+        """Send an order."""
+        response = await self._orders.call(
+            'POST',
+            _url(target, '/orders'),
+            headers=self._headers(),
+            body=msgspec.json.encode(order),
+            timeout_ms=self._order_bound_ms,
+        )
+        await _checked(response, 'POST /orders')
+
+    async def close(self) -> None:
+        """Close kept connections."""
+        await self._kept.close()
+
+    async def _ask(
+        self, target: Target, method: str, path: str, body: bytes | None = None
+    ) -> bytes:
+        response = await self._kept.call(
+            method,
+            _url(target, path),
+            headers=self._headers(),
+            body=body,
+            timeout_ms=self._timeout_ms,
+        )
+        return await _checked(response, f'{method} {path}')
+
+    def _headers(self) -> dict[str, str]:
+        headers = {'Content-Type': JSON_TYPE}
+        if self._credential:
+            headers['Authorization'] = f'Bearer {self._credential}'
+        return headers
+
+
+def _url(target: Target, path: str) -> str:
+    return target.url.rstrip('/') + path
+
+
+async def _checked(response: TargetResponse, what: str) -> bytes:
+    body = await response.read_body()
+    if response.status < HTTP_MULTIPLE_CHOICES:
+        return body
+    problem = '{0}: HTTP {1} {2}'.format(
+        what, response.status, body.decode(errors='replace')
+    )
+    if response.status == HTTP_CONFLICT:
+        raise FencedError(problem, remedy='give the lease up and read it again')
+    if response.status in _BUSY:
+        raise BusyError(problem, remedy='settle the open order, then try again')
+    raise RefusedError(problem, remedy='read what the engine reports')
+
+
+_BUSY = frozenset((HTTP_LOCKED, HTTP_BUSY, HTTP_UNAVAILABLE))
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -235,6 +235,16 @@
         summary='Registered adapter for plain services.',
     )
 )
+TARGET_TIMEOUT = _declare(
+    Option(
+        'targets',
+        'timeout',
+        1000,
+        unit='ms',
+        lowest=10,
+        summary='Longest wait for an answer that holds no request of a caller.',
+    )
+)
 LEASE_TERM = _declare(
     Option(
         'control',
--- /dev/null
+++ b/cicadahoist/standin/engine_batch.py
@@ -0,0 +1,208 @@
+"""Continuous batching of the engine stand-in, step by step."""
+
+from bisect import insort
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+
+PREFILL_SHARE_BY_ROLE = {  # noqa: WPS407
+    'mixed': 0.5,
+    'prefill': 1.0,
+    'decode': 0.1,
+}
+
+
+class EngineLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Sizes of an engine.
+
+    :param step_ms: time of one step
+    :param token_budget: tokens that one step processes, prefill and decode
+    :param max_running: requests in the batch
+    :param kv_total: KV cache in tokens
+    """
+
+    step_ms: int = 10
+    token_budget: int = 2048
+    max_running: int = 256
+    kv_total: int = 400_000
+
+
+class JobState(Enum):
+    """State of a request."""
+
+    queued = 'queued'
+    running = 'running'
+    finished = 'finished'
+    cancelled = 'cancelled'
+
+
+class Job:
+    """
+    One request in an engine.
+
+    :param attempt: identifier that the caller gave
+    :param digest: number from which the output follows
+    :param prompt_tokens: length of the prompt
+    :param prefill_left: prompt tokens that are still to be processed
+    :param emitted: offset of the next output token
+    :param limit: number of output tokens of the whole answer
+    :param priority: 0 is the most urgent
+    :param emit: called with the job for each output token
+    """
+
+    __slots__ = (
+        'attempt',
+        'digest',
+        'emit',
+        'emitted',
+        'limit',
+        'number',
+        'prefill_left',
+        'priority',
+        'prompt_tokens',
+        'state',
+    )
+
+    def __init__(
+        self,
+        attempt: str,
+        digest: int,
+        prompt_tokens: int,
+        prefill_left: int,
+        *,
+        emitted: int,
+        limit: int,
+        priority: int,
+        emit: Callable[['Job'], None],
+    ) -> None:
+        self.attempt = attempt
+        self.digest = digest
+        self.prompt_tokens = prompt_tokens
+        self.prefill_left = prefill_left
+        self.emitted = emitted
+        self.limit = limit
+        self.priority = priority
+        self.emit = emit
+        self.state = JobState.queued
+        self.number = 0
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Order in which jobs are served."""
+        return (self.priority, self.number)
+
+    @property
+    def kv_tokens(self) -> int:
+        """KV cache that the whole answer needs, in tokens."""
+        return self.prompt_tokens + self.limit
+
+
+class Batch:
+    """
+    Queue and running batch of an engine.
+
+    :param limits: sizes of the engine
+    """
+
+    __slots__ = (
+        '_decoding',
+        '_limits',
+        '_number',
+        '_prefilling',
+        '_queue',
+        'kv_used',
+        'role',
+    )
+
+    def __init__(self, limits: EngineLimits) -> None:
+        self.role = 'mixed'
+        self.kv_used = 0
+        self._limits = limits
+        self._number = 0
+        self._queue: list[Job] = []
+        self._prefilling: list[Job] = []
+        self._decoding: list[Job] = []
+
+    def add(self, job: Job) -> None:
+        """Queue a job."""
+        self._number += 1
+        job.number = self._number
+        insort(self._queue, job, key=_rank)
+
+    def jobs(self) -> list[Job]:
+        """Return all jobs that have not ended."""
+        return [*self._queue, *self._prefilling, *self._decoding]
+
+    def is_empty(self) -> bool:
+        """Tell whether no job is left."""
+        return not (self._queue or self._prefilling or self._decoding)
+
+    def running(self) -> int:
+        """Return the number of jobs in the batch."""
+        return len(self._prefilling) + len(self._decoding)
+
+    def queued(self) -> int:
+        """Return the number of jobs that wait."""
+        return len(self._queue)
+
+    def end(self, job: Job, state: JobState) -> None:
+        """Take a job out of the engine."""
+        if job.state in _ENDED:
+            return
+        if job.state is JobState.running:
+            self.kv_used -= job.kv_tokens
+        job.state = state
+        for jobs in (self._queue, self._prefilling, self._decoding):
+            if job in jobs:
+                jobs.remove(job)
+
+    def step(self) -> None:
+        """Process up to the token budget."""
+        self._admit()
+        budget = self._limits.token_budget
+        decoding = self._decoding[:budget]
+        self._prefill(budget - len(decoding))
+        for job in decoding:
+            self._decode(job)
+
+    def _admit(self) -> None:
+        while self._queue and self.running() < self._limits.max_running:
+            job = self._queue[0]
+            if self.kv_used + job.kv_tokens > self._limits.kv_total:
+                return
+            self._queue.pop(0)
+            self.kv_used += job.kv_tokens
+            job.state = JobState.running
+            insort(self._prefilling, job, key=_rank)
+
+    def _prefill(self, budget: int) -> None:
+        left = budget
+        if self._decoding:
+            share = PREFILL_SHARE_BY_ROLE[self.role]
+            left = min(left, round(self._limits.token_budget * share))
+        while self._prefilling:
+            job = self._prefilling[0]
+            taken = min(left, job.prefill_left)
+            job.prefill_left -= taken
+            left -= taken
+            if job.prefill_left:
+                return
+            self._prefilling.pop(0)
+            insort(self._decoding, job, key=_rank)
+
+    def _decode(self, job: Job) -> None:
+        if job.state is not JobState.running:
+            return
+        job.emitted += 1
+        if job.emitted >= job.limit:
+            self.end(job, JobState.finished)
+        job.emit(job)
+
+
+_ENDED = frozenset((JobState.finished, JobState.cancelled))
+
+
+def _rank(job: Job) -> tuple[int, int]:
+    return job.rank
--- /dev/null
+++ b/cicadahoist/standin/engine_cache.py
@@ -0,0 +1,94 @@
+"""Prefix cache, its events and KV handles of the engine stand-in."""
+
+from collections import OrderedDict
+
+from cicadahoist.outside.blocks import BLOCK_TOKENS
+from cicadahoist.outside.engine import CacheEvent, CacheEvents
+
+EVENTS_KEPT = 4096
+HANDLES_KEPT = 1024
+
+
+class PrefixCache:
+    """
+    Least-recently-used cache of prompt blocks.
+
+    :param capacity: number of blocks
+    :param lag_ms: time until an event is published
+    :param gap: every ``gap``-th event is never published, 0 for none
+    """
+
+    __slots__ = ('_blocks', '_capacity', '_events', '_gap', '_lag_ms', '_seq')
+
+    def __init__(self, capacity: int, lag_ms: int, gap: int) -> None:
+        self._capacity = capacity
+        self._lag_ms = lag_ms
+        self._gap = gap
+        self._blocks: OrderedDict[str, None] = OrderedDict()
+        self._events: OrderedDict[int, tuple[int, CacheEvent]] = OrderedDict()
+        self._seq = 0
+
+    def cached_tokens(self, blocks: list[str]) -> int:
+        """Return how many leading tokens of a prompt are cached."""
+        count = 0
+        for block in blocks:
+            if block not in self._blocks:
+                break
+            self._blocks.move_to_end(block)
+            count += 1
+        return count * BLOCK_TOKENS
+
+    def store(self, blocks: list[str], now_ms: int) -> None:
+        """Keep the blocks of a prompt, evicting the least recently used."""
+        for block in blocks:
+            if block not in self._blocks:
+                self._publish('stored', block, now_ms)
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._capacity:
+            evicted, _ = self._blocks.popitem(last=False)
+            self._publish('evicted', evicted, now_ms)
+
+    def clear(self, now_ms: int) -> None:
+        """Evict everything."""
+        for block in list(self._blocks):
+            self._publish('evicted', block, now_ms)
+        self._blocks.clear()
+
+    def events(self, after: int, now_ms: int) -> CacheEvents:
+        """Return the events that are published by now."""
+        published = [
+            event
+            for at_ms, event in self._events.values()
+            if event.seq > after and at_ms + self._lag_ms <= now_ms
+        ]
+        last = published[-1].seq if published else after
+        return CacheEvents(published, last)
+
+    def _publish(self, kind: str, block: str, now_ms: int) -> None:
+        self._seq += 1
+        if self._gap and self._seq % self._gap == 0:
+            return
+        event = CacheEvent(self._seq, kind, block)
+        self._events[self._seq] = (now_ms, event)
+        if len(self._events) > EVENTS_KEPT:
+            self._events.popitem(last=False)
+
+
+class KvHandles:
+    """Exported and imported KV cache, by handle."""
+
+    __slots__ = ('_digest_by_handle',)
+
+    def __init__(self) -> None:
+        self._digest_by_handle: OrderedDict[str, int] = OrderedDict()
+
+    def keep(self, handle: str, digest: int) -> None:
+        """Keep the KV cache of a prompt."""
+        self._digest_by_handle[handle] = digest
+        if len(self._digest_by_handle) > HANDLES_KEPT:
+            self._digest_by_handle.popitem(last=False)
+
+    def find(self, handle: str) -> int | None:
+        """Return the digest of the prompt behind a handle, or none."""
+        return self._digest_by_handle.get(handle)
--- /dev/null
+++ b/cicadahoist/standin/engine_completions.py
@@ -0,0 +1,110 @@
+"""Completion interface of the engine stand-in over HTTP."""
+
+from typing import Any
+
+import msgspec
+
+from cicadahoist.ids import new_nonce
+from cicadahoist.standin.engine import Engine
+from cicadahoist.standin.engine_answers import AnswerForm, CompletionBody
+from cicadahoist.standin.engine_faults import EngineFaults
+from cicadahoist.standin.engine_stream import OpenAnswer
+from cicadahoist.standin.seen import SeenCalls
+from cicadahoist.standin.web import (
+    HTTP_BAD_REQUEST,
+    HTTP_NOT_FOUND,
+    HTTP_UNAVAILABLE,
+    WebApp,
+    answer,
+    read_body,
+    refuse,
+)
+
+DEFAULT_PRIORITY = '5'
+
+
+class ListedModel(msgspec.Struct, frozen=True):
+    """One model in ``GET /v1/models``."""
+
+    id: str  # noqa: WPS125
+    object: str = 'model'  # noqa: WPS125
+
+
+class ModelList(msgspec.Struct, frozen=True):
+    """Answer of ``GET /v1/models``."""
+
+    data: list[ListedModel]  # noqa: WPS110
+    object: str = 'list'  # noqa: WPS125
+
+
+class EngineCompletions:
+    """
+    Answers completions and keeps the open answers.
+
+    :param engine: the engine
+    :param faults: faults of its answers
+    :param seen_calls: keeps what arrived
+    """
+
+    __slots__ = ('_answers', '_engine', '_faults', '_seen_calls')
+
+    def __init__(
+        self, engine: Engine, faults: EngineFaults, seen_calls: SeenCalls
+    ) -> None:
+        self._engine = engine
+        self._faults = faults
+        self._seen_calls = seen_calls
+        self._answers: dict[str, OpenAnswer] = {}
+
+    def add_routes(self, app: WebApp) -> None:
+        """Answer the paths below ``/v1``."""
+        app.add('POST', '/v1/completions', self._complete)
+        app.add('POST', '/v1/chat/completions', self._chat)
+        app.add('GET', '/v1/models', self._models)
+
+    def cut(self, attempt: str) -> None:
+        """Close the connection of an open answer."""
+        opened = self._answers.get(attempt)
+        if opened is not None:
+            opened.cut()
+
+    async def _complete(self, request: Any) -> bytes:
+        return await self._run(request, chat=False)
+
+    async def _chat(self, request: Any) -> bytes:
+        return await self._run(request, chat=True)
+
+    async def _run(self, request: Any, *, chat: bool) -> bytes:
+        self._seen_calls.add(request)
+        try:
+            body = msgspec.json.decode(read_body(request), type=CompletionBody)
+        except msgspec.MsgspecError as error:
+            return refuse(request, HTTP_BAD_REQUEST, str(error))
+        orders = self._engine.orders
+        if orders.is_away or orders.draining:
+            return refuse(request, HTTP_UNAVAILABLE, 'no new work', 1)
+        if body.model not in orders.models:
+            return refuse(request, HTTP_NOT_FOUND, f'no model {body.model}')
+        attempt = request.getHeader('X-Request-Id') or new_nonce()
+        opened = OpenAnswer(
+            request,
+            AnswerForm(attempt, body, chat=chat),
+            streamed=body.stream,
+            cut_after=self._faults.cut_after,
+        )
+        self._answers[attempt] = opened
+        priority = int(request.getHeader('X-Priority') or DEFAULT_PRIORITY)
+        emit = self._faults.emitter(body.text, opened.emit)
+        job = self._engine.start(body, attempt, priority, emit)
+        opened.done.addBoth(self._ended, job.attempt)
+        return await opened.done
+
+    def _ended(self, passed: Any, attempt: str) -> Any:
+        # Cancels the job of a caller that has gone.
+        self._answers.pop(attempt, None)
+        self._engine.cancel(attempt)
+        return passed
+
+    def _models(self, request: Any) -> bytes:
+        models = [ListedModel(name) for name in self._engine.orders.models]
+        return answer(request, ModelList(models))
--- /dev/null
+++ b/cicadahoist/standin/engine_faults.py
@@ -0,0 +1,91 @@
+"""Faults of the engine stand-in."""
+
+from collections.abc import Callable
+
+from cicadahoist.clock import Clock
+from cicadahoist.registry import Registry
+from cicadahoist.standin.engine import Engine
+from cicadahoist.standin.engine_batch import Job
+from cicadahoist.standin.faults import Fault
+from cicadahoist.standin.process import crash, freeze
+
+
+class EngineFaults:
+    """
+    Brings faults about in one engine.
+
+    :param engine: the engine
+    :param clock: times the end of a reclaimed engine
+    """
+
+    __slots__ = ('clock', 'crash', 'cut_after', 'engine', 'mark')
+
+    def __init__(self, engine: Engine, clock: Clock) -> None:
+        self.engine = engine
+        self.clock = clock
+        self.mark = ''
+        self.cut_after = 0
+        self.crash: Callable[[], None] = crash
+
+    def apply(self, fault: Fault) -> None:
+        """
+        Bring about a fault, or end all of them.
+
+        :raises ConfigError: an engine has no such fault
+        """
+        ENGINE_FAULTS.get(fault.kind)(self, fault)
+
+    def emitter(
+        self, prompt: str, emit: Callable[[Job], None]
+    ) -> Callable[[Job], None]:
+        """Return what is called with each token of a request."""
+        if self.mark and self.mark in prompt:
+            return self._crash_on_token
+        return emit
+
+    def _crash_on_token(self, job: Job) -> None:
+        self.crash()
+
+
+ENGINE_FAULTS: Registry[Callable[[EngineFaults, Fault], None]] = Registry(
+    'engine fault'
+)
+
+
+@ENGINE_FAULTS.register('none')
+def end_faults(faults: EngineFaults, fault: Fault) -> None:
+    """End all faults."""
+    faults.engine.stalled = False
+    faults.mark = ''
+    faults.cut_after = 0
+
+
+@ENGINE_FAULTS.register('crash')
+@ENGINE_FAULTS.register('reclaim')
+def crash_later(faults: EngineFaults, fault: Fault) -> None:
+    """End the process after ``delay_ms``."""
+    faults.clock.call_later(fault.delay_ms, faults.crash)
+
+
+@ENGINE_FAULTS.register('freeze')
+def freeze_process(faults: EngineFaults, fault: Fault) -> None:
+    """Stop the whole process for ``delay_ms``."""
+    faults.clock.call_later(0, freeze, fault.delay_ms)
+
+
+@ENGINE_FAULTS.register('stall')
+def stall_steps(faults: EngineFaults, fault: Fault) -> None:
+    """Take requests but make no tokens."""
+    faults.engine.stalled = True
+
+
+@ENGINE_FAULTS.register('cut')
+def cut_streams(faults: EngineFaults, fault: Fault) -> None:
+    """Close the connection of each new answer after ``count`` tokens."""
+    faults.cut_after = fault.count
+
+
+@ENGINE_FAULTS.register('crash-on-mark')
+def crash_on_mark(faults: EngineFaults, fault: Fault) -> None:
+    """End the process when a prompt with ``mark`` gets its first token."""
+    faults.mark = fault.mark
--- /dev/null
+++ b/cicadahoist/standin/engine_server.py
@@ -0,0 +1,174 @@
+"""Engine stand-in over HTTP."""
+
+from typing import Any
+
+import msgspec
+import treq
+
+from cicadahoist.clock import Clock
+from cicadahoist.outside.engine import EngineOrder
+from cicadahoist.standin.engine import Engine
+from cicadahoist.standin.engine_completions import EngineCompletions
+from cicadahoist.standin.engine_faults import EngineFaults
+from cicadahoist.standin.engine_orders import KINDS, OrderCounts
+from cicadahoist.standin.faults import serve_fault
+from cicadahoist.standin.seen import SeenCall, SeenCalls
+from cicadahoist.standin.web import (
+    HTTP_BAD_GATEWAY,
+    HTTP_BAD_REQUEST,
+    HTTP_CONFLICT,
+    HTTP_LOCKED,
+    HTTP_NOT_FOUND,
+    HTTP_OK,
+    WebApp,
+    answer,
+    argument,
+    read_body,
+    refuse,
+)
+
+
+class EngineSeen(msgspec.Struct, frozen=True):
+    """
+    What an engine saw.
+
+    :param attempts: requests by attempt
+    :param orders: conflicts among orders
+    :param cut_by_order: requests that a change of role cut
+    """
+
+    calls: list[SeenCall]
+    attempts: dict[str, int]
+    orders: OrderCounts
+    cut_by_order: int
+
+
+class KvExport(msgspec.Struct, frozen=True):
+    """Body of ``POST /kv/export``."""
+
+    attempt: str
+
+
+class KvImport(msgspec.Struct, frozen=True):
+    """Body of ``POST /kv/import``."""
+
+    handle: str
+    source: str
+
+
+class KvHandle(msgspec.Struct, frozen=True):
+    """A handle to KV cache."""
+
+    handle: str
+
+
+class KvContent(msgspec.Struct, frozen=True):
+    """What one engine fetches from another one."""
+
+    digest: int
+
+
+class EngineServer:
+    """
+    Serves an engine over HTTP.
+
+    :param engine: the engine
+    """
+
+    __slots__ = ('_completions', '_engine', '_seen_calls', 'app')
+
+    def __init__(self, engine: Engine, clock: Clock) -> None:
+        self._engine = engine
+        faults = EngineFaults(engine, clock)
+        self._seen_calls = SeenCalls()
+        self._completions = EngineCompletions(engine, faults, self._seen_calls)
+        self.app = WebApp()
+        self._completions.add_routes(self.app)
+        add = self.app.add
+        add('GET', '/requests/<attempt>', self._state)
+        add('DELETE', '/requests/<attempt>', self._cancel)
+        add('GET', '/load', self._load)
+        add('GET', '/cache-events', self._cache_events)
+        add('POST', '/kv/export', self._kv_export)
+        add('POST', '/kv/import', self._kv_import)
+        add('GET', '/kv/<handle>', self._kv_content)
+        add('GET', '/orders', self._read_orders)
+        add('POST', '/orders', self._order)
+        add('GET', '/healthz', self._health)
+        add('GET', '/standin/seen', self._seen)
+        add('POST', '/standin/fault', serve_fault(faults.apply))
+
+    def _state(self, request: Any, attempt: str) -> bytes:
+        return answer(request, self._engine.state(attempt))
+
+    def _cancel(self, request: Any, attempt: str) -> bytes:
+        self._engine.cancel(attempt)
+        self._completions.cut(attempt)
+        return answer(request, self._engine.state(attempt))
+
+    def _load(self, request: Any) -> bytes:
+        return answer(request, self._engine.load())
+
+    def _cache_events(self, request: Any) -> bytes:
+        after = int(argument(request, 'after', '0'))
+        return answer(request, self._engine.cache_events(after))
+
+    def _kv_export(self, request: Any) -> bytes:
+        wanted = msgspec.json.decode(read_body(request), type=KvExport)
+        handle = self._engine.export(wanted.attempt)
+        if not handle:
+            return refuse(request, HTTP_NOT_FOUND, 'no such attempt')
+        return answer(request, KvHandle(handle))
+
+    async def _kv_import(self, request: Any) -> bytes:
+        wanted = msgspec.json.decode(read_body(request), type=KvImport)
+        url = f'{wanted.source}/kv/{wanted.handle}'
+        try:
+            fetched = await treq.get(url, timeout=1)
+        except Exception as error:  # noqa: BLE001
+            return refuse(request, HTTP_BAD_GATEWAY, repr(error))
+        if fetched.code != HTTP_OK:
+            return refuse(request, HTTP_NOT_FOUND, 'no such handle')
+        kept = msgspec.json.decode(await treq.content(fetched), type=KvContent)
+        self._engine.handles.keep(wanted.handle, kept.digest)
+        return answer(request, KvHandle(wanted.handle))
+
+    def _kv_content(self, request: Any, handle: str) -> bytes:
+        digest = self._engine.handles.find(handle)
+        if digest is None:
+            return refuse(request, HTTP_NOT_FOUND, 'no such handle')
+        return answer(request, KvContent(digest))
+
+    def _read_orders(self, request: Any) -> bytes:
+        return answer(request, self._engine.orders.report())
+
+    def _order(self, request: Any) -> bytes:
+        self._seen_calls.add(request)
+        order = msgspec.json.decode(read_body(request), type=EngineOrder)
+        orders = self._engine.orders
+        if order.kind not in KINDS:
+            return refuse(request, HTTP_BAD_REQUEST, 'unknown kind of order')
+        if orders.is_repeated(order):
+            return answer(request, orders.report())
+        if orders.is_refused(order):
+            return refuse(request, HTTP_CONFLICT, 'old fencing number')
+        if orders.is_overlapping():
+            return refuse(request, HTTP_LOCKED, 'another order is in progress')
+        for job in self._engine.order(order):
+            self._completions.cut(job.attempt)
+        return answer(request, orders.report())
+
+    def _health(self, request: Any) -> bytes:
+        return b'ok'
+
+    def _seen(self, request: Any) -> bytes:
+        engine = self._engine
+        return answer(
+            request,
+            EngineSeen(
+                self._seen_calls.calls,
+                dict(engine.attempts),
+                engine.orders.counts,
+                engine.cut_by_order,
+            ),
+        )
--- /dev/null
+++ b/cicadahoist/standin/faults.py
@@ -0,0 +1,45 @@
+"""Faults that tests bring about through ``POST /standin/fault``."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from cicadahoist.errors import ConfigError
+from cicadahoist.standin.web import HTTP_BAD_REQUEST, answer, read_body, refuse
+
+
+class Fault(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    A fault; each kind uses some of the fields.
+
+    :param delay_ms: how long something takes
+    :param count: how many calls are affected
+    :param share: share of calls that are affected, 0 to 1
+    :param mark: text that marks what is affected
+    """
+
+    kind: str
+    delay_ms: int = 0
+    count: int = 0
+    share: float = 0
+    mark: str = ''
+
+
+NO_FAULT = Fault(kind='none')
+
+
+def serve_fault(
+    apply_fault: Callable[[Fault], None],
+) -> Callable[[Any], bytes]:
+    """Return a handler of ``POST /standin/fault``."""
+
+    def handle(request: Any) -> bytes:
+        fault = msgspec.json.decode(read_body(request), type=Fault)
+        try:
+            apply_fault(fault)
+        except ConfigError as error:
+            return refuse(request, HTTP_BAD_REQUEST, str(error))
+        return answer(request, fault)
+
+    return handle
--- /dev/null
+++ b/cicadahoist/standin/objects.py
@@ -0,0 +1,237 @@
+"""Versioned objects with rate limits and faults: the state of a store."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from cicadahoist.clock import Clock
+from cicadahoist.errors import (
+    StoreBusyError,
+    StoreError,
+    StoreUnavailableError,
+    VersionConflictError,
+)
+from cicadahoist.outside.store import ABSENT, Stored
+from cicadahoist.registry import Registry
+from cicadahoist.standin.bucket import TokenBucket
+from cicadahoist.standin.faults import Fault
+from cicadahoist.standin.timing import fire_after
+
+MAX_OBJECT_BYTES = 1_048_576
+READS_PER_S = 2000
+WRITES_PER_S = 400
+WRITING = frozenset(('write', 'remove'))
+
+
+Waiting = set['Deferred[bool]']
+
+
+class StoreFaults(msgspec.Struct, kw_only=True):
+    """
+    What goes wrong at the store until it is set otherwise.
+
+    :param outage: every call is refused before it takes effect
+    :param delay_ms: time before a call takes effect
+    :param lose_next: number of coming writes whose answers are lost
+    :param lose_share: share of writes whose answers are lost, 0 to 1
+    :param drop_share: share of calls that are lost without effect, 0 to 1
+    """
+
+    outage: bool = False
+    delay_ms: int = 0
+    lose_next: int = 0
+    lose_share: float = 0
+    drop_share: float = 0
+
+
+class ObjectModel:
+    """
+    State of a store, shared by the HTTP stand-in and the in-memory fake.
+
+    Versions start at 1 and rise with each write of one name, also when the
+    object was removed in between.
+
+    :param seed: seed of random faults
+    :param writes_per_s: rate limit of writes, 0 for none
+    :param reads_per_s: rate limit of reads, names and watches, 0 for none
+    """
+
+    __slots__ = (
+        '_by_name',
+        '_random',
+        '_reads',
+        '_removed',
+        '_waiting',
+        '_writes',
+        'calls',
+        'faults',
+    )
+
+    def __init__(
+        self,
+        seed: int = 0,
+        writes_per_s: int = 0,
+        reads_per_s: int = 0,
+    ) -> None:
+        self.calls: Counter[str] = Counter()
+        self.faults = StoreFaults()
+        self._by_name: dict[str, Stored] = {}
+        self._removed: dict[str, int] = {}
+        self._waiting: dict[str, Waiting] = {}
+        self._random = random.Random(seed)
+        self._reads = TokenBucket(reads_per_s)
+        self._writes = TokenBucket(writes_per_s)
+
+    def admit(self, kind: str, now_ms: int) -> None:
+        """
+        Count a call and refuse it where a limit or a fault asks for that.
+
+        :param kind: ``read``, ``write``, ``remove``, ``names`` or ``watch``
+        :raises StoreBusyError: the rate limit is exceeded
+        :raises StoreUnavailableError: an outage, or the call is lost
+        """
+        self.calls[kind] += 1
+        bucket = self._writes if kind in WRITING else self._reads
+        if not bucket.take(now_ms):
+            self.calls['refused'] += 1
+            raise StoreBusyError('rate limit', remedy='send fewer calls')
+        if self.faults.outage or self._happens(self.faults.drop_share):
+            raise StoreUnavailableError('outage', remedy='wait for the store')
+
+    def set_fault(self, fault: Fault) -> None:
+        """
+        Bring about a fault, or end all of them.
+
+        :raises ConfigError: the store has no such fault
+        """
+        STORE_FAULTS.get(fault.kind)(self, fault)
+
+    def get(self, name: str) -> Stored | None:
+        """Return an object, or none."""
+        return self._by_name.get(name)
+
+    def put(self, name: str, payload: bytes, expected: int) -> int:
+        """
+        Write an object and return its new version.
+
+        :raises StoreError: the object is too large
+        :raises VersionConflictError: the object has another version
+        """
+        if len(payload) > MAX_OBJECT_BYTES:
+            raise StoreError(f'{name} is too large', remedy='split it')
+        self._check_version(name, expected)
+        version = 1 + (expected or self._removed.pop(name, 0))
+        self._by_name[name] = Stored(name, version, payload)
+        self._notify(name)
+        return version
+
+    def remove(self, name: str, expected: int) -> None:
+        """
+        Remove an object; an absent one counts as removed.
+
+        :raises VersionConflictError: the object has another version
+        """
+        if name not in self._by_name:
+            return
+        self._check_version(name, expected)
+        self._removed[name] = expected
+        self._by_name.pop(name)
+
+    def names(self, prefix: str) -> dict[str, int]:
+        """Return versions by name below a prefix."""
+        return {
+            name: stored.version
+            for name, stored in sorted(self._by_name.items())
+            if name.startswith(prefix)
+        }
+
+    async def wait_above(
+        self, clock: Clock, name: str, after: int, wait_ms: int
+    ) -> Stored | None:
+        """Return an object once its version is above ``after``, or none."""
+        end_ms = clock.now_ms() + wait_ms
+        while not self._is_above(name, after):
+            left_ms = end_ms - clock.now_ms()
+            if left_ms <= 0 or not await self._changes(clock, name, left_ms):
+                return None
+        return self.get(name)
+
+    def loses_answer(self) -> bool:
+        """Tell whether the answer of a write that took effect is lost."""
+        if self.faults.lose_next:
+            self.faults.lose_next -= 1
+            return True
+        return self._happens(self.faults.lose_share)
+
+    def _is_above(self, name: str, after: int) -> bool:
+        stored = self._by_name.get(name)
+        return stored is not None and stored.version > after
+
+    async def _changes(self, clock: Clock, name: str, wait_ms: int) -> bool:
+        waiting = self._waiting.setdefault(name, set())
+        change: Deferred[bool] = Deferred()
+        waiting.add(change)
+        fire_after(change, clock, wait_ms, fired=False)
+        change.addBoth(_forget, change, waiting)
+        return await change
+
+    def _happens(self, share: float) -> bool:
+        return bool(share) and self._random.random() < share
+
+    def _check_version(self, name: str, expected: int) -> None:
+        stored = self._by_name.get(name)
+        version = stored.version if stored else ABSENT
+        if version != expected:
+            raise VersionConflictError(
+                f'{name} has version {version}, not {expected}',
+                remedy='read the object again and decide anew',
+            )
+
+    def _notify(self, name: str) -> None:
+        for change in tuple(self._waiting.pop(name, ())):
+            change.callback(True)
+
+
+STORE_FAULTS: Registry[Callable[[ObjectModel, Fault], None]] = Registry(
+    'store fault'
+)
+
+
+@STORE_FAULTS.register('none')
+def end_faults(model: ObjectModel, fault: Fault) -> None:
+    """End all faults."""
+    model.faults = StoreFaults()
+
+
+@STORE_FAULTS.register('outage')
+def refuse_all(model: ObjectModel, fault: Fault) -> None:
+    """Refuse every call before it takes effect."""
+    model.faults.outage = True
+
+
+@STORE_FAULTS.register('slow')
+def delay_calls(model: ObjectModel, fault: Fault) -> None:
+    """Let every call take effect ``delay_ms`` later."""
+    model.faults.delay_ms = fault.delay_ms
+
+
+@STORE_FAULTS.register('lose-answers')
+def lose_answers(model: ObjectModel, fault: Fault) -> None:
+    """Lose the answers of ``count`` writes, or of a ``share`` of them."""
+    model.faults.lose_next = fault.count
+    model.faults.lose_share = fault.share
+
+
+@STORE_FAULTS.register('drop-calls')
+def drop_calls(model: ObjectModel, fault: Fault) -> None:
+    """Lose a ``share`` of all calls before they take effect."""
+    model.faults.drop_share = fault.share
+
+
+def _forget(passed: Any, change: 'Deferred[bool]', waiting: Waiting) -> Any:
+    waiting.discard(change)
+    return passed
--- /dev/null
+++ b/cicadahoist/standin/service.py
@@ -0,0 +1,141 @@
+"""Plain-service stand-in over HTTP."""
+
+from collections import Counter
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from cicadahoist.clock import Clock
+from cicadahoist.errors import ConfigError
+from cicadahoist.ids import body_digest
+from cicadahoist.standin.faults import NO_FAULT, Fault, serve_fault
+from cicadahoist.standin.process import crash
+from cicadahoist.standin.seen import SeenCall, SeenCalls
+from cicadahoist.standin.web import WebApp, abort, answer, read_body
+
+METHODS = 'GET POST PUT PATCH DELETE'
+KNOWN_FAULTS = (
+    'none',
+    'slow',
+    'die-before',
+    'die-after',
+    'lose-answer',
+    'silent',
+)
+
+
+class ServiceSeen(msgspec.Struct, frozen=True):
+    """
+    What a service ran.
+
+    :param runs_by_key: runs by ``Idempotency-Key``
+    :param runs_by_body: runs by digest of the body
+    """
+
+    calls: list[SeenCall]
+    runs_by_key: dict[str, int]
+    runs_by_body: dict[str, int]
+
+
+class ServiceRun(msgspec.Struct, frozen=True):
+    """Answer of a call that ran; ``run`` counts all runs of a service."""
+
+    service: str
+    method: str
+    path: str
+    run: int
+    body: str
+
+
+class ServiceServer:
+    """
+    Runs any call below ``/`` and counts what ran.
+
+    :param name: name of this instance of the service
+    """
+
+    __slots__ = (
+        '_by_body',
+        '_by_key',
+        '_clock',
+        '_fault',
+        '_name',
+        '_runs',
+        '_seen_calls',
+        'app',
+    )
+
+    def __init__(self, name: str, clock: Clock) -> None:
+        self._name = name
+        self._clock = clock
+        self._fault = NO_FAULT
+        self._runs = 0
+        self._by_key: Counter[str] = Counter()
+        self._by_body: Counter[str] = Counter()
+        self._seen_calls = SeenCalls()
+        self.app = WebApp()
+        self.app.add('GET', '/healthz', self._health)
+        self.app.add('GET', '/standin/seen', self._seen)
+        self.app.add('POST', '/standin/fault', serve_fault(self.set_fault))
+        self.app.add(METHODS, '/', self._call)
+        self.app.add(METHODS, '/<path:path>', self._call)
+
+    def set_fault(self, fault: Fault) -> None:
+        """
+        Bring about a fault, or end it.
+
+        :raises ConfigError: the service has no such fault
+        """
+        if fault.kind not in KNOWN_FAULTS:
+            raise ConfigError(
+                f'unknown service fault {fault.kind!r}',
+                remedy='choose one of: {0}'.format(', '.join(KNOWN_FAULTS)),
+            )
+        self._fault = fault
+
+    async def _call(self, request: Any, path: str = '') -> bytes:
+        self._seen_calls.add(request)
+        body = read_body(request)
+        kind = self._fault.kind
+        if kind == 'slow':
+            await self._clock.sleep(self._fault.delay_ms)
+        if kind == 'die-before':
+            crash()
+        run = self._run(request, path, body)
+        if kind == 'die-after':
+            crash()
+        if kind == 'lose-answer':
+            abort(request)
+            await Deferred()
+        if kind == 'silent':
+            await Deferred()
+        return run
+
+    def _run(self, request: Any, path: str, body: bytes) -> bytes:
+        self._runs += 1
+        self._by_body[body_digest(body)] += 1
+        key = request.getHeader('Idempotency-Key')
+        if key:
+            self._by_key[key] += 1
+        return answer(
+            request,
+            ServiceRun(
+                self._name,
+                request.method.decode(),
+                f'/{path}',
+                self._runs,
+                body.decode(errors='replace'),
+            ),
+        )
+
+    def _health(self, request: Any) -> bytes:
+        return b'ok'
+
+    def _seen(self, request: Any) -> bytes:
+        return answer(
+            request,
+            ServiceSeen(
+                self._seen_calls.calls, dict(self._by_key), dict(self._by_body)
+            ),
+        )
--- /dev/null
+++ b/cicadahoist/standin/tokens.py
@@ -0,0 +1,26 @@
+"""Output of the engine stand-in: a function of model and prompt."""
+
+from collections.abc import Iterable
+
+from cicadahoist.ids import fast_hash
+
+VOCABULARY = tuple(f'w{number:03x} ' for number in range(1024))
+_SPREAD = 0x9E3779B97F4A7C15
+_SHIFT = 20
+
+
+def prompt_digest(model: str, prompt: str) -> int:
+    """Return the number from which all output tokens follow."""
+    return fast_hash(f'{model}\0{prompt}')
+
+
+def token_text(digest: int, offset: int) -> str:
+    """Return the text of one output token."""
+    mixed = digest ^ (offset + 1) * _SPREAD
+    return VOCABULARY[(mixed >> _SHIFT) % len(VOCABULARY)]
+
+
+def output_text(model: str, prompt: str, offsets: Iterable[int]) -> str:
+    """Return the text of some output tokens, to compare answers with."""
+    digest = prompt_digest(model, prompt)
+    return ''.join(token_text(digest, offset) for offset in offsets)
