Add the request path of the policy layer

The load view of peers also carries the urgent part of the prompt tokens (a field with a default, in messages.py), as engines put urgent work first.

--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -131,9 +131,16 @@
 
 
 class LoadView(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Cost in flight from the sender, in prompt-token units, by target."""
+    """
+    Work in flight from the sender.
+
+    :param by_target: prompt tokens before their first output token, and
+        open requests, by target
+    :param urgent_by_target: the urgent part of these prompt tokens
+    """
 
     by_target: dict[str, tuple[int, int]]
+    urgent_by_target: dict[str, int] = {}
 
 
 class Blame(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- /dev/null
+++ b/cicadahoist/policy/cost.py
@@ -0,0 +1,120 @@
+"""Estimates of what a request costs a target."""
+
+import math
+from array import array
+from collections import OrderedDict
+
+import msgspec
+
+UNITS_PER_OUTPUT_TOKEN = 4
+BIN_COUNT = 40
+BINS_PER_OCTAVE = 2
+DECAY = 0.98
+MEDIAN = 0.5
+PAIRS_KEPT = 20_000
+DEFAULT_OUTPUT_TOKENS = 128
+
+
+class Cost(msgspec.Struct, frozen=True):
+    """
+    Work that a request brings to a target.
+
+    :param prefill: prompt tokens that are not cached
+    :param decode: output tokens
+    """
+
+    prefill: int
+    decode: int
+
+    @property
+    def units(self) -> int:
+        """The whole work in prompt-token units."""
+        return self.prefill + UNITS_PER_OUTPUT_TOKEN * self.decode
+
+
+class LengthSketch:
+    """Running quantiles of a length, in bins of half an octave."""
+
+    __slots__ = ('_bins', '_total')
+
+    def __init__(self) -> None:
+        self._bins = array('f', [0]) * BIN_COUNT
+        self._total = float(0)
+
+    def add(self, length: int) -> None:
+        """Count a length; older ones fade."""
+        bins = self._bins
+        for position, count in enumerate(bins):
+            bins[position] = count * DECAY
+        bins[_bin_of(length)] += 1
+        self._total = self._total * DECAY + 1
+
+    def quantile(self, share: float) -> int:
+        """Return the length below which ``share`` of the lengths lie."""
+        rest = self._total * share
+        for position, count in enumerate(self._bins):
+            rest -= count
+            if rest <= 0:
+                return _length_of(position)
+        return _length_of(BIN_COUNT)
+
+
+class CostModel:
+    """
+    Estimates costs from earlier requests of a workspace on a route.
+
+    Keeps a bounded number of pairs; the longest unused one is dropped.
+    """
+
+    __slots__ = ('_sketches_by_pair',)
+
+    def __init__(self) -> None:
+        self._sketches_by_pair: OrderedDict[tuple[str, str], LengthSketch] = (
+            OrderedDict()
+        )
+
+    def estimate(
+        self,
+        workspace: str,
+        route: str,
+        prompt_tokens: int,
+        cached_tokens: int,
+        max_tokens: int,
+    ) -> Cost:
+        """
+        Return the likely cost of a request.
+
+        :param prompt_tokens: length of the prompt
+        :param cached_tokens: part of the prompt that a target has cached
+        :param max_tokens: the caller's bound on the output, 0 for none
+        """
+        sketch = self._sketches_by_pair.get((workspace, route))
+        decode = DEFAULT_OUTPUT_TOKENS
+        if sketch is not None:
+            decode = sketch.quantile(MEDIAN)
+        if max_tokens:
+            decode = min(decode, max_tokens)
+        return Cost(max(0, prompt_tokens - cached_tokens), decode)
+
+    def observe(
+        self, workspace: str, route: str, prompt_tokens: int, output_tokens: int
+    ) -> None:
+        """Learn from a finished request."""
+        pair = (workspace, route)
+        sketch = self._sketches_by_pair.get(pair)
+        if sketch is None:
+            sketch = LengthSketch()
+            self._sketches_by_pair[pair] = sketch
+        sketch.add(output_tokens)
+        self._sketches_by_pair.move_to_end(pair)
+        if len(self._sketches_by_pair) > PAIRS_KEPT:
+            self._sketches_by_pair.popitem(last=False)
+
+
+def _bin_of(length: int) -> int:
+    octaves = math.log2(max(1, length))
+    return min(BIN_COUNT - 1, round(octaves * BINS_PER_OCTAVE))
+
+
+def _length_of(position: int) -> int:
+    return round(math.pow(2, position / BINS_PER_OCTAVE))
--- /dev/null
+++ b/cicadahoist/policy/lanes.py
@@ -0,0 +1,85 @@
+"""Lanes of a pool's queue, and the latest start of a ticket."""
+
+from cicadahoist.policy.flows import Backlog, Flow, QueuedTicket
+from cicadahoist.policy.limits import LimitShares
+from cicadahoist.policy.state import BATCH_SLOT_SHARE, PoolPart
+from cicadahoist.policy.tickets import Ticket
+
+URGENT = 'urgent'
+BATCH = 'batch'
+CHEAP = 'cheap'
+LANES = (URGENT, BATCH, CHEAP)
+PATIENCE_SHARE = 0.5
+SLACK_HOLDS = 2.0
+
+
+def lane_of(ticket: Ticket) -> str:
+    """Return the lane in which a ticket waits."""
+    if ticket.is_urgent:
+        return URGENT
+    if ticket.cheap_only:
+        return CHEAP
+    return BATCH
+
+
+def room_of(lane: str, totals: PoolPart) -> int:
+    """Return how many targets have room for a lane."""
+    if lane == URGENT:
+        return totals.urgent
+    return totals.batch
+
+
+def ratio(amount: float, rate: float) -> float:
+    """Return an amount over a rate, 0 where there is no rate."""
+    return amount / rate if rate else 0
+
+
+def prepare(ticket: Ticket, totals: PoolPart) -> QueuedTicket:
+    """Return a ticket with its work and its latest start."""
+    cost = ticket.cost
+    rate = ratio(totals.tokens_per_ms, totals.targets)
+    prefill_ms = ratio(cost.prefill, rate)
+    step_ms = ratio(totals.step_ms, totals.slots)
+    hold_ms = prefill_ms + cost.decode * step_ms
+    latest_ms = ticket.due_ms - round(hold_ms)
+    if ticket.is_urgent:
+        patient_ms = ticket.arrived_ms + _patience_ms(ticket, prefill_ms)
+        latest_ms = min(latest_ms, patient_ms)
+    released_ms = min(
+        ticket.arrived_ms + ticket.rule.cheap_only_until_ms,
+        latest_ms - round(SLACK_HOLDS * hold_ms),
+    )
+    work = Backlog(1, hold_ms, cost.prefill)
+    return QueuedTicket(ticket, work, latest_ms, released_ms)
+
+
+def slot_wait_ms(
+    lane: str, ahead: Backlog, work: Backlog, totals: PoolPart
+) -> float:
+    """
+    Return the wait until a slot is free.
+
+    :param ahead: queued work that goes first
+    :param work: the request's own work
+    """
+    share = 1 if lane == URGENT else BATCH_SLOT_SHARE
+    requests = ahead.requests + 1
+    waiting = max(0, requests - totals.free * share) / requests
+    hold_ms = (ahead.hold_ms + work.hold_ms) * waiting
+    return ratio(hold_ms, totals.slots * share)
+
+
+def limit_wait_ms(
+    flow: Flow, queued: QueuedTicket, limits: LimitShares
+) -> float:
+    """Return the wait that a limit on open requests causes."""
+    most = limits.most_open(queued.ticket.rule)
+    waiting = flow.backlog.requests
+    if not most or flow.running + waiting < most:
+        return 0
+    return (waiting + 1) * queued.work.hold_ms / most
+
+
+def _patience_ms(ticket: Ticket, prefill_ms: float) -> int:
+    first_ms = ticket.rule.first_token_ms
+    return round(max(first_ms - prefill_ms, first_ms * PATIENCE_SHARE))
--- /dev/null
+++ b/cicadahoist/policy/load.py
@@ -0,0 +1,248 @@
+"""Load of targets: own work in flight, lagged reports and peers' views."""
+
+import msgspec
+
+from cicadahoist.messages import LoadView
+from cicadahoist.policy.state import Attempt, Load, PoolPart, TargetState
+from cicadahoist.policy.tickets import RouteRequest
+from cicadahoist.table import Target
+
+VIEW_LIFE_MS = 3000
+
+
+class ReportedLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Load as a target reports it.
+
+    :param age_ms: how long ago the report was taken
+    :param running: requests that run
+    :param queued: requests that wait on the target
+    :param prefill_tokens: prompt tokens still to be processed
+    """
+
+    age_ms: int
+    role: str = 'mixed'
+    running: int = 0
+    queued: int = 0
+    prefill_tokens: int = 0
+    draining: bool = False
+
+
+class PeerView:
+    """The last view of a peer and when it came."""
+
+    __slots__ = ('heard_ms', 'loads_by_target')
+
+    def __init__(self, view: LoadView, heard_ms: int) -> None:
+        self.heard_ms = heard_ms
+        urgent = view.urgent_by_target
+        self.loads_by_target = {
+            name: Load(open_requests, prefill, urgent.get(name, 0))
+            for name, (prefill, open_requests) in view.by_target.items()
+        }
+
+
+class TargetLoads:
+    """
+    Keeps the load of all targets of the table.
+
+    Sums per pool are kept up to date with each change, so that the cost of
+    admitting a request does not depend on the number of targets.
+    """
+
+    __slots__ = (
+        '_attempts_by_id',
+        '_states_by_name',
+        '_totals_by_pool',
+        '_views_by_peer',
+    )
+
+    def __init__(self) -> None:
+        self._states_by_name: dict[str, TargetState] = {}
+        self._totals_by_pool: dict[str, PoolPart] = {}
+        self._attempts_by_id: dict[str, Attempt] = {}
+        self._views_by_peer: dict[str, PeerView] = {}
+
+    def sync(self, targets: list[Target], now_ms: int) -> None:
+        """
+        Take over the targets of a table revision.
+
+        Targets that come after the first call start slowly.
+        """
+        since_ms = now_ms if self._states_by_name else None
+        states = {}
+        for row in targets:
+            state = self._states_by_name.get(row.name)
+            if state is None:
+                state = self._newcomer(row, since_ms)
+            state.row = row
+            states[row.name] = state
+        self._states_by_name = states
+        self.tick(now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Forget silent peers and sum up all pools; call it every second."""
+        for peer, view in list(self._views_by_peer.items()):
+            if now_ms - view.heard_ms > VIEW_LIFE_MS:
+                self._apply(view, -1)
+                self._views_by_peer.pop(peer)
+        self._totals_by_pool = {}
+        for state in self._states_by_name.values():
+            state.part = PoolPart()
+            self._refresh(state, now_ms)
+
+    def state(self, target: str) -> TargetState | None:
+        """Return what is known about a target."""
+        return self._states_by_name.get(target)
+
+    def totals(self, pool: str) -> PoolPart:
+        """Return the sums of a pool."""
+        return self._totals_by_pool.get(pool) or PoolPart()
+
+    def sent(self, target: str, request: RouteRequest, now_ms: int) -> None:
+        """Count an attempt that is being sent."""
+        state = self._states_by_name.get(target)
+        if state is None:
+            return
+        prefill = request.cost.prefill
+        urgent = request.is_urgent
+        attempt = Attempt(target, prefill, now_ms, urgent=urgent)
+        attempt.queued_tokens = state.backlog(urgent=urgent) + prefill
+        self._attempts_by_id[request.attempt] = attempt
+        state.own.add(Load(1, prefill, prefill * urgent))
+        self._refresh(state, now_ms)
+
+    def first_token(self, attempt_id: str, now_ms: int) -> None:
+        """Count the prefill of an attempt as done and learn its speed."""
+        attempt = self._attempts_by_id.get(attempt_id)
+        if attempt is None or attempt.started_ms is not None:
+            return
+        attempt.started_ms = now_ms
+        state = self._states_by_name.get(attempt.target)
+        if state is not None:
+            _end_prefill(state, attempt)
+            state.speed.observe_prefill(
+                attempt.queued_tokens, now_ms - attempt.sent_ms
+            )
+            self._refresh(state, now_ms)
+
+    def finished(
+        self,
+        attempt_id: str,
+        now_ms: int,
+        *,
+        output_tokens: int = 0,
+        failed: bool = False,
+    ) -> None:
+        """
+        Count an attempt as ended.
+
+        :param output_tokens: tokens of a whole answer
+        :param failed: whether the target failed it
+        """
+        attempt = self._attempts_by_id.pop(attempt_id, None)
+        if attempt is None:
+            return
+        state = self._states_by_name.get(attempt.target)
+        if state is None:
+            return
+        if failed:
+            state.health.failed(now_ms)
+        else:
+            state.health.succeeded()
+        if attempt.started_ms is None:
+            _end_prefill(state, attempt)
+        elif not failed:
+            state.speed.observe_decode(
+                output_tokens, now_ms - attempt.started_ms, state.open_requests
+            )
+        state.own.add(Load(1), -1)
+        self._refresh(state, now_ms)
+
+    def crashed(self, target: str, now_ms: int) -> None:
+        """Eject a target that broke off its connections."""
+        state = self._states_by_name.get(target)
+        if state is not None:
+            state.health.crashed(now_ms)
+            self._refresh(state, now_ms)
+
+    def drain(self, target: str, now_ms: int, *, active: bool) -> None:
+        """Begin or end the drain of a target."""
+        state = self._states_by_name.get(target)
+        if state is not None:
+            state.draining = active
+            self._refresh(state, now_ms)
+
+    def report(self, target: str, report: ReportedLoad, now_ms: int) -> None:
+        """
+        Correct the load by a lagged report.
+
+        What the report holds beyond the work known to have been in flight
+        when it was taken belongs to entries that are not heard.
+        """
+        state = self._states_by_name.get(target)
+        if state is None:
+            return
+        state.role = report.role
+        known = state.own.open_requests + state.peers.open_requests
+        known_prefill = state.own.prefill + state.peers.prefill
+        seen = report.running + report.queued
+        state.unexplained = Load(
+            max(0, seen - known), max(0, report.prefill_tokens - known_prefill)
+        )
+        self._refresh(state, now_ms)
+
+    def hear(self, peer: str, view: LoadView, now_ms: int) -> None:
+        """Take over the view of a peer."""
+        earlier = self._views_by_peer.get(peer)
+        if earlier is not None:
+            self._apply(earlier, -1)
+        current = PeerView(view, now_ms)
+        self._views_by_peer[peer] = current
+        self._apply(current, 1)
+        for name in current.loads_by_target:
+            state = self._states_by_name.get(name)
+            if state is not None:
+                self._refresh(state, now_ms)
+
+    def view(self) -> LoadView:
+        """Return the own work in flight, for peers."""
+        busy = [
+            state
+            for state in self._states_by_name.values()
+            if state.own.open_requests
+        ]
+        return LoadView(
+            by_target={
+                state.row.name: (state.own.prefill, state.own.open_requests)
+                for state in busy
+            },
+            urgent_by_target={
+                state.row.name: state.own.urgent_prefill for state in busy
+            },
+        )
+
+    def _newcomer(self, row: Target, since_ms: int | None) -> TargetState:
+        state = TargetState(row, since_ms)
+        for view in self._views_by_peer.values():
+            load = view.loads_by_target.get(row.name)
+            if load is not None:
+                state.peers.add(load)
+        return state
+
+    def _apply(self, view: PeerView, sign: int) -> None:
+        for name, load in view.loads_by_target.items():
+            state = self._states_by_name.get(name)
+            if state is not None:
+                state.peers.add(load, sign)
+
+    def _refresh(self, state: TargetState, now_ms: int) -> None:
+        totals = self._totals_by_pool.setdefault(state.row.pool, PoolPart())
+        totals.add(state.part, -1)
+        state.part = PoolPart.of_target(state, now_ms)
+        totals.add(state.part)
+
+
+def _end_prefill(state: TargetState, attempt: Attempt) -> None:
+    prefill = attempt.prefill
+    state.own.add(Load(0, prefill, prefill * attempt.urgent), -1)
--- /dev/null
+++ b/cicadahoist/policy/speed.py
@@ -0,0 +1,52 @@
+"""Speed of a target, learned from its answers."""
+
+LEARN = 0.2
+PREFILL_TOKENS_PER_MS = 8.0
+STEP_MS = 30.0
+STEP_GOAL_MS = 60.0
+FIRST_SLOTS = 24.0
+MIN_SLOTS = 4.0
+MAX_SLOTS = 256.0
+SHRINK = 0.9
+GROWTH = 0.5
+MIN_LEARNED_TOKENS = 400
+
+
+class TargetSpeed:
+    """
+    Prefill rate, time between tokens and slots of one target.
+
+    Slots follow the time between tokens: they grow while it is below the
+    goal and shrink once it is above.
+    """
+
+    __slots__ = ('slots', 'step_ms', 'tokens_per_ms')
+
+    def __init__(self) -> None:
+        self.tokens_per_ms = PREFILL_TOKENS_PER_MS
+        self.step_ms = STEP_MS
+        self.slots = FIRST_SLOTS
+
+    def observe_prefill(self, tokens: int, elapsed_ms: int) -> None:
+        """
+        Learn from a first token.
+
+        :param tokens: prompt tokens that were ahead, its own included
+        :param elapsed_ms: time from sending to the first token
+        """
+        if tokens >= MIN_LEARNED_TOKENS and elapsed_ms > 0:
+            seen = tokens / elapsed_ms
+            self.tokens_per_ms += LEARN * (seen - self.tokens_per_ms)
+
+    def observe_decode(
+        self, output_tokens: int, elapsed_ms: int, open_requests: int
+    ) -> None:
+        """Learn from an answer's end and adapt the slots."""
+        if output_tokens < 2:
+            return
+        seen = elapsed_ms / (output_tokens - 1)
+        self.step_ms += LEARN * (seen - self.step_ms)
+        if seen > STEP_GOAL_MS:
+            self.slots = max(MIN_SLOTS, self.slots * SHRINK)
+        elif open_requests * 2 >= self.slots:
+            self.slots = min(MAX_SLOTS, self.slots + GROWTH)
