--- a/cicadahoist/protocol/actions.py
+++ b/cicadahoist/protocol/actions.py
@@ -1,5 +1,7 @@
 """Actions that protocol machines return for the caller to carry out."""
 
+from enum import Enum
+
 import msgspec
 
 from cicadahoist.protocol.records import JournalEntry, LeaseRecord
@@ -72,6 +74,21 @@
     token: str
 
 
+class OrderOutcome(Enum):
+    """How an order ended."""
+
+    done = 'done'
+    refused = 'refused'
+    cancelled = 'cancelled'
+
+
+class OrderSettled(msgspec.Struct, frozen=True):
+    """The outcome of an order is known and journalled."""
+
+    entry: JournalEntry
+    outcome: OrderOutcome
+
+
 Action = (
     ReadObject
     | WriteObject
@@ -82,4 +99,5 @@
     | StepDown
     | SendOrder
     | ReadTarget
+    | OrderSettled
 )
--- /dev/null
+++ b/cicadahoist/protocol/authority.py
@@ -0,0 +1,76 @@
+"""A lease together with the orders that are sent under it."""
+
+from typing import Any
+
+from cicadahoist.config import Config
+from cicadahoist.protocol.actions import (
+    Action,
+    LeaseWon,
+    RecordWritten,
+    StepDown,
+)
+from cicadahoist.protocol.events import JournalChange, Tick
+from cicadahoist.protocol.lease import LeaseKeeper
+from cicadahoist.protocol.orders import OrderBook
+
+
+class Authority:
+    """
+    Joins a lease and its order book.
+
+    :param lease: the lease
+    :param book: orders of the lease
+    """
+
+    __slots__ = ('book', 'lease')
+
+    def __init__(self, lease: LeaseKeeper, book: OrderBook) -> None:
+        self.lease = lease
+        self.book = book
+
+    @classmethod
+    def from_config(cls, config: Config, name: str, holder: str) -> 'Authority':
+        """
+        Return an authority with the times that the settings give.
+
+        :param name: name of the lease object
+        :param holder: name and incarnation of this process
+        """
+        lease = LeaseKeeper.from_config(config, name, holder)
+        return cls(lease, OrderBook(lease))
+
+    def handle(self, event: Any, now_ms: int) -> list[Action]:
+        """
+        Take in an event of the lease or of one target.
+
+        :param now_ms: reading of the clock, taken before the actions run
+        :return: actions to carry out in order
+        """
+        if hasattr(event, 'target'):
+            actions = self.book.handle(event, now_ms)
+        else:
+            actions = self._handle_lease(event, now_ms)
+        actions.extend(self._write_journal(now_ms))
+        return actions
+
+    def _handle_lease(self, event: Any, now_ms: int) -> list[Action]:
+        actions: list[Action] = []
+        for action in self.lease.handle(event, now_ms):
+            actions.append(action)
+            if isinstance(action, LeaseWon):
+                self.book.inherit(action.record, now_ms)
+            if isinstance(action, (RecordWritten, StepDown)):
+                actions.extend(self.book.handle_all(action, now_ms))
+            if isinstance(action, StepDown):
+                self.book.unwritten.clear()
+        if isinstance(event, Tick):
+            actions.extend(self.book.handle_all(event, now_ms))
+        return actions
+
+    def _write_journal(self, now_ms: int) -> list[Action]:
+        unwritten = self.book.unwritten
+        if self.lease.state != 'holding' or not unwritten:
+            return []
+        change = JournalChange(tuple(unwritten.values()))
+        unwritten.clear()
+        return self.lease.handle(change, now_ms)
--- a/cicadahoist/protocol/events.py
+++ b/cicadahoist/protocol/events.py
@@ -1,4 +1,4 @@
-"""Events that drive the protocol machines; charts name them in snake case."""
+"""Events of leases; charts name them in snake case."""
 
 import msgspec
 
--- a/cicadahoist/protocol/lease.py
+++ b/cicadahoist/protocol/lease.py
@@ -1,17 +1,16 @@
 """Leases with fencing numbers on objects of the platform's store."""
 
 from collections.abc import Callable
-from typing import Any
 
 import msgspec
 
 from cicadahoist.config import Config
 from cicadahoist.ids import new_nonce
-from cicadahoist.protocol.actions import Action, WriteObject
+from cicadahoist.protocol.actions import WriteObject
 from cicadahoist.protocol.events import ObjectRead, WriteConfirmed, nonce_of
 from cicadahoist.protocol.lease_guards import GUARDS
 from cicadahoist.protocol.lease_outputs import OUTPUTS
-from cicadahoist.protocol.machine import ChartKit, ChartRunner
+from cicadahoist.protocol.machine import ChartCore, ChartKit
 from cicadahoist.protocol.records import LeaseRecord, encode_record
 from cicadahoist.protocol.timing import LeaseTiming
 
@@ -35,11 +34,10 @@
             self.since_ms = now_ms
 
 
-class LeaseKeeper:
+class LeaseKeeper(ChartCore):
     """
     Stands for one lease and holds it.
 
-    The caller passes events and carries out the returned actions in order.
     Times are readings of one clock that does not stand still while the
     instance is suspended.
 
@@ -52,7 +50,6 @@
 
     __slots__ = (
         '_draw_nonce',
-        'actions',
         'attempts',
         'deadline_ms',
         'holder',
@@ -60,7 +57,6 @@
         'name',
         'pending',
         'record',
-        'runner',
         'seen',
         'timing',
     )
@@ -83,8 +79,7 @@
         self.attempts: dict[str, int] = {}
         self.deadline_ms = 0
         self.leaving = False
-        self.actions: list[Action] = []
-        self.runner: ChartRunner = (kit or LEASE_KIT).start(self)
+        super().__init__(kit or LEASE_KIT)
 
     @classmethod
     def from_config(
@@ -93,11 +88,6 @@
         """Return a keeper with the times that the settings give."""
         return cls(name, holder, LeaseTiming.from_config(config))
 
-    @property
-    def state(self) -> str:
-        """State of the chart."""
-        return self.runner.state
-
     @property
     def step_down_ms(self) -> int:
         """When the holder stops using the lease."""
@@ -108,18 +98,6 @@
         """When the kernel ends the holder."""
         return self.deadline_ms - self.timing.margin_ms
 
-    def handle(self, event: Any, now_ms: int) -> list[Action]:
-        """
-        Take in an event.
-
-        :param now_ms: reading of the clock, taken before the actions run
-        :return: actions to carry out in order
-        """
-        self.runner.offer(event, now_ms)
-        actions = self.actions
-        self.actions = []
-        return actions
-
     def is_holder(self, now_ms: int) -> bool:
         """Tell whether this process may use the lease at this moment."""
         if self.state not in HOLDER_STATES:
--- a/cicadahoist/protocol/machine.py
+++ b/cicadahoist/protocol/machine.py
@@ -113,6 +113,39 @@
         self.kit.run_outputs(transition, self.core, event, now_ms)
 
 
+class ChartCore:
+    """
+    State and pending actions of one running chart.
+
+    The caller passes events and carries out the returned actions in order.
+
+    :param kit: the chart to follow and its functions
+    """
+
+    __slots__ = ('actions', 'runner')
+
+    def __init__(self, kit: ChartKit) -> None:
+        self.actions: list[Any] = []
+        self.runner = kit.start(self)
+
+    @property
+    def state(self) -> str:
+        """State of the chart."""
+        return self.runner.state
+
+    def handle(self, event: Any, now_ms: int) -> list[Any]:
+        """
+        Take in an event.
+
+        :param now_ms: reading of the clock, taken before the actions run
+        :return: actions to carry out in order
+        """
+        self.runner.offer(event, now_ms)
+        actions = self.actions
+        self.actions = []
+        return actions
+
+
 def event_name(event: Any) -> str:
     """Return the name of an event in charts: its type, in snake case."""
     return _WORD_START.sub('_', type(event).__name__).lower()
--- /dev/null
+++ b/cicadahoist/protocol/orders.py
@@ -0,0 +1,113 @@
+"""Orders to targets: journalled, sent one at a time, settled."""
+
+from typing import Any
+
+import msgspec
+
+from cicadahoist.protocol.actions import (
+    Action,
+    OrderOutcome,
+    RecordWritten,
+    StepDown,
+)
+from cicadahoist.protocol.events import Tick
+from cicadahoist.protocol.lease import LeaseKeeper
+from cicadahoist.protocol.machine import ChartCore, ChartKit
+from cicadahoist.protocol.order_events import OrderInherited
+from cicadahoist.protocol.order_rules import GUARDS, OUTPUTS
+from cicadahoist.protocol.records import JournalEntry, LeaseRecord
+
+ORDER_KIT = ChartKit.load('order', GUARDS, OUTPUTS)
+
+
+class OrderBook:
+    """
+    Orders of one lease, by target.
+
+    :param lease: the lease under which orders are sent
+    :param kit: the chart to follow
+    """
+
+    __slots__ = ('_by_target', '_kit', '_seq', 'lease', 'unwritten')
+
+    def __init__(self, lease: LeaseKeeper, kit: ChartKit | None = None) -> None:
+        self.lease = lease
+        self.unwritten: dict[str, JournalEntry] = {}
+        self._kit = kit or ORDER_KIT
+        self._by_target: dict[str, TargetOrder] = {}
+        self._seq = 0
+
+    def handle(self, event: Any, now_ms: int) -> list[Action]:
+        """Take in an event of one target."""
+        order = self._by_target.get(event.target)
+        if order is None:
+            order = TargetOrder(self, self._kit)
+            self._by_target[event.target] = order
+        return order.handle(event, now_ms)
+
+    def handle_all(
+        self, event: Tick | RecordWritten | StepDown, now_ms: int
+    ) -> list[Action]:
+        """Take in an event that concerns every target."""
+        actions = []
+        for order in self._by_target.values():
+            actions.extend(order.handle(event, now_ms))
+        return actions
+
+    def inherit(self, record: LeaseRecord, now_ms: int) -> None:
+        """Take over the journal that a won lease shows."""
+        self._by_target.clear()
+        self.unwritten.clear()
+        self._seq = record.seq
+        for entry in record.orders.values():
+            if not entry.settled:
+                order = TargetOrder(self, self._kit)
+                order.handle(OrderInherited(entry), now_ms)
+                self._by_target[entry.target] = order
+
+    def next_seq(self) -> int:
+        """Return the next sequence number."""
+        self._seq += 1
+        return self._seq
+
+    def state_of(self, target: str) -> str:
+        """Return the chart state of a target's order."""
+        order = self._by_target.get(target)
+        return order.state if order else self._kit.chart.initial
+
+    def runners(self) -> list[Any]:
+        """Return the running charts of all targets."""
+        return [order.runner for order in self._by_target.values()]
+
+
+class TargetOrder(ChartCore):
+    """
+    The last order to one target.
+
+    :param book: the book that holds it
+    """
+
+    __slots__ = ('book', 'entry', 'outcome', 'sent_ms')
+
+    def __init__(self, book: OrderBook, kit: ChartKit) -> None:
+        super().__init__(kit)
+        self.book = book
+        self.entry: JournalEntry | None = None
+        self.outcome = OrderOutcome.cancelled
+        self.sent_ms = 0
+
+    @property
+    def current(self) -> JournalEntry:
+        """The entry of an order that is not idle."""
+        assert self.entry is not None  # noqa: S101
+        return self.entry
+
+    def draft(self, entry: JournalEntry) -> None:
+        """Ask for an entry to be written."""
+        self.entry = entry
+        self.book.unwritten[entry.target] = entry
+
+    def settle(self, outcome: OrderOutcome) -> None:
+        """Ask for the outcome to be written."""
+        self.outcome = outcome
+        self.draft(msgspec.structs.replace(self.current, settled=True))
--- a/cicadahoist/protocol/records.py
+++ b/cicadahoist/protocol/records.py
@@ -10,7 +10,7 @@
     The last order to one target.
 
     :param epoch: epoch of the holder that wrote the entry
-    :param seq: rises with each entry of one lease object
+    :param seq: rises with each order of one lease object
     :param kind: kind of the order, as the target's interface names it
     :param argument: argument of the order
     :param settled: whether the outcome is known
--- a/cicadahoist/protocol/term_timer.py
+++ b/cicadahoist/protocol/term_timer.py
@@ -15,11 +15,23 @@
 ARM_TOLERANCE_MS = 20
 
 
+def block_alarm() -> None:
+    """
+    Keep SIGALRM away from threads that start from now on.
+
+    Called before the first thread starts. Were the signal taken by another
+    thread, the main thread could run on until that thread has ended the
+    process.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGALRM])
+
+
 class TermTimer:
     """
     Ends the process at a deadline unless it is re-armed before.
 
-    Only for a process that has nothing to lose: no handler runs.
+    Belongs to the main thread, which alone takes SIGALRM. No handler runs, so
+    only a process without requests of its own may use it.
 
     :param read_ms: clock in which deadlines are given
     """
@@ -43,7 +55,7 @@
             before_ms = self._read_ms()
             if before_ms >= deadline_ms:
                 os.kill(os.getpid(), signal.SIGALRM)
-            delay_s = (deadline_ms - before_ms) / MS_PER_S
+            delay_s = max(1, deadline_ms - before_ms) / MS_PER_S
             signal.setitimer(signal.ITIMER_REAL, delay_s)
             if self._read_ms() - before_ms <= ARM_TOLERANCE_MS:
                 return
