--- /dev/null
+++ b/cicadahoist/protocol/drain.py
@@ -0,0 +1,135 @@
+"""Drains: a planned change waits until its target holds no work."""
+
+from typing import Any
+
+from cicadahoist.messages import DrainAck, DrainNotice
+from cicadahoist.protocol.drain_events import (
+    AllowChange,
+    DrainAcked,
+    EntriesChanged,
+    LoadRead,
+    ReadLoad,
+    SendNotice,
+)
+from cicadahoist.protocol.machine import ChartCore, ChartKit, Guard, Output
+from cicadahoist.registry import Registry
+
+GUARDS: Registry[Guard] = Registry('guard of the drain chart')
+OUTPUTS: Registry[Output] = Registry('output of the drain chart')
+
+
+class Drain(ChartCore):
+    """
+    The drain of one target.
+
+    Entries count as live until they are known to be gone; one that is silent
+    may be paused and go on sending.
+
+    :param target: the target
+    :param order: identifier of the drain
+    :param entries: incarnations of live entries by name
+    :param limit_ms: clock reading after which the drain is taken back
+    :param kit: the chart to follow
+    """
+
+    __slots__ = (
+        'acks',
+        'entries',
+        'last_ack_ms',
+        'limit_ms',
+        'order',
+        'target',
+    )
+
+    def __init__(
+        self,
+        target: str,
+        order: str,
+        entries: dict[str, str],
+        limit_ms: int,
+        kit: ChartKit | None = None,
+    ) -> None:
+        super().__init__(kit or DRAIN_KIT)
+        self.target = target
+        self.order = order
+        self.entries = entries
+        self.limit_ms = limit_ms
+        self.acks: dict[str, DrainAck] = {}
+        self.last_ack_ms = 0
+
+    @property
+    def missing(self) -> list[str]:
+        """Names of entries that did not acknowledge or have work there."""
+        return [
+            name
+            for name, incarnation in self.entries.items()
+            if not self.is_acked(name, incarnation)
+        ]
+
+    def is_acked(self, name: str, incarnation: str) -> bool:
+        """Tell whether an entry acknowledged and has nothing open there."""
+        ack = self.acks.get(name)
+        if ack is None or ack.incarnation != incarnation:
+            return False
+        return not ack.open_requests
+
+    def notice(self, *, active: bool) -> None:
+        """Ask for a notice to be sent."""
+        notice = DrainNotice(
+            target=self.target, order=self.order, active=active
+        )
+        self.actions.append(SendNotice(notice))
+
+
+@GUARDS.register('all_acked')
+def _all_acked(drain: Drain, event: Any, now_ms: int) -> bool:
+    return not drain.missing
+
+
+@GUARDS.register('target_empty')
+def _target_empty(drain: Drain, event: LoadRead, now_ms: int) -> bool:
+    return event.asked_ms >= drain.last_ack_ms and not event.open_requests
+
+
+@GUARDS.register('limit_passed')
+def _limit_passed(drain: Drain, event: Any, now_ms: int) -> bool:
+    return now_ms >= drain.limit_ms
+
+
+@OUTPUTS.register('note_ack')
+def _note_ack(drain: Drain, event: DrainAcked, now_ms: int) -> None:
+    ack = event.ack
+    if (ack.target, ack.order) != (drain.target, drain.order):
+        return
+    before = drain.acks.get(ack.instance)
+    drain.acks[ack.instance] = ack
+    if before != ack:
+        drain.last_ack_ms = now_ms
+
+
+@OUTPUTS.register('note_entries')
+def _note_entries(drain: Drain, event: EntriesChanged, now_ms: int) -> None:
+    drain.entries = event.incarnations
+
+
+@OUTPUTS.register('announce')
+def _announce(drain: Drain, event: Any, now_ms: int) -> None:
+    drain.notice(active=True)
+
+
+@OUTPUTS.register('read_load')
+def _read_load(drain: Drain, event: Any, now_ms: int) -> None:
+    drain.actions.append(ReadLoad(drain.target, now_ms))
+
+
+@OUTPUTS.register('allow')
+def _allow(drain: Drain, event: Any, now_ms: int) -> None:
+    drain.actions.append(AllowChange(drain.target))
+
+
+@OUTPUTS.register('withdraw')
+def _withdraw(drain: Drain, event: Any, now_ms: int) -> None:
+    drain.notice(active=False)
+
+
+DRAIN_KIT = ChartKit.load('drain', GUARDS, OUTPUTS)
--- /dev/null
+++ b/cicadahoist/protocol/membership.py
@@ -0,0 +1,195 @@
+"""Membership: which instances are live, told by heartbeats."""
+
+from typing import Any
+
+import msgspec
+
+from cicadahoist.config import Config
+from cicadahoist.messages import Heartbeat, InstanceInfo
+from cicadahoist.protocol.events import Tick
+from cicadahoist.protocol.machine import ChartCore, ChartKit, Guard, Output
+from cicadahoist.registry import Registry
+from cicadahoist.settings import PEER_TIMEOUT
+
+GUARDS: Registry[Guard] = Registry('guard of the peer chart')
+OUTPUTS: Registry[Output] = Registry('output of the peer chart')
+
+REACHABLE_STATES = frozenset(('live',))
+HEARD_STATES = frozenset(('live', 'one_way', 'leaving'))
+UNCONFIRMED_STATES = frozenset(
+    ('seeded', 'live', 'one_way', 'leaving', 'silent')
+)
+
+
+class HeartbeatReceived(msgspec.Struct, frozen=True):
+    """A peer's heartbeat arrived."""
+
+    sender: InstanceInfo
+    heartbeat: Heartbeat
+
+
+class PeerListed(msgspec.Struct, frozen=True):
+    """The platform's list shows an instance."""
+
+    info: InstanceInfo
+
+
+class PeerUnlisted(msgspec.Struct, frozen=True):
+    """The platform's list shows an instance no more."""
+
+    name: str
+
+
+class PeerChanged(msgspec.Struct, frozen=True):
+    """
+    A peer went to another state.
+
+    :param state: state of the peer chart
+    """
+
+    info: InstanceInfo
+    state: str
+
+
+class Peer(ChartCore):
+    """
+    One peer.
+
+    :param info: identity and address as last heard
+    :param membership: the members it belongs to
+    :param kit: the chart to follow
+    """
+
+    __slots__ = ('heard_ms', 'heartbeat', 'info', 'membership', 'retired')
+
+    def __init__(
+        self, info: InstanceInfo, membership: 'Membership', kit: ChartKit
+    ) -> None:
+        super().__init__(kit)
+        self.info = info
+        self.membership = membership
+        self.heartbeat = Heartbeat(heard={}, revision=0, in_force_ms=0)
+        self.heard_ms = 0
+        self.retired: set[str] = set()
+
+
+class Membership:
+    """
+    All peers of one instance, by name.
+
+    :param own: this instance
+    :param timeout_ms: silence after which a peer counts as away
+    :param kit: the chart to follow
+    """
+
+    __slots__ = ('_kit', 'own', 'peers_by_name', 'timeout_ms')
+
+    def __init__(
+        self, own: InstanceInfo, timeout_ms: int, kit: ChartKit | None = None
+    ) -> None:
+        self.own = own
+        self.timeout_ms = timeout_ms
+        self.peers_by_name: dict[str, Peer] = {}
+        self._kit = kit or PEER_KIT
+
+    @classmethod
+    def from_config(cls, config: Config, own: InstanceInfo) -> 'Membership':
+        """Return members with the timeout that the settings give."""
+        return cls(own, config.read(PEER_TIMEOUT))
+
+    def handle(self, event: Any, now_ms: int) -> list[PeerChanged]:
+        """Take in an event; returns the peers that changed state."""
+        if isinstance(event, HeartbeatReceived):
+            return self._peer(event.sender).handle(event, now_ms)
+        if isinstance(event, PeerListed):
+            return self._peer(event.info).handle(event, now_ms)
+        changed: list[PeerChanged] = []
+        for peer in self._concerned(event):
+            changed.extend(peer.handle(event, now_ms))
+        return changed
+
+    def heard(self) -> dict[str, str]:
+        """Return what the own heartbeat says in ``Heartbeat.heard``."""
+        return {
+            name: peer.info.incarnation
+            for name, peer in self.peers_by_name.items()
+            if peer.state in HEARD_STATES
+        }
+
+    def live(self, zone: str = '') -> list[InstanceInfo]:
+        """Return peers that hear and are heard, of one zone or of all."""
+        return self._in_states(REACHABLE_STATES, zone)
+
+    def not_gone(self, zone: str = '') -> list[InstanceInfo]:
+        """
+        Return peers that may still be running, of one zone or of all.
+
+        A silent peer may be paused; drains and usage windows wait for it.
+        """
+        return self._in_states(UNCONFIRMED_STATES, zone)
+
+    def _in_states(
+        self, states: frozenset[str], zone: str
+    ) -> list[InstanceInfo]:
+        return [
+            peer.info
+            for _, peer in sorted(self.peers_by_name.items())
+            if peer.state in states and zone in {'', peer.info.zone}
+        ]
+
+    def _peer(self, info: InstanceInfo) -> Peer:
+        peer = self.peers_by_name.get(info.name)
+        if peer is None:
+            peer = Peer(info, self, self._kit)
+            self.peers_by_name[info.name] = peer
+        return peer
+
+    def _concerned(self, event: PeerUnlisted | Tick) -> list[Peer]:
+        if isinstance(event, Tick):
+            return list(self.peers_by_name.values())
+        peer = self.peers_by_name.get(event.name)
+        return [peer] if peer else []
+
+
+@GUARDS.register('retired')
+def _retired(peer: Peer, event: HeartbeatReceived, now_ms: int) -> bool:
+    return event.sender.incarnation in peer.retired
+
+
+@GUARDS.register('peer_leaving')
+def _peer_leaving(peer: Peer, event: HeartbeatReceived, now_ms: int) -> bool:
+    return event.heartbeat.leaving
+
+
+@GUARDS.register('hears_us')
+def _hears_us(peer: Peer, event: HeartbeatReceived, now_ms: int) -> bool:
+    own = peer.membership.own
+    return event.heartbeat.heard.get(own.name) == own.incarnation
+
+
+@GUARDS.register('timed_out')
+def _timed_out(peer: Peer, event: Any, now_ms: int) -> bool:
+    return now_ms - peer.heard_ms >= peer.membership.timeout_ms
+
+
+@OUTPUTS.register('note_heartbeat')
+def _note_heartbeat(peer: Peer, event: HeartbeatReceived, now_ms: int) -> None:
+    known = peer.info.incarnation
+    if known and known != event.sender.incarnation:
+        peer.retired.add(known)
+    peer.info = event.sender
+    peer.heartbeat = event.heartbeat
+    peer.heard_ms = now_ms
+
+
+@OUTPUTS.register('retire')
+def _retire(peer: Peer, event: Any, now_ms: int) -> None:
+    peer.retired.add(peer.info.incarnation)
+
+
+@OUTPUTS.register('notify')
+def _notify(peer: Peer, event: Any, now_ms: int) -> None:
+    peer.actions.append(PeerChanged(peer.info, peer.state))
+
+
+PEER_KIT = ChartKit.load('peer', GUARDS, OUTPUTS)
--- /dev/null
+++ b/cicadahoist/protocol/revision.py
@@ -0,0 +1,116 @@
+"""The table revision in force: applied in rising order, never taken back."""
+
+from typing import Any
+
+import msgspec
+
+from cicadahoist.protocol.machine import ChartCore, ChartKit, Guard, Output
+from cicadahoist.registry import Registry
+
+RETRY_MS = 500
+
+GUARDS: Registry[Guard] = Registry('guard of the revision chart')
+OUTPUTS: Registry[Output] = Registry('output of the revision chart')
+
+
+class RevisionOffered(msgspec.Struct, frozen=True):
+    """
+    The store or a peer has a revision.
+
+    :param source: name of the peer, empty for the store
+    """
+
+    revision: int
+    source: str = ''
+
+
+class TableLoaded(msgspec.Struct, frozen=True):
+    """The table of a revision is complete in memory."""
+
+    revision: int
+
+
+class LoadFailed(msgspec.Struct, frozen=True):
+    """A revision could not be loaded."""
+
+
+class LoadTable(msgspec.Struct, frozen=True):
+    """
+    Load a revision; answer by ``TableLoaded`` or ``LoadFailed``.
+
+    :param revision: the lowest revision wanted
+    :param source: name of the peer that offered it, empty for the store
+    """
+
+    revision: int
+    source: str
+
+
+class ApplyTable(msgspec.Struct, frozen=True):
+    """Put the loaded table in force."""
+
+    revision: int
+
+
+class TableRevision(ChartCore):
+    """
+    Decides which revisions are loaded and put in force.
+
+    :param kit: the chart to follow
+    """
+
+    __slots__ = ('in_force', 'in_force_since_ms', 'loading_ms', 'wanted')
+
+    def __init__(self, kit: ChartKit | None = None) -> None:
+        super().__init__(kit or REVISION_KIT)
+        self.in_force = 0
+        self.in_force_since_ms = 0
+        self.loading_ms = 0
+        self.wanted = RevisionOffered(0)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether any revision is in force."""
+        return self.in_force > 0
+
+
+@GUARDS.register('newer')
+def _newer(table: TableRevision, event: Any, now_ms: int) -> bool:
+    return event.revision > table.in_force
+
+
+@GUARDS.register('newer_than_wanted')
+def _newer_than_wanted(table: TableRevision, event: Any, now_ms: int) -> bool:
+    return event.revision > table.wanted.revision
+
+
+@GUARDS.register('wanted_met')
+def _wanted_met(table: TableRevision, event: Any, now_ms: int) -> bool:
+    return event.revision >= table.wanted.revision
+
+
+@GUARDS.register('retry_due')
+def _retry_due(table: TableRevision, event: Any, now_ms: int) -> bool:
+    return now_ms - table.loading_ms >= RETRY_MS
+
+
+@OUTPUTS.register('want')
+def _want(table: TableRevision, event: RevisionOffered, now_ms: int) -> None:
+    table.wanted = event
+
+
+@OUTPUTS.register('load')
+def _load(table: TableRevision, event: Any, now_ms: int) -> None:
+    table.loading_ms = now_ms
+    wanted = table.wanted
+    table.actions.append(LoadTable(wanted.revision, wanted.source))
+
+
+@OUTPUTS.register('apply')
+def _apply(table: TableRevision, event: TableLoaded, now_ms: int) -> None:
+    table.in_force = event.revision
+    table.in_force_since_ms = now_ms
+    table.actions.append(ApplyTable(event.revision))
+
+
+REVISION_KIT = ChartKit.load('revision', GUARDS, OUTPUTS)
--- /dev/null
+++ b/cicadahoist/protocol/usage_figures.py
@@ -0,0 +1,114 @@
+"""Figures of billing windows, composed from what entries counted."""
+
+import msgspec
+
+WINDOWS_ADJUSTED = 60
+
+
+class UsageTotal(msgspec.Struct, frozen=True):
+    """Usage of one workspace."""
+
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    requests: int = 0
+
+    def plus(self, other: 'UsageTotal') -> 'UsageTotal':
+        """Return the sum of two totals."""
+        return UsageTotal(
+            self.prompt_tokens + other.prompt_tokens,
+            self.output_tokens + other.output_tokens,
+            self.requests + other.requests,
+        )
+
+    def minus(self, other: 'UsageTotal') -> 'UsageTotal':
+        """Return the difference of two totals."""
+        return UsageTotal(
+            self.prompt_tokens - other.prompt_tokens,
+            self.output_tokens - other.output_tokens,
+            self.requests - other.requests,
+        )
+
+
+TotalsByWorkspace = dict[str, UsageTotal]
+
+
+class SourceTotals(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    What one incarnation of an entry counted in one window.
+
+    :param source: name and incarnation of the entry
+    :param closed: whether the entry has passed the end of the window
+    """
+
+    source: str
+    window: int
+    closed: bool = False
+    by_workspace: TotalsByWorkspace = {}
+
+    @property
+    def key(self) -> str:
+        """Key of these totals in a figure."""
+        return f'{self.window}/{self.source}'
+
+
+class Figure(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    The sealed figure of one window and usage shard; never changed.
+
+    :param by_workspace: what was counted in the window until it was sealed
+    :param adjustments: what was counted in earlier windows after they were
+        sealed
+    :param counted: all totals that this and earlier figures include, by
+        window and source, for the windows that may still be adjusted
+    """
+
+    window: int
+    by_workspace: TotalsByWorkspace
+    adjustments: TotalsByWorkspace = {}
+    counted: dict[str, TotalsByWorkspace] = {}
+
+
+def compose_figure(
+    window: int, totals: list[SourceTotals], previous: Figure | None
+) -> Figure:
+    """
+    Compose the figure of a window.
+
+    :param totals: what all sources counted in this window and earlier ones
+    :param previous: the last sealed figure
+    """
+    counted = dict(previous.counted) if previous else {}
+    by_workspace: TotalsByWorkspace = {}
+    adjustments: TotalsByWorkspace = {}
+    for source in totals:
+        if source.window > window:
+            continue
+        into = by_workspace if source.window == window else adjustments
+        _add_uncounted(into, source, counted.get(source.key, {}))
+        counted[source.key] = source.by_workspace
+    return Figure(
+        window=window,
+        by_workspace=by_workspace,
+        adjustments=adjustments,
+        counted=_recent(counted, window),
+    )
+
+
+def _add_uncounted(
+    into: TotalsByWorkspace, source: SourceTotals, counted: TotalsByWorkspace
+) -> None:
+    nothing = UsageTotal()
+    for workspace, total in source.by_workspace.items():
+        added = total.minus(counted.get(workspace, nothing))
+        if added != nothing:
+            into[workspace] = into.get(workspace, nothing).plus(added)
+
+
+def _recent(
+    counted: dict[str, TotalsByWorkspace], window: int
+) -> dict[str, TotalsByWorkspace]:
+    return {
+        key: totals
+        for key, totals in counted.items()
+        if window - int(key.partition('/')[0]) < WINDOWS_ADJUSTED
+    }
--- /dev/null
+++ b/cicadahoist/protocol/usage_window.py
@@ -0,0 +1,148 @@
+"""Billing windows: sealed once, reported as sealed."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from cicadahoist.errors import WireError
+from cicadahoist.protocol.machine import ChartCore, ChartKit, Guard, Output
+from cicadahoist.protocol.usage_events import (
+    CreateFigure,
+    FigureRead,
+    RaiseAlarm,
+    ReadFigure,
+    ReportFigure,
+)
+from cicadahoist.protocol.usage_figures import (
+    Figure,
+    SourceTotals,
+    compose_figure,
+)
+from cicadahoist.registry import Registry
+
+GUARDS: Registry[Guard] = Registry('guard of the usage window chart')
+OUTPUTS: Registry[Output] = Registry('output of the usage window chart')
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(Figure)
+
+
+class UsageWindow(ChartCore):
+    """
+    One billing window of one usage shard.
+
+    The caller keeps ``totals``, ``entries`` and ``previous`` up to date from
+    the store and the membership before it passes a tick.
+
+    :param name: name of the figure's object, see :func:`figure_name`
+    :param window: number of the window
+    :param is_holder: tells whether the usage lease is held at a time
+    :param kit: the chart to follow
+    """
+
+    __slots__ = (
+        'draft',
+        'entries',
+        'figure',
+        'is_holder',
+        'name',
+        'previous',
+        'totals',
+        'window',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        window: int,
+        is_holder: Callable[[int], bool],
+        kit: ChartKit | None = None,
+    ) -> None:
+        super().__init__(kit or USAGE_KIT)
+        self.name = name
+        self.window = window
+        self.is_holder = is_holder
+        self.entries: set[str] = set()
+        self.totals: list[SourceTotals] = []
+        self.previous: Figure | None = None
+        self.draft: Figure | None = None
+        self.figure: Figure | None = None
+
+    @property
+    def missing(self) -> set[str]:
+        """Live entries that have not passed the end of the window."""
+        closed = {
+            source.source
+            for source in self.totals
+            if source.closed and source.window == self.window
+        }
+        return self.entries - closed
+
+
+def figure_name(shard: int, window: int) -> str:
+    """Return the name of the object that holds a sealed figure."""
+    return f'usage/figures/{shard}/{window}'
+
+
+def decode_figure(payload: bytes) -> Figure:
+    """
+    Decode a figure.
+
+    :raises WireError: the payload is no figure of this version
+    """
+    try:
+        return _decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise WireError(
+            f'undecodable figure: {error}',
+            remedy='run the same version on all instances',
+        ) from error
+
+
+@GUARDS.register('entries_passed')
+def _entries_passed(window: UsageWindow, event: Any, now_ms: int) -> bool:
+    return not window.missing
+
+
+@GUARDS.register('figure_absent')
+def _figure_absent(window: UsageWindow, event: FigureRead, now_ms: int) -> bool:
+    return not event.payload
+
+
+@GUARDS.register('may_report')
+def _may_report(window: UsageWindow, event: Any, now_ms: int) -> bool:
+    return window.is_holder(now_ms)
+
+
+@OUTPUTS.register('create_figure')
+def _create_figure(window: UsageWindow, event: Any, now_ms: int) -> None:
+    window.draft = compose_figure(window.window, window.totals, window.previous)
+    payload = _encoder.encode(window.draft)
+    window.actions.append(CreateFigure(window.name, payload))
+
+
+@OUTPUTS.register('read_figure')
+def _read_figure(window: UsageWindow, event: Any, now_ms: int) -> None:
+    window.actions.append(ReadFigure(window.name))
+
+
+@OUTPUTS.register('note_figure')
+def _note_figure(window: UsageWindow, event: Any, now_ms: int) -> None:
+    window.figure = window.draft
+    if isinstance(event, FigureRead):
+        window.figure = decode_figure(event.payload)
+
+
+@OUTPUTS.register('report')
+def _report(window: UsageWindow, event: Any, now_ms: int) -> None:
+    assert window.figure is not None  # noqa: S101
+    window.actions.append(ReportFigure(window.figure))
+
+
+@OUTPUTS.register('raise_alarm')
+def _raise_alarm(window: UsageWindow, event: Any, now_ms: int) -> None:
+    window.actions.append(RaiseAlarm(window.window))
+
+
+USAGE_KIT = ChartKit.load('usage_window', GUARDS, OUTPUTS)
