--- a/cicadahoist/cmd/operator/app.py
+++ b/cicadahoist/cmd/operator/app.py
@@ -6,10 +6,14 @@
 
 import typer
 
+from cicadahoist.cmd.operator.configuration import (
+    configuration,
+    print_defaults,
+)
 from cicadahoist.cmd.operator.keys import keys
 from cicadahoist.cmd.operator.routes import models, routes
 from cicadahoist.cmd.operator.session import Session
-from cicadahoist.cmd.operator.tables import tables
+from cicadahoist.cmd.operator.sheets import tables
 from cicadahoist.cmd.operator.targets import targets
 from cicadahoist.cmd.operator.workspaces import workspaces
 
@@ -25,6 +29,7 @@
 app.add_typer(models, name='model')
 app.add_typer(routes, name='route')
 app.add_typer(targets, name='target')
+app.add_typer(configuration, name='config')
 
 
 @app.callback()
@@ -36,6 +41,15 @@
     store_url: Annotated[
         str | None, typer.Option(help='Address of the store.')
     ] = None,
+    defaults: Annotated[
+        bool,
+        typer.Option(
+            '--print-defaults',
+            help='Print all settings with their defaults.',
+            callback=print_defaults,
+            is_eager=True,
+        ),
+    ] = False,
 ) -> None:
     """Drive cicadahoist from its table."""
     if context.obj is None:
--- a/cicadahoist/cmd/operator/command.py
+++ b/cicadahoist/cmd/operator/command.py
@@ -45,7 +45,7 @@
         try:
             _run(work, context.obj, output, options)
         except CicadahoistError as error:
-            raise _reported(error) from None
+            raise report(error) from None
 
     signature = _with_output(inspect.signature(work))
     setattr(callback, '__signature__', signature)
@@ -79,7 +79,8 @@
     )
 
 
-def _reported(error: CicadahoistError) -> typer.Exit:
+def report(error: CicadahoistError) -> typer.Exit:
+    """Print an error with its remedy and return the exit to raise."""
     typer.echo(f'error ({error.kind}): {error.problem}', err=True)
     typer.echo(f'remedy: {error.remedy}', err=True)
     return typer.Exit(exit_of(error))
--- /dev/null
+++ b/cicadahoist/cmd/operator/comparison.py
@@ -0,0 +1,127 @@
+"""Compares a sheet with the stored rules."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from cicadahoist.cmd.operator.exits import NotFoundError
+from cicadahoist.cmd.operator.output import format_cell
+from cicadahoist.outside.tablestore import RowChange
+from cicadahoist.table import Rule, Table
+
+ABSENT_ROW = '(absent)'
+PRESENT_ROW = '(present)'
+
+
+class Difference(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    One field in which a sheet differs from the stored table.
+
+    :param saved_since: whether the row was saved after the sheet was
+        exported, so that an import would clash
+    """
+
+    workspace: str
+    route: str
+    field: str
+    stored: str
+    sheet: str
+    saved_since: bool = False
+
+
+class Comparison:
+    """
+    A sheet beside the stored table.
+
+    :param table: the stored table
+    :param rows: the rules of the sheet
+    """
+
+    __slots__ = ('_rows_by_pair', '_table')
+
+    def __init__(self, table: Table, rows: Sequence[Rule]) -> None:
+        self._table = table
+        self._rows_by_pair = {(row.workspace, row.route): row for row in rows}
+
+    def check_names(self) -> None:
+        """
+        Check that workspaces and routes of all rows exist.
+
+        :raises NotFoundError: the table lacks one
+        """
+        for workspace, route in self._rows_by_pair:
+            if workspace not in self._table.workspaces_by_name:
+                raise NotFoundError(
+                    f'the table holds no workspace {workspace}',
+                    remedy='create it with "workspace create"',
+                )
+            if route not in self._table.routes_by_name:
+                raise NotFoundError(
+                    f'the table holds no route {route}',
+                    remedy='create it with "model create" or "route create"',
+                )
+
+    def changes(self) -> list[RowChange]:
+        """Return the rows of the sheet that are new or differ."""
+        return [
+            RowChange(row=row)
+            for pair, row in self._rows_by_pair.items()
+            if not _is_equal(row, self._table.rules_by_pair.get(pair))
+        ]
+
+    def removals(self, revision: int) -> list[RowChange]:
+        """Return stored rows up to a revision that the sheet lacks."""
+        return [
+            RowChange(row=row, remove=True)
+            for pair, row in self._table.rules_by_pair.items()
+            if pair not in self._rows_by_pair and row.revision <= revision
+        ]
+
+    def differences(self) -> list[Difference]:
+        """Return each field that differs, by workspace and route."""
+        found: list[Difference] = []
+        pairs = {*self._rows_by_pair, *self._table.rules_by_pair}
+        for pair in sorted(pairs):
+            row = self._rows_by_pair.get(pair)
+            stored = self._table.rules_by_pair.get(pair)
+            found.extend(_compared(pair, stored, row))
+        return found
+
+
+def _is_equal(row: Rule, stored: Rule | None) -> bool:
+    return stored is not None and (
+        msgspec.structs.replace(row, revision=stored.revision) == stored
+    )
+
+
+def _compared(
+    pair: tuple[str, str], stored: Rule | None, row: Rule | None
+) -> list[Difference]:
+    if stored and row:
+        return _fields_compared(stored, row)
+    return [
+        Difference(
+            workspace=pair[0],
+            route=pair[1],
+            field='row',
+            stored=PRESENT_ROW if stored else ABSENT_ROW,
+            sheet=PRESENT_ROW if row else ABSENT_ROW,
+            saved_since=row is not None and row.revision > 0,
+        )
+    ]
+
+
+def _fields_compared(stored: Rule, row: Rule) -> list[Difference]:
+    names = [name for name in Rule.__struct_fields__ if name != 'revision']
+    return [
+        Difference(
+            workspace=row.workspace,
+            route=row.route,
+            field=name,
+            stored=format_cell(getattr(stored, name)),
+            sheet=format_cell(getattr(row, name)),
+            saved_since=stored.revision != row.revision,
+        )
+        for name in names
+        if getattr(stored, name) != getattr(row, name)
+    ]
--- a/cicadahoist/cmd/operator/output.py
+++ b/cicadahoist/cmd/operator/output.py
@@ -33,7 +33,7 @@
     names = rows[0].__struct_fields__
     cells = [[name.upper() for name in names]]
     cells.extend(
-        [to_cell(getattr(row, name)) for name in names] for row in rows
+        [format_cell(getattr(row, name)) for name in names] for row in rows
     )
     widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
     return [
@@ -44,10 +44,10 @@
     ]
 
 
-def to_cell(field: Any) -> str:
+def format_cell(field: Any) -> str:
     """Return a field's text in a column or a sheet."""
     if isinstance(field, bool):
-        return 'yes' if field else 'no'
+        return 'true' if field else 'false'
     if isinstance(field, Enum):
         return str(field.value)
     return str(field)
--- a/cicadahoist/cmd/operator/sheet.py
+++ b/cicadahoist/cmd/operator/sheet.py
@@ -1,11 +1,14 @@
 """Text form of rows: fields on the command line and CSV sheets."""
 
-from collections.abc import Mapping, Sequence
+import csv
+import io
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, TypeVar
 
 import msgspec
 
 from cicadahoist.cmd.operator.exits import RejectedError
+from cicadahoist.cmd.operator.output import format_cell
 from cicadahoist.table import Rule, Target
 
 Settable = TypeVar('Settable', Rule, Target)
@@ -63,3 +66,75 @@
         raise RejectedError(
             f'{name} = {number}', remedy=f'give {lowest} or more'
         )
+
+
+def write_sheet(rows: Iterable[Rule]) -> str:
+    """Return rules as CSV with one column for each field."""
+    sheet = io.StringIO()
+    writer = csv.writer(sheet, lineterminator='\n')
+    writer.writerow(Rule.__struct_fields__)
+    for row in rows:
+        writer.writerow(
+            format_cell(getattr(row, name)) for name in Rule.__struct_fields__
+        )
+    return sheet.getvalue()
+
+
+def read_sheet(text: str) -> list[Rule]:
+    """
+    Read rules from CSV; an empty cell stands for the default.
+
+    :raises RejectedError: an unknown or missing column, a wrong cell, or
+        two rows for one workspace and route
+    """
+    reader = csv.DictReader(io.StringIO(text), strict=True)
+    _check_columns(reader.fieldnames or ())
+    by_pair: dict[tuple[str, str], Rule] = {}
+    try:
+        for cells in reader:
+            row = _rule_from_cells(cells, reader.line_num)
+            _check_new(row, by_pair, reader.line_num)
+            by_pair[row.workspace, row.route] = row
+    except csv.Error as error:
+        raise RejectedError(
+            f'line {reader.line_num}: {error}', remedy='give a CSV file'
+        ) from error
+    return list(by_pair.values())
+
+
+def _check_columns(names: Sequence[str]) -> None:
+    unknown = set(names).difference(Rule.__struct_fields__)
+    missing = {'workspace', 'route', 'revision'}.difference(names)
+    if unknown or missing:
+        raise RejectedError(
+            'unknown columns: {0}; missing columns: {1}'.format(
+                ', '.join(sorted(unknown)) or 'none',
+                ', '.join(sorted(missing)) or 'none',
+            ),
+            remedy='start from a sheet that "table export" wrote',
+        )
+
+
+def _rule_from_cells(cells: dict[str, Any], line: int) -> Rule:
+    if None in cells or None in cells.values():
+        raise RejectedError(
+            f'line {line} has more or fewer cells than the heading',
+            remedy='give one cell for each column',
+        )
+    texts = {name: text for name, text in cells.items() if text.strip()}
+    try:
+        return row_from_texts(texts, Rule)
+    except RejectedError as error:
+        raise RejectedError(
+            f'line {line}: {error.problem}', remedy=error.remedy
+        ) from None
+
+
+def _check_new(
+    row: Rule, by_pair: Mapping[tuple[str, str], Rule], line: int
+) -> None:
+    if (row.workspace, row.route) in by_pair:
+        raise RejectedError(
+            f'line {line}: a second row for {row.workspace} on {row.route}',
+            remedy='keep one of the two',
+        )
--- /dev/null
+++ b/cicadahoist/cmd/operator/sheets.py
@@ -0,0 +1,85 @@
+"""Commands that move the table's rules to and from CSV sheets."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from cicadahoist.cmd.operator.command import command
+from cicadahoist.cmd.operator.comparison import Comparison
+from cicadahoist.cmd.operator.exits import Exit, RejectedError
+from cicadahoist.cmd.operator.output import Output
+from cicadahoist.cmd.operator.rows import save
+from cicadahoist.cmd.operator.session import Session
+from cicadahoist.cmd.operator.sheet import read_sheet, write_sheet
+from cicadahoist.cmd.operator.tables import sorted_rules, tables
+
+SheetArgument = Annotated[Path, typer.Argument(help='CSV file.')]
+
+
+@command(tables, 'export')
+async def export_table(
+    session: Session,
+    sheet: Annotated[
+        Path | None, typer.Argument(help='CSV file; standard output if none.')
+    ] = None,
+) -> None:
+    """Write all rules to a CSV sheet."""
+    table = await session.read_table()
+    rules = sorted_rules(table)
+    if session.output is Output.json:
+        session.show(rules)
+    elif sheet is None:
+        typer.echo(write_sheet(rules), nl=False)
+    else:
+        sheet.write_text(write_sheet(rules))
+    typer.echo(f'revision {table.revision}', err=True)
+
+
+@command(tables, 'import')
+async def import_table(
+    session: Session,
+    sheet: SheetArgument,
+    remove_absent_at: Annotated[
+        int | None,
+        typer.Option(
+            help='Also remove rows that the sheet lacks, unless they were '
+            'saved after this revision.'
+        ),
+    ] = None,
+) -> None:
+    """Save the rows of a sheet that differ, all in one revision."""
+    comparison = await _compare(session, sheet)
+    comparison.check_names()
+    changes = comparison.changes()
+    if remove_absent_at is not None:
+        changes.extend(comparison.removals(remove_absent_at))
+    if not changes:
+        typer.echo('nothing to save', err=True)
+        return
+    revision = await save(session, changes)
+    typer.echo(f'saved {len(changes)} rows in revision {revision}', err=True)
+
+
+@command(tables, 'diff')
+async def diff_table(session: Session, sheet: SheetArgument) -> None:
+    """Show in what a sheet differs from the stored rules."""
+    comparison = await _compare(session, sheet)
+    differences = comparison.differences()
+    session.show(differences)
+    if differences:
+        raise typer.Exit(Exit.differs)
+
+
+async def _compare(session: Session, sheet: Path) -> Comparison:
+    rows = read_sheet(_read_text(sheet))
+    return Comparison(await session.read_table(), rows)
+
+
+def _read_text(sheet: Path) -> str:
+    try:
+        return sheet.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise RejectedError(
+            f'{sheet}: {error}', remedy='give a readable CSV file'
+        ) from error
--- a/cicadahoist/config.py
+++ b/cicadahoist/config.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from configparser import ConfigParser
 from configparser import Error as ParserError
+from itertools import groupby
 from pathlib import Path
 from typing import Any, Generic, TypeVar
 
@@ -11,6 +12,9 @@
 
 Setting = TypeVar('Setting', str, int, float, bool)
 
+# Turns off the parser's [DEFAULT] section, which belongs to no program.
+_NO_DEFAULT_SECTION = ''
+
 _BOOLEANS = {'yes': True, 'true': True, 'no': False, 'false': False}
 
 
@@ -68,12 +72,31 @@
         """
         parsed = _PARSERS[type(self.default)](text)
         if self.choices and parsed not in self.choices:
-            raise ValueError('one of {0}'.format(', '.join(self.choices)))
+            raise ValueError(text)
         if isinstance(parsed, (int, float)):
             if not self.lowest <= parsed <= self.highest:
-                raise ValueError(f'{self.lowest} to {self.highest}')
+                raise ValueError(text)
         return parsed
 
+    @property
+    def accepted(self) -> str:
+        """Return in words what values are accepted."""
+        if self.choices:
+            return 'one of {0}'.format(', '.join(self.choices))
+        words = [_TYPE_WORDS[type(self.default)]]
+        if self.lowest > -math.inf:
+            words.append(f'from {self.lowest}')
+        if self.highest < math.inf:
+            words.append(f'to {self.highest}')
+        return ' '.join(words)
+
+    @property
+    def default_text(self) -> str:
+        """Return the default as a file would give it."""
+        if isinstance(self.default, bool):
+            return 'yes' if self.default else 'no'
+        return str(self.default)
+
 
 class Config:
     """
@@ -95,10 +118,12 @@
         :raises ConfigError: the file is unreadable, or holds an unknown or
             wrong setting; the message names file, section, key and remedy
         """
-        parser = ConfigParser(interpolation=None)
+        parser = ConfigParser(
+            interpolation=None, default_section=_NO_DEFAULT_SECTION
+        )
         try:
             parser.read_string(path.read_text(), source=str(path))
-        except (OSError, ParserError) as error:
+        except (OSError, UnicodeDecodeError, ParserError) as error:
             raise ConfigError(
                 f'{path}: {error}', remedy='give a readable INI file'
             ) from error
@@ -108,7 +133,9 @@
                 by_option[section, key] = _checked(
                     path, options.find(path, section, key), text
                 )
-        return cls(by_option)
+        config = cls(by_option)
+        options.check_order(path, config)
+        return config
 
     @classmethod
     def from_values(cls, **by_name: Any) -> 'Config':
@@ -129,13 +156,24 @@
         return self._by_option.get((option.section, option.key), option.default)
 
 
+class Order:
+    """Demand that one setting stays below another."""
+
+    __slots__ = ('larger', 'smaller')
+
+    def __init__(self, smaller: Option[Any], larger: Option[Any]) -> None:
+        self.smaller = smaller
+        self.larger = larger
+
+
 class OptionSet:
     """All options that a file may hold."""
 
-    __slots__ = ('_by_key',)
+    __slots__ = ('_by_key', '_orders')
 
     def __init__(self) -> None:
         self._by_key: dict[tuple[str, str], Option[Any]] = {}
+        self._orders: list[Order] = []
 
     def declare(self, option: Option[Setting]) -> Option[Setting]:
         """Add an option and return it."""
@@ -156,17 +194,58 @@
             )
         return option
 
+    def declare_order(
+        self, smaller: Option[Setting], larger: Option[Setting]
+    ) -> None:
+        """Demand that one setting stays below another."""
+        self._orders.append(Order(smaller, larger))
+
+    def check_order(self, path: Path, config: Config) -> None:
+        """
+        Check that all declared orders hold.
+
+        :raises ConfigError: a setting is not below the one it has to be
+        """
+        for order in self._orders:
+            smaller = order.smaller
+            larger = order.larger
+            if config.read(smaller) >= config.read(larger):
+                raise ConfigError(
+                    f'{path}: [{smaller.section}] {smaller.key} = '
+                    f'{config.read(smaller)}',
+                    remedy=f'give less than [{larger.section}] {larger.key}, '
+                    f'which is {config.read(larger)}',
+                )
+
     def __iter__(self) -> Iterator[Option[Any]]:
         return iter(self._by_key.values())
 
 
+def render_defaults(options: OptionSet) -> str:
+    """Return an INI file with every setting at its default."""
+    lines = []
+    ordered = sorted(options, key=_section_of)
+    for section, declared in groupby(ordered, _section_of):
+        lines.append(f'[{section}]')
+        for option in declared:
+            unit = f', in {option.unit}' if option.unit else ''
+            lines.append(f'# {option.summary} ({option.accepted}{unit})')
+            lines.append(f'{option.key} = {option.default_text}'.rstrip())
+        lines.append('')
+    return '\n'.join(lines)
+
+
+def _section_of(option: Option[Any]) -> str:
+    return option.section
+
+
 def _checked(path: Path, option: Option[Any], text: str) -> Any:
     try:
         return option.parse(text)
     except ValueError as error:
         raise ConfigError(
             f'{path}: [{option.section}] {option.key} = {text}',
-            remedy=f'expected {type(option.default).__name__}, {error}',
+            remedy=f'expected {option.accepted}',
         ) from error
 
 
@@ -177,6 +256,13 @@
         raise ValueError('yes or no') from None
 
 
+_TYPE_WORDS = {
+    str: 'text',
+    int: 'whole number',
+    float: 'number',
+    bool: 'yes or no',
+}
+
 _PARSERS: dict[type, Callable[[str], Any]] = {
     str: str,
     int: int,
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -285,3 +285,8 @@
         summary='Time between two writes of usage counts to the store.',
     )
 )
+
+SETTINGS.declare_order(HEARTBEAT_PERIOD, PEER_TIMEOUT)
+SETTINGS.declare_order(LEASE_MARGIN, LEASE_TERM)
+SETTINGS.declare_order(ORDER_BOUND, LEASE_TERM)
+SETTINGS.declare_order(USAGE_FLUSH_PERIOD, USAGE_WINDOW)
--- a/tests/test_core/test_config.py
+++ b/tests/test_core/test_config.py
@@ -1,6 +1,6 @@
 import pytest
 
-from cicadahoist.config import Config
+from cicadahoist.config import Config, render_defaults
 from cicadahoist.errors import ConfigError
 from cicadahoist.settings import ENTRY_PORT, LOG_FORMAT, SETTINGS
 
@@ -23,6 +23,10 @@
         ('[entry]\nporte = 1\n', 'porte: unknown setting'),
         ('[entry]\nport = many\n', 'port = many'),
         ('[entry]\nport = 70000\n', 'port = 70000'),
+        ('[DEFAULT]\nport = 1\n', 'unknown setting'),
+        ('[entry]\nport = many\n', 'expected whole number from 0 to 65535'),
+        ('[mesh]\nheartbeat_period = 2000\n', 'less than [mesh] peer_timeout'),
+        ('[control]\nlease_term = 500\n', 'lease_margin = 500'),
         ('[log]\nformat = xml\n', 'one of text, json'),
         ('port = 1\n', 'give a readable INI file'),
     ],
@@ -32,3 +36,16 @@
         load(tmp_path, text)
     assert said in str(caught.value)
     assert 'entry.ini' in str(caught.value)
+
+
+def test_refuses_bytes_that_are_no_text(tmp_path):
+    path = tmp_path / 'entry.ini'
+    path.write_bytes(b'[entry]\nport = \xff\n')
+    with pytest.raises(ConfigError, match='give a readable INI file'):
+        Config.from_file(path, SETTINGS)
+
+
+def test_printed_defaults_are_read_back_unchanged(tmp_path):
+    config = load(tmp_path, render_defaults(SETTINGS))
+    for option in SETTINGS:
+        assert config.read(option) == option.default
