--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -10,6 +10,81 @@
 PREFIX = 'cicadahoist'
 
 
+class MetricSpec:
+    """
+    A declared metric.
+
+    :param name: name without the package's prefix
+    :param description: what is counted or measured
+    :param operator_remedy: what an operator can do when it rises
+    :param unit: unit of a histogram, empty for a counter
+    """
+
+    __slots__ = ('description', 'name', 'operator_remedy', 'unit')
+
+    def __init__(
+        self,
+        name: str,
+        description: str,
+        *,
+        operator_remedy: str,
+        unit: str = '',
+    ) -> None:
+        self.name = name
+        self.description = description
+        self.operator_remedy = operator_remedy
+        self.unit = unit
+
+    @classmethod
+    def of_refusal(cls, reason: Refusal) -> 'MetricSpec':
+        """Return the counter of a refusal reason."""
+        return cls(
+            f'refusal_{reason.name}',
+            f'Requests refused: {reason.code}.',
+            operator_remedy=reason.operator_remedy,
+        )
+
+    @classmethod
+    def of_retry(cls, reason: Retry) -> 'MetricSpec':
+        """Return the counter of a retry reason."""
+        return cls(
+            f'retry_{reason.name}',
+            f'Retries because {reason.meaning}.',
+            operator_remedy=reason.operator_remedy,
+        )
+
+    @property
+    def exposed_name(self) -> str:
+        """Return the name under which ``/metrics`` shows it."""
+        suffix = f'_{self.unit}' if self.unit else '_total'
+        return f'{PREFIX}_{self.name}{suffix}'
+
+
+class MetricSet:
+    """All declared metrics, one for each refusal and retry reason first."""
+
+    __slots__ = ('_by_name',)
+
+    def __init__(self) -> None:
+        reasons = [
+            *map(MetricSpec.of_refusal, Refusal),
+            *map(MetricSpec.of_retry, Retry),
+        ]
+        self._by_name = {spec.name: spec for spec in reasons}
+
+    def declare(self, spec: MetricSpec) -> MetricSpec:
+        """Add a metric and return it."""
+        self._by_name[spec.name] = spec
+        return spec
+
+    def specs(self) -> list[MetricSpec]:
+        """Return all metrics in the order of their declaration."""
+        return list(self._by_name.values())
+
+
+METRICS = MetricSet()
+
+
 class Metrics:
     """Counters of one process: one for each refusal and retry reason."""
 
@@ -18,16 +93,11 @@
     def __init__(self, provider: MeterProvider) -> None:
         self._meter = provider.get_meter(PREFIX)
         self._refusals = {
-            reason: self._meter.create_counter(
-                f'{PREFIX}_refusal_{reason.name}',
-                description=reason.remedy,
-            )
+            reason: self.counter(MetricSpec.of_refusal(reason))
             for reason in Refusal
         }
         self._retries = {
-            reason: self._meter.create_counter(
-                f'{PREFIX}_retry_{reason.name}', description=reason.value
-            )
+            reason: self.counter(MetricSpec.of_retry(reason))
             for reason in Retry
         }
 
@@ -49,16 +119,18 @@
         """Count one retry."""
         self._retries[reason].add(1)
 
-    def counter(self, name: str, description: str) -> Counter:
-        """Create a further counter."""
+    def counter(self, spec: MetricSpec) -> Counter:
+        """Return the counter of a declared metric."""
         return self._meter.create_counter(
-            f'{PREFIX}_{name}', description=description
+            f'{PREFIX}_{spec.name}', description=spec.description
         )
 
-    def histogram(self, name: str, unit: str, description: str) -> Histogram:
-        """Create a histogram."""
+    def histogram(self, spec: MetricSpec) -> Histogram:
+        """Return the histogram of a declared metric."""
         return self._meter.create_histogram(
-            f'{PREFIX}_{name}', unit=unit, description=description
+            f'{PREFIX}_{spec.name}',
+            unit=spec.unit,
+            description=spec.description,
         )
 
 
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -1,4 +1,4 @@
-"""Reasons for refusals and retries, with status, outcome and remedy."""
+"""Reasons for refusals and retries, with status, outcome and remedies."""
 
 from enum import Enum
 
@@ -11,79 +11,207 @@
     failed = 'failed'
 
 
-class Refusal(Enum):
+class RefusalSpec:
+    """
+    What a refusal reason stands for.
+
+    Specifications compare by identity, so that two reasons with equal texts
+    stay two members of :class:`Refusal`.
+
+    :param status: HTTP status of the answer
+    :param outcome: what the request may have done
+    :param remedy: what the caller can do
+    :param operator_remedy: what an operator can do when the counter rises
+    """
+
+    __slots__ = ('operator_remedy', 'outcome', 'remedy', 'status')
+
+    def __init__(
+        self, status: int, outcome: Outcome, remedy: str, operator_remedy: str
+    ) -> None:
+        self.status = status
+        self.outcome = outcome
+        self.remedy = remedy
+        self.operator_remedy = operator_remedy
+
+
+class RetrySpec:
     """
-    Why a request gets an error in place of an answer.
+    What a retry reason stands for.
 
-    Each member holds the HTTP status, the outcome and the remedy.
+    :param meaning: what happened
+    :param operator_remedy: what an operator can do when the counter rises
     """
 
-    no_key = (401, Outcome.not_run, 'send Authorization: Bearer with your key')
-    wrong_key = (401, Outcome.not_run, 'check the key with your operator')
-    key_withdrawn = (401, Outcome.not_run, 'ask your operator for a new key')
-    key_withdrawn_midway = (
+    __slots__ = ('meaning', 'operator_remedy')
+
+    def __init__(self, meaning: str, operator_remedy: str) -> None:
+        self.meaning = meaning
+        self.operator_remedy = operator_remedy
+
+
+class Refusal(Enum):
+    """Why a request gets an error in place of an answer."""
+
+    no_key = RefusalSpec(
+        401,
+        Outcome.not_run,
+        'send Authorization: Bearer with your key',
+        'none, unless a client of yours lost its key',
+    )
+    wrong_key = RefusalSpec(
+        401,
+        Outcome.not_run,
+        'check the key with your operator',
+        'look for the key with "key list"; if many are tried, find the caller',
+    )
+    key_withdrawn = RefusalSpec(
+        401,
+        Outcome.not_run,
+        'ask your operator for a new key',
+        'tell the workspace, and create a key if the caller is welcome',
+    )
+    key_withdrawn_midway = RefusalSpec(
         401,
         Outcome.failed,
         'ask your operator for a new key',
+        'none: open requests of a withdrawn key are cut off',
     )
-    forbidden_route = (
+    forbidden_route = RefusalSpec(
         403,
         Outcome.not_run,
         'ask your operator for a row for this workspace and route',
+        'if the workspace may use the route, save a row with "table set"; '
+        'see also whether the workspace is disabled',
+    )
+    unknown_route = RefusalSpec(
+        404,
+        Outcome.not_run,
+        'list routes with GET /v1/models',
+        'create the route if callers are right to ask for it',
+    )
+    bad_request = RefusalSpec(
+        400,
+        Outcome.not_run,
+        'correct the body; see the message',
+        'none: the caller has to correct its client',
+    )
+    body_too_large = RefusalSpec(
+        413,
+        Outcome.not_run,
+        'send a shorter body',
+        'raise [entry] body_limit if such bodies are wanted',
+    )
+    header_too_slow = RefusalSpec(
+        408,
+        Outcome.not_run,
+        'send the header at once',
+        'raise [entry] header_timeout if callers have slow lines',
+    )
+    limit_reached = RefusalSpec(
+        429,
+        Outcome.not_run,
+        'come back after Retry-After',
+        'raise the limits of the row with "table set" if there is capacity',
     )
-    unknown_route = (404, Outcome.not_run, 'list routes with GET /v1/models')
-    bad_request = (400, Outcome.not_run, 'correct the body; see the message')
-    body_too_large = (413, Outcome.not_run, 'send a shorter body')
-    header_too_slow = (408, Outcome.not_run, 'send the header at once')
-    limit_reached = (429, Outcome.not_run, 'come back after Retry-After')
-    deadline_unreachable = (
+    deadline_unreachable = RefusalSpec(
         429,
         Outcome.not_run,
         'come back after Retry-After or ask for a longer deadline',
+        'add targets to the pool, or raise deadline_ms or weight of the row',
     )
-    quarantined = (
+    quarantined = RefusalSpec(
         422,
         Outcome.not_run,
         'this body crashed targets; change it or ask your operator',
+        'ask the workspace for the body; the quarantine ends by itself',
     )
-    no_target = (503, Outcome.not_run, 'come back after Retry-After')
-    not_ready = (503, Outcome.not_run, 'come back after Retry-After')
-    stale_table = (503, Outcome.not_run, 'come back after Retry-After')
-    claim_store_away = (503, Outcome.not_run, 'come back after Retry-After')
-    claim_body_differs = (
+    no_target = RefusalSpec(
+        503,
+        Outcome.not_run,
+        'come back after Retry-After',
+        'see whether the pool has targets that are up and not draining',
+    )
+    not_ready = RefusalSpec(
+        503,
+        Outcome.not_run,
+        'come back after Retry-After',
+        'see whether the entry reaches the store or a peer with the table',
+    )
+    stale_table = RefusalSpec(
+        503,
+        Outcome.not_run,
+        'come back after Retry-After',
+        'restore the way of the zone to the store or to its peers',
+    )
+    claim_store_away = RefusalSpec(
+        503,
+        Outcome.not_run,
+        'come back after Retry-After',
+        'see why the store does not answer',
+    )
+    claim_body_differs = RefusalSpec(
         409,
         Outcome.not_run,
         'use a new Idempotency-Key for another body',
+        'none: the caller has to correct its client',
     )
-    claim_in_progress = (
+    claim_in_progress = RefusalSpec(
         409,
         Outcome.unknown,
         'ask for the outcome again with the same Idempotency-Key',
+        'none, unless one request stays open for very long',
     )
-    claim_outcome_unknown = (
+    claim_outcome_unknown = RefusalSpec(
         409,
         Outcome.unknown,
         'look up whether the first request took effect',
+        'look in the service for the effect and tell the caller',
+    )
+    target_lost = RefusalSpec(
+        502,
+        Outcome.unknown,
+        'look up whether it took effect',
+        'see why the target broke off; drain it if it does so again',
+    )
+    target_failed = RefusalSpec(
+        502,
+        Outcome.failed,
+        'send the request again',
+        'see the log of the target; drain it if it fails again',
+    )
+    timed_out = RefusalSpec(
+        504,
+        Outcome.unknown,
+        'look up whether it took effect',
+        'raise deadline_ms of the row, or see why the target is slow',
+    )
+    leaving = RefusalSpec(
+        503,
+        Outcome.not_run,
+        'send the request again',
+        'raise [entry] drain_grace above the lag of the balancer',
     )
-    target_lost = (502, Outcome.unknown, 'look up whether it took effect')
-    target_failed = (502, Outcome.failed, 'send the request again')
-    timed_out = (504, Outcome.unknown, 'look up whether it took effect')
-    leaving = (503, Outcome.not_run, 'send the request again')
 
     @property
     def status(self) -> int:
         """HTTP status of the answer."""
-        return self.value[0]
+        return self.value.status
 
     @property
     def outcome(self) -> Outcome:
         """What the request may have done."""
-        return self.value[1]
+        return self.value.outcome
 
     @property
     def remedy(self) -> str:
         """What the caller can do."""
-        return self.value[2]
+        return self.value.remedy
+
+    @property
+    def operator_remedy(self) -> str:
+        """What an operator can do when the counter rises."""
+        return self.value.operator_remedy
 
     @property
     def code(self) -> str:
@@ -92,16 +220,50 @@
 
 
 class Retry(Enum):
-    """Why a request or a call is tried again; each holds its meaning."""
-
-    connect_failed = 'the target took no connection'
-    target_busy = 'the target refused new work'
-    stream_broken = 'the stream broke off and is resumed'
-    target_frozen = 'no bytes arrived within the stall timeout'
-    target_draining = 'the target is leaving'
-    store_busy = 'the store refused the call because of its rate limit'
-    store_unavailable = 'the store did not answer'
-    version_conflict = 'another writer updated the object first'
+    """Why a request or a call is tried again."""
+
+    connect_failed = RetrySpec(
+        'the target took no connection',
+        'see whether the target runs, and its url in the table',
+    )
+    target_busy = RetrySpec(
+        'the target refused new work',
+        'add targets to the pool if this goes on',
+    )
+    stream_broken = RetrySpec(
+        'the stream broke off and is resumed',
+        'see the log of the target; drain it if it breaks off again',
+    )
+    target_frozen = RetrySpec(
+        'no bytes arrived within the stall timeout',
+        'drain the target; raise [entry] stall_timeout if it is only slow',
+    )
+    target_draining = RetrySpec(
+        'the target is leaving',
+        'none: the work goes to another target',
+    )
+    store_busy = RetrySpec(
+        'the store refused the call because of its rate limit',
+        'see who else calls the store; raise the limit if it is yours alone',
+    )
+    store_unavailable = RetrySpec(
+        'the store did not answer',
+        'see why the store is away; serving goes on',
+    )
+    version_conflict = RetrySpec(
+        'another writer updated the object first',
+        'none, unless it goes on for minutes',
+    )
+
+    @property
+    def meaning(self) -> str:
+        """What happened."""
+        return self.value.meaning
+
+    @property
+    def operator_remedy(self) -> str:
+        """What an operator can do when the counter rises."""
+        return self.value.operator_remedy
 
     @property
     def code(self) -> str:
