--- a/cicadahoist/cmd/operator/app.py
+++ b/cicadahoist/cmd/operator/app.py
@@ -11,6 +11,8 @@
     print_defaults,
 )
 from cicadahoist.cmd.operator.keys import keys
+from cicadahoist.cmd.operator.leases import leases
+from cicadahoist.cmd.operator.reference import print_reference
 from cicadahoist.cmd.operator.routes import models, routes
 from cicadahoist.cmd.operator.session import Session
 from cicadahoist.cmd.operator.sheets import tables
@@ -21,6 +23,7 @@
     name='cicadahoist',
     help='Drives cicadahoist from its table.',
     no_args_is_help=True,
+    add_completion=False,
     pretty_exceptions_enable=False,
 )
 app.add_typer(tables, name='table')
@@ -29,7 +32,9 @@
 app.add_typer(models, name='model')
 app.add_typer(routes, name='route')
 app.add_typer(targets, name='target')
+app.add_typer(leases, name='lease')
 app.add_typer(configuration, name='config')
+app.command('reference')(print_reference)
 
 
 @app.callback()
--- /dev/null
+++ b/cicadahoist/cmd/operator/reference.py
@@ -0,0 +1,126 @@
+"""Reference pages, made from the declarations in the code."""
+
+from itertools import groupby
+from typing import Annotated, Any
+
+import typer
+
+from cicadahoist.cmd.operator.exits import Exit
+from cicadahoist.config import Option
+from cicadahoist.metrics import METRICS, MetricSpec
+from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.registry import Registry
+from cicadahoist.settings import SETTINGS
+
+PAGES: Registry[Any] = Registry('reference page')
+
+NOTICE = (
+    'This page is made from the code by '
+    '`cicadahoist reference {0}`; do not edit it.'
+)
+
+
+def print_reference(
+    context: typer.Context,
+    page: Annotated[str, typer.Argument(help='settings, reasons or commands.')],
+) -> None:
+    """Print a reference page in Markdown."""
+    lines = PAGES.get(page)(context.find_root().command)
+    typer.echo('\n'.join(lines))
+
+
+@PAGES.register('settings')
+def settings_page(root: Any) -> list[str]:
+    """Return the page of all settings."""
+    lines = ['# Settings', '', NOTICE.format('settings')]
+    ordered = sorted(SETTINGS, key=_section_of)
+    for section, options in groupby(ordered, _section_of):
+        lines.extend(['', f'## [{section}]', ''])
+        lines.extend(_heading('key', 'default', 'unit', 'accepted', 'meaning'))
+        lines.extend(map(_option_line, options))
+    return lines
+
+
+@PAGES.register('reasons')
+def reasons_page(root: Any) -> list[str]:
+    """Return the page of refusal reasons, retry reasons and metrics."""
+    lines = ['# Refusals, retries and metrics', '', NOTICE.format('reasons')]
+    lines.extend(['', '## Refusals', ''])
+    lines.extend(
+        _heading('code', 'status', 'outcome', 'for the caller', 'for operators')
+    )
+    lines.extend(map(_refusal_line, Refusal))
+    lines.extend(['', '## Retries', ''])
+    lines.extend(_heading('code', 'meaning', 'for operators'))
+    lines.extend(map(_retry_line, Retry))
+    lines.extend(['', '## Metrics', ''])
+    lines.extend(_heading('metric', 'meaning', 'when it rises'))
+    lines.extend(map(_metric_line, METRICS.specs()))
+    return lines
+
+
+@PAGES.register('commands')
+def commands_page(root: Any) -> list[str]:
+    """Return the page of all commands and exit codes."""
+    lines = ['# Commands', '', NOTICE.format('commands')]
+    lines.extend(['', '## Options before the command', ''])
+    lines.extend(_parameter_lines(root))
+    for name, group in root.commands.items():
+        lines.extend(['', f'## {name}', '', group.help])
+        for sub_name, sub in getattr(group, 'commands', {}).items():
+            lines.extend(['', f'### {name} {sub_name}', '', sub.help, ''])
+            lines.extend(_parameter_lines(sub))
+    lines.extend(['', '## Exit codes', ''])
+    lines.extend(_heading('code', 'name', 'meaning'))
+    lines.extend(_row(str(int(code)), code.name, code.meaning) for code in Exit)
+    return lines
+
+
+def _section_of(option: Option[Any]) -> str:
+    return option.section
+
+
+def _option_line(option: Option[Any]) -> str:
+    default = f'`{option.default_text}`' if option.default_text else 'empty'
+    return _row(
+        option.key, default, option.unit, option.accepted, option.summary
+    )
+
+
+def _refusal_line(reason: Refusal) -> str:
+    return _row(
+        reason.code,
+        str(reason.status),
+        reason.outcome.value,
+        reason.remedy,
+        reason.operator_remedy,
+    )
+
+
+def _retry_line(reason: Retry) -> str:
+    return _row(reason.code, reason.meaning, reason.operator_remedy)
+
+
+def _metric_line(spec: MetricSpec) -> str:
+    return _row(
+        f'`{spec.exposed_name}`', spec.description, spec.operator_remedy
+    )
+
+
+def _parameter_lines(command: Any) -> list[str]:
+    lines = []
+    for parameter in command.params:
+        names = ', '.join(f'`{name}`' for name in parameter.opts)
+        summary = getattr(parameter, 'help', '') or ''
+        required = ' Required.' if parameter.required else ''
+        lines.append(f'- {names}: {summary}{required}')
+    return lines
+
+
+def _heading(*cells: str) -> list[str]:
+    return [_row(*cells), _row(*('---' for _ in cells))]
+
+
+def _row(*cells: str) -> str:
+    texts = (cell.replace('|', r'\|') for cell in cells)
+    return '| {0} |'.format(' | '.join(texts))
--- /dev/null
+++ b/tests/test_cmd/test_operator_leases.py
@@ -0,0 +1,48 @@
+from cicadahoist.cmd.operator.exits import Exit
+from cicadahoist.outside.store import Stored
+from cicadahoist.protocol.records import (
+    JournalEntry,
+    LeaseRecord,
+    encode_record,
+    lease_name,
+)
+
+
+def put(store, name, payload, version=1):
+    store.by_name[name] = Stored(name, version, payload)
+
+
+def test_leases_show_holder_epoch_and_unsettled_orders(operator):
+    orders = {
+        'e1': JournalEntry(target='e1', epoch=3, seq=8, kind='role'),
+        'e2': JournalEntry(
+            target='e2', epoch=3, seq=9, kind='role', settled=True
+        ),
+    }
+    record = LeaseRecord(epoch=3, holder='i1.abc', orders=orders)
+    put(operator.store, lease_name('zone-b', 'engines'), b'', 1)
+    put(
+        operator.store,
+        lease_name('zone-a', 'engines'),
+        encode_record(record),
+        41,
+    )
+    rows = operator.rows('lease list')
+    assert [row['zone'] for row in rows] == ['zone-a', 'zone-b']
+    assert rows[0] == {
+        'zone': 'zone-a',
+        'duty': 'engines',
+        'holder': 'i1.abc',
+        'epoch': 3,
+        'released': False,
+        'unsettled': 1,
+        'version': 41,
+    }
+
+
+def test_undecodable_lease_is_reported_without_trace(operator):
+    put(operator.store, lease_name('zone-a', 'engines'), b'[')
+    result = operator.run('lease list')
+    assert result.exit_code == Exit.error
+    assert 'remedy: run the same version on all instances' in result.stderr
+    assert 'Traceback' not in result.output
