--- a/cicadahoist/mesh/table_sync.py
+++ b/cicadahoist/mesh/table_sync.py
@@ -64,7 +64,7 @@
             store,
             self._state,
             clock,
-            is_watcher=self._is_watcher,
+            is_watcher=self.is_watcher,
             on_loaded=self._on_loaded,
             watch_wait_ms=watch_wait_ms,
             random=random or Random(),
@@ -120,7 +120,8 @@
         """Call back with the old and the new table on each change."""
         self._state.on_change(listener)
 
-    def _is_watcher(self) -> bool:
+    def is_watcher(self) -> bool:
+        """Tell whether this process watches the store for its zone."""
         return self._node.info.name in self._watchers()
 
     def _watchers(self) -> list[str]:
