Serve a request end to end through separate processes

The entry authenticates, admits by the policy's queue, routes, relays and resumes; the table reaches it by the store's watch. bench/serve.py starts stand-ins and two entries; a whole and a streamed chat came back through both.

--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,104 @@
+"""One deployment on stand-ins: engines, services, platform, entries."""
+
+from bench.launch import Fleet, free_port
+
+ENTRY_SETTINGS = """
+[instance]
+name = {name}
+zone = {zone}
+
+[log]
+format = json
+
+[entry]
+port = {port}
+drain_grace = 200
+
+[store]
+url = {store}
+
+[mesh]
+port = {mesh_port}
+local_port = {local_port}
+seeds = {seeds}
+
+[targets]
+engine_credential = engine-credential
+"""
+
+
+class Deployment(Fleet):
+    """
+    A small deployment.
+
+    :param engines: number of engine stand-ins
+    :param services: number of service stand-ins
+    """
+
+    def __init__(self, engines: int = 3, services: int = 2) -> None:
+        super().__init__()
+        self.engine_count = engines
+        self.service_count = services
+        self.store = ''
+        self.entries: list[str] = []
+        self.target_urls: dict[str, str] = {}
+
+    def start(self, entry_port: int = 0, entries: int = 2) -> None:
+        """Start stand-ins and entries."""
+        self.store = self.standin('store', 'store')
+        for number in range(1, self.engine_count + 1):
+            name = f'engine-{number}'
+            self.target_urls[name] = self.standin(
+                name, 'engine', '--name', name
+            )
+        for number in range(1, self.service_count + 1):
+            name = f'service-{number}'
+            self.target_urls[name] = self.standin(
+                name, 'service', '--name', name
+            )
+        self.start_entries(entry_port, entries)
+
+    def start_entries(self, entry_port: int, entries: int) -> None:
+        """Start entries that know each other."""
+        mesh_ports = [free_port() for _ in range(entries)]
+        seeds = ', '.join(f'127.0.0.1:{port}' for port in mesh_ports)
+        for number, mesh_port in enumerate(mesh_ports, start=1):
+            port = entry_port if number == 1 and entry_port else free_port()
+            name = f'entry-{number}'
+            settings = ENTRY_SETTINGS.format(
+                name=name,
+                zone='zone-a' if number % 2 else 'zone-b',
+                port=port,
+                store=self.store,
+                mesh_port=mesh_port,
+                local_port=free_port(),
+                seeds=seeds,
+            )
+            self.daemon(name, 'entry', settings)
+            self.entries.append(f'http://127.0.0.1:{port}')
+        for number, url in enumerate(self.entries, start=1):
+            self.wait_for_url(f'entry-{number}', f'{url}/healthz')
+
+    def run_operator(self, *arguments: str) -> str:
+        """Run a command of the operators' command line."""
+        return self.operator(self.store, *arguments)
+
+    def create_demo_rows(self) -> None:
+        """Create what a first request needs."""
+        run = self.run_operator
+        run('workspace', 'create', 'demo')
+        run('key', 'create', 'demo', '--key', 'demo-key')
+        for name, url in self.target_urls.items():
+            kind = 'model' if name.startswith('engine') else 'service'
+            run(
+                *('target', 'add', name, '--url', url, '--zone', 'zone-a'),
+                *('--pool', f'{kind}s', '--kind', kind),
+            )
+        run('model', 'create', 'demo-model', '--pool', 'models')
+        run('table', 'set', 'demo', 'demo-model')
+        self.wait_until_ready()
+
+    def wait_until_ready(self) -> None:
+        """Wait until each entry has a table."""
+        for number, url in enumerate(self.entries, start=1):
+            self.wait_for_url(f'entry-{number}', f'{url}/readyz')
--- /dev/null
+++ b/cicadahoist/entry/assembly.py
@@ -0,0 +1,57 @@
+"""Builds the tasks of one entry."""
+
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+
+from cicadahoist.application import Application
+from cicadahoist.clock import MS_PER_S
+from cicadahoist.config import Config
+from cicadahoist.entry.context import EntryContext
+from cicadahoist.entry.dispatcher import TICK_MS, Dispatcher
+from cicadahoist.entry.server import EntryServer
+from cicadahoist.mesh.node import MeshNode
+from cicadahoist.mesh.table_sync import TableSync
+from cicadahoist.outside.store import STORES
+from cicadahoist.settings import STORE_ADAPTER
+
+
+class PolicyTick:
+    """Sums up the load of targets once a second."""
+
+    __slots__ = ('_loop',)
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self._loop = LoopingCall(dispatcher.tick)
+
+    async def start(self) -> None:
+        """Begin to tick."""
+        self._loop.start(TICK_MS / MS_PER_S)
+
+    async def stop(self) -> None:
+        """Tick no longer."""
+        self._loop.stop()
+
+
+def add_entry(application: Application, config: Config) -> None:
+    """Add the tasks of an entry to an application."""
+    from twisted.internet import reactor  # noqa: PLC0415, WPS433
+
+    node = MeshNode.from_config(config, application.clock, reactor)
+    store = STORES.get(config.read(STORE_ADAPTER)).from_config(config, reactor)
+    table_sync = TableSync.from_config(config, store, node, application.clock)
+    context = EntryContext.from_config(
+        config, application.clock, application.metrics, reactor
+    )
+    _add_all(
+        application,
+        node,
+        table_sync,
+        PolicyTick(context.dispatcher),
+        EntryServer(config, context, table_sync, reactor),
+    )
+
+
+def _add_all(application: Application, *tasks: Any) -> None:
+    for task in tasks:
+        application.add(task)
--- /dev/null
+++ b/cicadahoist/entry/attempts.py
@@ -0,0 +1,186 @@
+"""The attempts of one request: admission, targets, retries, load."""
+
+from twisted.internet.defer import Deferred
+
+from cicadahoist.entry.context import EntryContext
+from cicadahoist.entry.open_requests import OpenRequest
+from cicadahoist.entry.refusal import RequestRefusedError
+from cicadahoist.policy.cost import Cost
+from cicadahoist.policy.tickets import RouteRequest, Ticket
+from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.table import Target
+
+NO_TARGET_RETRY_MS = 2000
+
+# The target did not start the request.
+_NOT_RUN_RETRIES = frozenset((Retry.connect_failed, Retry.target_draining))
+_CRASH_RETRIES = frozenset((Retry.stream_broken, Retry.target_frozen))
+
+
+class Attempts:
+    """
+    Leads one request from admission through its attempts.
+
+    :param context: shared parts of the entry
+    :param request: the open request
+    :param cost: estimated work
+    :param blocks: digests of the prompt's blocks
+    """
+
+    __slots__ = (
+        '_blocks',
+        '_context',
+        '_cost',
+        '_is_admitted',
+        '_request',
+        '_ticket',
+        '_tried',
+    )
+
+    def __init__(
+        self,
+        context: EntryContext,
+        request: OpenRequest,
+        cost: Cost,
+        blocks: tuple[int, ...] = (),
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._cost = cost
+        self._blocks = blocks
+        self._tried: set[str] = set()
+        self._is_admitted = False
+        self._ticket = Ticket(
+            request=request.billing_id,
+            pool=request.grant.route.pool,
+            rule=request.grant.rule,
+            cost=cost,
+            arrived_ms=context.clock.now_ms(),
+        )
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no further attempt is wanted."""
+        return self._request.is_over
+
+    async def admit(self) -> None:
+        """
+        Wait until the request may be sent.
+
+        :raises RequestRefusedError: it cannot be answered in time
+        """
+        self._is_admitted = await self._context.dispatcher.admit(
+            self._ticket, self._request.on_stop
+        )
+        self._context.dispatcher.budgets.first_attempt(
+            self._request.grant.route, self._context.clock.now_ms()
+        )
+
+    def end(self, used_tokens: int) -> None:
+        """Count the request as ended."""
+        if self._is_admitted:
+            self._is_admitted = False
+            self._context.dispatcher.finished(self._ticket, used_tokens)
+
+    def begin(self) -> Target:
+        """
+        Choose the target of the next attempt and count it as sent.
+
+        :raises RequestRefusedError: no target is left
+        """
+        rule = self._request.grant.rule
+        wanted = RouteRequest(
+            attempt=self._request.new_attempt(),
+            workspace=rule.workspace,
+            route=rule.route,
+            cost=self._cost,
+            priority=rule.priority,
+            blocks=self._blocks,
+            tried=frozenset(self._tried),
+            price_ceiling=rule.price_ceiling,
+        )
+        target = self._context.dispatcher.choose(self._ticket.pool, wanted)
+        if target is None:
+            raise self._no_target()
+        self._tried.add(target.name)
+        self._request.target = target.name
+        return target
+
+    def first_token(self) -> None:
+        """Count the prefill of the attempt as done."""
+        self._context.dispatcher.loads.first_token(
+            self._request.attempt, self._context.clock.now_ms()
+        )
+
+    def finish(self, output_tokens: int, retry: Retry | None) -> None:
+        """
+        Count the attempt as ended.
+
+        :param retry: why another one is needed, none for a whole answer
+        """
+        now_ms = self._context.clock.now_ms()
+        loads = self._context.dispatcher.loads
+        is_failed = retry is not None and not self._request.is_over
+        target = self._request.target
+        loads.finished(
+            self._request.attempt,
+            now_ms,
+            output_tokens=output_tokens,
+            failed=is_failed,
+        )
+        if is_failed and retry in _CRASH_RETRIES:
+            loads.crashed(target, now_ms)
+        self._request.end_attempt()
+
+    async def pause_before_retry(self, retry: Retry) -> None:
+        """
+        Wait before the next attempt.
+
+        :raises RequestRefusedError: the route or its budget allows none
+        """
+        if self._request.is_over:
+            return
+        not_run = retry in _NOT_RUN_RETRIES
+        delay_ms = self._context.dispatcher.budgets.retry_delay_ms(
+            self._request.grant.route,
+            len(self._tried),
+            self._context.clock.now_ms(),
+            not_run=not_run,
+        )
+        if delay_ms is None:
+            raise self._failed()
+        self._context.metrics.retried(retry)
+        pause = self._context.clock.sleep(delay_ms)
+        self._request.on_stop(lambda: _end_pause(pause))
+        await pause
+
+    def _no_target(self) -> RequestRefusedError:
+        if self._request.was_sent:
+            return self._failed()
+        return RequestRefusedError(
+            Refusal.no_target,
+            'no target can take the request',
+            retry_after_ms=NO_TARGET_RETRY_MS,
+        )
+
+    def _failed(self) -> RequestRefusedError:
+        if not self._request.was_sent:
+            return RequestRefusedError(
+                Refusal.no_target,
+                'no target took the connection',
+                retry_after_ms=NO_TARGET_RETRY_MS,
+            )
+        if not self._request.grant.route.repeatable:
+            return RequestRefusedError(
+                Refusal.target_lost, 'the target broke off'
+            )
+        return RequestRefusedError(
+            Refusal.target_failed,
+            'the targets broke off',
+            retry_after_ms=NO_TARGET_RETRY_MS,
+        )
+
+
+def _end_pause(pause: 'Deferred[None]') -> None:
+    pause.addErrback(lambda _: None)
+    pause.cancel()
--- a/cicadahoist/entry/connection.py
+++ b/cicadahoist/entry/connection.py
@@ -18,6 +18,8 @@
 class BoundedRequest(Request):
     """A request whose body is refused once it is above the limit."""
 
+    channel: Any
+
     def __init__(self, channel: Any, queued: Any = None) -> None:
         super().__init__(channel, queued)
         self.received_bytes = 0
@@ -40,6 +42,8 @@
 class BoundedChannel(HTTPChannel):
     """A connection on which each request has to arrive within a time."""
 
+    transport: Any
+
     def __init__(self) -> None:
         super().__init__()
         self.request_timer: Timer | None = None
@@ -65,7 +69,7 @@
         self._stop_timer()
         super().allContentReceived()
 
-    def connectionLost(self, reason: Any) -> None:
+    def connectionLost(self, reason: Any = None) -> None:
         """End the time limit."""
         self._stop_timer()
         super().connectionLost(reason)
@@ -101,8 +105,7 @@
     :param header_timeout_ms: longest time to send a request
     """
 
-    protocol = BoundedChannel
-    requestFactory = BoundedRequest
+    protocol: Any = BoundedChannel
 
     def __init__(
         self,
--- a/cicadahoist/entry/context.py
+++ b/cicadahoist/entry/context.py
@@ -66,7 +66,7 @@
         self.engines = engines
         self.plain_services = plain_services
         self.open_requests = OpenRequests()
-        self.dispatcher = Dispatcher()
+        self.dispatcher = Dispatcher.from_config(config, clock)
         self.entry_name = config.read(INSTANCE_NAME)
         self.stall_timeout_ms = config.read(STALL_TIMEOUT)
         self.usage_window_ms = config.read(USAGE_WINDOW)
--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from cicadahoist.entry.answer_stream import AnswerStream
+from cicadahoist.entry.attempts import Attempts
 from cicadahoist.entry.auth import authorize
 from cicadahoist.entry.billing import usage_count
 from cicadahoist.entry.caller import CallerRequest
@@ -14,7 +15,6 @@
 from cicadahoist.entry.handling import answer_or_refuse, run_open
 from cicadahoist.entry.model_request import ModelRequest
 from cicadahoist.entry.open_requests import OpenRequest
-from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.entry.stall_watch import StallWatch
 from cicadahoist.entry.stream_attempt import AttemptEnd, StreamAttempt
 from cicadahoist.errors import LostAfterSendError, NotSentError
@@ -25,7 +25,8 @@
     HTTP_UNAVAILABLE,
     TargetResponse,
 )
-from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.policy.prefix import prompt_blocks
+from cicadahoist.reasons import Retry
 from cicadahoist.table import RouteKind, Target
 
 HTTP_SERVER_ERROR = 500
@@ -86,10 +87,10 @@
 
     __slots__ = (
         '_answer',
+        '_attempts',
         '_context',
         '_path',
         '_request',
-        '_tried',
         '_wanted',
     )
 
@@ -104,42 +105,42 @@
         self._request = request
         self._wanted = wanted
         self._path = path
-        self._tried: set[str] = set()
         self._answer = AnswerStream(wants_usage=wanted.wants_usage)
+        cost = context.dispatcher.costs.estimate(
+            request.grant.workspace,
+            request.grant.route.name,
+            wanted.prompt_tokens,
+            0,
+            wanted.max_tokens,
+        )
+        blocks = prompt_blocks(request.caller.body)
+        self._attempts = Attempts(context, request, cost, blocks)
 
     async def run(self) -> None:
         """Make attempts until one completes the answer."""
-        while not self._request.is_over:
-            retry = await self._attempt(self._choose_target())
+        await self._attempts.admit()
+        try:
+            await self._run_attempts()
+        finally:
+            usage = self._answer.usage
+            self._attempts.end(usage.prompt_tokens + usage.completion_tokens)
+
+    async def _run_attempts(self) -> None:
+        while not self._attempts.is_over:
+            target = self._attempts.begin()
+            retry = await self._attempt(target)
+            self._attempts.finish(self._answer.next_offset, retry)
             if retry is None:
                 return
-            if not self._request.is_over:
-                self._allow_retry(retry)
-        await self._bill(self._answer.usage)
-
-    def _choose_target(self) -> Target:
-        try:
-            target = self._context.dispatcher.choose(
-                self._context.table(), self._request, self._tried
-            )
-        except RequestRefusedError as refused:
-            if not self._request.was_sent:
-                raise
-            raise RequestRefusedError(
-                Refusal.target_failed,
-                'all targets broke off',
-                retry_after_ms=refused.retry_after_ms,
-            ) from refused
-        self._tried.add(target.name)
-        return target
+            await self._attempts.pause_before_retry(retry)
+        await self._bill()
 
     async def _attempt(self, target: Target) -> Retry | None:
         """Return why another attempt is needed, or none."""
-        attempt = self._request.begin_attempt(target.name)
         opening = Deferred.fromCoroutine(
             self._context.engines.open_stream(
                 target,
-                attempt,
+                self._request.attempt,
                 self._path,
                 self._wanted.for_target(self._answer.next_offset),
                 self._request.grant.rule.priority,
@@ -148,7 +149,11 @@
         started_ms = self._context.clock.now_ms()
         self._request.on_stop(opening.cancel)
         watch = StallWatch(
-            self._context, target, attempt, lambda: started_ms, opening.cancel
+            self._context,
+            target,
+            self._request.attempt,
+            lambda: started_ms,
+            opening.cancel,
         )
         try:
             response = await opening
@@ -160,10 +165,7 @@
         finally:
             watch.stop()
         self._request.was_sent = True
-        try:
-            return await self._relay(target, response)
-        finally:
-            self._request.end_attempt()
+        return await self._relay(target, response)
 
     async def _relay(
         self, target: Target, response: TargetResponse
@@ -184,7 +186,12 @@
         caller = self._request.caller
         caller.start_stream()
         self._answer.begin_attempt()
-        attempt = StreamAttempt(self._answer, caller, self._context.clock)
+        attempt = StreamAttempt(
+            self._answer,
+            caller,
+            self._context.clock,
+            self._attempts.first_token,
+        )
         response.deliver(attempt)
         self._request.on_stop(lambda: attempt.end(AttemptEnd.stopped))
         watch = StallWatch(
@@ -199,7 +206,7 @@
         if end is not AttemptEnd.complete:
             self._cancel(target)
             return _RETRY_BY_END.get(end, Retry.stream_broken)
-        await self._bill(self._answer.usage)
+        await self._bill()
         if not caller.gone:
             caller.http.write(encode_event(DONE))
         return None
@@ -216,7 +223,10 @@
                 whole = _decode_whole(body)
             except msgspec.MsgspecError:
                 return Retry.stream_broken
-            await self._bill(whole.usage)
+            self._attempts.first_token()
+            self._answer.usage = whole.usage
+            self._answer.next_offset = whole.usage.completion_tokens
+            await self._bill()
         self._request.caller.send_whole(
             response.status, {'Content-Type': JSON_TYPE}, body
         )
@@ -229,7 +239,9 @@
         )
         cancelling.addErrback(lambda _: None)
 
-    async def _bill(self, usage: Usage) -> None:
+    async def _bill(self) -> None:
+        """Record what the caller got, before it learns of the end."""
+        usage = self._answer.usage
         if not usage.prompt_tokens:
             if not self._answer.next_offset:
                 return
@@ -237,6 +249,13 @@
         usage.completion_tokens = max(
             usage.completion_tokens, self._answer.next_offset
         )
+        grant = self._request.grant
+        self._context.dispatcher.costs.observe(
+            grant.workspace,
+            grant.route.name,
+            usage.prompt_tokens,
+            usage.completion_tokens,
+        )
         await self._context.record_usage(
             usage_count(
                 self._request,
@@ -245,16 +264,3 @@
                 self._context.usage_window_ms,
             )
         )
-
-    def _allow_retry(self, retry: Retry) -> None:
-        """
-        Count a retry.
-
-        :raises RequestRefusedError: the route does not allow one
-        """
-        if retry is not Retry.connect_failed and self._request.was_sent:
-            if not self._request.grant.route.repeatable:
-                raise RequestRefusedError(
-                    Refusal.target_lost, 'the target broke off'
-                )
-        self._context.metrics.retried(retry)
--- a/cicadahoist/entry/open_requests.py
+++ b/cicadahoist/entry/open_requests.py
@@ -45,9 +45,8 @@
         """Whether no further attempt is wanted."""
         return self.refused is not None or self.caller.gone
 
-    def begin_attempt(self, target: str) -> str:
-        """Note the target of a new attempt and return the attempt's id."""
-        self.target = target
+    def new_attempt(self) -> str:
+        """Return the identifier of a new attempt."""
         self.attempt = new_nonce()
         return self.attempt
 
--- a/cicadahoist/entry/server.py
+++ b/cicadahoist/entry/server.py
@@ -51,7 +51,7 @@
         self._is_leaving = False
         self._port: Any = None
         context.table = table_sync.table
-        table_sync.on_change(self._cut_off_withdrawn)
+        table_sync.on_change(self._apply)
 
     def is_ready(self) -> bool:
         """Tell whether the balancer may send requests."""
@@ -101,7 +101,8 @@
             RequestRefusedError(Refusal.timed_out, 'the instance leaves'),
         )
 
-    def _cut_off_withdrawn(self, old: Table, new: Table) -> None:
+    def _apply(self, old: Table, new: Table) -> None:
+        self._context.dispatcher.apply(new)
         self._context.open_requests.cut_off_where(
             lambda grant: (
                 bool(grant.key_digest) and not is_valid(new, grant.key_digest)
--- a/cicadahoist/entry/service_handler.py
+++ b/cicadahoist/entry/service_handler.py
@@ -4,17 +4,19 @@
 
 from twisted.internet.defer import Deferred
 
+from cicadahoist.entry.attempts import Attempts
 from cicadahoist.entry.auth import authorize
 from cicadahoist.entry.caller import IDEMPOTENCY_HEADER, CallerRequest
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.handling import answer_or_refuse, run_open
 from cicadahoist.entry.open_requests import OpenRequest
-from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.errors import LostAfterSendError, NotSentError
-from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.policy.cost import Cost
+from cicadahoist.reasons import Retry
 from cicadahoist.table import RouteKind, Target
 
 SERVICES_PATH = '/services/'
+CALL_COST = Cost(prefill=1, decode=1)
 
 # No other header of a caller reaches a target.
 FORWARDED_HEADERS = (
@@ -78,7 +80,7 @@
 class _ServiceJob:
     """One call over all its attempts."""
 
-    __slots__ = ('_context', '_path', '_request', '_tried')
+    __slots__ = ('_attempts', '_context', '_path', '_request')
 
     def __init__(
         self, context: EntryContext, request: OpenRequest, path: str
@@ -86,53 +88,42 @@
         self._context = context
         self._request = request
         self._path = path
-        self._tried: set[str] = set()
+        self._attempts = Attempts(context, request, CALL_COST)
 
     async def run(self) -> None:
         """Make attempts until one is answered."""
-        answer: ServiceAnswer | None = None
-        while answer is None and not self._request.is_over:
-            answer = await self._attempt(self._choose_target())
+        await self._attempts.admit()
+        try:
+            answer = await self._answered()
+        finally:
+            self._attempts.end(0)
         if answer is not None:
             self._request.caller.send_whole(
                 answer.status, answer.headers, answer.body
             )
 
-    def _choose_target(self) -> Target:
-        try:
-            target = self._context.dispatcher.choose(
-                self._context.table(), self._request, self._tried
-            )
-        except RequestRefusedError as refused:
-            if not self._request.was_sent:
-                raise
-            raise RequestRefusedError(
-                Refusal.target_failed,
-                'all targets broke off',
-                retry_after_ms=refused.retry_after_ms,
-            ) from refused
-        self._tried.add(target.name)
-        return target
-
-    async def _attempt(self, target: Target) -> ServiceAnswer | None:
-        calling = Deferred.fromCoroutine(self._call(target))
-        self._request.on_stop(calling.cancel)
-        try:
-            return await calling
-        except NotSentError:
-            self._context.metrics.retried(Retry.connect_failed)
-        except LostAfterSendError as lost:
-            self._request.was_sent = True
-            self._allow_retry(lost)
-        finally:
-            self._request.end_attempt()
+    async def _answered(self) -> ServiceAnswer | None:
+        while not self._attempts.is_over:
+            target = self._attempts.begin()
+            calling = Deferred.fromCoroutine(self._call(target))
+            self._request.on_stop(calling.cancel)
+            retry = Retry.connect_failed
+            try:
+                return await calling
+            except NotSentError:
+                self._attempts.finish(0, retry)
+            except LostAfterSendError:
+                self._request.was_sent = True
+                retry = Retry.stream_broken
+                self._attempts.finish(0, retry)
+            await self._attempts.pause_before_retry(retry)
         return None
 
     async def _call(self, target: Target) -> ServiceAnswer:
         caller = self._request.caller
         response = await self._context.plain_services.call(
             target,
-            self._request.begin_attempt(target.name),
+            self._request.attempt,
             caller.method,
             self._path,
             _forwarded(caller),
@@ -140,7 +131,9 @@
             repeatable=self._request.grant.route.repeatable,
         )
         self._request.was_sent = True
+        self._attempts.first_token()
         body = await response.read_body()
+        self._attempts.finish(0, None)
         headers = {
             name: response.header(name)
             for name in RETURNED_HEADERS
@@ -148,15 +141,6 @@
         }
         return ServiceAnswer(response.status, headers, body)
 
-    def _allow_retry(self, lost: LostAfterSendError) -> None:
-        if self._request.is_over:
-            return
-        if not self._request.grant.route.repeatable:
-            raise RequestRefusedError(
-                Refusal.target_lost, 'the target broke off'
-            ) from lost
-        self._context.metrics.retried(Retry.stream_broken)
-
 
 def _forwarded(caller: CallerRequest) -> dict[str, str]:
     return {
--- a/cicadahoist/entry/stream_attempt.py
+++ b/cicadahoist/entry/stream_attempt.py
@@ -1,5 +1,6 @@
 """One attempt at a streamed answer: relays events from a target."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
@@ -29,15 +30,23 @@
 
     :param answer: the answer that the attempt goes on with
     :param caller: receives the events
+    :param on_first_token: called with the first output
     """
 
+    transport: Any
+
     def __init__(
-        self, answer: AnswerStream, caller: CallerRequest, clock: Clock
+        self,
+        answer: AnswerStream,
+        caller: CallerRequest,
+        clock: Clock,
+        on_first_token: Callable[[], None],
     ) -> None:
         self.ended: Deferred[AttemptEnd] = Deferred()
         self._answer = answer
         self._caller = caller
         self._clock = clock
+        self._on_first_token: Callable[[], None] | None = on_first_token
         self._splitter = EventSplitter()
         self._is_open = True
         self._is_paused = False
@@ -65,6 +74,9 @@
             progress = self._answer.accept(payload, out)
             if progress is not Progress.going_on:
                 break
+        if out and self._on_first_token is not None:
+            self._on_first_token()
+            self._on_first_token = None
         if out and not self._caller.gone:
             self._caller.http.write(b''.join(out))
         if progress is Progress.complete:
--- a/cicadahoist/outside/http.py
+++ b/cicadahoist/outside/http.py
@@ -8,7 +8,6 @@
 from twisted.internet import error as network_errors
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import HostnameEndpoint
-from twisted.internet.interfaces import IProtocol
 from twisted.internet.protocol import Protocol
 from twisted.web.client import (
     Agent,
@@ -76,7 +75,7 @@
         found = self.headers.getRawHeaders(name)
         return found[-1] if found else ''
 
-    def deliver(self, receiver: IProtocol) -> None:
+    def deliver(self, receiver: Any) -> None:
         """
         Pass the body on to a twisted protocol, chunk by chunk.
 
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -119,6 +119,22 @@
         summary='Longest time that open requests have to finish.',
     )
 )
+ADMISSION = _declare(
+    Option(
+        'policy',
+        'admission',
+        'fair',
+        summary='Registered order in which queued requests are sent.',
+    )
+)
+ROUTER = _declare(
+    Option(
+        'policy',
+        'router',
+        'predicted',
+        summary='Registered choice of the target of an attempt.',
+    )
+)
 MESH_PORT = _declare(
     Option(
         'mesh',
