Test the in-memory store and table commits; let the store use the shared client

The store's adapter had its own HTTP agent whose pool re-sent GET and DELETE by itself after a lost answer, and its bodies had no timeout. Both now come from outside/http.py. A lost answer of a shard's write no longer fails the whole commit, as nobody else writes that name.

--- a/cicadahoist/outside/engine.py
+++ b/cicadahoist/outside/engine.py
@@ -272,7 +272,7 @@
             body=msgspec.json.encode(order),
             timeout_ms=self._order_bound_ms,
         )
-        await _checked(response, 'POST /orders')
+        await _checked(response, 'POST /orders', self._order_bound_ms)
 
     async def close(self) -> None:
         """Close kept connections."""
@@ -288,7 +288,7 @@
             body=body,
             timeout_ms=self._timeout_ms,
         )
-        return await _checked(response, f'{method} {path}')
+        return await _checked(response, f'{method} {path}', self._timeout_ms)
 
     def _headers(self) -> dict[str, str]:
         headers = {'Content-Type': JSON_TYPE}
@@ -301,8 +301,10 @@
     return target.url.rstrip('/') + path
 
 
-async def _checked(response: TargetResponse, what: str) -> bytes:
-    body = await response.read_body()
+async def _checked(
+    response: TargetResponse, what: str, timeout_ms: int
+) -> bytes:
+    body = await response.read_body(timeout_ms)
     if response.status < HTTP_MULTIPLE_CHOICES:
         return body
     problem = '{0}: HTTP {1} {2}'.format(
--- a/cicadahoist/outside/http.py
+++ b/cicadahoist/outside/http.py
@@ -6,9 +6,8 @@
 import msgspec
 import treq
 from twisted.internet import error as network_errors
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 from twisted.internet.endpoints import HostnameEndpoint
-from twisted.internet.interfaces import IProtocol
 from twisted.internet.protocol import Protocol
 from twisted.web.client import (
     Agent,
@@ -16,9 +15,11 @@
     RequestGenerationFailed,
     RequestNotSent,
     RequestTransmissionFailed,
+    ResponseDone,
     ResponseFailed,
     ResponseNeverReceived,
 )
+from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
@@ -32,10 +33,15 @@
 HTTP_OK = 200
 HTTP_NO_CONTENT = 204
 HTTP_MULTIPLE_CHOICES = 300
+HTTP_NOT_MODIFIED = 304
+HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
+HTTP_PRECONDITION_FAILED = 412
+HTTP_TOO_LARGE = 413
 HTTP_LOCKED = 423
 HTTP_BUSY = 429
+HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 
 # Raised before the first byte of a request is written.
@@ -52,7 +58,9 @@
     RequestTransmissionFailed,
     ResponseFailed,
     ResponseNeverReceived,
+    PotentialDataLoss,
     CancelledError,
+    TimeoutError,
 )
 
 
@@ -64,10 +72,11 @@
     :param headers: headers as they arrived
     """
 
-    __slots__ = ('_response', 'headers', 'status')
+    __slots__ = ('_reactor', '_response', 'headers', 'status')
 
-    def __init__(self, response: Any) -> None:
+    def __init__(self, response: Any, reactor: Any) -> None:
         self._response = response
+        self._reactor = reactor
         self.status: int = response.code
         self.headers: Headers = response.headers
 
@@ -76,7 +85,7 @@
         found = self.headers.getRawHeaders(name)
         return found[-1] if found else ''
 
-    def deliver(self, receiver: IProtocol) -> None:
+    def deliver(self, receiver: Protocol) -> None:
         """
         Pass the body on to a twisted protocol, chunk by chunk.
 
@@ -89,14 +98,19 @@
         """Close the connection; only for a body that nothing receives."""
         self._response.deliverBody(_Closing())
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, timeout_ms: int = 0) -> bytes:
         """
         Return the whole body.
 
+        :param timeout_ms: longest wait for its end, 0 for no bound
         :raises LostAfterSendError: the body broke off
         """
+        collector = _Collector()
+        if timeout_ms:
+            collector.whole.addTimeout(timeout_ms / MS_PER_S, self._reactor)
+        self._response.deliverBody(collector)
         try:
-            return await treq.content(self._response)
+            return await collector.whole
         except SENT_ERRORS as error:
             raise lost_after_send('answer', error) from error
 
@@ -172,7 +186,7 @@
             ) from unsent
         except SENT_ERRORS as lost:
             raise lost_after_send(f'{method} {url}', lost) from lost
-        return TargetResponse(response)
+        return TargetResponse(response, self._reactor)
 
     def close(self) -> 'Deferred[Any]':
         """Close kept connections."""
@@ -186,6 +200,27 @@
     )
 
 
+class _Collector(Protocol):
+    def __init__(self) -> None:
+        self.whole: Deferred[bytes] = Deferred(self._close)
+        self._chunks: list[bytes] = []
+
+    def dataReceived(self, chunk: bytes) -> None:  # noqa: N802
+        self._chunks.append(chunk)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        if self.whole.called:
+            return
+        if reason.check(ResponseDone):
+            self.whole.callback(b''.join(self._chunks))
+        else:
+            self.whole.errback(reason)
+
+    def _close(self, cancelled: Any) -> None:
+        transport: Any = self.transport
+        transport.stopProducing()
+
+
 class _Closing(Protocol):
     def connectionMade(self) -> None:  # noqa: N802
         transport: Any = self.transport
--- a/cicadahoist/outside/store.py
+++ b/cicadahoist/outside/store.py
@@ -4,50 +4,30 @@
 from urllib.parse import quote
 
 import msgspec
-import treq
-from twisted.internet import error as network_errors
-from twisted.internet.defer import CancelledError
-from twisted.web.client import (
-    Agent,
-    HTTPConnectionPool,
-    RequestNotSent,
-    RequestTransmissionFailed,
-    ResponseFailed,
-    ResponseNeverReceived,
-)
 
-from cicadahoist.clock import MS_PER_S
 from cicadahoist.config import Config
 from cicadahoist.errors import (
     StoreBusyError,
     StoreError,
     StoreUnavailableError,
+    TargetError,
     VersionConflictError,
 )
+from cicadahoist.outside.http import (
+    HTTP_BUSY,
+    HTTP_NO_CONTENT,
+    HTTP_NOT_FOUND,
+    HTTP_NOT_MODIFIED,
+    HTTP_OK,
+    HTTP_PRECONDITION_FAILED,
+    HTTP_TOO_LARGE,
+    HttpClient,
+    TargetResponse,
+)
 from cicadahoist.registry import Registry
 from cicadahoist.settings import STORE_PREFIX, STORE_TIMEOUT, STORE_URL
 
 ABSENT = 0
-MAX_CONNECTIONS = 8
-
-HTTP_OK = 200
-HTTP_NO_CONTENT = 204
-HTTP_NOT_MODIFIED = 304
-HTTP_NOT_FOUND = 404
-HTTP_CONFLICT = 412
-HTTP_TOO_LARGE = 413
-HTTP_BUSY = 429
-
-NETWORK_ERRORS = (
-    network_errors.ConnectError,
-    network_errors.ConnectionClosed,
-    network_errors.TimeoutError,
-    RequestNotSent,
-    RequestTransmissionFailed,
-    ResponseFailed,
-    ResponseNeverReceived,
-    CancelledError,
-)
 
 
 class Stored(msgspec.Struct, frozen=True):
@@ -100,33 +80,31 @@
 class HttpStore:
     """The store over HTTP."""
 
-    __slots__ = ('_agent', '_base', '_prefix', '_reactor', '_timeout_s')
+    __slots__ = ('_base', '_client', '_prefix', '_timeout_ms')
 
     def __init__(
-        self, reactor: Any, base: str, prefix: str, timeout_ms: int
+        self, client: HttpClient, base: str, prefix: str, timeout_ms: int
     ) -> None:
-        pool = HTTPConnectionPool(reactor)
-        pool.maxPersistentPerHost = MAX_CONNECTIONS
-        self._agent: Any = Agent(reactor, pool=pool)
-        self._reactor = reactor
+        self._client = client
         self._base = base.rstrip('/')
         self._prefix = prefix
-        self._timeout_s = timeout_ms / MS_PER_S
+        self._timeout_ms = timeout_ms
 
     @classmethod
     def from_config(cls, config: Config, reactor: Any) -> 'HttpStore':
         """Return the store that the settings name."""
+        timeout_ms = config.read(STORE_TIMEOUT)
         return cls(
-            reactor,
+            HttpClient(reactor, timeout_ms),
             config.read(STORE_URL),
             config.read(STORE_PREFIX),
-            config.read(STORE_TIMEOUT),
+            timeout_ms,
         )
 
     async def read(self, name: str) -> Stored | None:
         """Return an object, or none."""
         response = await self._call('GET', self._object(name))
-        if response.code == HTTP_NOT_FOUND:
+        if response.status == HTTP_NOT_FOUND:
             return None
         return await self._stored(name, response)
 
@@ -136,7 +114,7 @@
         if expected == ABSENT:
             headers = {'If-None-Match': '*'}
         response = await self._call(
-            'PUT', self._object(name), headers=headers, data=payload
+            'PUT', self._object(name), headers=headers, body=payload
         )
         await self._body(response)
         return _version(response)
@@ -153,7 +131,7 @@
         """Return names and versions of all objects below a prefix."""
         own = f'{self._prefix}/'
         response = await self._call(
-            'GET', f'{self._base}/names', params={'prefix': own + prefix}
+            'GET', f'{self._base}/names?prefix={quote(own + prefix)}'
         )
         listed = msgspec.json.decode(
             await self._body(response), type=dict[str, int]
@@ -164,53 +142,54 @@
 
     async def watch(self, name: str, after: int, wait_ms: int) -> Stored | None:
         """Return the object once its version is above ``after``, or none."""
+        url = self._object(name, kind='watch')
         response = await self._call(
-            'GET',
-            self._object(name, kind='watch'),
-            wait_s=wait_ms / MS_PER_S,
-            params={'after': str(after), 'wait_ms': str(wait_ms)},
+            'GET', f'{url}?after={after}&wait_ms={wait_ms}', wait_ms=wait_ms
         )
-        if response.code == HTTP_NOT_MODIFIED:
+        if response.status == HTTP_NOT_MODIFIED:
             return None
         return await self._stored(name, response)
 
+    async def close(self) -> None:
+        """Close kept connections."""
+        await self._client.close()
+
     def _object(self, name: str, kind: str = 'objects') -> str:
         return f'{self._base}/{kind}/{quote(self._prefix)}/{quote(name)}'
 
     async def _call(
-        self, method: str, url: str, wait_s: float = 0, **options: Any
-    ) -> Any:
+        self,
+        method: str,
+        url: str,
+        *,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+        wait_ms: int = 0,
+    ) -> TargetResponse:
         try:
-            response = await treq.request(
+            response = await self._client.call(
                 method,
                 url,
-                agent=self._agent,
-                reactor=self._reactor,
-                timeout=self._timeout_s + wait_s,
-                **options,
+                headers=headers,
+                body=body,
+                timeout_ms=self._timeout_ms + wait_ms,
             )
-        except NETWORK_ERRORS as error:
-            raise StoreUnavailableError(
-                f'{method} {url}: {error!r}',
-                remedy='wait for the store; reading the object settles it',
-            ) from error
-        if response.code in _PASSED:
+        except TargetError as error:
+            raise _unavailable(error.problem) from error
+        if response.status in _PASSED:
             return response
         await self._body(response)
-        raise _failure(method, url, response.code)
+        raise _failure(method, url, response.status)
 
-    async def _stored(self, name: str, response: Any) -> Stored:
+    async def _stored(self, name: str, response: TargetResponse) -> Stored:
         payload = await self._body(response)
         return Stored(name, _version(response), payload)
 
-    async def _body(self, response: Any) -> bytes:
+    async def _body(self, response: TargetResponse) -> bytes:
         try:
-            return await treq.content(response)
-        except NETWORK_ERRORS as error:
-            raise StoreUnavailableError(
-                f'answer cut off: {error!r}',
-                remedy='wait for the store; reading the object settles it',
-            ) from error
+            return await response.read_body(self._timeout_ms)
+        except TargetError as error:
+            raise _unavailable(error.problem) from error
 
 
 _PASSED = frozenset(
@@ -218,21 +197,24 @@
 )
 
 
-def _version(response: Any) -> int:
-    tags = response.headers.getRawHeaders('ETag') or ['"0"']
-    return int(tags[0].strip('"'))
+def _version(response: TargetResponse) -> int:
+    return int(response.header('ETag').strip('"') or ABSENT)
 
 
-def _failure(method: str, url: str, code: int) -> StoreError:
-    problem = f'{method} {url}: HTTP {code}'
-    if code == HTTP_CONFLICT:
+def _failure(method: str, url: str, status: int) -> StoreError:
+    problem = f'{method} {url}: HTTP {status}'
+    if status == HTTP_PRECONDITION_FAILED:
         return VersionConflictError(
             problem, remedy='read the object again and decide anew'
         )
-    if code == HTTP_BUSY:
+    if status == HTTP_BUSY:
         return StoreBusyError(problem, remedy='send fewer calls')
-    if code == HTTP_TOO_LARGE:
+    if status == HTTP_TOO_LARGE:
         return StoreError(problem, remedy='split the object')
+    return _unavailable(problem)
+
+
+def _unavailable(problem: str) -> StoreUnavailableError:
     return StoreUnavailableError(
         problem, remedy='wait for the store; reading the object settles it'
     )
--- a/cicadahoist/outside/tablestore.py
+++ b/cicadahoist/outside/tablestore.py
@@ -137,19 +137,25 @@
             current = shards.get(number)
             if current is not None:
                 shard = await self._shard(current)
-            name = f'table/shards/{number}/{new_nonce()}'
-            await self._store.write(
-                name,
-                msgspec.json.encode(_apply(shard, group, revision)),
-                ABSENT,
-            )
-            shards[number] = name
+            updated = _apply(shard, group, revision)
+            shards[number] = await self._write_shard(number, updated)
         return Head(
             revision=revision,
             shards=shards,
             commits=[*head.commits, nonce][-COMMITS_KEPT:],
         )
 
+    async def _write_shard(self, number: str, shard: Shard) -> str:
+        name = f'table/shards/{number}/{new_nonce()}'
+        payload = msgspec.json.encode(shard)
+        try:
+            await self._store.write(name, payload, ABSENT)
+        except StoreUnavailableError:
+            # Nobody else writes this name, so what is there is this shard.
+            if await self._store.read(name) is None:
+                raise
+        return name
+
     async def _shard(self, name: str) -> Shard:
         known = self._shards_by_name.get(name)
         if known is not None:
--- a/cicadahoist/standin/engine_completions.py
+++ b/cicadahoist/standin/engine_completions.py
@@ -5,20 +5,17 @@
 import msgspec
 
 from cicadahoist.ids import new_nonce
+from cicadahoist.outside.http import (
+    HTTP_BAD_REQUEST,
+    HTTP_NOT_FOUND,
+    HTTP_UNAVAILABLE,
+)
 from cicadahoist.standin.engine import Engine
 from cicadahoist.standin.engine_answers import AnswerForm, CompletionBody
 from cicadahoist.standin.engine_faults import EngineFaults
 from cicadahoist.standin.engine_stream import OpenAnswer
 from cicadahoist.standin.seen import SeenCalls
-from cicadahoist.standin.web import (
-    HTTP_BAD_REQUEST,
-    HTTP_NOT_FOUND,
-    HTTP_UNAVAILABLE,
-    WebApp,
-    answer,
-    read_body,
-    refuse,
-)
+from cicadahoist.standin.web import WebApp, answer, read_body, refuse
 
 DEFAULT_PRIORITY = '5'
 
--- a/cicadahoist/standin/engine_server.py
+++ b/cicadahoist/standin/engine_server.py
@@ -7,25 +7,21 @@
 
 from cicadahoist.clock import Clock
 from cicadahoist.outside.engine import EngineOrder
-from cicadahoist.standin.engine import Engine
-from cicadahoist.standin.engine_completions import EngineCompletions
-from cicadahoist.standin.engine_faults import EngineFaults
-from cicadahoist.standin.engine_orders import KINDS, OrderCounts
-from cicadahoist.standin.faults import serve_fault
-from cicadahoist.standin.seen import SeenCall, SeenCalls
-from cicadahoist.standin.web import (
+from cicadahoist.outside.http import (
     HTTP_BAD_GATEWAY,
     HTTP_BAD_REQUEST,
     HTTP_CONFLICT,
     HTTP_LOCKED,
     HTTP_NOT_FOUND,
     HTTP_OK,
-    WebApp,
-    answer,
-    argument,
-    read_body,
-    refuse,
 )
+from cicadahoist.standin.engine import Engine
+from cicadahoist.standin.engine_completions import EngineCompletions
+from cicadahoist.standin.engine_faults import EngineFaults
+from cicadahoist.standin.engine_orders import KINDS, OrderCounts
+from cicadahoist.standin.faults import serve_fault
+from cicadahoist.standin.seen import SeenCall, SeenCalls
+from cicadahoist.standin.web import WebApp, answer, argument, read_body, refuse
 
 
 class EngineSeen(msgspec.Struct, frozen=True):
--- a/cicadahoist/standin/faults.py
+++ b/cicadahoist/standin/faults.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from cicadahoist.errors import ConfigError
-from cicadahoist.standin.web import HTTP_BAD_REQUEST, answer, read_body, refuse
+from cicadahoist.outside.http import HTTP_BAD_REQUEST
+from cicadahoist.standin.web import answer, read_body, refuse
 
 
 class Fault(msgspec.Struct, frozen=True, kw_only=True):
--- a/cicadahoist/standin/store.py
+++ b/cicadahoist/standin/store.py
@@ -13,22 +13,21 @@
     StoreUnavailableError,
     VersionConflictError,
 )
-from cicadahoist.outside.store import (
-    ABSENT,
-    HTTP_CONFLICT,
+from cicadahoist.outside.http import (
+    HTTP_BAD_REQUEST,
+    HTTP_BUSY,
     HTTP_NO_CONTENT,
+    HTTP_NOT_FOUND,
     HTTP_NOT_MODIFIED,
+    HTTP_OK,
+    HTTP_PRECONDITION_FAILED,
     HTTP_TOO_LARGE,
-    Stored,
+    HTTP_UNAVAILABLE,
 )
+from cicadahoist.outside.store import ABSENT, Stored
 from cicadahoist.standin.faults import serve_fault
 from cicadahoist.standin.objects import WRITING, ObjectModel
 from cicadahoist.standin.web import (
-    HTTP_BAD_REQUEST,
-    HTTP_BUSY,
-    HTTP_NOT_FOUND,
-    HTTP_OK,
-    HTTP_UNAVAILABLE,
     WebApp,
     abort,
     answer,
@@ -181,7 +180,7 @@
 _STATUS_BY_ERROR = {
     StoreBusyError: HTTP_BUSY,
     StoreUnavailableError: HTTP_UNAVAILABLE,
-    VersionConflictError: HTTP_CONFLICT,
+    VersionConflictError: HTTP_PRECONDITION_FAILED,
     StoreError: HTTP_TOO_LARGE,
 }
 _PASSING = frozenset((HTTP_BUSY, HTTP_UNAVAILABLE))
--- a/cicadahoist/standin/web.py
+++ b/cicadahoist/standin/web.py
@@ -7,14 +7,7 @@
 from klein import Klein
 from twisted.web.server import Site
 
-HTTP_OK = 200
-HTTP_BAD_REQUEST = 400
-HTTP_NOT_FOUND = 404
-HTTP_CONFLICT = 409
-HTTP_LOCKED = 423
-HTTP_BUSY = 429
-HTTP_BAD_GATEWAY = 502
-HTTP_UNAVAILABLE = 503
+from cicadahoist.outside.http import HTTP_OK
 
 ADDRESS = '127.0.0.1'
 
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,52 @@
+"""Stand-ins in process, reached over real loopback sockets."""
+
+from twisted.internet import reactor
+from twisted.trial.unittest import TestCase
+
+from cicadahoist.clock import Clock
+from cicadahoist.config import Config
+from cicadahoist.table import Target
+
+POLL_MS = 1
+
+
+class LoopbackCase(TestCase):
+    """Serves stand-ins and closes everything after each test."""
+
+    timeout = 30
+
+    def setUp(self):
+        self.reactor = reactor
+        self.clock = Clock.from_reactor(reactor)
+
+    def serve(self, app):
+        """Return the URL of a stand-in that listens from now on."""
+        port = app.listen(reactor, 0)
+        self.addCleanup(port.stopListening)
+        return f'http://127.0.0.1:{port.getHost().port}'
+
+    def adapter(self, implementation, **settings):
+        """Return an adapter that is closed after the test."""
+        adapter = implementation.from_config(
+            Config.from_values(**settings), reactor
+        )
+        self.addCleanup(adapter.close)
+        return adapter
+
+    async def until(self, condition):
+        """Wait for a condition; the test's timeout bounds it."""
+        while not condition():
+            await self.clock.sleep(POLL_MS)
+
+    async def raises(self, kind, awaitable):
+        """Return the error that an awaitable raises."""
+        try:
+            answered = await awaitable
+        except kind as error:
+            return error
+        self.fail(f'no {kind.__name__} but {answered!r}')
+
+
+def target_at(url, name='target-1'):
+    """Return a target row."""
+    return Target(name=name, pool='pool', url=url, zone='zone-a')
--- /dev/null
+++ b/tests/test_outside/test_tablestore.py
@@ -0,0 +1,146 @@
+import pytest
+from msgspec.structs import replace
+
+from cicadahoist.clock import Clock
+from cicadahoist.errors import StoreUnavailableError, TableConflictError
+from cicadahoist.outside.tablestore import RowChange, TableStore, shard_of
+from cicadahoist.standin.faults import Fault
+from cicadahoist.standin.memory import MemoryStore
+from cicadahoist.standin.objects import ObjectModel
+from cicadahoist.table import Rule, Workspace
+from tests.coroutines import Pending, result_of
+
+
+@pytest.fixture
+def clock():
+    return Clock.manual()
+
+
+@pytest.fixture
+def model():
+    return ObjectModel(seed=3)
+
+
+@pytest.fixture
+def operators(model, clock):
+    """Return two operators on one store."""
+    return [TableStore(MemoryStore(model, clock)) for _ in range(2)]
+
+
+def save(operator, *rows):
+    return operator.commit([RowChange(row=row) for row in rows])
+
+
+def loaded(operator):
+    head, _ = result_of(operator.read_head())
+    return result_of(operator.load(head))
+
+
+def test_one_commit_saves_rows_of_many_shards(operators):
+    rows = [Workspace(name=f'workspace-{number}') for number in range(20)]
+    assert len({shard_of(row) for row in rows}) > 1
+    assert result_of(save(operators[0], *rows)) == 1
+    table = loaded(operators[1])
+    assert table.revision == 1
+    assert len(table.workspaces_by_name) == 20
+    assert {row.revision for row in table.rows()} == {1}
+
+
+def test_clash_shows_both_rows_and_overwrites_nothing(operators):
+    rule = Rule(workspace='tayside', route='ledger')
+    result_of(save(operators[0], replace(rule, weight=2)))
+    with pytest.raises(TableConflictError) as caught:
+        result_of(save(operators[1], replace(rule, weight=5)))
+    assert 'weight=2' in str(caught.value)
+    assert 'weight=5' in str(caught.value)
+    assert loaded(operators[1]).rules_by_pair['tayside', 'ledger'].weight == 2
+
+
+def test_removed_row_cannot_be_saved_over(operators):
+    row = Workspace(name='tayside')
+    result_of(save(operators[0], row))
+    stored = loaded(operators[0]).workspaces_by_name['tayside']
+    result_of(operators[0].commit([RowChange(row=stored, remove=True)]))
+    with pytest.raises(TableConflictError):
+        result_of(save(operators[1], replace(stored, enabled=False)))
+    assert loaded(operators[1]).rows() == []
+
+
+@pytest.mark.parametrize('lost', [1, 2])
+def test_lost_answer_commits_once(operators, model, lost):
+    # The first write is the shard's, the second one is the head's.
+    if lost == 2:
+        result_of(save(operators[0], Workspace(name='before')))
+    revision = loaded(operators[0]).revision
+    write = MemoryStore.write
+
+    async def write_then_lose(self, name, payload, expected):
+        if name.endswith('head') == (lost == 2):
+            model.set_fault(Fault(kind='lose-answers', count=1))
+            MemoryStore.write = write
+        return await write(self, name, payload, expected)
+
+    MemoryStore.write = write_then_lose
+    try:
+        committed = result_of(save(operators[0], Workspace(name='tayside')))
+    finally:
+        MemoryStore.write = write
+    assert committed == revision + 1
+    assert loaded(operators[1]).revision == revision + 1
+    assert 'tayside' in loaded(operators[1]).workspaces_by_name
+
+
+def test_operators_at_once_lose_no_row(operators, model, clock):
+    model.set_fault(Fault(kind='slow', delay_ms=5))
+    saves = [
+        Pending(save(operator, Workspace(name=f'workspace-{number}')))
+        for number, operator in enumerate(operators)
+    ]
+    clock.advance(0)
+    for _ in range(40):
+        clock.advance(5)
+    assert sorted(pending.result() for pending in saves) == [1, 2]
+    model.set_fault(Fault(kind='none'))
+    assert len(loaded(operators[0]).workspaces_by_name) == 2
+
+
+def test_operators_at_once_on_one_row_clash(operators, model, clock):
+    model.set_fault(Fault(kind='slow', delay_ms=5))
+    rows = [Workspace(name='tayside', enabled=on) for on in (True, False)]
+    saves = [
+        Pending(save(operator, row))
+        for operator, row in zip(operators, rows, strict=True)
+    ]
+    for _ in range(40):
+        clock.advance(5)
+    outcomes = [pending.ended[0] for pending in saves]
+    assert 1 in outcomes
+    [failure] = [outcome for outcome in outcomes if outcome != 1]
+    assert failure.check(TableConflictError)
+
+
+def test_outage_saves_nothing(operators, model):
+    model.set_fault(Fault(kind='outage'))
+    with pytest.raises(StoreUnavailableError):
+        result_of(save(operators[0], Workspace(name='tayside')))
+    model.set_fault(Fault(kind='none'))
+    assert loaded(operators[0]).rows() == []
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_commits_under_lost_answers_and_drops(seed, clock):
+    model = ObjectModel(seed)
+    operator = TableStore(MemoryStore(model, clock))
+    model.set_fault(Fault(kind='lose-answers', share=0.2))
+    model.set_fault(Fault(kind='drop-calls', share=0.1))
+    accepted = set()
+    for number in range(30):
+        name = f'workspace-{number}'
+        pending = Pending(save(operator, Workspace(name=name)))
+        if isinstance(pending.ended[0], int):
+            accepted.add(name)
+    model.set_fault(Fault(kind='none'))
+    table = loaded(TableStore(MemoryStore(model, clock)))
+    assert accepted
+    assert accepted <= set(table.workspaces_by_name)
+    assert table.revision == len(table.workspaces_by_name)
