Split limits between entries by recent demand

A share counts its own demand at its lowest and that of others at its highest within a window longer than any message takes, and can only fall while a member is not heard in either direction. What others still hold beyond their shares within the last minute is taken off, so that moving shares do not admit more than the whole. Property test: three entries, lag of one round, one-way and two-way cuts.

--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -125,9 +125,12 @@
 
     :param by_rule: requests, tokens and open requests of the last period,
         by ``workspace/route``
+    :param used_by_rule: requests and tokens of the last minute, and open
+        requests
     """
 
     by_rule: dict[str, tuple[int, int, int]]
+    used_by_rule: dict[str, tuple[int, int, int]] = {}
 
 
 class LoadView(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/cicadahoist/policy/admission.py
+++ b/cicadahoist/policy/admission.py
@@ -62,7 +62,7 @@
         if not totals.slots and ticket.is_urgent:
             return Err(Refused(Refusal.no_target, NO_TARGET_RETRY_MS))
         queued = prepare(ticket, totals)
-        start_ms = now_ms + round(queue.wait_ms(queued, totals))
+        start_ms = now_ms + round(queue.wait_ms(queued, totals, now_ms))
         if start_ms > queued.latest_ms:
             late_ms = max(MIN_RETRY_AFTER_MS, start_ms - queued.latest_ms)
             return Err(Refused(Refusal.deadline_unreachable, late_ms))
@@ -105,6 +105,7 @@
         :param used_tokens: prompt and output tokens, where known
         """
         self._queue(ticket.pool).finished(ticket)
+        self._limits.ended(ticket.rule)
         self._limits.settle(ticket, now_ms, used_tokens)
 
     def withdraw(self, ticket: Ticket, now_ms: int) -> bool:
@@ -143,7 +144,8 @@
         queue = self._queue(ticket.pool)
         queue.remove(queued)
         self._limits.settle(ticket, now_ms, 0)
-        wait_ms = queue.wait_ms(queued, self._loads.totals(ticket.pool))
+        totals = self._loads.totals(ticket.pool)
+        wait_ms = queue.wait_ms(queued, totals, now_ms)
         retry_ms = max(MIN_RETRY_AFTER_MS, round(wait_ms))
         refused = Refused(Refusal.deadline_unreachable, retry_ms)
         return Expired(ticket, refused)
--- a/cicadahoist/policy/lanes.py
+++ b/cicadahoist/policy/lanes.py
@@ -1,7 +1,6 @@
 """Lanes of a pool's queue, and the latest start of a ticket."""
 
 from cicadahoist.policy.flows import Backlog, Flow, QueuedTicket
-from cicadahoist.policy.limits import LimitShares
 from cicadahoist.policy.state import BATCH_SLOT_SHARE, PoolPart
 from cicadahoist.policy.tickets import Ticket
 
@@ -69,11 +68,12 @@
     return ratio(hold_ms, totals.slots * share)
 
 
-def limit_wait_ms(
-    flow: Flow, queued: QueuedTicket, limits: LimitShares
-) -> float:
-    """Return the wait that a limit on open requests causes."""
-    most = limits.most_open(queued.ticket.rule)
+def limit_wait_ms(flow: Flow, queued: QueuedTicket, most: int | None) -> float:
+    """
+    Return the wait that a limit on open requests causes.
+
+    :param most: running requests allowed, none for no limit
+    """
     waiting = flow.backlog.requests
     if not most or flow.running + waiting < most:
         return 0
--- a/cicadahoist/policy/poolqueue.py
+++ b/cicadahoist/policy/poolqueue.py
@@ -63,17 +63,20 @@
         """Tell whether no request waits."""
         return not self._size
 
-    def wait_ms(self, queued: QueuedTicket, totals: PoolPart) -> float:
+    def wait_ms(
+        self, queued: QueuedTicket, totals: PoolPart, now_ms: int
+    ) -> float:
         """Return how long a ticket is likely to wait."""
         key = self._key_of(queued.ticket)
         flow = self._flow(key, queued.ticket)
         ahead = self._ahead(flow)
+        most = self._limits.most_open(queued.ticket.rule, now_ms)
         if not ahead.requests and room_of(key[0], totals):
             return 0
         return max(
             slot_wait_ms(key[0], ahead, queued.work, totals),
             ratio(ahead.prefill, totals.tokens_per_ms),
-            limit_wait_ms(flow, queued, self._limits),
+            limit_wait_ms(flow, queued, most),
         )
 
     def append(self, queued: QueuedTicket) -> None:
@@ -94,11 +97,11 @@
     def take(self, totals: PoolPart, now_ms: int) -> list[QueuedTicket]:
         """Return tickets that start now, at most one a target with room."""
         self._release(now_ms)
-        taken = self._take_lane(URGENT, totals.urgent)
+        taken = self._take_lane(URGENT, totals.urgent, now_ms)
         room = max(0, totals.batch - len(taken))
-        batch = self._take_lane(BATCH, room)
+        batch = self._take_lane(BATCH, room, now_ms)
         cheap_room = min(totals.cheap, room - len(batch))
-        return taken + batch + self._take_lane(CHEAP, cheap_room)
+        return taken + batch + self._take_lane(CHEAP, cheap_room, now_ms)
 
     def remove(self, queued: QueuedTicket) -> None:
         """Remove a waiting ticket."""
@@ -132,7 +135,9 @@
             total.add(lane.total())
         return total
 
-    def _take_lane(self, name: str, room: int) -> list[QueuedTicket]:
+    def _take_lane(
+        self, name: str, room: int, now_ms: int
+    ) -> list[QueuedTicket]:
         lane = self._lanes[name]
         taken: list[QueuedTicket] = []
         while len(taken) < room:
@@ -142,7 +147,9 @@
             queued = flow.head()
             if queued is None:
                 continue
-            if not self._limits.may_open(queued.ticket.rule, flow.running):
+            if not self._limits.may_open(
+                queued.ticket.rule, flow.running, now_ms
+            ):
                 self._blocked[flow.key] = flow
                 continue
             taken.append(self._start(lane, flow, queued))
@@ -156,6 +163,7 @@
         lane.charge(flow, queued.ticket.cost.units)
         lane.leave(flow, queued.work)
         queued.waiting = False
+        self._limits.started(queued.ticket.rule)
         self._size -= 1
         if flow.head() is not None:
             lane.push(flow)
--- /dev/null
+++ b/cicadahoist/policy/shares.py
@@ -0,0 +1,230 @@
+"""
+Shares of limits that follow demand and never add up to more than the whole.
+
+A member counts its own demand as the lowest and that of others as the highest
+of a window that is longer than any message takes. So a share falls as soon as
+demand elsewhere is heard of, and rises only when all others have heard of its
+own. While a member is not heard, shares can only fall.
+"""
+
+from cicadahoist.messages import Demand
+
+WINDOW_MS = 4000
+PEER_SILENCE_MS = 2000
+IDLE_DEMAND = 0.1
+CACHE_MS = 200
+
+
+class DemandWindow:
+    """Lowest and highest demand within the last one to two windows."""
+
+    __slots__ = ('_epoch', '_high', '_low', '_past_high', '_past_low')
+
+    def __init__(self, now_ms: int) -> None:
+        self._epoch = now_ms // WINDOW_MS
+        self._low = 0
+        self._high = 0
+        self._past_low = 0
+        self._past_high = 0
+
+    def add(self, demand: int, now_ms: int) -> None:
+        """Add the current demand."""
+        epoch = now_ms // WINDOW_MS
+        if epoch == self._epoch:
+            self._low = min(self._low, demand)
+            self._high = max(self._high, demand)
+            return
+        self._past_low = self._low
+        self._past_high = self._high
+        self._epoch = epoch
+        self._low = demand
+        self._high = demand
+
+    def lowest(self) -> int:
+        """Return the lowest demand."""
+        return min(self._low, self._past_low)
+
+    def highest(self) -> int:
+        """Return the highest demand."""
+        return max(self._high, self._past_high)
+
+
+class Member:
+    """What one member, this one included, published."""
+
+    __slots__ = ('_windows_by_rule', 'heard_ms', 'used_by_rule')
+
+    def __init__(self, now_ms: int) -> None:
+        self.heard_ms = now_ms
+        self.used_by_rule: dict[str, tuple[int, int, int]] = {}
+        self._windows_by_rule: dict[str, DemandWindow] = {}
+
+    def take_over(self, demand: Demand, now_ms: int) -> None:
+        """Add a published demand."""
+        windows = self._windows_by_rule
+        self.used_by_rule = demand.used_by_rule
+        for rule in demand.by_rule:
+            windows.setdefault(rule, DemandWindow(now_ms))
+        for known, window in list(windows.items()):
+            window.add(pressure_of(demand, known), now_ms)
+            if not window.highest():
+                windows.pop(known)
+
+    def lowest(self, rule: str) -> int:
+        """Return the lowest recent demand on a rule."""
+        window = self._windows_by_rule.get(rule)
+        return window.lowest() if window else 0
+
+    def highest(self, rule: str) -> int:
+        """Return the highest recent demand on a rule."""
+        window = self._windows_by_rule.get(rule)
+        return window.highest() if window else 0
+
+
+class ShareSplit:
+    """
+    Share of this member in each rule.
+
+    :param own_name: name of this instance
+    """
+
+    __slots__ = (
+        '_cache',
+        '_cached_ms',
+        '_frozen_by_rule',
+        '_healed_ms',
+        '_members_by_name',
+        '_own',
+        '_own_name',
+        '_started_ms',
+        'frozen_demand',
+    )
+
+    def __init__(self, own_name: str) -> None:
+        self._own_name = own_name
+        self._own = Member(0)
+        self._members_by_name: dict[str, Member] = {}
+        self._frozen_by_rule: dict[str, float] = {}
+        self.frozen_demand: Demand | None = None
+        self._healed_ms = 0
+        self._started_ms: int | None = None
+        self._cache: dict[str, float] = {}
+        self._cached_ms = 0
+
+    def sync(self, names: list[str], now_ms: int) -> None:
+        """
+        Take over the names of all members.
+
+        A silent member stays one until it is known to have ended; dropping
+        it gives its share to the others.
+        """
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        known = self._members_by_name
+        self._members_by_name = {
+            name: known.get(name) or Member(now_ms)
+            for name in names
+            if name != self._own_name
+        }
+        self._cache.clear()
+
+    def publish(self, demand: Demand, now_ms: int) -> Demand:
+        """Return what to publish in place of the current demand."""
+        self._check_members(demand, now_ms)
+        published = demand
+        if self.frozen_demand is not None:
+            published = Demand(
+                by_rule=self.frozen_demand.by_rule,
+                used_by_rule=demand.used_by_rule,
+            )
+        self._own.take_over(published, now_ms)
+        return published
+
+    def hear(
+        self, peer: str, demand: Demand, now_ms: int, *, hears_us: bool
+    ) -> None:
+        """Take over what a member published."""
+        member = self._members_by_name.get(peer)
+        if member is None:
+            return
+        if hears_us:
+            member.heard_ms = now_ms
+        member.take_over(demand, now_ms)
+        self._cache.clear()
+
+    def share(self, rule: str, now_ms: int) -> float:
+        """Return the share of a limit that this member may use."""
+        if self._is_new(now_ms):
+            return 0
+        if now_ms - self._cached_ms > CACHE_MS:
+            self._cache.clear()
+            self._cached_ms = now_ms
+        share = self._cache.get(rule)
+        if share is None:
+            share = self._computed(rule)
+            if self._is_bounded(now_ms):
+                share = min(share, self._frozen_by_rule.get(rule, share))
+            self._cache[rule] = share
+        return share
+
+    def excess(self, rule: str, kind: int, limit: int) -> float:
+        """
+        Return what others use beyond their shares of a limit.
+
+        :param kind: index into the used amounts of a rule
+        """
+        excess = float(0)
+        whole = self._own.highest(rule) + IDLE_DEMAND + self._others(rule)
+        for other in self._members_by_name.values():
+            used = other.used_by_rule.get(rule)
+            if used is not None:
+                lowest = other.lowest(rule) + IDLE_DEMAND
+                excess += max(0, used[kind] - limit * lowest / whole)
+        return excess
+
+    def _computed(self, rule: str) -> float:
+        own = self._own.lowest(rule) + IDLE_DEMAND
+        return own / (own + self._others(rule))
+
+    def _others(self, rule: str) -> float:
+        return sum(
+            member.highest(rule) + IDLE_DEMAND
+            for member in self._members_by_name.values()
+        )
+
+    def _is_new(self, now_ms: int) -> bool:
+        if self._started_ms is None or not self._members_by_name:
+            return False
+        return now_ms - self._started_ms < WINDOW_MS
+
+    def _is_bounded(self, now_ms: int) -> bool:
+        if self.frozen_demand is not None:
+            return True
+        return now_ms - self._healed_ms < 4 * WINDOW_MS
+
+    def _check_members(self, demand: Demand, now_ms: int) -> None:
+        silent = any(
+            now_ms - member.heard_ms > PEER_SILENCE_MS
+            for member in self._members_by_name.values()
+        )
+        if silent and self.frozen_demand is None:
+            self._freeze(demand, now_ms)
+        elif not silent and self.frozen_demand is not None:
+            self.frozen_demand = None
+            self._healed_ms = now_ms
+
+    def _freeze(self, demand: Demand, now_ms: int) -> None:
+        self._frozen_by_rule = {
+            rule: self.share(rule, now_ms) for rule in demand.by_rule
+        }
+        self.frozen_demand = Demand(
+            by_rule={
+                rule: (self._own.lowest(rule), 0, 0) for rule in demand.by_rule
+            }
+        )
+
+
+def pressure_of(demand: Demand, rule: str) -> int:
+    """Return the demand on a rule in requests."""
+    requests, _, open_requests = demand.by_rule.get(rule, (0, 0, 0))
+    return requests + open_requests
