--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -235,6 +235,16 @@
         summary='Registered adapter for plain services.',
     )
 )
+TARGET_TIMEOUT = _declare(
+    Option(
+        'targets',
+        'timeout',
+        1000,
+        unit='ms',
+        lowest=10,
+        summary='Longest wait for an answer that holds no request of a caller.',
+    )
+)
 LEASE_TERM = _declare(
     Option(
         'control',
@@ -285,3 +295,8 @@
         summary='Time between two writes of usage counts to the store.',
     )
 )
+
+SETTINGS.declare_order(HEARTBEAT_PERIOD, PEER_TIMEOUT)
+SETTINGS.declare_order(LEASE_MARGIN, LEASE_TERM)
+SETTINGS.declare_order(ORDER_BOUND, LEASE_TERM)
+SETTINGS.declare_order(USAGE_FLUSH_PERIOD, USAGE_WINDOW)
