--- /dev/null
+++ b/bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of processor time, memory and bytes against the system's size."""
--- /dev/null
+++ b/bench/slopes/fit.py
@@ -0,0 +1,45 @@
+"""Straight lines through measured points."""
+
+import math
+from statistics import linear_regression
+
+import msgspec
+
+
+class Point(msgspec.Struct, frozen=True):
+    """A measured value at one size."""
+
+    size: float
+    value: float
+
+
+class Line(msgspec.Struct, frozen=True):
+    """
+    A least-squares line with the standard error of its slope.
+
+    :param error: not a number below three points
+    """
+
+    slope: float
+    intercept: float
+    error: float
+
+    def at(self, size: float) -> float:
+        """Return the line's value at a size."""
+        return self.intercept + self.slope * size
+
+
+def fit(points: list[Point]) -> Line:
+    """Return the least-squares line through points."""
+    sizes = [point.size for point in points]
+    values = [point.value for point in points]
+    slope, intercept = linear_regression(sizes, values)
+    residual = sum(
+        (point.value - intercept - slope * point.size) ** 2 for point in points
+    )
+    mean = sum(sizes) / len(sizes)
+    spread = sum((size - mean) ** 2 for size in sizes)
+    freedom = len(points) - 2
+    if freedom <= 0:
+        return Line(slope, intercept, math.nan)
+    return Line(slope, intercept, math.sqrt(residual / freedom / spread))
