Let the state charts decide membership and table revisions in the mesh

The mesh's own thin decisions give way to protocol/membership.py and protocol/revision.py, so that what is model-checked is what runs. Stamps and sequence numbers of batches stay in the mesh.

--- a/cicadahoist/mesh/node.py
+++ b/cicadahoist/mesh/node.py
@@ -17,6 +17,7 @@
 from cicadahoist.mesh.view import View
 from cicadahoist.messages import (
     Batch,
+    Heartbeat,
     InstanceInfo,
     KnownInstances,
     Message,
@@ -66,7 +67,7 @@
         seeds: Iterable[str] = (),
     ) -> None:
         self.info = info
-        self.view = View(info, clock, timeout_ms)
+        self.view = View(info, timeout_ms)
         self._transport = transport
         self._clock = clock
         self._prober = Prober(address_of(info), seeds)
@@ -115,10 +116,9 @@
         self.rounds.stop()
         self._transport.stop()
 
-    def add_seeds(self, addresses: Iterable[str]) -> None:
-        """Add addresses of possible instances."""
-        for address in addresses:
-            self._prober.add(address)
+    def note_listed(self, listed: list[InstanceInfo]) -> None:
+        """Take in the platform's lagging list of instances."""
+        self.view.peers.note_listed(listed, self._clock.now_ms())
 
     def subscribe(self, message_type: type, callback: Subscriber) -> None:
         """Call back with the sender and each message of a type."""
@@ -135,8 +135,8 @@
         :return: a reading of the own clock; negative where there was none.
             Whatever that peer says last was true at some time after it.
         """
-        peer = self.view.peer(name)
-        return NEVER if peer is None else peer.echoed_ms
+        link = self.view.link(name)
+        return NEVER if link is None else link.echoed_ms
 
     def broadcast(self, message: Message) -> None:
         """Send a message to all other live instances of all zones."""
@@ -167,14 +167,13 @@
     def _accept(self, batch: Batch) -> None:
         sender = batch.sender
         is_live = self.live().get(sender.name) == sender
-        now_ms = self._clock.now_ms()
-        if not self.view.peers.accept(batch, now_ms):
+        if not self.view.peers.accept(batch):
             return
-        self.view.zones.touch(sender.zone, now_ms)
-        if not is_live:
-            self.rounds.greet(sender)
+        self.view.zones.touch(sender.zone, self._clock.now_ms())
         for message in batch.messages:
             self._dispatch(sender, message)
+        if not is_live:
+            self.rounds.greet(sender)
 
     def _dispatch(self, sender: InstanceInfo, message: Outgoing) -> None:
         if isinstance(message, Relayed):
@@ -182,6 +181,10 @@
         elif isinstance(message, KnownInstances):
             self.rounds.learn(sender, message)
         else:
+            if isinstance(message, Heartbeat):
+                self.view.peers.note_heartbeat(
+                    sender, message, self._clock.now_ms()
+                )
             self._deliver(sender, message)
 
     def _deliver(self, sender: InstanceInfo, message: Message) -> None:
--- a/cicadahoist/mesh/outbox.py
+++ b/cicadahoist/mesh/outbox.py
@@ -103,14 +103,14 @@
 
     def _post(self, address: str, name: str, messages: list[Outgoing]) -> None:
         self._sequence += 1
-        peer = self._view.peer(name)
+        link = self._view.link(name)
         batch = Batch(
             sender=self._view.info,
             sequence=self._sequence,
             messages=messages,
             sent_ms=self._clock.now_ms(),
-            echo_incarnation='' if peer is None else peer.info.incarnation,
-            echo_ms=0 if peer is None else peer.stamp_ms,
+            echo_incarnation='' if link is None else link.incarnation,
+            echo_ms=0 if link is None else link.stamp_ms,
         )
         self._transport.send(address, encode_batch(batch))
 
--- a/cicadahoist/mesh/peers.py
+++ b/cicadahoist/mesh/peers.py
@@ -1,28 +1,32 @@
 """What an instance knows of those it exchanges batches with."""
 
-from cicadahoist.messages import Batch, InstanceInfo
+from cicadahoist.messages import Batch, Heartbeat, InstanceInfo
+from cicadahoist.protocol.events import Tick
+from cicadahoist.protocol.membership import (
+    HEARD_STATES,
+    REACHABLE_STATES,
+    HeartbeatReceived,
+    Membership,
+    PeerListed,
+    PeerUnlisted,
+)
 
 NEVER = -1
 
+SILENT_STATES = frozenset(('seeded', 'silent'))
 
-class Peer:
+
+class Link:
     """
-    One instance that was heard directly.
+    Batches exchanged with one incarnation of a peer.
 
-    :param info: identity and address of its present incarnation
+    :param incarnation: the incarnation
     """
 
-    __slots__ = (
-        'echoed_ms',
-        'heard_ms',
-        'info',
-        'sequence',
-        'stamp_ms',
-    )
-
-    def __init__(self, info: InstanceInfo) -> None:
-        self.info = info
-        self.heard_ms = NEVER
+    __slots__ = ('echoed_ms', 'incarnation', 'sequence', 'stamp_ms')
+
+    def __init__(self, incarnation: str) -> None:
+        self.incarnation = incarnation
         self.sequence = NEVER
         self.stamp_ms = 0
         self.echoed_ms = NEVER
@@ -30,7 +34,7 @@
 
 class PeerSet:
     """
-    Peers by name; tells dead, cut off, one-way cut and restarted apart.
+    Peers by name: their membership state, and the batches exchanged.
 
     An incarnation that was replaced is never heard again, however late its
     messages come.
@@ -39,82 +43,100 @@
     :param timeout_ms: silence after which a peer counts as away
     """
 
-    __slots__ = ('_own', '_retired', '_timeout_ms', 'by_name')
+    __slots__ = ('_links_by_name', '_membership', '_own')
 
     def __init__(self, own: InstanceInfo, timeout_ms: int) -> None:
         self._own = own
-        self._timeout_ms = timeout_ms
-        self._retired: set[str] = set()
-        self.by_name: dict[str, Peer] = {}
+        self._membership = Membership(own, timeout_ms)
+        self._links_by_name: dict[str, Link] = {}
 
-    def accept(self, batch: Batch, now_ms: int) -> bool:
+    def accept(self, batch: Batch) -> bool:
         """
-        Note a batch.
+        Note the stamps of a batch.
 
         :return: whether it is newer than all before from the same instance
         """
         sender = batch.sender
-        if sender.incarnation in self._retired:
+        if self._is_retired(sender):
             return False
-        peer = self._peer_of(sender)
-        if batch.sequence <= peer.sequence:
+        link = self._links_by_name.get(sender.name)
+        if link is None or link.incarnation != sender.incarnation:
+            link = Link(sender.incarnation)
+            self._links_by_name[sender.name] = link
+        if batch.sequence <= link.sequence:
             return False
-        peer.sequence = batch.sequence
-        peer.heard_ms = now_ms
-        peer.stamp_ms = batch.sent_ms
+        link.sequence = batch.sequence
+        link.stamp_ms = batch.sent_ms
         if batch.echo_incarnation == self._own.incarnation:
-            peer.echoed_ms = max(peer.echoed_ms, batch.echo_ms)
+            link.echoed_ms = max(link.echoed_ms, batch.echo_ms)
         return True
 
-    def live(self, zone: str, now_ms: int) -> dict[str, InstanceInfo]:
+    def note_heartbeat(
+        self, sender: InstanceInfo, heartbeat: Heartbeat, now_ms: int
+    ) -> None:
+        """Take in the state that a peer tells."""
+        self._membership.handle(HeartbeatReceived(sender, heartbeat), now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Find the peers that went silent."""
+        self._membership.handle(Tick(), now_ms)
+
+    def note_listed(self, listed: list[InstanceInfo], now_ms: int) -> None:
+        """Take in the platform's list of instances."""
+        names = {instance.name for instance in listed}
+        for instance in listed:
+            if instance.name != self._own.name:
+                self._membership.handle(PeerListed(instance), now_ms)
+        for name in set(self._membership.peers_by_name) - names:
+            self._membership.handle(PeerUnlisted(name), now_ms)
+
+    def heard(self) -> dict[str, str]:
+        """Return the incarnations that were heard of late, by name."""
+        return self._membership.heard()
+
+    def live(self, zone: str) -> dict[str, InstanceInfo]:
         """Return the instances of a zone that were heard of late."""
-        return {
-            name: peer.info
-            for name, peer in self.by_name.items()
-            if peer.info.zone == zone and self._is_heard(peer, now_ms)
-        }
+        return self._in_states(HEARD_STATES, zone)
 
-    def reachable(self, zone: str, now_ms: int) -> dict[str, InstanceInfo]:
+    def reachable(self, zone: str) -> dict[str, InstanceInfo]:
         """Return the instances of a zone that also hear this one."""
-        return {
-            name: info
-            for name, info in self.live(zone, now_ms).items()
-            if self._hears_us(self.by_name[name], now_ms)
-        }
+        return self._in_states(REACHABLE_STATES, zone)
+
+    def not_gone(self) -> dict[str, InstanceInfo]:
+        """Return the instances that may still be running."""
+        return {each.name: each for each in self._membership.not_gone()}
 
-    def silent(self, now_ms: int) -> list[InstanceInfo]:
-        """Return the peers that were not heard of late."""
+    def silent(self) -> list[InstanceInfo]:
+        """Return the instances that are not heard but may be running."""
         return [
             peer.info
-            for peer in self.by_name.values()
-            if not self._is_heard(peer, now_ms)
+            for peer in self._membership.peers_by_name.values()
+            if peer.state in SILENT_STATES
         ]
 
-    def forget(self, silent_ms: int, now_ms: int) -> None:
-        """Remove the peers that were silent for a time."""
-        for name, peer in list(self.by_name.items()):
-            if now_ms - peer.heard_ms > silent_ms:
-                self._retired.add(peer.info.incarnation)
-                self.by_name.pop(name)
+    def find(self, name: str) -> InstanceInfo | None:
+        """Return the identity of a peer, heard of late or not."""
+        peer = self._membership.peers_by_name.get(name)
+        return None if peer is None else peer.info
 
-    def _peer_of(self, sender: InstanceInfo) -> Peer:
-        peer = self.by_name.get(sender.name)
-        if peer is None:
-            peer = Peer(sender)
-        elif peer.info.incarnation != sender.incarnation:
-            self._retired.add(peer.info.incarnation)
-            peer = Peer(sender)
-        self.by_name[sender.name] = peer
-        return peer
+    def link(self, name: str) -> Link | None:
+        """Return the batches exchanged with a peer."""
+        return self._links_by_name.get(name)
 
-    def _is_heard(self, peer: Peer, now_ms: int) -> bool:
-        return now_ms - peer.heard_ms <= self._timeout_ms
+    def _is_retired(self, sender: InstanceInfo) -> bool:
+        peer = self._membership.peers_by_name.get(sender.name)
+        return peer is not None and sender.incarnation in peer.retired
 
-    def _hears_us(self, peer: Peer, now_ms: int) -> bool:
-        heard = peer.echoed_ms != NEVER
-        return heard and now_ms - peer.echoed_ms <= self._timeout_ms
+    def _in_states(
+        self, states: frozenset[str], zone: str
+    ) -> dict[str, InstanceInfo]:
+        return {
+            name: peer.info
+            for name, peer in self._membership.peers_by_name.items()
+            if peer.state in states and peer.info.zone == zone
+        }
 
 
-def address_of(info: InstanceInfo) -> str:
+def address_of(instance: InstanceInfo) -> str:
     """Return the address under which an instance is reached."""
-    return f'{info.address}:{info.port}'
+    return f'{instance.address}:{instance.port}'
--- a/cicadahoist/mesh/replica.py
+++ b/cicadahoist/mesh/replica.py
@@ -1,4 +1,4 @@
-"""The table of one process: applies revisions in rising order only."""
+"""The table of one process: shards, and what changed between revisions."""
 
 from collections import OrderedDict
 
@@ -9,7 +9,9 @@
 
 HEADS_KEPT = 64
 
-_decode_head = msgspec.json.Decoder(Head).decode
+Encoded = dict[str, bytes]
+
+decode_head = msgspec.json.Decoder(Head).decode
 _decode_shard = msgspec.json.Decoder(Shard).decode
 
 
@@ -27,7 +29,7 @@
     def __init__(self) -> None:
         self.head = Head()
         self.table = Table.empty()
-        self._encoded_by_name: dict[str, bytes] = {}
+        self._encoded_by_name: Encoded = {}
         self._shards_by_name: dict[str, Shard] = {}
         self._heads: OrderedDict[int, Head] = OrderedDict()
 
@@ -39,18 +41,18 @@
             if name not in self._encoded_by_name
         ]
 
-    def apply(self, head: Head, encoded_by_name: dict[str, bytes]) -> bool:
+    def is_complete(self, head: Head, encoded_by_name: Encoded) -> bool:
+        """Tell whether a head's shards are known or among those given."""
+        return encoded_by_name.keys() >= set(self.missing(head))
+
+    def apply(self, head: Head, encoded_by_name: Encoded) -> None:
         """
-        Put a revision in force if it is newer and complete.
+        Put a complete revision in force.
 
         :param encoded_by_name: encoded shards that are not yet known
-        :return: whether the table changed
         """
         known = self._encoded_by_name | encoded_by_name
         needed = list(head.shards.values())
-        is_complete = all(name in known for name in needed)
-        if head.revision <= self.head.revision or not is_complete:
-            return False
         self._encoded_by_name = {name: known[name] for name in needed}
         self._shards_by_name = {name: self._shard(name) for name in needed}
         self.table = Table(head.revision, list(self._shards_by_name.values()))
@@ -58,11 +60,6 @@
         self._heads[head.revision] = head
         if len(self._heads) > HEADS_KEPT:
             self._heads.popitem(last=False)
-        return True
-
-    def apply_delta(self, delta: TableDelta) -> bool:
-        """Put the revision of a delta in force if newer and complete."""
-        return self.apply(_decode_head(delta.head), delta.shards)
 
     def delta_since(self, revision: int) -> TableDelta:
         """Return what changed since a revision, all where it is unknown."""
--- a/cicadahoist/mesh/rounds.py
+++ b/cicadahoist/mesh/rounds.py
@@ -14,7 +14,6 @@
 
 PROBE_ROUNDS = 4
 SUMMARY_ROUNDS = 10
-FORGET_MS = 600_000
 
 
 class RevisionState(msgspec.Struct, frozen=True, kw_only=True):
@@ -114,7 +113,7 @@
 
     def _expire(self) -> None:
         now_ms = self._clock.now_ms()
-        self._view.peers.forget(FORGET_MS, now_ms)
+        self._view.peers.tick(now_ms)
         self._view.zones.retain(self._view.zone_peers())
         for zone in self._view.zones.expire(self._zone_timeout_ms, now_ms):
             self._put_summary(zone)
@@ -135,7 +134,7 @@
         self._outbox.put_all(self._view.zone_peers(), summary)
 
     def _probe(self) -> None:
-        for silent in self._view.peers.silent(self._clock.now_ms()):
+        for silent in self._view.peers.silent():
             self._prober.add(address_of(silent))
         live = self._view.live().values()
         heard = {address_of(instance) for instance in live}
@@ -144,9 +143,8 @@
 
     def _heartbeat(self) -> Heartbeat:
         state = self.describe_table()
-        peers = self._view.zone_peers().values()
         return Heartbeat(
-            heard={peer.name: peer.incarnation for peer in peers},
+            heard=self._view.peers.heard(),
             revision=state.revision,
             in_force_ms=state.in_force_ms,
             confirmed_age_ms=state.confirmed_age_ms,
--- a/cicadahoist/mesh/store_follower.py
+++ b/cicadahoist/mesh/store_follower.py
@@ -3,12 +3,11 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
-import msgspec
-
 from cicadahoist.clock import Clock
 from cicadahoist.errors import StoreError
 from cicadahoist.log import get_logger
 from cicadahoist.mesh.backoff import Backoff
+from cicadahoist.mesh.replica import decode_head
 from cicadahoist.mesh.table_state import TableState
 from cicadahoist.outside.store import ABSENT, Store, Stored
 from cicadahoist.table import HEAD_NAME, Head
@@ -20,8 +19,6 @@
 RETRY_LONGEST_MS = 8000
 POLL_WAITS = 2
 
-_decode_head = msgspec.json.Decoder(Head).decode
-
 
 class StoreFollower:
     """
@@ -106,7 +103,7 @@
 
     async def _take(self, stored: Stored | None, sent_ms: int) -> None:
         if stored is not None:
-            await self._load(_decode_head(stored.payload))
+            await self._load(decode_head(stored.payload))
             self._version = stored.version
         self._state.freshness.confirm(sent_ms)
 
--- a/cicadahoist/mesh/table_peers.py
+++ b/cicadahoist/mesh/table_peers.py
@@ -1,6 +1,5 @@
 """Compares and exchanges table revisions with peers."""
 
-from cicadahoist.clock import Clock
 from cicadahoist.mesh.node import MeshNode
 from cicadahoist.mesh.table_state import TableState
 from cicadahoist.messages import (
@@ -10,8 +9,6 @@
     TableWanted,
 )
 
-REQUEST_AGAIN_MS = 250
-
 
 class TablePeers:
     """
@@ -19,17 +16,14 @@
 
     :param node: the mesh
     :param state: the table in force
-    :param clock: gives the time
     """
 
-    __slots__ = ('_clock', '_node', '_requested_ms', '_state', 'newest_heard')
+    __slots__ = ('_node', '_state', 'newest_heard')
 
-    def __init__(self, node: MeshNode, state: TableState, clock: Clock) -> None:
+    def __init__(self, node: MeshNode, state: TableState) -> None:
         self.newest_heard = 0
         self._node = node
         self._state = state
-        self._clock = clock
-        self._requested_ms = -REQUEST_AGAIN_MS
         node.subscribe(Heartbeat, self._on_heartbeat)
         node.subscribe(TableDelta, self._on_delta)
         node.subscribe(TableWanted, self._on_wanted)
@@ -42,19 +36,14 @@
     def _on_heartbeat(self, sender: InstanceInfo, heartbeat: Heartbeat) -> None:
         self.newest_heard = max(self.newest_heard, heartbeat.revision)
         if heartbeat.revision > self._state.revision:
-            self._request_from(sender)
+            if self._state.offer(heartbeat.revision, sender.name):
+                wanted = TableWanted(revision=self._state.revision)
+                self._node.send_to(sender.name, wanted)
         elif heartbeat.revision == self._state.revision:
             self._state.freshness.confirm_by_peer(
                 self._node.echoed_ms(sender.name), heartbeat.confirmed_age_ms
             )
 
-    def _request_from(self, sender: InstanceInfo) -> None:
-        now_ms = self._clock.now_ms()
-        if now_ms - self._requested_ms >= REQUEST_AGAIN_MS:
-            self._requested_ms = now_ms
-            wanted = TableWanted(revision=self._state.revision)
-            self._node.send_to(sender.name, wanted)
-
     def _on_wanted(self, sender: InstanceInfo, wanted: TableWanted) -> None:
         if wanted.revision < self._state.revision:
             delta = self._state.replica.delta_since(wanted.revision)
--- a/cicadahoist/mesh/table_state.py
+++ b/cicadahoist/mesh/table_state.py
@@ -5,9 +5,17 @@
 from cicadahoist.clock import Clock
 from cicadahoist.log import get_logger
 from cicadahoist.mesh.freshness import Freshness
-from cicadahoist.mesh.replica import Replica
+from cicadahoist.mesh.replica import Replica, decode_head
 from cicadahoist.mesh.rounds import RevisionState
 from cicadahoist.messages import TableDelta
+from cicadahoist.protocol.events import Tick
+from cicadahoist.protocol.revision import (
+    ApplyTable,
+    LoadTable,
+    RevisionOffered,
+    TableLoaded,
+    TableRevision,
+)
 from cicadahoist.table import Head, Table
 
 logger = get_logger(__name__)
@@ -26,7 +34,7 @@
 
     __slots__ = (
         '_clock',
-        '_in_force_since_ms',
+        '_decisions',
         '_listeners',
         'freshness',
         'replica',
@@ -37,7 +45,7 @@
         self.freshness = Freshness()
         self._clock = clock
         self._listeners: list[ChangeListener] = []
-        self._in_force_since_ms = 0
+        self._decisions = TableRevision()
 
     @property
     def revision(self) -> int:
@@ -48,21 +56,34 @@
         """Call back with the old and the new table on each change."""
         self._listeners.append(listener)
 
+    def offer(self, revision: int, source: str) -> bool:
+        """
+        Note that a peer has a revision.
+
+        :return: whether to ask for it now
+        """
+        now_ms = self._clock.now_ms()
+        offered = RevisionOffered(revision, source)
+        actions = self._decisions.handle(offered, now_ms)
+        actions.extend(self._decisions.handle(Tick(), now_ms))
+        return any(isinstance(action, LoadTable) for action in actions)
+
     def apply(self, head: Head, encoded_by_name: dict[str, bytes]) -> bool:
         """Put a revision in force if it is newer and complete."""
+        if not self.replica.is_complete(head, encoded_by_name):
+            return False
+        loaded = TableLoaded(head.revision)
+        actions = self._decisions.handle(loaded, self._clock.now_ms())
+        if not any(isinstance(action, ApplyTable) for action in actions):
+            return False
         old = self.replica.table
-        changed = self.replica.apply(head, encoded_by_name)
-        if changed:
-            self._notify(old)
-        return changed
+        self.replica.apply(head, encoded_by_name)
+        self._notify(old)
+        return True
 
     def apply_delta(self, delta: TableDelta) -> bool:
         """Put the revision of a delta in force if newer and complete."""
-        old = self.replica.table
-        changed = self.replica.apply_delta(delta)
-        if changed:
-            self._notify(old)
-        return changed
+        return self.apply(decode_head(delta.head), delta.shards)
 
     def describe(self) -> RevisionState:
         """Return what heartbeats tell of the table."""
@@ -72,12 +93,11 @@
             age_ms = self.freshness.age_ms(now_ms)
         return RevisionState(
             revision=self.revision,
-            in_force_ms=now_ms - self._in_force_since_ms,
+            in_force_ms=now_ms - self._decisions.in_force_since_ms,
             confirmed_age_ms=age_ms,
         )
 
     def _notify(self, old: Table) -> None:
-        self._in_force_since_ms = self._clock.now_ms()
         logger.info('table revision {0} in force', self.revision)
         for listener in self._listeners:
             listener(old, self.replica.table)
--- a/cicadahoist/mesh/table_sync.py
+++ b/cicadahoist/mesh/table_sync.py
@@ -59,7 +59,7 @@
         self._node = node
         self._clock = clock
         self._state = TableState(clock)
-        self._peers = TablePeers(node, self._state, clock)
+        self._peers = TablePeers(node, self._state)
         self._follower = StoreFollower(
             store,
             self._state,
--- a/cicadahoist/mesh/view.py
+++ b/cicadahoist/mesh/view.py
@@ -1,7 +1,6 @@
 """The live instances as one process sees them, in its own and other zones."""
 
-from cicadahoist.clock import Clock
-from cicadahoist.mesh.peers import Peer, PeerSet
+from cicadahoist.mesh.peers import Link, PeerSet
 from cicadahoist.mesh.zones import ZoneMap, gateways, linked_gateways
 from cicadahoist.messages import InstanceInfo, KnownInstances
 
@@ -11,19 +10,15 @@
     Live instances: peers heard directly, other zones by their gateways.
 
     :param info: identity of this process
-    :param clock: gives the time
     :param timeout_ms: silence after which a peer counts as away
     """
 
-    __slots__ = ('_clock', 'info', 'peers', 'zones')
+    __slots__ = ('info', 'peers', 'zones')
 
-    def __init__(
-        self, info: InstanceInfo, clock: Clock, timeout_ms: int
-    ) -> None:
+    def __init__(self, info: InstanceInfo, timeout_ms: int) -> None:
         self.info = info
         self.peers = PeerSet(info, timeout_ms)
         self.zones = ZoneMap(info.zone)
-        self._clock = clock
 
     def live(self) -> dict[str, InstanceInfo]:
         """Return the live instances of all zones by name, this one too."""
@@ -37,11 +32,11 @@
 
     def zone_peers(self) -> dict[str, InstanceInfo]:
         """Return the other live instances of the own zone by name."""
-        return self.peers.live(self.info.zone, self._clock.now_ms())
+        return self.peers.live(self.info.zone)
 
     def reachable(self) -> dict[str, InstanceInfo]:
         """Return the peers of the own zone that hear this one as well."""
-        return self.peers.reachable(self.info.zone, self._clock.now_ms())
+        return self.peers.reachable(self.info.zone)
 
     def gateways(self) -> list[str]:
         """Return the gateways of the own zone."""
@@ -64,11 +59,18 @@
             instances=list(self.zone_live().values()), zone=self.info.zone
         )
 
+    def not_gone(self) -> dict[str, InstanceInfo]:
+        """
+        Return the instances that may be running by name, this one too.
+
+        One that is silent may be paused or cut off, and go on sending.
+        """
+        return self.zones.live() | self.peers.not_gone() | self.zone_live()
+
     def find(self, name: str) -> InstanceInfo | None:
         """Return the identity of an instance of any zone."""
-        peer = self.peer(name)
-        return self.zones.live().get(name) if peer is None else peer.info
+        return self.peers.find(name) or self.zones.live().get(name)
 
-    def peer(self, name: str) -> Peer | None:
-        """Return what was heard directly from an instance."""
-        return self.peers.by_name.get(name)
+    def link(self, name: str) -> Link | None:
+        """Return the batches exchanged directly with an instance."""
+        return self.peers.link(name)
