Run unrepeatable calls under claims in the store

An entry could send a resent booking again, as nothing tied two requests with one Idempotency-Key together. The claim's chart now decides; a request that is known not to have run gives its claim back, and one whose caller left runs on so that its outcome is recorded. A request counts as possibly run from before its first byte, so that a deadline that passes while the call is under way no longer claims not-run.

--- a/cicadahoist/entry/assembly.py
+++ b/cicadahoist/entry/assembly.py
@@ -41,7 +41,7 @@
     store = STORES.get(config.read(STORE_ADAPTER)).from_config(config, reactor)
     table_sync = TableSync.from_config(config, store, node, application.clock)
     context = EntryContext.from_config(
-        config, application.clock, application.metrics, reactor
+        config, application.clock, application.metrics, store, reactor
     )
     _add_all(
         application,
--- a/cicadahoist/entry/attempts.py
+++ b/cicadahoist/entry/attempts.py
@@ -32,6 +32,7 @@
         '_context',
         '_cost',
         '_is_admitted',
+        '_ran_before',
         '_request',
         '_ticket',
         '_tried',
@@ -50,6 +51,7 @@
         self._blocks = blocks
         self._tried: set[str] = set()
         self._is_admitted = False
+        self._ran_before = False
         self._ticket = Ticket(
             request=request.billing_id,
             pool=request.grant.route.pool,
@@ -104,6 +106,8 @@
             raise self._no_target()
         self._tried.add(target.name)
         self._request.target = target.name
+        self._ran_before = self._request.may_have_run
+        self._request.may_have_run = True
         return target
 
     def first_token(self) -> None:
@@ -130,6 +134,8 @@
         )
         if is_failed and retry in _CRASH_RETRIES:
             loads.crashed(target, now_ms)
+        if retry in _NOT_RUN_RETRIES:
+            self._request.may_have_run = self._ran_before
         self._request.end_attempt()
 
     async def pause_before_retry(self, retry: Retry) -> None:
@@ -155,7 +161,7 @@
         await pause
 
     def _no_target(self) -> RequestRefusedError:
-        if self._request.was_sent:
+        if self._request.may_have_run:
             return self._failed()
         return RequestRefusedError(
             Refusal.no_target,
@@ -164,7 +170,7 @@
         )
 
     def _failed(self) -> RequestRefusedError:
-        if not self._request.was_sent:
+        if not self._request.may_have_run:
             return RequestRefusedError(
                 Refusal.no_target,
                 'no target took the connection',
--- a/cicadahoist/entry/context.py
+++ b/cicadahoist/entry/context.py
@@ -11,6 +11,7 @@
 from cicadahoist.metrics import Metrics
 from cicadahoist.outside.engine import ENGINES, EngineAdapter
 from cicadahoist.outside.service import SERVICES, ServiceAdapter
+from cicadahoist.outside.store import Store
 from cicadahoist.settings import (
     ENGINE_ADAPTER,
     INSTANCE_NAME,
@@ -37,6 +38,7 @@
     :param metrics: counters of the process
     :param engines: adapter for engines
     :param plain_services: adapter for plain services
+    :param store: the platform's store, for claims
     """
 
     __slots__ = (
@@ -49,6 +51,7 @@
         'open_requests',
         'plain_services',
         'stall_timeout_ms',
+        'store',
         'table',
         'usage_window_ms',
     )
@@ -60,7 +63,9 @@
         metrics: Metrics,
         engines: EngineAdapter,
         plain_services: ServiceAdapter,
+        store: Store,
     ) -> None:
+        self.store = store
         self.clock = clock
         self.metrics = metrics
         self.engines = engines
@@ -75,7 +80,12 @@
 
     @classmethod
     def from_config(
-        cls, config: Config, clock: Clock, metrics: Metrics, reactor: Any
+        cls,
+        config: Config,
+        clock: Clock,
+        metrics: Metrics,
+        store: Store,
+        reactor: Any,
     ) -> 'EntryContext':
         """Return the parts that the settings describe."""
         engines = ENGINES.get(config.read(ENGINE_ADAPTER))
@@ -86,6 +96,7 @@
             metrics,
             engines.from_config(config, reactor),
             plain_services.from_config(config, reactor),
+            store,
         )
 
     def use_usage(self, usage: UsageRecorder) -> None:
--- a/cicadahoist/entry/handling.py
+++ b/cicadahoist/entry/handling.py
@@ -55,7 +55,7 @@
 
 
 def _time_out(request: OpenRequest) -> None:
-    outcome = Outcome.unknown if request.was_sent else Outcome.not_run
+    outcome = Outcome.unknown if request.may_have_run else Outcome.not_run
     request.cut_off(
         RequestRefusedError(
             Refusal.timed_out, 'the deadline has passed', outcome=outcome
--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -160,11 +160,9 @@
         except NotSentError:
             return Retry.connect_failed
         except LostAfterSendError:
-            self._request.was_sent = True
             return Retry.stream_broken
         finally:
             watch.stop()
-        self._request.was_sent = True
         return await self._relay(target, response)
 
     async def _relay(
--- a/cicadahoist/entry/open_requests.py
+++ b/cicadahoist/entry/open_requests.py
@@ -14,6 +14,10 @@
     """
     One open request.
 
+    ``may_have_run`` tells whether a byte of it may have reached a target.
+    ``outlives_caller`` keeps it running when its caller is gone, so that its
+    outcome gets recorded.
+
     :param caller: who asked
     :param grant: the right under which it runs
     """
@@ -24,9 +28,10 @@
         'billing_id',
         'caller',
         'grant',
+        'may_have_run',
+        'outlives_caller',
         'refused',
         'target',
-        'was_sent',
     )
 
     def __init__(self, caller: CallerRequest, grant: Grant) -> None:
@@ -35,15 +40,16 @@
         self.billing_id = new_nonce()
         self.attempt = ''
         self.target = ''
-        self.was_sent = False
+        self.may_have_run = False
+        self.outlives_caller = False
         self.refused: RequestRefusedError | None = None
         self._stop: Callable[[], None] | None = None
-        caller.on_gone(self._stop_attempt)
+        caller.on_gone(self._abandon)
 
     @property
     def is_over(self) -> bool:
         """Whether no further attempt is wanted."""
-        return self.refused is not None or self.caller.gone
+        return self.refused is not None or self._is_abandoned
 
     def new_attempt(self) -> str:
         """Return the identifier of a new attempt."""
@@ -67,6 +73,14 @@
             self.refused = refused
             self._stop_attempt()
 
+    @property
+    def _is_abandoned(self) -> bool:
+        return self.caller.gone and not self.outlives_caller
+
+    def _abandon(self) -> None:
+        if not self.outlives_caller:
+            self._stop_attempt()
+
     def _stop_attempt(self) -> None:
         if self._stop is not None:
             self._stop()
--- a/cicadahoist/entry/service_handler.py
+++ b/cicadahoist/entry/service_handler.py
@@ -2,17 +2,20 @@
 
 from typing import Any
 
+import msgspec
 from twisted.internet.defer import Deferred
 
 from cicadahoist.entry.attempts import Attempts
 from cicadahoist.entry.auth import authorize
 from cicadahoist.entry.caller import IDEMPOTENCY_HEADER, CallerRequest
+from cicadahoist.entry.claim_runner import ClaimRunner, claim_object
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.handling import answer_or_refuse, run_open
 from cicadahoist.entry.open_requests import OpenRequest
+from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.errors import LostAfterSendError, NotSentError
 from cicadahoist.policy.cost import Cost
-from cicadahoist.reasons import Retry
+from cicadahoist.reasons import Refusal, Retry
 from cicadahoist.table import RouteKind, Target
 
 SERVICES_PATH = '/services/'
@@ -35,17 +38,12 @@
 )
 
 
-class ServiceAnswer:
-    """A whole answer of a service."""
+class ServiceAnswer(msgspec.Struct, frozen=True):
+    """A whole answer of a service, as it is recorded in a claim."""
 
-    __slots__ = ('body', 'headers', 'status')
-
-    def __init__(
-        self, status: int, headers: dict[str, str], body: bytes
-    ) -> None:
-        self.status = status
-        self.headers = headers
-        self.body = body
+    status: int
+    headers: dict[str, str]
+    body: bytes
 
 
 class ServiceHandler:
@@ -94,7 +92,7 @@
         """Make attempts until one is answered."""
         await self._attempts.admit()
         try:
-            answer = await self._answered()
+            answer = await self._answered_once()
         finally:
             self._attempts.end(0)
         if answer is not None:
@@ -102,6 +100,31 @@
                 answer.status, answer.headers, answer.body
             )
 
+    async def _answered_once(self) -> ServiceAnswer | None:
+        """Answer under a claim where the call may not be repeated."""
+        key = self._request.caller.idempotency_key
+        if self._request.grant.route.repeatable or not key:
+            return await self._answered()
+        self._request.outlives_caller = True
+        grant = self._request.grant
+        caller = self._request.caller
+        runner = ClaimRunner.for_request(
+            self._context.store,
+            self._context.clock,
+            claim_object(grant.workspace, grant.route.name, key),
+            f'{caller.method} {self._path}\n'.encode() + caller.body,
+            self._encoded_answer,
+        )
+        return msgspec.json.decode(await runner.outcome(), type=ServiceAnswer)
+
+    async def _encoded_answer(self) -> bytes:
+        answer = await self._answered()
+        if answer is None:
+            raise self._request.refused or RequestRefusedError(
+                Refusal.target_lost, 'the caller is gone'
+            )
+        return msgspec.json.encode(answer)
+
     async def _answered(self) -> ServiceAnswer | None:
         while not self._attempts.is_over:
             target = self._attempts.begin()
@@ -113,7 +136,6 @@
             except NotSentError:
                 self._attempts.finish(0, retry)
             except LostAfterSendError:
-                self._request.was_sent = True
                 retry = Retry.stream_broken
                 self._attempts.finish(0, retry)
             await self._attempts.pause_before_retry(retry)
@@ -130,7 +152,6 @@
             caller.body,
             repeatable=self._request.grant.route.repeatable,
         )
-        self._request.was_sent = True
         self._attempts.first_token()
         body = await response.read_body()
         self._attempts.finish(0, None)
