Test the adapters against the stand-ins over loopback

An engine asked to resume after the last token now only ends the answer; a slow service runs a call although its caller has gone.

--- a/cicadahoist/cmd/standin.py
+++ b/cicadahoist/cmd/standin.py
@@ -33,7 +33,7 @@
 ) -> None:
     """Versioned objects with conditional updates and watches."""
     model = ObjectModel(seed, writes_per_s, reads_per_s)
-    _serve(lambda clock: StoreServer(model, clock).app, port)
+    _serve(lambda clock, _: StoreServer(model, clock).app, port)
 
 
 @app.command()
@@ -69,13 +69,18 @@
             max_running=max_running,
         ),
     )
-    _serve(lambda clock: EngineServer(Engine(options, clock), clock).app, port)
+    _serve(
+        lambda clock, reactor: (
+            EngineServer(Engine(options, clock), clock, reactor).app
+        ),
+        port,
+    )
 
 
 @app.command()
 def service(port: Port = 0, name: Name = 'service-1') -> None:
     """One instance of a plain service."""
-    _serve(lambda clock: ServiceServer(name, clock).app, port)
+    _serve(lambda clock, _: ServiceServer(name, clock).app, port)
 
 
 def main() -> None:
@@ -88,7 +93,7 @@
 
     reactor: Any = installed
     configure_logging('text', 'INFO')
-    web: WebApp = build(Clock.from_reactor(reactor))
+    web: WebApp = build(Clock.from_reactor(reactor), reactor)
     listening = web.listen(reactor, port)
     typer.echo(f'ready {listening.getHost().port}')
     reactor.run()
--- a/cicadahoist/standin/engine.py
+++ b/cicadahoist/standin/engine.py
@@ -87,6 +87,11 @@
         self._report = self._snapshot()
         self._report_ms = clock.now_ms()
 
+    @property
+    def prefilled_tokens(self) -> int:
+        """Prompt tokens that were processed and not found in a cache."""
+        return self._batch.prefilled_tokens
+
     def start(
         self,
         body: CompletionBody,
@@ -113,8 +118,11 @@
             emit=emit,
         )
         self.attempts[attempt] += 1
-        self.cache.store(blocks, self._clock.now_ms())
         self._keep(job)
+        if job.emitted >= job.limit:
+            job.state = JobState.finished
+            return job
+        self.cache.store(blocks, self._clock.now_ms())
         self._batch.add(job)
         self._wake()
         return job
--- a/cicadahoist/standin/engine_answers.py
+++ b/cicadahoist/standin/engine_answers.py
@@ -125,6 +125,14 @@
             f'{self._close},"finish_reason":{reason}}}]}}\n\n'
         ).encode()
 
+    def end_chunk(self, job: Job) -> bytes:
+        """Return the event of an answer that had all tokens already."""
+        part = '"delta":{}' if self._chat else '"text":""'
+        return (
+            f'{self._open}{job.emitted},"tokens":0,"choices":[{{"index":0,'
+            f'{part},"finish_reason":"length"}}]}}\n\n'
+        ).encode()
+
     def tail(self, job: Job) -> bytes:
         """Return what follows the last token of a stream."""
         if not self._wants_usage:
--- a/cicadahoist/standin/engine_batch.py
+++ b/cicadahoist/standin/engine_batch.py
@@ -113,12 +113,14 @@
         '_prefilling',
         '_queue',
         'kv_used',
+        'prefilled_tokens',
         'role',
     )
 
     def __init__(self, limits: EngineLimits) -> None:
         self.role = 'mixed'
         self.kv_used = 0
+        self.prefilled_tokens = 0
         self._limits = limits
         self._number = 0
         self._queue: list[Job] = []
@@ -187,6 +189,7 @@
             taken = min(left, job.prefill_left)
             job.prefill_left -= taken
             left -= taken
+            self.prefilled_tokens += taken
             if job.prefill_left:
                 return
             self._prefilling.pop(0)
--- a/cicadahoist/standin/engine_completions.py
+++ b/cicadahoist/standin/engine_completions.py
@@ -12,6 +12,7 @@
 )
 from cicadahoist.standin.engine import Engine
 from cicadahoist.standin.engine_answers import AnswerForm, CompletionBody
+from cicadahoist.standin.engine_batch import JobState
 from cicadahoist.standin.engine_faults import EngineFaults
 from cicadahoist.standin.engine_stream import OpenAnswer
 from cicadahoist.standin.seen import SeenCalls
@@ -93,6 +94,8 @@
         priority = int(request.getHeader('X-Priority') or DEFAULT_PRIORITY)
         emit = self._faults.emitter(body.text, opened.emit)
         job = self._engine.start(body, attempt, priority, emit)
+        if job.state is JobState.finished:
+            opened.finish_at_once(job)
         opened.done.addBoth(self._ended, job.attempt)
         return await opened.done
 
--- a/cicadahoist/standin/engine_server.py
+++ b/cicadahoist/standin/engine_server.py
@@ -3,9 +3,9 @@
 from typing import Any
 
 import msgspec
-import treq
 
 from cicadahoist.clock import Clock
+from cicadahoist.errors import TargetError
 from cicadahoist.outside.engine import EngineOrder
 from cicadahoist.outside.http import (
     HTTP_BAD_GATEWAY,
@@ -14,6 +14,7 @@
     HTTP_LOCKED,
     HTTP_NOT_FOUND,
     HTTP_OK,
+    HttpClient,
 )
 from cicadahoist.standin.engine import Engine
 from cicadahoist.standin.engine_completions import EngineCompletions
@@ -23,6 +24,8 @@
 from cicadahoist.standin.seen import SeenCall, SeenCalls
 from cicadahoist.standin.web import WebApp, answer, argument, read_body, refuse
 
+FETCH_MS = 1000
+
 
 class EngineSeen(msgspec.Struct, frozen=True):
     """
@@ -71,13 +74,23 @@
     :param engine: the engine
     """
 
-    __slots__ = ('_completions', '_engine', '_seen_calls', 'app')
+    __slots__ = (
+        '_completions',
+        '_engine',
+        '_peers',
+        '_seen_calls',
+        'app',
+        'faults',
+    )
 
-    def __init__(self, engine: Engine, clock: Clock) -> None:
+    def __init__(self, engine: Engine, clock: Clock, reactor: Any) -> None:
         self._engine = engine
-        faults = EngineFaults(engine, clock)
+        self.faults = EngineFaults(engine, clock)
         self._seen_calls = SeenCalls()
-        self._completions = EngineCompletions(engine, faults, self._seen_calls)
+        self._peers = HttpClient(reactor, FETCH_MS, reuse=False)
+        self._completions = EngineCompletions(
+            engine, self.faults, self._seen_calls
+        )
         self.app = WebApp()
         self._completions.add_routes(self.app)
         add = self.app.add
@@ -92,7 +105,17 @@
         add('POST', '/orders', self._order)
         add('GET', '/healthz', self._health)
         add('GET', '/standin/seen', self._seen)
-        add('POST', '/standin/fault', serve_fault(faults.apply))
+        add('POST', '/standin/fault', serve_fault(self.faults.apply))
+
+    def seen(self) -> EngineSeen:
+        """Return what the engine saw."""
+        engine = self._engine
+        return EngineSeen(
+            self._seen_calls.calls,
+            dict(engine.attempts),
+            engine.orders.counts,
+            engine.cut_by_order,
+        )
 
     def _state(self, request: Any, attempt: str) -> bytes:
         return answer(request, self._engine.state(attempt))
@@ -120,12 +143,13 @@
         wanted = msgspec.json.decode(read_body(request), type=KvImport)
         url = f'{wanted.source}/kv/{wanted.handle}'
         try:
-            fetched = await treq.get(url, timeout=1)
-        except Exception as error:  # noqa: BLE001
-            return refuse(request, HTTP_BAD_GATEWAY, repr(error))
-        if fetched.code != HTTP_OK:
+            fetched = await self._peers.call('GET', url, timeout_ms=FETCH_MS)
+            content = await fetched.read_body(FETCH_MS)
+        except TargetError as error:
+            return refuse(request, HTTP_BAD_GATEWAY, str(error))
+        if fetched.status != HTTP_OK:
             return refuse(request, HTTP_NOT_FOUND, 'no such handle')
-        kept = msgspec.json.decode(await treq.content(fetched), type=KvContent)
+        kept = msgspec.json.decode(content, type=KvContent)
         self._engine.handles.keep(wanted.handle, kept.digest)
         return answer(request, KvHandle(wanted.handle))
 
@@ -158,13 +182,4 @@
         return b'ok'
 
     def _seen(self, request: Any) -> bytes:
-        engine = self._engine
-        return answer(
-            request,
-            EngineSeen(
-                self._seen_calls.calls,
-                dict(engine.attempts),
-                engine.orders.counts,
-                engine.cut_by_order,
-            ),
-        )
+        return answer(request, self.seen())
--- a/cicadahoist/standin/engine_stream.py
+++ b/cicadahoist/standin/engine_stream.py
@@ -49,6 +49,12 @@
             if not self._cut_left:
                 self.cut()
 
+    def finish_at_once(self, job: Job) -> None:
+        """End an answer of which the caller has all tokens."""
+        if self._streamed:
+            self._request.write(self._form.end_chunk(job))
+        self.finish(job)
+
     def finish(self, job: Job) -> None:
         """Write what follows the last token."""
         end = self._form.tail if self._streamed else self._form.whole
--- a/cicadahoist/standin/service.py
+++ b/cicadahoist/standin/service.py
@@ -1,6 +1,7 @@
 """Plain-service stand-in over HTTP."""
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -23,6 +24,7 @@
     'lose-answer',
     'silent',
 )
+UNANSWERED = frozenset(('lose-answer', 'silent', 'die-after'))
 
 
 class ServiceSeen(msgspec.Struct, frozen=True):
@@ -64,12 +66,14 @@
         '_runs',
         '_seen_calls',
         'app',
+        'crash',
     )
 
     def __init__(self, name: str, clock: Clock) -> None:
         self._name = name
         self._clock = clock
         self._fault = NO_FAULT
+        self.crash: Callable[[], None] = crash
         self._runs = 0
         self._by_key: Counter[str] = Counter()
         self._by_body: Counter[str] = Counter()
@@ -94,23 +98,37 @@
             )
         self._fault = fault
 
+    def seen(self) -> ServiceSeen:
+        """Return what the service saw and ran."""
+        return ServiceSeen(
+            self._seen_calls.calls, dict(self._by_key), dict(self._by_body)
+        )
+
     async def _call(self, request: Any, path: str = '') -> bytes:
         self._seen_calls.add(request)
         body = read_body(request)
-        kind = self._fault.kind
-        if kind == 'slow':
-            await self._clock.sleep(self._fault.delay_ms)
-        if kind == 'die-before':
-            crash()
-        run = self._run(request, path, body)
-        if kind == 'die-after':
-            crash()
-        if kind == 'lose-answer':
+        done: Deferred[bytes] = Deferred()
+        if self._fault.kind == 'slow':
+            # The call runs also when the caller has gone in the meantime.
+            self._clock.call_later(
+                self._fault.delay_ms, self._settle, done, request, path, body
+            )
+        else:
+            self._settle(done, request, path, body)
+        return await done
+
+    def _settle(
+        self, done: 'Deferred[bytes]', request: Any, path: str, body: bytes
+    ) -> None:
+        if self._fault.kind == 'die-before':
+            self.crash()
+        ran = self._run(request, path, body)
+        if self._fault.kind == 'die-after':
+            self.crash()
+        if self._fault.kind == 'lose-answer':
             abort(request)
-            await Deferred()
-        if kind == 'silent':
-            await Deferred()
-        return run
+        if self._fault.kind not in UNANSWERED and not done.called:
+            done.callback(ran)
 
     def _run(self, request: Any, path: str, body: bytes) -> bytes:
         self._runs += 1
@@ -133,9 +151,4 @@
         return b'ok'
 
     def _seen(self, request: Any) -> bytes:
-        return answer(
-            request,
-            ServiceSeen(
-                self._seen_calls.calls, dict(self._by_key), dict(self._by_body)
-            ),
-        )
+        return answer(request, self.seen())
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -30,9 +30,14 @@
         adapter = implementation.from_config(
             Config.from_values(**settings), reactor
         )
-        self.addCleanup(adapter.close)
+        self.addCleanup(self.close, adapter)
         return adapter
 
+    async def close(self, adapter):
+        """Close an adapter once its last connection is back in its pool."""
+        await self.clock.sleep(0)
+        await adapter.close()
+
     async def until(self, condition):
         """Wait for a condition; the test's timeout bounds it."""
         while not condition():
