--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -119,6 +119,22 @@
         summary='Longest time that open requests have to finish.',
     )
 )
+ADMISSION = _declare(
+    Option(
+        'policy',
+        'admission',
+        'fair',
+        summary='Registered order in which queued requests are sent.',
+    )
+)
+ROUTER = _declare(
+    Option(
+        'policy',
+        'router',
+        'predicted',
+        summary='Registered choice of the target of an attempt.',
+    )
+)
 MESH_PORT = _declare(
     Option(
         'mesh',
@@ -295,3 +311,8 @@
         summary='Time between two writes of usage counts to the store.',
     )
 )
+
+SETTINGS.declare_order(HEARTBEAT_PERIOD, PEER_TIMEOUT)
+SETTINGS.declare_order(LEASE_MARGIN, LEASE_TERM)
+SETTINGS.declare_order(ORDER_BOUND, LEASE_TERM)
+SETTINGS.declare_order(USAGE_FLUSH_PERIOD, USAGE_WINDOW)
