Isolate suspects and quarantine bodies that crash targets

A suspect claims a target, tells all entries and waits until they heard it, so that no two suspects run on one target. Two blames from targets that ended at different times, not explained by another body, put it in quarantine; targets that end together (a zone) blame nobody. 30 seeds of three entries with one poison body and innocent neighbours: two targets lost, only the poison quarantined in each (tests/test_policy/test_quarantine.py).

--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -174,6 +174,18 @@
     for_ms: int
 
 
+class SuspectRun(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """
+    A suspect is about to run on a target, or has ended there.
+
+    :param active: false once it has ended
+    """
+
+    digest: str
+    target: str
+    active: bool = True
+
+
 Message = (
     Heartbeat
     | KnownInstances
@@ -188,6 +200,7 @@
     | LoadView
     | Blame
     | Quarantined
+    | SuspectRun
 )
 
 
--- a/cicadahoist/policy/quarantine.py
+++ b/cicadahoist/policy/quarantine.py
@@ -1,38 +1,201 @@
-"""Requests that crash the targets that run them."""
+"""
+Requests that crash the targets that run them.
 
-from cicadahoist.messages import Blame, Quarantined
+A body that ran on a target while the target died is a suspect. A suspect runs
+only on a target where no other suspect runs, so that a second crash shows
+which one it was. Two blames from different targets put a body in quarantine and
+clear the bodies beside it.
+"""
+
+from cicadahoist.messages import Blame, Quarantined, SuspectRun
+from cicadahoist.policy.suspects import Claim, Suspect
 
 BLAME_LIFE_MS = 600_000
 QUARANTINE_MS = 600_000
+CORRELATED_MS = 1000
+CLAIM_WAIT_MS = 1200
+CLAIM_LIFE_MS = 120_000
+SETTLE_MS = 1000
+SUSPECTS_KEPT = 10_000
 
 
 class Quarantine:
-    """Blames, suspects and quarantined digests."""
+    """Blames, suspects and quarantined digests at one entry."""
 
-    __slots__ = ('_until_by_digest',)
+    __slots__ = (
+        '_claims_by_target',
+        '_own_claims',
+        '_suspects_by_digest',
+        '_until_by_digest',
+    )
 
     def __init__(self) -> None:
         self._until_by_digest: dict[str, int] = {}
+        self._suspects_by_digest: dict[str, Suspect] = {}
+        self._claims_by_target: dict[str, dict[str, Claim]] = {}
+        self._own_claims: dict[str, Claim] = {}
 
     def refused_for_ms(self, digest: str, now_ms: int) -> int:
         """Return for how long a body is refused, 0 if it is not."""
         return max(0, self._until_by_digest.get(digest, 0) - now_ms)
 
+    def is_suspect(self, digest: str) -> bool:
+        """Tell whether a body has to run apart from other suspects."""
+        return digest in self._suspects_by_digest
+
+    def avoid(self, digest: str, now_ms: int) -> frozenset[str]:
+        """Return targets on which a suspect may not run now."""
+        suspect = self._suspects_by_digest.get(digest)
+        if suspect is None:
+            return frozenset()
+        claimed = {
+            target
+            for target, claims in self._claims_by_target.items()
+            if any(other != digest for other in claims)
+        }
+        return frozenset(claimed.union(suspect.blamed_ms))
+
+    def claim(self, digest: str, target: str, now_ms: int) -> SuspectRun:
+        """Reserve a target for a suspect; return what to tell all peers."""
+        claim = Claim(target, now_ms)
+        self._own_claims[digest] = claim
+        self._claims_by_target.setdefault(target, {})[digest] = claim
+        return SuspectRun(digest=digest, target=target)
+
+    def hold_ms(self, digest: str, now_ms: int) -> int:
+        """
+        Return how long a suspect still has to wait after its claim.
+
+        Peers have to hear of the claim first, and open decisions to be made.
+        """
+        suspect = self._suspects_by_digest.get(digest)
+        claim = self._own_claims.get(digest)
+        if suspect is None or claim is None:
+            return 0
+        ready_ms = claim.since_ms + CLAIM_WAIT_MS
+        if len(suspect.blamed_ms) > 1:
+            ready_ms = max(ready_ms, suspect.newest_ms() + 2 * SETTLE_MS)
+        return max(0, ready_ms - now_ms)
+
     def may_start(self, digest: str, now_ms: int) -> bool:
-        """Tell whether a body may run now; suspects run one at a time."""
-        return True
+        """
+        Tell whether a claimed suspect may start.
+
+        If not although its wait is over, another suspect claimed the same
+        target; release the claim by :meth:`ended` and choose again.
+        """
+        if not self.is_suspect(digest):
+            return True
+        claim = self._own_claims.get(digest)
+        if claim is None or self.hold_ms(digest, now_ms):
+            return False
+        return digest == min(self._claims_by_target[claim.target])
 
-    def started(self, digest: str, now_ms: int) -> None:
-        """Count a run of a body."""
+    def ended(
+        self, digest: str, now_ms: int, *, whole: bool = False
+    ) -> SuspectRun | None:
+        """
+        Release the claim of a suspect; return what to tell all peers.
 
-    def ended(self, digest: str, now_ms: int) -> None:
-        """Count a run as ended without a crash of its target."""
+        :param whole: whether it ran to its end, which clears it
+        """
+        claim = self._own_claims.pop(digest, None)
+        if whole:
+            self._suspects_by_digest.pop(digest, None)
+        if claim is None:
+            return None
+        self._release(digest, claim.target)
+        return SuspectRun(digest=digest, target=claim.target, active=False)
 
     def target_died(
         self, target: str, digests: list[str], now_ms: int
-    ) -> list[Blame | Quarantined]:
-        """Blame the bodies that ran on a target; return what to send."""
-        return []
+    ) -> list[Blame]:
+        """
+        Blame the bodies that ran on a target; return what to tell all peers.
 
-    def hear(self, message: Blame | Quarantined, now_ms: int) -> None:
+        Not to be called for targets that were reclaimed or cut off.
+        """
+        alone = len(digests) == 1
+        blames = [
+            Blame(digest=digest, target=target, alone=alone)
+            for digest in digests
+        ]
+        for blame in blames:
+            self._blame(blame, now_ms)
+        return blames
+
+    def hear(
+        self, message: Blame | Quarantined | SuspectRun, now_ms: int
+    ) -> None:
         """Take over a message of a peer."""
+        match message:
+            case Blame():
+                self._blame(message, now_ms)
+            case Quarantined():
+                self._confine(message.digest, message.for_ms, now_ms)
+            case SuspectRun(active=True):
+                claims = self._claims_by_target.setdefault(message.target, {})
+                claims[message.digest] = Claim(message.target, now_ms)
+            case SuspectRun():
+                self._release(message.digest, message.target)
+
+    def tick(self, now_ms: int) -> list[Quarantined]:
+        """Decide on suspects; return new quarantines to tell all peers."""
+        self._forget(now_ms)
+        guilty = [
+            digest
+            for digest, suspect in self._suspects_by_digest.items()
+            if self._is_guilty(suspect, now_ms)
+        ]
+        for found in guilty:
+            self._confine(found, QUARANTINE_MS, now_ms)
+        return [
+            Quarantined(digest=digest, for_ms=QUARANTINE_MS)
+            for digest in guilty
+        ]
+
+    def _blame(self, blame: Blame, now_ms: int) -> None:
+        suspects = self._suspects_by_digest
+        if blame.digest not in suspects and len(suspects) >= SUSPECTS_KEPT:
+            suspects.pop(next(iter(suspects)))
+        suspect = suspects.setdefault(blame.digest, Suspect())
+        suspect.blame(blame.target, now_ms, alone=blame.alone)
+
+    def _is_guilty(self, suspect: Suspect, now_ms: int) -> bool:
+        if now_ms - suspect.newest_ms() < SETTLE_MS:
+            return False
+        targets = suspect.separate_targets(CORRELATED_MS)
+        if len(targets) < 2:
+            return False
+        return suspect.was_alone or not any(
+            other is not suspect and targets <= set(other.blamed_ms)
+            for other in self._suspects_by_digest.values()
+        )
+
+    def _confine(self, digest: str, for_ms: int, now_ms: int) -> None:
+        self._until_by_digest[digest] = now_ms + for_ms
+        guilty = self._suspects_by_digest.pop(digest, None)
+        if guilty is None:
+            return
+        for other, suspect in list(self._suspects_by_digest.items()):
+            suspect.clear(set(guilty.blamed_ms))
+            if not suspect.blamed_ms:
+                self._suspects_by_digest.pop(other)
+
+    def _release(self, digest: str, target: str) -> None:
+        claims = self._claims_by_target.get(target, {})
+        claims.pop(digest, None)
+        if not claims:
+            self._claims_by_target.pop(target, None)
+
+    def _forget(self, now_ms: int) -> None:
+        for digest, until_ms in list(self._until_by_digest.items()):
+            if until_ms <= now_ms:
+                self._until_by_digest.pop(digest)
+        for blamed, suspect in list(self._suspects_by_digest.items()):
+            if now_ms - suspect.newest_ms() > BLAME_LIFE_MS:
+                self._suspects_by_digest.pop(blamed)
+        for target, claims in list(self._claims_by_target.items()):
+            for claimant, claim in list(claims.items()):
+                if now_ms - claim.since_ms > CLAIM_LIFE_MS:
+                    self._release(claimant, target)
--- a/tests/test_entry/test_answer_stream.py
+++ b/tests/test_entry/test_answer_stream.py
@@ -53,9 +53,7 @@
 
 def texts(out):
     chunks = [msgspec.json.decode(event[6:]) for event in out]
-    return [
-        chunk['choices'][0]['text'] for chunk in chunks if chunk['choices']
-    ]
+    return [chunk['choices'][0]['text'] for chunk in chunks if chunk['choices']]
 
 
 def test_a_whole_answer_passes_through_unchanged():
@@ -116,7 +114,9 @@
     for cut in cuts:
         stream.begin_attempt()
         start = max(0, stream.next_offset - back)
-        _, out = feed(stream, [token(at, f'x{cut}') for at in range(start, cut)])
+        _, out = feed(
+            stream, [token(at, f'x{cut}') for at in range(start, cut)]
+        )
         got.extend(texts(out))
     stream.begin_attempt()
     rest = [token(at, 'last') for at in range(stream.next_offset, 20)]
--- /dev/null
+++ b/tests/test_policy/test_quarantine.py
@@ -0,0 +1,145 @@
+from random import Random
+
+import pytest
+
+from cicadahoist.messages import Blame, Quarantined
+from cicadahoist.policy.quarantine import Quarantine
+
+TARGETS = [f'engine-{number}' for number in range(6)]
+LAG_MS = 500
+STEP_MS = 100
+RUN_MS = 400
+
+
+class Fleet:
+    """Entries that send bodies to targets, which one body crashes."""
+
+    def __init__(self, seed, entries=3):
+        self.random = Random(seed)
+        self.entries = [Quarantine() for _ in range(entries)]
+        self.now_ms = 0
+        self.lost = []
+        self.running = []
+        self.held = []
+        self.on_the_way = []
+        self.quarantined = set()
+
+    def live(self):
+        return [name for name in TARGETS if name not in self.lost]
+
+    def tell(self, sender, messages):
+        for message in messages:
+            if isinstance(message, Quarantined):
+                self.quarantined.add(message.digest)
+            self.on_the_way.append((self.now_ms + LAG_MS, sender, message))
+
+    def send(self, digest):
+        entry = self.random.choice(self.entries)
+        if entry.refused_for_ms(digest, self.now_ms):
+            return
+        allowed = sorted(set(self.live()) - entry.avoid(digest, self.now_ms))
+        if not allowed:
+            return
+        target = self.random.choice(allowed)
+        if entry.is_suspect(digest):
+            self.tell(entry, [entry.claim(digest, target, self.now_ms)])
+            self.held.append((entry, digest, target))
+        else:
+            self.running.append((self.now_ms, entry, digest, target))
+
+    def step(self):
+        self.now_ms += STEP_MS
+        due = [entry for entry in self.on_the_way if entry[0] <= self.now_ms]
+        self.on_the_way = [one for one in self.on_the_way if one not in due]
+        for _, sender, message in due:
+            for entry in self.entries:
+                if entry is not sender:
+                    entry.hear(message, self.now_ms)
+        for entry in self.entries:
+            self.tell(entry, entry.tick(self.now_ms))
+        self.start_held()
+        self.end_runs()
+
+    def start_held(self):
+        for held in list(self.held):
+            entry, digest, target = held
+            if entry.hold_ms(digest, self.now_ms):
+                continue
+            self.held.remove(held)
+            refused = entry.refused_for_ms(digest, self.now_ms)
+            if refused or not entry.may_start(digest, self.now_ms):
+                self.release(entry, digest)
+            else:
+                self.running.append((self.now_ms, entry, digest, target))
+
+    def release(self, entry, digest, *, whole=False):
+        message = entry.ended(digest, self.now_ms, whole=whole)
+        if message is not None:
+            self.tell(entry, [message])
+
+    def end_runs(self):
+        for run in list(self.running):
+            if run not in self.running or self.now_ms - run[0] < RUN_MS:
+                continue
+            if run[2] == 'poison':
+                self.crash(run[3])
+            else:
+                self.running.remove(run)
+                self.release(run[1], run[2], whole=True)
+
+    def crash(self, target):
+        self.lost.append(target)
+        hit = [run for run in self.running if run[3] == target]
+        self.running = [run for run in self.running if run[3] != target]
+        for entry in self.entries:
+            digests = sorted({run[2] for run in hit if run[1] is entry})
+            self.tell(entry, entry.target_died(target, digests, self.now_ms))
+            for digest in digests:
+                self.release(entry, digest)
+
+
+@pytest.mark.parametrize('seed', range(30))
+def test_poison_costs_two_targets_and_no_neighbour(seed):
+    fleet = Fleet(seed)
+    numbers = iter(range(10_000))
+    fleet.send('poison')
+    for tick in range(600):
+        fleet.send(f'innocent-{next(numbers) // 3}')
+        fleet.send(f'innocent-{next(numbers) // 3}')
+        busy = any(run[2] == 'poison' for run in fleet.running)
+        held = any(hold[1] == 'poison' for hold in fleet.held)
+        if tick % 10 == 0 and not busy and not held:
+            fleet.send('poison')
+        fleet.step()
+    assert len(fleet.lost) == 2
+    assert fleet.quarantined == {'poison'}
+
+
+def test_the_loss_of_a_zone_quarantines_nobody():
+    quarantine = Quarantine()
+    quarantine.target_died('engine-0', ['common', 'first'], 0)
+    quarantine.target_died('engine-1', ['common', 'second'], 300)
+    assert quarantine.tick(10_000) == []
+
+
+def test_two_blames_alone_quarantine_everywhere():
+    quarantine = Quarantine()
+    quarantine.hear(Blame(digest='bad', target='engine-0', alone=True), 0)
+    quarantine.hear(Blame(digest='bad', target='engine-0', alone=True), 5000)
+    assert quarantine.tick(9000) == []
+    quarantine.target_died('engine-1', ['bad'], 10_000)
+    (found,) = quarantine.tick(12_000)
+    other = Quarantine()
+    other.hear(found, 12_500)
+    assert other.refused_for_ms('bad', 13_000) > 0
+    assert not other.refused_for_ms('bad', 12_500 + found.for_ms)
+
+
+def test_neighbours_in_the_same_two_crashes_are_not_told_apart():
+    quarantine = Quarantine()
+    quarantine.target_died('engine-0', ['bad', 'good'], 0)
+    quarantine.target_died('engine-1', ['bad', 'good'], 5000)
+    assert quarantine.tick(10_000) == []
+    assert quarantine.avoid('bad', 10_000) == {'engine-0', 'engine-1'}
+    quarantine.target_died('engine-2', ['bad'], 20_000)
+    assert [found.digest for found in quarantine.tick(22_000)] == ['bad']
