--- a/cicadahoist/config.py
+++ b/cicadahoist/config.py
@@ -269,17 +269,3 @@
     float: float,
     bool: _parse_boolean,
 }
-
-
-def render_defaults(options: OptionSet) -> str:
-    """Return an INI file with every option at its default, explained."""
-    lines = []
-    section = ''
-    for option in options:
-        if option.section != section:
-            section = option.section
-            lines.append(f'[{section}]')
-        unit = f' Unit: {option.unit}.' if option.unit else ''
-        lines.append(f'# {option.summary}{unit}')
-        lines.append(f'{option.key} = {option.default}')
-    return '\n'.join(lines) + '\n'
