Add the usage ledger: counts at two peers before an answer ends

Counts are numbered by their entry, and the record in the store says which numbers it includes, so that the entry and any number of adopting peers can write it by conditional updates and each count is added once.

UsageCount gets a number; UsageFlushed now carries window and highest number in place of a list of requests, so that a lost one is made up for by the next.

--- a/cicadahoist/mesh/store_follower.py
+++ b/cicadahoist/mesh/store_follower.py
@@ -40,6 +40,7 @@
     __slots__ = (
         '_backoff',
         '_clock',
+        '_is_running',
         '_is_watcher',
         '_on_loaded',
         '_state',
@@ -67,17 +68,23 @@
         self._watch_wait_ms = watch_wait_ms
         self._backoff = Backoff(random, RETRY_SHORTEST_MS, RETRY_LONGEST_MS)
         self._version = ABSENT
+        self._is_running = False
 
     async def run(self) -> None:
-        """Follow the store until cancelled."""
+        """Follow the store until stopped."""
+        self._is_running = True
         await self._try_call(self._read_head)
-        while True:  # noqa: WPS457
+        while self._is_running:
             if self._is_watcher():
                 await self._try_call(self._watch_head)
             elif self._is_silent():
                 await self._try_call(self._read_head)
             await self._clock.sleep(CHECK_MS)
 
+    def stop(self) -> None:
+        """Make no further calls; the coroutine may be cancelled then."""
+        self._is_running = False
+
     async def _try_call(self, call: Callable[[], Awaitable[None]]) -> None:
         try:
             await call()
--- a/cicadahoist/mesh/table_sync.py
+++ b/cicadahoist/mesh/table_sync.py
@@ -92,6 +92,7 @@
         """Follow the table no longer."""
         following = self._following
         self._following = None
+        self._follower.stop()
         if following is not None:
             following.cancel()
 
--- /dev/null
+++ b/cicadahoist/mesh/usage.py
@@ -0,0 +1,175 @@
+"""Usage of this entry: kept by peers at once, by the store soon after."""
+
+from collections.abc import Callable
+from random import Random
+
+from twisted.internet.defer import Deferred, DeferredLock
+
+from cicadahoist.clock import Clock, wall_ms
+from cicadahoist.config import Config
+from cicadahoist.errors import CicadahoistError
+from cicadahoist.log import get_logger
+from cicadahoist.mesh.backoff import Backoff
+from cicadahoist.mesh.node import MeshNode
+from cicadahoist.mesh.usage_copies import UsageCopies
+from cicadahoist.mesh.usage_record import source_name
+from cicadahoist.mesh.usage_replication import UsageReplication
+from cicadahoist.mesh.usage_windows import OwnWindows
+from cicadahoist.mesh.usage_writer import UsageWriter
+from cicadahoist.messages import (
+    InstanceInfo,
+    UsageCopied,
+    UsageCount,
+    UsageFlushed,
+)
+from cicadahoist.outside.store import Store
+from cicadahoist.settings import USAGE_FLUSH_PERIOD, USAGE_WINDOW
+
+logger = get_logger(__name__)
+
+CLOSE_GRACE_MS = 1000
+FLUSH_LONGEST_MS = 10_000
+
+
+class UsageLedger:
+    """
+    Counts usage so that no kill of this process loses any.
+
+    :param node: the mesh
+    :param store: the platform's store
+    :param clock: gives the time
+    :param flush_period_ms: time between two writes to the store
+    :param window_ms: length of a billing window
+    :param read_wall_ms: gives the milliseconds since the epoch
+    :param random: spreads the writes of many processes
+    """
+
+    __slots__ = (
+        '_backoff',
+        '_clock',
+        '_copies',
+        '_flushing',
+        '_is_running',
+        '_lock',
+        '_node',
+        '_read_wall_ms',
+        '_replication',
+        '_source',
+        '_window_ms',
+        '_windows',
+        '_writer',
+    )
+
+    def __init__(
+        self,
+        node: MeshNode,
+        store: Store,
+        clock: Clock,
+        *,
+        flush_period_ms: int = USAGE_FLUSH_PERIOD.default,
+        window_ms: int = USAGE_WINDOW.default,
+        read_wall_ms: Callable[[], int] = wall_ms,
+        random: Random | None = None,
+    ) -> None:
+        self._node = node
+        self._clock = clock
+        self._window_ms = window_ms
+        self._read_wall_ms = read_wall_ms
+        self._source = source_name(node.info.name, node.info.incarnation)
+        self._windows = OwnWindows()
+        self._copies = UsageCopies()
+        self._replication = UsageReplication(node, clock)
+        self._writer = UsageWriter(store)
+        self._backoff = Backoff(
+            random or Random(), flush_period_ms, FLUSH_LONGEST_MS
+        )
+        self._lock = DeferredLock()
+        self._flushing: Deferred[None] | None = None
+        self._is_running = False
+        node.subscribe(UsageCount, self._on_count)
+        node.subscribe(UsageFlushed, self._copies.drop_flushed)
+
+    @classmethod
+    def from_config(
+        cls, config: Config, node: MeshNode, store: Store, clock: Clock
+    ) -> 'UsageLedger':
+        """Return the ledger that the settings describe."""
+        return cls(
+            node,
+            store,
+            clock,
+            flush_period_ms=config.read(USAGE_FLUSH_PERIOD),
+            window_ms=config.read(USAGE_WINDOW),
+        )
+
+    async def start(self) -> None:
+        """Begin to write to the store."""
+        self._windows.open(self._window())
+        self._is_running = True
+        self._flushing = Deferred.fromCoroutine(self._run())
+        self._flushing.addErrback(self._on_end)
+
+    async def stop(self) -> None:
+        """Close all windows, and write what the store lacks."""
+        self._is_running = False
+        if self._flushing is not None:
+            self._flushing.cancel()
+        self._windows.close_before(self._window() + 1)
+        await self._try_flush()
+
+    async def record(self, count: UsageCount) -> None:
+        """
+        Return once a count is safe.
+
+        That is once two live peers of the zone, or all where there are
+        fewer, hold a copy; where none does, once the store has it.  The wait
+        is bounded by ``COPY_LIMIT_MS`` and one call to the store.
+        """
+        numbered = self._windows.add(count)
+        if numbered is None:
+            return
+        copies = await self._replication.replicate(numbered)
+        if not copies and not await self._try_flush():
+            logger.warning('usage of {0} is held here only', count.request)
+
+    async def _run(self) -> None:
+        while self._is_running:
+            await self._clock.sleep(self._backoff.next_ms())
+            if await self._try_flush():
+                self._backoff.reset()
+
+    async def _try_flush(self) -> bool:
+        try:
+            await self._lock.run(self._start_flush)
+        except CicadahoistError as error:
+            logger.debug('usage: {0}', error)
+            return False
+        return True
+
+    def _start_flush(self) -> Deferred[None]:
+        return Deferred.fromCoroutine(self._flush())
+
+    async def _flush(self) -> None:
+        self._windows.open(self._window())
+        grace_ms = self._read_wall_ms() - CLOSE_GRACE_MS
+        self._windows.close_before(grace_ms // self._window_ms)
+        for own in self._windows.all():
+            if own.is_dirty:
+                through = await self._writer.write_own(own, self._source)
+                self._node.broadcast_zone(
+                    UsageFlushed(window=own.number, through=through)
+                )
+        for orphan in self._copies.orphans(self._node.view.zone_peers()):
+            await self._writer.adopt(orphan)
+            self._copies.drop_adopted(orphan)
+
+    def _on_count(self, sender: InstanceInfo, count: UsageCount) -> None:
+        self._copies.keep(sender, count)
+        self._node.send_to(sender.name, UsageCopied(requests=[count.request]))
+
+    def _window(self) -> int:
+        return self._read_wall_ms() // self._window_ms
+
+    def _on_end(self, failure: object) -> None:
+        if self._is_running:
+            logger.error('usage: flushing ended: {0}', failure)
--- /dev/null
+++ b/cicadahoist/mesh/usage_record.py
@@ -0,0 +1,107 @@
+"""What the store holds of one entry's usage in one window."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from cicadahoist.errors import WireError
+from cicadahoist.messages import UsageCount
+from cicadahoist.protocol.usage_figures import (
+    SourceTotals,
+    TotalsByWorkspace,
+    UsageTotal,
+)
+
+CountsByNumber = Mapping[int, UsageCount]
+
+
+class UsageRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Totals of one incarnation of an entry in one window.
+
+    Counts are numbered from 1 by the entry, so that each is added once,
+    whoever writes the record.
+
+    :param through: all counts up to this number are in the totals
+    :param beyond: further numbers that are in the totals
+    """
+
+    totals: SourceTotals
+    through: int = 0
+    beyond: list[int] = []
+
+    def includes(self, number: int) -> bool:
+        """Tell whether a count is in the totals."""
+        return number <= self.through or number in self.beyond
+
+    def with_counts(self, counts: CountsByNumber) -> 'UsageRecord':
+        """Return the record with those counts added that it lacks."""
+        added = {
+            number: count
+            for number, count in counts.items()
+            if not self.includes(number)
+        }
+        through, beyond = _compact(self.through, {*self.beyond, *added})
+        by_workspace = dict(self.totals.by_workspace)
+        for count in added.values():
+            add_count(by_workspace, count)
+        return UsageRecord(
+            totals=msgspec.structs.replace(
+                self.totals, by_workspace=by_workspace
+            ),
+            through=through,
+            beyond=beyond,
+        )
+
+
+def add_count(by_workspace: TotalsByWorkspace, count: UsageCount) -> None:
+    """Add a count to totals."""
+    one = UsageTotal(count.prompt_tokens, count.output_tokens, 1)
+    known = by_workspace.get(count.workspace, UsageTotal())
+    by_workspace[count.workspace] = known.plus(one)
+
+
+def source_name(entry: str, incarnation: str) -> str:
+    """Return the source that a record's totals name."""
+    return f'{entry}/{incarnation}'
+
+
+def window_prefix(window: int) -> str:
+    """Return the prefix of the names of a window's records."""
+    return f'usage/{window}/'
+
+
+def record_name(window: int, source: str) -> str:
+    """Return the name of the object that holds a record."""
+    return f'{window_prefix(window)}{source}'
+
+
+def encode_record(record: UsageRecord) -> bytes:
+    """Return the stored form (JSON) of a record."""
+    return _encoder.encode(record)
+
+
+def decode_record(payload: bytes) -> UsageRecord:
+    """
+    Decode a record.
+
+    :raises WireError: the payload is no record of this version
+    """
+    try:
+        return _decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise WireError(
+            f'undecodable usage record: {error}',
+            remedy='run the same version on all instances',
+        ) from error
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(UsageRecord)
+
+
+def _compact(through: int, beyond: set[int]) -> tuple[int, list[int]]:
+    while through + 1 in beyond:
+        through += 1
+        beyond.discard(through)
+    return through, sorted(beyond)
--- /dev/null
+++ b/cicadahoist/mesh/usage_writer.py
@@ -0,0 +1,92 @@
+"""Writes usage records to the store."""
+
+from cicadahoist.errors import StoreError, VersionConflictError
+from cicadahoist.mesh.usage_copies import Orphan
+from cicadahoist.mesh.usage_record import (
+    UsageRecord,
+    decode_record,
+    encode_record,
+    record_name,
+)
+from cicadahoist.mesh.usage_windows import OwnWindow
+from cicadahoist.outside.store import ABSENT, Store
+from cicadahoist.protocol.usage_figures import SourceTotals
+
+ATTEMPTS = 4
+
+
+class UsageWriter:
+    """
+    Conditional updates of usage records.
+
+    An entry knows all its counts and replaces what it finds.  A peer that
+    takes over copies adds those numbers that the record lacks.  Either way
+    each count is in the totals once.
+
+    :param store: the platform's store
+    """
+
+    __slots__ = ('_store',)
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    async def write_own(self, own: OwnWindow, source: str) -> int:
+        """
+        Write the counts of this process in a window.
+
+        :return: the highest number that is now stored
+        :raises StoreError: the store did not confirm the write
+        """
+        name = record_name(own.number, source)
+        state = (own.last, own.closed)
+        payload = encode_record(own.record(source))
+        for _ in range(ATTEMPTS):
+            try:
+                own.version = await self._store.write(
+                    name, payload, own.version
+                )
+            except VersionConflictError:
+                stored = await self._store.read(name)
+                own.version = stored.version if stored else ABSENT
+            else:
+                own.flushed = state
+                return state[0]
+        raise _contended(name)
+
+    async def adopt(self, orphan: Orphan) -> None:
+        """
+        Add copies to the record of an entry that is not live.
+
+        :raises StoreError: the store did not confirm the write
+        """
+        for _ in range(ATTEMPTS):
+            if await self._try_adopt(orphan):
+                return
+        raise _contended(record_name(orphan.window, orphan.source))
+
+    async def _try_adopt(self, orphan: Orphan) -> bool:
+        name = record_name(orphan.window, orphan.source)
+        stored = await self._store.read(name)
+        record = UsageRecord(
+            totals=SourceTotals(source=orphan.source, window=orphan.window)
+        )
+        version = ABSENT
+        if stored is not None:
+            record = decode_record(stored.payload)
+            version = stored.version
+        merged = record.with_counts(orphan.counts)
+        if merged == record:
+            return True
+        try:
+            await self._store.write(name, encode_record(merged), version)
+        except VersionConflictError:
+            return False
+        return True
+
+
+def _contended(name: str) -> StoreError:
+    return StoreError(
+        f'{name} is written by others all the time',
+        remedy='it is tried again in the next period',
+    )
--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -78,6 +78,8 @@
 
     :param request: identifier of the request, counted at most once
     :param window: number of the billing window
+    :param number: rises by one with each count of the entry in the window;
+        given when the count is recorded
     """
 
     request: str
@@ -87,6 +89,7 @@
     route: str
     prompt_tokens: int
     output_tokens: int
+    number: int = 0
 
 
 class UsageCopied(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -96,9 +99,14 @@
 
 
 class UsageFlushed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Tells peers that these counts are in the store."""
+    """
+    Tells peers that the sender's counts of a window are in the store.
 
-    requests: list[str]
+    :param through: the highest number of those counts
+    """
+
+    window: int
+    through: int
 
 
 class DrainNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
