--- /dev/null
+++ b/cicadahoist/policy/demand.py
@@ -0,0 +1,76 @@
+"""Measures the demand for a pool, for planners."""
+
+from collections import deque
+
+from cicadahoist.policy.cost import Cost
+from cicadahoist.policy.fleet import PoolDemand
+
+WINDOW_MS = 10_000
+LEAST_TIME_MS = 20_000.0
+
+
+class Arrival:
+    """Work that arrived at a time."""
+
+    __slots__ = ('at_ms', 'cost')
+
+    def __init__(self, at_ms: int, cost: Cost) -> None:
+        self.at_ms = at_ms
+        self.cost = cost
+
+
+class BatchWork:
+    """Deferrable work that is not finished."""
+
+    __slots__ = ('cost', 'due_ms')
+
+    def __init__(self, due_ms: int, cost: Cost) -> None:
+        self.due_ms = due_ms
+        self.cost = cost
+
+
+class DemandMeter:
+    """
+    Adds up urgent arrivals and open deferrable work of a pool.
+
+    Deferrable work counts at the rate at which it has to be done to meet its
+    deadline.
+    """
+
+    __slots__ = ('_arrivals', '_batch_by_request', '_decode', '_prefill')
+
+    def __init__(self) -> None:
+        self._arrivals: deque[Arrival] = deque()
+        self._batch_by_request: dict[str, BatchWork] = {}
+        self._prefill = 0
+        self._decode = 0
+
+    def arrived(self, cost: Cost, now_ms: int) -> None:
+        """Count an urgent request."""
+        self._arrivals.append(Arrival(now_ms, cost))
+        self._prefill += cost.prefill
+        self._decode += cost.decode
+
+    def deferred(self, request: str, cost: Cost, due_ms: int) -> None:
+        """Count a deferrable request until it ends."""
+        self._batch_by_request[request] = BatchWork(due_ms, cost)
+
+    def ended(self, request: str) -> None:
+        """Forget a deferrable request that ended."""
+        self._batch_by_request.pop(request, None)
+
+    def measure(self, pool: str, now_ms: int) -> PoolDemand:
+        """Return the present demand."""
+        while self._arrivals and now_ms - self._arrivals[0].at_ms > WINDOW_MS:
+            passed = self._arrivals.popleft()
+            self._prefill -= passed.cost.prefill
+            self._decode -= passed.cost.decode
+        prefill = self._prefill / WINDOW_MS
+        decode = self._decode / WINDOW_MS
+        for work in self._batch_by_request.values():
+            left_ms = max(LEAST_TIME_MS, work.due_ms - now_ms)
+            prefill += work.cost.prefill / left_ms
+            decode += work.cost.decode / left_ms
+        return PoolDemand(
+            pool=pool, prefill_per_ms=prefill, decode_per_ms=decode
+        )
--- /dev/null
+++ b/cicadahoist/policy/fleet.py
@@ -0,0 +1,96 @@
+"""What planners see of the fleet."""
+
+from enum import Enum
+
+import msgspec
+
+
+class Role(Enum):
+    """What an engine mainly does."""
+
+    mixed = 'mixed'
+    prefill = 'prefill'
+    decode = 'decode'
+
+
+class TargetPhase(Enum):
+    """Where a target is in its life."""
+
+    ordered = 'ordered'
+    ready = 'ready'
+    changing = 'changing'
+    leaving = 'leaving'
+
+
+class TargetView(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    One target as planners see it.
+
+    :param price: cost while running, in thousandths of a unit an hour
+    :param models: models that are loaded
+    """
+
+    name: str
+    pool: str
+    zone: str
+    role: Role = Role.mixed
+    phase: TargetPhase = TargetPhase.ready
+    price: int = 1000
+    reclaimable: bool = False
+    open_requests: int = 0
+    models: frozenset[str] = frozenset()
+
+
+class PoolDemand(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Work that a pool is asked for.
+
+    :param prefill_per_ms: prompt tokens a ms, cached ones left out
+    :param decode_per_ms: output tokens a ms
+    :param strict_engines: engines that work with deadlines in seconds needs,
+        as a fraction
+    :param batch_engines: engines that deferrable work needs from now on to
+        make its deadlines, as a fraction
+    """
+
+    pool: str
+    prefill_per_ms: float = 0
+    decode_per_ms: float = 0
+    strict_engines: float = 0
+    batch_engines: float = 0
+
+
+class ModelDemand(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    How much one model is missed.
+
+    :param size_mb: size of its weights
+    :param missed_per_s: requests that find no target with the model, or wait
+        for one, a second
+    """
+
+    pool: str
+    model: str
+    size_mb: int
+    missed_per_s: float
+
+
+class FleetView(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    The targets of a zone or region and the demand for them.
+
+    :param zones: zones in which targets can be ordered
+    :param cheap_unavailable: zones in which no cheap target is to be had
+    :param day_ms: time since local midnight, for daily patterns
+    """
+
+    targets: list[TargetView]
+    demands: list[PoolDemand]
+    models: list[ModelDemand] = []
+    zones: list[str] = []
+    cheap_unavailable: frozenset[str] = frozenset()
+    day_ms: int = 0
+
+    def of_pool(self, pool: str) -> list[TargetView]:
+        """Return the targets of a pool."""
+        return [target for target in self.targets if target.pool == pool]
--- a/cicadahoist/policy/load.py
+++ b/cicadahoist/policy/load.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from cicadahoist.messages import LoadView
+from cicadahoist.policy.speed import TargetSpeed
 from cicadahoist.policy.state import Attempt, Load, PoolPart, TargetState
 from cicadahoist.policy.tickets import RouteRequest
 from cicadahoist.table import Target
@@ -183,7 +184,9 @@
         state = self._states_by_name.get(target)
         if state is None:
             return
-        state.role = report.role
+        if state.role != report.role:
+            state.role = report.role
+            state.speed = TargetSpeed.of_role(report.role)
         known = state.own.open_requests + state.peers.open_requests
         known_prefill = state.own.prefill + state.peers.prefill
         seen = report.running + report.queued
--- a/cicadahoist/policy/speed.py
+++ b/cicadahoist/policy/speed.py
@@ -27,6 +27,14 @@
         self.step_ms = STEP_MS
         self.slots = FIRST_SLOTS
 
+    @classmethod
+    def of_role(cls, role: str) -> 'TargetSpeed':
+        """Return the speed expected of an engine in a role."""
+        speed = cls()
+        speed.tokens_per_ms *= _PREFILL_BY_ROLE.get(role, 1)
+        speed.step_ms *= _STEP_BY_ROLE.get(role, 1)
+        return speed
+
     def observe_prefill(self, tokens: int, elapsed_ms: int) -> None:
         """
         Learn from a first token.
@@ -50,3 +58,7 @@
             self.slots = max(MIN_SLOTS, self.slots * SHRINK)
         elif open_requests * 2 >= self.slots:
             self.slots = min(MAX_SLOTS, self.slots + GROWTH)
+
+
+_PREFILL_BY_ROLE = {'prefill': 1.5, 'decode': 0.3}
+_STEP_BY_ROLE = {'prefill': 5.0, 'decode': 0.7}
