--- a/cicadahoist/protocol/actions.py
+++ b/cicadahoist/protocol/actions.py
@@ -52,7 +52,7 @@
 
 
 class StepDown(msgspec.Struct, frozen=True):
-    """The process is no longer the holder."""
+    """The process is no longer the holder; break off what is being sent."""
 
     epoch: int
 
@@ -61,7 +61,8 @@
     """
     Send an order in this turn of the reactor, without waiting in between.
 
-    Answer by ``OrderDone``, ``OrderRefused`` or ``OrderUnanswered``.
+    Answer by ``OrderDone``, ``OrderRefused`` or ``OrderUnanswered``. A target
+    that has accepted the order but not finished it counts as unanswered.
     """
 
     entry: JournalEntry
--- a/cicadahoist/protocol/chart.py
+++ b/cicadahoist/protocol/chart.py
@@ -78,13 +78,13 @@
         _check_order(chart)
         return chart
 
-    def find(self, state: str, event: str) -> list[Transition]:
-        """Return the transitions of a state and event, in order."""
-        return [
-            transition
-            for transition in self.transitions
-            if (transition.source, transition.on) == (state, event)
-        ]
+    def by_trigger(self) -> dict[tuple[str, str], list[Transition]]:
+        """Return transitions by state and event, in the order of the file."""
+        grouped: dict[tuple[str, str], list[Transition]] = {}
+        for transition in self.transitions:
+            key = (transition.source, transition.on)
+            grouped.setdefault(key, []).append(transition)
+        return grouped
 
     def without_guard(self, guard: str) -> 'Chart':
         """
--- a/cicadahoist/protocol/lease_outputs.py
+++ b/cicadahoist/protocol/lease_outputs.py
@@ -91,8 +91,8 @@
 
 @OUTPUTS.register('step_down')
 def _step_down(lease: 'LeaseKeeper', event: Any, now_ms: int) -> None:
-    lease.actions.append(DisarmTimer())
     lease.actions.append(StepDown(lease.record.epoch))
+    lease.actions.append(DisarmTimer())
 
 
 @OUTPUTS.register('write_release')
--- a/cicadahoist/protocol/machine.py
+++ b/cicadahoist/protocol/machine.py
@@ -1,5 +1,6 @@
 """Runs state charts as automat machines."""
 
+import copy
 import re
 from collections.abc import Callable
 from types import new_class
@@ -12,6 +13,7 @@
 
 Guard = Callable[[Any, Any, int], bool]
 Output = Callable[[Any, Any, int], None]
+Observer = Callable[[Transition], None]
 
 _WORD_START = re.compile('(?<!^)(?=[A-Z])')
 
@@ -26,7 +28,14 @@
     :raises ChartError: the chart names a guard or output that does not exist
     """
 
-    __slots__ = ('_guards', '_machine', '_outputs', 'chart')
+    __slots__ = (
+        '_by_trigger',
+        '_guards',
+        '_machine',
+        '_observer',
+        '_outputs',
+        'chart',
+    )
 
     def __init__(
         self, chart: Chart, guards: Registry[Guard], outputs: Registry[Output]
@@ -39,6 +48,8 @@
         self._guards = guards
         self._outputs = outputs
         self._machine = _build_machine(chart)
+        self._by_trigger = chart.by_trigger()
+        self._observer: Observer | None = None
 
     @classmethod
     def load(
@@ -52,12 +63,22 @@
         chart = self.chart.without_guard(guard)
         return ChartKit(chart, self._guards, self._outputs)
 
+    def with_observer(self, observer: Observer) -> 'ChartKit':
+        """Return a kit that reports each transition before its outputs."""
+        observed = copy.copy(self)
+        observed._observer = observer  # noqa: SLF001
+        return observed
+
     def start(self, core: Any) -> 'ChartRunner':
         """Return a machine in the initial state that works on ``core``."""
-        runner = ChartRunner(self, core)
+        runner = ChartRunner(self, core, self._observer)
         runner.inputs = self._machine(runner)
         return runner
 
+    def find(self, state: str, event: str) -> list[Transition]:
+        """Return the transitions of a state and event, in order."""
+        return self._by_trigger.get((state, event), [])
+
     def allows(
         self, transition: Transition, core: Any, event: Any, now_ms: int
     ) -> bool:
@@ -81,16 +102,19 @@
 
     :param kit: the chart and its functions
     :param core: what guards and outputs work on
+    :param observer: is told of each transition
     """
 
-    __slots__ = ('core', 'inputs', 'kit', 'observer', 'state')
+    __slots__ = ('_observer', 'core', 'inputs', 'kit', 'state')
 
-    def __init__(self, kit: ChartKit, core: Any) -> None:
+    def __init__(
+        self, kit: ChartKit, core: Any, observer: Observer | None
+    ) -> None:
         self.kit = kit
         self.core = core
         self.state = kit.chart.initial
         self.inputs: Any = None
-        self.observer: Callable[[Transition], None] | None = None
+        self._observer = observer
 
     def offer(self, event: Any, now_ms: int) -> bool:
         """
@@ -98,7 +122,7 @@
 
         :return: whether a transition was taken
         """
-        for transition in self.kit.chart.find(self.state, event_name(event)):
+        for transition in self.kit.find(self.state, event_name(event)):
             if self.kit.allows(transition, self.core, event, now_ms):
                 take = getattr(self.inputs, transition.input_name)
                 take(event, now_ms)
@@ -108,8 +132,8 @@
     def enter(self, transition: Transition, event: Any, now_ms: int) -> None:
         """Go to a transition's next state and run its outputs."""
         self.state = transition.to
-        if self.observer is not None:
-            self.observer(transition)
+        if self._observer is not None:
+            self._observer(transition)
         self.kit.run_outputs(transition, self.core, event, now_ms)
 
 
--- a/cicadahoist/protocol/orders.py
+++ b/cicadahoist/protocol/orders.py
@@ -75,10 +75,6 @@
         order = self._by_target.get(target)
         return order.state if order else self._kit.chart.initial
 
-    def runners(self) -> list[Any]:
-        """Return the running charts of all targets."""
-        return [order.runner for order in self._by_target.values()]
-
 
 class TargetOrder(ChartCore):
     """
--- /dev/null
+++ b/proof/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios that drive the protocol classes against fakes."""
--- /dev/null
+++ b/proof/store.py
@@ -0,0 +1,41 @@
+"""In-memory store with conditional updates."""
+
+from proof.world import Service, World
+
+CONFLICT = -1
+
+
+class FakeStore(Service):
+    """
+    Versioned objects.
+
+    :param world: time and violations
+    """
+
+    __slots__ = ('_objects', 'listeners', 'world', 'writes')
+
+    def __init__(self, world: World) -> None:
+        super().__init__()
+        self.world = world
+        self.writes: list[tuple[int, str, int, bytes]] = []
+        self.listeners: list = []
+        self._objects: dict[str, tuple[int, bytes]] = {}
+
+    def read(self, name: str) -> tuple[int, bytes]:
+        """Return version and payload, 0 and nothing for no object."""
+        return self._objects.get(name, (0, b''))
+
+    def write(self, name: str, payload: bytes, expected: int) -> int:
+        """Return the new version, or ``CONFLICT``."""
+        version, before = self.read(name)
+        if version != expected:
+            return CONFLICT
+        self._objects[name] = (version + 1, payload)
+        self.writes.append((self.world.now_ms, name, version + 1, payload))
+        for listener in self.listeners:
+            listener(name, before, payload)
+        return version + 1
+
+    def names(self, prefix: str) -> list[str]:
+        """Return the names of objects below a prefix."""
+        return [name for name in self._objects if name.startswith(prefix)]
