Add status: revisions in force by zone, and leases

It reads status/<zone> objects (ZoneStatus in messages.py), which the control process of a zone is to write. Counters are shown from 0 on. The command line also takes its store from CICADAHOIST_CONFIG or CICADAHOIST_STORE_URL.

--- a/cicadahoist/cmd/operator/app.py
+++ b/cicadahoist/cmd/operator/app.py
@@ -6,6 +6,7 @@
 
 import typer
 
+from cicadahoist.cmd.operator.command import command
 from cicadahoist.cmd.operator.configuration import (
     configuration,
     print_defaults,
@@ -16,6 +17,7 @@
 from cicadahoist.cmd.operator.routes import models, routes
 from cicadahoist.cmd.operator.session import Session
 from cicadahoist.cmd.operator.sheets import tables
+from cicadahoist.cmd.operator.statuses import show_status
 from cicadahoist.cmd.operator.targets import targets
 from cicadahoist.cmd.operator.workspaces import workspaces
 
@@ -34,6 +36,7 @@
 app.add_typer(targets, name='target')
 app.add_typer(leases, name='lease')
 app.add_typer(configuration, name='config')
+command(app, 'status')(show_status)
 app.command('reference')(print_reference)
 
 
@@ -41,10 +44,18 @@
 def prepare(
     context: typer.Context,
     config: Annotated[
-        Path | None, typer.Option(help='INI file with settings.')
+        Path | None,
+        typer.Option(
+            envvar='CICADAHOIST_CONFIG',
+            help='INI file with settings; also $CICADAHOIST_CONFIG.',
+        ),
     ] = None,
     store_url: Annotated[
-        str | None, typer.Option(help='Address of the store.')
+        str | None,
+        typer.Option(
+            envvar='CICADAHOIST_STORE_URL',
+            help='Address of the store; also $CICADAHOIST_STORE_URL.',
+        ),
     ] = None,
     defaults: Annotated[
         bool,
--- a/cicadahoist/cmd/operator/output.py
+++ b/cicadahoist/cmd/operator/output.py
@@ -20,12 +20,17 @@
 def print_rows(rows: Sequence[msgspec.Struct], output: Output) -> None:
     """Print rows of one kind in the form asked for."""
     if output is Output.json:
-        typer.echo(msgspec.json.format(msgspec.json.encode(rows)).decode())
+        print_json(rows)
         return
     for line in align(rows):
         typer.echo(line)
 
 
+def print_json(shown: msgspec.Struct | Sequence[msgspec.Struct]) -> None:
+    """Print a row, or a list of rows, as JSON."""
+    typer.echo(msgspec.json.format(msgspec.json.encode(shown)).decode())
+
+
 def align(rows: Sequence[msgspec.Struct]) -> list[str]:
     """Return a heading and one line for each row, in aligned columns."""
     if not rows:
--- /dev/null
+++ b/cicadahoist/cmd/operator/statuses.py
@@ -0,0 +1,108 @@
+"""Status of the whole deployment as the store shows it."""
+
+from datetime import UTC, datetime
+
+import msgspec
+import typer
+
+from cicadahoist.clock import MS_PER_S, wall_ms
+from cicadahoist.cmd.operator.leases import LeaseRow, read_leases
+from cicadahoist.cmd.operator.output import Output, align, print_json
+from cicadahoist.cmd.operator.session import Session
+from cicadahoist.errors import WireError
+from cicadahoist.messages import ZoneStatus, zone_status_name
+
+_decode_status = msgspec.json.Decoder(ZoneStatus).decode
+
+
+class ZoneRow(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    One zone as operators see it.
+
+    :param revision: revision in force at every live entry of the zone
+    :param since: from when on it was in force, UTC
+    :param behind: revisions that are committed but not in force here
+    :param reported_s_ago: age of this report in seconds
+    """
+
+    zone: str
+    revision: int
+    since: str
+    behind: int
+    entries: int
+    reported_s_ago: int
+
+    @classmethod
+    def from_status(
+        cls, status: ZoneStatus, head_revision: int, now_ms: int
+    ) -> 'ZoneRow':
+        """Return the row of a zone's status object."""
+        return cls(
+            zone=status.zone,
+            revision=status.revision,
+            since=utc_text(status.since_ms),
+            behind=max(0, head_revision - status.revision),
+            entries=status.entries,
+            reported_s_ago=max(0, now_ms - status.written_ms) // MS_PER_S,
+        )
+
+
+class StatusView(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    What ``status`` prints.
+
+    :param revision: newest committed table revision
+    """
+
+    revision: int
+    zones: list[ZoneRow]
+    leases: list[LeaseRow]
+
+
+async def show_status(session: Session) -> None:
+    """Show revisions in force by zone, and leases."""
+    head, _ = await session.table_store.read_head()
+    view = StatusView(
+        revision=head.revision,
+        zones=await _read_zones(session, head.revision),
+        leases=await read_leases(session),
+    )
+    if session.output is Output.json:
+        print_json(view)
+    else:
+        _print_sections(view)
+
+
+async def _read_zones(session: Session, head_revision: int) -> list[ZoneRow]:
+    now_ms = wall_ms()
+    rows = []
+    for name in sorted(await session.store.names(zone_status_name(''))):
+        stored = await session.store.read(name)
+        if stored is not None:
+            status = _decoded(stored.payload)
+            rows.append(ZoneRow.from_status(status, head_revision, now_ms))
+    return rows
+
+
+def _decoded(payload: bytes) -> ZoneStatus:
+    try:
+        return _decode_status(payload)
+    except msgspec.MsgspecError as error:
+        raise WireError(
+            f'undecodable zone status: {error}',
+            remedy='run the same version on all instances',
+        ) from error
+
+
+def _print_sections(view: StatusView) -> None:
+    typer.echo(f'table revision {view.revision}')
+    typer.echo('\nzones')
+    typer.echo('\n'.join(align(view.zones)))
+    typer.echo('\nleases')
+    typer.echo('\n'.join(align(view.leases)))
+
+
+def utc_text(at_ms: int) -> str:
+    """Return a wall-clock time in ISO 8601, to the second."""
+    at = datetime.fromtimestamp(at_ms / MS_PER_S, UTC)
+    return at.strftime('%Y-%m-%dT%H:%M:%SZ')
--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -186,6 +186,28 @@
     active: bool = True
 
 
+class ZoneStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    State of a zone, written to the store by its control process.
+
+    :param revision: lowest table revision in force at a live entry
+    :param since_ms: wall-clock time from which all live entries had it
+    :param written_ms: wall-clock time of writing
+    :param entries: number of live entries
+    """
+
+    zone: str
+    revision: int
+    since_ms: int
+    written_ms: int
+    entries: int
+
+
+def zone_status_name(zone: str) -> str:
+    """Return the name of the object that holds a zone's status."""
+    return f'status/{zone}'
+
+
 Message = (
     Heartbeat
     | KnownInstances
--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -120,10 +120,12 @@
         self._retries[reason].add(1)
 
     def counter(self, spec: MetricSpec) -> Counter:
-        """Return the counter of a declared metric."""
-        return self._meter.create_counter(
+        """Return the counter of a declared metric, shown from 0 on."""
+        counter = self._meter.create_counter(
             f'{PREFIX}_{spec.name}', description=spec.description
         )
+        counter.add(0)
+        return counter
 
     def histogram(self, spec: MetricSpec) -> Histogram:
         """Return the histogram of a declared metric."""
--- /dev/null
+++ b/tests/test_cmd/test_operator_status.py
@@ -0,0 +1,48 @@
+import json
+
+import msgspec
+
+from cicadahoist.cmd.operator import statuses
+from cicadahoist.cmd.operator.exits import Exit
+from cicadahoist.messages import ZoneStatus, zone_status_name
+from cicadahoist.outside.store import Stored
+
+MINUTE_MS = 60_000
+
+
+def report(store, zone, revision):
+    status = ZoneStatus(
+        zone=zone,
+        revision=revision,
+        since_ms=1_790_000_000_000,
+        written_ms=1_790_000_000_000 + MINUTE_MS,
+        entries=2,
+    )
+    name = zone_status_name(zone)
+    store.by_name[name] = Stored(name, 1, msgspec.json.encode(status))
+
+
+def test_status_says_since_when_a_zone_has_its_revision(deployed, monkeypatch):
+    monkeypatch.setattr(
+        statuses, 'wall_ms', lambda: 1_790_000_000_000 + 3 * MINUTE_MS
+    )
+    report(deployed.store, 'zone-a', 3)
+    report(deployed.store, 'zone-b', 1)
+    view = json.loads(deployed.done('status --output json').stdout)
+    assert view['revision'] == 3
+    assert [zone['behind'] for zone in view['zones']] == [0, 2]
+    assert view['zones'][0]['since'] == '2026-09-21T14:13:20Z'
+    assert view['zones'][0]['reported_s_ago'] == 120
+    assert 'zone-b' in deployed.done('status').stdout
+
+
+def test_status_of_an_empty_store(operator):
+    printed = operator.done('status').stdout
+    assert 'table revision 0' in printed
+    assert printed.count('(none)') == 2
+
+
+def test_undecodable_status_is_an_error(operator):
+    name = zone_status_name('zone-a')
+    operator.store.by_name[name] = Stored(name, 1, b'{}')
+    assert operator.run('status').exit_code == Exit.error
--- a/tests/test_core/test_metrics.py
+++ b/tests/test_core/test_metrics.py
@@ -24,6 +24,7 @@
         f'cicadahoist_refusal_{reason.name}': count
         for count, reason in enumerate(Refusal, 1)
     }
+    expected |= {f'cicadahoist_retry_{reason.name}': 0 for reason in Retry}
     expected['cicadahoist_retry_store_busy'] = 1
     assert counted(reader) == expected
 
