--- a/cicadahoist/outside/http.py
+++ b/cicadahoist/outside/http.py
@@ -155,6 +155,10 @@
         """Nothing is left to stop."""
 
 
+def _producer(body: bytes) -> Any:
+    return BytesProducer(body)
+
+
 class HttpClient:
     """
     Sends calls and tells unsent calls from lost ones.
@@ -220,7 +224,7 @@
                 method,
                 url,
                 headers=sent_headers,
-                data=None if body is None else BytesProducer(body),
+                data=None if body is None else _producer(body),
                 agent=self._agent,
                 reactor=self._reactor,
                 timeout=timeout_s,
