Add leases as the control process runs them, and its link to the entry

One kernel timer follows the earliest deadline of all leases of the process. Only order calls are broken off on stepping down; store calls are settled by the lease's chart. An accepted order counts as done once the engine shows it. Twelve tests on three processes check after every step that at most one of them may use the lease.

--- /dev/null
+++ b/cicadahoist/control/engine_orders.py
@@ -0,0 +1,99 @@
+"""Sends orders to engines, and reads what became of them."""
+
+from collections.abc import Callable
+
+from cicadahoist.errors import BusyError, CicadahoistError, FencedError
+from cicadahoist.log import get_logger
+from cicadahoist.outside.engine import (
+    EngineAdapter,
+    EngineOrder,
+    EngineOrders,
+)
+from cicadahoist.protocol.order_events import (
+    OrderDone,
+    OrderRefused,
+    OrderUnanswered,
+    Shown,
+    TargetGone,
+    TargetRead,
+)
+from cicadahoist.protocol.records import JournalEntry
+from cicadahoist.table import Target
+
+logger = get_logger(__name__)
+
+OrderEvent = OrderDone | OrderRefused | OrderUnanswered | TargetGone
+
+
+class EngineSender:
+    """
+    Carries single orders to engines.
+
+    :param engines: adapter for engines
+    :param find: returns a target of the table by name, or none
+    """
+
+    __slots__ = ('_engines', '_find')
+
+    def __init__(
+        self, engines: EngineAdapter, find: Callable[[str], Target | None]
+    ) -> None:
+        self._engines = engines
+        self._find = find
+
+    async def send(self, entry: JournalEntry) -> OrderEvent:
+        """Send an order; an accepted one is done once the engine shows it."""
+        target = self._find(entry.target)
+        if target is None:
+            return TargetGone(entry.target)
+        order = EngineOrder(
+            epoch=entry.epoch,
+            seq=entry.seq,
+            kind=entry.kind,
+            argument=entry.argument,
+        )
+        try:
+            await self._engines.send_order(target, order)
+        except BusyError:
+            return OrderUnanswered(entry.target, entry.token)
+        except FencedError as fenced:
+            logger.warning('{0}', fenced)
+            return OrderRefused(entry.target, entry.token)
+        except CicadahoistError as error:
+            logger.info('order {0}: {1}', entry.token, error)
+            return OrderUnanswered(entry.target, entry.token)
+        return await self._confirm(entry)
+
+    async def read(
+        self, name: str, token: str
+    ) -> TargetRead | TargetGone | None:
+        """Return what an engine shows about an order, none for silence."""
+        target = self._find(name)
+        if target is None:
+            return TargetGone(name)
+        try:
+            shown = await self._engines.read_orders(target)
+        except CicadahoistError as error:
+            logger.debug('reading {0}: {1}', name, error)
+            return None
+        return TargetRead(name, token, shown_order(shown, token))
+
+    async def _confirm(self, entry: JournalEntry) -> OrderEvent:
+        event = await self.read(entry.target, entry.token)
+        if isinstance(event, TargetRead) and event.shown is Shown.done:
+            return OrderDone(entry.target, entry.token)
+        return OrderUnanswered(entry.target, entry.token)
+
+
+def shown_order(orders: EngineOrders, token: str) -> Shown:
+    """
+    Return what the state of an engine shows about an order.
+
+    While any order is in progress none is taken as absent, since it may be
+    the one that was asked for.
+    """
+    if orders.changing:
+        return Shown.changing
+    if f'{orders.epoch}.{orders.seq}' == token:
+        return Shown.done
+    return Shown.absent
--- /dev/null
+++ b/cicadahoist/control/entry_link.py
@@ -0,0 +1,107 @@
+"""Control's end of the connection to the entry of its instance."""
+
+from collections.abc import Callable
+from typing import Any
+
+from cicadahoist.clock import Clock
+from cicadahoist.config import Config
+from cicadahoist.errors import WireError
+from cicadahoist.log import get_logger
+from cicadahoist.mesh.local_messages import (
+    EntryState,
+    Received,
+    SendToAll,
+    decode_local,
+    encode_local,
+)
+from cicadahoist.mesh.local_pair import LocalPair, NngPair
+from cicadahoist.messages import InstanceInfo, Message
+from cicadahoist.settings import LOCAL_PORT, PEER_TIMEOUT
+
+logger = get_logger(__name__)
+
+Subscriber = Callable[[InstanceInfo, Any], None]
+ByName = dict[str, InstanceInfo]
+
+
+class EntryLink:
+    """
+    Control's way into the mesh.
+
+    :param pair: connection to the entry
+    :param clock: gives the time
+    :param timeout_ms: silence after which the entry counts as dead
+    """
+
+    __slots__ = (
+        '_clock',
+        '_heard_ms',
+        '_pair',
+        '_state',
+        '_subscribers',
+        '_timeout_ms',
+    )
+
+    def __init__(self, pair: LocalPair, clock: Clock, timeout_ms: int) -> None:
+        self._pair = pair
+        self._clock = clock
+        self._timeout_ms = timeout_ms
+        self._heard_ms = 0
+        self._state: EntryState | None = None
+        self._subscribers: dict[type, list[Subscriber]] = {}
+
+    @classmethod
+    def from_config(
+        cls, config: Config, clock: Clock, reactor: Any
+    ) -> 'EntryLink':
+        """Return the link that the settings describe."""
+        pair = NngPair(reactor, config.read(LOCAL_PORT), listens=False)
+        return cls(pair, clock, config.read(PEER_TIMEOUT))
+
+    async def start(self) -> None:
+        """Connect to the entry."""
+        self._pair.start(self._receive)
+
+    async def stop(self) -> None:
+        """Close the connection."""
+        self._pair.stop()
+
+    def is_up(self) -> bool:
+        """Tell whether the entry was heard of late."""
+        if self._state is None:
+            return False
+        return self._clock.now_ms() - self._heard_ms <= self._timeout_ms
+
+    def zone_live(self, zone: str) -> ByName:
+        """Return the live instances of a zone; none while the link is down."""
+        if self._state is None or not self.is_up():
+            return {}
+        live = self._state.live
+        return {each.name: each for each in live if each.zone == zone}
+
+    def not_gone(self) -> ByName:
+        """Return the instances of all zones that may be running."""
+        if self._state is None:
+            return {}
+        return {each.name: each for each in self._state.not_gone}
+
+    def subscribe(self, message_type: type, callback: Subscriber) -> None:
+        """Call back with the sender and each message of a type."""
+        self._subscribers.setdefault(message_type, []).append(callback)
+
+    def broadcast(self, message: Message) -> None:
+        """Send a message to all instances, the own entry too."""
+        self._pair.send(encode_local(SendToAll(message=message)))
+
+    def _receive(self, wire: bytes) -> None:
+        try:
+            local = decode_local(wire)
+        except WireError as error:
+            logger.warning('{0}', error)
+            return
+        if isinstance(local, EntryState):
+            self._state = local
+            self._heard_ms = self._clock.now_ms()
+        elif isinstance(local, Received):
+            for callback in self._subscribers.get(type(local.message), ()):
+                callback(local.sender, local.message)
--- /dev/null
+++ b/cicadahoist/control/lease_task.py
@@ -0,0 +1,149 @@
+"""Stands for one lease, and runs a duty while it is held."""
+
+from collections.abc import Callable
+from typing import Any
+
+from cicadahoist.clock import Clock, Timer
+from cicadahoist.control.duty import Duty
+from cicadahoist.control.duty_calls import DutyCalls
+from cicadahoist.control.store_calls import StoreCalls
+from cicadahoist.control.term_deadlines import TermDeadlines
+from cicadahoist.log import get_logger
+from cicadahoist.outside.store import Store
+from cicadahoist.protocol.actions import (
+    Action,
+    ArmTimer,
+    DisarmTimer,
+    ReadObject,
+    WriteObject,
+)
+from cicadahoist.protocol.authority import Authority
+from cicadahoist.protocol.events import (
+    Leave,
+    TargetsReachable,
+    TargetsUnreachable,
+    Tick,
+)
+from cicadahoist.protocol.lease import HOLDER_STATES
+
+logger = get_logger(__name__)
+
+TICK_MS = 100
+STANDBY_TICKS = 10
+LEAVE_LIMIT_MS = 3000
+STANDBY = 'standby'
+LEFT = 'left'
+
+
+class LeaseTask:
+    """
+    Carries out the actions of a lease and its orders.
+
+    :param authority: the lease and its order book
+    :param duty: the work under the lease
+    :param store: the platform's store
+    :param clock: the clock that the kernel's timer follows
+    :param deadlines: the kernel's timer of the process
+    :param may_stand: tells whether this process should stand for the lease
+    :param may_hold: tells whether it may go on holding it
+    """
+
+    __slots__ = (
+        '_authority',
+        '_clock',
+        '_deadlines',
+        '_duty',
+        '_duty_calls',
+        '_may_hold',
+        '_may_stand',
+        '_store_calls',
+        '_ticks',
+        '_timer',
+    )
+
+    def __init__(
+        self,
+        authority: Authority,
+        duty: Duty,
+        store: Store,
+        clock: Clock,
+        deadlines: TermDeadlines,
+        *,
+        may_stand: Callable[[], bool],
+        may_hold: Callable[[], bool],
+    ) -> None:
+        self._authority = authority
+        self._duty = duty
+        self._clock = clock
+        self._deadlines = deadlines
+        self._may_stand = may_stand
+        self._may_hold = may_hold
+        self._store_calls = StoreCalls(store, self.handle)
+        self._duty_calls = DutyCalls(duty, self.handle)
+        self._ticks = 0
+        self._timer: Timer | None = None
+
+    @property
+    def is_holder(self) -> bool:
+        """Whether the lease may be used at this moment."""
+        return self._authority.lease.is_holder(self._clock.now_ms())
+
+    @property
+    def epoch(self) -> int:
+        """Fencing number of the lease as last seen."""
+        return self._authority.lease.record.epoch
+
+    async def start(self) -> None:
+        """Begin to stand for the lease."""
+        self._tick()
+
+    async def stop(self) -> None:
+        """Settle open orders within a bound, then give the lease back."""
+        self.handle(Leave())
+        limit_ms = self._clock.now_ms() + LEAVE_LIMIT_MS
+        while self._state != LEFT and self._clock.now_ms() < limit_ms:
+            await self._clock.sleep(TICK_MS)
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def handle(self, event: Any) -> None:
+        """Pass an event to the lease, and carry out what follows."""
+        now_ms = self._clock.now_ms()
+        for action in self._authority.handle(event, now_ms):
+            self._run(action)
+
+    @property
+    def _state(self) -> str:
+        return self._authority.lease.state
+
+    def _tick(self) -> None:
+        self._timer = self._clock.call_later(TICK_MS, self._tick)
+        self._ticks += 1
+        if not self._may_hold():
+            self.handle(TargetsUnreachable())
+            return
+        self.handle(TargetsReachable())
+        if self._is_due():
+            self.handle(Tick())
+        if self._state in HOLDER_STATES and self.is_holder:
+            self._duty.tick(self._clock.now_ms())
+
+    def _is_due(self) -> bool:
+        if self._state != STANDBY:
+            return True
+        return self._may_stand() and self._ticks % STANDBY_TICKS == 0
+
+    def _run(self, action: Action) -> None:
+        name = self._authority.lease.name
+        match action:
+            case ReadObject():
+                self._store_calls.read(action)
+            case WriteObject():
+                self._store_calls.write(action)
+            case ArmTimer():
+                self._deadlines.arm(name, action.deadline_ms)
+            case DisarmTimer():
+                self._deadlines.disarm(name)
+            case _:
+                logger.debug('{0}: {1}', name, type(action).__name__)
+                self._duty_calls.run(action)
--- /dev/null
+++ b/cicadahoist/control/store_calls.py
@@ -0,0 +1,85 @@
+"""Carries out the reads and writes that a lease asks for."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from cicadahoist.errors import StoreError, VersionConflictError
+from cicadahoist.log import get_logger
+from cicadahoist.outside.store import Store
+from cicadahoist.protocol.actions import ReadObject, WriteObject
+from cicadahoist.protocol.events import (
+    ObjectRead,
+    ReadFailed,
+    WriteConfirmed,
+    WriteConflict,
+    WriteUnknown,
+)
+
+logger = get_logger(__name__)
+
+ReadEvent = ObjectRead | ReadFailed
+WriteEvent = WriteConfirmed | WriteConflict | WriteUnknown
+
+
+class StoreCalls:
+    """
+    Calls to the store for one lease.
+
+    :param store: the platform's store
+    :param handle: takes the events that the answers give
+    """
+
+    __slots__ = ('_handle', '_is_reading', '_store')
+
+    def __init__(self, store: Store, handle: Callable[[Any], None]) -> None:
+        self._store = store
+        self._handle = handle
+        self._is_reading = False
+
+    def read(self, action: ReadObject) -> None:
+        """Read an object, unless a read is on its way."""
+        if not self._is_reading:
+            self._is_reading = True
+            reading = Deferred.fromCoroutine(self._read(action.name))
+            reading.addErrback(_log)
+
+    def write(self, action: WriteObject) -> None:
+        """Write an object."""
+        writing = Deferred.fromCoroutine(self._write(action))
+        writing.addErrback(_log)
+
+    async def _read(self, name: str) -> None:
+        event = await self._read_event(name)
+        self._is_reading = False
+        self._handle(event)
+
+    async def _read_event(self, name: str) -> ReadEvent:
+        try:
+            stored = await self._store.read(name)
+        except StoreError as error:
+            logger.debug('{0}: {1}', name, error)
+            return ReadFailed()
+        if stored is None:
+            return ObjectRead(0, b'')
+        return ObjectRead(stored.version, stored.payload)
+
+    async def _write(self, action: WriteObject) -> None:
+        self._handle(await self._write_event(action))
+
+    async def _write_event(self, action: WriteObject) -> WriteEvent:
+        try:
+            version = await self._store.write(
+                action.name, action.payload, action.expected
+            )
+        except VersionConflictError:
+            return WriteConflict(action.nonce)
+        except StoreError as error:
+            logger.debug('{0}: {1}', action.name, error)
+            return WriteUnknown(action.nonce)
+        return WriteConfirmed(action.nonce, version)
+
+
+def _log(failure: Any) -> None:
+    logger.error('store call ended: {0}', failure.getTraceback())
--- a/cicadahoist/mesh/node.py
+++ b/cicadahoist/mesh/node.py
@@ -149,8 +149,10 @@
         self._outbox.put_all(self.view.zone_peers(), message)
 
     def send_to(self, name: str, message: Message) -> None:
-        """Send a message to another instance, of any zone."""
-        if name in self.view.zone_peers():
+        """Send a message to an instance of any zone, or to this one."""
+        if name == self.info.name:
+            self._deliver(self.info, message)
+        elif name in self.view.zone_peers():
             self._outbox.put(name, message)
         elif name in self.view.zones.live():
             self._relay.send(message, name)
--- /dev/null
+++ b/tests/test_control/test_lease_task.py
@@ -0,0 +1,137 @@
+"""Tests of leases as a control process runs them."""
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from cicadahoist.protocol.order_events import PlanOrder
+from cicadahoist.standin.memory import Cut
+from tests.test_control.holders import TIMING, Holders
+
+SETTLED_MS = 3000
+TAKEOVER_MS = TIMING.takeover_ms + 3000
+PLAN = PlanOrder(target='t', kind='role', argument='decode')
+
+
+@pytest.fixture
+def holders() -> Holders:
+    holders = Holders(3)
+    holders.advance(SETTLED_MS)
+    assert len(holders.holders()) == 1
+    return holders
+
+
+def test_holder_renews_and_arms_the_kernel_timer(holders):
+    holder = holders.holders()[0]
+    holders.advance(60_000)
+    assert holders.holders() == [holder]
+    now_ms = holders.clock.now_ms()
+    deadline_ms = holders.timers[holder].deadline_ms
+    assert now_ms < deadline_ms <= now_ms + TIMING.term_ms
+    others = [
+        timer.deadline_ms
+        for number, timer in enumerate(holders.timers)
+        if number != holder
+    ]
+    assert others == [None, None]
+
+
+def test_killed_holder_is_followed_under_a_higher_epoch(holders):
+    holder = holders.holders()[0]
+    holders.kill(holder)
+    holders.advance(TAKEOVER_MS)
+    successor = holders.holders()[0]
+    assert successor != holder
+    assert holders.duties[successor].wins == [2]
+
+
+def test_holder_cut_off_from_the_store_steps_down_before_a_successor(holders):
+    holder = holders.holders()[0]
+    holders.stores[holder].cut = Cut.requests
+    holders.advance(2 * TAKEOVER_MS)
+    assert holders.holders() != [holder]
+    assert len(holders.holders()) == 1
+    assert holders.duties[holder].losses == 1
+    assert holders.timers[holder].deadline_ms is None
+
+
+def test_store_outage_leaves_no_holder_and_ends(holders):
+    holders.model.faults.outage = True
+    holders.advance(TIMING.term_ms)
+    assert holders.holders() == []
+    holders.model.faults.outage = False
+    holders.advance(TAKEOVER_MS)
+    assert len(holders.holders()) == 1
+
+
+def test_holder_gives_up_without_its_entry(holders):
+    holder = holders.holders()[0]
+    holders.links_up[holder] = False
+    holders.advance(2000)
+    assert holders.holders() not in ([], [holder])
+
+
+def test_leaving_holder_releases_the_lease(holders):
+    holder = holders.holders()[0]
+    leaving = Deferred.fromCoroutine(holders.tasks[holder].stop())
+    holders.advance(2000)
+    assert leaving.called
+    assert holders.holders() not in ([], [holder])
+
+
+def test_lost_answers_do_not_make_two_holders():
+    holders = Holders(3)
+    holders.model.faults.lose_share = 0.5
+    holders.advance(60_000)
+    holders.model.faults.lose_share = 0
+    holders.advance(TAKEOVER_MS)
+    assert len(holders.holders()) == 1
+
+
+def test_order_is_sent_once_and_settled(holders):
+    holder = holders.holders()[0]
+    holders.tasks[holder].handle(PLAN)
+    holders.advance(500)
+    assert holders.target.received == ['1.1']
+    assert holders.duties[holder].outcomes == ['1.1 done']
+
+
+def test_process_without_the_lease_sends_nothing(holders):
+    idle = next(
+        number
+        for number in range(len(holders.tasks))
+        if number != holders.holders()[0]
+    )
+    holders.tasks[idle].handle(PLAN)
+    holders.advance(5000)
+    assert holders.target.received == []
+
+
+def test_order_of_a_holder_killed_after_sending_is_settled_not_resent(holders):
+    holder = holders.holders()[0]
+    holders.target.answers = False
+    holders.tasks[holder].handle(PLAN)
+    holders.advance(100)
+    holders.kill(holder)
+    holders.advance(TAKEOVER_MS + 3000)
+    successor = holders.holders()[0]
+    assert holders.target.received == ['1.1']
+    assert holders.duties[successor].outcomes == ['1.1 done']
+
+
+def test_order_waits_for_the_journal(holders):
+    holder = holders.holders()[0]
+    holders.stores[holder].cut = Cut.answers
+    holders.tasks[holder].handle(PLAN)
+    holders.advance(500)
+    assert holders.target.received == []
+    holders.stores[holder].cut = Cut.none
+    holders.advance(1000)
+    assert holders.target.received == ['1.1']
+
+
+def test_stop_is_bounded_while_the_store_is_away(holders):
+    holder = holders.holders()[0]
+    holders.model.faults.outage = True
+    leaving = Deferred.fromCoroutine(holders.tasks[holder].stop())
+    holders.advance(4000)
+    assert leaving.called
