Add drained changes of engines under the zone's lease

Every entry that may be running acknowledges, silent ones too; the engine's count has to be read after the last acknowledgement, less the age of the report. A drain is taken back when it is postponed, when the lease is lost before the order, or when the order is settled, by a successor if need be. With the age of the report ignored one test fails, with live entries in place of those that may be running another does.

--- /dev/null
+++ b/cicadahoist/control/drains.py
@@ -0,0 +1,187 @@
+"""Planned changes of engines: drain first, then order, then give back."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from cicadahoist.clock import Clock
+from cicadahoist.control.entry_link import EntryLink
+from cicadahoist.errors import CicadahoistError
+from cicadahoist.log import get_logger
+from cicadahoist.messages import DrainAck, DrainNotice, InstanceInfo
+from cicadahoist.outside.engine import EngineAdapter
+from cicadahoist.protocol.drain import Drain
+from cicadahoist.protocol.drain_events import (
+    AllowChange,
+    ChangeEnded,
+    DrainAcked,
+    EntriesChanged,
+    LoadRead,
+    ReadLoad,
+    SendNotice,
+)
+from cicadahoist.protocol.events import Tick
+from cicadahoist.protocol.order_events import PlanOrder
+from cicadahoist.table import Target
+
+logger = get_logger(__name__)
+
+DRAIN_LIMIT_MS = 120_000
+READY = 'ready'
+POSTPONED = 'postponed'
+
+
+class PlannedChange(msgspec.Struct, frozen=True):
+    """A change that waits for its drain, and then for its order."""
+
+    plan: PlanOrder
+    drain: Drain
+
+
+class Drains:
+    """
+    Drains of the engines of one zone.
+
+    Every entry that may be running has to acknowledge, silent ones too, as
+    they may be paused; a change without that is postponed.
+
+    :param engines: adapter for engines
+    :param link: way to the entries
+    :param clock: gives the time
+    :param find: returns a target of the table by name, or none
+    :param plan: called once a target holds no work and gets none; returns
+        whether the order is planned
+    """
+
+    __slots__ = (
+        '_by_target',
+        '_clock',
+        '_engines',
+        '_find',
+        '_inherited',
+        '_link',
+        '_plan',
+    )
+
+    def __init__(
+        self,
+        engines: EngineAdapter,
+        link: EntryLink,
+        clock: Clock,
+        *,
+        find: Callable[[str], Target | None],
+        plan: Callable[[PlanOrder], bool],
+    ) -> None:
+        self._engines = engines
+        self._link = link
+        self._clock = clock
+        self._find = find
+        self._plan = plan
+        self._by_target: dict[str, PlannedChange] = {}
+        self._inherited: dict[str, DrainNotice] = {}
+        link.subscribe(DrainAck, self._on_ack)
+
+    def targets(self) -> set[str]:
+        """Return the targets with a change under way."""
+        return set(self._by_target) | set(self._inherited)
+
+    def begin(self, plan: PlanOrder, order: str) -> bool:
+        """
+        Begin a drain, unless the target has a change under way.
+
+        :param order: identifier of the drain
+        """
+        if plan.target in self.targets():
+            return False
+        limit_ms = self._clock.now_ms() + DRAIN_LIMIT_MS
+        drain = Drain(plan.target, order, self._entries(), limit_ms)
+        self._by_target[plan.target] = PlannedChange(plan, drain)
+        self._offer(drain, Tick())
+        return True
+
+    def inherit(self, notice: DrainNotice) -> None:
+        """Keep up the drain of an order that a predecessor sent."""
+        self._inherited[notice.target] = notice
+        self._link.broadcast(notice)
+
+    def tick(self) -> None:
+        """Go on with all drains."""
+        entries = self._entries()
+        for notice in self._inherited.values():
+            self._link.broadcast(notice)
+        for change in list(self._by_target.values()):
+            if change.drain.entries != entries:
+                self._offer(change.drain, EntriesChanged(entries))
+            self._offer(change.drain, Tick())
+            if change.drain.state == POSTPONED:
+                self._postpone(change)
+
+    def end(self, target: str) -> None:
+        """Give a target back to the entries: its order is settled."""
+        change = self._by_target.pop(target, None)
+        if change is not None:
+            self._offer(change.drain, ChangeEnded())
+        notice = self._inherited.pop(target, None)
+        if notice is not None:
+            self._link.broadcast(msgspec.structs.replace(notice, active=False))
+
+    def abandon(self) -> None:
+        """Take back all drains whose order was not planned."""
+        for target, change in list(self._by_target.items()):
+            if change.drain.state != READY:
+                self.end(target)
+        self._by_target.clear()
+        self._inherited.clear()
+
+    def _entries(self) -> dict[str, str]:
+        return {
+            name: entry.incarnation
+            for name, entry in self._link.not_gone().items()
+        }
+
+    def _on_ack(self, sender: InstanceInfo, ack: DrainAck) -> None:
+        change = self._by_target.get(ack.target)
+        if change is not None:
+            self._offer(change.drain, DrainAcked(ack))
+
+    def _offer(self, drain: Drain, event: Any) -> None:
+        for action in drain.handle(event, self._clock.now_ms()):
+            match action:
+                case SendNotice():
+                    self._link.broadcast(action.notice)
+                case ReadLoad():
+                    reading = Deferred.fromCoroutine(self._read(drain, action))
+                    reading.addErrback(_log)
+                case AllowChange():
+                    self._allow(action.target)
+
+    def _allow(self, target: str) -> None:
+        change = self._by_target[target]
+        if not self._plan(change.plan):
+            self.end(target)
+
+    def _postpone(self, change: PlannedChange) -> None:
+        self._by_target.pop(change.plan.target)
+        logger.bind(missing=change.drain.missing).warning(
+            'change of {0} postponed', change.plan.target
+        )
+
+    async def _read(self, drain: Drain, action: ReadLoad) -> None:
+        target = self._find(action.target)
+        if target is None:
+            self.end(action.target)
+            return
+        try:
+            load = await self._engines.load(target)
+        except CicadahoistError as error:
+            logger.debug('load of {0}: {1}', action.target, error)
+            return
+        # The report lags: it tells of a time before it was asked for.
+        told_ms = action.asked_ms - load.age_ms
+        self._offer(drain, LoadRead(told_ms, load.running + load.queued))
+
+
+def _log(failure: Any) -> None:
+    logger.error('drain: {0}', failure.getTraceback())
--- /dev/null
+++ b/cicadahoist/control/engine_duty.py
@@ -0,0 +1,138 @@
+"""The duty of the engines of one zone: changes, drained and ordered."""
+
+from collections.abc import Callable
+
+from cicadahoist.clock import Clock
+from cicadahoist.control.drains import Drains
+from cicadahoist.control.engine_orders import EngineSender, OrderEvent
+from cicadahoist.control.entry_link import EntryLink
+from cicadahoist.log import get_logger
+from cicadahoist.messages import DrainNotice
+from cicadahoist.outside.engine import EngineAdapter
+from cicadahoist.protocol.actions import OrderOutcome
+from cicadahoist.protocol.authority import Authority
+from cicadahoist.protocol.order_events import (
+    PlanOrder,
+    TargetGone,
+    TargetRead,
+)
+from cicadahoist.protocol.records import JournalEntry, LeaseRecord
+from cicadahoist.table import Target
+
+logger = get_logger(__name__)
+
+DRAIN_TICK_MS = 500
+IDLE = 'idle'
+
+# Orders that an engine carries out beside its work.
+UNDRAINED_KINDS = frozenset(('model', 'adapter'))
+
+Find = Callable[[str], Target | None]
+
+
+class EngineDuty:
+    """
+    Orders to engines under the lease of a zone.
+
+    :param authority: the lease and its order book
+    :param sender: carries single orders
+    :param engines: adapter for engines
+    :param link: way to the entries
+    :param clock: gives the time
+    :param find: returns a target of the table by name, or none
+    """
+
+    __slots__ = (
+        '_authority',
+        '_drains',
+        '_epoch',
+        '_handle',
+        '_number',
+        '_sender',
+        '_ticked_ms',
+    )
+
+    def __init__(
+        self,
+        authority: Authority,
+        engines: EngineAdapter,
+        link: EntryLink,
+        clock: Clock,
+        find: Find,
+    ) -> None:
+        self._authority = authority
+        self._sender = EngineSender(engines, find)
+        self._drains = Drains(engines, link, clock, find=find, plan=self._plan)
+        self._handle: Callable[[PlanOrder], None] = _ignore
+        self._epoch = 0
+        self._number = 0
+        self._ticked_ms = 0
+
+    def use_task(self, handle: Callable[[PlanOrder], None]) -> None:
+        """Set what takes plans to the lease task."""
+        self._handle = handle
+
+    def changing(self) -> set[str]:
+        """Return the targets with a change under way."""
+        return self._drains.targets()
+
+    def request(self, plan: PlanOrder) -> bool:
+        """
+        Begin a change, unless its target has one under way.
+
+        Only to be called while the lease is held.
+        """
+        if plan.target in self.changing() or not self._is_idle(plan.target):
+            return False
+        if plan.kind in UNDRAINED_KINDS:
+            return self._plan(plan)
+        self._number += 1
+        return self._drains.begin(plan, f'{self._epoch}.{self._number}')
+
+    def won(self, record: LeaseRecord) -> None:
+        """Keep up the drains of orders that the predecessor left open."""
+        self._epoch = record.epoch
+        self._number = record.seq
+        for entry in record.orders.values():
+            if not entry.settled:
+                self._drains.inherit(
+                    DrainNotice(target=entry.target, order=entry.token)
+                )
+
+    def lost(self) -> None:
+        """Take back what was not ordered."""
+        self._drains.abandon()
+
+    def tick(self, now_ms: int) -> None:
+        """Go on with the drains."""
+        if now_ms - self._ticked_ms >= DRAIN_TICK_MS:
+            self._ticked_ms = now_ms
+            self._drains.tick()
+
+    async def send(self, entry: JournalEntry) -> OrderEvent:
+        """Send an order to its engine."""
+        return await self._sender.send(entry)
+
+    async def read(
+        self, target: str, token: str
+    ) -> TargetRead | TargetGone | None:
+        """Read what an engine shows about an order."""
+        return await self._sender.read(target, token)
+
+    def settled(self, entry: JournalEntry, outcome: OrderOutcome) -> None:
+        """Give the engine back to the entries."""
+        logger.info(
+            'order {0} to {1}: {2}', entry.token, entry.target, outcome.value
+        )
+        self._drains.end(entry.target)
+
+    def _plan(self, plan: PlanOrder) -> bool:
+        self._handle(plan)
+        return not self._is_idle(plan.target)
+
+    def _is_idle(self, target: str) -> bool:
+        return self._authority.book.state_of(target) == IDLE
+
+
+def _ignore(plan: PlanOrder) -> None:
+    """Drop a plan: no task has been set yet."""
--- a/cicadahoist/mesh/usage_windows.py
+++ b/cicadahoist/mesh/usage_windows.py
@@ -33,7 +33,8 @@
         self.requests: set[str] = set()
         self.last = 0
         self.closed = False
-        self.flushed = (0, False)
+        # Not even an empty record is stored yet.
+        self.flushed = (-1, False)
         self.version = ABSENT
 
     @property
--- /dev/null
+++ b/tests/test_control/test_engine_duty.py
@@ -0,0 +1,224 @@
+"""Tests of planned changes: drained, ordered, given back."""
+
+import msgspec
+import pytest
+
+from cicadahoist.clock import Clock
+from cicadahoist.control.drains import DRAIN_LIMIT_MS
+from cicadahoist.control.engine_duty import EngineDuty
+from cicadahoist.control.lease_task import LeaseTask
+from cicadahoist.control.term_deadlines import TermDeadlines
+from cicadahoist.errors import LostAfterSendError
+from cicadahoist.outside.engine import EngineLoad, EngineOrders
+from cicadahoist.protocol.authority import Authority
+from cicadahoist.protocol.lease import LeaseKeeper
+from cicadahoist.protocol.order_events import PlanOrder
+from cicadahoist.protocol.orders import OrderBook
+from cicadahoist.standin.memory import MemoryStore
+from cicadahoist.standin.objects import ObjectModel
+from cicadahoist.table import Target
+from tests.test_control.entries import Entries
+from tests.test_control.holders import STEP_MS, TIMING, KernelTimer
+from tests.test_mesh.cluster import run
+
+TO_DECODE = PlanOrder(target='t', kind='role', argument='decode')
+
+
+class Engine:
+    """One engine that notes orders and the work it holds at that time."""
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.load_age_ms = 0
+        self.orders = []
+        self.running_at_order = []
+        self.loses_answer = False
+        self.state = EngineOrders(
+            epoch=0,
+            seq=0,
+            role='mixed',
+            models=[],
+            adapters=[],
+            versions={},
+            changing=False,
+        )
+
+    async def load(self, target):
+        return EngineLoad(
+            age_ms=self.load_age_ms,
+            role=self.state.role,
+            running=self.running,
+            queued=0,
+            prefill_tokens=0,
+            decode_tokens=0,
+            kv_used=0,
+            kv_total=1,
+            models=[],
+            draining=False,
+        )
+
+    async def read_orders(self, target):
+        return self.state
+
+    async def send_order(self, target, order):
+        self.orders.append((order.epoch, order.seq, order.argument))
+        self.running_at_order.append(self.running)
+        self.state = msgspec.structs.replace(
+            self.state,
+            epoch=order.epoch,
+            seq=order.seq,
+            role=order.argument,
+        )
+        if self.loses_answer:
+            raise LostAfterSendError('lost', remedy='look it up')
+
+
+class Zone:
+    """A control process with the engines' lease, one engine, entries."""
+
+    def __init__(self, model=None, clock=None, engine=None) -> None:
+        self.clock = clock or Clock.manual()
+        self.model = model or ObjectModel()
+        self.engine = engine or Engine()
+        self.entries = Entries(self.clock, ['a0', 'a1', 'a2'])
+        lease = LeaseKeeper('leases/a/engines', 'control', TIMING)
+        authority = Authority(lease, OrderBook(lease))
+        self.duty = EngineDuty(
+            authority, self.engine, self.entries.link, self.clock, _find
+        )
+        self.task = LeaseTask(
+            authority,
+            self.duty,
+            MemoryStore(self.model, self.clock),
+            self.clock,
+            TermDeadlines(KernelTimer()),
+            may_stand=lambda: True,
+            may_hold=lambda: True,
+        )
+        self.duty.use_task(self.task.handle)
+        run(self.task.start())
+
+    def advance(self, time_ms: int) -> None:
+        for _ in range(0, time_ms, STEP_MS):
+            self.clock.advance(STEP_MS)
+            self.entries.report()
+
+    def kill(self) -> None:
+        self.task._timer.cancel()
+
+
+def _find(name):
+    if name == 't':
+        return Target(name='t', pool='p', url='http://t', zone='a')
+    return None
+
+
+@pytest.fixture
+def zone() -> Zone:
+    zone = Zone()
+    zone.advance(2000)
+    assert zone.task.is_holder
+    return zone
+
+
+def test_change_goes_ahead_once_all_acknowledged(zone):
+    assert zone.duty.request(TO_DECODE)
+    zone.advance(3000)
+    assert zone.engine.orders == [(1, 1, 'decode')]
+    assert not zone.entries.is_draining
+    assert zone.duty.changing() == set()
+
+
+def test_change_waits_for_open_requests(zone):
+    zone.entries.open_requests['a1'] = 1
+    zone.duty.request(TO_DECODE)
+    zone.advance(10_000)
+    assert zone.engine.orders == []
+    zone.entries.open_requests.clear()
+    zone.advance(3000)
+    assert zone.engine.orders == [(1, 1, 'decode')]
+
+
+def test_change_waits_for_the_count_of_the_engine(zone):
+    zone.engine.running = 1
+    zone.duty.request(TO_DECODE)
+    zone.advance(10_000)
+    assert zone.engine.orders == []
+    zone.engine.running = 0
+    zone.advance(3000)
+    assert zone.engine.running_at_order == [0]
+
+
+def test_count_from_before_the_acknowledgements_does_not_serve(zone):
+    zone.engine.load_age_ms = 5000
+    zone.duty.request(TO_DECODE)
+    zone.advance(4000)
+    assert zone.engine.orders == []
+    zone.advance(5000)
+    assert zone.engine.orders == [(1, 1, 'decode')]
+
+
+def test_missing_acknowledgement_postpones_the_change(zone):
+    zone.entries.silent.add('a2')
+    zone.duty.request(TO_DECODE)
+    zone.advance(DRAIN_LIMIT_MS + 2000)
+    assert zone.engine.orders == []
+    assert not zone.entries.is_draining
+    assert zone.duty.changing() == set()
+
+
+def test_restarted_entry_has_to_acknowledge_anew(zone):
+    zone.engine.running = 1
+    zone.duty.request(TO_DECODE)
+    zone.advance(2000)
+    zone.entries.silent.add('a1')
+    zone.entries.restart('a1')
+    zone.engine.running = 0
+    zone.advance(10_000)
+    assert zone.engine.orders == []
+
+
+def test_target_gets_one_change_at_a_time(zone):
+    assert zone.duty.request(TO_DECODE)
+    assert not zone.duty.request(TO_DECODE)
+
+
+def test_unknown_target_gets_no_order(zone):
+    zone.duty.request(PlanOrder(target='gone', kind='role'))
+    zone.advance(5000)
+    assert zone.engine.orders == []
+    assert zone.duty.changing() == set()
+
+
+def test_lost_answer_is_settled_by_reading_the_engine(zone):
+    zone.engine.loses_answer = True
+    zone.duty.request(TO_DECODE)
+    zone.advance(6000)
+    assert zone.engine.orders == [(1, 1, 'decode')]
+    assert zone.duty.changing() == set()
+
+
+def test_successor_settles_what_a_killed_holder_sent(zone):
+    zone.engine.loses_answer = True
+    zone.duty.request(TO_DECODE)
+    while not zone.engine.orders:
+        zone.advance(STEP_MS)
+    zone.kill()
+    successor = Zone(zone.model, zone.clock, zone.engine)
+    successor.advance(9000)
+    assert successor.task.is_holder
+    assert any(notice.active for notice in successor.entries.notices)
+    successor.advance(3000)
+    assert not successor.entries.is_draining
+    assert zone.engine.orders == [(1, 1, 'decode')]
+
+
+def test_lost_lease_takes_the_drain_back(zone):
+    zone.engine.running = 1
+    zone.duty.request(TO_DECODE)
+    zone.advance(2000)
+    assert zone.entries.is_draining
+    zone.model.faults.outage = True
+    zone.advance(7000)
+    assert not zone.entries.is_draining
+    assert zone.engine.orders == []
