--- /dev/null
+++ b/bench/mesh_instance.py
@@ -0,0 +1,178 @@
+"""One process of ``bench.mesh``: an instance of the mesh, or an operator."""
+
+import json
+import os
+import sys
+import time
+from pathlib import Path
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from cicadahoist.clock import Clock, wall_ms
+from cicadahoist.ids import new_nonce
+from cicadahoist.log import configure_logging
+from cicadahoist.mesh.node import MeshNode
+from cicadahoist.mesh.table_sync import TableSync
+from cicadahoist.mesh.transport import NngTransport
+from cicadahoist.mesh.usage import UsageLedger
+from cicadahoist.messages import InstanceInfo, UsageCount
+from cicadahoist.outside.store import HttpStore
+from cicadahoist.outside.tablestore import RowChange, TableStore
+from cicadahoist.table import Workspace
+
+ZONE = 'a'
+WINDOW_MS = 60_000
+
+
+class CountingTransport(NngTransport):
+    """Counts messages and bytes."""
+
+    sent = received = sent_bytes = received_bytes = 0
+
+    def start(self, receiver) -> None:
+        def count(wire: bytes) -> None:
+            self.received += 1
+            self.received_bytes += len(wire)
+            receiver(wire)
+
+        super().start(count)
+
+    def send(self, address: str, wire: bytes) -> bool:
+        self.sent += 1
+        self.sent_bytes += len(wire)
+        return super().send(address, wire)
+
+
+class CountingStore(HttpStore):
+    """Counts calls."""
+
+    calls = 0
+
+    async def _call(self, *args, **options):
+        self.calls += 1
+        return await super()._call(*args, **options)
+
+
+def status(key: str) -> int:
+    for line in Path('/proc/self/status').read_text().splitlines():
+        if line.startswith(key):
+            return int(line.split()[1])
+    return 0
+
+
+class Instance:
+    """A node with table and usage that prints its figures at the end."""
+
+    def __init__(self, options: dict) -> None:
+        self.options = options
+        self.clock = Clock.from_reactor(reactor)
+        self.transport = CountingTransport(
+            reactor, '127.0.0.1', options['port']
+        )
+        info = InstanceInfo(
+            name=options['name'],
+            zone=ZONE,
+            address='127.0.0.1',
+            port=options['port'],
+            incarnation=new_nonce(),
+        )
+        self.node = MeshNode(
+            info,
+            self.transport,
+            self.clock,
+            seeds=[f'127.0.0.1:{port}' for port in options['seeds']],
+        )
+        self.store = CountingStore(reactor, options['store'], 'bench', 1000)
+        self.sync = TableSync(self.store, self.node, self.clock)
+        self.ledger = UsageLedger(self.node, self.store, self.clock)
+        self.in_force: dict[int, int] = {}
+        self.waits: list[float] = []
+        self.sync.on_change(self._note)
+
+    async def run(self) -> None:
+        await self.node.start()
+        await self.sync.start()
+        await self.ledger.start()
+        await self.clock.sleep(self.options['warm_up_ms'])
+        if self.options['requests_per_s']:
+            self._count()
+        begin = self._snapshot()
+        await self.clock.sleep(self.options['measure_ms'])
+        self._print(begin, self._snapshot())
+        reactor.stop()
+
+    def _note(self, _, table) -> None:
+        self.in_force[table.revision] = self.clock.now_ms()
+
+    def _count(self) -> None:
+        self.clock.call_later(
+            1000 / self.options['requests_per_s'], self._count
+        )
+        count = UsageCount(
+            request=new_nonce(),
+            entry=self.options['name'],
+            window=wall_ms() // WINDOW_MS,
+            workspace='w',
+            route='r',
+            prompt_tokens=1000,
+            output_tokens=300,
+        )
+        began = time.perf_counter()
+        Deferred.fromCoroutine(self.ledger.record(count)).addCallback(
+            lambda _: self.waits.append(time.perf_counter() - began)
+        )
+
+    def _snapshot(self) -> dict:
+        return {
+            'cpu_s': time.process_time(),
+            'time_s': time.monotonic(),
+            'sent': self.transport.sent,
+            'received': self.transport.received,
+            'sent_bytes': self.transport.sent_bytes,
+            'received_bytes': self.transport.received_bytes,
+            'store_calls': self.store.calls,
+        }
+
+    def _print(self, begin: dict, end: dict) -> None:
+        seconds = end.pop('time_s') - begin['time_s']
+        report = {key: (end[key] - begin[key]) / seconds for key in end}
+        report['name'] = self.options['name']
+        report['live'] = len(self.node.live())
+        report['watches'] = self.sync.is_watcher()
+        report['rss_kb'] = status('VmRSS')
+        report['threads'] = len(os.listdir('/proc/self/task'))
+        report['in_force'] = self.in_force
+        report['waits'] = self.waits
+        sys.stdout.write(f'report {json.dumps(report)}\n')
+
+
+async def operate(options: dict) -> None:
+    """Commit changes, and print when each was accepted."""
+    clock = Clock.from_reactor(reactor)
+    store = HttpStore(reactor, options['store'], 'bench', 1000)
+    table = TableStore(store)
+    accepted = {}
+    for number in range(options['changes']):
+        row = Workspace(name=f'workspace-{number}')
+        revision = await table.commit([RowChange(row=row)])
+        accepted[revision] = clock.now_ms()
+        await clock.sleep(options['change_period_ms'])
+    sys.stdout.write(f'report {json.dumps(accepted)}\n')
+    reactor.stop()
+
+
+def main() -> None:
+    options = json.loads(sys.argv[1])
+    configure_logging('text', 'WARNING')
+    work = operate(options) if 'changes' in options else Instance(options).run()
+    reactor.callWhenRunning(
+        lambda: Deferred.fromCoroutine(work).addErrback(
+            lambda failure: sys.stdout.write(failure.getTraceback())
+        )
+    )
+    reactor.run()
+
+
+if __name__ == '__main__':
+    main()
