Send heartbeats without the other peers heard, and as arrays

A peer looks only for itself in Heartbeat.heard, so the batch to it carries that one entry, and messages travel as MessagePack arrays in place of maps.

--- a/bench/mesh_instance.py
+++ b/bench/mesh_instance.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from cicadahoist.clock import Clock, wall_ms
+from cicadahoist.config import Config
 from cicadahoist.ids import new_nonce
 from cicadahoist.log import configure_logging
 from cicadahoist.mesh.node import MeshNode
@@ -54,6 +55,10 @@
         return await super()._call(*args, **options)
 
 
+def settings(options: dict) -> Config:
+    return Config.from_values(store__url=options['store'])
+
+
 def status(key: str) -> int:
     for line in Path('/proc/self/status').read_text().splitlines():
         if line.startswith(key):
@@ -83,7 +88,7 @@
             self.clock,
             seeds=[f'127.0.0.1:{port}' for port in options['seeds']],
         )
-        self.store = CountingStore(reactor, options['store'], 'bench', 1000)
+        self.store = CountingStore.from_config(settings(options), reactor)
         self.sync = TableSync(self.store, self.node, self.clock)
         self.ledger = UsageLedger(self.node, self.store, self.clock)
         self.in_force: dict[int, int] = {}
@@ -150,7 +155,7 @@
 async def operate(options: dict) -> None:
     """Commit changes, and print when each was accepted."""
     clock = Clock.from_reactor(reactor)
-    store = HttpStore(reactor, options['store'], 'bench', 1000)
+    store = HttpStore.from_config(settings(options), reactor)
     table = TableStore(store)
     accepted = {}
     for number in range(options['changes']):
--- /dev/null
+++ b/cicadahoist/control/usage_sources.py
@@ -0,0 +1,90 @@
+"""Reads the usage records that entries and their peers store."""
+
+from collections.abc import Iterable
+
+from cicadahoist.mesh.usage_record import decode_record
+from cicadahoist.outside.store import Store
+from cicadahoist.protocol.usage_figures import (
+    WINDOWS_ADJUSTED,
+    SourceTotals,
+)
+
+PREFIX = 'usage/'
+
+
+class UsageSources:
+    """
+    Usage records by object name, read again only where they changed.
+
+    :param store: the platform's store
+    """
+
+    __slots__ = ('_store', '_totals_by_name', '_version_by_name')
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._version_by_name: dict[str, int] = {}
+        self._totals_by_name: dict[str, SourceTotals] = {}
+
+    async def refresh(self) -> None:
+        """
+        Take in what changed in the store.
+
+        :raises StoreError: the store is away; what was read is kept
+        """
+        names = await self._store.names(PREFIX)
+        records = {
+            name: version
+            for name, version in names.items()
+            if window_of(name) is not None
+        }
+        for gone in set(self._totals_by_name) - set(records):
+            self._totals_by_name.pop(gone)
+            self._version_by_name.pop(gone)
+        for name, version in records.items():
+            if self._version_by_name.get(name) != version:
+                await self._read(name)
+
+    def totals(self) -> list[SourceTotals]:
+        """Return the totals of all records."""
+        return list(self._totals_by_name.values())
+
+    def first_window(self) -> int | None:
+        """Return the earliest window with a record."""
+        windows = [totals.window for totals in self.totals()]
+        return min(windows) if windows else None
+
+    def passed(self, sources: Iterable[str], window: int) -> list[str]:
+        """
+        Return the sources that began after a window.
+
+        An entry stores a record of its first window when it begins.
+        """
+        first_by_source: dict[str, int] = {}
+        for totals in self.totals():
+            first = first_by_source.get(totals.source, totals.window)
+            first_by_source[totals.source] = min(first, totals.window)
+        return [
+            source
+            for source in sources
+            if first_by_source.get(source, window) > window
+        ]
+
+    async def remove_before(self, window: int) -> None:
+        """Remove the records that no figure can include any more."""
+        oldest = window - WINDOWS_ADJUSTED
+        for name, totals in list(self._totals_by_name.items()):
+            if totals.window < oldest:
+                await self._store.remove(name, self._version_by_name[name])
+
+    async def _read(self, name: str) -> None:
+        stored = await self._store.read(name)
+        if stored is not None:
+            self._totals_by_name[name] = decode_record(stored.payload).totals
+            self._version_by_name[name] = stored.version
+
+
+def window_of(name: str) -> int | None:
+    """Return the window of a usage record, none for other objects."""
+    number = name.removeprefix(PREFIX).partition('/')[0]
+    return int(number) if number.isdigit() else None
--- /dev/null
+++ b/cicadahoist/mesh/background.py
@@ -0,0 +1,56 @@
+"""Work of a task that goes on until the task stops."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from cicadahoist.clock import Clock, Timer
+from cicadahoist.log import get_logger
+
+logger = get_logger(__name__)
+
+RESTART_MS = 1000
+
+
+class Background:
+    """
+    Repeats a step; an unexpected error delays it but does not end it.
+
+    :param clock: gives the time
+    :param step: does some work, and waits
+    """
+
+    __slots__ = ('_clock', '_restart', '_running', '_step', 'is_running')
+
+    def __init__(
+        self, clock: Clock, step: Callable[[], Awaitable[None]]
+    ) -> None:
+        self.is_running = False
+        self._clock = clock
+        self._step = step
+        self._running: Deferred[None] | None = None
+        self._restart: Timer | None = None
+
+    def start(self) -> None:
+        """Begin."""
+        self.is_running = True
+        self._running = Deferred.fromCoroutine(self._run())
+        self._running.addErrback(self._on_error)
+
+    def stop(self) -> None:
+        """Break off the present step, and begin no other."""
+        self.is_running = False
+        if self._restart is not None and self._restart.active():
+            self._restart.cancel()
+        if self._running is not None:
+            self._running.cancel()
+
+    async def _run(self) -> None:
+        while self.is_running:
+            await self._step()
+
+    def _on_error(self, failure: Any) -> None:
+        if self.is_running:
+            logger.error('starting again after {0}', failure.getTraceback())
+            self._restart = self._clock.call_later(RESTART_MS, self.start)
--- a/cicadahoist/mesh/rounds.py
+++ b/cicadahoist/mesh/rounds.py
@@ -82,10 +82,10 @@
         links = [link.name for link in self._view.links()]
         if links:
             self._put_summaries(links)
-        heartbeat = self._heartbeat()
+        heard = self._view.peers.heard()
         recipients = [*self._view.zone_peers(), *links]
         for name in recipients:
-            self._outbox.send(name, [heartbeat])
+            self._outbox.send(name, [self._heartbeat(name, heard)])
 
     def stop(self) -> None:
         """Run no further round."""
@@ -98,7 +98,9 @@
         if newcomer.zone == self._view.info.zone and self._view.links():
             zones = self._view.zones
             messages.extend(zones.heard_summary(zone) for zone in zones.zones())
-        self._outbox.send(newcomer.name, [*messages, self._heartbeat()])
+        heard = self._view.peers.heard()
+        messages.append(self._heartbeat(newcomer.name, heard))
+        self._outbox.send(newcomer.name, messages)
 
     def learn(self, sender: InstanceInfo, known: KnownInstances) -> None:
         """Take in who is live according to a sender."""
@@ -139,12 +141,14 @@
         live = self._view.live().values()
         heard = {address_of(instance) for instance in live}
         for address in self._prober.due(heard):
-            self._outbox.probe(address, [self._heartbeat()])
+            self._outbox.probe(address, [self._heartbeat('', {})])
 
-    def _heartbeat(self) -> Heartbeat:
+    def _heartbeat(self, name: str, heard: dict[str, str]) -> Heartbeat:
+        # A peer only looks for itself among those heard.
+        incarnation = heard.get(name)
         state = self.describe_table()
         return Heartbeat(
-            heard=self._view.peers.heard(),
+            heard={name: incarnation} if incarnation else {},
             revision=state.revision,
             in_force_ms=state.in_force_ms,
             confirmed_age_ms=state.confirmed_age_ms,
--- a/cicadahoist/mesh/store_follower.py
+++ b/cicadahoist/mesh/store_follower.py
@@ -24,9 +24,9 @@
     """
     Watches the store as a watcher of the zone; else polls where needed.
 
-    A process that is no watcher reads the store once at its start, and
-    again only when neither watcher nor peer has confirmed its revision
-    within ``POLL_WAITS`` watches.
+    A process that is no watcher reads the store at its start, and again only
+    when neither watcher nor peer has confirmed its revision within
+    ``POLL_WAITS`` watches.
 
     :param store: the platform's store
     :param state: the table in force
@@ -40,7 +40,6 @@
     __slots__ = (
         '_backoff',
         '_clock',
-        '_is_running',
         '_is_watcher',
         '_on_loaded',
         '_state',
@@ -68,22 +67,14 @@
         self._watch_wait_ms = watch_wait_ms
         self._backoff = Backoff(random, RETRY_SHORTEST_MS, RETRY_LONGEST_MS)
         self._version = ABSENT
-        self._is_running = False
-
-    async def run(self) -> None:
-        """Follow the store until stopped."""
-        self._is_running = True
-        await self._try_call(self._read_head)
-        while self._is_running:
-            if self._is_watcher():
-                await self._try_call(self._watch_head)
-            elif self._is_silent():
-                await self._try_call(self._read_head)
-            await self._clock.sleep(CHECK_MS)
-
-    def stop(self) -> None:
-        """Make no further calls; the coroutine may be cancelled then."""
-        self._is_running = False
+
+    async def step(self) -> None:
+        """Make the call that is due, and wait."""
+        if self._is_watcher():
+            await self._try_call(self._watch_head)
+        elif self._is_silent():
+            await self._try_call(self._read_head)
+        await self._clock.sleep(CHECK_MS)
 
     async def _try_call(self, call: Callable[[], Awaitable[None]]) -> None:
         try:
--- a/cicadahoist/mesh/table_sync.py
+++ b/cicadahoist/mesh/table_sync.py
@@ -2,12 +2,10 @@
 
 from random import Random
 
-from twisted.internet.defer import Deferred
-
 from cicadahoist.clock import Clock
 from cicadahoist.config import Config
 from cicadahoist.ids import rendezvous
-from cicadahoist.log import get_logger
+from cicadahoist.mesh.background import Background
 from cicadahoist.mesh.node import MeshNode
 from cicadahoist.mesh.store_follower import StoreFollower
 from cicadahoist.mesh.table_peers import TablePeers
@@ -16,8 +14,6 @@
 from cicadahoist.settings import STORE_WATCH_WAIT
 from cicadahoist.table import Table
 
-logger = get_logger(__name__)
-
 WATCHERS_PER_ZONE = 2
 SETTLE_MS = 3000
 
@@ -70,7 +66,7 @@
             random=random or Random(),
         )
         self._settled_ms = 0
-        self._following: Deferred[None] | None = None
+        self._following = Background(clock, self._follower.step)
         node.rounds.describe_table = self._state.describe
 
     @classmethod
@@ -85,16 +81,11 @@
     async def start(self) -> None:
         """Begin to follow the table."""
         self._settled_ms = self._clock.now_ms() + SETTLE_MS
-        self._following = Deferred.fromCoroutine(self._follower.run())
-        self._following.addErrback(self._on_end)
+        self._following.start()
 
     async def stop(self) -> None:
         """Follow the table no longer."""
-        following = self._following
-        self._following = None
-        self._follower.stop()
-        if following is not None:
-            following.cancel()
+        self._following.stop()
 
     def table(self) -> Table:
         """Return the table in force."""
@@ -133,7 +124,3 @@
     def _on_loaded(self, old_revision: int) -> None:
         if self._node.info.name == self._watchers()[0]:
             self._peers.announce(old_revision)
-
-    def _on_end(self, failure: object) -> None:
-        if self._following is not None:
-            logger.error('table: following ended: {0}', failure)
--- a/cicadahoist/mesh/usage.py
+++ b/cicadahoist/mesh/usage.py
@@ -9,6 +9,7 @@
 from cicadahoist.config import Config
 from cicadahoist.errors import CicadahoistError
 from cicadahoist.log import get_logger
+from cicadahoist.mesh.background import Background
 from cicadahoist.mesh.backoff import Backoff
 from cicadahoist.mesh.node import MeshNode
 from cicadahoist.mesh.usage_copies import UsageCopies
@@ -49,7 +50,6 @@
         '_clock',
         '_copies',
         '_flushing',
-        '_is_running',
         '_lock',
         '_node',
         '_read_wall_ms',
@@ -84,8 +84,7 @@
             random or Random(), flush_period_ms, FLUSH_LONGEST_MS
         )
         self._lock = DeferredLock()
-        self._flushing: Deferred[None] | None = None
-        self._is_running = False
+        self._flushing = Background(clock, self._step)
         node.subscribe(UsageCount, self._on_count)
         node.subscribe(UsageFlushed, self._copies.drop_flushed)
 
@@ -105,15 +104,11 @@
     async def start(self) -> None:
         """Begin to write to the store."""
         self._windows.open(self._window())
-        self._is_running = True
-        self._flushing = Deferred.fromCoroutine(self._run())
-        self._flushing.addErrback(self._on_end)
+        self._flushing.start()
 
     async def stop(self) -> None:
         """Close all windows, and write what the store lacks."""
-        self._is_running = False
-        if self._flushing is not None:
-            self._flushing.cancel()
+        self._flushing.stop()
         self._windows.close_before(self._window() + 1)
         await self._try_flush()
 
@@ -132,11 +127,10 @@
         if not copies and not await self._try_flush():
             logger.warning('usage of {0} is held here only', count.request)
 
-    async def _run(self) -> None:
-        while self._is_running:
-            await self._clock.sleep(self._backoff.next_ms())
-            if await self._try_flush():
-                self._backoff.reset()
+    async def _step(self) -> None:
+        await self._clock.sleep(self._backoff.next_ms())
+        if await self._try_flush():
+            self._backoff.reset()
 
     async def _try_flush(self) -> bool:
         try:
@@ -169,7 +163,3 @@
 
     def _window(self) -> int:
         return self._read_wall_ms() // self._window_ms
-
-    def _on_end(self, failure: object) -> None:
-        if self._is_running:
-            logger.error('usage: flushing ended: {0}', failure)
--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -1,11 +1,15 @@
-"""Messages between instances and between the entry and control processes."""
+"""
+Messages between instances and between the entry and control processes.
+
+They travel as arrays: a new field goes last and has a default.
+"""
 
 import msgspec
 
 from cicadahoist.errors import WireError
 
 
-class InstanceInfo(msgspec.Struct, frozen=True, kw_only=True):
+class InstanceInfo(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """
     Identity and address of one running process of an instance.
 
@@ -20,12 +24,14 @@
     incarnation: str
 
 
-class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Heartbeat(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     State of the sender, sent to each peer in each round.
 
-    :param heard: incarnations that the sender heard within the peer timeout,
-        by name; shows one-way cuts
+    :param heard: incarnation of the receiver that the sender heard within
+        the peer timeout, by name; shows one-way cuts
     :param revision: table revision in force at the sender
     :param in_force_ms: how long that revision has been in force
     :param leaving: whether the sender is draining
@@ -40,7 +46,9 @@
     confirmed_age_ms: int = -1
 
 
-class KnownInstances(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class KnownInstances(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Addresses of live instances.
 
@@ -52,7 +60,9 @@
     zone: str = ''
 
 
-class TableDelta(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class TableDelta(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Shard objects that changed since an older revision.
 
@@ -66,13 +76,17 @@
     shards: dict[str, bytes]
 
 
-class TableWanted(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class TableWanted(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """Asks a peer for what changed since ``revision``."""
 
     revision: int
 
 
-class UsageCount(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class UsageCount(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Usage of one finished or broken-off request.
 
@@ -92,13 +106,17 @@
     number: int = 0
 
 
-class UsageCopied(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class UsageCopied(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """Acknowledges that the sender keeps copies of these counts."""
 
     requests: list[str]
 
 
-class UsageFlushed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class UsageFlushed(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Tells peers that the sender's counts of a window are in the store.
 
@@ -109,7 +127,9 @@
     through: int
 
 
-class DrainNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class DrainNotice(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Asks every entry to send no new work to a target.
 
@@ -122,7 +142,9 @@
     active: bool = True
 
 
-class DrainAck(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class DrainAck(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Acknowledges a drain.
 
@@ -136,7 +158,9 @@
     open_requests: int
 
 
-class Demand(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Demand(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Recent demand at the sender, from which limits are split.
 
@@ -150,7 +174,9 @@
     used_by_rule: dict[str, tuple[int, int, int]] = {}
 
 
-class LoadView(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class LoadView(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Work in flight from the sender.
 
@@ -163,7 +189,9 @@
     urgent_by_target: dict[str, int] = {}
 
 
-class Blame(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Blame(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     A request ran on a target while that target died.
 
@@ -175,14 +203,18 @@
     alone: bool
 
 
-class Quarantined(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Quarantined(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """Bodies with this digest are refused everywhere for a time."""
 
     digest: str
     for_ms: int
 
 
-class SuspectRun(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class SuspectRun(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     A suspect is about to run on a target, or has ended there.
 
@@ -234,7 +266,9 @@
 )
 
 
-class Relayed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Relayed(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     A message between zones, passed on by gateways.
 
@@ -251,7 +285,7 @@
     message: Message
 
 
-class Batch(msgspec.Struct, frozen=True, kw_only=True):
+class Batch(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """
     All messages for one peer in one round.
 
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -213,7 +213,7 @@
     Option(
         'store',
         'watch_wait',
-        20_000,
+        2000,
         unit='ms',
         lowest=100,
         summary='How long one watch waits for a change.',
--- a/tests/test_mesh/test_store_follower.py
+++ b/tests/test_mesh/test_store_follower.py
@@ -2,9 +2,8 @@
 
 from random import Random
 
-from twisted.internet.defer import Deferred
-
 from cicadahoist.clock import Clock
+from cicadahoist.mesh.background import Background
 from cicadahoist.mesh.store_follower import StoreFollower
 from cicadahoist.mesh.table_state import TableState
 from cicadahoist.standin.memory import MemoryStore
@@ -25,7 +24,7 @@
         watch_wait_ms=2000,
         random=Random(number),
     )
-    Deferred.fromCoroutine(follower.run()).addErrback(lambda _: None)
+    Background(clock, follower.step).start()
 
 
 def advance(clock, time_ms) -> None:
--- a/tests/test_mesh/test_usage.py
+++ b/tests/test_mesh/test_usage.py
@@ -45,8 +45,7 @@
     def kill(self, name):
         super().kill(name)
         ledger = self.ledgers.pop(name)
-        ledger._is_running = False
-        ledger._flushing.cancel()
+        ledger._flushing.stop()
 
     def count(self, entry: str, request: str = '') -> Deferred:
         """Record one request of 10 and 5 tokens."""
