Schedule idle timeouts of connections on the entry's own clock

Cause: the idle timer of each connection ran on the global reactor also where the entry had a manual clock, so that tests left timers behind and the next test on real sockets failed (test_cancel, 3 of 3 full runs). Ruled out: the engine stand-in's cancel, which passed 25 of 25 runs alone.

--- a/cicadahoist/clock.py
+++ b/cicadahoist/clock.py
@@ -49,6 +49,11 @@
         scheduler = ManualTime()
         return cls(scheduler, lambda: round(scheduler.seconds() * MS_PER_S))
 
+    @property
+    def scheduler(self) -> Any:
+        """The ``IReactorTime`` provider behind this clock."""
+        return self._scheduler
+
     def now_ms(self) -> int:
         """Return the current reading in milliseconds."""
         return self._read_ms()
--- a/cicadahoist/entry/connection.py
+++ b/cicadahoist/entry/connection.py
@@ -116,7 +116,10 @@
         header_timeout_ms: int,
     ) -> None:
         super().__init__(
-            resource, requestFactory=BoundedRequest, timeout=IDLE_TIMEOUT_S
+            resource,
+            requestFactory=BoundedRequest,
+            timeout=IDLE_TIMEOUT_S,
+            reactor=clock.scheduler,
         )
         self.clock = clock
         self.metrics = metrics
