Add platform stand-ins and adapters; test the engine's state

Target orders, usage intake, instance list and weight store, as small as serves: orders act once by token, conflicts are counted by epoch, notices of reclaim are given as time left, since wall clocks are not compared. Block names of cache events follow policy/prefix. A commit whose head was written late finds its nonce at the next attempt, so the read in between is gone.

--- a/cicadahoist/cmd/standin.py
+++ b/cicadahoist/cmd/standin.py
@@ -6,10 +6,13 @@
 
 from cicadahoist.clock import Clock
 from cicadahoist.log import configure_logging
+from cicadahoist.outside.platform_messages import ListedInstance
 from cicadahoist.standin.engine import Engine, EngineOptions
 from cicadahoist.standin.engine_batch import EngineLimits
 from cicadahoist.standin.engine_server import EngineServer
 from cicadahoist.standin.objects import READS_PER_S, WRITES_PER_S, ObjectModel
+from cicadahoist.standin.platform import PlatformOptions, PlatformServer
+from cicadahoist.standin.platform_targets import Spare
 from cicadahoist.standin.service import ServiceServer
 from cicadahoist.standin.store import StoreServer
 from cicadahoist.standin.web import WebApp
@@ -83,11 +86,75 @@
     _serve(lambda clock, _: ServiceServer(name, clock).app, port)
 
 
+@app.command()
+def platform(
+    port: Port = 0,
+    spare: Annotated[
+        list[str] | None,
+        typer.Option(
+            help='A target for sale: name,zone,url,price[,reclaimable];'
+            ' repeatable.'
+        ),
+    ] = None,
+    instance: Annotated[
+        list[str] | None,
+        typer.Option(help='name,zone,address,port; repeatable.'),
+    ] = None,
+    arrival_ms: Annotated[
+        int, typer.Option(help='Time until a bought target runs, in ms.')
+    ] = 5000,
+    list_lag_ms: Annotated[
+        int, typer.Option(help='Lag of the list of instances, in ms.')
+    ] = 2000,
+    weights_per_s: Annotated[
+        int, typer.Option(help='Rate limit of the weight store, 0 for none.')
+    ] = 1,
+) -> None:
+    """Target orders, usage intake, list of instances and weight store."""
+    options = PlatformOptions(
+        arrival_ms=arrival_ms,
+        list_lag_ms=list_lag_ms,
+        weights_per_s=weights_per_s,
+    )
+    spares = [_spare(text) for text in spare or ()]
+    instances = [_instance(text) for text in instance or ()]
+    _serve(
+        lambda clock, _: PlatformServer(options, clock, spares, instances).app,
+        port,
+    )
+
+
 def main() -> None:
     """Run the command line."""
     app()
 
 
+def _spare(text: str) -> Spare:
+    try:
+        name, zone, url, price, *flags = text.split(',')
+    except ValueError:
+        raise typer.BadParameter(
+            f'{text}: expected name,zone,url,price[,reclaimable]'
+        ) from None
+    return Spare(
+        name=name,
+        zone=zone,
+        url=url,
+        price=int(price),
+        reclaimable='reclaimable' in flags,
+    )
+
+
+def _instance(text: str) -> ListedInstance:
+    try:
+        name, zone, address, port = text.split(',')
+    except ValueError:
+        raise typer.BadParameter(
+            f'{text}: expected name,zone,address,port'
+        ) from None
+    return ListedInstance(name=name, zone=zone, address=address, port=int(port))
+
+
 def _serve(build: Any, port: int) -> None:
     from twisted.internet import reactor as installed  # noqa: PLC0415, WPS433
 
--- a/cicadahoist/errors.py
+++ b/cicadahoist/errors.py
@@ -78,10 +78,20 @@
 
 
 class BusyError(RefusedError):
-    """The target or the platform refused the call for now."""
+    """
+    The target or the platform refused the call for now.
+
+    :param retry_after_ms: when coming back helps, 0 for unknown
+    """
 
     kind = 'busy'
 
+    def __init__(
+        self, problem: str, *, remedy: str, retry_after_ms: int = 0
+    ) -> None:
+        super().__init__(problem, remedy=remedy)
+        self.retry_after_ms = retry_after_ms
+
 
 class FencedError(CicadahoistError):
     """An order carried an old fencing number."""
@@ -89,6 +99,12 @@
     kind = 'fenced'
 
 
+class UsageConflictError(CicadahoistError):
+    """Other figures were reported for the same billing window."""
+
+    kind = 'usage-conflict'
+
+
 class WireError(CicadahoistError):
     """A message could not be decoded."""
 
--- /dev/null
+++ b/cicadahoist/outside/platform_client.py
@@ -0,0 +1,138 @@
+"""Calls to the interfaces of the platform."""
+
+from typing import Any
+
+import msgspec
+
+from cicadahoist.clock import MS_PER_S
+from cicadahoist.config import Config
+from cicadahoist.errors import BusyError, RefusedError
+from cicadahoist.outside.http import (
+    HTTP_BUSY,
+    HTTP_CONFLICT,
+    HTTP_MULTIPLE_CHOICES,
+    HTTP_UNAVAILABLE,
+    HttpClient,
+    TargetResponse,
+)
+from cicadahoist.settings import (
+    CONNECT_TIMEOUT,
+    ORDER_BOUND,
+    PLATFORM_CREDENTIAL,
+    PLATFORM_TIMEOUT,
+    PLATFORM_URL,
+)
+
+_BUSY = frozenset((HTTP_BUSY, HTTP_UNAVAILABLE))
+
+
+class PlatformClient:
+    """
+    Sends calls to the platform.
+
+    :param kept: client whose connections are kept
+    :param orders: client for calls under a lease, whose unsent bytes the
+        kernel drops within the order bound
+    """
+
+    __slots__ = ('_base', '_headers', '_kept', '_orders', '_timeout_ms')
+
+    def __init__(
+        self,
+        kept: HttpClient,
+        orders: HttpClient,
+        base: str,
+        credential: str,
+        timeout_ms: int,
+    ) -> None:
+        self._kept = kept
+        self._orders = orders
+        self._base = base.rstrip('/')
+        self._timeout_ms = timeout_ms
+        self._headers = {'Content-Type': 'application/json'}
+        if credential:
+            self._headers['Authorization'] = f'Bearer {credential}'
+
+    @classmethod
+    def from_config(cls, config: Config, reactor: Any) -> 'PlatformClient':
+        """Return the client that the settings describe."""
+        connect_ms = config.read(CONNECT_TIMEOUT)
+        bound_ms = config.read(ORDER_BOUND)
+        return cls(
+            HttpClient(reactor, connect_ms),
+            HttpClient(
+                reactor, connect_ms, reuse=False, send_timeout_ms=bound_ms
+            ),
+            config.read(PLATFORM_URL),
+            config.read(PLATFORM_CREDENTIAL),
+            min(config.read(PLATFORM_TIMEOUT), bound_ms),
+        )
+
+    async def get(self, path: str) -> bytes:
+        """
+        Read something.
+
+        :raises BusyError: a rate limit or an outage
+        """
+        response = await self._call(self._kept, 'GET', path)
+        return await self._checked(response, path)
+
+    async def order(self, path: str, order: msgspec.Struct) -> bytes:
+        """
+        Send an order under a lease.
+
+        :raises BusyError: the order was not taken
+        """
+        response = await self._call(self._orders, 'POST', path, order)
+        return await self._checked(response, path)
+
+    async def put(self, path: str, report: msgspec.Struct) -> int:
+        """
+        Send a report under a lease and return the status.
+
+        :raises BusyError: the report was not taken
+        """
+        response = await self._call(self._orders, 'PUT', path, report)
+        if response.status == HTTP_CONFLICT:
+            response.abort()
+        else:
+            await self._checked(response, path)
+        return response.status
+
+    async def close(self) -> None:
+        """Close kept connections."""
+        await self._kept.close()
+
+    async def _call(
+        self,
+        client: HttpClient,
+        method: str,
+        path: str,
+        content: msgspec.Struct | None = None,
+    ) -> TargetResponse:
+        body = None if content is None else msgspec.json.encode(content)
+        return await client.call(
+            method,
+            self._base + path,
+            headers=self._headers,
+            body=body,
+            timeout_ms=self._timeout_ms,
+        )
+
+    async def _checked(self, response: TargetResponse, path: str) -> bytes:
+        body = await response.read_body(self._timeout_ms)
+        if response.status < HTTP_MULTIPLE_CHOICES:
+            return body
+        problem = f'{path}: HTTP {response.status}'
+        if response.status in _BUSY:
+            raise BusyError(
+                problem,
+                remedy='try again later',
+                retry_after_ms=_retry_after_ms(response),
+            )
+        raise RefusedError(problem, remedy='read what the platform reports')
+
+
+def _retry_after_ms(response: TargetResponse) -> int:
+    seconds = response.header('Retry-After')
+    return int(seconds) * MS_PER_S if seconds.isdigit() else 0
--- a/cicadahoist/outside/tablestore.py
+++ b/cicadahoist/outside/tablestore.py
@@ -113,17 +113,11 @@
         payload = msgspec.json.encode(updated)
         try:
             await self._store.write(HEAD_NAME, payload, version)
-        except VersionConflictError:
+        except (VersionConflictError, StoreUnavailableError):
+            # The next attempt finds the nonce if the write took effect.
             return 0
-        except StoreUnavailableError:
-            if not await self._is_committed(nonce):
-                return 0
         return updated.revision
 
-    async def _is_committed(self, nonce: str) -> bool:
-        head, _ = await self.read_head()
-        return nonce in head.commits
-
     async def _with_changes(
         self, head: Head, changes: list[RowChange], nonce: str
     ) -> Head:
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -261,6 +261,64 @@
         summary='Longest wait for an answer that holds no request of a caller.',
     )
 )
+PLATFORM_URL = _declare(
+    Option(
+        'platform',
+        'url',
+        'http://127.0.0.1:8071',
+        summary='Address of the interfaces of the platform.',
+    )
+)
+PLATFORM_CREDENTIAL = _declare(
+    Option(
+        'platform',
+        'credential',
+        '',
+        summary='Bearer token towards the platform.',
+    )
+)
+PLATFORM_TIMEOUT = _declare(
+    Option(
+        'platform',
+        'timeout',
+        1000,
+        unit='ms',
+        lowest=10,
+        summary='Longest wait for an answer of the platform.',
+    )
+)
+WEIGHT_ADAPTER = _declare(
+    Option(
+        'platform',
+        'weight_adapter',
+        'http',
+        summary='Registered adapter for the weight store.',
+    )
+)
+TARGET_ORDER_ADAPTER = _declare(
+    Option(
+        'platform',
+        'target_order_adapter',
+        'http',
+        summary='Registered adapter for target orders.',
+    )
+)
+USAGE_ADAPTER = _declare(
+    Option(
+        'platform',
+        'usage_adapter',
+        'http',
+        summary='Registered adapter for usage reports.',
+    )
+)
+INSTANCE_ADAPTER = _declare(
+    Option(
+        'platform',
+        'instance_adapter',
+        'http',
+        summary='Registered adapter for the list of instances.',
+    )
+)
 LEASE_TERM = _declare(
     Option(
         'control',
--- a/cicadahoist/standin/engine.py
+++ b/cicadahoist/standin/engine.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from cicadahoist.clock import Clock, Timer
-from cicadahoist.outside.blocks import BYTES_PER_TOKEN, prompt_blocks
 from cicadahoist.outside.engine import (
     AttemptState,
     CacheEvents,
@@ -15,11 +14,16 @@
 )
 from cicadahoist.standin.engine_answers import CompletionBody
 from cicadahoist.standin.engine_batch import Batch, EngineLimits, Job, JobState
-from cicadahoist.standin.engine_cache import KvHandles, PrefixCache
+from cicadahoist.standin.engine_cache import (
+    KvHandles,
+    PrefixCache,
+    block_names,
+)
 from cicadahoist.standin.engine_orders import OrderBook
 from cicadahoist.standin.tokens import prompt_digest
 
 ATTEMPTS_KEPT = 20_000
+BYTES_PER_TOKEN = 4
 
 
 class EngineOptions(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,7 +105,7 @@
     ) -> Job:
         """Queue a request; ``emit`` gets each of its output tokens."""
         prompt = body.text
-        blocks = prompt_blocks(prompt)
+        blocks = block_names(prompt)
         tokens = max(1, len(prompt.encode()) // BYTES_PER_TOKEN)
         digest = prompt_digest(body.model, prompt)
         cached = self.cache.cached_tokens(blocks)
--- a/cicadahoist/standin/engine_cache.py
+++ b/cicadahoist/standin/engine_cache.py
@@ -2,8 +2,8 @@
 
 from collections import OrderedDict
 
-from cicadahoist.outside.blocks import BLOCK_TOKENS
 from cicadahoist.outside.engine import CacheEvent, CacheEvents
+from cicadahoist.policy.prefix import BLOCK_TOKENS, prompt_blocks
 
 EVENTS_KEPT = 4096
 HANDLES_KEPT = 1024
@@ -75,6 +75,11 @@
             self._events.popitem(last=False)
 
 
+def block_names(prompt: str) -> list[str]:
+    """Return the names of a prompt's whole blocks, the first one first."""
+    return [f'{block:016x}' for block in prompt_blocks(prompt.encode())]
+
+
 class KvHandles:
     """Exported and imported KV cache, by handle."""
 
--- /dev/null
+++ b/cicadahoist/standin/platform.py
@@ -0,0 +1,243 @@
+"""Platform stand-in over HTTP: target orders, usage, instances, weights."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from cicadahoist.clock import Clock
+from cicadahoist.outside.http import (
+    HTTP_BUSY,
+    HTTP_CONFLICT,
+    HTTP_UNAVAILABLE,
+)
+from cicadahoist.outside.platform_messages import (
+    ListedInstance,
+    ListedInstances,
+    RunningTargets,
+    TargetOrderAnswer,
+    TargetOrderCall,
+    UsageReport,
+)
+from cicadahoist.registry import Registry
+from cicadahoist.standin.bucket import TokenBucket
+from cicadahoist.standin.faults import Fault, serve_fault
+from cicadahoist.standin.platform_instances import InstanceBooks
+from cicadahoist.standin.platform_targets import (
+    Spare,
+    TargetCounts,
+    TargetMarket,
+)
+from cicadahoist.standin.platform_usage import UsageBooks, UsageCounts
+from cicadahoist.standin.web import (
+    WebApp,
+    abort,
+    answer,
+    argument,
+    read_body,
+    refuse,
+)
+
+RETRY_AFTER_S = 1
+
+
+class PlatformOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Behaviour of the platform.
+
+    :param arrival_ms: time from an order until the target runs
+    :param list_lag_ms: time until a change of the instances shows
+    :param weight_bytes: size of the weights of each model
+    :param weights_per_s: rate limit of the weight store, 0 for none
+    """
+
+    arrival_ms: int = 5000
+    list_lag_ms: int = 2000
+    weight_bytes: int = 65_536
+    weights_per_s: int = 1
+
+
+class PlatformSeen(msgspec.Struct, frozen=True):
+    """
+    What the platform saw.
+
+    :param cost: cost of bought targets, in thousandths of a unit
+    :param usage_by_window: figures by ``workspace/window``
+    """
+
+    targets: TargetCounts
+    cost: float
+    usage: UsageCounts
+    usage_by_window: dict[str, UsageReport]
+    weights: dict[str, int]
+
+
+class PlatformServer:
+    """
+    Serves the interfaces of the platform.
+
+    :param spares: targets that can be bought
+    :param instances: instances listed from the start
+    """
+
+    __slots__ = (
+        '_weight_bucket',
+        '_weights',
+        'app',
+        'clock',
+        'instances',
+        'is_away',
+        'lose_next',
+        'market',
+        'options',
+        'usage',
+    )
+
+    def __init__(
+        self,
+        options: PlatformOptions,
+        clock: Clock,
+        spares: list[Spare],
+        instances: list[ListedInstance],
+    ) -> None:
+        self.options = options
+        self.clock = clock
+        self.is_away = False
+        self.lose_next = 0
+        self.market = TargetMarket(spares, options.arrival_ms)
+        self.usage = UsageBooks()
+        self.instances = InstanceBooks(instances, options.list_lag_ms)
+        self._weights: Counter[str] = Counter()
+        self._weight_bucket = TokenBucket(options.weights_per_s)
+        self.app = self._routed()
+
+    def set_fault(self, fault: Fault) -> None:
+        """
+        Bring about a fault, or end all of them.
+
+        :raises ConfigError: the platform has no such fault
+        """
+        PLATFORM_FAULTS.get(fault.kind)(self, fault)
+
+    def seen(self) -> PlatformSeen:
+        """Return what the platform saw."""
+        return PlatformSeen(
+            self.market.counts,
+            self.market.cost(self.clock.now_ms()),
+            self.usage.counts,
+            self.usage.by_window,
+            dict(self._weights),
+        )
+
+    def _routed(self) -> WebApp:
+        app = WebApp()
+        app.add('POST', '/target-orders', self._order)
+        app.add('GET', '/target-orders', self._orders)
+        app.add('GET', '/targets', self._targets)
+        app.add('PUT', '/usage/<workspace>/<window>', self._report)
+        app.add('GET', '/instances', self._listed)
+        app.add('GET', '/weights/<model>/<version>', self._weight)
+        app.add('POST', '/standin/instances', self._change_instances)
+        app.add('POST', '/standin/fault', serve_fault(self.set_fault))
+        app.add('GET', '/standin/seen', self._seen)
+        return app
+
+    def _order(self, request: Any) -> bytes:
+        if self.is_away:
+            return _away(request)
+        order = msgspec.json.decode(read_body(request), type=TargetOrderCall)
+        state = self.market.send(order, self.clock.now_ms())
+        return self._answered(request, answer(request, state))
+
+    def _orders(self, request: Any) -> bytes:
+        if self.is_away:
+            return _away(request)
+        zone = argument(request, 'zone')
+        states = self.market.orders(zone, self.clock.now_ms())
+        return answer(request, TargetOrderAnswer(states))
+
+    def _targets(self, request: Any) -> bytes:
+        if self.is_away:
+            return _away(request)
+        zone = argument(request, 'zone')
+        targets = self.market.targets(zone, self.clock.now_ms())
+        return answer(request, RunningTargets(targets))
+
+    def _report(self, request: Any, workspace: str, window: str) -> bytes:
+        if self.is_away:
+            return _away(request)
+        usage = msgspec.json.decode(read_body(request), type=UsageReport)
+        if not self.usage.report(workspace, window, usage):
+            return refuse(request, HTTP_CONFLICT, 'other figures are known')
+        return self._answered(request, answer(request, usage))
+
+    def _listed(self, request: Any) -> bytes:
+        if self.is_away:
+            return _away(request)
+        listed = self.instances.listed(self.clock.now_ms())
+        return answer(request, ListedInstances(listed))
+
+    def _weight(self, request: Any, model: str, version: str) -> bytes:
+        if self.is_away:
+            return _away(request)
+        if not self._weight_bucket.take(self.clock.now_ms()):
+            return refuse(request, HTTP_BUSY, 'rate limit', RETRY_AFTER_S)
+        self._weights[f'{model}/{version}'] += 1
+        return bytes(self.options.weight_bytes)
+
+    def _change_instances(self, request: Any) -> bytes:
+        listed = msgspec.json.decode(read_body(request), type=ListedInstances)
+        self.instances.change(listed.instances, self.clock.now_ms())
+        return answer(request, listed)
+
+    def _seen(self, request: Any) -> bytes:
+        return answer(request, self.seen())
+
+    def _answered(self, request: Any, body: bytes) -> bytes:
+        if self.lose_next:
+            self.lose_next -= 1
+            abort(request)
+        return body
+
+
+PLATFORM_FAULTS: Registry[Callable[[PlatformServer, Fault], None]] = Registry(
+    'platform fault'
+)
+
+
+@PLATFORM_FAULTS.register('none')
+def end_faults(server: PlatformServer, fault: Fault) -> None:
+    """End all faults."""
+    server.is_away = False
+    server.lose_next = 0
+    server.market.unavailable_zones.clear()
+
+
+@PLATFORM_FAULTS.register('outage')
+def refuse_all(server: PlatformServer, fault: Fault) -> None:
+    """Refuse every call."""
+    server.is_away = True
+
+
+@PLATFORM_FAULTS.register('lose-answers')
+def lose_answers(server: PlatformServer, fault: Fault) -> None:
+    """Lose the answers of the next ``count`` orders and reports."""
+    server.lose_next = fault.count
+
+
+@PLATFORM_FAULTS.register('unavailable')
+def sell_nothing(server: PlatformServer, fault: Fault) -> None:
+    """Sell no target in the zone ``mark``."""
+    server.market.unavailable_zones.add(fault.mark)
+
+
+@PLATFORM_FAULTS.register('reclaim')
+def reclaim_targets(server: PlatformServer, fault: Fault) -> None:
+    """Take the target or zone ``mark`` away after ``delay_ms``."""
+    at_ms = server.clock.now_ms() + fault.delay_ms
+    server.market.reclaim(fault.mark, fault.mark, at_ms)
+
+
+def _away(request: Any) -> bytes:
+    return refuse(request, HTTP_UNAVAILABLE, 'outage', RETRY_AFTER_S)
--- a/tests/test_outside/test_engine.py
+++ b/tests/test_outside/test_engine.py
@@ -255,7 +255,7 @@
 
     async def test_load_and_cache_events(self):
         _, _, target = self.start(load_lag_ms=0, event_lag_ms=0, event_gap=0)
-        await (await self.stream(target, 'a1', body('x' * 1024))).ended
+        await (await self.stream(target, 'a1', body('x' * 4096))).ended
         load = await self.adapter_under_test.load(target)
         assert load.models == ['demo-model']
         found = await self.adapter_under_test.cache_events(target, 1)
--- a/tests/test_outside/test_tablestore.py
+++ b/tests/test_outside/test_tablestore.py
@@ -1,5 +1,6 @@
 import pytest
 from msgspec.structs import replace
+from twisted.internet.defer import Deferred
 
 from cicadahoist.clock import Clock
 from cicadahoist.errors import StoreUnavailableError, TableConflictError
@@ -10,6 +11,8 @@
 from cicadahoist.table import Rule, Workspace
 from tests.coroutines import Pending, result_of
 
+ROW = Workspace(name='tayside')
+
 
 @pytest.fixture
 def clock():
@@ -66,28 +69,47 @@
     assert loaded(operators[1]).rows() == []
 
 
-@pytest.mark.parametrize('lost', [1, 2])
-def test_lost_answer_commits_once(operators, model, lost):
-    # The first write is the shard's, the second one is the head's.
-    if lost == 2:
-        result_of(save(operators[0], Workspace(name='before')))
-    revision = loaded(operators[0]).revision
-    write = MemoryStore.write
-
-    async def write_then_lose(self, name, payload, expected):
-        if name.endswith('head') == (lost == 2):
-            model.set_fault(Fault(kind='lose-answers', count=1))
-            MemoryStore.write = write
-        return await write(self, name, payload, expected)
-
-    MemoryStore.write = write_then_lose
-    try:
-        committed = result_of(save(operators[0], Workspace(name='tayside')))
-    finally:
-        MemoryStore.write = write
-    assert committed == revision + 1
-    assert loaded(operators[1]).revision == revision + 1
-    assert 'tayside' in loaded(operators[1]).workspaces_by_name
+class HookedStore(MemoryStore):
+    """Sets a fault for the first write of the head, or of a shard."""
+
+    def __init__(self, model, clock, ending, fault, **options):
+        super().__init__(model, clock, **options)
+        self.ending = ending
+        self.fault = fault
+        self.later = Fault(kind='none')
+
+    async def write(self, name, payload, expected):
+        if self.fault is None or not name.endswith(self.ending):
+            return await super().write(name, payload, expected)
+        self.model.set_fault(self.fault)
+        self.fault = None
+        writing = Deferred.fromCoroutine(super().write(name, payload, expected))
+        self.model.set_fault(self.later)
+        return await writing
+
+
+@pytest.mark.parametrize('ending', ['head', ''])
+def test_lost_answer_commits_once(operators, model, clock, ending):
+    result_of(save(operators[1], Workspace(name='before')))
+    lose = Fault(kind='lose-answers', count=1)
+    operator = TableStore(HookedStore(model, clock, ending, lose))
+    assert result_of(save(operator, Workspace(name='tayside'))) == 2
+    table = loaded(operators[1])
+    assert table.revision == 2
+    assert sorted(table.workspaces_by_name) == ['before', 'tayside']
+
+
+@pytest.mark.parametrize('late_ms', [30, 45, 60, 75, 90, 200])
+def test_late_write_of_the_head_commits_once(operators, model, clock, late_ms):
+    late = Fault(kind='slow', delay_ms=late_ms)
+    store = HookedStore(model, clock, 'head', late, timeout_ms=20)
+    store.later = Fault(kind='slow', delay_ms=15)
+    saving = Pending(TableStore(store).commit([RowChange(row=ROW)]))
+    for _ in range(100):
+        clock.advance(5)
+    assert saving.result() == 1
+    model.set_fault(Fault(kind='none'))
+    assert loaded(operators[0]).revision == 1
 
 
 def test_operators_at_once_lose_no_row(operators, model, clock):
--- /dev/null
+++ b/tests/test_standin/test_platform.py
@@ -0,0 +1,94 @@
+import pytest
+from msgspec.structs import replace
+
+from cicadahoist.outside.platform_messages import (
+    ListedInstance,
+    TargetOrderCall,
+    UsageReport,
+)
+from cicadahoist.standin.platform_instances import InstanceBooks
+from cicadahoist.standin.platform_targets import Spare, TargetMarket
+from cicadahoist.standin.platform_usage import UsageBooks
+
+HOUR_MS = 3_600_000
+BUY = TargetOrderCall(token='2.1', epoch=2, zone='zone-a', kind='buy')
+CHEAP = replace(BUY, token='2.2', reclaimable=True)
+
+
+@pytest.fixture
+def market():
+    spares = [
+        Spare(name='firm', zone='zone-a', url='', price=1000),
+        Spare(name='cheap', zone='zone-a', url='', price=300, reclaimable=True),
+    ]
+    return TargetMarket(spares, arrival_ms=5000)
+
+
+def test_target_arrives_late_and_costs_while_it_runs(market):
+    assert market.send(BUY, 0).state == 'accepted'
+    assert market.targets('zone-a', 4999) == []
+    assert [target.name for target in market.targets('zone-a', 5000)] == [
+        'firm'
+    ]
+    assert market.cost(5000 + HOUR_MS) == 1000
+    release = replace(BUY, token='2.9', kind='release', target='firm')
+    market.send(release, 5000 + HOUR_MS)
+    assert market.cost(9 * HOUR_MS) == 1000
+
+
+def test_reclaimable_target_vanishes_after_its_notice(market):
+    market.send(BUY, 0)
+    market.send(CHEAP, 0)
+    market.reclaim('zone-a', '', at_ms=9000)
+    notices = {
+        target.name: target.reclaim_in_ms
+        for target in market.targets('zone-a', 6000)
+    }
+    assert notices == {'firm': None, 'cheap': 3000}
+    assert [target.name for target in market.targets('zone-a', 9000)] == [
+        'firm'
+    ]
+    assert market.cost(5000) < market.cost(9000)
+
+
+def test_nothing_to_sell(market):
+    market.unavailable_zones.add('zone-a')
+    assert market.send(BUY, 0).state == 'unavailable'
+    market.unavailable_zones.clear()
+    assert market.send(replace(BUY, token='2.3'), 0).state == 'accepted'
+    assert market.send(replace(BUY, token='2.4'), 0).state == 'unavailable'
+    assert market.counts.unavailable == 2
+
+
+def test_conflicting_orders_are_counted(market):
+    market.send(BUY, 0)
+    market.send(replace(BUY, epoch=3), 0)
+    market.send(replace(BUY, token='1.7', epoch=1), 0)
+    market.send(replace(BUY, epoch=3, pool='other'), 0)
+    other_zone = replace(BUY, token='1.8', epoch=1, zone='zone-b')
+    market.send(other_zone, 0)
+    assert market.counts.stale == 1
+    assert market.counts.repeated == 2
+    assert market.counts.differing == 1
+    assert len(market.targets('zone-a', 5000)) == 1
+
+
+def test_usage_of_older_epochs_is_counted():
+    books = UsageBooks()
+    usage = UsageReport(epoch=2, prompt_tokens=1, output_tokens=1, requests=1)
+    assert books.report('tayside', '7', usage)
+    assert books.report('tayside', '7', replace(usage, epoch=1))
+    assert not books.report('tayside', '7', replace(usage, adjustments=1))
+    assert books.counts.stale == 1
+    assert books.counts.conflicting == 1
+
+
+def test_instances_lag():
+    old, new = (
+        [ListedInstance(name=name, zone='a', address='', port=1)]
+        for name in ('old', 'new')
+    )
+    books = InstanceBooks(old, lag_ms=2000)
+    books.change(new, 1000)
+    assert books.listed(2999) == old
+    assert books.listed(3000) == new
