--- /dev/null
+++ b/bench/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Bench of the policy layer against small queue models of engines."""
--- /dev/null
+++ b/bench/policy/bound.py
@@ -0,0 +1,166 @@
+"""Bounds with perfect knowledge."""
+
+import bisect
+from collections import Counter
+
+from bench.policy.engine import (
+    BASE_MS,
+    BLOCK_TOKENS,
+    CHUNK_BY_ROLE,
+    DECODE_MS,
+    PREFILL_MS,
+)
+from bench.policy.simulation import (
+    FAULT_MS,
+    NOTICE_MS,
+    RECLAIMED_MS,
+    RESTART_MS,
+    SECOND_FAULT_MS,
+)
+from bench.policy.workload import (
+    DURATION_MS,
+    FIRST_TOKEN_MS,
+    GAP_MS,
+    SCENARIOS,
+)
+from cicadahoist.policy.capacity import DEFAULT_SPEEDS, Assignment, fill
+from cicadahoist.policy.fleet import PoolDemand
+from cicadahoist.policy.roles import CHANGE_LOSS_MS, FULL
+
+LONGEST_STEP = BASE_MS + PREFILL_MS * CHUNK_BY_ROLE['prefill']
+USABLE = 1 - BASE_MS / LONGEST_STEP
+PERIOD_MS = 1000
+
+
+def engine_ms(request):
+    """Return the engine time that a request needs at least."""
+    prompt = request.prompt - BLOCK_TOKENS * len(request.blocks)
+    return PREFILL_MS * prompt + DECODE_MS * request.output
+
+
+def due_ms(request):
+    if not request.urgent:
+        return request.at_ms + request.rule.deadline_ms
+    return request.at_ms + FIRST_TOKEN_MS + GAP_MS * (request.output - 1)
+
+
+def engines_at(scenario, fault, at_ms):
+    """Return how many engines live at a time."""
+    engines = SCENARIOS[scenario][1]
+    since_ms = at_ms - FAULT_MS
+    if fault == 'crash':
+        for start_ms in (0, SECOND_FAULT_MS):
+            engines -= start_ms <= since_ms < start_ms + RESTART_MS
+    if fault == 'zone' and NOTICE_MS <= since_ms < NOTICE_MS + RECLAIMED_MS:
+        engines -= -(-SCENARIOS[scenario][1] // 3)
+    return engines
+
+
+class Pool:
+    """All engines as one machine that serves the earliest deadline first."""
+
+    def __init__(self):
+        self.jobs = []
+        self.dropped = []
+
+    def serve(self, capacity_ms):
+        while self.jobs and capacity_ms > 0:
+            job = self.jobs[0]
+            part = min(capacity_ms, job[2])
+            job[2] -= part
+            capacity_ms -= part
+            if job[2] <= 0:
+                self.jobs.pop(0)
+
+    def add(self, request, now_ms, rate):
+        bisect.insort(
+            self.jobs,
+            [due_ms(request), request.name, engine_ms(request), request],
+        )
+        ahead = 0
+        for number, job in enumerate(self.jobs):
+            ahead += job[2]
+            if ahead > rate * (job[0] - now_ms):
+                largest = max(self.jobs[: number + 1], key=lambda one: one[2])
+                self.jobs.remove(largest)
+                self.dropped.append(largest[3])
+                return
+
+
+def served_at_best(scenario, fault, requests):
+    """Return the requests that a pooled fluid machine finishes in time."""
+    pool = Pool()
+    now_ms = 0
+    for request in requests:
+        rate = USABLE * engines_at(scenario, fault, now_ms)
+        if not request.poison:
+            pool.serve(rate * (request.at_ms - now_ms))
+            now_ms = request.at_ms
+            pool.add(request, now_ms, rate)
+    lost = {request.name for request in pool.dropped}
+    return [r for r in requests if r.name not in lost and not r.poison]
+
+
+def fair_counts(requests, served):
+    """Return the fair number of good requests, by workspace."""
+    wanted = Counter()
+    offered = Counter()
+    for request in requests:
+        if not request.poison:
+            wanted[request.workspace] += engine_ms(request)
+            offered[request.workspace] += 1
+    left = sum(engine_ms(request) for request in served)
+    fair = {}
+    ordered = sorted(wanted, key=wanted.get)
+    for number, name in enumerate(ordered):
+        part = min(wanted[name], left / (len(ordered) - number))
+        left -= part
+        fair[name] = offered[name] * part / wanted[name]
+    return fair
+
+
+def least_role_changes(engines, demands, start):
+    """Return the role changes of the plan with the least loss."""
+    choices = [
+        Assignment(engines - p - d, p, d)
+        for p in range(engines)
+        for d in range(engines - p + 1)
+    ]
+    loss_ms = CHANGE_LOSS_MS / engines
+    moves = [[one.moves_to(other) for other in choices] for one in choices]
+    best = {choices.index(start): (0.0, 0)}
+    for demand in demands:
+        lost = [
+            min(5, max(0, fill(choice, demand, DEFAULT_SPEEDS) - FULL))
+            * PERIOD_MS
+            for choice in choices
+        ]
+        best = {
+            goal: min(
+                (
+                    cost + moves[source][goal] * loss_ms + lost[goal],
+                    changes + moves[source][goal],
+                )
+                for source, (cost, changes) in best.items()
+            )
+            for goal in range(len(choices))
+        }
+    return min(best.values())[1]
+
+
+def known_demand(requests, at_ms):
+    """Return the true demand of the ten seconds around a time."""
+    prefill = decode = 0.0
+    for request in requests:
+        if request.urgent:
+            share = abs(request.at_ms - at_ms) < 5000
+            prefill += share * request.prompt / 10_000
+            decode += share * request.output / 10_000
+        elif request.at_ms <= at_ms < due_ms(request):
+            prefill += request.prompt / request.rule.deadline_ms
+            decode += request.output / request.rule.deadline_ms
+    return PoolDemand(pool='', prefill_per_ms=prefill, decode_per_ms=decode)
+
+
+def demands_of(requests):
+    return [known_demand(requests, at) for at in range(0, DURATION_MS, 2000)]
--- a/cicadahoist/policy/capacity.py
+++ b/cicadahoist/policy/capacity.py
@@ -95,6 +95,8 @@
     engines: int, demand: PoolDemand, speeds: dict[Role, RoleSpeed]
 ) -> Assignment:
     """Return the least full assignment of a number of engines."""
+    if not engines:
+        return Assignment()
     choices = [
         Assignment(engines - prefill - decode, prefill, decode)
         for prefill in range(engines)
--- a/cicadahoist/policy/state.py
+++ b/cicadahoist/policy/state.py
@@ -1,5 +1,6 @@
 """What an entry knows about one target and one pool."""
 
+from cicadahoist.policy.fleet import Role
 from cicadahoist.policy.health import TargetHealth
 from cicadahoist.policy.speed import TargetSpeed
 from cicadahoist.table import RouteKind, Target
@@ -95,7 +96,7 @@
             self.speed.slots = SERVICE_SLOTS
         self.health = TargetHealth(since_ms)
         self.draining = row.draining
-        self.role = 'mixed'
+        self.role = Role.mixed.value
         self.part = PoolPart()
 
     @property
@@ -124,6 +125,8 @@
 
     def has_room(self, now_ms: int, *, urgent: bool) -> bool:
         """Tell whether a request can start here without waiting."""
+        if urgent and self.role == Role.prefill.value:
+            return False
         slots = self.speed.slots * self.share(now_ms)
         window_ms = URGENT_WINDOW_MS
         if not urgent:
