Let one claim for a suspect body stand at a time

Cause: claims were kept by target and body, so that two entries with the same body released each other's claims and ran it side by side; may_start met a claim that was gone (KeyError). Claims now carry a number above all that the entry knows and the name of the entry, and the lowest goes first.

--- a/bench/policy/entry.py
+++ b/bench/policy/entry.py
@@ -35,7 +35,7 @@
         )
         self.costs = CostModel()
         self.budgets = RetryBudgets(rng)
-        self.quarantine = Quarantine()
+        self.quarantine = Quarantine(self.name)
         self.meter = DemandMeter()
         self.open_by_name = {}
         self.wake_ms = None
@@ -99,6 +99,9 @@
         if now > request.ticket.due_ms:
             self.end(request, 'timed-out')
             return
+        if self.quarantine.refused_for_ms(request.digest, now):
+            self.end(request, 'quarantined')
+            return
         cost = request.ticket.cost
         if request.emitted:
             cost = Cost(
@@ -121,6 +124,9 @@
             self.sim.after(NO_TARGET_MS, self.send, request)
         elif self.quarantine.is_suspect(request.digest):
             claim = self.quarantine.claim(request.digest, target.name, now)
+            if claim is None:
+                self.sim.after(NO_TARGET_MS, self.send, request)
+                return
             self.sim.tell(self, claim)
             hold_ms = self.quarantine.hold_ms(request.digest, now)
             self.sim.after(hold_ms, self.start_suspect, request, wanted, target)
--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -178,11 +178,15 @@
     """
     A suspect is about to run on a target, or has ended there.
 
+    :param number: higher than that of all claims that the sender knows
+    :param claimant: name of the sender
     :param active: false once it has ended
     """
 
     digest: str
     target: str
+    number: int
+    claimant: str = ''
     active: bool = True
 
 
--- a/cicadahoist/policy/quarantine.py
+++ b/cicadahoist/policy/quarantine.py
@@ -8,7 +8,7 @@
 """
 
 from cicadahoist.messages import Blame, Quarantined, SuspectRun
-from cicadahoist.policy.suspects import Claim, Suspect
+from cicadahoist.policy.suspects import Claims, Suspect
 
 BLAME_LIFE_MS = 600_000
 QUARANTINE_MS = 600_000
@@ -20,20 +20,18 @@
 
 
 class Quarantine:
-    """Blames, suspects and quarantined digests at one entry."""
+    """
+    Blames, suspects and quarantined digests at one entry.
 
-    __slots__ = (
-        '_claims_by_target',
-        '_own_claims',
-        '_suspects_by_digest',
-        '_until_by_digest',
-    )
+    :param own_name: name of this instance
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('_claims', '_suspects_by_digest', '_until_by_digest')
+
+    def __init__(self, own_name: str = '') -> None:
         self._until_by_digest: dict[str, int] = {}
         self._suspects_by_digest: dict[str, Suspect] = {}
-        self._claims_by_target: dict[str, dict[str, Claim]] = {}
-        self._own_claims: dict[str, Claim] = {}
+        self._claims = Claims(own_name)
 
     def refused_for_ms(self, digest: str, now_ms: int) -> int:
         """Return for how long a body is refused, 0 if it is not."""
@@ -48,19 +46,17 @@
         suspect = self._suspects_by_digest.get(digest)
         if suspect is None:
             return frozenset()
-        claimed = {
-            target
-            for target, claims in self._claims_by_target.items()
-            if any(other != digest for other in claims)
-        }
-        return frozenset(claimed.union(suspect.blamed_ms))
-
-    def claim(self, digest: str, target: str, now_ms: int) -> SuspectRun:
-        """Reserve a target for a suspect; return what to tell all peers."""
-        claim = Claim(target, now_ms)
-        self._own_claims[digest] = claim
-        self._claims_by_target.setdefault(target, {})[digest] = claim
-        return SuspectRun(digest=digest, target=target)
+        return frozenset(self._claims.targets().union(suspect.blamed_ms))
+
+    def claim(self, digest: str, target: str, now_ms: int) -> SuspectRun | None:
+        """
+        Reserve a target for a suspect; return what to tell all peers.
+
+        None is returned while the same body is claimed; try again later.
+        """
+        if self._claims.is_claimed(digest):
+            return None
+        return self._claims.add_own(digest, target, now_ms)
 
     def hold_ms(self, digest: str, now_ms: int) -> int:
         """
@@ -69,7 +65,7 @@
         Peers have to hear of the claim first, and open decisions to be made.
         """
         suspect = self._suspects_by_digest.get(digest)
-        claim = self._own_claims.get(digest)
+        claim = self._claims.own(digest)
         if suspect is None or claim is None:
             return 0
         ready_ms = claim.since_ms + CLAIM_WAIT_MS
@@ -86,10 +82,10 @@
         """
         if not self.is_suspect(digest):
             return True
-        claim = self._own_claims.get(digest)
+        claim = self._claims.own(digest)
         if claim is None or self.hold_ms(digest, now_ms):
             return False
-        return digest == min(self._claims_by_target[claim.target])
+        return self._claims.goes_first(claim)
 
     def ended(
         self, digest: str, now_ms: int, *, whole: bool = False
@@ -99,13 +95,9 @@
 
         :param whole: whether it ran to its end, which clears it
         """
-        claim = self._own_claims.pop(digest, None)
         if whole:
             self._suspects_by_digest.pop(digest, None)
-        if claim is None:
-            return None
-        self._release(digest, claim.target)
-        return SuspectRun(digest=digest, target=claim.target, active=False)
+        return self._claims.remove_own(digest)
 
     def target_died(
         self, target: str, digests: list[str], now_ms: int
@@ -133,11 +125,8 @@
                 self._blame(message, now_ms)
             case Quarantined():
                 self._confine(message.digest, message.for_ms, now_ms)
-            case SuspectRun(active=True):
-                claims = self._claims_by_target.setdefault(message.target, {})
-                claims[message.digest] = Claim(message.target, now_ms)
             case SuspectRun():
-                self._release(message.digest, message.target)
+                self._claims.hear(message, now_ms)
 
     def tick(self, now_ms: int) -> list[Quarantined]:
         """Decide on suspects; return new quarantines to tell all peers."""
@@ -182,12 +171,6 @@
             if not suspect.blamed_ms:
                 self._suspects_by_digest.pop(other)
 
-    def _release(self, digest: str, target: str) -> None:
-        claims = self._claims_by_target.get(target, {})
-        claims.pop(digest, None)
-        if not claims:
-            self._claims_by_target.pop(target, None)
-
     def _forget(self, now_ms: int) -> None:
         for digest, until_ms in list(self._until_by_digest.items()):
             if until_ms <= now_ms:
@@ -195,7 +178,4 @@
         for blamed, suspect in list(self._suspects_by_digest.items()):
             if now_ms - suspect.newest_ms() > BLAME_LIFE_MS:
                 self._suspects_by_digest.pop(blamed)
-        for target, claims in list(self._claims_by_target.items()):
-            for claimant, claim in list(claims.items()):
-                if now_ms - claim.since_ms > CLAIM_LIFE_MS:
-                    self._release(claimant, target)
+        self._claims.expire(now_ms - CLAIM_LIFE_MS)
--- a/tests/test_policy/test_quarantine.py
+++ b/tests/test_policy/test_quarantine.py
@@ -16,7 +16,7 @@
 
     def __init__(self, seed, entries=3):
         self.random = Random(seed)
-        self.entries = [Quarantine() for _ in range(entries)]
+        self.entries = [Quarantine(f'entry-{n}') for n in range(entries)]
         self.now_ms = 0
         self.lost = []
         self.running = []
@@ -42,8 +42,10 @@
             return
         target = self.random.choice(allowed)
         if entry.is_suspect(digest):
-            self.tell(entry, [entry.claim(digest, target, self.now_ms)])
-            self.held.append((entry, digest, target))
+            claim = entry.claim(digest, target, self.now_ms)
+            if claim is not None:
+                self.tell(entry, [claim])
+                self.held.append((entry, digest, target))
         else:
             self.running.append((self.now_ms, entry, digest, target))
 
@@ -106,9 +108,7 @@
     for tick in range(600):
         fleet.send(f'innocent-{next(numbers) // 3}')
         fleet.send(f'innocent-{next(numbers) // 3}')
-        busy = any(run[2] == 'poison' for run in fleet.running)
-        held = any(hold[1] == 'poison' for hold in fleet.held)
-        if tick % 10 == 0 and not busy and not held:
+        if tick % 20 == 19:
             fleet.send('poison')
         fleet.step()
     assert len(fleet.lost) == 2
