--- a/cicadahoist/protocol/claim_events.py
+++ b/cicadahoist/protocol/claim_events.py
@@ -35,10 +35,6 @@
     payload: bytes
 
 
-class StoreFailed(msgspec.Struct, frozen=True):
-    """The store did not answer a read; the caller may read again."""
-
-
 class RequestEnded(msgspec.Struct, frozen=True):
     """
     The request ran.
@@ -73,7 +69,7 @@
 
 
 class ReadClaim(msgspec.Struct, frozen=True):
-    """Read an object; answer by ``ClaimRead`` or ``StoreFailed``."""
+    """Read an object; answer by ``ClaimRead``, or by a later ``Tick``."""
 
     name: str
 
