--- a/cicadahoist/protocol/drain.py
+++ b/cicadahoist/protocol/drain.py
@@ -17,13 +17,17 @@
 GUARDS: Registry[Guard] = Registry('guard of the drain chart')
 OUTPUTS: Registry[Output] = Registry('output of the drain chart')
 
+ENDED_STATES = frozenset(('postponed', 'ended'))
+
 
 class Drain(ChartCore):
     """
     The drain of one target.
 
     Entries count as live until they are known to be gone; one that is silent
-    may be paused and go on sending.
+    may be paused and go on sending. A newcomer sends no work until a heartbeat
+    of this instance says that it is heard; the active notice goes before that
+    heartbeat in the same batch, so that a newcomer needs no new round.
 
     :param target: the target
     :param order: identifier of the drain
@@ -66,6 +70,12 @@
             if not self.is_acked(name, incarnation)
         ]
 
+    def active_notice(self) -> DrainNotice | None:
+        """Return the notice to put before each heartbeat, if any."""
+        if self.state in ENDED_STATES:
+            return None
+        return self._notice(active=True)
+
     def is_acked(self, name: str, incarnation: str) -> bool:
         """Tell whether an entry acknowledged and has nothing open there."""
         ack = self.acks.get(name)
@@ -73,12 +83,12 @@
             return False
         return not ack.open_requests
 
-    def notice(self, *, active: bool) -> None:
+    def notify(self, *, active: bool) -> None:
         """Ask for a notice to be sent."""
-        notice = DrainNotice(
-            target=self.target, order=self.order, active=active
-        )
-        self.actions.append(SendNotice(notice))
+        self.actions.append(SendNotice(self._notice(active=active)))
+
+    def _notice(self, *, active: bool) -> DrainNotice:
+        return DrainNotice(target=self.target, order=self.order, active=active)
 
 
 @GUARDS.register('all_acked')
@@ -114,7 +124,7 @@
 
 @OUTPUTS.register('announce')
 def _announce(drain: Drain, event: Any, now_ms: int) -> None:
-    drain.notice(active=True)
+    drain.notify(active=True)
 
 
 @OUTPUTS.register('read_load')
@@ -129,7 +139,7 @@
 
 @OUTPUTS.register('withdraw')
 def _withdraw(drain: Drain, event: Any, now_ms: int) -> None:
-    drain.notice(active=False)
+    drain.notify(active=False)
 
 
 DRAIN_KIT = ChartKit.load('drain', GUARDS, OUTPUTS)
--- a/cicadahoist/protocol/drain_events.py
+++ b/cicadahoist/protocol/drain_events.py
@@ -33,8 +33,12 @@
     open_requests: int
 
 
+class ChangeCancelled(msgspec.Struct, frozen=True):
+    """The change is not wanted any more; ignored once it was allowed."""
+
+
 class ChangeEnded(msgspec.Struct, frozen=True):
-    """The change was carried out, or is not wanted any more."""
+    """The outcome of the change is known and it does not go on."""
 
 
 class ReadLoad(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/cicadahoist/protocol/drain_notices.py
@@ -0,0 +1,65 @@
+"""Drain notices at an entry: which targets get no new work."""
+
+from cicadahoist.messages import DrainAck, DrainNotice
+
+OrderNumber = tuple[int, int]
+
+
+class DrainNotices:
+    """
+    Drains that an entry follows, by target.
+
+    Notices may be late, doubled or crossed: of one target only the highest
+    order counts, and an order that was taken back does not come again.
+    """
+
+    __slots__ = ('_active', '_ended')
+
+    def __init__(self) -> None:
+        self._active: dict[str, str] = {}
+        self._ended: dict[str, OrderNumber] = {}
+
+    def take(self, notice: DrainNotice) -> None:
+        """Take in a notice."""
+        number = order_number(notice.order)
+        active = self._active.get(notice.target)
+        if notice.active:
+            if number > self._ended.get(notice.target, (0, 0)):
+                if active is None or number > order_number(active):
+                    self._active[notice.target] = notice.order
+            return
+        if number > self._ended.get(notice.target, (0, 0)):
+            self._ended[notice.target] = number
+        if active is not None and order_number(active) <= number:
+            self._active.pop(notice.target)
+
+    def is_drained(self, target: str) -> bool:
+        """Tell whether a target gets no new work."""
+        return target in self._active
+
+    def acks(
+        self, name: str, incarnation: str, open_by_target: dict[str, int]
+    ) -> list[DrainAck]:
+        """
+        Return the acknowledgements to send in a round.
+
+        :param name: name of this instance
+        :param open_by_target: requests of this entry that still run, the ones
+            on their way included
+        """
+        return [
+            DrainAck(
+                target=target,
+                order=order,
+                instance=name,
+                incarnation=incarnation,
+                open_requests=open_by_target.get(target, 0),
+            )
+            for target, order in sorted(self._active.items())
+        ]
+
+
+def order_number(order: str) -> OrderNumber:
+    """Return epoch and sequence number of a drain, by which they compare."""
+    epoch, _, seq = order.partition('.')
+    return int(epoch), int(seq)
--- a/cicadahoist/protocol/membership.py
+++ b/cicadahoist/protocol/membership.py
@@ -55,6 +55,10 @@
     """
     One peer.
 
+    Incarnations have no order. A heartbeat of a replaced one counts as late
+    while its successor is heard; where that falls silent it is taken in
+    again, as late heartbeats may also have hidden the running process.
+
     :param info: identity and address as last heard
     :param membership: the members it belongs to
     :param kit: the chart to follow
@@ -153,7 +157,9 @@
 
 @GUARDS.register('retired')
 def _retired(peer: Peer, event: HeartbeatReceived, now_ms: int) -> bool:
-    return event.sender.incarnation in peer.retired
+    if event.sender.incarnation not in peer.retired:
+        return False
+    return now_ms - peer.heard_ms < peer.membership.timeout_ms
 
 
 @GUARDS.register('peer_leaving')
@@ -175,8 +181,8 @@
 @OUTPUTS.register('note_heartbeat')
 def _note_heartbeat(peer: Peer, event: HeartbeatReceived, now_ms: int) -> None:
     known = peer.info.incarnation
-    if known and known != event.sender.incarnation:
-        peer.retired.add(known)
+    peer.retired.add(known)
+    peer.retired.discard(event.sender.incarnation)
     peer.info = event.sender
     peer.heartbeat = event.heartbeat
     peer.heard_ms = now_ms
