--- /dev/null
+++ b/tests/test_docs/test_pages.py
@@ -0,0 +1,110 @@
+import os
+import subprocess
+import sys
+
+import pytest
+
+from bench.deployment import Deployment
+from cicadahoist.settings import SETTINGS
+from tests.test_docs.pages import (
+    ROOT,
+    all_pages,
+    links,
+    missing_lines,
+    pages_with_commands,
+    shell_blocks,
+)
+
+PAGE_STORE = 'http://127.0.0.1:8070'
+PAGE_ENTRY = 'http://127.0.0.1:8080'
+BLOCK_TIMEOUT_S = 60
+PROGRAMS = {
+    'cicadahoist': 'cicadahoist.cmd.operator',
+    'cicadahoist-entry': 'cicadahoist.cmd.entry',
+}
+
+
+def page_id(page):
+    return str(page.relative_to(ROOT))
+
+
+@pytest.fixture(scope='module')
+def deployment():
+    with Deployment(engines=2, services=2) as running:
+        running.start(entries=1)
+        running.create_demo_rows()
+        yield running
+
+
+@pytest.fixture
+def shell(deployment, tmp_path):
+    """Return a function that runs a block in a folder of its own."""
+    programs = tmp_path / 'bin'
+    programs.mkdir()
+    for name, module in PROGRAMS.items():
+        script = programs / name
+        script.write_text(
+            f'#!/bin/sh\nexec {sys.executable} -m {module} "$@"\n'
+        )
+        script.chmod(0o755)
+    python = programs / 'python'
+    python.write_text(f'#!/bin/sh\nexec {sys.executable} "$@"\n')
+    python.chmod(0o755)
+    folder = tmp_path / 'folder'
+    folder.mkdir()
+
+    def run(script):
+        return subprocess.run(
+            ['bash', '-euo', 'pipefail', '-c', f'exec 2>&1\n{script}'],
+            cwd=folder,
+            env={
+                'PATH': f'{programs}:{os.environ["PATH"]}',
+                'PYTHONPATH': str(ROOT),
+                'CICADAHOIST_STORE_URL': deployment.store,
+            },
+            capture_output=True,
+            text=True,
+            timeout=BLOCK_TIMEOUT_S,
+            check=False,
+        )
+
+    return run
+
+
+@pytest.mark.parametrize('page', pages_with_commands(), ids=page_id)
+def test_commands_of_a_page_do_what_it_says(page, shell, deployment):
+    for block in shell_blocks(page):
+        if block.skipped:
+            continue
+        script = block.script.replace(PAGE_STORE, deployment.store)
+        script = script.replace(PAGE_ENTRY, deployment.entries[0])
+        done = shell(script)
+        where = f'{page_id(page)}:{block.line}\n{script}\n{done.stdout}'
+        assert done.returncode == 0, where
+        assert not missing_lines(block.expected, done.stdout), where
+
+
+@pytest.mark.parametrize('page', all_pages(), ids=page_id)
+def test_links_lead_to_files(page):
+    absent = [link for link in links(page) if not (page.parent / link).exists()]
+    assert not absent
+
+
+def test_named_settings_are_declared():
+    declared = {f'[{option.section}] {option.key}' for option in SETTINGS}
+    sections = {option.section for option in SETTINGS}
+    for page in all_pages():
+        text = page.read_text()
+        for section in sections:
+            start = f'`[{section}] '
+            for part in text.split(start)[1:]:
+                named = part.split('`')[0]
+                assert f'[{section}] {named}' in declared, page_id(page)
+
+
+def test_make_targets_on_pages_exist():
+    makefile = (ROOT / 'Makefile').read_text()
+    for page in all_pages():
+        for part in page.read_text().split('`make ')[1:]:
+            target = part.split('`')[0].split()[0]
+            assert f'\n{target}:' in makefile, f'{page_id(page)}: {target}'
