Make the test of blame able to fail

Now it waits 2.5 s on the manual clock, and with the verdict always true it fails (1 of 5); with the code as it is 5 of 5 pass.

--- a/tests/test_entry/test_isolation.py
+++ b/tests/test_entry/test_isolation.py
@@ -56,7 +56,7 @@
 )
 def test_only_a_crash_is_blamed_on_the_body(is_killed, is_blamed):
     world = World(engines=3)
-    answer = world.chat(tokens=200)
+    answer = world.chat(tokens=1000)
     world.net.until(lambda: len(answer.body) > 3000)
     for name, server in world.engines.items():
         if server.seen().attempts and is_killed:
@@ -64,7 +64,7 @@
         elif server.seen().attempts:
             world.net.hosts[f'{name}:80'].is_frozen = True
     world.net.until(lambda: world.entries[0].metrics.counted)
-    world.net.advance(300)
-    digest = body_digest(chat_body('demo-model', 200, True, 'hello'))
+    world.net.advance(2500)
+    digest = body_digest(chat_body('demo-model', 1000, True, 'hello'))
     avoided = world.entries[0].context.isolation.avoid(digest)
     assert bool(avoided) is is_blamed
