--- a/cicadahoist/control/figure_calls.py
+++ b/cicadahoist/control/figure_calls.py
@@ -104,9 +104,10 @@
             for workspace in sorted({*figure.by_workspace, *figure.adjustments})
         ]
         results = await DeferredList(sending, consumeErrors=True)
-        return _report_event(
-            [failure.value for is_sent, failure in results if not is_sent]
-        )
+        errors: list[Any] = [
+            failure for is_sent, failure in results if not is_sent
+        ]
+        return _report_event([failure.value for failure in errors])
 
     async def _send(self, workspace: str, figure: Figure, epoch: int) -> None:
         nothing = UsageTotal()
--- a/cicadahoist/control/usage_report.py
+++ b/cicadahoist/control/usage_report.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 
-from cicadahoist.clock import wall_ms
+from cicadahoist.clock import Clock, wall_ms
 from cicadahoist.control.entry_link import EntryLink
 from cicadahoist.control.figure_calls import FigureCalls
 from cicadahoist.control.usage_sources import UsageSources
@@ -38,6 +38,7 @@
     :param sources: usage records in the store
     :param calls: calls for figures and reports
     :param link: tells which entries may be running
+    :param clock: gives the time
     :param window_ms: length of a billing window
     :param read_wall_ms: gives the milliseconds since the epoch
     """
@@ -45,6 +46,7 @@
     __slots__ = (
         '_calls',
         '_checked_ms',
+        '_clock',
         '_epoch',
         '_is_holder',
         '_link',
@@ -61,12 +63,14 @@
         sources: UsageSources,
         calls: FigureCalls,
         link: EntryLink,
+        clock: Clock,
         window_ms: int,
         read_wall_ms: Callable[[], int] = wall_ms,
     ) -> None:
         self._sources = sources
         self._calls = calls
         self._link = link
+        self._clock = clock
         self._window_ms = window_ms
         self._read_wall_ms = read_wall_ms
         self._is_holder: Callable[[int], bool] = bool
@@ -97,7 +101,7 @@
         """Look whether the next window can be sealed or reported."""
         if self._work is None and now_ms - self._checked_ms >= CHECK_MS:
             self._checked_ms = now_ms
-            work = Deferred.fromCoroutine(self._advance(now_ms))
+            work = Deferred.fromCoroutine(self._advance())
             self._work = work
             work.addErrback(_log)
             work.addBoth(self._end_work)
@@ -113,7 +117,7 @@
     def settled(self, entry: JournalEntry, outcome: OrderOutcome) -> None:
         """Do nothing: usage needs no orders."""
 
-    async def _advance(self, now_ms: int) -> None:
+    async def _advance(self) -> None:
         if self._window is None:
             await self._sources.refresh()
             self._window = await self._first_window()
@@ -123,7 +127,7 @@
         if overdue_ms < SEAL_DELAY_MS:
             return
         await self._prepare(window, overdue_ms)
-        await self._run(window, Tick(), now_ms)
+        await self._run(window, Tick())
         if window.state in FINAL_STATES:
             await self._sources.remove_before(window.window)
             self._previous = window.figure
@@ -159,12 +163,12 @@
             for source in self._sources.passed(running, window.window)
         )
 
-    async def _run(self, window: UsageWindow, event: Any, now_ms: int) -> None:
-        actions = window.handle(event, now_ms)
-        for action in actions:
+    async def _run(self, window: UsageWindow, event: Any) -> None:
+        # Each answer is taken in at its own time: the lease may have ended.
+        for action in window.handle(event, self._clock.now_ms()):
             answer = await self._calls.run(action, self._epoch)
             if answer is not None:
-                await self._run(window, answer, now_ms)
+                await self._run(window, answer)
 
     def _end_work(self, passed: Any) -> None:
         self._work = None
