--- a/cicadahoist/entry/assembly.py
+++ b/cicadahoist/entry/assembly.py
@@ -11,8 +11,10 @@
 from cicadahoist.entry.dispatcher import TICK_MS
 from cicadahoist.entry.peering import Peering
 from cicadahoist.entry.server import EntryServer
+from cicadahoist.mesh.local_port import LocalPort
 from cicadahoist.mesh.node import MeshNode
 from cicadahoist.mesh.table_sync import TableSync
+from cicadahoist.mesh.usage import UsageLedger
 from cicadahoist.outside.store import STORES
 from cicadahoist.settings import STORE_ADAPTER
 
@@ -49,10 +51,14 @@
     context = EntryContext.from_config(
         config, application.clock, application.metrics, store, reactor
     )
+    usage = UsageLedger.from_config(config, node, store, application.clock)
+    context.use_usage(usage)
     _add_all(
         application,
         node,
+        LocalPort.from_config(config, node, application.clock, reactor),
         table_sync,
+        usage,
         PolicyTick(context),
         Peering(context, node),
         EntryServer(config, context, table_sync, reactor),
--- a/cicadahoist/entry/peering.py
+++ b/cicadahoist/entry/peering.py
@@ -19,8 +19,6 @@
 )
 
 EXCHANGE_PERIOD_MS = 500
-# An entry that was cut off keeps its shares of the limits for this long.
-MEMBER_MEMORY_MS = 600_000
 
 
 class Peering:
@@ -31,12 +29,11 @@
     :param node: the mesh
     """
 
-    __slots__ = ('_context', '_loop', '_node', '_seen_ms_by_name')
+    __slots__ = ('_context', '_loop', '_node')
 
     def __init__(self, context: EntryContext, node: MeshNode) -> None:
         self._context = context
         self._node = node
-        self._seen_ms_by_name: dict[str, int] = {}
         self._loop = LoopingCall(self._exchange)
         self._loop.clock = context.clock.scheduler
         node.subscribe(LoadView, self._hear_load)
@@ -61,19 +58,11 @@
     def _exchange(self) -> None:
         dispatcher = self._context.dispatcher
         now_ms = self._clock.now_ms()
-        dispatcher.limits.sync_members(self._members(now_ms), now_ms)
+        members = sorted(self._node.view.not_gone())
+        dispatcher.limits.sync_members(members, now_ms)
         self._node.broadcast_zone(dispatcher.loads.view())
         self._node.broadcast(dispatcher.limits.publish(now_ms))
 
-    def _members(self, now_ms: int) -> list[str]:
-        """Return all entries, those that fell silent a while ago included."""
-        for name in self._node.live():
-            self._seen_ms_by_name[name] = now_ms
-        for name, seen_ms in list(self._seen_ms_by_name.items()):
-            if now_ms - seen_ms > MEMBER_MEMORY_MS:
-                self._seen_ms_by_name.pop(name)
-        return sorted(self._seen_ms_by_name)
-
     def _hear_load(self, sender: InstanceInfo, view: LoadView) -> None:
         loads = self._context.dispatcher.loads
         loads.hear(sender.name, view, self._clock.now_ms())
