--- /dev/null
+++ b/cicadahoist/cmd/control.py
@@ -0,0 +1,27 @@
+"""``cicadahoist-control``: leases, planned changes and usage reports."""
+
+import typer
+
+from cicadahoist.application import Application
+from cicadahoist.cmd.daemon import daemon_command
+from cicadahoist.config import Config
+from cicadahoist.control.assembly import add_control
+
+app = typer.Typer(add_completion=False)
+
+
+def build(application: Application, config: Config) -> None:
+    """Add the tasks of control."""
+    add_control(application, config)
+
+
+app.command()(daemon_command(build))
+
+
+def main() -> None:
+    """Run control."""
+    app()
+
+
+if __name__ == '__main__':
+    main()
--- a/cicadahoist/control/drains.py
+++ b/cicadahoist/control/drains.py
@@ -8,6 +8,7 @@
 
 from cicadahoist.clock import Clock
 from cicadahoist.control.entry_link import EntryLink
+from cicadahoist.control.targets import Targets
 from cicadahoist.errors import CicadahoistError
 from cicadahoist.log import get_logger
 from cicadahoist.messages import DrainAck, DrainNotice, InstanceInfo
@@ -24,7 +25,6 @@
 )
 from cicadahoist.protocol.events import Tick
 from cicadahoist.protocol.order_events import PlanOrder
-from cicadahoist.table import Target
 
 logger = get_logger(__name__)
 
@@ -50,7 +50,7 @@
     :param engines: adapter for engines
     :param link: way to the entries
     :param clock: gives the time
-    :param find: returns a target of the table by name, or none
+    :param targets: targets of the table
     :param plan: called once a target holds no work and gets none; returns
         whether the order is planned
     """
@@ -59,10 +59,10 @@
         '_by_target',
         '_clock',
         '_engines',
-        '_find',
         '_inherited',
         '_link',
         '_plan',
+        '_targets',
     )
 
     def __init__(
@@ -71,13 +71,13 @@
         link: EntryLink,
         clock: Clock,
         *,
-        find: Callable[[str], Target | None],
+        targets: Targets,
         plan: Callable[[PlanOrder], bool],
     ) -> None:
         self._engines = engines
         self._link = link
         self._clock = clock
-        self._find = find
+        self._targets = targets
         self._plan = plan
         self._by_target: dict[str, PlannedChange] = {}
         self._inherited: dict[str, DrainNotice] = {}
@@ -169,9 +169,10 @@
         )
 
     async def _read(self, drain: Drain, action: ReadLoad) -> None:
-        target = self._find(action.target)
+        target = self._targets.find(action.target)
         if target is None:
-            self.end(action.target)
+            if self._targets.is_loaded:
+                self.end(action.target)
             return
         try:
             load = await self._engines.load(target)
--- a/cicadahoist/control/engine_duty.py
+++ b/cicadahoist/control/engine_duty.py
@@ -6,6 +6,7 @@
 from cicadahoist.control.drains import Drains
 from cicadahoist.control.engine_orders import EngineSender, OrderEvent
 from cicadahoist.control.entry_link import EntryLink
+from cicadahoist.control.targets import Targets
 from cicadahoist.log import get_logger
 from cicadahoist.messages import DrainNotice
 from cicadahoist.outside.engine import EngineAdapter
@@ -17,7 +18,6 @@
     TargetRead,
 )
 from cicadahoist.protocol.records import JournalEntry, LeaseRecord
-from cicadahoist.table import Target
 
 logger = get_logger(__name__)
 
@@ -27,8 +27,6 @@
 # Orders that an engine carries out beside its work.
 UNDRAINED_KINDS = frozenset(('model', 'adapter'))
 
-Find = Callable[[str], Target | None]
-
 
 class EngineDuty:
     """
@@ -39,7 +37,7 @@
     :param engines: adapter for engines
     :param link: way to the entries
     :param clock: gives the time
-    :param find: returns a target of the table by name, or none
+    :param targets: targets of the table
     """
 
     __slots__ = (
@@ -58,11 +56,13 @@
         engines: EngineAdapter,
         link: EntryLink,
         clock: Clock,
-        find: Find,
+        targets: Targets,
     ) -> None:
         self._authority = authority
-        self._sender = EngineSender(engines, find)
-        self._drains = Drains(engines, link, clock, find=find, plan=self._plan)
+        self._sender = EngineSender(engines, targets)
+        self._drains = Drains(
+            engines, link, clock, targets=targets, plan=self._plan
+        )
         self._handle: Callable[[PlanOrder], None] = _ignore
         self._epoch = 0
         self._number = 0
--- a/cicadahoist/control/engine_orders.py
+++ b/cicadahoist/control/engine_orders.py
@@ -1,7 +1,6 @@
 """Sends orders to engines, and reads what became of them."""
 
-from collections.abc import Callable
-
+from cicadahoist.control.targets import Targets
 from cicadahoist.errors import BusyError, CicadahoistError, FencedError
 from cicadahoist.log import get_logger
 from cicadahoist.outside.engine import (
@@ -18,7 +17,6 @@
     TargetRead,
 )
 from cicadahoist.protocol.records import JournalEntry
-from cicadahoist.table import Target
 
 logger = get_logger(__name__)
 
@@ -30,22 +28,20 @@
     Carries single orders to engines.
 
     :param engines: adapter for engines
-    :param find: returns a target of the table by name, or none
+    :param targets: targets of the table
     """
 
-    __slots__ = ('_engines', '_find')
+    __slots__ = ('_engines', '_targets')
 
-    def __init__(
-        self, engines: EngineAdapter, find: Callable[[str], Target | None]
-    ) -> None:
+    def __init__(self, engines: EngineAdapter, targets: Targets) -> None:
         self._engines = engines
-        self._find = find
+        self._targets = targets
 
     async def send(self, entry: JournalEntry) -> OrderEvent:
         """Send an order; an accepted one is done once the engine shows it."""
-        target = self._find(entry.target)
+        target = self._targets.find(entry.target)
         if target is None:
-            return TargetGone(entry.target)
+            return self._unfound(entry.target, entry.token)
         order = EngineOrder(
             epoch=entry.epoch,
             seq=entry.seq,
@@ -68,9 +64,9 @@
         self, name: str, token: str
     ) -> TargetRead | TargetGone | None:
         """Return what an engine shows about an order, none for silence."""
-        target = self._find(name)
+        target = self._targets.find(name)
         if target is None:
-            return TargetGone(name)
+            return TargetGone(name) if self._targets.is_loaded else None
         try:
             shown = await self._engines.read_orders(target)
         except CicadahoistError as error:
@@ -78,6 +74,11 @@
             return None
         return TargetRead(name, token, shown_order(shown, token))
 
+    def _unfound(self, name: str, token: str) -> OrderEvent:
+        if self._targets.is_loaded:
+            return TargetGone(name)
+        return OrderUnanswered(name, token)
+
     async def _confirm(self, entry: JournalEntry) -> OrderEvent:
         event = await self.read(entry.target, entry.token)
         if isinstance(event, TargetRead) and event.shown is Shown.done:
--- /dev/null
+++ b/cicadahoist/control/fleet_reader.py
@@ -0,0 +1,170 @@
+"""What planners see: the engines of a zone, and the work that arrives."""
+
+from typing import Any
+
+from twisted.internet.defer import Deferred, DeferredList
+
+from cicadahoist.clock import Clock
+from cicadahoist.control.entry_link import EntryLink
+from cicadahoist.control.targets import Targets
+from cicadahoist.errors import CicadahoistError
+from cicadahoist.messages import InstanceInfo, PoolWork
+from cicadahoist.outside.engine import EngineAdapter, EngineLoad
+from cicadahoist.policy.fleet import (
+    FleetView,
+    ModelDemand,
+    PoolDemand,
+    Role,
+    TargetPhase,
+    TargetView,
+)
+from cicadahoist.table import RouteKind, Target
+
+WORK_AGE_MS = 5000
+MISSES_ALLOWED = 3
+BARRED_MS = 15_000
+UNKNOWN_SIZE_MB = 1000
+ABSENT_MISSED_PER_S = 1
+
+
+class FleetReader:
+    """
+    Puts the view of one zone together.
+
+    :param engines: adapter for engines
+    :param targets: targets of the table
+    :param link: way to the entries
+    :param clock: gives the time
+    :param zone: the zone
+    """
+
+    __slots__ = (
+        '_barred_until_ms',
+        '_clock',
+        '_engines',
+        '_misses',
+        '_targets',
+        '_work_by_entry',
+        '_zone',
+    )
+
+    def __init__(
+        self,
+        engines: EngineAdapter,
+        targets: Targets,
+        link: EntryLink,
+        clock: Clock,
+        zone: str,
+    ) -> None:
+        self._engines = engines
+        self._targets = targets
+        self._clock = clock
+        self._zone = zone
+        self._misses = 0
+        self._barred_until_ms = 0
+        self._work_by_entry: dict[str, tuple[int, PoolWork]] = {}
+        link.subscribe(PoolWork, self._on_work)
+
+    async def read(self, changing: set[str]) -> FleetView:
+        """
+        Return the present view; engines that do not answer are left out.
+
+        :param changing: names of targets with a change under way
+        """
+        await self._targets.refresh()
+        engines = self._targets.engines(self._zone)
+        results = await DeferredList(
+            [Deferred.fromCoroutine(self._load(each)) for each in engines],
+            consumeErrors=True,
+        )
+        loads: list[Any] = [load for _, load in results]
+        views = [
+            _view(target, load, is_changing=target.name in changing)
+            for target, load in zip(engines, loads, strict=True)
+            if isinstance(load, EngineLoad)
+        ]
+        self._note_answers(expected=len(engines), answered=len(views))
+        return FleetView(
+            targets=views,
+            demands=self._demands(),
+            models=self._absent_models(views),
+            zones=[self._zone],
+        )
+
+    def is_reachable(self) -> bool:
+        """Tell whether this process may go on ordering the zone's engines."""
+        return self._clock.now_ms() >= self._barred_until_ms
+
+    def _note_answers(self, *, expected: int, answered: int) -> None:
+        self._misses += 1
+        if answered or not expected:
+            self._misses = 0
+        if self._misses == MISSES_ALLOWED:
+            # Another instance of the zone may reach them.
+            self._misses = 0
+            self._barred_until_ms = self._clock.now_ms() + BARRED_MS
+
+    async def _load(self, target: Target) -> EngineLoad | None:
+        try:
+            return await self._engines.load(target)
+        except CicadahoistError:
+            return None
+
+    def _demands(self) -> list[PoolDemand]:
+        oldest_ms = self._clock.now_ms() - WORK_AGE_MS
+        prefill: dict[str, float] = {}
+        decode: dict[str, float] = {}
+        for heard_ms, work in self._work_by_entry.values():
+            if heard_ms < oldest_ms:
+                continue
+            for pool, (prompt, output) in work.by_pool.items():
+                prefill[pool] = prefill.get(pool, 0) + prompt
+                decode[pool] = decode.get(pool, 0) + output
+        return [
+            PoolDemand(
+                pool=pool,
+                prefill_per_ms=prefill[pool],
+                decode_per_ms=decode[pool],
+            )
+            for pool in sorted(prefill)
+        ]
+
+    def _absent_models(self, views: list[TargetView]) -> list[ModelDemand]:
+        table = self._targets.table
+        if table is None:
+            return []
+        held = {(view.pool, model) for view in views for model in view.models}
+        return [
+            ModelDemand(
+                pool=route.pool,
+                model=route.name,
+                size_mb=UNKNOWN_SIZE_MB,
+                missed_per_s=ABSENT_MISSED_PER_S,
+            )
+            for route in table.routes_by_name.values()
+            if route.kind is RouteKind.model
+            and (route.pool, route.name) not in held
+        ]
+
+    def _on_work(self, sender: InstanceInfo, work: PoolWork) -> None:
+        if sender.zone == self._zone:
+            self._work_by_entry[sender.name] = (self._clock.now_ms(), work)
+
+
+def _view(target: Target, load: EngineLoad, *, is_changing: bool) -> TargetView:
+    phase = TargetPhase.ready
+    if is_changing:
+        phase = TargetPhase.changing
+    if target.draining:
+        phase = TargetPhase.leaving
+    return TargetView(
+        name=target.name,
+        pool=target.pool,
+        zone=target.zone,
+        role=Role(load.role),
+        phase=phase,
+        price=target.price,
+        reclaimable=target.reclaimable,
+        open_requests=load.running + load.queued,
+        models=frozenset(load.models),
+    )
--- a/cicadahoist/mesh/local_port.py
+++ b/cicadahoist/mesh/local_port.py
@@ -16,17 +16,16 @@
 from cicadahoist.mesh.local_pair import LocalPair, NngPair
 from cicadahoist.mesh.node import MeshNode
 from cicadahoist.messages import (
-    Demand,
     DrainAck,
     InstanceInfo,
-    LoadView,
     Message,
+    PoolWork,
 )
 from cicadahoist.settings import HEARTBEAT_PERIOD, LOCAL_PORT
 
 logger = get_logger(__name__)
 
-FORWARDED = (Demand, DrainAck, LoadView)
+FORWARDED = (DrainAck, PoolWork)
 
 
 class LocalPort:
--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -174,6 +174,19 @@
     used_by_rule: dict[str, tuple[int, int, int]] = {}
 
 
+class PoolWork(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """
+    Work that arrived at the sender, from which control plans roles.
+
+    :param by_pool: prompt tokens, cached ones left out, and output tokens a
+        ms, by pool
+    """
+
+    by_pool: dict[str, tuple[float, float]]
+
+
 class LoadView(
     msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
 ):
@@ -264,6 +277,7 @@
     | DrainAck
     | Demand
     | LoadView
+    | PoolWork
     | Blame
     | Quarantined
     | SuspectRun
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -349,6 +349,14 @@
         summary='Longest time that a sent order can be on its way.',
     )
 )
+ROLE_PLANNER = _declare(
+    Option(
+        'control',
+        'role_planner',
+        'planned',
+        summary='Registered planner for the roles of engines.',
+    )
+)
 USAGE_WINDOW = _declare(
     Option(
         'usage',
--- a/tests/test_control/test_engine_duty.py
+++ b/tests/test_control/test_engine_duty.py
@@ -7,16 +7,18 @@
 from cicadahoist.control.drains import DRAIN_LIMIT_MS
 from cicadahoist.control.engine_duty import EngineDuty
 from cicadahoist.control.lease_task import LeaseTask
+from cicadahoist.control.targets import Targets
 from cicadahoist.control.term_deadlines import TermDeadlines
 from cicadahoist.errors import LostAfterSendError
 from cicadahoist.outside.engine import EngineLoad, EngineOrders
+from cicadahoist.outside.tablestore import TableStore
 from cicadahoist.protocol.authority import Authority
 from cicadahoist.protocol.lease import LeaseKeeper
 from cicadahoist.protocol.order_events import PlanOrder
 from cicadahoist.protocol.orders import OrderBook
 from cicadahoist.standin.memory import MemoryStore
 from cicadahoist.standin.objects import ObjectModel
-from cicadahoist.table import Target
+from cicadahoist.table import Shard, Table, Target
 from tests.test_control.entries import Entries
 from tests.test_control.holders import STEP_MS, TIMING, KernelTimer
 from tests.test_mesh.cluster import run
@@ -80,11 +82,12 @@
         self.clock = clock or Clock.manual()
         self.model = model or ObjectModel()
         self.engine = engine or Engine()
+        self.targets = _targets()
         self.entries = Entries(self.clock, ['a0', 'a1', 'a2'])
         lease = LeaseKeeper('leases/a/engines', 'control', TIMING)
         authority = Authority(lease, OrderBook(lease))
         self.duty = EngineDuty(
-            authority, self.engine, self.entries.link, self.clock, _find
+            authority, self.engine, self.entries.link, self.clock, self.targets
         )
         self.task = LeaseTask(
             authority,
@@ -107,10 +110,11 @@
         self.task._timer.cancel()
 
 
-def _find(name):
-    if name == 't':
-        return Target(name='t', pool='p', url='http://t', zone='a')
-    return None
+def _targets() -> Targets:
+    row = Target(name='t', pool='p', url='http://t', zone='a')
+    targets = Targets(TableStore(MemoryStore(ObjectModel(), Clock.manual())))
+    targets.table = Table(1, [Shard(targets=[row])])
+    return targets
 
 
 @pytest.fixture
@@ -213,6 +217,23 @@
     assert zone.engine.orders == [(1, 1, 'decode')]
 
 
+def test_successor_without_a_table_settles_nothing_yet(zone):
+    zone.engine.loses_answer = True
+    zone.duty.request(TO_DECODE)
+    while not zone.engine.orders:
+        zone.advance(STEP_MS)
+    zone.kill()
+    successor = Zone(zone.model, zone.clock, zone.engine)
+    table = successor.targets.table
+    successor.targets.table = None
+    successor.advance(12_000)
+    assert successor.task.is_holder
+    assert successor.entries.is_draining
+    successor.targets.table = table
+    successor.advance(3000)
+    assert not successor.entries.is_draining
+
+
 def test_lost_lease_takes_the_drain_back(zone):
     zone.engine.running = 1
     zone.duty.request(TO_DECODE)
