--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,212 @@
+"""Both deployments' main jobs, on stand-ins, through two entries."""
+
+import sys
+import threading
+import time
+import urllib.error
+import urllib.request
+
+import msgspec
+import openai
+
+from bench.deployment import Deployment
+
+LEDGER_LINES = 2000
+QUESTIONS = 8
+FIRST_TOKEN_GOAL_MS = 480
+
+SHEET = [
+    ('tayside-helpline', 'demo-model', 'weight=4', 'priority=0'),
+    (
+        'tayside-ledgers',
+        'demo-model',
+        'weight=1',
+        'priority=5',
+        'deadline_ms=120000',
+        'first_token_ms=60000',
+    ),
+    ('tayside-ledgers', 'filing', 'deadline_ms=10000'),
+    ('pilbara-yards', 'yards', 'deadline_ms=2000'),
+    ('pilbara-yards', 'bookings', 'deadline_ms=10000'),
+]
+WORKSPACES = ('tayside-helpline', 'tayside-ledgers', 'pilbara-yards')
+
+
+class Check:
+    """Prints what was seen and remembers whether all was well."""
+
+    def __init__(self) -> None:
+        self.failed = 0
+
+    def that(self, is_well: bool, text: str) -> None:
+        self.failed += not is_well
+        print(f'{"ok  " if is_well else "FAIL"} {text}', flush=True)
+
+
+def create_rows(deployment: Deployment) -> None:
+    run = deployment.run_operator
+    for workspace in WORKSPACES:
+        run('workspace', 'create', workspace)
+        run('key', 'create', workspace, '--key', f'key-of-{workspace}')
+    for name, url in deployment.target_urls.items():
+        kind = 'model' if name.startswith('engine') else 'service'
+        run(
+            *('target', 'add', name, '--url', url, '--zone', 'zone-a'),
+            *('--pool', f'{kind}s', '--kind', kind),
+        )
+    run('model', 'create', 'demo-model', '--pool', 'models')
+    service = ('--pool', 'services', '--kind', 'service')
+    run('route', 'create', 'filing', *service, '--unrepeatable')
+    run('route', 'create', 'bookings', *service, '--unrepeatable')
+    run('route', 'create', 'yards', *service)
+    for row in SHEET:
+        run('table', 'set', *row)
+    deployment.wait_until_ready()
+    time.sleep(1)
+
+
+def client_of(url: str, workspace: str) -> openai.OpenAI:
+    return openai.OpenAI(
+        base_url=f'{url}/v1', api_key=f'key-of-{workspace}', max_retries=0
+    )
+
+
+def ask(url: str, workspace: str, text: str, tokens: int):
+    """Return the first token's time in ms and the finish reason."""
+    sent = time.perf_counter()
+    first_ms = 0.0
+    reason = None
+    stream = client_of(url, workspace).chat.completions.create(
+        model='demo-model',
+        messages=[{'role': 'user', 'content': text}],
+        max_tokens=tokens,
+        stream=True,
+    )
+    for chunk in stream:
+        first_ms = first_ms or (time.perf_counter() - sent) * 1000
+        reason = chunk.choices[0].finish_reason or reason
+    return first_ms, reason
+
+
+def call(url: str, workspace: str, method: str, path: str, **options):
+    """Call a service and return status and decoded body."""
+    request = urllib.request.Request(
+        f'{url}/services/{path}',
+        method=method,
+        data=options.get('body'),
+        headers={
+            'Authorization': f'Bearer key-of-{workspace}',
+            **options.get('headers', {}),
+        },
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=10) as answer:
+            return answer.status, msgspec.json.decode(answer.read())
+    except urllib.error.HTTPError as refused:
+        return refused.code, msgspec.json.decode(refused.read())
+
+
+def tayside(deployment: Deployment, check: Check) -> None:
+    """A long ledger, with short questions beside it; a filing sent twice."""
+    print('Tayside: a nightly ledger and the helpline beside it')
+    ledgers: list = []
+    text = '\n'.join(
+        f'{line};site 7;inert;{line % 40} t' for line in range(LEDGER_LINES)
+    )
+    reading = threading.Thread(
+        target=lambda: ledgers.append(
+            ask(deployment.entries[0], 'tayside-ledgers', text, 40)
+        )
+    )
+    reading.start()
+    firsts = []
+    for number in range(QUESTIONS):
+        url = deployment.entries[number % len(deployment.entries)]
+        first_ms, reason = ask(
+            url, 'tayside-helpline', f'Which band is question {number}?', 20
+        )
+        firsts.append(first_ms)
+        check.that(reason is not None, f'question {number}: whole answer')
+    reading.join()
+    worst = max(firsts)
+    check.that(
+        worst <= FIRST_TOKEN_GOAL_MS,
+        f'helpline: worst first token {worst:.0f} ms '
+        f'(goal {FIRST_TOKEN_GOAL_MS})',
+    )
+    check.that(bool(ledgers and ledgers[0][1]), 'ledger: whole answer')
+    send_twice(deployment, check, 'tayside-ledgers', 'filing/returns')
+
+
+def pilbara(deployment: Deployment, check: Check) -> None:
+    """A yard check and a booking sent twice."""
+    print('Pilbara: yard checks and a booking sent twice')
+    for number in range(3):
+        url = deployment.entries[number % len(deployment.entries)]
+        status, _ = call(url, 'pilbara-yards', 'GET', f'yards/{number}')
+        check.that(status == 200, f'yard check {number}: {status}')
+    send_twice(deployment, check, 'pilbara-yards', 'bookings/compound-4')
+
+
+def send_twice(deployment, check, workspace, path) -> None:
+    headers = {'Idempotency-Key': f'once-{path}'}
+    answers = [
+        call(url, workspace, 'POST', path, body=b'once', headers=headers)
+        for url in deployment.entries
+    ]
+    runs = 0
+    for name, url in deployment.target_urls.items():
+        if name.startswith('service'):
+            with urllib.request.urlopen(f'{url}/standin/seen') as answer:
+                seen = msgspec.json.decode(answer.read())
+            runs += seen['runs_by_key'].get(f'once-{path}', 0)
+    check.that(
+        answers[0] == answers[1] and runs == 1,
+        f'{path}: sent through both entries, same answer, ran {runs} time(s)',
+    )
+
+
+def refusals(deployment: Deployment, check: Check) -> None:
+    """A withdrawn key stops working on every entry."""
+    print('A withdrawn key')
+    deployment.run_operator(
+        'key', 'withdraw', *key_arguments(deployment, 'pilbara-yards')
+    )
+    withdrawn = time.monotonic()
+    for url in deployment.entries:
+        status = 200
+        while status == 200 and time.monotonic() - withdrawn < 10:
+            status, _ = call(url, 'pilbara-yards', 'GET', 'yards/1')
+        elapsed = time.monotonic() - withdrawn
+        check.that(
+            status == 401 and elapsed <= 3,
+            f'refused with {status} after {elapsed:.2f} s (goal 3 s)',
+        )
+
+
+def key_arguments(deployment: Deployment, workspace: str) -> list[str]:
+    listed = msgspec.json.decode(
+        deployment.run_operator('key', 'list', '--output', 'json')
+    )
+    return [key['digest'] for key in listed if key['workspace'] == workspace]
+
+
+def main() -> int:
+    """Run the demonstration; 0 where all was well."""
+    check = Check()
+    with Deployment() as deployment:
+        print('starting stand-ins and two entries', flush=True)
+        deployment.start()
+        create_rows(deployment)
+        tayside(deployment, check)
+        pilbara(deployment, check)
+        refusals(deployment, check)
+        print('leaving: SIGTERM to both entries')
+        for name in ('entry-1', 'entry-2'):
+            check.that(deployment.terminate(name) == 0, f'{name}: exit code 0')
+    print('all well' if not check.failed else f'{check.failed} failed')
+    return int(bool(check.failed))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,83 @@
+"""A bounded load of streamed requests over loopback."""
+
+import asyncio
+import json
+import statistics
+import time
+from urllib.parse import urlsplit
+
+READ_BYTES = 65_536
+PERCENTILE_STEPS = 100
+
+
+class StreamTimes:
+    """Times of the chunks of one answer, in seconds."""
+
+    def __init__(self, sent: float) -> None:
+        self.sent = sent
+        self.arrived: list[float] = []
+        self.tokens = 0
+        self.is_whole = False
+
+    @property
+    def first_token_ms(self) -> float:
+        return (self.arrived[0] - self.sent) * 1000
+
+    def gaps_ms(self) -> list[float]:
+        pairs = zip(self.arrived, self.arrived[1:])
+        return [(later - earlier) * 1000 for earlier, later in pairs]
+
+
+async def stream_once(url: str, key: str, model: str, tokens: int, text: str):
+    """Send one streamed chat and return the times of its chunks."""
+    parts = urlsplit(url)
+    body = json.dumps(
+        {
+            'model': model,
+            'messages': [{'role': 'user', 'content': text}],
+            'max_tokens': tokens,
+            'stream': True,
+        }
+    ).encode()
+    head = (
+        'POST /v1/chat/completions HTTP/1.1\r\n'
+        f'Host: {parts.netloc}\r\nAuthorization: Bearer {key}\r\n'
+        'Content-Type: application/json\r\nConnection: close\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    ).encode()
+    reader, writer = await asyncio.open_connection(parts.hostname, parts.port)
+    times = StreamTimes(time.perf_counter())
+    writer.write(head + body)
+    while received := await reader.read(READ_BYTES):
+        now = time.perf_counter()
+        tokens_here = received.count(b'"token_offset"')
+        times.tokens += tokens_here
+        if tokens_here:
+            times.arrived.append(now)
+        if b'[DONE]' in received:
+            times.is_whole = True
+    writer.close()
+    return times
+
+
+async def run_load(url, key, model, *, streams, rounds, tokens):
+    """Run ``streams`` clients side by side, each ``rounds`` requests."""
+
+    async def client(number):
+        done = []
+        await asyncio.sleep(number * 0.005)
+        for turn in range(rounds):
+            text = f'client {number} turn {turn} ' * 8
+            done.append(await stream_once(url, key, model, tokens, text))
+        return done
+
+    done = await asyncio.gather(*(client(n) for n in range(streams)))
+    return [times for each in done for times in each]
+
+
+def percentile(values: list[float], share: int) -> float:
+    """Return a percentile of some values."""
+    if len(values) < 2:
+        return values[0] if values else 0
+    steps = statistics.quantiles(values, n=PERCENTILE_STEPS)
+    return steps[share - 1]
--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,75 @@
+"""What an entry adds to a stream: time and processor time a token."""
+
+import argparse
+import asyncio
+import os
+import time
+
+from bench.deployment import Deployment
+from bench.load import percentile, run_load
+
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+WARM_UP = {'streams': 4, 'rounds': 2, 'tokens': 20}
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    with open(f'/proc/{pid}/stat') as stat:
+        fields = stat.read().rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def report(name, done, elapsed_s, used_s) -> None:
+    firsts = [times.first_token_ms for times in done if times.arrived]
+    gaps = [gap for times in done for gap in times.gaps_ms()]
+    tokens = sum(times.tokens for times in done)
+    whole = sum(times.is_whole for times in done)
+    print(
+        f'{name:8} {len(done):5} {whole:5} {tokens / elapsed_s:9.0f} '
+        f'{percentile(firsts, 50):8.1f} {percentile(firsts, 99):8.1f} '
+        f'{percentile(gaps, 50):8.2f} {percentile(gaps, 99):8.2f} '
+        + (f'{tokens / used_s:10.0f}' if used_s else f'{"-":>10}')
+    )
+
+
+def measure(name, url, key, pid, load) -> None:
+    used = cpu_s(pid) if pid else 0
+    started = time.monotonic()
+    done = asyncio.run(run_load(url, key, 'demo-model', **load))
+    elapsed = time.monotonic() - started
+    report(name, done, elapsed, (cpu_s(pid) - used) if pid else 0)
+
+
+def main() -> None:
+    """Measure direct and through one entry, at several loads."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--streams', type=int, nargs='*', default=[1, 20, 60])
+    parser.add_argument('--tokens', type=int, default=200)
+    parser.add_argument('--rounds', type=int, default=3)
+    options = parser.parse_args()
+    with Deployment(engines=4, services=1) as deployment:
+        deployment.start(entries=1)
+        deployment.create_demo_rows()
+        engine = deployment.target_urls['engine-1']
+        entry = deployment.entries[0]
+        pid = deployment.by_name['entry-1'].pid
+        for url, key in ((engine, 'x'), (entry, 'demo-key')):
+            asyncio.run(run_load(url, key, 'demo-model', **WARM_UP))
+        print('4 engines at 10 ms a step; direct goes to one of them')
+        print(
+            'path      reqs whole  tokens/s  first50  first99    gap50    '
+            'gap99  tok/core-s'
+        )
+        for streams in options.streams:
+            load = {
+                'streams': streams,
+                'rounds': options.rounds,
+                'tokens': options.tokens,
+            }
+            print(f'{streams} streams')
+            measure('direct', engine, 'x', 0, load)
+            measure('entry', entry, 'demo-key', pid, load)
+
+
+if __name__ == '__main__':
+    main()
