Refuse as not-run what comes on kept connections after the grace

Cause: a request that arrived on a kept connection just before the process ended would have been cut. Ruled out: closing kept connections at once, which cuts a request that is on its way.

--- a/cicadahoist/entry/context.py
+++ b/cicadahoist/entry/context.py
@@ -48,6 +48,7 @@
         'dispatcher',
         'engines',
         'entry_name',
+        'is_leaving',
         'metrics',
         'isolation',
         'open_requests',
@@ -77,6 +78,7 @@
         self.isolation = Isolation(
             clock, self.open_requests, engines, plain_services
         )
+        self.is_leaving = False
         self.entry_name = config.read(INSTANCE_NAME)
         self.stall_timeout_ms = config.read(STALL_TIMEOUT)
         self.usage_window_ms = config.read(USAGE_WINDOW)
--- a/cicadahoist/entry/handling.py
+++ b/cicadahoist/entry/handling.py
@@ -38,8 +38,11 @@
     """
     Do the work of an authorized request within its deadline.
 
-    :raises RequestRefusedError: the request was cut off
+    :raises RequestRefusedError: the request was cut off, or came on a kept
+        connection after the entry had left
     """
+    if context.is_leaving:
+        raise RequestRefusedError(Refusal.leaving, 'this instance leaves')
     deadline = context.clock.call_later(
         request.grant.rule.deadline_ms, _time_out, request
     )
--- a/cicadahoist/entry/server.py
+++ b/cicadahoist/entry/server.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from twisted.internet.defer import maybeDeferred
+
 from cicadahoist.clock import Clock
 from cicadahoist.config import Config
 from cicadahoist.entry.auth import is_valid
@@ -80,7 +82,8 @@
         """
         self._is_leaving = True
         await self._clock.sleep(self._config.read(DRAIN_GRACE))
-        await self._port.stopListening()
+        await maybeDeferred(self._port.stopListening)
+        self._context.is_leaving = True
         limit = self._clock.call_later(
             self._config.read(DRAIN_LIMIT), self._cut_off_all
         )
--- /dev/null
+++ b/tests/test_entry/test_server.py
@@ -0,0 +1,129 @@
+"""Leaving, and changes of the table while requests are open."""
+
+import msgspec
+import pytest
+from twisted.internet.defer import Deferred
+
+from cicadahoist.config import Config
+from cicadahoist.entry.server import EntryServer
+from cicadahoist.reasons import Refusal
+from cicadahoist.table import Table
+from tests.test_entry.world import World, error_of, events
+
+GRACE_MS = 500
+LIMIT_MS = 5000
+
+
+class FixedTable:
+    """Stands for the table sync: tests change its table."""
+
+    def __init__(self, table) -> None:
+        self._table = table
+        self._listeners = []
+
+    def table(self):
+        return self._table
+
+    def ready(self) -> bool:
+        return True
+
+    def on_change(self, listener) -> None:
+        self._listeners.append(listener)
+
+    def change(self, table) -> None:
+        old = self._table
+        self._table = table
+        for listener in self._listeners:
+            listener(old, table)
+
+
+class Served:
+    """A world whose first entry has a server task."""
+
+    def __init__(self) -> None:
+        self.world = World()
+        self.context = self.world.entries[0].context
+        config = Config.from_values(
+            entry__drain_grace=GRACE_MS, entry__drain_limit=LIMIT_MS
+        )
+        self.tables = FixedTable(Table(1, [self.world.rows()]))
+        self.server = EntryServer(
+            config, self.context, self.tables, self.world.net.reactor
+        )
+        self.world.net.result(self.server.start())
+
+    def stop(self):
+        done = []
+        Deferred.fromCoroutine(self.server.stop()).addBoth(done.append)
+        return done
+
+
+@pytest.fixture
+def served():
+    return Served()
+
+
+def test_leaving_cuts_no_stream(served):
+    answer = served.world.chat(tokens=200)
+    served.world.net.until(lambda: len(answer.body) > 500)
+    done = served.stop()
+    assert not served.server.is_ready()
+    served.world.net.advance(GRACE_MS + 500)
+    assert not done
+    served.world.finish(answer)
+    assert events(answer)[-1] == '[DONE]'
+    served.world.net.advance(10)
+    assert done == [None]
+
+
+def test_requests_during_the_grace_are_served(served):
+    served.stop()
+    served.world.net.advance(GRACE_MS - 100)
+    answer = served.world.finish(served.world.chat(tokens=5))
+    assert events(answer)[-1] == '[DONE]'
+
+
+def test_requests_on_kept_connections_after_the_grace_did_not_run(served):
+    open_answer = served.world.chat(tokens=300)
+    served.stop()
+    served.world.net.advance(GRACE_MS + 100)
+    late = served.world.finish(served.world.chat(tokens=5))
+    assert error_of(late)['code'] == Refusal.leaving.code
+    assert error_of(late)['outcome'] == 'not-run'
+    served.world.finish(open_answer)
+    assert events(open_answer)[-1] == '[DONE]'
+
+
+def test_what_is_open_past_the_limit_is_reported(served):
+    answer = served.world.chat(tokens=2000)
+    done = served.stop()
+    served.world.net.advance(GRACE_MS + LIMIT_MS + 100)
+    assert answer.is_over
+    assert events(answer)[-1]['error']['code'] == 'timed-out'
+    assert done == [None]
+
+
+def test_a_withdrawn_key_cuts_its_open_streams_only(served):
+    rows = served.world.rows()
+    rows.rules.append(
+        msgspec.structs.replace(rows.rules[0], workspace='pilbara')
+    )
+    served.tables.change(Table(2, [rows]))
+    kept = served.world.chat(tokens=200, key='key-of-pilbara')
+    cut = served.world.chat(tokens=200)
+    served.world.net.until(lambda: len(cut.body) > 500)
+    rows = served.world.rows()
+    rows.rules.append(
+        msgspec.structs.replace(rows.rules[0], workspace='pilbara')
+    )
+    rows.keys[0] = msgspec.structs.replace(rows.keys[0], withdrawn=True)
+    served.tables.change(Table(3, [rows]))
+    served.world.net.advance(50)
+    assert cut.is_over
+    error = events(cut)[-1]['error']
+    assert error['code'] == Refusal.key_withdrawn_midway.code
+    assert error['outcome'] == 'failed'
+    served.world.finish(kept)
+    assert events(kept)[-1] == '[DONE]'
+    again = served.world.finish(served.world.chat())
+    assert error_of(again)['code'] == Refusal.key_withdrawn.code
