Remove shard objects that the table no longer needs

The head now names the last 64 replaced shards (a new field with a default, in table.py); older ones are removed after a commit, and so are the shards of a commit that lost against another one. Shards of a committer that dies midway stay.

--- a/cicadahoist/outside/tablestore.py
+++ b/cicadahoist/outside/tablestore.py
@@ -9,11 +9,13 @@
 import msgspec
 
 from cicadahoist.errors import (
+    StoreError,
     StoreUnavailableError,
     TableConflictError,
     VersionConflictError,
 )
 from cicadahoist.ids import fast_hash, new_nonce
+from cicadahoist.log import get_logger
 from cicadahoist.outside.store import ABSENT, Store
 from cicadahoist.table import (
     HEAD_NAME,
@@ -32,6 +34,10 @@
 
 COMMIT_ATTEMPTS = 8
 COMMITS_KEPT = 64
+RETIRED_KEPT = 64
+SHARD_VERSION = 1
+
+logger = get_logger(__name__)
 
 _decode_head = msgspec.json.Decoder(Head).decode
 _decode_shard = msgspec.json.Decoder(Shard).decode
@@ -109,35 +115,56 @@
             return head.revision - (
                 len(head.commits) - 1 - head.commits.index(nonce)
             )
-        updated = await self._with_changes(head, changes, nonce)
-        payload = msgspec.json.encode(updated)
+        changed = await self._changed_shards(head, changes)
+        written = await self._write_shards(changed)
+        retired = _retired(head, written)
+        updated = Head(
+            revision=head.revision + 1,
+            shards={**head.shards, **written},
+            commits=[*head.commits, nonce][-COMMITS_KEPT:],
+            retired=retired[-RETIRED_KEPT:],
+        )
         try:
-            await self._store.write(HEAD_NAME, payload, version)
-        except (VersionConflictError, StoreUnavailableError):
+            await self._store.write(
+                HEAD_NAME, msgspec.json.encode(updated), version
+            )
+        except VersionConflictError:
+            await self._remove(list(written.values()))
+            return 0
+        except StoreUnavailableError:
             # The next attempt finds the nonce if the write took effect.
             return 0
+        await self._remove(retired[:-RETIRED_KEPT])
         return updated.revision
 
-    async def _with_changes(
-        self, head: Head, changes: list[RowChange], nonce: str
-    ) -> Head:
+    async def _changed_shards(
+        self, head: Head, changes: list[RowChange]
+    ) -> dict[str, Shard]:
         by_shard: dict[str, list[RowChange]] = {}
         for change in changes:
             by_shard.setdefault(shard_of(change.row), []).append(change)
-        revision = head.revision + 1
-        shards = dict(head.shards)
+        changed = {}
         for number, group in by_shard.items():
             shard = Shard()
-            current = shards.get(number)
+            current = head.shards.get(number)
             if current is not None:
                 shard = await self._shard(current)
-            updated = _apply(shard, group, revision)
-            shards[number] = await self._write_shard(number, updated)
-        return Head(
-            revision=revision,
-            shards=shards,
-            commits=[*head.commits, nonce][-COMMITS_KEPT:],
-        )
+            changed[number] = _apply(shard, group, head.revision + 1)
+        return changed
+
+    async def _write_shards(self, shards: dict[str, Shard]) -> dict[str, str]:
+        return {
+            number: await self._write_shard(number, shard)
+            for number, shard in shards.items()
+        }
+
+    async def _remove(self, names: list[str]) -> None:
+        """Remove shard objects; one that stays costs space, nothing else."""
+        for name in names:
+            try:
+                await self._store.remove(name, SHARD_VERSION)
+            except StoreError as error:
+                logger.warning('shard {0} stays: {1}', name, error)
 
     async def _write_shard(self, number: str, shard: Shard) -> str:
         name = f'table/shards/{number}/{new_nonce()}'
@@ -170,6 +197,13 @@
     return f'{number:02d}'
 
 
+def _retired(head: Head, written: dict[str, str]) -> list[str]:
+    replaced = [
+        head.shards[number] for number in written if number in head.shards
+    ]
+    return [*head.retired, *replaced]
+
+
 def _apply(shard: Shard, changes: list[RowChange], revision: int) -> Shard:
     rows: list[Row] = [
         *shard.workspaces,
--- a/cicadahoist/table.py
+++ b/cicadahoist/table.py
@@ -155,11 +155,14 @@
     :param revision: rises by one with each commit
     :param shards: name of the immutable shard object, by shard number
     :param commits: nonces of the latest commits, the newest last
+    :param retired: shard objects that no longer belong to the table but are
+        kept for readers of older heads, the newest last
     """
 
     revision: int = 0
     shards: dict[str, str] = {}
     commits: list[str] = []
+    retired: list[str] = []
 
 
 class Table:
--- a/tests/test_outside/test_tablestore.py
+++ b/tests/test_outside/test_tablestore.py
@@ -4,7 +4,12 @@
 
 from cicadahoist.clock import Clock
 from cicadahoist.errors import StoreUnavailableError, TableConflictError
-from cicadahoist.outside.tablestore import RowChange, TableStore, shard_of
+from cicadahoist.outside.tablestore import (
+    RETIRED_KEPT,
+    RowChange,
+    TableStore,
+    shard_of,
+)
 from cicadahoist.standin.faults import Fault
 from cicadahoist.standin.memory import MemoryStore
 from cicadahoist.standin.objects import ObjectModel
@@ -166,3 +171,36 @@
     assert accepted
     assert accepted <= set(table.workspaces_by_name)
     assert table.revision == len(table.workspaces_by_name)
+
+
+def shard_names(model):
+    return set(model.names('table/shards/'))
+
+
+def test_replaced_shards_are_removed_later(operators, model):
+    result_of(save(operators[0], ROW))
+    old_head, _ = result_of(operators[1].read_head())
+    for revision in range(1, RETIRED_KEPT + 1):
+        result_of(save(operators[0], replace(ROW, revision=revision)))
+    assert result_of(operators[1].load(old_head)).revision == 1
+    result_of(save(operators[0], replace(ROW, revision=revision + 1)))
+    head, _ = result_of(operators[0].read_head())
+    assert shard_names(model) == {*head.shards.values(), *head.retired}
+    assert not shard_names(model) & set(old_head.shards.values())
+
+
+def test_commit_that_lost_against_another_leaves_no_shard(
+    operators, model, clock
+):
+    model.set_fault(Fault(kind='slow', delay_ms=5))
+    saves = [
+        Pending(save(operator, Workspace(name=f'workspace-{number}')))
+        for number, operator in enumerate(operators)
+    ]
+    for _ in range(60):
+        clock.advance(5)
+    assert all(pending.is_done for pending in saves)
+    model.set_fault(Fault(kind='none'))
+    head, _ = result_of(operators[0].read_head())
+    assert model.calls['remove'] == 1
+    assert shard_names(model) == {*head.shards.values(), *head.retired}
