Connect to IP numbers without a resolver thread

Cause: HostnameEndpoint resolves IP numbers too, by getaddrinfo in a thread, so each process got a thread pool and each new connection two thread hops.

--- a/cicadahoist/outside/http.py
+++ b/cicadahoist/outside/http.py
@@ -6,13 +6,18 @@
 import msgspec
 import treq
 from twisted.internet import error as network_errors
+from twisted.internet.abstract import isIPAddress, isIPv6Address
 from twisted.internet.defer import (
     CancelledError,
     Deferred,
     TimeoutError,
     succeed,
 )
-from twisted.internet.endpoints import HostnameEndpoint
+from twisted.internet.endpoints import (
+    HostnameEndpoint,
+    TCP4ClientEndpoint,
+    TCP6ClientEndpoint,
+)
 from twisted.internet.protocol import Factory, Protocol
 from twisted.web.client import (
     URI,
@@ -323,11 +328,15 @@
         self._send_timeout_ms = send_timeout_ms
 
     def endpointForURI(self, uri: Any) -> '_Endpoint':  # noqa: N802
-        inner = HostnameEndpoint(
-            self._reactor,
-            uri.host,
-            uri.port,
-            timeout=self._connect_timeout_s,
+        host = uri.host.decode()
+        # HostnameEndpoint resolves IP numbers too, in a thread.
+        kind: Any = HostnameEndpoint
+        if isIPAddress(host):
+            kind = TCP4ClientEndpoint
+        elif isIPv6Address(host):
+            kind = TCP6ClientEndpoint
+        inner = kind(
+            self._reactor, host, uri.port, timeout=self._connect_timeout_s
         )
         return _Endpoint(inner, self._send_timeout_ms)
 
