--- a/cicadahoist/errors.py
+++ b/cicadahoist/errors.py
@@ -105,6 +105,12 @@
     kind = 'fenced'
 
 
+class UsageConflictError(CicadahoistError):
+    """Other figures were reported for the same billing window."""
+
+    kind = 'usage-conflict'
+
+
 class WireError(CicadahoistError):
     """A message could not be decoded."""
 
--- a/cicadahoist/outside/platform.py
+++ b/cicadahoist/outside/platform.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from cicadahoist.config import Config
-from cicadahoist.errors import CicadahoistError
+from cicadahoist.errors import UsageConflictError
 from cicadahoist.outside.http import HTTP_CONFLICT
 from cicadahoist.outside.platform_client import PlatformClient
 from cicadahoist.outside.platform_messages import (
@@ -22,12 +22,6 @@
 from cicadahoist.registry import Registry
 
 
-class UsageConflictError(CicadahoistError):
-    """Other figures were reported for the same billing window."""
-
-    kind = 'usage-conflict'
-
-
 class TargetOrders(Protocol):
     """
     Orders for targets.
--- a/tests/test_outside/test_platform.py
+++ b/tests/test_outside/test_platform.py
@@ -4,13 +4,13 @@
     BusyError,
     LostAfterSendError,
     NotSentError,
+    UsageConflictError,
 )
 from cicadahoist.outside.platform import (
     HttpInstanceList,
     HttpTargetOrders,
     HttpUsageIntake,
     HttpWeightStore,
-    UsageConflictError,
 )
 from cicadahoist.outside.platform_messages import (
     ListedInstance,
