--- a/cicadahoist/standin/engine_completions.py
+++ b/cicadahoist/standin/engine_completions.py
@@ -89,6 +89,7 @@
             AnswerForm(attempt, body, chat=chat),
             streamed=body.stream,
             cut_after=self._faults.cut_after,
+            frame_fault=self._faults.frame_fault,
         )
         self._answers[attempt] = opened
         priority = int(request.getHeader('X-Priority') or DEFAULT_PRIORITY)
--- a/cicadahoist/standin/engine_faults.py
+++ b/cicadahoist/standin/engine_faults.py
@@ -6,6 +6,7 @@
 from cicadahoist.registry import Registry
 from cicadahoist.standin.engine import Engine
 from cicadahoist.standin.engine_batch import Job
+from cicadahoist.standin.engine_frames import FRAME_FAULTS, FrameFault
 from cicadahoist.standin.faults import Fault
 from cicadahoist.standin.process import crash, freeze
 
@@ -18,14 +19,24 @@
     :param clock: times the end of a reclaimed engine
     """
 
-    __slots__ = ('clock', 'crash', 'cut_after', 'engine', 'mark')
+    __slots__ = (
+        'clock',
+        'crash',
+        'cut_after',
+        'engine',
+        'frame_fault',
+        'freeze',
+        'mark',
+    )
 
     def __init__(self, engine: Engine, clock: Clock) -> None:
         self.engine = engine
         self.clock = clock
         self.mark = ''
         self.cut_after = 0
+        self.frame_fault: FrameFault | None = None
         self.crash: Callable[[], None] = crash
+        self.freeze: Callable[[int], None] = freeze
 
     def apply(self, fault: Fault) -> None:
         """
@@ -58,6 +69,7 @@
     faults.engine.stalled = False
     faults.mark = ''
     faults.cut_after = 0
+    faults.frame_fault = None
 
 
 @ENGINE_FAULTS.register('crash')
@@ -70,7 +82,7 @@
 @ENGINE_FAULTS.register('freeze')
 def freeze_process(faults: EngineFaults, fault: Fault) -> None:
     """Stop the whole process for ``delay_ms``."""
-    faults.clock.call_later(0, freeze, fault.delay_ms)
+    faults.clock.call_later(0, faults.freeze, fault.delay_ms)
 
 
 @ENGINE_FAULTS.register('stall')
@@ -89,3 +101,9 @@
 def crash_on_mark(faults: EngineFaults, fault: Fault) -> None:
     """End the process when a prompt with ``mark`` gets its first token."""
     faults.mark = fault.mark
+
+
+@ENGINE_FAULTS.register('frames')
+def disturb_frames(faults: EngineFaults, fault: Fault) -> None:
+    """Apply the frame fault ``mark`` to each new answer."""
+    faults.frame_fault = FRAME_FAULTS.get(fault.mark)
--- a/cicadahoist/standin/engine_stream.py
+++ b/cicadahoist/standin/engine_stream.py
@@ -6,6 +6,7 @@
 
 from cicadahoist.standin.engine_answers import AnswerForm
 from cicadahoist.standin.engine_batch import Job, JobState
+from cicadahoist.standin.engine_frames import FrameFault
 from cicadahoist.standin.web import abort
 
 
@@ -18,13 +19,32 @@
     :param streamed: whether each token is written at once
     :param cut_after: number of tokens after which the connection is closed,
         0 for never
+    :param frame_fault: what goes wrong with single events
     """
 
-    __slots__ = ('_cut_left', '_form', '_request', '_streamed', 'done')
+    __slots__ = (
+        '_before',
+        '_cut_left',
+        '_form',
+        '_frame_fault',
+        '_number',
+        '_request',
+        '_streamed',
+        'done',
+    )
 
     def __init__(
-        self, request: Any, form: AnswerForm, *, streamed: bool, cut_after: int
+        self,
+        request: Any,
+        form: AnswerForm,
+        *,
+        streamed: bool,
+        cut_after: int = 0,
+        frame_fault: FrameFault | None = None,
     ) -> None:
+        self._before = b''
+        self._number = 0
+        self._frame_fault = frame_fault
         self._request = request
         self._form = form
         self._streamed = streamed
@@ -41,7 +61,7 @@
         if self.done.called:
             return
         if self._streamed:
-            self._request.write(self._form.chunk(job))
+            self._request.write(self._framed(self._form.chunk(job)))
         if job.state is JobState.finished:
             self.finish(job)
         elif self._cut_left:
@@ -60,6 +80,14 @@
         end = self._form.tail if self._streamed else self._form.whole
         self.done.callback(end(job))
 
+    def _framed(self, event: bytes) -> bytes:
+        if self._frame_fault is None:
+            return event
+        self._number += 1
+        framed = self._frame_fault(self._before, self._number, event)
+        self._before = event
+        return framed
+
     def cut(self) -> None:
         """Close the connection without an end."""
         abort(self._request)
--- a/tests/test_outside/test_engine.py
+++ b/tests/test_outside/test_engine.py
@@ -13,6 +13,7 @@
 from cicadahoist.outside.engine import EngineOrder, OpenAiHttpEngine
 from cicadahoist.standin.engine import Engine, EngineOptions
 from cicadahoist.standin.engine_batch import EngineLimits
+from cicadahoist.standin.engine_frames import FRAME_FAULTS
 from cicadahoist.standin.engine_server import EngineServer
 from cicadahoist.standin.faults import Fault
 from cicadahoist.standin.tokens import output_text
@@ -200,6 +201,34 @@
         await self.until(lambda: crashes)
         response.abort()
 
+    async def test_frame_faults(self):
+        _, server, target = self.start()
+        came = {}
+        for mark in FRAME_FAULTS:
+            server.faults.apply(Fault(kind='frames', mark=mark))
+            events = await self.stream(target, mark, body(max_tokens=4))
+            await events.ended
+            came[mark] = [
+                ('x' if text.startswith('x') else '') + str(offset)
+                for offset, text in events.tokens()
+            ]
+        assert came == {
+            'crossed-frame': 'x0 0 x1 1 x2 2 x3 3'.split(),
+            'late-frame': '0 1 0 2 1 3 2'.split(),
+            'repeat-frame': '0 0 1 1 2 2 3 3'.split(),
+            'skip-frame': '0 1 3'.split(),
+        }
+
+    async def test_freeze_and_reclaim(self):
+        _, server, _ = self.start()
+        came = []
+        server.faults.freeze = came.append
+        server.faults.crash = lambda: came.append('crash')
+        server.faults.apply(Fault(kind='freeze', delay_ms=700))
+        server.faults.apply(Fault(kind='reclaim', delay_ms=30))
+        await self.until(lambda: len(came) == 2)
+        assert came == [700, 'crash']
+
     async def test_kv_goes_from_engine_to_engine(self):
         source, _, source_target = self.start(name='engine-1')
         sink, _, sink_target = self.start(name='engine-2')
