--- a/bench/policy/__main__.py
+++ b/bench/policy/__main__.py
@@ -136,4 +136,6 @@
 
 
 if __name__ == '__main__':
-    typer.run(main)
+    app = typer.Typer(pretty_exceptions_enable=False)
+    app.command()(main)
+    app()
--- a/bench/policy/simulation.py
+++ b/bench/policy/simulation.py
@@ -210,4 +210,8 @@
         if engine.alive and engine.works():
             self.after(100, self.await_empty, engine, role)
         elif engine.alive:
-            self.after(CHANGE_MS, self.ready, engine, role)
+            self.after(CHANGE_MS, self.changed, engine, role)
+
+    def changed(self, engine, role):
+        if engine.alive:
+            self.ready(engine, role)
