--- a/bench/policy/bound.py
+++ b/bench/policy/bound.py
@@ -27,15 +27,22 @@
 from cicadahoist.policy.fleet import PoolDemand
 from cicadahoist.policy.roles import CHANGE_LOSS_MS, FULL
 
-LONGEST_STEP = BASE_MS + PREFILL_MS * CHUNK_BY_ROLE['prefill']
-USABLE = 1 - BASE_MS / LONGEST_STEP
+LONGEST_STEP_MS = BASE_MS + PREFILL_MS * CHUNK_BY_ROLE['prefill']
+URGENT_USABLE = 1 - BASE_MS / GAP_MS
+BATCH_USABLE = 1 - BASE_MS / LONGEST_STEP_MS
 PERIOD_MS = 1000
 
 
 def engine_ms(request):
-    """Return the engine time that a request needs at least."""
+    """
+    Return the engine time that a request needs at least.
+
+    Steps that hold urgent answers last no longer than the goal between
+    tokens, so the fixed part of a step weighs more there.
+    """
     prompt = request.prompt - BLOCK_TOKENS * len(request.blocks)
-    return PREFILL_MS * prompt + DECODE_MS * request.output
+    work_ms = PREFILL_MS * prompt + DECODE_MS * request.output
+    return work_ms / (URGENT_USABLE if request.urgent else BATCH_USABLE)
 
 
 def due_ms(request):
@@ -92,7 +99,7 @@
     pool = Pool()
     now_ms = 0
     for request in requests:
-        rate = USABLE * engines_at(scenario, fault, now_ms)
+        rate = engines_at(scenario, fault, now_ms)
         if not request.poison:
             pool.serve(rate * (request.at_ms - now_ms))
             now_ms = request.at_ms
