Plan roles so that urgent work keeps its engines

Cause: the planner counted all prompt tokens alike and moved engines to prefill on which no short answer meets its time between tokens.

--- a/bench/policy/bound.py
+++ b/bench/policy/bound.py
@@ -157,16 +157,22 @@
 
 def known_demand(requests, at_ms):
     """Return the true demand of the ten seconds around a time."""
-    prefill = decode = 0.0
+    prefill = decode = batch_prefill = batch_decode = 0.0
     for request in requests:
         if request.urgent:
             share = abs(request.at_ms - at_ms) < 5000
             prefill += share * request.prompt / 10_000
             decode += share * request.output / 10_000
         elif request.at_ms <= at_ms < due_ms(request):
-            prefill += request.prompt / request.rule.deadline_ms
-            decode += request.output / request.rule.deadline_ms
-    return PoolDemand(pool='', prefill_per_ms=prefill, decode_per_ms=decode)
+            batch_prefill += request.prompt / request.rule.deadline_ms
+            batch_decode += request.output / request.rule.deadline_ms
+    return PoolDemand(
+        pool='',
+        prefill_per_ms=prefill + batch_prefill,
+        decode_per_ms=decode + batch_decode,
+        urgent_prefill_per_ms=prefill,
+        urgent_decode_per_ms=decode,
+    )
 
 
 def demands_of(requests):
--- a/bench/policy/simulation.py
+++ b/bench/policy/simulation.py
@@ -179,8 +179,10 @@
         parts = [e.meter.measure(POOL, self.now) for e in self.entries]
         demand = PoolDemand(
             pool=POOL,
-            prefill_per_ms=sum(part.prefill_per_ms for part in parts),
-            decode_per_ms=sum(part.decode_per_ms for part in parts),
+            **{
+                name: sum(getattr(part, name) for part in parts)
+                for name in PoolDemand.__struct_fields__[1:]
+            },
         )
         targets = [self.view_of(engine) for engine in self.engines.values()]
         view = FleetView(targets=targets, demands=[demand])
--- a/cicadahoist/policy/capacity.py
+++ b/cicadahoist/policy/capacity.py
@@ -76,10 +76,11 @@
     speeds: dict[Role, RoleSpeed],
 ) -> float:
     """
-    Return how full the scarcer side of an assignment is, 1 for quite full.
+    Return how full the scarcest part of an assignment is, 1 for quite full.
 
-    Short answers start at once only on engines that decode, so an assignment
-    without any counts as over-full.
+    Urgent work runs on mixed and decode engines only, as the long steps of
+    prefill engines delay each token. There it goes before other work, so that
+    its prompts and its tokens take turns.
     """
     prefill = float(0)
     decode = float(0)
@@ -88,7 +89,24 @@
         decode += assignment.count(role) * speed.decode
     if not prefill or not decode:
         return math.inf
-    return max(demand.prefill_per_ms / prefill, demand.decode_per_ms / decode)
+    return max(
+        demand.prefill_per_ms / prefill,
+        demand.decode_per_ms / decode,
+        _urgent_fill(assignment, demand, speeds),
+    )
+
+
+def _urgent_fill(
+    assignment: Assignment,
+    demand: PoolDemand,
+    speeds: dict[Role, RoleSpeed],
+) -> float:
+    engines = assignment.mixed + assignment.decode
+    if not engines:
+        return math.inf
+    prefill = demand.urgent_prefill_per_ms / speeds[Role.mixed].prefill
+    decode = demand.urgent_decode_per_ms / speeds[Role.decode].decode
+    return (prefill + decode) / engines
 
 
 def best_assignment(
--- a/cicadahoist/policy/demand.py
+++ b/cicadahoist/policy/demand.py
@@ -72,5 +72,9 @@
             prefill += work.cost.prefill / left_ms
             decode += work.cost.decode / left_ms
         return PoolDemand(
-            pool=pool, prefill_per_ms=prefill, decode_per_ms=decode
+            pool=pool,
+            prefill_per_ms=prefill,
+            decode_per_ms=decode,
+            urgent_prefill_per_ms=self._prefill / WINDOW_MS,
+            urgent_decode_per_ms=self._decode / WINDOW_MS,
         )
--- a/cicadahoist/policy/fleet.py
+++ b/cicadahoist/policy/fleet.py
@@ -47,6 +47,8 @@
 
     :param prefill_per_ms: prompt tokens a ms, cached ones left out
     :param decode_per_ms: output tokens a ms
+    :param urgent_prefill_per_ms: the part of requests whose callers wait
+    :param urgent_decode_per_ms: the part of requests whose callers wait
     :param strict_engines: engines that work with deadlines in seconds needs,
         as a fraction
     :param batch_engines: engines that deferrable work needs from now on to
@@ -56,6 +58,8 @@
     pool: str
     prefill_per_ms: float = 0
     decode_per_ms: float = 0
+    urgent_prefill_per_ms: float = 0
+    urgent_decode_per_ms: float = 0
     strict_engines: float = 0
     batch_engines: float = 0
 
--- a/cicadahoist/policy/roles.py
+++ b/cicadahoist/policy/roles.py
@@ -48,13 +48,12 @@
 class SmoothDemand:
     """Demand of a pool, smoothed over one time scale."""
 
-    __slots__ = ('_scale_ms', '_since_ms', 'decode', 'prefill')
+    __slots__ = ('_scale_ms', '_since_ms', '_smooth')
 
     def __init__(self, scale_ms: float) -> None:
         self._scale_ms = scale_ms
         self._since_ms: int | None = None
-        self.prefill = float(0)
-        self.decode = float(0)
+        self._smooth = PoolDemand(pool='')
 
     def observe(self, demand: PoolDemand, now_ms: int) -> PoolDemand:
         """Add a demand and return the smoothed one."""
@@ -62,13 +61,14 @@
         if self._since_ms is not None:
             gain = min(1, (now_ms - self._since_ms) / self._scale_ms)
         self._since_ms = now_ms
-        self.prefill += gain * (demand.prefill_per_ms - self.prefill)
-        self.decode += gain * (demand.decode_per_ms - self.decode)
-        return PoolDemand(
+        self._smooth = PoolDemand(
             pool=demand.pool,
-            prefill_per_ms=self.prefill,
-            decode_per_ms=self.decode,
+            **{
+                name: _moved(getattr(self._smooth, name), demand, name, gain)
+                for name in _SMOOTHED
+            },
         )
+        return self._smooth
 
 
 class PoolRoles:
@@ -177,6 +177,18 @@
         return changes
 
 
+_SMOOTHED = (
+    'prefill_per_ms',
+    'decode_per_ms',
+    'urgent_prefill_per_ms',
+    'urgent_decode_per_ms',
+)
+
+
+def _moved(old: float, demand: PoolDemand, name: str, gain: float) -> float:
+    return old + gain * (float(getattr(demand, name)) - old)
+
+
 def _ready(targets: list[TargetView]) -> list[TargetView]:
     return [target for target in targets if target.phase is TargetPhase.ready]
 
