--- a/bench/slopes/__main__.py
+++ b/bench/slopes/__main__.py
@@ -8,17 +8,20 @@
 from bench.slopes.fit import fit
 from bench.slopes.series import SERIES, Series
 
-GROUPS = ('tables', 'messages', 'leases', 'policies')
+GROUPS = ('tables', 'messages', 'leases', 'policies', 'entries')
 KIB_PER_MIB = 1024
 
 
 def main() -> None:
     for group in GROUPS:
         import_module(f'bench.slopes.{group}')
+    measured: list[Series] = []
     print(f'Python {platform.python_version()}, one process, one thread')
     for name in sys.argv[1:] or SERIES.names():
         for series in SERIES.get(name)():
             report(series)
+            measured.append(series)
+    print_markdown(measured)
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KIB_PER_MIB
     print(f'peak memory of this run: {peak:.0f} MiB')
 
@@ -35,5 +38,21 @@
     )
 
 
+def print_markdown(measured: list[Series]) -> None:
+    """Print all series as rows of a Markdown table."""
+    print('\n| quantity | against | points | slope | error | at the target |')
+    print('|---|---|---|---|---|---|')
+    for series in measured:
+        line = fit(series.points)
+        points = ', '.join(
+            f'{point.size:g}: {point.value:.4g}' for point in series.points
+        )
+        print(
+            f'| {series.name}, {series.unit} | {series.axis} | {points} '
+            f'| {line.slope:.3g} | {line.error:.2g} '
+            f'| {series.target:.4g}: {line.at(series.target):.4g} |'
+        )
+
+
 if __name__ == '__main__':
     main()
--- a/cicadahoist/cmd/operator/statuses.py
+++ b/cicadahoist/cmd/operator/statuses.py
@@ -1,7 +1,5 @@
 """Status of the whole deployment as the store shows it."""
 
-from datetime import UTC, datetime
-
 import msgspec
 import typer
 
@@ -9,6 +7,7 @@
 from cicadahoist.cmd.operator.leases import LeaseRow, read_leases
 from cicadahoist.cmd.operator.output import Output, align, print_json
 from cicadahoist.cmd.operator.session import Session
+from cicadahoist.cmd.operator.times import utc_text
 from cicadahoist.errors import WireError
 from cicadahoist.messages import ZoneStatus, zone_status_name
 
@@ -100,9 +99,3 @@
     typer.echo('\n'.join(align(view.zones)))
     typer.echo('\nleases')
     typer.echo('\n'.join(align(view.leases)))
-
-
-def utc_text(at_ms: int) -> str:
-    """Return a wall-clock time in ISO 8601, to the second."""
-    at = datetime.fromtimestamp(at_ms / MS_PER_S, UTC)
-    return at.strftime('%Y-%m-%dT%H:%M:%SZ')
