--- a/cicadahoist/cmd/operator/app.py
+++ b/cicadahoist/cmd/operator/app.py
@@ -19,6 +19,7 @@
 from cicadahoist.cmd.operator.sheets import tables
 from cicadahoist.cmd.operator.statuses import show_status
 from cicadahoist.cmd.operator.targets import targets
+from cicadahoist.cmd.operator.usages import show_usage
 from cicadahoist.cmd.operator.workspaces import workspaces
 
 app = typer.Typer(
@@ -37,6 +38,7 @@
 app.add_typer(leases, name='lease')
 app.add_typer(configuration, name='config')
 command(app, 'status')(show_status)
+command(app, 'usage')(show_usage)
 app.command('reference')(print_reference)
 
 
--- /dev/null
+++ b/cicadahoist/cmd/operator/usages.py
@@ -0,0 +1,139 @@
+"""Usage by billing window and workspace, as the store holds it."""
+
+from collections.abc import Iterable
+from typing import Annotated
+
+import msgspec
+import typer
+
+from cicadahoist.cmd.operator.session import Session
+from cicadahoist.cmd.operator.times import utc_text
+from cicadahoist.mesh.usage_record import decode_record
+from cicadahoist.protocol.usage_figures import TotalsByWorkspace, UsageTotal
+from cicadahoist.protocol.usage_window import decode_figure
+from cicadahoist.settings import USAGE_WINDOW
+
+USAGE_PREFIX = 'usage/'
+FIGURES = 'figures'
+DEFAULT_WINDOWS = 10
+
+COUNTING = 'counting'
+SEALED = 'sealed'
+ADJUSTMENT = 'adjustment'
+
+
+class UsageRow(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Usage of one workspace in one window.
+
+    :param begins: when the window began, UTC
+    :param state: ``counting`` until the window's figure is sealed, then
+        ``sealed``; ``adjustment`` for usage of earlier windows that was
+        counted after those were sealed
+    """
+
+    window: int
+    begins: str
+    workspace: str
+    state: str
+    prompt_tokens: int
+    output_tokens: int
+    requests: int
+
+
+class UsageNames:
+    """
+    Names of usage objects by window.
+
+    :param names: names of all objects below ``usage/``
+    """
+
+    __slots__ = ('figures_by_window', 'records_by_window')
+
+    def __init__(self, names: Iterable[str]) -> None:
+        self.figures_by_window: dict[int, list[str]] = {}
+        self.records_by_window: dict[int, list[str]] = {}
+        for name in names:
+            kind, _, rest = name.removeprefix(USAGE_PREFIX).partition('/')
+            if kind == FIGURES:
+                window = int(rest.rpartition('/')[2])
+                self.figures_by_window.setdefault(window, []).append(name)
+            else:
+                self.records_by_window.setdefault(int(kind), []).append(name)
+
+    def latest(self, count: int) -> list[int]:
+        """Return the latest windows, the newest first."""
+        windows = {*self.figures_by_window, *self.records_by_window}
+        return sorted(windows, reverse=True)[:count]
+
+
+async def show_usage(
+    session: Session,
+    windows: Annotated[
+        int, typer.Option(min=1, help='How many windows, the latest ones.')
+    ] = DEFAULT_WINDOWS,
+    workspace: Annotated[
+        str | None, typer.Option(help='Only this workspace.')
+    ] = None,
+) -> None:
+    """Show usage by window and workspace."""
+    names = UsageNames(await session.store.names(USAGE_PREFIX))
+    rows: list[UsageRow] = []
+    for window in names.latest(windows):
+        rows.extend(await _window_rows(session, names, window))
+    session.show([row for row in rows if workspace in {None, row.workspace}])
+
+
+async def _window_rows(
+    session: Session, names: UsageNames, window: int
+) -> list[UsageRow]:
+    figures = names.figures_by_window.get(window)
+    if figures:
+        return await _sealed_rows(session, figures, window)
+    totals: TotalsByWorkspace = {}
+    for name in names.records_by_window.get(window, []):
+        stored = await session.store.read(name)
+        if stored is not None:
+            record = decode_record(stored.payload)
+            _add(totals, record.totals.by_workspace)
+    return _rows(session, window, COUNTING, totals)
+
+
+async def _sealed_rows(
+    session: Session, names: list[str], window: int
+) -> list[UsageRow]:
+    sealed: TotalsByWorkspace = {}
+    adjustments: TotalsByWorkspace = {}
+    for name in names:
+        stored = await session.store.read(name)
+        if stored is not None:
+            figure = decode_figure(stored.payload)
+            _add(sealed, figure.by_workspace)
+            _add(adjustments, figure.adjustments)
+    return [
+        *_rows(session, window, SEALED, sealed),
+        *_rows(session, window, ADJUSTMENT, adjustments),
+    ]
+
+
+def _add(totals: TotalsByWorkspace, added: TotalsByWorkspace) -> None:
+    for workspace, total in added.items():
+        totals[workspace] = totals.get(workspace, UsageTotal()).plus(total)
+
+
+def _rows(
+    session: Session, window: int, state: str, totals: TotalsByWorkspace
+) -> list[UsageRow]:
+    begins = utc_text(window * session.config.read(USAGE_WINDOW))
+    return [
+        UsageRow(
+            window=window,
+            begins=begins,
+            workspace=workspace,
+            state=state,
+            prompt_tokens=total.prompt_tokens,
+            output_tokens=total.output_tokens,
+            requests=total.requests,
+        )
+        for workspace, total in sorted(totals.items())
+    ]
