--- a/cicadahoist/cmd/operator/routes.py
+++ b/cicadahoist/cmd/operator/routes.py
@@ -6,6 +6,7 @@
 
 from cicadahoist.cmd.operator.command import command
 from cicadahoist.cmd.operator.exits import RejectedError
+from cicadahoist.cmd.operator.forms import MODEL_NAME, NAME
 from cicadahoist.cmd.operator.rows import (
     require,
     require_absent,
@@ -64,6 +65,8 @@
     open_to_all: OpenOption = False,
 ) -> None:
     """Create a route."""
+    form = MODEL_NAME if kind is RouteKind.model else NAME
+    form.check(name)
     row = Route(
         name=name,
         pool=pool,
--- a/cicadahoist/cmd/operator/targets.py
+++ b/cicadahoist/cmd/operator/targets.py
@@ -6,6 +6,7 @@
 import typer
 
 from cicadahoist.cmd.operator.command import command
+from cicadahoist.cmd.operator.forms import NAME, URL
 from cicadahoist.cmd.operator.rows import (
     require,
     require_absent,
@@ -51,6 +52,8 @@
     reclaimable: ReclaimableOption = False,
 ) -> None:
     """Add a target to a pool."""
+    NAME.check(name)
+    URL.check(url)
     row = Target(
         name=name,
         pool=pool,
@@ -76,7 +79,9 @@
     """Change fields of a target, such as its price."""
     table = await session.read_table()
     row = require(table.targets_by_name.get(name), f'target {name}')
-    await save_row(session, with_fields(row, fields))
+    changed = with_fields(row, fields)
+    URL.check(changed.url)
+    await save_row(session, changed)
 
 
 @command(targets, 'drain')
--- a/cicadahoist/cmd/operator/workspaces.py
+++ b/cicadahoist/cmd/operator/workspaces.py
@@ -6,7 +6,12 @@
 import typer
 
 from cicadahoist.cmd.operator.command import command
-from cicadahoist.cmd.operator.rows import require, require_absent, save_row
+from cicadahoist.cmd.operator.forms import NAME
+from cicadahoist.cmd.operator.rows import (
+    require,
+    require_absent,
+    save_row,
+)
 from cicadahoist.cmd.operator.session import Session
 from cicadahoist.table import Workspace
 
@@ -26,6 +31,7 @@
 @command(workspaces, 'create')
 async def create_workspace(session: Session, name: NameArgument) -> None:
     """Create a workspace."""
+    NAME.check(name)
     table = await session.read_table()
     require_absent(table.workspaces_by_name.get(name), f'workspace {name}')
     await save_row(session, Workspace(name=name))
--- a/tests/test_cmd/test_operator_rows.py
+++ b/tests/test_cmd/test_operator_rows.py
@@ -57,6 +57,9 @@
         ('target drain nothing', Exit.not_found),
         ('target add e1 --pool p', Exit.usage),
         ('route remove nothing', Exit.not_found),
+        ('workspace create a/b', Exit.rejected),
+        ('route create a/b --kind service --pool p', Exit.rejected),
+        ('target add e1 --pool p --zone z --url host:80', Exit.rejected),
     ],
 )
 def test_wrong_arguments_have_their_own_codes(deployed, line, code):
@@ -73,6 +76,12 @@
     assert [row['name'] for row in deployed.rows('model list')] == ['ledger']
 
 
+def test_names_of_models_may_hold_slashes(deployed):
+    deployed.done('model create maker/model:7b --pool engines')
+    names = [row['name'] for row in deployed.rows('model list')]
+    assert names == ['ledger', 'maker/model:7b']
+
+
 def test_route_in_use_stays(deployed):
     deployed.done('table set tayside ledger')
     assert deployed.run('route remove ledger').exit_code == Exit.rejected
