--- a/cicadahoist/config.py
+++ b/cicadahoist/config.py
@@ -1,6 +1,7 @@
 """Settings in INI files: declared options, checked values."""
 
 import math
+import re
 from collections.abc import Callable, Iterator
 from configparser import ConfigParser
 from configparser import Error as ParserError
@@ -15,6 +16,8 @@
 # Turns off the parser's [DEFAULT] section, which belongs to no program.
 _NO_DEFAULT_SECTION = ''
 
+_NAME = re.compile(r'[\w.-]+')
+
 _BOOLEANS = {'yes': True, 'true': True, 'no': False, 'false': False}
 
 
@@ -98,6 +101,27 @@
         return str(self.default)
 
 
+class NameOption(Option[str]):
+    """A setting that is part of object names: never empty, no slash."""
+
+    __slots__ = ()
+
+    def parse(self, text: str) -> str:
+        """
+        Return the text.
+
+        :raises ValueError: it is no name
+        """
+        if not _NAME.fullmatch(text):
+            raise ValueError(text)
+        return text
+
+    @property
+    def accepted(self) -> str:
+        """Return in words what values are accepted."""
+        return 'letters, digits, "_", "." and "-"'
+
+
 class Config:
     """
     Checked settings of one process.
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -1,6 +1,6 @@
 """Every setting of every program, declared once."""
 
-from cicadahoist.config import Option, OptionSet
+from cicadahoist.config import NameOption, Option, OptionSet
 
 SETTINGS = OptionSet()
 _declare = SETTINGS.declare
@@ -8,7 +8,7 @@
 MAX_PORT = 65535
 
 INSTANCE_NAME = _declare(
-    Option(
+    NameOption(
         'instance',
         'name',
         'instance-1',
@@ -16,7 +16,7 @@
     )
 )
 INSTANCE_ZONE = _declare(
-    Option(
+    NameOption(
         'instance',
         'zone',
         'zone-a',
--- a/tests/test_core/test_config.py
+++ b/tests/test_core/test_config.py
@@ -27,6 +27,8 @@
         ('[entry]\nport = many\n', 'expected whole number from 0 to 65535'),
         ('[mesh]\nheartbeat_period = 2000\n', 'less than [mesh] peer_timeout'),
         ('[control]\nlease_term = 500\n', 'lease_margin = 500'),
+        ('[instance]\nzone =\n', 'expected letters, digits'),
+        ('[instance]\nname = a/b\n', 'name = a/b'),
         ('[log]\nformat = xml\n', 'one of text, json'),
         ('port = 1\n', 'give a readable INI file'),
     ],
