--- a/cicadahoist/control/drains.py
+++ b/cicadahoist/control/drains.py
@@ -16,6 +16,7 @@
 from cicadahoist.protocol.drain import Drain
 from cicadahoist.protocol.drain_events import (
     AllowChange,
+    ChangeCancelled,
     ChangeEnded,
     DrainAcked,
     EntriesChanged,
@@ -106,6 +107,17 @@
         self._inherited[notice.target] = notice
         self._link.broadcast(notice)
 
+    def clear(self, target: str, order: str) -> None:
+        """
+        Take back what a predecessor announced and did not order.
+
+        :param order: identifier above those of the predecessor
+        """
+        if target not in self.targets():
+            self._link.broadcast(
+                DrainNotice(target=target, order=order, active=False)
+            )
+
     def tick(self) -> None:
         """Go on with all drains."""
         entries = self._entries()
@@ -122,7 +134,9 @@
         """Give a target back to the entries: its order is settled."""
         change = self._by_target.pop(target, None)
         if change is not None:
-            self._offer(change.drain, ChangeEnded())
+            is_allowed = change.drain.state == READY
+            ended = ChangeEnded() if is_allowed else ChangeCancelled()
+            self._offer(change.drain, ended)
         notice = self._inherited.pop(target, None)
         if notice is not None:
             self._link.broadcast(msgspec.structs.replace(notice, active=False))
--- a/cicadahoist/control/engine_duty.py
+++ b/cicadahoist/control/engine_duty.py
@@ -22,6 +22,7 @@
 logger = get_logger(__name__)
 
 DRAIN_TICK_MS = 500
+CLEAR_TICKS = 3
 IDLE = 'idle'
 
 # Orders that an engine carries out beside its work.
@@ -38,16 +39,20 @@
     :param link: way to the entries
     :param clock: gives the time
     :param targets: targets of the table
+    :param zone: the zone
     """
 
     __slots__ = (
         '_authority',
+        '_clears_left',
         '_drains',
         '_epoch',
         '_handle',
         '_number',
         '_sender',
+        '_targets',
         '_ticked_ms',
+        '_zone',
     )
 
     def __init__(
@@ -57,6 +62,7 @@
         link: EntryLink,
         clock: Clock,
         targets: Targets,
+        zone: str,
     ) -> None:
         self._authority = authority
         self._sender = EngineSender(engines, targets)
@@ -66,6 +72,9 @@
         self._handle: Callable[[PlanOrder], None] = _ignore
         self._epoch = 0
         self._number = 0
+        self._clears_left = 0
+        self._targets = targets
+        self._zone = zone
         self._ticked_ms = 0
 
     def use_task(self, handle: Callable[[PlanOrder], None]) -> None:
@@ -86,17 +95,17 @@
             return False
         if plan.kind in UNDRAINED_KINDS:
             return self._plan(plan)
-        self._number += 1
-        return self._drains.begin(plan, f'{self._epoch}.{self._number}')
+        return self._drains.begin(plan, self._next_order())
 
     def won(self, record: LeaseRecord) -> None:
         """Keep up the drains of orders that the predecessor left open."""
         self._epoch = record.epoch
         self._number = record.seq
+        self._clears_left = CLEAR_TICKS
         for entry in record.orders.values():
             if not entry.settled:
                 self._drains.inherit(
-                    DrainNotice(target=entry.target, order=entry.token)
+                    DrainNotice(target=entry.target, order=self._next_order())
                 )
 
     def lost(self) -> None:
@@ -107,6 +116,7 @@
         """Go on with the drains."""
         if now_ms - self._ticked_ms >= DRAIN_TICK_MS:
             self._ticked_ms = now_ms
+            self._clear_others()
             self._drains.tick()
 
     async def send(self, entry: JournalEntry) -> OrderEvent:
@@ -126,6 +136,18 @@
         )
         self._drains.end(entry.target)
 
+    def _next_order(self) -> str:
+        self._number += 1
+        return f'{self._epoch}.{self._number}'
+
+    def _clear_others(self) -> None:
+        # Several times, as notices may be lost.
+        if not self._clears_left or not self._targets.is_loaded:
+            return
+        self._clears_left -= 1
+        for target in self._targets.engines(self._zone):
+            self._drains.clear(target.name, self._next_order())
+
     def _plan(self, plan: PlanOrder) -> bool:
         self._handle(plan)
         return not self._is_idle(plan.target)
--- a/cicadahoist/control/fleet_reader.py
+++ b/cicadahoist/control/fleet_reader.py
@@ -112,22 +112,11 @@
 
     def _demands(self) -> list[PoolDemand]:
         oldest_ms = self._clock.now_ms() - WORK_AGE_MS
-        prefill: dict[str, float] = {}
-        decode: dict[str, float] = {}
+        by_pool: dict[str, PoolDemand] = {}
         for heard_ms, work in self._work_by_entry.values():
-            if heard_ms < oldest_ms:
-                continue
-            for pool, (prompt, output) in work.by_pool.items():
-                prefill[pool] = prefill.get(pool, 0) + prompt
-                decode[pool] = decode.get(pool, 0) + output
-        return [
-            PoolDemand(
-                pool=pool,
-                prefill_per_ms=prefill[pool],
-                decode_per_ms=decode[pool],
-            )
-            for pool in sorted(prefill)
-        ]
+            if heard_ms >= oldest_ms:
+                _add_work(by_pool, work)
+        return list(by_pool.values())
 
     def _absent_models(self, views: list[TargetView]) -> list[ModelDemand]:
         table = self._targets.table
@@ -151,6 +140,16 @@
             self._work_by_entry[sender.name] = (self._clock.now_ms(), work)
 
 
+def _add_work(by_pool: dict[str, PoolDemand], work: PoolWork) -> None:
+    for pool, (prompt, output) in work.by_pool.items():
+        known = by_pool.get(pool, PoolDemand(pool=pool))
+        by_pool[pool] = PoolDemand(
+            pool=pool,
+            prefill_per_ms=known.prefill_per_ms + prompt,
+            decode_per_ms=known.decode_per_ms + output,
+        )
+
+
 def _view(target: Target, load: EngineLoad, *, is_changing: bool) -> TargetView:
     phase = TargetPhase.ready
     if is_changing:
--- a/cicadahoist/mesh/node.py
+++ b/cicadahoist/mesh/node.py
@@ -17,6 +17,7 @@
 from cicadahoist.mesh.view import View
 from cicadahoist.messages import (
     Batch,
+    DrainNotice,
     Heartbeat,
     InstanceInfo,
     KnownInstances,
@@ -82,6 +83,7 @@
             period_ms=period_ms,
             zone_timeout_ms=ZONE_TIMEOUTS * timeout_ms,
         )
+        self.subscribe(DrainNotice, self.rounds.note_drain)
 
     @classmethod
     def from_config(
@@ -169,9 +171,10 @@
     def _accept(self, batch: Batch) -> None:
         sender = batch.sender
         is_live = self.view.is_live(sender)
-        if not self.view.peers.accept(batch):
+        now_ms = self._clock.now_ms()
+        if not self.view.peers.accept(batch, now_ms):
             return
-        self.view.zones.touch(sender.zone, self._clock.now_ms())
+        self.view.zones.touch(sender.zone, now_ms)
         for message in batch.messages:
             self._dispatch(sender, message)
         if not is_live:
--- a/cicadahoist/mesh/peers.py
+++ b/cicadahoist/mesh/peers.py
@@ -42,8 +42,8 @@
     """
     Peers by name: their membership state, and the batches exchanged.
 
-    An incarnation that was replaced is never heard again, however late its
-    messages come.
+    An incarnation that was replaced is passed over while its successor is
+    heard, however late its messages come.
 
     :param own: identity of this process
     :param timeout_ms: silence after which a peer counts as away
@@ -58,14 +58,14 @@
         # Kept until a peer changes, as most batches change nothing.
         self._chosen: dict[Choice, ByName] = {}
 
-    def accept(self, batch: Batch) -> bool:
+    def accept(self, batch: Batch, now_ms: int) -> bool:
         """
         Note the stamps of a batch.
 
         :return: whether it is newer than all before from the same instance
         """
         sender = batch.sender
-        if self._is_retired(sender):
+        if self._is_replaced(sender, now_ms):
             return False
         link = self._links_by_name.get(sender.name)
         if link is None or link.incarnation != sender.incarnation:
@@ -136,9 +136,11 @@
         """Return the batches exchanged with a peer."""
         return self._links_by_name.get(name)
 
-    def _is_retired(self, sender: InstanceInfo) -> bool:
+    def _is_replaced(self, sender: InstanceInfo, now_ms: int) -> bool:
         peer = self._membership.peers_by_name.get(sender.name)
-        return peer is not None and sender.incarnation in peer.retired
+        if peer is None or sender.incarnation not in peer.retired:
+            return False
+        return now_ms - peer.heard_ms < self._membership.timeout_ms
 
     def _in_states(self, states: frozenset[str], zone: str) -> ByName:
         chosen = self._chosen.get((states, zone))
--- a/cicadahoist/mesh/rounds.py
+++ b/cicadahoist/mesh/rounds.py
@@ -10,7 +10,13 @@
 from cicadahoist.mesh.prober import Prober
 from cicadahoist.mesh.view import View
 from cicadahoist.mesh.zones import DIRECT
-from cicadahoist.messages import Heartbeat, InstanceInfo, KnownInstances
+from cicadahoist.messages import (
+    DrainNotice,
+    Heartbeat,
+    InstanceInfo,
+    KnownInstances,
+)
+from cicadahoist.protocol.drain_notices import DrainNotices
 
 PROBE_ROUNDS = 4
 SUMMARY_ROUNDS = 10
@@ -38,6 +44,7 @@
 
     __slots__ = (
         '_clock',
+        '_drains',
         '_last_summary',
         '_number',
         '_outbox',
@@ -69,6 +76,7 @@
         self._period_ms = period_ms
         self._zone_timeout_ms = zone_timeout_ms
         self._number = 0
+        self._drains = DrainNotices()
         self._last_summary: KnownInstances | None = None
         self._timer: Timer | None = None
 
@@ -93,15 +101,28 @@
             self._timer.cancel()
 
     def greet(self, newcomer: InstanceInfo) -> None:
-        """Tell an instance that was not live so far who is."""
+        """
+        Tell an instance that was not live so far who is.
+
+        What is being drained goes before the heartbeat that tells the
+        newcomer that it is heard: it may send work to targets from then on.
+        """
         messages: list[Outgoing] = [self._view.summary()]
         if newcomer.zone == self._view.info.zone and self._view.links():
             zones = self._view.zones
             messages.extend(zones.heard_summary(zone) for zone in zones.zones())
         heard = self._view.peers.heard()
+        messages.extend(
+            DrainNotice(target=ack.target, order=ack.order)
+            for ack in self._drains.acks('', '', {})
+        )
         messages.append(self._heartbeat(newcomer.name, heard))
         self._outbox.send(newcomer.name, messages)
 
+    def note_drain(self, sender: InstanceInfo, notice: DrainNotice) -> None:
+        """Take in which targets get no new work, to tell newcomers."""
+        self._drains.take(notice)
+
     def learn(self, sender: InstanceInfo, known: KnownInstances) -> None:
         """Take in who is live according to a sender."""
         own_zone = self._view.info.zone
--- a/cicadahoist/mesh/table_sync.py
+++ b/cicadahoist/mesh/table_sync.py
@@ -95,14 +95,16 @@
         """
         Tell whether the table may be served from.
 
-        It may once the store or a peer confirmed it, or, with the store
-        away, once the peers had time to tell of a newer one.
+        It may once it is confirmed and a peer told of the targets that are
+        being drained; or, with the store away or without peers, once these
+        had time to come back.
         """
         revision = self._state.revision
         if revision == 0 or revision < self._peers.newest_heard:
             return False
         is_settled = self._clock.now_ms() >= self._settled_ms
-        return is_settled or self._state.freshness.is_known()
+        is_confirmed = self._state.freshness.is_known()
+        return is_settled or (is_confirmed and self._is_greeted())
 
     def age_ms(self, now_ms: int) -> int:
         """Return the time since the table was last known to be the newest."""
@@ -116,6 +118,9 @@
         """Tell whether this process watches the store for its zone."""
         return self._node.info.name in self._watchers()
 
+    def _is_greeted(self) -> bool:
+        return bool(self._node.view.reachable())
+
     def _watchers(self) -> list[str]:
         names = list(self._node.view.zone_live())
         key = f'table-watch/{self._node.info.zone}'
--- a/tests/test_control/test_engine_duty.py
+++ b/tests/test_control/test_engine_duty.py
@@ -13,6 +13,7 @@
 from cicadahoist.outside.engine import EngineLoad, EngineOrders
 from cicadahoist.outside.tablestore import TableStore
 from cicadahoist.protocol.authority import Authority
+from cicadahoist.protocol.drain_notices import DrainNotices
 from cicadahoist.protocol.lease import LeaseKeeper
 from cicadahoist.protocol.order_events import PlanOrder
 from cicadahoist.protocol.orders import OrderBook
@@ -87,7 +88,12 @@
         lease = LeaseKeeper('leases/a/engines', 'control', TIMING)
         authority = Authority(lease, OrderBook(lease))
         self.duty = EngineDuty(
-            authority, self.engine, self.entries.link, self.clock, self.targets
+            authority,
+            self.engine,
+            self.entries.link,
+            self.clock,
+            self.targets,
+            'a',
         )
         self.task = LeaseTask(
             authority,
@@ -234,6 +240,23 @@
     assert not successor.entries.is_draining
 
 
+def test_successor_takes_back_the_drain_of_a_killed_holder(zone):
+    zone.engine.running = 1
+    zone.duty.request(TO_DECODE)
+    zone.advance(2000)
+    zone.kill()
+    notices = DrainNotices()
+    for notice in zone.entries.notices:
+        notices.take(notice)
+    assert notices.is_drained('t')
+    successor = Zone(zone.model, zone.clock, zone.engine)
+    successor.advance(12_000)
+    for notice in successor.entries.notices:
+        notices.take(notice)
+    assert not notices.is_drained('t')
+    assert zone.engine.orders == []
+
+
 def test_lost_lease_takes_the_drain_back(zone):
     zone.engine.running = 1
     zone.duty.request(TO_DECODE)
--- a/tests/test_mesh/test_node.py
+++ b/tests/test_mesh/test_node.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cicadahoist.messages import Blame, Demand, Quarantined
+from cicadahoist.messages import Blame, Demand, DrainNotice, Quarantined
 from tests.test_mesh.cluster import PERIOD_MS, TIMEOUT_MS, Cluster
 
 # Two other zones, one summary in ten rounds.
@@ -114,3 +114,24 @@
     cluster.advance(PERIOD_MS)
     assert len(received['a1']) == 5
     assert cluster.network.sent_messages - before == 2
+
+
+def test_newcomer_hears_of_drains_before_it_counts_as_heard():
+    cluster = Cluster({'a': 3})
+    cluster.kill('a2')
+    cluster.advance(3000)
+    notice = DrainNotice(target='t', order='1.1')
+    cluster.nodes['a0'].broadcast(notice)
+    cluster.nodes['a0'].send_to('a0', notice)
+    cluster.advance(100)
+    newcomer = cluster.start('a2')
+    received = []
+    newcomer.subscribe(
+        DrainNotice,
+        lambda _, drain: received.append(
+            (drain, set(newcomer.view.reachable()))
+        ),
+    )
+    cluster.advance(3000)
+    assert (notice, set()) in received
+    assert newcomer.view.reachable()
