Wait for the release of a lease before the process ends; bench control

python -m bench.control measured 5.35 s from SIGTERM of the holder to the next holder, where a second was expected. Cause: the process ended as soon as the chart had left, with the write of the release still on its way, so that the successor waited out the term. Ruled out: too few candidates (the other one read the lease every second).

--- a/bench/mesh_instance.py
+++ b/bench/mesh_instance.py
@@ -13,6 +13,8 @@
 from cicadahoist.config import Config
 from cicadahoist.ids import new_nonce
 from cicadahoist.log import configure_logging
+from cicadahoist.mesh.local_pair import NngPair
+from cicadahoist.mesh.local_port import LocalPort
 from cicadahoist.mesh.node import MeshNode
 from cicadahoist.mesh.table_sync import TableSync
 from cicadahoist.mesh.transport import NngTransport
@@ -91,6 +93,10 @@
         self.store = CountingStore.from_config(settings(options), reactor)
         self.sync = TableSync(self.store, self.node, self.clock)
         self.ledger = UsageLedger(self.node, self.store, self.clock)
+        self.local: LocalPort | None = None
+        if 'local_port' in options:
+            pair = NngPair(reactor, options['local_port'], listens=True)
+            self.local = LocalPort(self.node, pair, self.clock, 500)
         self.in_force: dict[int, int] = {}
         self.waits: list[float] = []
         self.sync.on_change(self._note)
@@ -99,6 +105,8 @@
         await self.node.start()
         await self.sync.start()
         await self.ledger.start()
+        if self.local is not None:
+            await self.local.start()
         await self.clock.sleep(self.options['warm_up_ms'])
         if self.options['requests_per_s']:
             self._count()
--- a/cicadahoist/control/lease_task.py
+++ b/cicadahoist/control/lease_task.py
@@ -101,7 +101,7 @@
         """Settle open orders within a bound, then give the lease back."""
         self.handle(Leave())
         limit_ms = self._clock.now_ms() + LEAVE_LIMIT_MS
-        while self._state != LEFT and self._clock.now_ms() < limit_ms:
+        while self._is_open() and self._clock.now_ms() < limit_ms:
             await self._clock.sleep(TICK_MS)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
@@ -116,6 +116,9 @@
     def _state(self) -> str:
         return self._authority.lease.state
 
+    def _is_open(self) -> bool:
+        return self._state != LEFT or self._store_calls.writes_open > 0
+
     def _tick(self) -> None:
         self._timer = self._clock.call_later(TICK_MS, self._tick)
         self._ticks += 1
--- a/cicadahoist/control/store_calls.py
+++ b/cicadahoist/control/store_calls.py
@@ -31,12 +31,13 @@
     :param handle: takes the events that the answers give
     """
 
-    __slots__ = ('_handle', '_is_reading', '_store')
+    __slots__ = ('_handle', '_is_reading', '_store', 'writes_open')
 
     def __init__(self, store: Store, handle: Callable[[Any], None]) -> None:
         self._store = store
         self._handle = handle
         self._is_reading = False
+        self.writes_open = 0
 
     def read(self, action: ReadObject) -> None:
         """Read an object, unless a read is on its way."""
@@ -47,6 +48,7 @@
 
     def write(self, action: WriteObject) -> None:
         """Write an object."""
+        self.writes_open += 1
         writing = Deferred.fromCoroutine(self._write(action))
         writing.addErrback(_log)
 
@@ -66,7 +68,9 @@
         return ObjectRead(stored.version, stored.payload)
 
     async def _write(self, action: WriteObject) -> None:
-        self._handle(await self._write_event(action))
+        event = await self._write_event(action)
+        self.writes_open -= 1
+        self._handle(event)
 
     async def _write_event(self, action: WriteObject) -> WriteEvent:
         try:
--- a/tests/test_control/test_lease_task.py
+++ b/tests/test_control/test_lease_task.py
@@ -4,6 +4,7 @@
 from twisted.internet.defer import Deferred
 
 from cicadahoist.protocol.order_events import PlanOrder
+from cicadahoist.protocol.records import decode_record
 from cicadahoist.standin.memory import Cut
 from tests.test_control.holders import TIMING, Holders
 
@@ -78,6 +79,18 @@
     assert holders.holders() not in ([], [holder])
 
 
+def test_leaving_holder_waits_until_the_store_has_the_release(holders):
+    holder = holders.holders()[0]
+    holders.model.faults.delay_ms = 500
+    leaving = Deferred.fromCoroutine(holders.tasks[holder].stop())
+    holders.advance(400)
+    assert not leaving.called
+    holders.advance(400)
+    assert leaving.called
+    stored = holders.model.get('leases/a/engines')
+    assert decode_record(stored.payload).released
+
+
 def test_lost_answers_do_not_make_two_holders():
     holders = Holders(3)
     holders.model.faults.lose_share = 0.5
