Feed the platform's list of instances to the mesh

It seeds addresses and lets silent instances count as gone, which drains and usage windows otherwise wait for; it never makes an instance live.

--- /dev/null
+++ b/cicadahoist/mesh/instance_list.py
@@ -0,0 +1,72 @@
+"""Feeds the platform's lagging list of instances to the mesh."""
+
+from random import Random
+
+from cicadahoist.clock import Clock
+from cicadahoist.errors import CicadahoistError
+from cicadahoist.log import get_logger
+from cicadahoist.mesh.background import Background
+from cicadahoist.mesh.node import MeshNode
+from cicadahoist.messages import InstanceInfo
+from cicadahoist.outside.platform import InstanceList
+from cicadahoist.outside.platform_messages import ListedInstance
+
+logger = get_logger(__name__)
+
+LIST_MS = 10_000
+
+
+class InstanceListTask:
+    """
+    Reads the list now and then.
+
+    It gives addresses to probe, and lets silent instances count as gone; it
+    never decides that an instance is live.
+
+    :param instances: the platform's list
+    :param node: the mesh
+    :param clock: gives the time
+    :param random: spreads the calls of many processes
+    """
+
+    __slots__ = ('_background', '_clock', '_instances', '_node', '_random')
+
+    def __init__(
+        self,
+        instances: InstanceList,
+        node: MeshNode,
+        clock: Clock,
+        random: Random | None = None,
+    ) -> None:
+        self._instances = instances
+        self._node = node
+        self._clock = clock
+        self._random = random or Random()
+        self._background = Background(clock, self._step)
+
+    async def start(self) -> None:
+        """Begin to read the list."""
+        self._background.start()
+
+    async def stop(self) -> None:
+        """Read the list no more."""
+        self._background.stop()
+
+    async def _step(self) -> None:
+        try:
+            listed = await self._instances.instances()
+        except CicadahoistError as error:
+            logger.debug('list of instances: {0}', error)
+        else:
+            self._node.note_listed([_info(each) for each in listed])
+        await self._clock.sleep(self._random.randint(LIST_MS // 2, LIST_MS))
+
+
+def _info(listed: ListedInstance) -> InstanceInfo:
+    return InstanceInfo(
+        name=listed.name,
+        zone=listed.zone,
+        address=listed.address,
+        port=listed.port,
+        incarnation='',
+    )
--- a/tests/test_mesh/cluster.py
+++ b/tests/test_mesh/cluster.py
@@ -26,7 +26,10 @@
 class Cluster:
     """Instances named ``<zone><number>``, all with the same seeds."""
 
-    def __init__(self, sizes: dict[str, int], **faults) -> None:
+    def __init__(
+        self, sizes: dict[str, int], *, seeded: bool = True, **faults
+    ) -> None:
+        self._seeded = seeded
         self.clock = Clock.manual()
         self.network = MemoryNetwork(self.clock, **faults)
         self.nodes: dict[str, MeshNode] = {}
@@ -53,7 +56,7 @@
             self.clock,
             period_ms=PERIOD_MS,
             timeout_ms=TIMEOUT_MS,
-            seeds=[self.address(seed) for seed in self._zone_of],
+            seeds=self.seeds(),
         )
         self.nodes[name] = node
         run(node.start())
@@ -65,6 +68,11 @@
         node.rounds.stop()
         self.network.detach(self.address(name))
 
+    def seeds(self) -> list[str]:
+        if not self._seeded:
+            return []
+        return [self.address(name) for name in self._zone_of]
+
     def address(self, name: str) -> str:
         return f'{name}:1'
 
--- /dev/null
+++ b/tests/test_mesh/test_instance_list.py
@@ -0,0 +1,69 @@
+"""Tests of the platform's list as the mesh uses it."""
+
+from random import Random
+
+from cicadahoist.errors import NotSentError
+from cicadahoist.mesh.instance_list import LIST_MS, InstanceListTask
+from cicadahoist.outside.platform_messages import ListedInstance
+from tests.test_mesh.cluster import Cluster, run
+
+
+class Platform:
+    """A list that a test sets."""
+
+    def __init__(self, names: list[str]) -> None:
+        self.names = names
+        self.is_away = False
+
+    async def instances(self):
+        if self.is_away:
+            raise NotSentError('away', remedy='wait')
+        return [
+            ListedInstance(name=name, zone=name[0], address=name, port=1)
+            for name in self.names
+        ]
+
+
+def listed_cluster(names: list[str]) -> tuple[Cluster, Platform]:
+    cluster = Cluster({'a': 3}, seeded=False)
+    platform = Platform(names)
+    for node in cluster.nodes.values():
+        task = InstanceListTask(platform, node, cluster.clock, Random(1))
+        run(task.start())
+    return cluster, platform
+
+
+def test_instances_find_each_other_by_the_list():
+    cluster, _ = listed_cluster(['a0', 'a1', 'a2'])
+    cluster.advance(5000)
+    assert cluster.views() == {frozenset(cluster.nodes)}
+
+
+def test_silent_instance_may_be_running_until_it_is_unlisted():
+    cluster, platform = listed_cluster(['a0', 'a1', 'a2'])
+    cluster.advance(5000)
+    cluster.kill('a2')
+    cluster.advance(2 * LIST_MS)
+    view = cluster.nodes['a0'].view
+    assert 'a2' not in view.live()
+    assert 'a2' in view.not_gone()
+    platform.names = ['a0', 'a1']
+    cluster.advance(LIST_MS)
+    assert 'a2' not in view.not_gone()
+
+
+def test_unlisted_instance_that_is_heard_stays_live():
+    cluster, platform = listed_cluster(['a0', 'a1', 'a2'])
+    cluster.advance(5000)
+    platform.names = []
+    cluster.advance(2 * LIST_MS)
+    assert cluster.views() == {frozenset(cluster.nodes)}
+
+
+def test_list_that_is_away_changes_nothing():
+    cluster, platform = listed_cluster(['a0', 'a1', 'a2'])
+    cluster.advance(5000)
+    platform.is_away = True
+    cluster.kill('a2')
+    cluster.advance(3 * LIST_MS)
+    assert 'a2' in cluster.nodes['a0'].view.not_gone()
