--- a/cicadahoist/entry/assembly.py
+++ b/cicadahoist/entry/assembly.py
@@ -52,7 +52,7 @@
         config, application.clock, application.metrics, store, reactor
     )
     usage = UsageLedger.from_config(config, node, store, application.clock)
-    context.use_usage(usage)
+    context.billing.use(usage)
     _add_all(
         application,
         node,
--- a/cicadahoist/entry/context.py
+++ b/cicadahoist/entry/context.py
@@ -1,35 +1,26 @@
 """What the handlers of requests share."""
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 from cicadahoist.clock import Clock
 from cicadahoist.config import Config
+from cicadahoist.entry.billing import Billing
 from cicadahoist.entry.dispatcher import Dispatcher
 from cicadahoist.entry.isolation import Isolation
 from cicadahoist.entry.open_requests import OpenRequests
-from cicadahoist.messages import UsageCount
 from cicadahoist.metrics import Metrics
 from cicadahoist.outside.engine import ENGINES, EngineAdapter
 from cicadahoist.outside.service import SERVICES, ServiceAdapter
 from cicadahoist.outside.store import Store
 from cicadahoist.settings import (
     ENGINE_ADAPTER,
-    INSTANCE_NAME,
     SERVICE_ADAPTER,
     STALL_TIMEOUT,
-    USAGE_WINDOW,
 )
 from cicadahoist.table import Table
 
 
-class UsageRecorder(Protocol):
-    """Keeps usage so that the loss of this instance does not lose it."""
-
-    async def record(self, count: UsageCount) -> None:
-        """Return once the count is safe."""
-
-
 class EntryContext:
     """
     Shared parts of one entry.
@@ -43,11 +34,10 @@
     """
 
     __slots__ = (
-        '_usage',
+        'billing',
         'clock',
         'dispatcher',
         'engines',
-        'entry_name',
         'is_leaving',
         'metrics',
         'isolation',
@@ -56,7 +46,6 @@
         'stall_timeout_ms',
         'store',
         'table',
-        'usage_window_ms',
     )
 
     def __init__(
@@ -79,11 +68,9 @@
             clock, self.open_requests, engines, plain_services
         )
         self.is_leaving = False
-        self.entry_name = config.read(INSTANCE_NAME)
+        self.billing = Billing.from_config(config)
         self.stall_timeout_ms = config.read(STALL_TIMEOUT)
-        self.usage_window_ms = config.read(USAGE_WINDOW)
         self.table: Callable[[], Table] = Table.empty
-        self._usage: UsageRecorder | None = None
 
     @classmethod
     def from_config(
@@ -105,12 +92,3 @@
             plain_services.from_config(config, reactor),
             store,
         )
-
-    def use_usage(self, usage: UsageRecorder) -> None:
-        """Set where usage is recorded."""
-        self._usage = usage
-
-    async def record_usage(self, count: UsageCount) -> None:
-        """Return once a count is safe."""
-        if self._usage is not None:
-            await self._usage.record(count)
--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -8,7 +8,6 @@
 from cicadahoist.entry.answer_stream import AnswerStream
 from cicadahoist.entry.attempts import Attempts
 from cicadahoist.entry.auth import authorize
-from cicadahoist.entry.billing import usage_count
 from cicadahoist.entry.caller import CallerRequest
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.events import DONE, Usage, encode_event
@@ -259,11 +258,4 @@
             usage.prompt_tokens,
             usage.completion_tokens,
         )
-        await self._context.record_usage(
-            usage_count(
-                self._request,
-                self._context.entry_name,
-                usage,
-                self._context.usage_window_ms,
-            )
-        )
+        await self._context.billing.record(self._request, usage)
--- a/tests/test_entry/world.py
+++ b/tests/test_entry/world.py
@@ -74,7 +74,7 @@
             self.store,
         )
         self.usage = []
-        self.context.use_usage(self)
+        self.context.billing.use(self)
         self.name = name
         resource = EntryResource(self.context, lambda: True)
         self.host = world.net.add_site(
