Refuse unrepeatable routes where the table is too old

A zone cut off from everything cannot learn of a withdrawn key. The row setting existed but nobody acted on it. The default is now auto: routes that may repeat are served, others are refused as not-run after 30 s. Fails first: with check_fresh left out, 2 of 3 new tests fail.

--- a/cicadahoist/entry/auth.py
+++ b/cicadahoist/entry/auth.py
@@ -6,9 +6,18 @@
 from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.ids import key_digest
 from cicadahoist.reasons import Refusal
-from cicadahoist.table import KeyGrant, Route, RouteKind, Rule, Table
+from cicadahoist.table import (
+    DEFAULT_STALE_LIMIT_MS,
+    KeyGrant,
+    Route,
+    RouteKind,
+    Rule,
+    StalePolicy,
+    Table,
+)
 
 OPEN_WORKSPACE = 'open'
+STALE_RETRY_MS = 5000
 
 
 class Grant(msgspec.Struct, frozen=True, kw_only=True):
@@ -91,6 +100,27 @@
     )
 
 
+def check_fresh(grant: Grant, age_ms: int) -> None:
+    """
+    Refuse a request where the table is too old for its route.
+
+    :param age_ms: time since the table was known to be the newest
+    :raises RequestRefusedError: it is too old
+    """
+    rule = grant.rule
+    if age_ms <= (rule.stale_limit_ms or DEFAULT_STALE_LIMIT_MS):
+        return
+    refuses = rule.stale is StalePolicy.refuse
+    if rule.stale is StalePolicy.auto:
+        refuses = not grant.route.repeatable
+    if refuses:
+        raise RequestRefusedError(
+            Refusal.stale_table,
+            f'the table was last confirmed {age_ms} ms ago',
+            retry_after_ms=STALE_RETRY_MS,
+        )
+
+
 def allowed_routes(table: Table, workspace: str) -> list[Route]:
     """Return the model routes that a workspace may use, by name."""
     return [
--- a/cicadahoist/entry/context.py
+++ b/cicadahoist/entry/context.py
@@ -1,7 +1,6 @@
 """What the handlers of requests share."""
 
-from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from cicadahoist.clock import Clock
 from cicadahoist.config import Config
@@ -21,6 +20,16 @@
 from cicadahoist.table import Table
 
 
+class TableSource(Protocol):
+    """Gives the table in force."""
+
+    def table(self) -> Table:
+        """Return the table in force."""
+
+    def age_ms(self, now_ms: int) -> int:
+        """Return the time since it was known to be the newest."""
+
+
 class EntryContext:
     """
     Shared parts of one entry.
@@ -34,6 +43,7 @@
     """
 
     __slots__ = (
+        '_tables',
         'billing',
         'clock',
         'dispatcher',
@@ -45,7 +55,6 @@
         'plain_services',
         'stall_timeout_ms',
         'store',
-        'table',
     )
 
     def __init__(
@@ -70,7 +79,7 @@
         self.is_leaving = False
         self.billing = Billing.from_config(config)
         self.stall_timeout_ms = config.read(STALL_TIMEOUT)
-        self.table: Callable[[], Table] = Table.empty
+        self._tables: TableSource | None = None
 
     @classmethod
     def from_config(
@@ -92,3 +101,17 @@
             plain_services.from_config(config, reactor),
             store,
         )
+
+    def use_tables(self, tables: TableSource) -> None:
+        """Set where the table comes from."""
+        self._tables = tables
+
+    def table(self) -> Table:
+        """Return the table in force."""
+        return self._tables.table() if self._tables else Table.empty()
+
+    def table_age_ms(self) -> int:
+        """Return the time since the table was known to be the newest."""
+        if self._tables is None:
+            return 0
+        return self._tables.age_ms(self.clock.now_ms())
--- a/cicadahoist/entry/handling.py
+++ b/cicadahoist/entry/handling.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
+from cicadahoist.entry.auth import check_fresh
 from cicadahoist.entry.caller import CallerRequest
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.open_requests import OpenRequest
@@ -43,6 +44,7 @@
     """
     if context.is_leaving:
         raise RequestRefusedError(Refusal.leaving, 'this instance leaves')
+    check_fresh(request.grant, context.table_age_ms())
     deadline = context.clock.call_later(
         request.grant.rule.deadline_ms, _time_out, request
     )
--- a/cicadahoist/entry/server.py
+++ b/cicadahoist/entry/server.py
@@ -52,7 +52,7 @@
         self._reactor = reactor
         self._is_leaving = False
         self._port: Any = None
-        context.table = table_sync.table
+        context.use_tables(table_sync)
         table_sync.on_change(self._apply)
 
     def is_ready(self) -> bool:
--- a/cicadahoist/table.py
+++ b/cicadahoist/table.py
@@ -6,6 +6,7 @@
 
 HEAD_NAME = 'table/head'
 SHARD_COUNT = 32
+DEFAULT_STALE_LIMIT_MS = 30_000
 
 
 class RouteKind(Enum):
@@ -16,8 +17,14 @@
 
 
 class StalePolicy(Enum):
-    """What a cut-off zone does with a route once its table is too old."""
+    """
+    What a cut-off zone does with a route once its table is too old.
+
+    ``auto`` serves routes that may repeat and refuses the others: a key that
+    was withdrawn elsewhere may go on reading for a while, but not acting.
+    """
 
+    auto = 'auto'
     serve = 'serve'
     refuse = 'refuse'
 
@@ -101,7 +108,8 @@
     :param price_ceiling: highest target price used, 0 for no ceiling
     :param cheap_only_until_ms: how long work may wait for cheap targets
     :param stale: what a cut-off zone does once the table is too old
-    :param stale_limit_ms: age from which ``stale`` applies, 0 for never
+    :param stale_limit_ms: age from which ``stale`` applies, 0 for
+        ``DEFAULT_STALE_LIMIT_MS``
     """
 
     workspace: str
@@ -115,7 +123,7 @@
     priority: int = 1
     price_ceiling: int = 0
     cheap_only_until_ms: int = 0
-    stale: StalePolicy = StalePolicy.serve
+    stale: StalePolicy = StalePolicy.auto
     stale_limit_ms: int = 0
     revision: int = 0
 
--- a/tests/test_entry/test_server.py
+++ b/tests/test_entry/test_server.py
@@ -7,7 +7,7 @@
 from cicadahoist.config import Config
 from cicadahoist.entry.server import EntryServer
 from cicadahoist.reasons import Refusal
-from cicadahoist.table import Table
+from cicadahoist.table import StalePolicy, Table
 from tests.test_entry.world import World, error_of, events
 
 GRACE_MS = 500
@@ -20,10 +20,14 @@
     def __init__(self, table) -> None:
         self._table = table
         self._listeners = []
+        self.age = 0
 
     def table(self):
         return self._table
 
+    def age_ms(self, now_ms) -> int:
+        return self.age
+
     def ready(self) -> bool:
         return True
 
@@ -127,3 +131,23 @@
     assert events(kept)[-1] == '[DONE]'
     again = served.world.finish(served.world.chat())
     assert error_of(again)['code'] == Refusal.key_withdrawn.code
+
+
+@pytest.mark.parametrize(
+    ('stale', 'lookup', 'filing'),
+    [
+        (StalePolicy.auto, 200, 503),
+        (StalePolicy.serve, 200, 200),
+        (StalePolicy.refuse, 503, 503),
+    ],
+)
+def test_a_cut_off_zone_serves_as_its_rows_say(served, stale, lookup, filing):
+    rows = served.world.rows(stale=stale, stale_limit_ms=10_000)
+    served.tables.change(Table(2, [rows]))
+    for age, expected in ((9_000, (200, 200)), (11_000, (lookup, filing))):
+        served.tables.age = age
+        answers = [
+            served.world.finish(served.world.send('POST', f'/services/{path}'))
+            for path in ('lookup/x', 'filing/x')
+        ]
+        assert tuple(answer.status for answer in answers) == expected
--- a/tests/test_entry/world.py
+++ b/tests/test_entry/world.py
@@ -97,8 +97,15 @@
     async def record(self, count) -> None:
         self.usage.append(count)
 
+    def table(self):
+        return self._table
+
+    def age_ms(self, now_ms) -> int:
+        return 0
+
     def apply(self, table) -> None:
-        self.context.table = lambda: table
+        self._table = table
+        self.context.use_tables(self)
         self.context.dispatcher.apply(table)
 
 
