--- a/cicadahoist/outside/http.py
+++ b/cicadahoist/outside/http.py
@@ -39,6 +39,8 @@
 from cicadahoist.errors import LostAfterSendError, NotSentError, TargetDownError
 
 MAX_CONNECTIONS = 256
+# Common servers close a connection that is idle for 5 s.
+IDLE_MS = 4000
 LINGER_OFF = b'\x01\x00\x00\x00\x00\x00\x00\x00'
 
 HTTP_OK = 200
@@ -172,6 +174,7 @@
     :param connect_timeout_ms: longest time to connect
     :param reuse: whether connections are kept for later calls; a call on a
         kept connection that the other side just closed is lost after sending
+    :param idle_ms: how long an idle connection is kept
     :param send_timeout_ms: time after which the kernel drops bytes that the
         other side has not acknowledged, 0 for the kernel's own bound
     """
@@ -184,12 +187,14 @@
         connect_timeout_ms: int,
         *,
         reuse: bool = True,
+        idle_ms: int = IDLE_MS,
         send_timeout_ms: int = 0,
     ) -> None:
         self._reactor = reactor
         self._pool = HTTPConnectionPool(reactor, persistent=reuse)
         self._pool.maxPersistentPerHost = MAX_CONNECTIONS
         self._pool.retryAutomatically = False
+        self._pool.cachedConnectionTimeout = idle_ms / MS_PER_S
         self._endpoints: Any = _Endpoints(
             reactor, connect_timeout_ms, send_timeout_ms
         )
--- a/tests/test_outside/test_http.py
+++ b/tests/test_outside/test_http.py
@@ -82,6 +82,13 @@
             await self.until(lambda: not self.factory.connections)
         assert b'Connection: close' in self.factory.requests[0]
 
+    async def test_idle_connections_are_closed_before_the_server_does(self):
+        url = self.listen(ANSWER)
+        response = await self.client(idle_ms=20).call('GET', url)
+        await response.read_body()
+        assert self.factory.connections
+        await self.until(lambda: not self.factory.connections)
+
     async def test_short_body_is_never_passed_off_as_whole(self):
         cut = ANSWER.replace(b'2', b'3')
         unbounded = ANSWER.replace(b'Content-Length: 2', b'A: b')
