--- a/bench/policy/bound.py
+++ b/bench/policy/bound.py
@@ -27,15 +27,22 @@
 from cicadahoist.policy.fleet import PoolDemand
 from cicadahoist.policy.roles import CHANGE_LOSS_MS, FULL
 
-LONGEST_STEP = BASE_MS + PREFILL_MS * CHUNK_BY_ROLE['prefill']
-USABLE = 1 - BASE_MS / LONGEST_STEP
+LONGEST_STEP_MS = BASE_MS + PREFILL_MS * CHUNK_BY_ROLE['prefill']
+URGENT_USABLE = 1 - BASE_MS / GAP_MS
+BATCH_USABLE = 1 - BASE_MS / LONGEST_STEP_MS
 PERIOD_MS = 1000
 
 
 def engine_ms(request):
-    """Return the engine time that a request needs at least."""
+    """
+    Return the engine time that a request needs at least.
+
+    Steps that hold urgent answers last no longer than the goal between
+    tokens, so the fixed part of a step weighs more there.
+    """
     prompt = request.prompt - BLOCK_TOKENS * len(request.blocks)
-    return PREFILL_MS * prompt + DECODE_MS * request.output
+    work_ms = PREFILL_MS * prompt + DECODE_MS * request.output
+    return work_ms / (URGENT_USABLE if request.urgent else BATCH_USABLE)
 
 
 def due_ms(request):
@@ -92,7 +99,7 @@
     pool = Pool()
     now_ms = 0
     for request in requests:
-        rate = USABLE * engines_at(scenario, fault, now_ms)
+        rate = engines_at(scenario, fault, now_ms)
         if not request.poison:
             pool.serve(rate * (request.at_ms - now_ms))
             now_ms = request.at_ms
@@ -150,16 +157,22 @@
 
 def known_demand(requests, at_ms):
     """Return the true demand of the ten seconds around a time."""
-    prefill = decode = 0.0
+    prefill = decode = batch_prefill = batch_decode = 0.0
     for request in requests:
         if request.urgent:
             share = abs(request.at_ms - at_ms) < 5000
             prefill += share * request.prompt / 10_000
             decode += share * request.output / 10_000
         elif request.at_ms <= at_ms < due_ms(request):
-            prefill += request.prompt / request.rule.deadline_ms
-            decode += request.output / request.rule.deadline_ms
-    return PoolDemand(pool='', prefill_per_ms=prefill, decode_per_ms=decode)
+            batch_prefill += request.prompt / request.rule.deadline_ms
+            batch_decode += request.output / request.rule.deadline_ms
+    return PoolDemand(
+        pool='',
+        prefill_per_ms=prefill + batch_prefill,
+        decode_per_ms=decode + batch_decode,
+        urgent_prefill_per_ms=prefill,
+        urgent_decode_per_ms=decode,
+    )
 
 
 def demands_of(requests):
