--- /dev/null
+++ b/cicadahoist/outside/bodies.py
@@ -0,0 +1,74 @@
+"""Bodies of requests and answers."""
+
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.protocol import Protocol
+from twisted.web.client import ResponseDone
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
+
+
+@implementer(IBodyProducer)
+class BytesProducer:
+    """
+    Writes a body in one go.
+
+    The producer that treq makes of bytes waits for turns of the reactor.
+
+    :param body: the whole body
+    """
+
+    __slots__ = ('_body', 'length')
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> 'Deferred[None]':  # noqa: N802
+        """Write the body."""
+        consumer.write(self._body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Nothing is left to pause."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Nothing is left to resume."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Nothing is left to stop."""
+
+
+class BodyCollector(Protocol):
+    """Collects a body; ``whole`` fires once it is complete."""
+
+    def __init__(self) -> None:
+        self.whole: Deferred[bytes] = Deferred(self._close)
+        self._chunks: list[bytes] = []
+
+    def dataReceived(self, chunk: bytes) -> None:  # noqa: N802
+        """Keep what has arrived."""
+        self._chunks.append(chunk)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Fire ``whole``, with an error unless the body is complete."""
+        if self.whole.called:
+            return
+        if reason.check(ResponseDone):
+            self.whole.callback(b''.join(self._chunks))
+        else:
+            self.whole.errback(reason)
+
+    def _close(self, cancelled: Any) -> None:
+        transport: Any = self.transport
+        transport.stopProducing()
+
+
+class ClosingReceiver(Protocol):
+    """Closes the connection of a body that nobody wants."""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Close the connection."""
+        transport: Any = self.transport
+        transport.loseConnection()
--- /dev/null
+++ b/cicadahoist/outside/connections.py
@@ -0,0 +1,93 @@
+"""Connections of HTTP clients: endpoints and pools."""
+
+import socket
+from typing import Any
+
+from twisted.internet.abstract import isIPAddress, isIPv6Address
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import (
+    HostnameEndpoint,
+    TCP4ClientEndpoint,
+    TCP6ClientEndpoint,
+)
+from twisted.web.client import HTTPConnectionPool
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
+
+from cicadahoist.clock import MS_PER_S
+
+MAX_CONNECTIONS = 256
+# Common servers close a connection that is idle for 5 s.
+IDLE_MS = 4000
+LINGER_OFF = b'\x01\x00\x00\x00\x00\x00\x00\x00'
+
+
+def new_pool(reactor: Any, idle_ms: int, *, reuse: bool) -> Any:
+    """
+    Return a connection pool that never sends a request again by itself.
+
+    :param idle_ms: how long an idle connection is kept
+    :param reuse: whether connections are kept at all
+    """
+    pool: Any = HTTPConnectionPool(reactor, persistent=reuse)
+    pool.maxPersistentPerHost = MAX_CONNECTIONS
+    pool.cachedConnectionTimeout = idle_ms / MS_PER_S
+    pool.retryAutomatically = False
+    return pool
+
+
+@implementer(IAgentEndpointFactory)
+class Endpoints:
+    """
+    Connects with the socket options of a client.
+
+    :param connect_timeout_ms: longest time to connect
+    :param send_timeout_ms: time after which the kernel drops bytes that the
+        other side has not acknowledged, 0 for the kernel's own bound
+    """
+
+    __slots__ = ('_connect_timeout_s', '_reactor', '_send_timeout_ms')
+
+    def __init__(
+        self, reactor: Any, connect_timeout_ms: int, send_timeout_ms: int
+    ) -> None:
+        self._reactor = reactor
+        self._connect_timeout_s = connect_timeout_ms / MS_PER_S
+        self._send_timeout_ms = send_timeout_ms
+
+    def endpointForURI(self, uri: Any) -> '_Endpoint':  # noqa: N802
+        """Return what connects to the host and port of a URI."""
+        host = uri.host.decode()
+        # HostnameEndpoint resolves IP numbers too, in a thread.
+        kind: Any = HostnameEndpoint
+        if isIPAddress(host):
+            kind = TCP4ClientEndpoint
+        elif isIPv6Address(host):
+            kind = TCP6ClientEndpoint
+        inner = kind(
+            self._reactor, host, uri.port, timeout=self._connect_timeout_s
+        )
+        return _Endpoint(inner, self._send_timeout_ms)
+
+
+class _Endpoint:
+    __slots__ = ('_inner', '_send_timeout_ms')
+
+    def __init__(self, inner: Any, send_timeout_ms: int) -> None:
+        self._inner = inner
+        self._send_timeout_ms = send_timeout_ms
+
+    def connect(self, factory: Any) -> 'Deferred[Any]':
+        return self._inner.connect(factory).addCallback(self._set_options)
+
+    def _set_options(self, protocol: Any) -> Any:
+        protocol.transport.setTcpNoDelay(True)
+        if self._send_timeout_ms:
+            handle = protocol.transport.getHandle()
+            handle.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                self._send_timeout_ms,
+            )
+            handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
+        return protocol
--- a/cicadahoist/outside/http.py
+++ b/cicadahoist/outside/http.py
@@ -1,47 +1,32 @@
 """HTTP towards targets and the platform, by treq."""
 
-import socket
 from typing import Any
 
 import msgspec
 import treq
 from twisted.internet import error as network_errors
-from twisted.internet.abstract import isIPAddress, isIPv6Address
-from twisted.internet.defer import (
-    CancelledError,
-    Deferred,
-    TimeoutError,
-    succeed,
-)
-from twisted.internet.endpoints import (
-    HostnameEndpoint,
-    TCP4ClientEndpoint,
-    TCP6ClientEndpoint,
-)
+from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 from twisted.internet.protocol import Factory, Protocol
 from twisted.web.client import (
     URI,
     Agent,
-    HTTPConnectionPool,
     RequestGenerationFailed,
     RequestNotSent,
     RequestTransmissionFailed,
-    ResponseDone,
     ResponseFailed,
     ResponseNeverReceived,
 )
 from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
-from zope.interface import implementer
 
 from cicadahoist.clock import MS_PER_S
 from cicadahoist.errors import LostAfterSendError, NotSentError, TargetDownError
-
-MAX_CONNECTIONS = 256
-# Common servers close a connection that is idle for 5 s.
-IDLE_MS = 4000
-LINGER_OFF = b'\x01\x00\x00\x00\x00\x00\x00\x00'
+from cicadahoist.outside.bodies import (
+    BodyCollector,
+    BytesProducer,
+    ClosingReceiver,
+)
+from cicadahoist.outside.connections import IDLE_MS, Endpoints, new_pool
 
 HTTP_OK = 200
 HTTP_NO_CONTENT = 204
@@ -109,7 +94,7 @@
 
     def abort(self) -> None:
         """Close the connection; only for a body that nothing receives."""
-        self._response.deliverBody(_Closing())
+        self._response.deliverBody(ClosingReceiver())
 
     async def read_body(self, timeout_ms: int = 0) -> bytes:
         """
@@ -118,7 +103,7 @@
         :param timeout_ms: longest wait for its end, 0 for no bound
         :raises LostAfterSendError: the body broke off
         """
-        collector = _Collector()
+        collector = BodyCollector()
         if timeout_ms:
             collector.whole.addTimeout(timeout_ms / MS_PER_S, self._reactor)
         self._response.deliverBody(collector)
@@ -132,41 +117,6 @@
         return msgspec.json.decode(await self.read_body())
 
 
-@implementer(IBodyProducer)
-class BytesProducer:
-    """
-    Writes a body in one go.
-
-    The producer that treq makes of bytes waits for turns of the reactor.
-
-    :param body: the whole body
-    """
-
-    __slots__ = ('_body', 'length')
-
-    def __init__(self, body: bytes) -> None:
-        self._body = body
-        self.length = len(body)
-
-    def startProducing(self, consumer: Any) -> 'Deferred[None]':  # noqa: N802
-        """Write the body."""
-        consumer.write(self._body)
-        return succeed(None)
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Nothing is left to pause."""
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Nothing is left to resume."""
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Nothing is left to stop."""
-
-
-def _producer(body: bytes) -> Any:
-    return BytesProducer(body)
-
-
 class HttpClient:
     """
     Sends calls and tells unsent calls from lost ones.
@@ -191,11 +141,8 @@
         send_timeout_ms: int = 0,
     ) -> None:
         self._reactor = reactor
-        self._pool = HTTPConnectionPool(reactor, persistent=reuse)
-        self._pool.maxPersistentPerHost = MAX_CONNECTIONS
-        self._pool.retryAutomatically = False
-        self._pool.cachedConnectionTimeout = idle_ms / MS_PER_S
-        self._endpoints: Any = _Endpoints(
+        self._pool = new_pool(reactor, idle_ms, reuse=reuse)
+        self._endpoints: Any = Endpoints(
             reactor, connect_timeout_ms, send_timeout_ms
         )
         self._agent: Any = Agent.usingEndpointFactory(
@@ -253,12 +200,13 @@
         """
         timeout_s = timeout_ms / MS_PER_S if timeout_ms else None
         sent_headers: Any = headers
+        producer: Any = None if body is None else BytesProducer(body)
         try:
             response = await treq.request(
                 method,
                 url,
                 headers=sent_headers,
-                data=None if body is None else _producer(body),
+                data=producer,
                 agent=self._agent,
                 reactor=self._reactor,
                 timeout=timeout_s,
@@ -292,78 +240,3 @@
     return LostAfterSendError(
         f'{what}: {error!r}', remedy='look up whether it took effect'
     )
-
-
-class _Collector(Protocol):
-    def __init__(self) -> None:
-        self.whole: Deferred[bytes] = Deferred(self._close)
-        self._chunks: list[bytes] = []
-
-    def dataReceived(self, chunk: bytes) -> None:  # noqa: N802
-        self._chunks.append(chunk)
-
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        if self.whole.called:
-            return
-        if reason.check(ResponseDone):
-            self.whole.callback(b''.join(self._chunks))
-        else:
-            self.whole.errback(reason)
-
-    def _close(self, cancelled: Any) -> None:
-        transport: Any = self.transport
-        transport.stopProducing()
-
-
-class _Closing(Protocol):
-    def connectionMade(self) -> None:  # noqa: N802
-        transport: Any = self.transport
-        transport.loseConnection()
-
-
-@implementer(IAgentEndpointFactory)
-class _Endpoints:
-    __slots__ = ('_connect_timeout_s', '_reactor', '_send_timeout_ms')
-
-    def __init__(
-        self, reactor: Any, connect_timeout_ms: int, send_timeout_ms: int
-    ) -> None:
-        self._reactor = reactor
-        self._connect_timeout_s = connect_timeout_ms / MS_PER_S
-        self._send_timeout_ms = send_timeout_ms
-
-    def endpointForURI(self, uri: Any) -> '_Endpoint':  # noqa: N802
-        host = uri.host.decode()
-        # HostnameEndpoint resolves IP numbers too, in a thread.
-        kind: Any = HostnameEndpoint
-        if isIPAddress(host):
-            kind = TCP4ClientEndpoint
-        elif isIPv6Address(host):
-            kind = TCP6ClientEndpoint
-        inner = kind(
-            self._reactor, host, uri.port, timeout=self._connect_timeout_s
-        )
-        return _Endpoint(inner, self._send_timeout_ms)
-
-
-class _Endpoint:
-    __slots__ = ('_inner', '_send_timeout_ms')
-
-    def __init__(self, inner: Any, send_timeout_ms: int) -> None:
-        self._inner = inner
-        self._send_timeout_ms = send_timeout_ms
-
-    def connect(self, factory: Any) -> 'Deferred[Any]':
-        return self._inner.connect(factory).addCallback(self._set_options)
-
-    def _set_options(self, protocol: Any) -> Any:
-        protocol.transport.setTcpNoDelay(True)
-        if self._send_timeout_ms:
-            handle = protocol.transport.getHandle()
-            handle.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                self._send_timeout_ms,
-            )
-            handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
-        return protocol
