--- a/cicadahoist/outside/engine.py
+++ b/cicadahoist/outside/engine.py
@@ -7,6 +7,13 @@
 
 from cicadahoist.config import Config
 from cicadahoist.errors import BusyError, FencedError, RefusedError
+from cicadahoist.outside.engine_messages import (
+    AttemptState,
+    CacheEvents,
+    EngineLoad,
+    EngineOrder,
+    EngineOrders,
+)
 from cicadahoist.outside.http import (
     HTTP_BUSY,
     HTTP_CONFLICT,
@@ -28,86 +35,6 @@
 JSON_TYPE = 'application/json'
 
 
-class AttemptState(msgspec.Struct, frozen=True):
-    """
-    What an engine knows of one attempt.
-
-    :param state: ``absent``, ``queued``, ``running``, ``finished`` or
-        ``cancelled``
-    :param tokens: output tokens so far
-    """
-
-    state: str
-    tokens: int = 0
-
-
-class EngineLoad(msgspec.Struct, frozen=True, kw_only=True):
-    """
-    Load report of an engine, ``age_ms`` old.
-
-    :param prefill_tokens: prompt tokens that wait for prefill
-    :param decode_tokens: output tokens that running requests may still make
-    :param kv_used: KV cache in use, in tokens
-    """
-
-    age_ms: int
-    role: str
-    running: int
-    queued: int
-    prefill_tokens: int
-    decode_tokens: int
-    kv_used: int
-    kv_total: int
-    models: list[str]
-    draining: bool
-
-
-class CacheEvent(msgspec.Struct, frozen=True):
-    """A block that an engine stored or evicted; ``seq`` may have gaps."""
-
-    seq: int
-    kind: str
-    block: str
-
-
-class CacheEvents(msgspec.Struct, frozen=True):
-    """Cache events after a sequence number."""
-
-    events: list[CacheEvent]
-    next: int
-
-
-class EngineOrder(msgspec.Struct, frozen=True, kw_only=True):
-    """
-    An order to an engine.
-
-    :param epoch: fencing number of the lease under which it is sent
-    :param seq: rises with each order to one engine
-    :param kind: ``role``, ``model``, ``adapter``, ``version`` or ``drain``
-    """
-
-    epoch: int
-    seq: int
-    kind: str
-    argument: str = ''
-
-
-class EngineOrders(msgspec.Struct, frozen=True, kw_only=True):
-    """
-    The last order that an engine took, and its state.
-
-    :param changing: whether that order is still in progress
-    """
-
-    epoch: int
-    seq: int
-    role: str
-    models: list[str]
-    adapters: list[str]
-    versions: dict[str, str]
-    changing: bool
-
-
 class EngineAdapter(Protocol):
     """
     Calls towards engines.
--- a/cicadahoist/standin/engine.py
+++ b/cicadahoist/standin/engine.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from cicadahoist.clock import Clock, Timer
-from cicadahoist.outside.engine import (
+from cicadahoist.outside.engine_messages import (
     AttemptState,
     CacheEvents,
     EngineLoad,
--- a/cicadahoist/standin/engine_cache.py
+++ b/cicadahoist/standin/engine_cache.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from cicadahoist.outside.engine import CacheEvent, CacheEvents
+from cicadahoist.outside.engine_messages import CacheEvent, CacheEvents
 from cicadahoist.policy.prefix import BLOCK_TOKENS, prompt_blocks
 
 EVENTS_KEPT = 4096
--- a/cicadahoist/standin/engine_orders.py
+++ b/cicadahoist/standin/engine_orders.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cicadahoist.outside.engine import EngineOrder, EngineOrders
+from cicadahoist.outside.engine_messages import EngineOrder, EngineOrders
 
 KINDS = frozenset(('role', 'model', 'adapter', 'version', 'drain'))
 
--- a/cicadahoist/standin/engine_server.py
+++ b/cicadahoist/standin/engine_server.py
@@ -6,7 +6,7 @@
 
 from cicadahoist.clock import Clock
 from cicadahoist.errors import TargetError
-from cicadahoist.outside.engine import EngineOrder
+from cicadahoist.outside.engine_messages import EngineOrder
 from cicadahoist.outside.http import (
     HTTP_BAD_GATEWAY,
     HTTP_BAD_REQUEST,
--- a/tests/test_outside/test_engine.py
+++ b/tests/test_outside/test_engine.py
@@ -10,7 +10,8 @@
     NotSentError,
     RefusedError,
 )
-from cicadahoist.outside.engine import EngineOrder, OpenAiHttpEngine
+from cicadahoist.outside.engine import OpenAiHttpEngine
+from cicadahoist.outside.engine_messages import EngineOrder
 from cicadahoist.standin.engine import Engine, EngineOptions
 from cicadahoist.standin.engine_batch import EngineLimits
 from cicadahoist.standin.engine_frames import FRAME_FAULTS
--- a/tests/test_standin/test_engine.py
+++ b/tests/test_standin/test_engine.py
@@ -1,7 +1,7 @@
 import pytest
 
 from cicadahoist.clock import Clock
-from cicadahoist.outside.engine import EngineOrder
+from cicadahoist.outside.engine_messages import EngineOrder
 from cicadahoist.standin.engine import Engine, EngineOptions
 from cicadahoist.standin.engine_answers import CompletionBody
 from cicadahoist.standin.engine_batch import EngineLimits
