Shrink the slots of a target once per congestion

Cause, from a trace: entries had learned 4 to 10 slots for engines that hold 45, as each of forty answers that saw the same slow minute shrank them anew; admission then refused work that the engines had room for.

--- a/cicadahoist/policy/load.py
+++ b/cicadahoist/policy/load.py
@@ -155,7 +155,7 @@
             _end_prefill(state, attempt)
         elif not failed:
             state.speed.observe_decode(
-                output_tokens, now_ms - attempt.started_ms, state.open_requests
+                output_tokens, attempt.started_ms, now_ms, state.open_requests
             )
         state.own.add(Load(1), -1)
         self._refresh(state, now_ms)
--- a/cicadahoist/policy/speed.py
+++ b/cicadahoist/policy/speed.py
@@ -17,15 +17,17 @@
     Prefill rate, time between tokens and slots of one target.
 
     Slots follow the time between tokens: they grow while it is below the
-    goal and shrink once it is above.
+    goal and shrink once it is above. They shrink at most once for answers
+    that ran at the same time, as these all saw the same congestion.
     """
 
-    __slots__ = ('slots', 'step_ms', 'tokens_per_ms')
+    __slots__ = ('_shrunk_ms', 'slots', 'step_ms', 'tokens_per_ms')
 
     def __init__(self) -> None:
         self.tokens_per_ms = PREFILL_TOKENS_PER_MS
         self.step_ms = STEP_MS
         self.slots = FIRST_SLOTS
+        self._shrunk_ms = 0
 
     @classmethod
     def of_role(cls, role: str) -> 'TargetSpeed':
@@ -47,17 +49,28 @@
             self.tokens_per_ms += LEARN * (seen - self.tokens_per_ms)
 
     def observe_decode(
-        self, output_tokens: int, elapsed_ms: int, open_requests: int
+        self,
+        output_tokens: int,
+        started_ms: int,
+        now_ms: int,
+        open_requests: int,
     ) -> None:
-        """Learn from an answer's end and adapt the slots."""
+        """
+        Learn from an answer's end and adapt the slots.
+
+        :param started_ms: when its first token came
+        :param open_requests: requests that ran beside it
+        """
         if output_tokens < 2:
             return
-        seen = elapsed_ms / (output_tokens - 1)
+        seen = (now_ms - started_ms) / (output_tokens - 1)
         self.step_ms += LEARN * (seen - self.step_ms)
-        if seen > STEP_GOAL_MS:
+        if seen <= STEP_GOAL_MS:
+            if open_requests * 2 >= self.slots:
+                self.slots = min(MAX_SLOTS, self.slots + GROWTH)
+        elif started_ms >= self._shrunk_ms:
+            self._shrunk_ms = now_ms
             self.slots = max(MIN_SLOTS, self.slots * SHRINK)
-        elif open_requests * 2 >= self.slots:
-            self.slots = min(MAX_SLOTS, self.slots + GROWTH)
 
 
 _PREFILL_BY_ROLE = {'prefill': 1.5, 'decode': 0.3}
