Let prompts and tokens take turns in the capacity model

Cause: the planner held that a mixed engine decodes 0.66 tokens a ms also when it has no prompts, and gave an engine of Pilbara to decode that lacked none. Ruled out: a longer horizon, which only delayed the change. Speeds now are those of an engine that does one thing, and the two take turns.

--- a/cicadahoist/policy/capacity.py
+++ b/cicadahoist/policy/capacity.py
@@ -1,7 +1,5 @@
 """What engines of each role can do, and how full an assignment is."""
 
-import math
-
 import msgspec
 
 from cicadahoist.policy.fleet import PoolDemand, Role, TargetView
@@ -9,28 +7,30 @@
 
 class RoleSpeed(msgspec.Struct, frozen=True):
     """
-    What one engine does at most at the goal between tokens.
+    What one engine does when it does nothing else.
 
     :param prefill: prompt tokens a ms
-    :param decode: output tokens a ms, at the same time
+    :param decode: output tokens a ms
     """
 
     prefill: float
     decode: float
 
 
-MIXED_PREFILL = 5.8
-MIXED_DECODE = 0.66
+MIXED_PREFILL = 7.6
+MIXED_DECODE = 2.2
 PREFILL_PREFILL = 9.4
-PREFILL_DECODE = 0.05
-DECODE_PREFILL = 1.5
-DECODE_DECODE = 1.9
+PREFILL_DECODE = 0.5
+DECODE_PREFILL = 4.4
+DECODE_DECODE = 2.2
 
 DEFAULT_SPEEDS = {
     Role.mixed: RoleSpeed(MIXED_PREFILL, MIXED_DECODE),
     Role.prefill: RoleSpeed(PREFILL_PREFILL, PREFILL_DECODE),
     Role.decode: RoleSpeed(DECODE_PREFILL, DECODE_DECODE),
 }
+OVERFULL = 4.0
+FILL_STEPS = 12
 
 
 class Assignment(msgspec.Struct, frozen=True):
@@ -76,24 +76,43 @@
     speeds: dict[Role, RoleSpeed],
 ) -> float:
     """
-    Return how full the scarcest part of an assignment is, 1 for quite full.
+    Return how full an assignment is, 1 for quite full.
 
+    Prompts and tokens take turns on an engine. Prompts go to prefill engines
+    first and tokens to decode engines; what is left goes to the others.
     Urgent work runs on mixed and decode engines only, as the long steps of
-    prefill engines delay each token. There it goes before other work, so that
-    its prompts and its tokens take turns.
+    prefill engines delay each token.
     """
-    prefill = float(0)
-    decode = float(0)
-    for role, speed in speeds.items():
-        prefill += assignment.count(role) * speed.prefill
-        decode += assignment.count(role) * speed.decode
-    if not prefill or not decode:
-        return math.inf
-    return max(
-        demand.prefill_per_ms / prefill,
-        demand.decode_per_ms / decode,
-        _urgent_fill(assignment, demand, speeds),
-    )
+    low = _urgent_fill(assignment, demand, speeds)
+    high = OVERFULL
+    if low >= high:
+        return low
+    if _fits(assignment, demand, speeds, low):
+        return low
+    for _ in range(FILL_STEPS):
+        middle = (low + high) / 2
+        if _fits(assignment, demand, speeds, middle):
+            high = middle
+        else:
+            low = middle
+    return high
+
+
+def _fits(
+    assignment: Assignment,
+    demand: PoolDemand,
+    speeds: dict[Role, RoleSpeed],
+    share: float,
+) -> bool:
+    mixed = speeds[Role.mixed]
+    decoding = speeds[Role.decode]
+    prefill = demand.prefill_per_ms
+    prefill -= share * assignment.prefill * speeds[Role.prefill].prefill
+    spare = share * assignment.decode - demand.decode_per_ms / decoding.decode
+    decode = max(0, -spare) * decoding.decode
+    prefill -= max(0, spare) * decoding.prefill
+    needed = max(0, prefill) / mixed.prefill + decode / mixed.decode
+    return needed <= share * assignment.mixed
 
 
 def _urgent_fill(
@@ -103,9 +122,9 @@
 ) -> float:
     engines = assignment.mixed + assignment.decode
     if not engines:
-        return math.inf
+        return OVERFULL
     prefill = demand.urgent_prefill_per_ms / speeds[Role.mixed].prefill
-    decode = demand.urgent_decode_per_ms / speeds[Role.decode].decode
+    decode = demand.urgent_decode_per_ms / speeds[Role.mixed].decode
     return (prefill + decode) / engines
 
 
