--- a/cicadahoist/policy/capacity.py
+++ b/cicadahoist/policy/capacity.py
@@ -53,6 +53,12 @@
         """Return the number of engines in a role."""
         return int(getattr(self, role.value))
 
+    def without(self, role: Role) -> 'Assignment':
+        """Return the assignment while one engine of a role is away."""
+        return msgspec.structs.replace(
+            self, **{role.value: self.count(role) - 1}
+        )
+
     def moved(self, source: Role, goal: Role) -> 'Assignment':
         """Return the assignment with one engine moved to another role."""
         return msgspec.structs.replace(
@@ -83,7 +89,7 @@
     Urgent work runs on mixed and decode engines only, as the long steps of
     prefill engines delay each token.
     """
-    low = _urgent_fill(assignment, demand, speeds)
+    low = urgent_fill(assignment, demand, speeds)
     high = OVERFULL
     if low >= high:
         return low
@@ -115,11 +121,12 @@
     return needed <= share * assignment.mixed
 
 
-def _urgent_fill(
+def urgent_fill(
     assignment: Assignment,
     demand: PoolDemand,
     speeds: dict[Role, RoleSpeed],
 ) -> float:
+    """Return how full urgent work makes the engines that may take it."""
     engines = assignment.mixed + assignment.decode
     if not engines:
         return OVERFULL
--- a/cicadahoist/policy/roles.py
+++ b/cicadahoist/policy/roles.py
@@ -11,6 +11,7 @@
     RoleSpeed,
     best_assignment,
     fill,
+    urgent_fill,
 )
 from cicadahoist.policy.fleet import (
     FleetView,
@@ -25,8 +26,9 @@
 
 FAST_MS = 10_000.0
 CHANGE_LOSS_MS = 8000.0
-FULL = 0.75
-MIN_GAIN = 0.05
+FULL = 0.95
+FULL_WHILE_AWAY = 0.8
+MIN_GAIN = 0.02
 REST_MS = 30_000
 LONGEST_HORIZON_MS = 600_000
 
@@ -202,6 +204,9 @@
     for source in Role:
         if not current.count(source):
             continue
+        away = current.without(source)
+        if urgent_fill(away, demand, speeds) > FULL_WHILE_AWAY:
+            continue
         for goal in _others(source):
             moved = fill(current.moved(source, goal), demand, speeds)
             after = max(FULL, moved)
