--- a/tests/test_cmd/conftest.py
+++ b/tests/test_cmd/conftest.py
@@ -6,21 +6,25 @@
 from cicadahoist.cmd.operator.app import app
 from cicadahoist.cmd.operator.session import Session
 from cicadahoist.config import Config
-from cicadahoist.errors import VersionConflictError
+from cicadahoist.errors import StoreUnavailableError, VersionConflictError
 from cicadahoist.outside.store import Stored
 
 
 class MemoryStore:
-    """Versioned objects; ``before_write`` runs before each write."""
+    """Versioned objects; hooks run before and after each write."""
 
     def __init__(self):
         self.by_name = {}
         self.before_write = None
+        self.after_write = None
+        self.is_away = False
 
     async def read(self, name):
+        self._check_up()
         return self.by_name.get(name)
 
     async def write(self, name, payload, expected):
+        self._check_up()
         if self.before_write:
             await self.before_write(name)
         current = self.by_name.get(name)
@@ -28,15 +32,22 @@
         if version != expected:
             raise VersionConflictError(name, remedy='read again')
         self.by_name[name] = Stored(name, version + 1, payload)
+        if self.after_write:
+            self.after_write(name)
         return version + 1
 
     async def names(self, prefix):
+        self._check_up()
         return {
             name: stored.version
             for name, stored in self.by_name.items()
             if name.startswith(prefix)
         }
 
+    def _check_up(self):
+        if self.is_away:
+            raise StoreUnavailableError('away', remedy='wait')
+
 
 class Operator:
     """Runs commands against one store."""
