--- a/cicadahoist/cmd/operator/keys.py
+++ b/cicadahoist/cmd/operator/keys.py
@@ -9,9 +9,15 @@
 
 from cicadahoist.cmd.operator.command import command
 from cicadahoist.cmd.operator.exits import RejectedError
-from cicadahoist.cmd.operator.rows import require, require_absent, save_row
+from cicadahoist.cmd.operator.rows import (
+    require,
+    require_absent,
+    save,
+    save_row,
+)
 from cicadahoist.cmd.operator.session import Session
 from cicadahoist.ids import key_digest
+from cicadahoist.outside.tablestore import RowChange
 from cicadahoist.table import KeyGrant, Table
 
 KEY_BYTES = 24
@@ -28,6 +34,7 @@
     digest: str
     workspace: str
     label: str
+    revision: int
 
 
 @command(keys, 'list')
@@ -59,13 +66,16 @@
     table = await session.read_table()
     require(table.workspaces_by_name.get(workspace), f'workspace {workspace}')
     require_absent(table.keys_by_digest.get(digest), 'this key')
-    await save_row(
-        session, KeyGrant(digest=digest, workspace=workspace, label=label)
-    )
+    row = KeyGrant(digest=digest, workspace=workspace, label=label)
+    revision = await save(session, [RowChange(row=row)])
     session.show(
         [
             CreatedKey(
-                key=secret, digest=digest, workspace=workspace, label=label
+                key=secret,
+                digest=digest,
+                workspace=workspace,
+                label=label,
+                revision=revision,
             )
         ]
     )
@@ -96,7 +106,9 @@
 
 def _given_key(key: str | None) -> str | None:
     if key == READ_FROM_STDIN:
-        return sys.stdin.readline().strip()
+        key = sys.stdin.readline().strip()
+    if key is not None and not key:
+        raise RejectedError('the key is empty', remedy='give a key')
     return key
 
 
--- a/cicadahoist/cmd/operator/routes.py
+++ b/cicadahoist/cmd/operator/routes.py
@@ -8,13 +8,12 @@
 from cicadahoist.cmd.operator.exits import RejectedError
 from cicadahoist.cmd.operator.forms import MODEL_NAME, NAME
 from cicadahoist.cmd.operator.rows import (
+    remove_row,
     require,
     require_absent,
-    save,
     save_row,
 )
 from cicadahoist.cmd.operator.session import Session
-from cicadahoist.outside.tablestore import RowChange
 from cicadahoist.table import Route, RouteKind
 
 routes = typer.Typer(
@@ -102,4 +101,4 @@
             f'{len(used_by)} rules use route {name}',
             remedy='remove them with "table remove" first',
         )
-    await save(session, [RowChange(row=row, remove=True)])
+    await remove_row(session, row)
--- a/cicadahoist/cmd/operator/rows.py
+++ b/cicadahoist/cmd/operator/rows.py
@@ -3,10 +3,11 @@
 from collections.abc import Sequence
 from typing import TypeVar
 
+import msgspec
 import typer
 
 from cicadahoist.cmd.operator.exits import NotFoundError, RejectedError
-from cicadahoist.cmd.operator.output import align
+from cicadahoist.cmd.operator.output import Output, align, print_json
 from cicadahoist.cmd.operator.session import Session
 from cicadahoist.errors import TableConflictError
 from cicadahoist.outside.tablestore import RowChange
@@ -15,6 +16,14 @@
 Found = TypeVar('Found')
 
 
+class Saved(msgspec.Struct, frozen=True, kw_only=True):
+    """A committed row, by its key."""
+
+    row: str
+    revision: int
+    removed: bool = False
+
+
 async def save(session: Session, changes: Sequence[RowChange]) -> int:
     """
     Commit changes in one revision.
@@ -36,7 +45,15 @@
 async def save_row(session: Session, row: Row) -> None:
     """Commit one row and print the revision that holds it."""
     revision = await save(session, [RowChange(row=row)])
-    typer.echo(f'saved {row_key(row)} in revision {revision}', err=True)
+    _print_saved(session, Saved(row=row_key(row), revision=revision))
+
+
+async def remove_row(session: Session, row: Row) -> None:
+    """Remove one row and print the revision from which it is gone."""
+    revision = await save(session, [RowChange(row=row, remove=True)])
+    _print_saved(
+        session, Saved(row=row_key(row), revision=revision, removed=True)
+    )
 
 
 def require(row: Found | None, what: str) -> Found:
@@ -64,6 +81,14 @@
         )
 
 
+def _print_saved(session: Session, saved: Saved) -> None:
+    if session.output is Output.json:
+        print_json(saved)
+        return
+    verb = 'removed' if saved.removed else 'saved'
+    typer.echo(f'{verb} {saved.row} in revision {saved.revision}', err=True)
+
+
 async def _print_clashes(
     session: Session, changes: Sequence[RowChange]
 ) -> None:
--- a/cicadahoist/cmd/operator/session.py
+++ b/cicadahoist/cmd/operator/session.py
@@ -11,9 +11,16 @@
 from cicadahoist.cmd.operator.exits import InterruptedCommandError
 from cicadahoist.cmd.operator.output import Output, print_rows
 from cicadahoist.config import Config
+from cicadahoist.log import configure_logging
 from cicadahoist.outside.store import STORES, Store
 from cicadahoist.outside.tablestore import TableStore
-from cicadahoist.settings import SETTINGS, STORE_ADAPTER, STORE_URL
+from cicadahoist.settings import (
+    LOG_FORMAT,
+    LOG_LEVEL,
+    SETTINGS,
+    STORE_ADAPTER,
+    STORE_URL,
+)
 from cicadahoist.table import Table
 
 Answer = TypeVar('Answer')
@@ -51,6 +58,7 @@
             config = Config.from_file(path, SETTINGS)
         if store_url is not None:
             config = config.replaced(STORE_URL, store_url)
+        configure_logging(config.read(LOG_FORMAT), config.read(LOG_LEVEL))
         adapter = STORES.get(config.read(STORE_ADAPTER))
         return cls(adapter.from_config(config, reactor), config)
 
--- a/cicadahoist/cmd/operator/tables.py
+++ b/cicadahoist/cmd/operator/tables.py
@@ -6,10 +6,9 @@
 import typer
 
 from cicadahoist.cmd.operator.command import command
-from cicadahoist.cmd.operator.rows import require, save, save_row
+from cicadahoist.cmd.operator.rows import remove_row, require, save_row
 from cicadahoist.cmd.operator.session import Session
 from cicadahoist.cmd.operator.sheet import with_fields
-from cicadahoist.outside.tablestore import RowChange
 from cicadahoist.table import Rule, Table
 
 tables = typer.Typer(
@@ -87,4 +86,4 @@
     )
     if revision is not None:
         row = msgspec.structs.replace(row, revision=revision)
-    await save(session, [RowChange(row=row, remove=True)])
+    await remove_row(session, row)
--- a/cicadahoist/cmd/operator/targets.py
+++ b/cicadahoist/cmd/operator/targets.py
@@ -8,14 +8,13 @@
 from cicadahoist.cmd.operator.command import command
 from cicadahoist.cmd.operator.forms import NAME, URL
 from cicadahoist.cmd.operator.rows import (
+    remove_row,
     require,
     require_absent,
-    save,
     save_row,
 )
 from cicadahoist.cmd.operator.session import Session
 from cicadahoist.cmd.operator.sheet import with_fields
-from cicadahoist.outside.tablestore import RowChange
 from cicadahoist.table import RouteKind, Target
 
 targets = typer.Typer(help='Engines and services.', no_args_is_help=True)
@@ -103,4 +102,4 @@
     """Remove a target; drain it first."""
     table = await session.read_table()
     row = require(table.targets_by_name.get(name), f'target {name}')
-    await save(session, [RowChange(row=row, remove=True)])
+    await remove_row(session, row)
--- a/tests/test_cmd/conftest.py
+++ b/tests/test_cmd/conftest.py
@@ -36,6 +36,12 @@
             self.after_write(name)
         return version + 1
 
+    async def remove(self, name, expected):
+        self._check_up()
+        if self.by_name[name].version != expected:
+            raise VersionConflictError(name, remedy='read again')
+        self.by_name.pop(name)
+
     async def names(self, prefix):
         self._check_up()
         return {
--- a/tests/test_cmd/test_operator_rows.py
+++ b/tests/test_cmd/test_operator_rows.py
@@ -105,6 +105,25 @@
     assert deployed.rows('target list')[0]['draining'] is False
 
 
+def test_saves_and_removals_tell_scripts_their_revision(deployed):
+    saved = deployed.rows('table set tayside ledger')
+    assert saved == {
+        'row': 'rule/tayside/ledger',
+        'revision': 4,
+        'removed': False,
+    }
+    removed = deployed.rows('table remove tayside ledger')
+    assert removed['removed'] is True
+    assert removed['revision'] == 5
+    assert deployed.rows('key create tayside')[0]['revision'] == 6
+
+
+def test_empty_key_is_rejected(deployed):
+    result = deployed.run('key create tayside --key -', input='\n')
+    assert result.exit_code == Exit.rejected
+    assert deployed.rows('key list') == []
+
+
 def test_columns_are_aligned(deployed):
     lines = deployed.done('workspace list').stdout.splitlines()
     assert lines[0].split() == ['NAME', 'ENABLED', 'REVISION']
