--- a/cicadahoist/entry/attempts.py
+++ b/cicadahoist/entry/attempts.py
@@ -95,6 +95,8 @@
         target = self._choose()
         while not await self._isolation.reserve(self._request, target.name):
             self._count_end(0, is_failed=False)
+            if self._request.is_over:
+                return None
             target = self._choose()
         if self._request.is_over:
             self.finish(0, Retry.target_draining)
--- a/cicadahoist/entry/context.py
+++ b/cicadahoist/entry/context.py
@@ -14,6 +14,7 @@
 from cicadahoist.outside.store import Store
 from cicadahoist.settings import (
     ENGINE_ADAPTER,
+    INSTANCE_NAME,
     SERVICE_ADAPTER,
     STALL_TIMEOUT,
 )
@@ -74,7 +75,11 @@
         self.open_requests = OpenRequests()
         self.dispatcher = Dispatcher.from_config(config, clock)
         self.isolation = Isolation(
-            clock, self.open_requests, engines, plain_services
+            clock,
+            config.read(INSTANCE_NAME),
+            self.open_requests,
+            engines,
+            plain_services,
         )
         self.is_leaving = False
         self.billing = Billing.from_config(config)
--- a/cicadahoist/entry/dispatcher.py
+++ b/cicadahoist/entry/dispatcher.py
@@ -9,7 +9,9 @@
 
 from cicadahoist.clock import Clock, Timer
 from cicadahoist.config import Config
+from cicadahoist.entry.pool_demands import PoolDemands
 from cicadahoist.entry.refusal import RequestRefusedError
+from cicadahoist.messages import PoolWork
 from cicadahoist.policy.admission import ADMISSIONS
 from cicadahoist.policy.cost import CostModel
 from cicadahoist.policy.limits import LimitShares
@@ -48,6 +50,7 @@
 
     __slots__ = (
         '_clock',
+        '_demand',
         '_is_pumping',
         '_queue',
         '_router',
@@ -76,6 +79,7 @@
         )
         self._table = Table.empty()
         self._waiting_by_request: dict[str, Deferred[Verdict | Refused]] = {}
+        self._demand = PoolDemands()
         self._wake: Timer | None = None
         self._is_pumping = False
 
@@ -110,22 +114,31 @@
         :raises RequestRefusedError: it cannot be answered in time
         """
         offered = self._queue.offer(ticket, self._clock.now_ms())
+        self._demand.arrived(ticket, self._clock.now_ms())
         if isinstance(offered, Err):
+            self._demand.ended(ticket)
             raise _refusal(offered.unwrap_err())
         waiting: Deferred[Verdict | Refused] = Deferred()
         self._waiting_by_request[ticket.request] = waiting
         on_stop(lambda: self._withdraw(ticket))
         self.pump()
         verdict = await waiting
+        if verdict is not Verdict.admitted:
+            self._demand.ended(ticket)
         if isinstance(verdict, Refused):
             raise _refusal(verdict)
         return verdict is Verdict.admitted
 
     def finished(self, ticket: Ticket, used_tokens: int) -> None:
         """Count an admitted request as ended."""
+        self._demand.ended(ticket)
         self._queue.finished(ticket, self._clock.now_ms(), used_tokens)
         self.pump()
 
+    def work(self) -> PoolWork:
+        """Return the work that arrives here, for planners."""
+        return self._demand.work(self._clock.now_ms())
+
     def choose(self, pool: str, request: RouteRequest) -> Target | None:
         """Return the target of an attempt, counted as sent, or none."""
         now_ms = self._clock.now_ms()
--- a/cicadahoist/entry/isolation.py
+++ b/cicadahoist/entry/isolation.py
@@ -22,6 +22,7 @@
 from cicadahoist.table import RouteKind, Target
 
 FORGOTTEN_STATE = 'absent'
+CLAIM_RETRY_MS = 500
 
 
 class Isolation:
@@ -29,6 +30,7 @@
     Runs the quarantine of one entry.
 
     :param clock: clock of the process
+    :param name: name of this instance
     :param open_requests: all open requests
     :param engines: adapter for engines
     :param plain_services: adapter for plain services
@@ -47,6 +49,7 @@
     def __init__(
         self,
         clock: Clock,
+        name: str,
         open_requests: OpenRequests,
         engines: EngineAdapter,
         plain_services: ServiceAdapter,
@@ -55,7 +58,7 @@
         self._open_requests = open_requests
         self._engines = engines
         self._plain_services = plain_services
-        self._quarantine = Quarantine()
+        self._quarantine = Quarantine(name)
         self._probed: set[str] = set()
         self._notify: Callable[[Any], None] | None = None
 
@@ -94,13 +97,18 @@
         """
         Reserve a target where the body is a suspect.
 
-        :return: false where another suspect has the target
+        :return: false where another suspect has the target, or the same
+            body runs elsewhere
         """
         digest = request.digest
         if not self._quarantine.is_suspect(digest):
             return True
         now_ms = self._clock.now_ms()
-        self._send(self._quarantine.claim(digest, target, now_ms))
+        claim = self._quarantine.claim(digest, target, now_ms)
+        if claim is None:
+            await request.pause(self._clock, CLAIM_RETRY_MS)
+            return False
+        self._send(claim)
         hold_ms = self._quarantine.hold_ms(digest, now_ms)
         while hold_ms and not request.is_over:
             await request.pause(self._clock, hold_ms)
--- /dev/null
+++ b/cicadahoist/entry/pool_demands.py
@@ -0,0 +1,36 @@
+"""Work that arrives at this entry, by pool."""
+
+from cicadahoist.messages import PoolWork
+from cicadahoist.policy.demand import DemandMeter
+from cicadahoist.policy.tickets import Ticket
+
+
+class PoolDemands:
+    """Measures what planners have to know."""
+
+    __slots__ = ('_meter_by_pool',)
+
+    def __init__(self) -> None:
+        self._meter_by_pool: dict[str, DemandMeter] = {}
+
+    def arrived(self, ticket: Ticket, now_ms: int) -> None:
+        """Count a request that asks to be admitted."""
+        meter = self._meter_by_pool.setdefault(ticket.pool, DemandMeter())
+        if ticket.is_urgent:
+            meter.arrived(ticket.cost, now_ms)
+        else:
+            meter.deferred(ticket.request, ticket.cost, ticket.due_ms)
+
+    def ended(self, ticket: Ticket) -> None:
+        """Count a request as ended, whatever its end was."""
+        meter = self._meter_by_pool.get(ticket.pool)
+        if meter is not None:
+            meter.ended(ticket.request)
+
+    def work(self, now_ms: int) -> PoolWork:
+        """Return the present work of all pools."""
+        by_pool = {}
+        for pool, meter in self._meter_by_pool.items():
+            demand = meter.measure(pool, now_ms)
+            by_pool[pool] = (demand.prefill_per_ms, demand.decode_per_ms)
+        return PoolWork(by_pool=by_pool)
