Poll engines once per zone and share their reports

Entries knew only what they and their peers had sent. Polling by every entry was ruled out: at the target size 15 entries a zone would poll 70 engines each.

--- a/cicadahoist/entry/assembly.py
+++ b/cicadahoist/entry/assembly.py
@@ -11,6 +11,7 @@
 from cicadahoist.entry.dispatcher import TICK_MS
 from cicadahoist.entry.peering import Peering
 from cicadahoist.entry.server import EntryServer
+from cicadahoist.entry.target_poller import TargetPoller
 from cicadahoist.mesh.local_port import LocalPort
 from cicadahoist.mesh.node import MeshNode
 from cicadahoist.mesh.table_sync import TableSync
@@ -61,6 +62,7 @@
         usage,
         PolicyTick(context),
         Peering(context, node),
+        TargetPoller(context, node),
         EntryServer(config, context, table_sync, reactor),
     )
 
--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -25,7 +25,6 @@
     HTTP_UNAVAILABLE,
     TargetResponse,
 )
-from cicadahoist.policy.prefix import prompt_blocks
 from cicadahoist.reasons import Retry
 from cicadahoist.table import RouteKind, Target
 
@@ -115,8 +114,9 @@
             0,
             wanted.max_tokens,
         )
-        blocks = prompt_blocks(request.caller.body)
-        self._attempts = Attempts(context, request, cost, blocks)
+        self._attempts = Attempts(
+            context, request, cost, wanted.prompt_blocks()
+        )
 
     async def run(self) -> None:
         """Make attempts until one completes the answer."""
--- a/cicadahoist/entry/model_request.py
+++ b/cicadahoist/entry/model_request.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
+from cicadahoist.entry.prompt_text import prompt_text
 from cicadahoist.entry.refusal import RequestRefusedError
+from cicadahoist.policy.prefix import prompt_blocks
 from cicadahoist.reasons import Refusal
 
 BYTES_PER_TOKEN = 4
@@ -89,6 +91,11 @@
         """Estimated length of the prompt."""
         return max(1, self.size // BYTES_PER_TOKEN)
 
+    def prompt_blocks(self) -> tuple[int, ...]:
+        """Return digests of the prompt's blocks, the first one first."""
+        text = prompt_text(self.fields.messages, self.fields.prompt)
+        return prompt_blocks(text.encode())
+
     @property
     def max_tokens(self) -> int:
         """Longest output that the caller asked for."""
--- a/cicadahoist/entry/peering.py
+++ b/cicadahoist/entry/peering.py
@@ -61,7 +61,9 @@
         members = sorted(self._node.view.not_gone())
         dispatcher.limits.sync_members(members, now_ms)
         self._node.broadcast_zone(dispatcher.loads.view())
-        self._node.broadcast_zone(dispatcher.work())
+        work = dispatcher.work()
+        self._node.broadcast_zone(work)
+        self._node.send_to(self._node.info.name, work)
         self._node.broadcast(dispatcher.limits.publish(now_ms))
 
     def _hear_load(self, sender: InstanceInfo, view: LoadView) -> None:
--- /dev/null
+++ b/cicadahoist/entry/prompt_text.py
@@ -0,0 +1,35 @@
+"""The text of a prompt, as engines put it together, for prefix affinity."""
+
+from typing import Any
+
+
+def prompt_text(messages: list[Any] | None, prompt: Any) -> str:
+    """
+    Return the whole prompt as one text.
+
+    :param messages: messages of a chat, each a map with role and content
+    :param prompt: text of a completion, or a list of texts
+    """
+    if messages:
+        return '\n'.join(_message_text(message) for message in messages)
+    return _flat(prompt)
+
+
+def _message_text(message: Any) -> str:
+    if not isinstance(message, dict):
+        return ''
+    role = message.get('role', '')
+    return f'{role}: {_flat(message.get("content"))}'
+
+
+def _flat(content: Any) -> str:
+    """Return content that may be a text or a list of parts as one text."""
+    if isinstance(content, str):
+        return content
+    if not isinstance(content, list):
+        return ''
+    parts = (
+        part.get('text', '') if isinstance(part, dict) else part
+        for part in content
+    )
+    return ''.join(part for part in parts if isinstance(part, str))
--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -202,6 +202,30 @@
     urgent_by_target: dict[str, int] = {}
 
 
+class TargetReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    Load that a target reported.
+
+    :param age_ms: age of the report when it was sent on
+    :param prefill_tokens: prompt tokens still to be processed
+    """
+
+    age_ms: int
+    role: str
+    running: int
+    queued: int
+    prefill_tokens: int
+    draining: bool
+
+
+class TargetReports(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """Reports of the targets that the sender polls for its zone."""
+
+    by_target: dict[str, TargetReport]
+
+
 class Blame(
     msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
 ):
@@ -278,6 +302,7 @@
     | Demand
     | LoadView
     | PoolWork
+    | TargetReports
     | Blame
     | Quarantined
     | SuspectRun
