--- a/cicadahoist/cmd/standin.py
+++ b/cicadahoist/cmd/standin.py
@@ -5,11 +5,14 @@
 import typer
 
 from cicadahoist.clock import Clock
+from cicadahoist.config import Config
 from cicadahoist.log import configure_logging
+from cicadahoist.outside.platform import HttpWeightStore
 from cicadahoist.outside.platform_messages import ListedInstance
 from cicadahoist.standin.engine import Engine, EngineOptions
 from cicadahoist.standin.engine_batch import EngineLimits
 from cicadahoist.standin.engine_server import EngineServer
+from cicadahoist.standin.engine_weights import WeightLoader
 from cicadahoist.standin.objects import READS_PER_S, WRITES_PER_S, ObjectModel
 from cicadahoist.standin.platform import PlatformOptions, PlatformServer
 from cicadahoist.standin.platform_targets import Spare
@@ -53,12 +56,12 @@
     token_budget: Annotated[
         int, typer.Option(help='Tokens that one step processes.')
     ] = 2048,
-    max_running: Annotated[
-        int, typer.Option(help='Requests in the batch.')
-    ] = 256,
     change_ms: Annotated[
         int, typer.Option(help='Time that a change of role takes, in ms.')
     ] = 3000,
+    weights: Annotated[
+        str, typer.Option(help='URL of the weight store, empty for none.')
+    ] = '',
 ) -> None:
     """One language-model engine."""
     options = EngineOptions(
@@ -69,13 +72,10 @@
         limits=EngineLimits(
             step_ms=step_ms,
             token_budget=token_budget,
-            max_running=max_running,
         ),
     )
     _serve(
-        lambda clock, reactor: (
-            EngineServer(Engine(options, clock), clock, reactor).app
-        ),
+        lambda clock, reactor: _engine_app(options, weights, clock, reactor),
         port,
     )
 
@@ -129,6 +129,17 @@
     app()
 
 
+def _engine_app(
+    options: EngineOptions, weights: str, clock: Clock, reactor: Any
+) -> WebApp:
+    engine = Engine(options, clock)
+    if weights:
+        config = Config.from_values(platform__url=weights)
+        store = HttpWeightStore.from_config(config, reactor)
+        engine.fetch_weights = WeightLoader(store, clock).fetch
+    return EngineServer(engine, clock, reactor).app
+
+
 def _spare(text: str) -> Spare:
     try:
         name, zone, url, price, *flags = text.split(',')
--- a/cicadahoist/outside/platform.py
+++ b/cicadahoist/outside/platform.py
@@ -1,6 +1,6 @@
 """Interfaces of the platform: target orders, usage, instances, weights."""
 
-from typing import Any, Protocol
+from typing import Any, Protocol, Self
 from urllib.parse import quote
 
 import msgspec
@@ -86,7 +86,7 @@
         self._client = client
 
     @classmethod
-    def from_config(cls, config: Config, reactor: Any) -> 'HttpAdapter':
+    def from_config(cls, config: Config, reactor: Any) -> Self:
         """Return the adapter that the settings describe."""
         return cls(PlatformClient.from_config(config, reactor))
 
--- a/cicadahoist/standin/engine.py
+++ b/cicadahoist/standin/engine.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import msgspec
+from twisted.internet.defer import Deferred, succeed
 
 from cicadahoist.clock import Clock, Timer
 from cicadahoist.outside.engine_messages import (
@@ -68,6 +69,7 @@
         'attempts',
         'cache',
         'cut_by_order',
+        'fetch_weights',
         'handles',
         'options',
         'orders',
@@ -76,6 +78,7 @@
 
     def __init__(self, options: EngineOptions, clock: Clock) -> None:
         self.options = options
+        self.fetch_weights: Callable[[EngineOrder], Deferred[None]] = _no_fetch
         self.orders = OrderBook(list(options.models), fencing=options.fencing)
         self.cache = PrefixCache(
             options.cache_blocks, options.event_lag_ms, options.event_gap
@@ -180,21 +183,22 @@
         self.orders.take(order)
         if order.kind == 'drain':
             return []
-        self.orders.changing = True
         if order.kind != 'role':
-            self._clock.call_later(self.options.load_ms, self._changed)
+            self._clock.call_later(self.options.load_ms, self._fetch, order)
             return []
-        self._clock.call_later(self.options.change_ms, self._changed)
-        self.orders.is_away = True
-        self._batch.role = order.argument
+        self._clock.call_later(self.options.change_ms, self._finish)
         self.cache.clear(self._clock.now_ms())
         cut = self._batch.jobs()
         self.cut_by_order += len(cut)
         return cut
 
-    def _changed(self) -> None:
-        self.orders.changing = False
-        self.orders.is_away = False
+    def _fetch(self, order: EngineOrder) -> None:
+        fetched = self.fetch_weights(order)
+        fetched.addBoth(lambda _: self._finish())
+
+    def _finish(self) -> None:
+        self.orders.finish()
+        self._batch.role = self.orders.role
 
     def _keep(self, job: Job) -> None:
         self._jobs_by_attempt[job.attempt] = job
@@ -233,3 +237,7 @@
             self._timer = self._clock.call_later(
                 step_ms - max(0, late_ms - step_ms), self._step, due_ms
             )
+
+
+def _no_fetch(order: EngineOrder) -> 'Deferred[None]':
+    return succeed(None)
--- a/cicadahoist/standin/engine_batch.py
+++ b/cicadahoist/standin/engine_batch.py
@@ -25,8 +25,8 @@
 
     step_ms: int = 10
     token_budget: int = 2048
-    max_running: int = 256
-    kv_total: int = 400_000
+    max_running: int = 512
+    kv_total: int = 1_000_000
 
 
 class JobState(Enum):
--- a/cicadahoist/standin/engine_orders.py
+++ b/cicadahoist/standin/engine_orders.py
@@ -81,21 +81,30 @@
         return self.changing
 
     def take(self, order: EngineOrder) -> None:
-        """Carry an order out."""
+        """Begin to carry an order out; a drain is done at once."""
         self._last = order
         self.counts.taken += 1
-        match order.kind:
+        self.changing = order.kind != 'drain'
+        if order.kind == 'drain':
+            self.draining = order.argument != 'off'
+        elif order.kind == 'role':
+            self.is_away = True
+
+    def finish(self) -> None:
+        """Let the order in progress take effect."""
+        argument = self._last.argument
+        match self._last.kind:
             case 'role':
-                self.role = order.argument
+                self.role = argument
             case 'model':
-                self._load(order.argument)
+                self._load(argument)
             case 'adapter':
-                self.adapters = [*self.adapters, order.argument]
+                self.adapters = [*self.adapters, argument]
             case 'version':
-                model, _, version = order.argument.partition('=')
-                self.versions[model] = version
-            case 'drain':
-                self.draining = order.argument != 'off'
+                model, _, version = argument.partition('=')
+                self.versions = {**self.versions, model: version}
+        self.changing = False
+        self.is_away = False
 
     def report(self) -> EngineOrders:
         """Return the last order and the state."""
@@ -112,4 +121,4 @@
     def _load(self, model: str) -> None:
         if model not in self.models:
             self.models = [*self.models, model]
-            self.versions[model] = '1'
+            self.versions = {**self.versions, model: '1'}
--- /dev/null
+++ b/cicadahoist/standin/engine_weights.py
@@ -0,0 +1,50 @@
+"""Loads weights from the weight store, within its rate limit."""
+
+from twisted.internet.defer import Deferred
+
+from cicadahoist.clock import Clock
+from cicadahoist.errors import BusyError, TargetError
+from cicadahoist.log import get_logger
+from cicadahoist.outside.engine_messages import EngineOrder
+from cicadahoist.outside.platform import WeightStore
+
+DEFAULT_WAIT_MS = 1000
+
+logger = get_logger(__name__)
+
+
+class WeightLoader:
+    """
+    Fetches weights for an engine and tries again until it has them.
+
+    :param store: the weight store
+    :param clock: times the attempts
+    """
+
+    __slots__ = ('_clock', '_store')
+
+    def __init__(self, store: WeightStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+
+    def fetch(self, order: EngineOrder) -> 'Deferred[None]':
+        """Fetch what an order to load needs."""
+        model, _, version = order.argument.partition('=')
+        return Deferred.fromCoroutine(self._fetch(model, version or '1'))
+
+    async def _fetch(self, model: str, version: str) -> None:
+        wait_ms = await self._attempt(model, version)
+        while wait_ms:
+            await self._clock.sleep(wait_ms)
+            wait_ms = await self._attempt(model, version)
+
+    async def _attempt(self, model: str, version: str) -> int:
+        """Return the time to wait before the next attempt, 0 when done."""
+        try:
+            await self._store.fetch(model, version)
+        except BusyError as busy:
+            return busy.retry_after_ms or DEFAULT_WAIT_MS
+        except TargetError as error:
+            logger.warning('weights of {0}: {1}', model, error)
+            return DEFAULT_WAIT_MS
+        return 0
--- a/tests/test_outside/test_engine.py
+++ b/tests/test_outside/test_engine.py
@@ -253,7 +253,8 @@
 
     async def test_orders(self):
         # A manual clock holds the change of role in progress.
-        _, server, target = self.start(clock=Clock.manual())
+        clock = Clock.manual()
+        _, server, target = self.start(clock=clock)
         adapter = self.adapter_under_test
         await adapter.send_order(
             target, EngineOrder(epoch=2, seq=1, kind='drain', argument='off')
@@ -275,13 +276,16 @@
             ),
         )
         found = await adapter.read_orders(target)
-        assert (found.epoch, found.seq, found.role) == (2, 2, 'prefill')
+        assert (found.epoch, found.seq, found.role) == (2, 2, 'mixed')
         assert found.changing
         counts = server.seen().orders
         assert (counts.taken, counts.stale, counts.overlapping) == (2, 1, 1)
         refused = await adapter.open_stream(target, 'a1', PATH, body(), 1)
         assert refused.status == 503
         refused.abort()
+        clock.advance(3000)
+        found = await adapter.read_orders(target)
+        assert (found.role, found.changing) == ('prefill', False)
 
     async def test_load_and_cache_events(self):
         _, _, target = self.start(load_lag_ms=0, event_lag_ms=0, event_gap=0)
--- a/tests/test_standin/test_engine.py
+++ b/tests/test_standin/test_engine.py
@@ -1,12 +1,14 @@
 import pytest
 
 from cicadahoist.clock import Clock
+from cicadahoist.errors import BusyError
 from cicadahoist.outside.engine_messages import EngineOrder
 from cicadahoist.standin.engine import Engine, EngineOptions
 from cicadahoist.standin.engine_answers import CompletionBody
 from cicadahoist.standin.engine_batch import EngineLimits
 from cicadahoist.standin.engine_cache import PrefixCache
 from cicadahoist.standin.engine_orders import OrderBook
+from cicadahoist.standin.engine_weights import WeightLoader
 
 STEP_MS = 10
 TOKEN_BYTES = 4
@@ -135,6 +137,47 @@
     assert not caller.engine.orders.is_away
 
 
+class BusyWeights:
+    """A weight store that refuses a number of calls."""
+
+    def __init__(self, refusals):
+        self.refusals = refusals
+        self.fetched = []
+
+    async def fetch(self, model, version):
+        if self.refusals:
+            self.refusals -= 1
+            raise BusyError('busy', remedy='wait', retry_after_ms=2000)
+        self.fetched.append((model, version))
+
+
+@pytest.mark.parametrize('refusals', [0, 2])
+def test_version_takes_effect_once_its_weights_are_there(clock, refusals):
+    engine = Caller(clock).engine
+    weights = BusyWeights(refusals)
+    engine.fetch_weights = WeightLoader(weights, clock).fetch
+    engine.order(EngineOrder(epoch=1, seq=1, kind='version', argument='m=7'))
+    clock.advance(1000)
+    for _ in range(refusals):
+        clock.advance(1999)
+        assert engine.orders.changing
+        clock.advance(1)
+    assert not engine.orders.changing
+    assert engine.orders.versions['m'] == '7'
+    assert weights.fetched == [('m', '7')]
+
+
+def test_model_is_served_at_the_end_of_its_order(clock):
+    engine = Caller(clock).engine
+    engine.order(EngineOrder(epoch=1, seq=1, kind='model', argument='m'))
+    clock.advance(999)
+    assert engine.orders.changing
+    assert 'm' not in engine.orders.models
+    clock.advance(1)
+    assert not engine.orders.changing
+    assert 'm' in engine.orders.models
+
+
 @pytest.mark.parametrize('fencing', [True, False])
 def test_stale_orders_are_refused_only_by_engines_that_check(fencing):
     book = OrderBook([], fencing=fencing)
