--- a/cicadahoist/standin/objects.py
+++ b/cicadahoist/standin/objects.py
@@ -39,6 +39,8 @@
     :param lose_next: number of coming writes whose answers are lost
     :param lose_share: share of writes whose answers are lost, 0 to 1
     :param drop_share: share of calls that are lost without effect, 0 to 1
+    :param conflict_share: share of writes that another writer forestalls by
+        writing the same content again, 0 to 1
     """
 
     outage: bool = False
@@ -46,6 +48,7 @@
     lose_next: int = 0
     lose_share: float = 0
     drop_share: float = 0
+    conflict_share: float = 0
 
 
 class ObjectModel:
@@ -123,6 +126,8 @@
         """
         if len(payload) > MAX_OBJECT_BYTES:
             raise StoreError(f'{name} is too large', remedy='split it')
+        if expected and self._happens(self.faults.conflict_share):
+            self._forestall(name)
         self._check_version(name, expected)
         version = 1 + (expected or self._removed.pop(name, 0))
         self._by_name[name] = Stored(name, version, payload)
@@ -179,6 +184,14 @@
         change.addBoth(_forget, change, waiting)
         return await change
 
+    def _forestall(self, name: str) -> None:
+        stored = self._by_name.get(name)
+        if stored is not None:
+            self._by_name[name] = Stored(
+                name, stored.version + 1, stored.payload
+            )
+            self._notify(name)
+
     def _happens(self, share: float) -> bool:
         return bool(share) and self._random.random() < share
 
@@ -232,6 +245,12 @@
     model.faults.drop_share = fault.share
 
 
+@STORE_FAULTS.register('conflicts')
+def forestall_writes(model: ObjectModel, fault: Fault) -> None:
+    """Let another writer come first in a ``share`` of all updates."""
+    model.faults.conflict_share = fault.share
+
+
 def _forget(passed: Any, change: 'Deferred[bool]', waiting: Waiting) -> Any:
     waiting.discard(change)
     return passed
--- a/tests/test_outside/test_tablestore.py
+++ b/tests/test_outside/test_tablestore.py
@@ -160,6 +160,7 @@
     operator = TableStore(MemoryStore(model, clock))
     model.set_fault(Fault(kind='lose-answers', share=0.2))
     model.set_fault(Fault(kind='drop-calls', share=0.1))
+    model.set_fault(Fault(kind='conflicts', share=0.1))
     accepted = set()
     for number in range(30):
         name = f'workspace-{number}'
--- a/tests/test_standin/test_memory.py
+++ b/tests/test_standin/test_memory.py
@@ -61,6 +61,15 @@
     assert result_of(store.write('lease', b'b', 1)) == 2
 
 
+def test_another_writer_comes_first(store):
+    result_of(store.write('lease', b'a', 0))
+    store.model.set_fault(Fault(kind='conflicts', share=1))
+    with pytest.raises(VersionConflictError):
+        result_of(store.write('lease', b'b', 1))
+    stored = result_of(store.read('lease'))
+    assert (stored.version, stored.payload) == (2, b'a')
+
+
 def test_outage_takes_no_effect(store):
     store.model.set_fault(Fault(kind='outage'))
     with pytest.raises(StoreUnavailableError):
