End an ejection once the target reports again

An ejected target that came back waited out its pause of up to 30 s. A report taken after its last failure now ends it; failures of requests that ran together count as one.

--- a/cicadahoist/policy/health.py
+++ b/cicadahoist/policy/health.py
@@ -14,11 +14,12 @@
     :param since_ms: when the target was first seen, 0 if it always was
     """
 
-    __slots__ = ('_failures', '_since_ms', 'ejected_until_ms')
+    __slots__ = ('_failed_ms', '_failures', '_since_ms', 'ejected_until_ms')
 
     def __init__(self, since_ms: int | None = None) -> None:
         self._since_ms = since_ms
         self._failures = 0
+        self._failed_ms = 0
         self.ejected_until_ms = 0
 
     def succeeded(self) -> None:
@@ -26,7 +27,14 @@
         self._failures = 0
 
     def failed(self, now_ms: int) -> None:
-        """Count a failure; repeated ones eject for longer each time."""
+        """
+        Count a failure; repeated ones eject for longer each time.
+
+        Failures of requests that ran together count as one.
+        """
+        self._failed_ms = now_ms
+        if now_ms < self.ejected_until_ms:
+            return
         self._failures += 1
         excess = self._failures - EJECT_AFTER
         if excess >= 0:
@@ -39,6 +47,12 @@
         self._failures = max(self._failures, EJECT_AFTER - 1)
         self.failed(now_ms)
 
+    def reported(self, taken_ms: int, now_ms: int) -> None:
+        """End an ejection, as the target reported after its last failure."""
+        if now_ms < self.ejected_until_ms and taken_ms > self._failed_ms:
+            self.ejected_until_ms = now_ms
+            self._since_ms = now_ms
+
     def share(self, now_ms: int) -> float:
         """Return the share of its slots that the target may use."""
         if now_ms < self.ejected_until_ms:
--- a/cicadahoist/policy/load.py
+++ b/cicadahoist/policy/load.py
@@ -187,6 +187,7 @@
         if state.role != report.role:
             state.role = report.role
             state.speed = TargetSpeed.of_role(report.role)
+        state.health.reported(now_ms - report.age_ms, now_ms)
         known = state.own.open_requests + state.peers.open_requests
         known_prefill = state.own.prefill + state.peers.prefill
         seen = report.running + report.queued
