--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -8,7 +8,6 @@
 from cicadahoist.entry.answer_stream import AnswerStream
 from cicadahoist.entry.attempts import Attempts
 from cicadahoist.entry.auth import authorize
-from cicadahoist.entry.billing import usage_count
 from cicadahoist.entry.caller import CallerRequest
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.events import DONE, Usage, encode_event
@@ -26,7 +25,6 @@
     HTTP_UNAVAILABLE,
     TargetResponse,
 )
-from cicadahoist.policy.prefix import prompt_blocks
 from cicadahoist.reasons import Retry
 from cicadahoist.table import RouteKind, Target
 
@@ -116,8 +114,9 @@
             0,
             wanted.max_tokens,
         )
-        blocks = prompt_blocks(request.caller.body)
-        self._attempts = Attempts(context, request, cost, blocks)
+        self._attempts = Attempts(
+            context, request, cost, wanted.prompt_blocks()
+        )
 
     async def run(self) -> None:
         """Make attempts until one completes the answer."""
@@ -259,11 +258,4 @@
             usage.prompt_tokens,
             usage.completion_tokens,
         )
-        await self._context.record_usage(
-            usage_count(
-                self._request,
-                self._context.entry_name,
-                usage,
-                self._context.usage_window_ms,
-            )
-        )
+        await self._context.billing.record(self._request, usage)
--- a/cicadahoist/policy/load.py
+++ b/cicadahoist/policy/load.py
@@ -155,7 +155,7 @@
             _end_prefill(state, attempt)
         elif not failed:
             state.speed.observe_decode(
-                output_tokens, now_ms - attempt.started_ms, state.open_requests
+                output_tokens, attempt.started_ms, now_ms, state.open_requests
             )
         state.own.add(Load(1), -1)
         self._refresh(state, now_ms)
@@ -187,6 +187,7 @@
         if state.role != report.role:
             state.role = report.role
             state.speed = TargetSpeed.of_role(report.role)
+        state.health.reported(now_ms - report.age_ms, now_ms)
         known = state.own.open_requests + state.peers.open_requests
         known_prefill = state.own.prefill + state.peers.prefill
         seen = report.running + report.queued
