--- a/cicadahoist/mesh/instance_list.py
+++ b/cicadahoist/mesh/instance_list.py
@@ -1,15 +1,18 @@
 """Feeds the platform's lagging list of instances to the mesh."""
 
 from random import Random
+from typing import Any
 
 from cicadahoist.clock import Clock
+from cicadahoist.config import Config
 from cicadahoist.errors import CicadahoistError
 from cicadahoist.log import get_logger
 from cicadahoist.mesh.background import Background
 from cicadahoist.mesh.node import MeshNode
 from cicadahoist.messages import InstanceInfo
-from cicadahoist.outside.platform import InstanceList
+from cicadahoist.outside.platform import INSTANCE_LISTS, InstanceList
 from cicadahoist.outside.platform_messages import ListedInstance
+from cicadahoist.settings import INSTANCE_ADAPTER
 
 logger = get_logger(__name__)
 
@@ -44,6 +47,14 @@
         self._random = random or Random()
         self._background = Background(clock, self._step)
 
+    @classmethod
+    def from_config(
+        cls, config: Config, node: MeshNode, clock: Clock, reactor: Any
+    ) -> 'InstanceListTask':
+        """Return the task that the settings describe."""
+        lists = INSTANCE_LISTS.get(config.read(INSTANCE_ADAPTER))
+        return cls(lists.from_config(config, reactor), node, clock)
+
     async def start(self) -> None:
         """Begin to read the list."""
         self._background.start()
