Pass changed rows on in place of whole shards of the table

A change of one row sent its whole shard to each peer. Deltas now carry the difference to the older shard object where the sender still has it; shard objects never change, so that a patch is applied to exactly what it was made from. A receiver without the older object asks again and gets whole shards.

--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -21,7 +21,9 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
-def measure(instances: int, seconds: int, requests: int, changes: int) -> None:
+def measure(
+    instances: int, seconds: int, requests: int, changes: int, workspaces: int
+) -> None:
     with Fleet() as fleet:
         store = fleet.standin('store', 'store')
         ports = [free_port() for _ in range(instances)]
@@ -49,6 +51,8 @@
                     'store': store,
                     'changes': changes,
                     'change_period_ms': CHANGE_PERIOD_MS,
+                    'workspaces': workspaces,
+                    'settle_ms': WARM_UP_MS,
                 },
             )
             accepted = report(fleet, 'operator')
@@ -123,8 +127,15 @@
     parser.add_argument('--seconds', type=int, default=20)
     parser.add_argument('--requests', type=int, default=0)
     parser.add_argument('--changes', type=int, default=0)
+    parser.add_argument('--workspaces', type=int, default=0)
     given = parser.parse_args()
-    measure(given.instances, given.seconds, given.requests, given.changes)
+    measure(
+        given.instances,
+        given.seconds,
+        given.requests,
+        given.changes,
+        given.workspaces,
+    )
 
 
 if __name__ == '__main__':
--- a/bench/mesh_instance.py
+++ b/bench/mesh_instance.py
@@ -166,6 +166,13 @@
     store = HttpStore.from_config(settings(options), reactor)
     table = TableStore(store)
     accepted = {}
+    rows = [
+        RowChange(row=Workspace(name=f'known-{number}'))
+        for number in range(options['workspaces'])
+    ]
+    if rows:
+        await table.commit(rows)
+        await clock.sleep(options['settle_ms'])
     for number in range(options['changes']):
         row = Workspace(name=f'workspace-{number}')
         revision = await table.commit([RowChange(row=row)])
--- a/cicadahoist/mesh/replica.py
+++ b/cicadahoist/mesh/replica.py
@@ -4,33 +4,31 @@
 
 import msgspec
 
+from cicadahoist.mesh.shard_patch import ShardPatch, apply_patch, make_patch
 from cicadahoist.messages import TableDelta
 from cicadahoist.table import Head, Shard, Table
 
 HEADS_KEPT = 64
+OLD_SHARDS_KEPT = 64
 
-Encoded = dict[str, bytes]
+ShardsByName = dict[str, Shard]
 
 decode_head = msgspec.json.Decoder(Head).decode
-_decode_shard = msgspec.json.Decoder(Shard).decode
+decode_shard = msgspec.json.Decoder(Shard).decode
+_decode_patch = msgspec.json.Decoder(ShardPatch).decode
+_encode = msgspec.json.Encoder().encode
 
 
 class Replica:
     """The newest table known, with what a peer needs to follow it."""
 
-    __slots__ = (
-        '_encoded_by_name',
-        '_heads',
-        '_shards_by_name',
-        'head',
-        'table',
-    )
+    __slots__ = ('_heads', '_old_by_name', '_shards_by_name', 'head', 'table')
 
     def __init__(self) -> None:
         self.head = Head()
         self.table = Table.empty()
-        self._encoded_by_name: Encoded = {}
-        self._shards_by_name: dict[str, Shard] = {}
+        self._shards_by_name: ShardsByName = {}
+        self._old_by_name: OrderedDict[str, Shard] = OrderedDict()
         self._heads: OrderedDict[int, Head] = OrderedDict()
 
     def missing(self, head: Head) -> list[str]:
@@ -38,24 +36,24 @@
         return [
             name
             for name in head.shards.values()
-            if name not in self._encoded_by_name
+            if name not in self._shards_by_name
         ]
 
-    def is_complete(self, head: Head, encoded_by_name: Encoded) -> bool:
+    def is_complete(self, head: Head, shards: ShardsByName) -> bool:
         """Tell whether a head's shards are known or among those given."""
-        return encoded_by_name.keys() >= set(self.missing(head))
+        return shards.keys() >= set(self.missing(head))
 
-    def apply(self, head: Head, encoded_by_name: Encoded) -> None:
+    def apply(self, head: Head, shards: ShardsByName) -> None:
         """
         Put a complete revision in force.
 
-        :param encoded_by_name: encoded shards that are not yet known
+        :param shards: shards that are not yet known, by object name
         """
-        known = self._encoded_by_name | encoded_by_name
-        needed = list(head.shards.values())
-        self._encoded_by_name = {name: known[name] for name in needed}
-        self._shards_by_name = {name: self._shard(name) for name in needed}
-        self.table = Table(head.revision, list(self._shards_by_name.values()))
+        known = self._shards_by_name | shards
+        needed = {name: known[name] for name in head.shards.values()}
+        self._keep_old(needed)
+        self._shards_by_name = needed
+        self.table = Table(head.revision, list(needed.values()))
         self.head = head
         self._heads[head.revision] = head
         if len(self._heads) > HEADS_KEPT:
@@ -64,19 +62,41 @@
     def delta_since(self, revision: int) -> TableDelta:
         """Return what changed since a revision, all where it is unknown."""
         base = self._heads.get(revision, Head())
-        old = set(base.shards.values())
+        shards: dict[str, bytes] = {}
+        patches: dict[str, bytes] = {}
+        for number, name in self.head.shards.items():
+            old_name = base.shards.get(number, '')
+            if old_name == name:
+                continue
+            new = self._shards_by_name[name]
+            old = self._old_by_name.get(old_name)
+            if old is None:
+                shards[name] = _encode(new)
+            else:
+                patches[name] = _encode(make_patch(old_name, old, new))
         return TableDelta(
             base=base.revision,
-            head=msgspec.json.encode(self.head),
-            shards={
-                name: encoded
-                for name, encoded in self._encoded_by_name.items()
-                if name not in old
-            },
+            head=_encode(self.head),
+            shards=shards,
+            patches=patches,
         )
 
-    def _shard(self, name: str) -> Shard:
-        known = self._shards_by_name.get(name)
-        if known is None:
-            return _decode_shard(self._encoded_by_name[name])
-        return known
+    def shards_of(self, delta: TableDelta) -> ShardsByName:
+        """Return the shards of a delta, less patches of unknown ones."""
+        shards = {
+            name: decode_shard(encoded)
+            for name, encoded in delta.shards.items()
+        }
+        for name, encoded in delta.patches.items():
+            patch = _decode_patch(encoded)
+            old = self._shards_by_name.get(patch.base)
+            if old is not None:
+                shards[name] = apply_patch(old, patch)
+        return shards
+
+    def _keep_old(self, needed: ShardsByName) -> None:
+        for name, shard in self._shards_by_name.items():
+            if name not in needed:
+                self._old_by_name[name] = shard
+        while len(self._old_by_name) > OLD_SHARDS_KEPT:
+            self._old_by_name.popitem(last=False)
--- /dev/null
+++ b/cicadahoist/mesh/shard_patch.py
@@ -0,0 +1,67 @@
+"""What changed in a shard of the table."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from cicadahoist.table import Row, Shard, row_key
+
+KINDS = Shard.__struct_fields__
+
+
+class ShardPatch(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Difference of two shard objects.
+
+    :param base: name of the older shard object
+    :param changed: rows that are new or other than before
+    :param removed: keys of rows that the newer one lacks
+    """
+
+    base: str
+    changed: Shard
+    removed: list[str] = []
+
+
+def make_patch(base: str, old: Shard, new: Shard) -> ShardPatch:
+    """
+    Return the difference of two shards.
+
+    :param base: name of the object that holds the older one
+    """
+    old_by_key = _by_key(old)
+    new_by_key = _by_key(new)
+    changed = {
+        kind: [
+            row
+            for row in getattr(new, kind)
+            if old_by_key.get(row_key(row)) != row
+        ]
+        for kind in KINDS
+    }
+    return ShardPatch(
+        base=base,
+        changed=Shard(**changed),
+        removed=sorted(old_by_key.keys() - new_by_key.keys()),
+    )
+
+
+def apply_patch(old: Shard, patch: ShardPatch) -> Shard:
+    """Return the newer shard."""
+    replaced = {*patch.removed, *_by_key(patch.changed)}
+    rows = {
+        kind: [
+            *_without(getattr(old, kind), replaced),
+            *getattr(patch.changed, kind),
+        ]
+        for kind in KINDS
+    }
+    return Shard(**rows)
+
+
+def _by_key(shard: Shard) -> dict[str, Row]:
+    return {row_key(row): row for kind in KINDS for row in getattr(shard, kind)}
+
+
+def _without(rows: Iterable[Row], keys: set[str]) -> list[Row]:
+    return [row for row in rows if row_key(row) not in keys]
--- a/cicadahoist/mesh/store_follower.py
+++ b/cicadahoist/mesh/store_follower.py
@@ -7,10 +7,10 @@
 from cicadahoist.errors import StoreError
 from cicadahoist.log import get_logger
 from cicadahoist.mesh.backoff import Backoff
-from cicadahoist.mesh.replica import decode_head
+from cicadahoist.mesh.replica import decode_head, decode_shard
 from cicadahoist.mesh.table_state import TableState
 from cicadahoist.outside.store import ABSENT, Store, Stored
-from cicadahoist.table import HEAD_NAME, Head
+from cicadahoist.table import HEAD_NAME, Head, Shard
 
 logger = get_logger(__name__)
 
@@ -109,17 +109,17 @@
         old_revision = self._state.revision
         if head.revision <= old_revision:
             return
-        encoded_by_name = {}
+        shards = {}
         for name in self._state.replica.missing(head):
-            encoded_by_name[name] = await self._read_shard(name)
-        if self._state.apply(head, encoded_by_name):
+            shards[name] = await self._read_shard(name)
+        if self._state.apply(head, shards):
             self._on_loaded(old_revision)
 
-    async def _read_shard(self, name: str) -> bytes:
+    async def _read_shard(self, name: str) -> Shard:
         stored = await self._store.read(name)
         if stored is None:
             raise StoreError(f'no object {name}', remedy='read the head again')
-        return stored.payload
+        return decode_shard(stored.payload)
 
     def _is_silent(self) -> bool:
         age_ms = self._state.freshness.age_ms(self._clock.now_ms())
--- a/cicadahoist/mesh/table_state.py
+++ b/cicadahoist/mesh/table_state.py
@@ -5,7 +5,7 @@
 from cicadahoist.clock import Clock
 from cicadahoist.log import get_logger
 from cicadahoist.mesh.freshness import Freshness
-from cicadahoist.mesh.replica import Replica, decode_head
+from cicadahoist.mesh.replica import Replica, ShardsByName, decode_head
 from cicadahoist.mesh.rounds import RevisionState
 from cicadahoist.messages import TableDelta
 from cicadahoist.protocol.events import Tick
@@ -68,22 +68,23 @@
         actions.extend(self._decisions.handle(Tick(), now_ms))
         return any(isinstance(action, LoadTable) for action in actions)
 
-    def apply(self, head: Head, encoded_by_name: dict[str, bytes]) -> bool:
+    def apply(self, head: Head, shards: ShardsByName) -> bool:
         """Put a revision in force if it is newer and complete."""
-        if not self.replica.is_complete(head, encoded_by_name):
+        if not self.replica.is_complete(head, shards):
             return False
         loaded = TableLoaded(head.revision)
         actions = self._decisions.handle(loaded, self._clock.now_ms())
         if not any(isinstance(action, ApplyTable) for action in actions):
             return False
         old = self.replica.table
-        self.replica.apply(head, encoded_by_name)
+        self.replica.apply(head, shards)
         self._notify(old)
         return True
 
     def apply_delta(self, delta: TableDelta) -> bool:
         """Put the revision of a delta in force if newer and complete."""
-        return self.apply(decode_head(delta.head), delta.shards)
+        shards = self.replica.shards_of(delta)
+        return self.apply(decode_head(delta.head), shards)
 
     def describe(self) -> RevisionState:
         """Return what heartbeats tell of the table."""
--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -69,11 +69,14 @@
     :param base: revision to which the delta applies
     :param head: encoded :class:`~cicadahoist.table.Head`
     :param shards: encoded shard objects, by object name
+    :param patches: encoded differences to older shard objects, by the name
+        of the newer one
     """
 
     base: int
     head: bytes
     shards: dict[str, bytes]
+    patches: dict[str, bytes] = {}
 
 
 class TableWanted(
--- /dev/null
+++ b/tests/test_mesh/test_replica.py
@@ -0,0 +1,78 @@
+"""Tests of deltas between table revisions."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cicadahoist.mesh.replica import Replica
+from cicadahoist.mesh.shard_patch import apply_patch, make_patch
+from cicadahoist.table import Head, KeyGrant, Shard, Workspace
+
+ROWS = st.dictionaries(st.sampled_from('abcdef'), st.booleans())
+
+
+def shard(workspaces: dict[str, bool], keys: dict[str, bool]) -> Shard:
+    return Shard(
+        workspaces=[
+            Workspace(name=name, enabled=flag)
+            for name, flag in workspaces.items()
+        ],
+        keys=[
+            KeyGrant(digest=name, workspace='w', withdrawn=flag)
+            for name, flag in keys.items()
+        ],
+    )
+
+
+def rows(shard: Shard) -> set:
+    return {*shard.workspaces, *shard.keys}
+
+
+def head(revision: int, name: str) -> Head:
+    return Head(revision=revision, shards={'00': name})
+
+
+@given(ROWS, ROWS, ROWS, ROWS)
+def test_patch_leads_to_the_newer_shard(old_names, old_keys, names, keys):
+    old, new = shard(old_names, old_keys), shard(names, keys)
+    assert rows(apply_patch(old, make_patch('old', old, new))) == rows(new)
+
+
+def pair() -> tuple[Replica, Replica]:
+    """Return a replica at revision 2 and one at revision 1."""
+    many = {f'workspace-{number}': True for number in range(500)}
+    replicas = (Replica(), Replica())
+    for replica in replicas:
+        replica.apply(head(1, 'one'), {'one': shard(many, {})})
+    newer = shard({**many, 'workspace-7': False}, {'key': True})
+    replicas[0].apply(head(2, 'two'), {'two': newer})
+    return replicas
+
+
+def test_delta_holds_the_changed_rows_only():
+    ahead, behind = pair()
+    delta = ahead.delta_since(1)
+    assert not delta.shards
+    assert sum(map(len, delta.patches.values())) < 500
+    behind.apply(ahead.head, behind.shards_of(delta))
+    assert behind.table.rows() == ahead.table.rows()
+
+
+def test_delta_for_a_newcomer_holds_whole_shards():
+    ahead, _ = pair()
+    newcomer = Replica()
+    delta = ahead.delta_since(0)
+    newcomer.apply(ahead.head, newcomer.shards_of(delta))
+    assert newcomer.table.rows() == ahead.table.rows()
+
+
+def test_patch_of_an_unknown_shard_is_not_complete():
+    ahead, _ = pair()
+    newcomer = Replica()
+    shards = newcomer.shards_of(ahead.delta_since(1))
+    assert not newcomer.is_complete(ahead.head, shards)
+
+
+def test_patched_replica_passes_patches_on():
+    ahead, behind = pair()
+    behind.apply(ahead.head, behind.shards_of(ahead.delta_since(1)))
+    assert behind.delta_since(1).patches == ahead.delta_since(1).patches
