--- a/bench/demo.py
+++ b/bench/demo.py
@@ -12,6 +12,8 @@
 from bench.deployment import Deployment
 
 LEDGER_LINES = 2000
+WINDOW_MS = 4000
+REPORT_LIMIT_S = 40
 QUESTIONS = 8
 FIRST_TOKEN_GOAL_MS = 480
 
@@ -166,6 +168,36 @@
     )
 
 
+def usage(deployment: Deployment, check: Check) -> None:
+    """The usage of the jobs shows up in reports of the platform."""
+    print('Usage reports')
+    expected = QUESTIONS * 20
+    reported: dict = {}
+    given_up = time.monotonic() + REPORT_LIMIT_S
+    while time.monotonic() < given_up:
+        with urllib.request.urlopen(
+            f'{deployment.platform}/standin/seen'
+        ) as answer:
+            reported = msgspec.json.decode(answer.read())
+        if tokens_of(reported, 'tayside-helpline') >= expected:
+            break
+        time.sleep(0.5)
+    tokens = tokens_of(reported, 'tayside-helpline')
+    check.that(
+        tokens == expected,
+        f'helpline: {tokens} output tokens reported, {expected} received',
+    )
+
+
+def tokens_of(reported: dict, workspace: str) -> int:
+    """Return the output tokens that were reported for a workspace."""
+    return sum(
+        figures['output_tokens']
+        for name, figures in reported['usage_by_window'].items()
+        if name.startswith(f'{workspace}/')
+    )
+
+
 def refusals(deployment: Deployment, check: Check) -> None:
     """A withdrawn key stops working on every entry."""
     print('A withdrawn key')
@@ -194,12 +226,13 @@
 def main() -> int:
     """Run the demonstration; 0 where all was well."""
     check = Check()
-    with Deployment() as deployment:
+    with Deployment(window_ms=WINDOW_MS) as deployment:
         print('starting stand-ins and two entries', flush=True)
         deployment.start()
         create_rows(deployment)
         tayside(deployment, check)
         pilbara(deployment, check)
+        usage(deployment, check)
         refusals(deployment, check)
         print('leaving: SIGTERM to both entries')
         for name in ('entry-1', 'entry-2'):
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -22,6 +22,12 @@
 local_port = {local_port}
 seeds = {seeds}
 
+[platform]
+url = {platform}
+
+[usage]
+window = {window_ms}
+
 [targets]
 engine_credential = engine-credential
 """
@@ -33,19 +39,25 @@
 
     :param engines: number of engine stand-ins
     :param services: number of service stand-ins
+    :param window_ms: length of a billing window
     """
 
-    def __init__(self, engines: int = 3, services: int = 2) -> None:
+    def __init__(
+        self, engines: int = 3, services: int = 2, window_ms: int = 60_000
+    ) -> None:
         super().__init__()
         self.engine_count = engines
         self.service_count = services
+        self.window_ms = window_ms
         self.store = ''
+        self.platform = ''
         self.entries: list[str] = []
         self.target_urls: dict[str, str] = {}
 
     def start(self, entry_port: int = 0, entries: int = 2) -> None:
         """Start stand-ins and entries."""
         self.store = self.standin('store', 'store')
+        self.platform = self.standin('platform', 'platform')
         for number in range(1, self.engine_count + 1):
             name = f'engine-{number}'
             self.target_urls[name] = self.standin(
@@ -73,8 +85,11 @@
                 mesh_port=mesh_port,
                 local_port=free_port(),
                 seeds=seeds,
+                platform=self.platform,
+                window_ms=self.window_ms,
             )
             self.daemon(name, 'entry', settings)
+            self.daemon(f'control-{number}', 'control', settings)
             self.entries.append(f'http://127.0.0.1:{port}')
         for number, url in enumerate(self.entries, start=1):
             self.wait_for_url(f'entry-{number}', f'{url}/healthz')
