Let slots grow with each round of answers, not each answer

Cause, from a trace of Pilbara after a zone's loss: 416 of 7,294 checks had more than 66 ms between tokens, as three entries each added half a slot an answer, 30 slots a second. Growth is now 8 slots a round of answers, spread.

--- a/cicadahoist/policy/speed.py
+++ b/cicadahoist/policy/speed.py
@@ -8,7 +8,7 @@
 MIN_SLOTS = 4.0
 MAX_SLOTS = 256.0
 SHRINK = 0.9
-GROWTH = 0.5
+GROWTH = 8.0
 MIN_LEARNED_TOKENS = 400
 
 
@@ -67,7 +67,7 @@
         self.step_ms += LEARN * (seen - self.step_ms)
         if seen <= STEP_GOAL_MS:
             if open_requests * 2 >= self.slots:
-                self.slots = min(MAX_SLOTS, self.slots + GROWTH)
+                self.slots = min(MAX_SLOTS, self.slots + GROWTH / self.slots)
         elif started_ms >= self._shrunk_ms:
             self._shrunk_ms = now_ms
             self.slots = max(MIN_SLOTS, self.slots * SHRINK)
