--- /dev/null
+++ b/tests/test_policy/test_cost.py
@@ -0,0 +1,71 @@
+from random import Random
+
+import pytest
+
+from cicadahoist.policy.cost import PAIRS_KEPT, CostModel, LengthSketch
+from cicadahoist.policy.prefix import (
+    BLOCK_BYTES,
+    BLOCK_TOKENS,
+    PrefixIndex,
+    prompt_blocks,
+)
+
+
+@pytest.mark.parametrize('share', [0.1, 0.5, 0.9])
+def test_quantiles_are_within_a_bin(share):
+    rng = Random(1)
+    lengths = [rng.randint(20, 2000) for _ in range(400)]
+    sketch = LengthSketch()
+    for length in lengths:
+        sketch.add(length)
+    recent = sorted(lengths[-100:])
+    exact = recent[int(share * len(recent))]
+    assert exact / 2 <= sketch.quantile(share) <= exact * 2
+
+
+def test_estimates_follow_a_change_of_length():
+    costs = CostModel()
+    for _ in range(200):
+        costs.observe('w', 'r', 100, 50)
+    for _ in range(80):
+        costs.observe('w', 'r', 100, 800)
+    assert costs.estimate('w', 'r', 100, 0, 0).decode > 400
+
+
+def test_estimates_differ_by_workspace_and_respect_bounds():
+    costs = CostModel()
+    for _ in range(50):
+        costs.observe('long', 'r', 100, 1000)
+        costs.observe('short', 'r', 100, 10)
+    assert costs.estimate('long', 'r', 0, 0, 0).decode > 700
+    assert costs.estimate('short', 'r', 0, 0, 0).decode < 15
+    assert costs.estimate('long', 'r', 0, 0, 64).decode == 64
+    assert costs.estimate('long', 'r', 100, 300, 0).prefill == 0
+
+
+def test_the_number_of_pairs_is_bounded():
+    costs = CostModel()
+    for number in range(PAIRS_KEPT + 10):
+        costs.observe(f'w{number}', 'r', 1, 1000)
+    assert costs.estimate('w0', 'r', 0, 0, 0).decode < 700
+    newest = f'w{PAIRS_KEPT + 9}'
+    assert costs.estimate(newest, 'r', 0, 0, 0).decode > 700
+
+
+def test_only_a_common_prefix_counts_as_cached():
+    start, middle = b'a' * BLOCK_BYTES, b'b' * BLOCK_BYTES
+    index = PrefixIndex()
+    index.stored('engine-0', prompt_blocks(start + middle))
+    same_start = prompt_blocks(start + b'c' * BLOCK_BYTES)
+    assert index.cached_tokens(same_start) == {'engine-0': BLOCK_TOKENS}
+    assert index.cached_tokens(prompt_blocks(middle + start)) == {}
+
+
+def test_gaps_in_cache_events_cost_at_most_the_rest_of_a_prefix():
+    blocks = prompt_blocks(bytes(5 * BLOCK_BYTES))
+    index = PrefixIndex()
+    index.stored('engine-0', blocks)
+    index.evicted('engine-0', blocks[2])
+    assert index.cached_tokens(blocks) == {'engine-0': 2 * BLOCK_TOKENS}
+    index.lost('engine-0')
+    assert index.cached_tokens(blocks) == {}
