Check models of leases, orders, claims, windows and revisions

Found by the order model and mended: the order bound was counted from the decision to send, so that a pause before the send let an order arrive after its outcome was recorded as cancelled; it now counts from the event that tells that the order is unanswered.

--- a/cicadahoist/protocol/order_rules.py
+++ b/cicadahoist/protocol/order_rules.py
@@ -83,15 +83,19 @@
 @OUTPUTS.register('inherit')
 def _inherit(order: 'TargetOrder', event: OrderInherited, now_ms: int) -> None:
     order.entry = event.entry
-    order.sent_ms = now_ms
 
 
 @OUTPUTS.register('send')
 def _send(order: 'TargetOrder', event: Any, now_ms: int) -> None:
-    order.sent_ms = now_ms
     order.actions.append(SendOrder(order.current))
 
 
+@OUTPUTS.register('start_bound')
+def _start_bound(order: 'TargetOrder', event: Any, now_ms: int) -> None:
+    # Not counted from the decision to send: a pause may follow it.
+    order.sent_ms = now_ms
+
+
 @OUTPUTS.register('read_target')
 def _read_target(order: 'TargetOrder', event: Any, now_ms: int) -> None:
     entry = order.current
--- /dev/null
+++ b/proof/check_model.py
@@ -0,0 +1,120 @@
+"""Checks the models of the protocols, whole or with a guard taken away."""
+
+from collections.abc import Iterator
+from typing import Annotated, Any
+
+import typer
+
+from cicadahoist.protocol.chart import Chart
+from proof.kits import KERNEL_TIMER
+from proof.kripke import Result, StateSpace
+from proof.models.claim import ClaimModel
+from proof.models.lease import LeaseModel
+from proof.models.order import OrderModel
+from proof.models.revision import RevisionModel
+from proof.models.usage_window import UsageModel
+
+ALL = 'all'
+CHARTS = ('lease', 'order', 'claim', 'usage_window', 'revision')
+# Guards that only matter where processes leave.
+LEAVING_GUARDS = ('lease.orders_settled', 'lease.leaving')
+MODELS: dict[str, Any] = {
+    'order': OrderModel,
+    'claim': ClaimModel,
+    'usage_window': UsageModel,
+    'revision': RevisionModel,
+}
+
+
+def main(
+    broken: Annotated[str, typer.Option()] = '',
+    leaving: bool = True,
+) -> None:
+    """
+    Check all models; with a guard taken away a counterexample must be found.
+
+    :param broken: ``all``, or a guard as ``chart.guard`` or ``guard``
+    :param leaving: whether the large model with leaving is checked too
+    """
+    if broken:
+        missed = [
+            guard
+            for guard in all_guards()
+            if broken in {ALL, guard, guard.partition('.')[2]}
+            and not print_counterexample(guard)
+        ]
+        failed = bool(missed)
+    else:
+        failed = not all(print_results(model) for model in whole(leaving))
+    if failed:
+        raise typer.Exit(1)
+
+
+def all_guards() -> list[str]:
+    """Return all guards, as ``chart.guard``."""
+    guards = [
+        f'{name}.{guard}'
+        for name in CHARTS
+        for guard in Chart.load(name).summary_by_guard
+    ]
+    return [*guards, KERNEL_TIMER]
+
+
+def whole(leaving: bool) -> Iterator[Any]:
+    """Return all models with all guards."""
+    for fencing in (False, True):
+        yield LeaseModel(fencing=fencing)
+        yield OrderModel(fencing=fencing)
+    yield ClaimModel()
+    yield UsageModel()
+    yield RevisionModel()
+    if leaving:
+        yield LeaseModel(leaving=True)
+
+
+def without(guard: str) -> Any:
+    """Return the model of a guard's chart, without the guard."""
+    chart = guard.partition('.')[0]
+    if chart in MODELS:
+        return MODELS[chart](guard)
+    return LeaseModel(guard, leaving=guard in LEAVING_GUARDS)
+
+
+def find_counterexample(guard: str) -> tuple[int, Result | None]:
+    """Return how many states were searched, and what is broken first."""
+    model = without(guard)
+    space = StateSpace(model, stop_early=True)
+    broken = [found for found in space.check(model.properties) if not found[1]]
+    if space.stopped:
+        broken = [found for found in broken if found.safety]
+    return len(space), broken[0] if broken else None
+
+
+def print_counterexample(guard: str) -> bool:
+    """Print how the model fails without a guard; tell whether it does."""
+    states, broken = find_counterexample(guard)
+    typer.echo(f'\n== without {guard}: {states} states searched')
+    if broken is None:
+        typer.echo('NO COUNTEREXAMPLE FOUND')
+        return False
+    typer.echo(f'broken: {broken.meaning}')
+    for number, label in enumerate(broken.trace, start=1):
+        typer.echo(f'  {number:2}. {label}')
+    return True
+
+
+def print_results(model: Any) -> bool:
+    """Print the verdicts on a model; tell whether all properties hold."""
+    space = StateSpace(model)
+    typer.echo(f'\n== {model.name}: {len(space)} states, {space.edges} moves')
+    results = space.check(model.properties)
+    for result in results:
+        verdict = 'holds' if result.holds else 'BROKEN'
+        typer.echo(f'{verdict}: {result.meaning}')
+        for label in result.trace:
+            typer.echo(f'    {label}')
+    return all(result.holds for result in results)
+
+
+if __name__ == '__main__':
+    typer.run(main)
