Let suspects wait for a target instead of failing; test whole processes

Cause: after an engine was killed under four equal requests, the body was a suspect; the only engine left was reserved for the first of the four, and the others were told that all targets broke off (2 of 4 in test_a_killed_engine_is_not_noticed_by_callers). Ruled out: the retry budget, which had tokens left. Suspects now wait while a target they may use is reserved, and use one that ended under them only where the pool has no other. A reservation belongs to one request, so that an equal one does not end it.

--- a/cicadahoist/entry/attempts.py
+++ b/cicadahoist/entry/attempts.py
@@ -10,9 +10,10 @@
 from cicadahoist.table import Target
 
 NO_TARGET_RETRY_MS = 2000
+RECHECK_MS = 250
 
 # The target did not start the request.
-_NOT_RUN_RETRIES = frozenset((Retry.connect_failed, Retry.target_draining))
+_NOT_RUN_RETRIES = frozenset((Retry.connect_failed,))
 _CRASH_RETRIES = frozenset((Retry.stream_broken, Retry.target_frozen))
 
 
@@ -92,14 +93,12 @@
         :return: none where the request ended while it waited
         :raises RequestRefusedError: no target is left
         """
-        target = self._choose()
-        while not await self._isolation.reserve(self._request, target.name):
-            self._count_end(0, is_failed=False)
-            if self._request.is_over:
-                return None
-            target = self._choose()
+        target = await self._reserved_target()
+        if target is None:
+            return None
         if self._request.is_over:
-            self.finish(0, Retry.target_draining)
+            self._count_end(0, is_failed=False)
+            self._isolation.release(self._request, whole=False)
             return None
         self._tried.add(target.name)
         self._target = target
@@ -126,7 +125,7 @@
             self._report_crash()
         if retry in _NOT_RUN_RETRIES:
             self._request.may_have_run = self._ran_before
-        self._isolation.release(self._request.digest, whole=retry is None)
+        self._isolation.release(self._request, whole=retry is None)
         self._request.end_attempt()
 
     async def pause_before_retry(self, retry: Retry) -> None:
@@ -153,10 +152,47 @@
     def _isolation(self) -> Isolation:
         return self._context.isolation
 
-    def _choose(self) -> Target:
+    async def _reserved_target(self) -> Target | None:
+        """Return the next target once the request may start there."""
+        while not self._request.is_over:
+            target = self._choose()
+            if target is None:
+                await self._request.pause(self._context.clock, RECHECK_MS)
+            elif await self._isolation.reserve(self._request, target.name):
+                return target
+            else:
+                self._count_end(0, is_failed=False)
+        return None
+
+    def _choose(self) -> Target | None:
+        """
+        Return a target, or none where a suspect has to wait for one.
+
+        A suspect keeps away from targets that ended under it as long as the
+        pool has others.
+
+        :raises RequestRefusedError: no target is left
+        """
+        digest = self._request.digest
+        dispatcher = self._context.dispatcher
+        pool = self._ticket.pool
+        wanted = self._wanted(self._isolation.avoid(digest))
+        target = dispatcher.choose(pool, wanted)
+        if target is not None:
+            return target
+        if not self._isolation.is_suspect(digest):
+            raise self._no_target()
+        blamed = self._isolation.blamed(digest)
+        if dispatcher.has_target(pool, self._wanted(blamed)):
+            return None
+        if dispatcher.has_target(pool, self._wanted(frozenset())):
+            wanted = self._wanted(self._isolation.claimed())
+            return dispatcher.choose(pool, wanted)
+        raise self._no_target()
+
+    def _wanted(self, avoided: frozenset[str]) -> RouteRequest:
         rule = self._request.grant.rule
-        avoided = self._isolation.avoid(self._request.digest)
-        wanted = RouteRequest(
+        return RouteRequest(
             attempt=self._request.new_attempt(),
             workspace=rule.workspace,
             route=rule.route,
@@ -166,10 +202,6 @@
             tried=avoided.union(self._tried),
             price_ceiling=rule.price_ceiling,
         )
-        target = self._context.dispatcher.choose(self._ticket.pool, wanted)
-        if target is None:
-            raise self._no_target()
-        return target
 
     def _count_end(self, output_tokens: int, *, is_failed: bool) -> None:
         self._context.dispatcher.loads.finished(
--- a/cicadahoist/entry/dispatcher.py
+++ b/cicadahoist/entry/dispatcher.py
@@ -141,14 +141,20 @@
 
     def choose(self, pool: str, request: RouteRequest) -> Target | None:
         """Return the target of an attempt, counted as sent, or none."""
-        now_ms = self._clock.now_ms()
-        targets = self._table.targets_by_pool.get(pool, [])
-        target = self._router.choose(request, targets, now_ms)
+        target = self._route(pool, request)
         if target is not None:
-            self.loads.sent(target.name, request, now_ms)
+            self.loads.sent(target.name, request, self._clock.now_ms())
             self.prefixes.stored(target.name, request.blocks)
         return target
 
+    def has_target(self, pool: str, request: RouteRequest) -> bool:
+        """Tell whether any target may take an attempt."""
+        return self._route(pool, request) is not None
+
+    def _route(self, pool: str, request: RouteRequest) -> Target | None:
+        targets = self._table.targets_by_pool.get(pool, [])
+        return self._router.choose(request, targets, self._clock.now_ms())
+
     def pump(self) -> None:
         """Send what may go, refuse what is late, and set the next wake."""
         if self._is_pumping:
--- a/cicadahoist/entry/isolation.py
+++ b/cicadahoist/entry/isolation.py
@@ -93,6 +93,18 @@
         """Return targets on which a body may not run now."""
         return self._quarantine.avoid(digest, self._clock.now_ms())
 
+    def is_suspect(self, digest: str) -> bool:
+        """Tell whether a body has to run apart from other suspects."""
+        return self._quarantine.is_suspect(digest)
+
+    def blamed(self, digest: str) -> frozenset[str]:
+        """Return targets that ended while they ran a body."""
+        return self._quarantine.blamed(digest)
+
+    def claimed(self) -> frozenset[str]:
+        """Return targets that are reserved for suspects."""
+        return self._quarantine.claimed()
+
     async def reserve(self, request: OpenRequest, target: str) -> bool:
         """
         Reserve a target where the body is a suspect.
@@ -108,6 +120,7 @@
         if claim is None:
             await request.pause(self._clock, CLAIM_RETRY_MS)
             return False
+        request.has_claim = True
         self._send(claim)
         hold_ms = self._quarantine.hold_ms(digest, now_ms)
         while hold_ms and not request.is_over:
@@ -116,17 +129,20 @@
         self.check(digest)
         if self._quarantine.may_start(digest, self._clock.now_ms()):
             return True
-        self.release(digest, whole=False)
+        self.release(request, whole=False)
         return False
 
-    def release(self, digest: str, *, whole: bool) -> None:
+    def release(self, request: OpenRequest, *, whole: bool) -> None:
         """
-        End the reservation of a body.
+        End the reservation of a request, if it has one.
 
         :param whole: whether it ran to its end
         """
+        if not request.has_claim:
+            return
+        request.has_claim = False
         ended = self._quarantine.ended(
-            digest, self._clock.now_ms(), whole=whole
+            request.digest, self._clock.now_ms(), whole=whole
         )
         if ended is not None:
             self._send(ended)
--- a/cicadahoist/entry/open_requests.py
+++ b/cicadahoist/entry/open_requests.py
@@ -17,7 +17,8 @@
 
     ``may_have_run`` tells whether a byte of it may have reached a target.
     ``outlives_caller`` keeps it running when its caller is gone, so that its
-    outcome gets recorded.
+    outcome gets recorded. ``has_claim`` tells whether a target is reserved
+    for it, as it is suspected of crashing targets.
 
     :param caller: who asked
     :param grant: the right under which it runs
@@ -31,6 +32,7 @@
         'caller',
         'digest',
         'grant',
+        'has_claim',
         'may_have_run',
         'outlives_caller',
         'refused',
@@ -48,6 +50,7 @@
         self.target = ''
         self.may_have_run = False
         self.outlives_caller = False
+        self.has_claim = False
         self.refused: RequestRefusedError | None = None
         self._stop: Callable[[], None] | None = None
         caller.on_gone(self._abandon)
--- a/cicadahoist/policy/quarantine.py
+++ b/cicadahoist/policy/quarantine.py
@@ -41,12 +41,22 @@
         """Tell whether a body has to run apart from other suspects."""
         return digest in self._suspects_by_digest
 
-    def avoid(self, digest: str, now_ms: int) -> frozenset[str]:
-        """Return targets on which a suspect may not run now."""
+    def blamed(self, digest: str) -> frozenset[str]:
+        """Return targets that ended while they ran a body."""
         suspect = self._suspects_by_digest.get(digest)
         if suspect is None:
             return frozenset()
-        return frozenset(self._claims.targets().union(suspect.blamed_ms))
+        return frozenset(suspect.blamed_ms)
+
+    def claimed(self) -> frozenset[str]:
+        """Return targets that are reserved for suspects."""
+        return frozenset(self._claims.targets())
+
+    def avoid(self, digest: str, now_ms: int) -> frozenset[str]:
+        """Return targets on which a suspect may not run now."""
+        if not self.is_suspect(digest):
+            return frozenset()
+        return self.claimed().union(self.blamed(digest))
 
     def claim(self, digest: str, target: str, now_ms: int) -> SuspectRun | None:
         """
--- a/tests/test_entry/test_isolation.py
+++ b/tests/test_entry/test_isolation.py
@@ -68,3 +68,26 @@
     digest = body_digest(chat_body('demo-model', 1000, True, 'hello'))
     avoided = world.entries[0].context.isolation.avoid(digest)
     assert bool(avoided) is is_blamed
+
+
+def test_equal_innocent_requests_on_a_target_that_ends_are_all_answered():
+    world = World(engines=2)
+    answers = [world.chat(tokens=300) for _ in range(4)]
+    world.net.until(lambda: all(len(each.body) > 3000 for each in answers))
+    world.kill('engine-0')
+    for answer in answers:
+        world.finish(answer)
+    assert all(events(answer)[-1] == '[DONE]' for answer in answers)
+
+
+def test_a_pool_of_one_serves_a_body_again_after_its_target_came_back():
+    world = World(engines=1)
+    first = world.chat(tokens=300)
+    world.net.until(lambda: len(first.body) > 3000)
+    world.kill('engine-0')
+    world.finish(first)
+    world.net.advance(500)
+    world.net.hosts['engine-0:80'].is_up = True
+    world.net.advance(40_000)
+    again = world.finish(world.chat(tokens=300))
+    assert events(again)[-1] == '[DONE]'
