Drop chunks of other attempts by the id of the answer

Cause: the entry ordered chunks by token offset only, so that a chunk of another attempt with a fitting offset went to the caller (all tokens of one answer in a trial with crossed-frame). Chunks and whole answers now need the id of their attempt; its form is a setting, empty for engines that draw ids themselves. A check for 'contains the attempt' was tried first and let 'other-<attempt>' through. Test: crossed, late, repeated and skipped frames over six requests on three engines.

--- a/cicadahoist/entry/answer_stream.py
+++ b/cicadahoist/entry/answer_stream.py
@@ -37,6 +37,7 @@
 
     __slots__ = (
         '_answer_id',
+        '_expected_id',
         '_finished',
         '_rewrites',
         '_wants_usage',
@@ -50,10 +51,16 @@
         self._wants_usage = wants_usage
         self._finished = False
         self._answer_id = ''
+        self._expected_id = ''
         self._rewrites = False
 
-    def begin_attempt(self) -> None:
-        """Take further events as those of a new attempt."""
+    def begin_attempt(self, expected_id: str) -> None:
+        """
+        Take further events as those of a new attempt.
+
+        :param expected_id: id of the attempt's chunks, empty where unknown
+        """
+        self._expected_id = expected_id
         self._rewrites = bool(self._answer_id)
 
     def accept(self, payload: bytes, out: list[bytes]) -> Progress:
@@ -72,6 +79,14 @@
             return Progress.broken
         if chunk.error is not None:
             return Progress.broken
+        if self._expected_id not in {'', chunk.id}:
+            # A chunk of another attempt, late or crossed.
+            return Progress.going_on
+        return self._accept_chunk(chunk, payload, out)
+
+    def _accept_chunk(
+        self, chunk: Chunk, payload: bytes, out: list[bytes]
+    ) -> Progress:
         self._answer_id = self._answer_id or chunk.id
         if chunk.usage is not None:
             self._accept_usage(chunk.usage)
--- a/cicadahoist/entry/context.py
+++ b/cicadahoist/entry/context.py
@@ -13,6 +13,7 @@
 from cicadahoist.outside.service import SERVICES, ServiceAdapter
 from cicadahoist.outside.store import Store
 from cicadahoist.settings import (
+    ANSWER_ID,
     ENGINE_ADAPTER,
     INSTANCE_NAME,
     SERVICE_ADAPTER,
@@ -49,6 +50,7 @@
         'clock',
         'dispatcher',
         'engines',
+        'answer_id_form',
         'is_leaving',
         'metrics',
         'isolation',
@@ -83,6 +85,7 @@
         )
         self.is_leaving = False
         self.billing = Billing.from_config(config)
+        self.answer_id_form = config.read(ANSWER_ID)
         self.stall_timeout_ms = config.read(STALL_TIMEOUT)
         self._tables: TableSource | None = None
 
--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -42,6 +42,7 @@
     """The part of a whole answer that the entry reads."""
 
     choices: list[Any]
+    id: str = ''
     usage: Usage = msgspec.field(default_factory=Usage)
 
 
@@ -187,7 +188,7 @@
     ) -> Retry | None:
         caller = self._request.caller
         caller.start_stream()
-        self._answer.begin_attempt()
+        self._answer.begin_attempt(self._answer_id())
         attempt = StreamAttempt(
             self._answer,
             caller,
@@ -225,6 +226,8 @@
                 whole = _decode_whole(body)
             except msgspec.MsgspecError:
                 return Retry.stream_broken
+            if self._answer_id() not in {'', whole.id}:
+                return Retry.stream_broken
             self._attempts.first_token()
             self._answer.usage = whole.usage
             self._answer.next_offset = whole.usage.completion_tokens
@@ -234,6 +237,11 @@
         )
         return None
 
+    def _answer_id(self) -> str:
+        """Return the id of this attempt's answer, empty where unknown."""
+        form = self._context.answer_id_form
+        return form.format(attempt=self._request.attempt)
+
     def _cancel(self, target: Target) -> None:
         """Free the target of an attempt that nobody waits for."""
         cancelling = Deferred.fromCoroutine(
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -243,6 +243,15 @@
         summary="Bearer token towards engines; never a caller's key.",
     )
 )
+ANSWER_ID = _declare(
+    Option(
+        'targets',
+        'answer_id',
+        '{attempt}',
+        summary='Ids of answers of engines; {attempt} stands for the attempt.'
+        ' Answers with another id are dropped; empty for no check.',
+    )
+)
 SERVICE_ADAPTER = _declare(
     Option(
         'targets',
--- a/tests/test_entry/test_answer_stream.py
+++ b/tests/test_entry/test_answer_stream.py
@@ -84,7 +84,7 @@
 def test_a_resumed_answer_goes_on_under_the_first_id():
     stream = AnswerStream(wants_usage=True)
     _, first = feed(stream, [token(0), token(1)])
-    stream.begin_attempt()
+    stream.begin_attempt('')
     later = [token(2, 'b2'), end(3, 'b2'), usage(5, 1, 'b2'), DONE]
     progress, rest = feed(stream, later)
     assert progress is Progress.complete
@@ -97,13 +97,21 @@
 def test_a_finish_that_the_caller_has_is_not_sent_twice():
     stream = AnswerStream(wants_usage=False)
     _, first = feed(stream, [token(0), end(1)])
-    stream.begin_attempt()
+    stream.begin_attempt('')
     progress, rest = feed(stream, [end(1, 'b2'), usage(5, 1, 'b2'), DONE])
     assert progress is Progress.complete
     assert len(first) == 2
     assert not rest
 
 
+def test_chunks_of_another_attempt_are_dropped():
+    stream = AnswerStream(wants_usage=False)
+    stream.begin_attempt('a1')
+    crossed = [token(0, 'x-a1', 'wrong '), token(1, 'x-a1', 'wrong ')]
+    _, out = feed(stream, [*crossed, token(0), token(1)])
+    assert texts(out) == ['t0 ', 't1 ']
+
+
 @given(
     cuts=st.lists(st.integers(0, 20), max_size=4),
     back=st.integers(0, 5),
@@ -112,13 +120,13 @@
     stream = AnswerStream(wants_usage=False)
     got = []
     for cut in cuts:
-        stream.begin_attempt()
+        stream.begin_attempt('')
         start = max(0, stream.next_offset - back)
         _, out = feed(
             stream, [token(at, f'x{cut}') for at in range(start, cut)]
         )
         got.extend(texts(out))
-    stream.begin_attempt()
+    stream.begin_attempt('')
     rest = [token(at, 'last') for at in range(stream.next_offset, 20)]
     progress, out = feed(stream, [*rest, end(20, 'last'), DONE])
     got.extend(texts(out))
--- a/tests/test_entry/test_failures.py
+++ b/tests/test_entry/test_failures.py
@@ -81,6 +81,17 @@
     assert last['error']['outcome'] == 'failed'
 
 
+@pytest.mark.parametrize(
+    'mark', ['late-frame', 'crossed-frame', 'repeat-frame', 'skip-frame']
+)
+def test_frames_that_do_not_belong_never_reach_the_caller(mark):
+    world = World(engines=3)
+    world.engines['engine-0'].faults.apply(Fault(kind='frames', mark=mark))
+    answers = [world.finish(world.chat(tokens=30)) for _ in range(6)]
+    assert [text_of(answer) for answer in answers] == [expected_text(30)] * 6
+    assert all(events(answer)[-1] == '[DONE]' for answer in answers)
+
+
 def test_a_stream_that_may_not_repeat_is_not_resumed():
     world = World()
     answer = world.chat('once-model', tokens=60)
