--- a/cicadahoist/policy/spending.py
+++ b/cicadahoist/policy/spending.py
@@ -13,8 +13,7 @@
 )
 from cicadahoist.policy.forecast import Forecast
 
-HEADROOM = 1.1
-RELEASE_AFTER_MS = 600_000
+RELEASE_AFTER_MS = 300_000
 ARRIVAL_MS = 180_000
 ALWAYS_DEDICATED = 1
 
@@ -121,8 +120,8 @@
             forecast.peak(view.day_ms, self._arrival_ms),
             demand.strict_engines,
         )
-        strict_count = math.ceil(strict * HEADROOM)
-        total = math.ceil(strict * HEADROOM + demand.batch_engines)
+        strict_count = math.ceil(strict)
+        total = math.ceil(strict + demand.batch_engines)
         zones = [
             zone for zone in view.zones if zone not in view.cheap_unavailable
         ]
