Count the drain and the relearning as loss of a role change

Cause: a change was held to cost 8 s; draining takes 5 to 8 s, the change 4 s, and its slots are then learned anew.

--- a/cicadahoist/policy/roles.py
+++ b/cicadahoist/policy/roles.py
@@ -25,8 +25,8 @@
 ROLE_PLANNERS: Registry[Any] = Registry('role planner')
 
 FAST_MS = 10_000.0
-CHANGE_LOSS_MS = 8000.0
-FULL = 0.95
+CHANGE_LOSS_MS = 16_000.0
+FULL = 1.0
 FULL_WHILE_AWAY = 0.8
 MIN_GAIN = 0.02
 REST_MS = 30_000
