Do not ask again for changes that lagging reports do not show yet

A run of the whole deployment on stand-ins loaded one model twice (orders 1.1 and 1.2): the engine's report still lacked it two seconds after the order. Ruled out: a lost answer (the first order was settled as done). Winning and giving up a lease is logged with its epoch.

--- a/cicadahoist/control/fleet_reader.py
+++ b/cicadahoist/control/fleet_reader.py
@@ -6,6 +6,7 @@
 
 from cicadahoist.clock import Clock
 from cicadahoist.control.entry_link import EntryLink
+from cicadahoist.control.expected_changes import ExpectedChanges
 from cicadahoist.control.targets import Targets
 from cicadahoist.errors import CicadahoistError
 from cicadahoist.messages import InstanceInfo, PoolWork
@@ -18,6 +19,7 @@
     TargetPhase,
     TargetView,
 )
+from cicadahoist.protocol.order_events import PlanOrder
 from cicadahoist.table import RouteKind, Target
 
 WORK_AGE_MS = 5000
@@ -42,6 +44,7 @@
         '_barred_until_ms',
         '_clock',
         '_engines',
+        '_expected',
         '_misses',
         '_targets',
         '_work_by_entry',
@@ -60,6 +63,7 @@
         self._targets = targets
         self._clock = clock
         self._zone = zone
+        self._expected = ExpectedChanges()
         self._misses = 0
         self._barred_until_ms = 0
         self._work_by_entry: dict[str, tuple[int, PoolWork]] = {}
@@ -79,7 +83,10 @@
         )
         loads: list[Any] = [load for _, load in results]
         views = [
-            _view(target, load, is_changing=target.name in changing)
+            self._expected.apply(
+                _view(target, load, is_changing=target.name in changing),
+                self._clock.now_ms(),
+            )
             for target, load in zip(engines, loads, strict=True)
             if isinstance(load, EngineLoad)
         ]
@@ -91,6 +98,10 @@
             zones=[self._zone],
         )
 
+    def expect(self, plan: PlanOrder) -> None:
+        """Show a change that was asked for before reports do."""
+        self._expected.note(plan, self._clock.now_ms())
+
     def is_reachable(self) -> bool:
         """Tell whether this process may go on ordering the zone's engines."""
         return self._clock.now_ms() >= self._barred_until_ms
--- a/cicadahoist/control/lease_task.py
+++ b/cicadahoist/control/lease_task.py
@@ -14,7 +14,9 @@
     Action,
     ArmTimer,
     DisarmTimer,
+    LeaseWon,
     ReadObject,
+    StepDown,
     WriteObject,
 )
 from cicadahoist.protocol.authority import Authority
@@ -148,5 +150,15 @@
             case DisarmTimer():
                 self._deadlines.disarm(name)
             case _:
-                logger.debug('{0}: {1}', name, type(action).__name__)
+                _log(name, action)
                 self._duty_calls.run(action)
+
+
+def _log(name: str, action: Action) -> None:
+    match action:
+        case LeaseWon():
+            logger.bind(epoch=action.record.epoch).info('won {0}', name)
+        case StepDown():
+            logger.bind(epoch=action.epoch).info('gave up {0}', name)
+        case _:
+            logger.debug('{0}: {1}', name, type(action).__name__)
--- a/cicadahoist/control/planner.py
+++ b/cicadahoist/control/planner.py
@@ -81,6 +81,7 @@
         )
         for plan in plans:
             if self._duty.request(plan):
+                self._reader.expect(plan)
                 logger.info(
                     'planned {0} {1} for {2}',
                     plan.kind,
--- a/tests/test_control/test_planner.py
+++ b/tests/test_control/test_planner.py
@@ -4,6 +4,7 @@
 import pytest
 
 from cicadahoist.clock import Clock
+from cicadahoist.control.expected_changes import EXPECTED_MS
 from cicadahoist.control.fleet_reader import BARRED_MS, FleetReader
 from cicadahoist.control.planner import PLAN_MS, Planner
 from cicadahoist.control.targets import Targets
@@ -166,6 +167,21 @@
     assert ('e0', 'model', 'new') in planning.duty.plans
 
 
+def test_change_asked_for_is_not_asked_for_again_while_reports_lag(planning):
+    for _ in range(4):
+        planning.clock.advance(PLAN_MS)
+    assert planning.duty.plans.count(('e0', 'model', 'new')) == 1
+    shown = planning.roles.views[-1].targets[0]
+    assert shown.role is Role.decode
+    assert shown.models == {'m', 'new'}
+
+
+def test_change_that_did_not_come_is_asked_for_again(planning):
+    for _ in range(2 + EXPECTED_MS // PLAN_MS):
+        planning.clock.advance(PLAN_MS)
+    assert planning.duty.plans.count(('e0', 'model', 'new')) == 2
+
+
 def test_unreachable_engines_bar_the_process_for_a_time(planning):
     planning.engines.is_reachable = False
     for _ in range(2):
