Hold deferrable work back while urgent work is refused

Deferrable prompts fill the rest of each step and lengthen it. For 5 s after a refusal they wait, unless they have to start within 20 s.

--- a/cicadahoist/policy/admission.py
+++ b/cicadahoist/policy/admission.py
@@ -20,6 +20,7 @@
 MIN_RETRY_AFTER_MS = 100
 NO_TARGET_RETRY_MS = 1000
 RECHECK_MS = 250
+PRESSED_MS = 5000
 
 
 @ADMISSIONS.register('fair')
@@ -64,6 +65,8 @@
         queued = prepare(ticket, totals)
         start_ms = now_ms + round(queue.wait_ms(queued, totals, now_ms))
         if start_ms > queued.latest_ms:
+            if ticket.is_urgent:
+                queue.pressed_until_ms = now_ms + PRESSED_MS
             late_ms = max(MIN_RETRY_AFTER_MS, start_ms - queued.latest_ms)
             return Err(Refused(Refusal.deadline_unreachable, late_ms))
         limit_ms = self._limits.admit(ticket, now_ms)
--- a/cicadahoist/policy/flows.py
+++ b/cicadahoist/policy/flows.py
@@ -6,6 +6,8 @@
 
 from cicadahoist.policy.tickets import Ticket
 
+PRESSING_MS = 20_000
+
 FlowKey = tuple[str, str, str]
 
 
@@ -128,6 +130,13 @@
         flow.finish_tag = max(flow.finish_tag, start)
         return flow
 
+    def pressing(self, now_ms: int) -> int:
+        """Return 1 if the next ticket has to start soon, else 0."""
+        queued = self._heap[0][-1].head() if self._heap else None
+        if queued is None:
+            return 0
+        return int(queued.latest_ms - now_ms < PRESSING_MS)
+
     def charge(self, flow: Flow, units: int) -> None:
         """Count a request of a flow as started."""
         self.virtual = max(self.virtual, flow.finish_tag)
--- a/cicadahoist/policy/poolqueue.py
+++ b/cicadahoist/policy/poolqueue.py
@@ -47,6 +47,7 @@
         '_numbers',
         '_releases',
         '_size',
+        'pressed_until_ms',
     )
 
     def __init__(self, limits: LimitShares, key_of: KeyOf) -> None:
@@ -58,6 +59,7 @@
         self._releases: list[tuple[int, int, QueuedTicket]] = []
         self._numbers = count()
         self._size = 0
+        self.pressed_until_ms = 0
 
     def is_empty(self) -> bool:
         """Tell whether no request waits."""
@@ -99,6 +101,8 @@
         self._release(now_ms)
         taken = self._take_lane(URGENT, totals.urgent, now_ms)
         room = max(0, totals.batch - len(taken))
+        if now_ms < self.pressed_until_ms:
+            room = min(room, self._lanes[BATCH].pressing(now_ms))
         batch = self._take_lane(BATCH, room, now_ms)
         cheap_room = min(totals.cheap, room - len(batch))
         return taken + batch + self._take_lane(CHEAP, cheap_room, now_ms)
