--- a/cicadahoist/cmd/standin.py
+++ b/cicadahoist/cmd/standin.py
@@ -5,11 +5,17 @@
 import typer
 
 from cicadahoist.clock import Clock
+from cicadahoist.config import Config
 from cicadahoist.log import configure_logging
+from cicadahoist.outside.platform import HttpWeightStore
+from cicadahoist.outside.platform_messages import ListedInstance
 from cicadahoist.standin.engine import Engine, EngineOptions
 from cicadahoist.standin.engine_batch import EngineLimits
 from cicadahoist.standin.engine_server import EngineServer
+from cicadahoist.standin.engine_weights import WeightLoader
 from cicadahoist.standin.objects import READS_PER_S, WRITES_PER_S, ObjectModel
+from cicadahoist.standin.platform import PlatformOptions, PlatformServer
+from cicadahoist.standin.platform_targets import Spare
 from cicadahoist.standin.service import ServiceServer
 from cicadahoist.standin.store import StoreServer
 from cicadahoist.standin.web import WebApp
@@ -50,12 +56,12 @@
     token_budget: Annotated[
         int, typer.Option(help='Tokens that one step processes.')
     ] = 2048,
-    max_running: Annotated[
-        int, typer.Option(help='Requests in the batch.')
-    ] = 256,
     change_ms: Annotated[
         int, typer.Option(help='Time that a change of role takes, in ms.')
     ] = 3000,
+    weights: Annotated[
+        str, typer.Option(help='URL of the weight store, empty for none.')
+    ] = '',
 ) -> None:
     """One language-model engine."""
     options = EngineOptions(
@@ -66,13 +72,10 @@
         limits=EngineLimits(
             step_ms=step_ms,
             token_budget=token_budget,
-            max_running=max_running,
         ),
     )
     _serve(
-        lambda clock, reactor: (
-            EngineServer(Engine(options, clock), clock, reactor).app
-        ),
+        lambda clock, reactor: _engine_app(options, weights, clock, reactor),
         port,
     )
 
@@ -83,11 +86,86 @@
     _serve(lambda clock, _: ServiceServer(name, clock).app, port)
 
 
+@app.command()
+def platform(
+    port: Port = 0,
+    spare: Annotated[
+        list[str] | None,
+        typer.Option(
+            help='A target for sale: name,zone,url,price[,reclaimable];'
+            ' repeatable.'
+        ),
+    ] = None,
+    instance: Annotated[
+        list[str] | None,
+        typer.Option(help='name,zone,address,port; repeatable.'),
+    ] = None,
+    arrival_ms: Annotated[
+        int, typer.Option(help='Time until a bought target runs, in ms.')
+    ] = 5000,
+    list_lag_ms: Annotated[
+        int, typer.Option(help='Lag of the list of instances, in ms.')
+    ] = 2000,
+    weights_per_s: Annotated[
+        int, typer.Option(help='Rate limit of the weight store, 0 for none.')
+    ] = 1,
+) -> None:
+    """Target orders, usage intake, list of instances and weight store."""
+    options = PlatformOptions(
+        arrival_ms=arrival_ms,
+        list_lag_ms=list_lag_ms,
+        weights_per_s=weights_per_s,
+    )
+    spares = [_spare(text) for text in spare or ()]
+    instances = [_instance(text) for text in instance or ()]
+    _serve(
+        lambda clock, _: PlatformServer(options, clock, spares, instances).app,
+        port,
+    )
+
+
 def main() -> None:
     """Run the command line."""
     app()
 
 
+def _engine_app(
+    options: EngineOptions, weights: str, clock: Clock, reactor: Any
+) -> WebApp:
+    engine = Engine(options, clock)
+    if weights:
+        config = Config.from_values(platform__url=weights)
+        store = HttpWeightStore.from_config(config, reactor)
+        engine.fetch_weights = WeightLoader(store, clock).fetch
+    return EngineServer(engine, clock, reactor).app
+
+
+def _spare(text: str) -> Spare:
+    try:
+        name, zone, url, price, *flags = text.split(',')
+    except ValueError:
+        raise typer.BadParameter(
+            f'{text}: expected name,zone,url,price[,reclaimable]'
+        ) from None
+    return Spare(
+        name=name,
+        zone=zone,
+        url=url,
+        price=int(price),
+        reclaimable='reclaimable' in flags,
+    )
+
+
+def _instance(text: str) -> ListedInstance:
+    try:
+        name, zone, address, port = text.split(',')
+    except ValueError:
+        raise typer.BadParameter(
+            f'{text}: expected name,zone,address,port'
+        ) from None
+    return ListedInstance(name=name, zone=zone, address=address, port=int(port))
+
+
 def _serve(build: Any, port: int) -> None:
     from twisted.internet import reactor as installed  # noqa: PLC0415, WPS433
 
@@ -95,7 +173,8 @@
     configure_logging('text', 'INFO')
     web: WebApp = build(Clock.from_reactor(reactor), reactor)
     listening = web.listen(reactor, port)
-    typer.echo(f'ready {listening.getHost().port}')
+    ready = f'ready {listening.getHost().port}'
+    reactor.callWhenRunning(typer.echo, ready)
     reactor.run()
 
 
--- a/cicadahoist/entry/attempts.py
+++ b/cicadahoist/entry/attempts.py
@@ -1,8 +1,7 @@
 """The attempts of one request: admission, targets, retries, load."""
 
-from twisted.internet.defer import Deferred
-
 from cicadahoist.entry.context import EntryContext
+from cicadahoist.entry.isolation import Isolation
 from cicadahoist.entry.open_requests import OpenRequest
 from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.policy.cost import Cost
@@ -11,9 +10,10 @@
 from cicadahoist.table import Target
 
 NO_TARGET_RETRY_MS = 2000
+RECHECK_MS = 250
 
 # The target did not start the request.
-_NOT_RUN_RETRIES = frozenset((Retry.connect_failed, Retry.target_draining))
+_NOT_RUN_RETRIES = frozenset((Retry.connect_failed,))
 _CRASH_RETRIES = frozenset((Retry.stream_broken, Retry.target_frozen))
 
 
@@ -34,6 +34,7 @@
         '_is_admitted',
         '_ran_before',
         '_request',
+        '_target',
         '_ticket',
         '_tried',
     )
@@ -52,6 +53,7 @@
         self._tried: set[str] = set()
         self._is_admitted = False
         self._ran_before = False
+        self._target: Target | None = None
         self._ticket = Ticket(
             request=request.billing_id,
             pool=request.grant.route.pool,
@@ -84,27 +86,22 @@
             self._is_admitted = False
             self._context.dispatcher.finished(self._ticket, used_tokens)
 
-    def begin(self) -> Target:
+    async def begin(self) -> Target | None:
         """
         Choose the target of the next attempt and count it as sent.
 
+        :return: none where the request ended while it waited
         :raises RequestRefusedError: no target is left
         """
-        rule = self._request.grant.rule
-        wanted = RouteRequest(
-            attempt=self._request.new_attempt(),
-            workspace=rule.workspace,
-            route=rule.route,
-            cost=self._cost,
-            priority=rule.priority,
-            blocks=self._blocks,
-            tried=frozenset(self._tried),
-            price_ceiling=rule.price_ceiling,
-        )
-        target = self._context.dispatcher.choose(self._ticket.pool, wanted)
+        target = await self._reserved_target()
         if target is None:
-            raise self._no_target()
+            return None
+        if self._request.is_over:
+            self._count_end(0, is_failed=False)
+            self._isolation.release(self._request, whole=False)
+            return None
         self._tried.add(target.name)
+        self._target = target
         self._request.target = target.name
         self._ran_before = self._request.may_have_run
         self._request.may_have_run = True
@@ -122,20 +119,13 @@
 
         :param retry: why another one is needed, none for a whole answer
         """
-        now_ms = self._context.clock.now_ms()
-        loads = self._context.dispatcher.loads
         is_failed = retry is not None and not self._request.is_over
-        target = self._request.target
-        loads.finished(
-            self._request.attempt,
-            now_ms,
-            output_tokens=output_tokens,
-            failed=is_failed,
-        )
+        self._count_end(output_tokens, is_failed=is_failed)
         if is_failed and retry in _CRASH_RETRIES:
-            loads.crashed(target, now_ms)
+            self._report_crash()
         if retry in _NOT_RUN_RETRIES:
             self._request.may_have_run = self._ran_before
+        self._isolation.release(self._request, whole=retry is None)
         self._request.end_attempt()
 
     async def pause_before_retry(self, retry: Retry) -> None:
@@ -156,9 +146,79 @@
         if delay_ms is None:
             raise self._failed()
         self._context.metrics.retried(retry)
-        pause = self._context.clock.sleep(delay_ms)
-        self._request.on_stop(lambda: _end_pause(pause))
-        await pause
+        await self._request.pause(self._context.clock, delay_ms)
+
+    @property
+    def _isolation(self) -> Isolation:
+        return self._context.isolation
+
+    async def _reserved_target(self) -> Target | None:
+        """Return the next target once the request may start there."""
+        while not self._request.is_over:
+            target = self._choose()
+            if target is None:
+                await self._request.pause(self._context.clock, RECHECK_MS)
+            elif await self._isolation.reserve(self._request, target.name):
+                return target
+            else:
+                self._count_end(0, is_failed=False)
+        return None
+
+    def _choose(self) -> Target | None:
+        """
+        Return a target, or none where a suspect has to wait for one.
+
+        A suspect keeps away from targets that ended under it as long as the
+        pool has others.
+
+        :raises RequestRefusedError: no target is left
+        """
+        digest = self._request.digest
+        dispatcher = self._context.dispatcher
+        pool = self._ticket.pool
+        wanted = self._wanted(self._isolation.avoid(digest))
+        target = dispatcher.choose(pool, wanted)
+        if target is not None:
+            return target
+        if not self._isolation.is_suspect(digest):
+            raise self._no_target()
+        blamed = self._isolation.blamed(digest)
+        if dispatcher.has_target(pool, self._wanted(blamed)):
+            return None
+        if dispatcher.has_target(pool, self._wanted(frozenset())):
+            wanted = self._wanted(self._isolation.claimed())
+            return dispatcher.choose(pool, wanted)
+        raise self._no_target()
+
+    def _wanted(self, avoided: frozenset[str]) -> RouteRequest:
+        rule = self._request.grant.rule
+        return RouteRequest(
+            attempt=self._request.new_attempt(),
+            workspace=rule.workspace,
+            route=rule.route,
+            cost=self._cost,
+            priority=rule.priority,
+            blocks=self._blocks,
+            tried=avoided.union(self._tried),
+            price_ceiling=rule.price_ceiling,
+        )
+
+    def _count_end(self, output_tokens: int, *, is_failed: bool) -> None:
+        self._context.dispatcher.loads.finished(
+            self._request.attempt,
+            self._context.clock.now_ms(),
+            output_tokens=output_tokens,
+            failed=is_failed,
+        )
+
+    def _report_crash(self) -> None:
+        target = self._target
+        if target is None:
+            return
+        self._context.dispatcher.loads.crashed(
+            target.name, self._context.clock.now_ms()
+        )
+        self._isolation.broke_off(target, self._request.attempt)
 
     def _no_target(self) -> RequestRefusedError:
         if self._request.may_have_run:
@@ -185,8 +245,3 @@
             'the targets broke off',
             retry_after_ms=NO_TARGET_RETRY_MS,
         )
-
-
-def _end_pause(pause: 'Deferred[None]') -> None:
-    pause.addErrback(lambda _: None)
-    pause.cancel()
--- a/cicadahoist/entry/context.py
+++ b/cicadahoist/entry/context.py
@@ -1,32 +1,35 @@
 """What the handlers of requests share."""
 
-from collections.abc import Callable
 from typing import Any, Protocol
 
 from cicadahoist.clock import Clock
 from cicadahoist.config import Config
+from cicadahoist.entry.billing import Billing
 from cicadahoist.entry.dispatcher import Dispatcher
+from cicadahoist.entry.isolation import Isolation
 from cicadahoist.entry.open_requests import OpenRequests
-from cicadahoist.messages import UsageCount
 from cicadahoist.metrics import Metrics
 from cicadahoist.outside.engine import ENGINES, EngineAdapter
 from cicadahoist.outside.service import SERVICES, ServiceAdapter
 from cicadahoist.outside.store import Store
 from cicadahoist.settings import (
+    ANSWER_ID,
     ENGINE_ADAPTER,
     INSTANCE_NAME,
     SERVICE_ADAPTER,
     STALL_TIMEOUT,
-    USAGE_WINDOW,
 )
 from cicadahoist.table import Table
 
 
-class UsageRecorder(Protocol):
-    """Keeps usage so that the loss of this instance does not lose it."""
+class TableSource(Protocol):
+    """Gives the table in force."""
 
-    async def record(self, count: UsageCount) -> None:
-        """Return once the count is safe."""
+    def table(self) -> Table:
+        """Return the table in force."""
+
+    def age_ms(self, now_ms: int) -> int:
+        """Return the time since it was known to be the newest."""
 
 
 class EntryContext:
@@ -42,18 +45,19 @@
     """
 
     __slots__ = (
-        '_usage',
+        '_tables',
+        'billing',
         'clock',
         'dispatcher',
         'engines',
-        'entry_name',
+        'answer_id_form',
+        'is_leaving',
         'metrics',
+        'isolation',
         'open_requests',
         'plain_services',
         'stall_timeout_ms',
         'store',
-        'table',
-        'usage_window_ms',
     )
 
     def __init__(
@@ -72,11 +76,18 @@
         self.plain_services = plain_services
         self.open_requests = OpenRequests()
         self.dispatcher = Dispatcher.from_config(config, clock)
-        self.entry_name = config.read(INSTANCE_NAME)
+        self.isolation = Isolation(
+            clock,
+            config.read(INSTANCE_NAME),
+            self.open_requests,
+            engines,
+            plain_services,
+        )
+        self.is_leaving = False
+        self.billing = Billing.from_config(config)
+        self.answer_id_form = config.read(ANSWER_ID)
         self.stall_timeout_ms = config.read(STALL_TIMEOUT)
-        self.usage_window_ms = config.read(USAGE_WINDOW)
-        self.table: Callable[[], Table] = Table.empty
-        self._usage: UsageRecorder | None = None
+        self._tables: TableSource | None = None
 
     @classmethod
     def from_config(
@@ -99,11 +110,16 @@
             store,
         )
 
-    def use_usage(self, usage: UsageRecorder) -> None:
-        """Set where usage is recorded."""
-        self._usage = usage
+    def use_tables(self, tables: TableSource) -> None:
+        """Set where the table comes from."""
+        self._tables = tables
+
+    def table(self) -> Table:
+        """Return the table in force."""
+        return self._tables.table() if self._tables else Table.empty()
 
-    async def record_usage(self, count: UsageCount) -> None:
-        """Return once a count is safe."""
-        if self._usage is not None:
-            await self._usage.record(count)
+    def table_age_ms(self) -> int:
+        """Return the time since the table was known to be the newest."""
+        if self._tables is None:
+            return 0
+        return self._tables.age_ms(self.clock.now_ms())
--- a/cicadahoist/entry/dispatcher.py
+++ b/cicadahoist/entry/dispatcher.py
@@ -9,13 +9,14 @@
 
 from cicadahoist.clock import Clock, Timer
 from cicadahoist.config import Config
+from cicadahoist.entry.pool_demands import PoolDemands
 from cicadahoist.entry.refusal import RequestRefusedError
+from cicadahoist.messages import PoolWork
 from cicadahoist.policy.admission import ADMISSIONS
 from cicadahoist.policy.cost import CostModel
 from cicadahoist.policy.limits import LimitShares
 from cicadahoist.policy.load import TargetLoads
 from cicadahoist.policy.prefix import PrefixIndex
-from cicadahoist.policy.quarantine import Quarantine
 from cicadahoist.policy.retries import RetryBudgets
 from cicadahoist.policy.routing import ROUTERS
 from cicadahoist.policy.tickets import Refused, RouteRequest, Ticket
@@ -49,6 +50,7 @@
 
     __slots__ = (
         '_clock',
+        '_demand',
         '_is_pumping',
         '_queue',
         '_router',
@@ -60,7 +62,6 @@
         'limits',
         'loads',
         'prefixes',
-        'quarantine',
     )
 
     def __init__(self, config: Config, clock: Clock, rng: Random) -> None:
@@ -70,7 +71,6 @@
         self.costs = CostModel()
         self.prefixes = PrefixIndex()
         self.budgets = RetryBudgets(rng)
-        self.quarantine = Quarantine()
         admission = ADMISSIONS.get(config.read(ADMISSION))
         self._queue = admission(self.loads, self.limits)
         router = ROUTERS.get(config.read(ROUTER))
@@ -79,6 +79,7 @@
         )
         self._table = Table.empty()
         self._waiting_by_request: dict[str, Deferred[Verdict | Refused]] = {}
+        self._demand = PoolDemands()
         self._wake: Timer | None = None
         self._is_pumping = False
 
@@ -113,32 +114,47 @@
         :raises RequestRefusedError: it cannot be answered in time
         """
         offered = self._queue.offer(ticket, self._clock.now_ms())
+        self._demand.arrived(ticket, self._clock.now_ms())
         if isinstance(offered, Err):
+            self._demand.ended(ticket)
             raise _refusal(offered.unwrap_err())
         waiting: Deferred[Verdict | Refused] = Deferred()
         self._waiting_by_request[ticket.request] = waiting
         on_stop(lambda: self._withdraw(ticket))
         self.pump()
         verdict = await waiting
+        if verdict is not Verdict.admitted:
+            self._demand.ended(ticket)
         if isinstance(verdict, Refused):
             raise _refusal(verdict)
         return verdict is Verdict.admitted
 
     def finished(self, ticket: Ticket, used_tokens: int) -> None:
         """Count an admitted request as ended."""
+        self._demand.ended(ticket)
         self._queue.finished(ticket, self._clock.now_ms(), used_tokens)
         self.pump()
 
+    def work(self) -> PoolWork:
+        """Return the work that arrives here, for planners."""
+        return self._demand.work(self._clock.now_ms())
+
     def choose(self, pool: str, request: RouteRequest) -> Target | None:
         """Return the target of an attempt, counted as sent, or none."""
-        now_ms = self._clock.now_ms()
-        targets = self._table.targets_by_pool.get(pool, [])
-        target = self._router.choose(request, targets, now_ms)
+        target = self._route(pool, request)
         if target is not None:
-            self.loads.sent(target.name, request, now_ms)
+            self.loads.sent(target.name, request, self._clock.now_ms())
             self.prefixes.stored(target.name, request.blocks)
         return target
 
+    def has_target(self, pool: str, request: RouteRequest) -> bool:
+        """Tell whether any target may take an attempt."""
+        return self._route(pool, request) is not None
+
+    def _route(self, pool: str, request: RouteRequest) -> Target | None:
+        targets = self._table.targets_by_pool.get(pool, [])
+        return self._router.choose(request, targets, self._clock.now_ms())
+
     def pump(self) -> None:
         """Send what may go, refuse what is late, and set the next wake."""
         if self._is_pumping:
--- a/cicadahoist/entry/handling.py
+++ b/cicadahoist/entry/handling.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
+from cicadahoist.entry.auth import check_fresh
 from cicadahoist.entry.caller import CallerRequest
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.open_requests import OpenRequest
@@ -38,8 +39,12 @@
     """
     Do the work of an authorized request within its deadline.
 
-    :raises RequestRefusedError: the request was cut off
+    :raises RequestRefusedError: the request was cut off, or came on a kept
+        connection after the entry had left
     """
+    if context.is_leaving:
+        raise RequestRefusedError(Refusal.leaving, 'this instance leaves')
+    check_fresh(request.grant, context.table_age_ms())
     deadline = context.clock.call_later(
         request.grant.rule.deadline_ms, _time_out, request
     )
--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -8,7 +8,6 @@
 from cicadahoist.entry.answer_stream import AnswerStream
 from cicadahoist.entry.attempts import Attempts
 from cicadahoist.entry.auth import authorize
-from cicadahoist.entry.billing import usage_count
 from cicadahoist.entry.caller import CallerRequest
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.events import DONE, Usage, encode_event
@@ -18,6 +17,7 @@
 from cicadahoist.entry.stall_watch import StallWatch
 from cicadahoist.entry.stream_attempt import AttemptEnd, StreamAttempt
 from cicadahoist.errors import LostAfterSendError, NotSentError
+from cicadahoist.ids import body_digest
 from cicadahoist.outside.engine import JSON_TYPE
 from cicadahoist.outside.http import (
     HTTP_BUSY,
@@ -25,7 +25,6 @@
     HTTP_UNAVAILABLE,
     TargetResponse,
 )
-from cicadahoist.policy.prefix import prompt_blocks
 from cicadahoist.reasons import Retry
 from cicadahoist.table import RouteKind, Target
 
@@ -43,6 +42,7 @@
     """The part of a whole answer that the entry reads."""
 
     choices: list[Any]
+    id: str = ''
     usage: Usage = msgspec.field(default_factory=Usage)
 
 
@@ -77,7 +77,9 @@
         grant = authorize(
             self._context.table(), caller, wanted.fields.model, RouteKind.model
         )
-        request = OpenRequest(caller, grant)
+        digest = body_digest(caller.body)
+        self._context.isolation.check(digest)
+        request = OpenRequest(caller, grant, digest)
         job = _ModelJob(self._context, request, wanted, path)
         await run_open(self._context, request, job.run)
 
@@ -113,8 +115,9 @@
             0,
             wanted.max_tokens,
         )
-        blocks = prompt_blocks(request.caller.body)
-        self._attempts = Attempts(context, request, cost, blocks)
+        self._attempts = Attempts(
+            context, request, cost, wanted.prompt_blocks()
+        )
 
     async def run(self) -> None:
         """Make attempts until one completes the answer."""
@@ -127,7 +130,9 @@
 
     async def _run_attempts(self) -> None:
         while not self._attempts.is_over:
-            target = self._attempts.begin()
+            target = await self._attempts.begin()
+            if target is None:
+                break
             retry = await self._attempt(target)
             self._attempts.finish(self._answer.next_offset, retry)
             if retry is None:
@@ -183,7 +188,7 @@
     ) -> Retry | None:
         caller = self._request.caller
         caller.start_stream()
-        self._answer.begin_attempt()
+        self._answer.begin_attempt(self._answer_id())
         attempt = StreamAttempt(
             self._answer,
             caller,
@@ -221,6 +226,8 @@
                 whole = _decode_whole(body)
             except msgspec.MsgspecError:
                 return Retry.stream_broken
+            if self._answer_id() not in {'', whole.id}:
+                return Retry.stream_broken
             self._attempts.first_token()
             self._answer.usage = whole.usage
             self._answer.next_offset = whole.usage.completion_tokens
@@ -230,6 +237,11 @@
         )
         return None
 
+    def _answer_id(self) -> str:
+        """Return the id of this attempt's answer, empty where unknown."""
+        form = self._context.answer_id_form
+        return form.format(attempt=self._request.attempt)
+
     def _cancel(self, target: Target) -> None:
         """Free the target of an attempt that nobody waits for."""
         cancelling = Deferred.fromCoroutine(
@@ -254,11 +266,4 @@
             usage.prompt_tokens,
             usage.completion_tokens,
         )
-        await self._context.record_usage(
-            usage_count(
-                self._request,
-                self._context.entry_name,
-                usage,
-                self._context.usage_window_ms,
-            )
-        )
+        await self._context.billing.record(self._request, usage)
--- a/cicadahoist/mesh/node.py
+++ b/cicadahoist/mesh/node.py
@@ -17,6 +17,7 @@
 from cicadahoist.mesh.view import View
 from cicadahoist.messages import (
     Batch,
+    DrainNotice,
     Heartbeat,
     InstanceInfo,
     KnownInstances,
@@ -82,6 +83,7 @@
             period_ms=period_ms,
             zone_timeout_ms=ZONE_TIMEOUTS * timeout_ms,
         )
+        self.subscribe(DrainNotice, self.rounds.note_drain)
 
     @classmethod
     def from_config(
@@ -149,8 +151,10 @@
         self._outbox.put_all(self.view.zone_peers(), message)
 
     def send_to(self, name: str, message: Message) -> None:
-        """Send a message to another instance, of any zone."""
-        if name in self.view.zone_peers():
+        """Send a message to an instance of any zone, or to this one."""
+        if name == self.info.name:
+            self._deliver(self.info, message)
+        elif name in self.view.zone_peers():
             self._outbox.put(name, message)
         elif name in self.view.zones.live():
             self._relay.send(message, name)
@@ -166,10 +170,11 @@
 
     def _accept(self, batch: Batch) -> None:
         sender = batch.sender
-        is_live = self.live().get(sender.name) == sender
-        if not self.view.peers.accept(batch):
+        is_live = self.view.is_live(sender)
+        now_ms = self._clock.now_ms()
+        if not self.view.peers.accept(batch, now_ms):
             return
-        self.view.zones.touch(sender.zone, self._clock.now_ms())
+        self.view.zones.touch(sender.zone, now_ms)
         for message in batch.messages:
             self._dispatch(sender, message)
         if not is_live:
--- a/cicadahoist/mesh/rounds.py
+++ b/cicadahoist/mesh/rounds.py
@@ -10,7 +10,13 @@
 from cicadahoist.mesh.prober import Prober
 from cicadahoist.mesh.view import View
 from cicadahoist.mesh.zones import DIRECT
-from cicadahoist.messages import Heartbeat, InstanceInfo, KnownInstances
+from cicadahoist.messages import (
+    DrainNotice,
+    Heartbeat,
+    InstanceInfo,
+    KnownInstances,
+)
+from cicadahoist.protocol.drain_notices import DrainNotices
 
 PROBE_ROUNDS = 4
 SUMMARY_ROUNDS = 10
@@ -38,6 +44,7 @@
 
     __slots__ = (
         '_clock',
+        '_drains',
         '_last_summary',
         '_number',
         '_outbox',
@@ -69,6 +76,7 @@
         self._period_ms = period_ms
         self._zone_timeout_ms = zone_timeout_ms
         self._number = 0
+        self._drains = DrainNotices()
         self._last_summary: KnownInstances | None = None
         self._timer: Timer | None = None
 
@@ -82,10 +90,10 @@
         links = [link.name for link in self._view.links()]
         if links:
             self._put_summaries(links)
-        heartbeat = self._heartbeat()
+        heard = self._view.peers.heard()
         recipients = [*self._view.zone_peers(), *links]
         for name in recipients:
-            self._outbox.send(name, [heartbeat])
+            self._outbox.send(name, [self._heartbeat(name, heard)])
 
     def stop(self) -> None:
         """Run no further round."""
@@ -93,12 +101,27 @@
             self._timer.cancel()
 
     def greet(self, newcomer: InstanceInfo) -> None:
-        """Tell an instance that was not live so far who is."""
+        """
+        Tell an instance that was not live so far who is.
+
+        What is being drained goes before the heartbeat that tells the
+        newcomer that it is heard: it may send work to targets from then on.
+        """
         messages: list[Outgoing] = [self._view.summary()]
         if newcomer.zone == self._view.info.zone and self._view.links():
             zones = self._view.zones
             messages.extend(zones.heard_summary(zone) for zone in zones.zones())
-        self._outbox.send(newcomer.name, [*messages, self._heartbeat()])
+        heard = self._view.peers.heard()
+        messages.extend(
+            DrainNotice(target=ack.target, order=ack.order)
+            for ack in self._drains.acks('', '', {})
+        )
+        messages.append(self._heartbeat(newcomer.name, heard))
+        self._outbox.send(newcomer.name, messages)
+
+    def note_drain(self, sender: InstanceInfo, notice: DrainNotice) -> None:
+        """Take in which targets get no new work, to tell newcomers."""
+        self._drains.take(notice)
 
     def learn(self, sender: InstanceInfo, known: KnownInstances) -> None:
         """Take in who is live according to a sender."""
@@ -139,12 +162,14 @@
         live = self._view.live().values()
         heard = {address_of(instance) for instance in live}
         for address in self._prober.due(heard):
-            self._outbox.probe(address, [self._heartbeat()])
+            self._outbox.probe(address, [self._heartbeat('', {})])
 
-    def _heartbeat(self) -> Heartbeat:
+    def _heartbeat(self, name: str, heard: dict[str, str]) -> Heartbeat:
+        # A peer only looks for itself among those heard.
+        incarnation = heard.get(name)
         state = self.describe_table()
         return Heartbeat(
-            heard=self._view.peers.heard(),
+            heard={name: incarnation} if incarnation else {},
             revision=state.revision,
             in_force_ms=state.in_force_ms,
             confirmed_age_ms=state.confirmed_age_ms,
--- a/cicadahoist/mesh/store_follower.py
+++ b/cicadahoist/mesh/store_follower.py
@@ -24,9 +24,9 @@
     """
     Watches the store as a watcher of the zone; else polls where needed.
 
-    A process that is no watcher reads the store once at its start, and
-    again only when neither watcher nor peer has confirmed its revision
-    within ``POLL_WAITS`` watches.
+    A process that is no watcher reads the store at its start, and again only
+    when neither watcher nor peer has confirmed its revision within
+    ``POLL_WAITS`` watches.
 
     :param store: the platform's store
     :param state: the table in force
@@ -68,15 +68,13 @@
         self._backoff = Backoff(random, RETRY_SHORTEST_MS, RETRY_LONGEST_MS)
         self._version = ABSENT
 
-    async def run(self) -> None:
-        """Follow the store until cancelled."""
-        await self._try_call(self._read_head)
-        while True:  # noqa: WPS457
-            if self._is_watcher():
-                await self._try_call(self._watch_head)
-            elif self._is_silent():
-                await self._try_call(self._read_head)
-            await self._clock.sleep(CHECK_MS)
+    async def step(self) -> None:
+        """Make the call that is due, and wait."""
+        if self._is_watcher():
+            await self._try_call(self._watch_head)
+        elif self._is_silent():
+            await self._try_call(self._read_head)
+        await self._clock.sleep(CHECK_MS)
 
     async def _try_call(self, call: Callable[[], Awaitable[None]]) -> None:
         try:
--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -1,11 +1,15 @@
-"""Messages between instances and between the entry and control processes."""
+"""
+Messages between instances and between the entry and control processes.
+
+They travel as arrays: a new field goes last and has a default.
+"""
 
 import msgspec
 
 from cicadahoist.errors import WireError
 
 
-class InstanceInfo(msgspec.Struct, frozen=True, kw_only=True):
+class InstanceInfo(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """
     Identity and address of one running process of an instance.
 
@@ -20,12 +24,14 @@
     incarnation: str
 
 
-class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Heartbeat(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     State of the sender, sent to each peer in each round.
 
-    :param heard: incarnations that the sender heard within the peer timeout,
-        by name; shows one-way cuts
+    :param heard: incarnation of the receiver that the sender heard within
+        the peer timeout, by name; shows one-way cuts
     :param revision: table revision in force at the sender
     :param in_force_ms: how long that revision has been in force
     :param leaving: whether the sender is draining
@@ -40,7 +46,9 @@
     confirmed_age_ms: int = -1
 
 
-class KnownInstances(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class KnownInstances(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Addresses of live instances.
 
@@ -52,7 +60,9 @@
     zone: str = ''
 
 
-class TableDelta(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class TableDelta(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Shard objects that changed since an older revision.
 
@@ -66,18 +76,24 @@
     shards: dict[str, bytes]
 
 
-class TableWanted(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class TableWanted(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """Asks a peer for what changed since ``revision``."""
 
     revision: int
 
 
-class UsageCount(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class UsageCount(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Usage of one finished or broken-off request.
 
     :param request: identifier of the request, counted at most once
     :param window: number of the billing window
+    :param number: rises by one with each count of the entry in the window;
+        given when the count is recorded
     """
 
     request: str
@@ -87,21 +103,33 @@
     route: str
     prompt_tokens: int
     output_tokens: int
+    number: int = 0
 
 
-class UsageCopied(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class UsageCopied(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """Acknowledges that the sender keeps copies of these counts."""
 
     requests: list[str]
 
 
-class UsageFlushed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Tells peers that these counts are in the store."""
+class UsageFlushed(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """
+    Tells peers that the sender's counts of a window are in the store.
 
-    requests: list[str]
+    :param through: the highest number of those counts
+    """
+
+    window: int
+    through: int
 
 
-class DrainNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class DrainNotice(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Asks every entry to send no new work to a target.
 
@@ -114,7 +142,9 @@
     active: bool = True
 
 
-class DrainAck(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class DrainAck(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Acknowledges a drain.
 
@@ -128,7 +158,9 @@
     open_requests: int
 
 
-class Demand(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Demand(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Recent demand at the sender, from which limits are split.
 
@@ -142,7 +174,22 @@
     used_by_rule: dict[str, tuple[int, int, int]] = {}
 
 
-class LoadView(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class PoolWork(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """
+    Work that arrived at the sender, from which control plans roles.
+
+    :param by_pool: prompt tokens, cached ones left out, and output tokens a
+        ms, by pool
+    """
+
+    by_pool: dict[str, tuple[float, float]]
+
+
+class LoadView(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     Work in flight from the sender.
 
@@ -155,7 +202,33 @@
     urgent_by_target: dict[str, int] = {}
 
 
-class Blame(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class TargetReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    Load that a target reported.
+
+    :param age_ms: age of the report when it was sent on
+    :param prefill_tokens: prompt tokens still to be processed
+    """
+
+    age_ms: int
+    role: str
+    running: int
+    queued: int
+    prefill_tokens: int
+    draining: bool
+
+
+class TargetReports(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """Reports of the targets that the sender polls for its zone."""
+
+    by_target: dict[str, TargetReport]
+
+
+class Blame(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     A request ran on a target while that target died.
 
@@ -167,14 +240,18 @@
     alone: bool
 
 
-class Quarantined(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Quarantined(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """Bodies with this digest are refused everywhere for a time."""
 
     digest: str
     for_ms: int
 
 
-class SuspectRun(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class SuspectRun(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     A suspect is about to run on a target, or has ended there.
 
@@ -224,13 +301,17 @@
     | DrainAck
     | Demand
     | LoadView
+    | PoolWork
+    | TargetReports
     | Blame
     | Quarantined
     | SuspectRun
 )
 
 
-class Relayed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Relayed(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """
     A message between zones, passed on by gateways.
 
@@ -247,7 +328,7 @@
     message: Message
 
 
-class Batch(msgspec.Struct, frozen=True, kw_only=True):
+class Batch(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """
     All messages for one peer in one round.
 
--- a/tests/test_cmd/test_operator_rows.py
+++ b/tests/test_cmd/test_operator_rows.py
@@ -57,6 +57,9 @@
         ('target drain nothing', Exit.not_found),
         ('target add e1 --pool p', Exit.usage),
         ('route remove nothing', Exit.not_found),
+        ('workspace create a/b', Exit.rejected),
+        ('route create a/b --kind service --pool p', Exit.rejected),
+        ('target add e1 --pool p --zone z --url host:80', Exit.rejected),
     ],
 )
 def test_wrong_arguments_have_their_own_codes(deployed, line, code):
@@ -73,6 +76,12 @@
     assert [row['name'] for row in deployed.rows('model list')] == ['ledger']
 
 
+def test_names_of_models_may_hold_slashes(deployed):
+    deployed.done('model create maker/model:7b --pool engines')
+    names = [row['name'] for row in deployed.rows('model list')]
+    assert names == ['ledger', 'maker/model:7b']
+
+
 def test_route_in_use_stays(deployed):
     deployed.done('table set tayside ledger')
     assert deployed.run('route remove ledger').exit_code == Exit.rejected
@@ -96,6 +105,25 @@
     assert deployed.rows('target list')[0]['draining'] is False
 
 
+def test_saves_and_removals_tell_scripts_their_revision(deployed):
+    saved = deployed.rows('table set tayside ledger')
+    assert saved == {
+        'row': 'rule/tayside/ledger',
+        'revision': 4,
+        'removed': False,
+    }
+    removed = deployed.rows('table remove tayside ledger')
+    assert removed['removed'] is True
+    assert removed['revision'] == 5
+    assert deployed.rows('key create tayside')[0]['revision'] == 6
+
+
+def test_empty_key_is_rejected(deployed):
+    result = deployed.run('key create tayside --key -', input='\n')
+    assert result.exit_code == Exit.rejected
+    assert deployed.rows('key list') == []
+
+
 def test_columns_are_aligned(deployed):
     lines = deployed.done('workspace list').stdout.splitlines()
     assert lines[0].split() == ['NAME', 'ENABLED', 'REVISION']
--- a/tests/test_outside/test_engine.py
+++ b/tests/test_outside/test_engine.py
@@ -10,9 +10,11 @@
     NotSentError,
     RefusedError,
 )
-from cicadahoist.outside.engine import EngineOrder, OpenAiHttpEngine
+from cicadahoist.outside.engine import OpenAiHttpEngine
+from cicadahoist.outside.engine_messages import EngineOrder
 from cicadahoist.standin.engine import Engine, EngineOptions
 from cicadahoist.standin.engine_batch import EngineLimits
+from cicadahoist.standin.engine_frames import FRAME_FAULTS
 from cicadahoist.standin.engine_server import EngineServer
 from cicadahoist.standin.faults import Fault
 from cicadahoist.standin.tokens import output_text
@@ -200,6 +202,34 @@
         await self.until(lambda: crashes)
         response.abort()
 
+    async def test_frame_faults(self):
+        _, server, target = self.start()
+        came = {}
+        for mark in FRAME_FAULTS:
+            server.faults.apply(Fault(kind='frames', mark=mark))
+            events = await self.stream(target, mark, body(max_tokens=4))
+            await events.ended
+            came[mark] = [
+                ('x' if text.startswith('x') else '') + str(offset)
+                for offset, text in events.tokens()
+            ]
+        assert came == {
+            'crossed-frame': 'x0 0 x1 1 x2 2 x3 3'.split(),
+            'late-frame': '0 1 0 2 1 3 2'.split(),
+            'repeat-frame': '0 0 1 1 2 2 3 3'.split(),
+            'skip-frame': '0 1 3'.split(),
+        }
+
+    async def test_freeze_and_reclaim(self):
+        _, server, _ = self.start()
+        came = []
+        server.faults.freeze = came.append
+        server.faults.crash = lambda: came.append('crash')
+        server.faults.apply(Fault(kind='freeze', delay_ms=700))
+        server.faults.apply(Fault(kind='reclaim', delay_ms=30))
+        await self.until(lambda: len(came) == 2)
+        assert came == [700, 'crash']
+
     async def test_kv_goes_from_engine_to_engine(self):
         source, _, source_target = self.start(name='engine-1')
         sink, _, sink_target = self.start(name='engine-2')
@@ -223,7 +253,8 @@
 
     async def test_orders(self):
         # A manual clock holds the change of role in progress.
-        _, server, target = self.start(clock=Clock.manual())
+        clock = Clock.manual()
+        _, server, target = self.start(clock=clock)
         adapter = self.adapter_under_test
         await adapter.send_order(
             target, EngineOrder(epoch=2, seq=1, kind='drain', argument='off')
@@ -245,17 +276,20 @@
             ),
         )
         found = await adapter.read_orders(target)
-        assert (found.epoch, found.seq, found.role) == (2, 2, 'prefill')
+        assert (found.epoch, found.seq, found.role) == (2, 2, 'mixed')
         assert found.changing
         counts = server.seen().orders
         assert (counts.taken, counts.stale, counts.overlapping) == (2, 1, 1)
         refused = await adapter.open_stream(target, 'a1', PATH, body(), 1)
         assert refused.status == 503
         refused.abort()
+        clock.advance(3000)
+        found = await adapter.read_orders(target)
+        assert (found.role, found.changing) == ('prefill', False)
 
     async def test_load_and_cache_events(self):
         _, _, target = self.start(load_lag_ms=0, event_lag_ms=0, event_gap=0)
-        await (await self.stream(target, 'a1', body('x' * 1024))).ended
+        await (await self.stream(target, 'a1', body('x' * 4096))).ended
         load = await self.adapter_under_test.load(target)
         assert load.models == ['demo-model']
         found = await self.adapter_under_test.cache_events(target, 1)
