--- a/bench/policy/__main__.py
+++ b/bench/policy/__main__.py
@@ -15,11 +15,20 @@
     served_at_best,
 )
 from bench.policy.decisions import print_decisions
-from bench.policy.simulation import Simulation, Variant
+from bench.policy.simulation import Simulation
 from bench.policy.spending import print_spending
 from bench.policy.workload import FAULTS, SCENARIOS
 from cicadahoist.policy.capacity import Assignment
 
+
+class Variant(msgspec.Struct, frozen=True, kw_only=True):
+    """The policy under test or a baseline."""
+
+    admission: str = 'fair'
+    router: str = 'predicted'
+    roles: str = 'planned'
+
+
 VARIANTS = {
     'policy': Variant(),
     'round robin': Variant(router='round-robin'),
--- a/bench/policy/entry.py
+++ b/bench/policy/entry.py
@@ -26,13 +26,11 @@
         rng = Random(self.name)
         self.loads = TargetLoads()
         self.loads.sync(sim.targets, 0)
-        self.queue = ADMISSIONS.get(variant.admission)(
-            self.loads, LimitShares(self.name)
-        )
+        admission = ADMISSIONS.get(variant.admission)
+        self.queue = admission(self.loads, LimitShares(self.name))
         self.prefixes = PrefixIndex()
-        self.router = ROUTERS.get(variant.router)(
-            self.loads, self.prefixes, zone, rng
-        )
+        router = ROUTERS.get(variant.router)
+        self.router = router(self.loads, self.prefixes, zone, rng)
         self.costs = CostModel()
         self.budgets = RetryBudgets(rng)
         self.quarantine = Quarantine(self.name)
@@ -46,12 +44,9 @@
             request.refused = 'quarantined'
             return
         cached = self.prefixes.cached_tokens(request.blocks)
+        longest = max(cached.values(), default=0)
         cost = self.costs.estimate(
-            request.workspace,
-            request.spec.route,
-            request.prompt,
-            max(cached.values(), default=0),
-            0,
+            *request.pair, request.prompt, longest, max_tokens=0
         )
         ticket = Ticket.from_rule(
             request.name, POOL, request.rule, cost, request.at_ms
@@ -104,10 +99,8 @@
             return
         cost = request.ticket.cost
         if request.emitted:
-            cost = Cost(
-                request.prompt + request.emitted,
-                max(1, cost.decode - request.emitted),
-            )
+            left = max(1, cost.decode - request.emitted)
+            cost = Cost(request.prompt + request.emitted, left)
         avoided = self.quarantine.avoid(request.digest, now)
         wanted = RouteRequest(
             attempt=f'{request.name}.{request.attempts}',
@@ -163,12 +156,7 @@
         request.end_ms = now
         request.target = ''
         self.loads.finished(request.attempt, now, output_tokens=request.output)
-        self.costs.observe(
-            request.workspace,
-            request.spec.route,
-            request.prompt,
-            request.output,
-        )
+        self.costs.observe(*request.pair, request.prompt, request.output)
         self.release(request, whole=True)
         self.end(request, '')
 
@@ -180,17 +168,12 @@
         self.pump()
 
     def target_died(self, target, reclaimed):
-        hit = [
-            request
-            for request in self.open_by_name.values()
-            if request.target == target
-        ]
+        hit = [r for r in self.open_by_name.values() if r.target == target]
         self.loads.crashed(target, self.sim.now)
         digests = sorted({request.digest for request in hit})
         if not reclaimed:
-            for blame in self.quarantine.target_died(
-                target, digests, self.sim.now
-            ):
+            now = self.sim.now
+            for blame in self.quarantine.target_died(target, digests, now):
                 self.sim.tell(self, blame)
         for request in hit:
             self.lost(request, not_run=False)
--- a/bench/policy/simulation.py
+++ b/bench/policy/simulation.py
@@ -4,8 +4,6 @@
 from functools import partial
 from itertools import count
 
-import msgspec
-
 from bench.policy.engine import Engine
 from bench.policy.entry import POOL, Entry
 from bench.policy.workload import DURATION_MS, SCENARIOS, ZONES, requests_of
@@ -31,14 +29,6 @@
 TELL_MS = 300
 
 
-class Variant(msgspec.Struct, frozen=True, kw_only=True):
-    """The policy under test or a baseline."""
-
-    admission: str = 'fair'
-    router: str = 'predicted'
-    roles: str = 'planned'
-
-
 class Simulation:
     """One run of a scenario."""
 
@@ -73,8 +63,11 @@
             entry = self.entries[number % len(self.entries)]
             self.after(request.at_ms, entry.arrive, request)
         stale = self.fault == 'stale'
-        self.every(1000, partial(self.report, 10_000 if stale else 1000))
-        self.every(5000 if stale else 500, self.exchange)
+        lag_ms, period_ms = (10_000, 5000) if stale else (1000, 500)
+        for engine in self.engines.values():
+            self.every(1000, partial(self.report, engine, lag_ms))
+        for entry in self.entries:
+            self.every(period_ms, partial(self.exchange, entry))
         self.every(1000, self.control)
         self.schedule_fault()
         while self.events and self.events[0][0] < DURATION_MS + TAIL_MS:
@@ -140,40 +133,36 @@
         self.changing.discard(engine.target.name)
         self.drain(engine, False)
 
-    def report(self, lag_ms):
-        for name, engine in self.engines.items():
-            left = sum(max(0, work.left) for work in engine.works())
-            report = ReportedLoad(
-                age_ms=lag_ms,
-                role=engine.role,
-                running=len(engine.running),
-                queued=sum(map(len, engine.waiting)),
-                prefill_tokens=left,
-            )
-            if engine.alive:
-                self.after(lag_ms, self.deliver, name, report)
-
-    def deliver(self, name, report):
+    def to_others(self, sender, delay_ms, action):
         for entry in self.entries:
-            entry.loads.report(name, report, self.now)
+            if entry is not sender:
+                self.after(delay_ms, action, entry)
 
-    def exchange(self):
-        for entry in self.entries:
-            view = entry.loads.view()
-            for other in self.entries:
-                if other is not entry:
-                    self.after(LAG_MS, self.hear, other, entry.name, view)
+    def report(self, engine, lag_ms):
+        if not engine.alive:
+            return
+        name = engine.target.name
+        load = ReportedLoad(
+            age_ms=lag_ms,
+            role=engine.role,
+            running=len(engine.running),
+            queued=sum(map(len, engine.waiting)),
+            prefill_tokens=sum(max(0, work.left) for work in engine.works()),
+        )
+        self.to_others(
+            None, lag_ms, lambda e: e.loads.report(name, load, self.now)
+        )
 
-    def hear(self, entry, sender, view):
-        entry.loads.hear(sender, view, self.now)
+    def exchange(self, sender):
+        view = sender.loads.view()
+        self.to_others(
+            sender, LAG_MS, lambda e: e.loads.hear(sender.name, view, self.now)
+        )
 
     def tell(self, sender, message):
-        for entry in self.entries:
-            if entry is not sender:
-                self.after(TELL_MS, self.told, entry, message)
-
-    def told(self, entry, message):
-        entry.quarantine.hear(message, self.now)
+        self.to_others(
+            sender, TELL_MS, lambda e: e.quarantine.hear(message, self.now)
+        )
 
     def control(self):
         parts = [e.meter.measure(POOL, self.now) for e in self.entries]
@@ -208,12 +197,10 @@
             open_requests=len(engine.works()),
         )
 
-    def await_empty(self, engine, role):
-        if engine.alive and engine.works():
-            self.after(100, self.await_empty, engine, role)
-        elif engine.alive:
-            self.after(CHANGE_MS, self.changed, engine, role)
-
-    def changed(self, engine, role):
-        if engine.alive:
+    def await_empty(self, engine, role, changed=False):
+        if changed and engine.alive:
             self.ready(engine, role)
+        elif engine.alive:
+            wait_ms = 100 if engine.works() else CHANGE_MS
+            empty = not engine.works()
+            self.after(wait_ms, self.await_empty, engine, role, empty)
--- a/bench/policy/workload.py
+++ b/bench/policy/workload.py
@@ -51,6 +51,10 @@
     def urgent(self):
         return self.rule.priority <= 1
 
+    @property
+    def pair(self):
+        return self.workspace, self.spec.route
+
     def is_good(self):
         if self.end_ms is None:
             return False
--- a/cicadahoist/policy/quarantine.py
+++ b/cicadahoist/policy/quarantine.py
@@ -7,6 +7,8 @@
 clear the bodies beside it.
 """
 
+from collections.abc import Iterable
+
 from cicadahoist.messages import Blame, Quarantined, SuspectRun
 from cicadahoist.policy.suspects import Claims, Suspect
 
@@ -141,10 +143,11 @@
     def tick(self, now_ms: int) -> list[Quarantined]:
         """Decide on suspects; return new quarantines to tell all peers."""
         self._forget(now_ms)
+        suspects = self._suspects_by_digest
         guilty = [
             digest
-            for digest, suspect in self._suspects_by_digest.items()
-            if self._is_guilty(suspect, now_ms)
+            for digest, suspect in suspects.items()
+            if _is_guilty(suspect, suspects.values(), now_ms)
         ]
         for found in guilty:
             self._confine(found, QUARANTINE_MS, now_ms)
@@ -160,17 +163,6 @@
         suspect = suspects.setdefault(blame.digest, Suspect())
         suspect.blame(blame.target, now_ms, alone=blame.alone)
 
-    def _is_guilty(self, suspect: Suspect, now_ms: int) -> bool:
-        if now_ms - suspect.newest_ms() < SETTLE_MS:
-            return False
-        targets = suspect.separate_targets(CORRELATED_MS)
-        if len(targets) < 2:
-            return False
-        return suspect.was_alone or not any(
-            other is not suspect and targets <= set(other.blamed_ms)
-            for other in self._suspects_by_digest.values()
-        )
-
     def _confine(self, digest: str, for_ms: int, now_ms: int) -> None:
         self._until_by_digest[digest] = now_ms + for_ms
         guilty = self._suspects_by_digest.pop(digest, None)
@@ -189,3 +181,17 @@
             if now_ms - suspect.newest_ms() > BLAME_LIFE_MS:
                 self._suspects_by_digest.pop(blamed)
         self._claims.expire(now_ms - CLAIM_LIFE_MS)
+
+
+def _is_guilty(
+    suspect: Suspect, suspects: Iterable[Suspect], now_ms: int
+) -> bool:
+    if now_ms - suspect.newest_ms() < SETTLE_MS:
+        return False
+    targets = suspect.separate_targets(CORRELATED_MS)
+    if len(targets) < 2:
+        return False
+    return suspect.was_alone or not any(
+        other is not suspect and targets <= set(other.blamed_ms)
+        for other in suspects
+    )
