--- a/tests/test_policy/test_limits.py
+++ b/tests/test_policy/test_limits.py
@@ -71,6 +71,26 @@
     assert granted >= 0.8 * LIMIT
 
 
+def test_a_share_rises_only_once_others_have_heard_of_the_demand():
+    cluster = Cluster()
+    cluster.run(20)
+    granted = 0
+    for _ in range(3):
+        granted += cluster.ask('entry-1')
+        cluster.step()
+    assert cluster.now_ms % 4000 == 3500
+    granted += cluster.ask('entry-1', 60)
+    cluster.step()
+    granted += cluster.ask('entry-1', 60)
+    cluster.step()
+    granted += cluster.ask('entry-1', 60)
+    assert granted <= LIMIT // 3
+    for _ in range(16):
+        granted += cluster.ask('entry-1', 60)
+        cluster.step()
+    assert granted > LIMIT // 2
+
+
 def test_a_cut_off_entry_keeps_its_share():
     cluster = Cluster()
     for _ in range(80):
