--- a/cicadahoist/protocol/orders.py
+++ b/cicadahoist/protocol/orders.py
@@ -14,7 +14,8 @@
 from cicadahoist.protocol.lease import LeaseKeeper
 from cicadahoist.protocol.machine import ChartCore, ChartKit
 from cicadahoist.protocol.order_events import OrderInherited
-from cicadahoist.protocol.order_rules import GUARDS, OUTPUTS
+from cicadahoist.protocol.order_guards import GUARDS
+from cicadahoist.protocol.order_outputs import OUTPUTS
 from cicadahoist.protocol.records import JournalEntry, LeaseRecord
 
 ORDER_KIT = ChartKit.load('order', GUARDS, OUTPUTS)
--- a/proof/fault_matrix.py
+++ b/proof/fault_matrix.py
@@ -13,10 +13,12 @@
 from proof.matrix import fault_sets as list_fault_sets
 from proof.scenario import SCENARIOS, Step
 
+ALL = 'all'
+LEASED = ('authority', 'usage_window')
 JOBS = 4
 CHUNK = 8
-SINGLE_SEEDS = (0, 1, 2)
-PAIR_SEEDS = (0,)
+SINGLE_SEEDS = (0, 1, 2, 3)
+PAIR_SEEDS = (0, 3)
 
 __all__ = ('main', 'scenarios')
 
@@ -30,7 +32,7 @@
     faults: tuple[str, ...]
 
     def run(self) -> Cell:
-        """Run the cell; pairs under one seed, single faults under three."""
+        """Run the cell; pairs under two seeds, single faults under four."""
         seeds = SINGLE_SEEDS if len(self.faults) == 1 else PAIR_SEEDS
         return run_cell(self.settings, self.step, self.plan, self.faults, seeds)
 
@@ -45,13 +47,20 @@
     Run the matrix and print it; fails where a cell fails.
 
     :param scenario: scenarios to run, all where none is given
-    :param broken: guards to take away, as chart.guard
+    :param broken: guards to take away, as chart.guard; ``all`` looks for
+        each guard for a single fault that fails without it
     :param pairs: whether pairs of faults are run too
     :param jobs: processes that run cells at once
     """
+    names = scenario or SCENARIOS.names()
+    if broken == [ALL]:
+        with ProcessPoolExecutor(jobs) as pool:
+            for name in names:
+                _print_guards(name, pool)
+        return
     total: Counter[str] = Counter()
     with ProcessPoolExecutor(jobs) as pool:
-        for name in scenario or SCENARIOS.names():
+        for name in names:
             settings = Settings(name, tuple(broken or ()))
             tasks = list(_tasks(settings, pairs))
             cells = list(pool.map(Task.run, tasks, chunksize=CHUNK))
@@ -63,10 +72,36 @@
         raise typer.Exit(1)
 
 
+class Search(NamedTuple):
+    """A search for a cell that fails without a guard."""
+
+    settings: Settings
+    plans: dict[Step, Plan]
+
+    def run(self) -> Cell | None:
+        """Search single faults at all steps that can be reached."""
+        return find_failure(self.settings, self.plans, SINGLE_SEEDS)
+
+
+def _print_guards(name: str, pool: ProcessPoolExecutor) -> None:
+    plans = find_plans(Settings(name))
+    guards = all_guards(name)
+    if name in LEASED:
+        guards.append(KERNEL_TIMER)
+    searches = [Search(Settings(name, (guard,)), plans) for guard in guards]
+    typer.echo(f'\n== {name}, each guard taken away')
+    for guard, cell in zip(guards, pool.map(Search.run, searches)):
+        found = 'no single fault fails'
+        if cell is not None:
+            faults = ' + '.join(cell.faults)
+            found = f'{cell.step}: {faults}: seed {cell.seed}: {cell.detail}'
+        typer.echo(f'without {guard}: {found}')
+
+
 def _tasks(settings: Settings, pairs: bool) -> Iterator[Task]:
     plans = find_plans(Settings(settings.scenario))
     for step in all_steps(settings.scenario):
-        for faults in list_fault_sets(pairs):
+        for faults in fault_sets(pairs):
             yield Task(settings, step, plans.get(step), faults)
 
 
--- a/proof/matrix.py
+++ b/proof/matrix.py
@@ -158,6 +158,18 @@
     return Cell(step, faults, 'passed' if reached else 'not reached')
 
 
+def find_failure(
+    settings: Settings, plans: dict[Step, Plan], seeds: tuple[int, ...]
+) -> Cell | None:
+    """Return the first cell of a single fault that fails, if any does."""
+    for faults in fault_sets(pairs=False):
+        for step, plan in plans.items():
+            cell = run_cell(settings, step, plan, faults, seeds)
+            if cell.state == 'failed':
+                return cell
+    return None
+
+
 def _inject(step: Step, faults: tuple[str, ...], duration_ms: int) -> Plan:
     if len(set(faults)) == len(faults):
         return (Injection(step, faults, duration_ms),)
--- a/proof/models/lease.py
+++ b/proof/models/lease.py
@@ -190,7 +190,7 @@
 
 
 def events_of(proc: Proc, leaving: bool) -> Iterator[tuple[str, Slot | None]]:
-    """Return the events that may meet a process, with the write they tell of."""
+    """Return events that may meet a process, and the write they tell of."""
     yield 'tick', None
     yield 'object_read', None
     if proc.cur is not None:
--- a/proof/scenario.py
+++ b/proof/scenario.py
@@ -85,6 +85,7 @@
         plan: list[Injection],
         kernel_timer: bool = True,
     ) -> None:
+        self.seed = seed
         self.world = World(seed)
         self.store = FakeStore(self.world)
         self.kits = kits
@@ -141,6 +142,10 @@
     def reclaim(self, node: Node) -> None:
         """Take a target away."""
 
+    def victim(self, node: Node) -> Node:
+        """Return the process that a fault meets when a process takes a step."""
+        return node
+
     def stimulate(self, name: str, node: Node) -> None:
         """Bring about something that is no fault."""
 
@@ -153,4 +158,5 @@
             if name in self.stimuli:
                 self.stimulate(name, node)
             else:
-                FAULTS.get(name)(self, node, injection.duration_ms)
+                victim = self.victim(node)
+                FAULTS.get(name)(self, victim, injection.duration_ms)
--- a/proof/scenarios/drain.py
+++ b/proof/scenarios/drain.py
@@ -27,10 +27,12 @@
 
 PEER_TIMEOUT_MS = 600
 LIST_LAG_MS = 900
-LIMIT_MS = 3000
+LIMIT_MS = 4000
 PAUSE_MS = 500
 WORK_SHARE = 0.5
 WORK_MS = (20, 300)
+LONG_SHARE = 0.03
+LONG_MS = 2600
 CHANGE_MS = 300
 TARGET = 't1'
 
@@ -126,7 +128,9 @@
 
     def _work(self) -> None:
         self.open += 1
-        self.carry_out([self.world.random.randint(*WORK_MS)])
+        random = self.world.random
+        long = random.random() < LONG_SHARE
+        self.carry_out([LONG_MS if long else random.randint(*WORK_MS)])
 
     def execute(self, action: Any) -> None:
         """Send a request of a duration, and count it until it ends."""
@@ -268,7 +272,7 @@
     """Drains; checked at the target."""
 
     charts = ('drain',)
-    stimuli = ('entry killed', 'change not wanted')
+    stimuli = ('entry killed', 'change not wanted', 'target stuck')
     cannot_occur = {
         'store down': 'no store call is made',
         'store slow': 'no store call is made',
@@ -296,9 +300,9 @@
 
         self.world.later(self.world.latency(), arrive)
 
-    def victim(self) -> Node:
-        """Return the entry that a fault meets besides the control process."""
-        return self.entries[0]
+    def victim(self, node: Node) -> Node:
+        """Faults meet an entry under even seeds, else the control process."""
+        return node if self.seed % 2 else self.entries[0]
 
     def race(self, node: Node) -> None:
         """An operator takes the change back while it is being prepared."""
@@ -306,17 +310,14 @@
 
     def reclaim(self, node: Node) -> None:
         """The target answers nothing for a time."""
-        self.target.down = True
-
-        def heal() -> None:
-            self.target.down = False
-
-        self.world.later(2500, heal)
+        self._stop_target(2500)
 
     def stimulate(self, name: str, node: Node) -> None:
         """Bring about something that is no fault of the matrix."""
         if name == 'entry killed':
-            self.victim().kill(RESTART_MS)
+            self.entries[0].kill(RESTART_MS)
+        elif name == 'target stuck':
+            self._stop_target(LIMIT_MS + PAUSE_MS)
         else:
             self.world.later(0, lambda: self.control.offer(ChangeCancelled()))
 
@@ -325,6 +326,14 @@
         if not any(at >= since_ms for at in self.target.changes):
             self.world.violate(f'no change since {since_ms} ms')
 
+    def _stop_target(self, duration_ms: int) -> None:
+        self.target.down = True
+
+        def heal() -> None:
+            self.target.down = False
+
+        self.world.later(duration_ms, heal)
+
     def _list(self) -> None:
         now_ms = self.world.now_ms
         for entry in self.entries:
--- a/proof/scenarios/usage_window.py
+++ b/proof/scenarios/usage_window.py
@@ -370,6 +370,10 @@
             < GONE_MS
         }
 
+    def victim(self, node: Node) -> Node:
+        """Faults meet an entry under odd seeds, else who seals and reports."""
+        return self.counters[0] if self.seed % 2 else node
+
     def stimulate(self, name: str, node: Node) -> None:
         """Bring about something that is no fault of the matrix."""
         STIMULI.get(name)(self, node)
--- /dev/null
+++ b/tests/test_proof/test_check_model.py
@@ -0,0 +1,34 @@
+import pytest
+
+from proof.check_model import all_guards, find_counterexample
+from proof.kripke import StateSpace
+from proof.models.claim import ClaimModel
+from proof.models.order import OrderModel
+from proof.models.revision import RevisionModel
+
+# These need the whole state space; make check-model BROKEN=all has them.
+SLOW_GUARDS = {
+    'lease.term_over',
+    'lease.version_unchanged',
+    'lease.attempt_known',
+    'usage_window.figure_absent',
+}
+
+
+@pytest.mark.parametrize(
+    'model',
+    [OrderModel(), OrderModel(fencing=True), ClaimModel(), RevisionModel()],
+    ids=lambda model: model.name,
+)
+def test_properties_hold(model):
+    results = StateSpace(model).check(model.properties)
+    assert [result.meaning for result in results if not result.holds] == []
+
+
+@pytest.mark.parametrize(
+    'guard', [name for name in all_guards() if name not in SLOW_GUARDS]
+)
+def test_counterexample_without_a_guard(guard):
+    _, broken = find_counterexample(guard)
+    assert broken is not None
+    assert broken.trace
--- /dev/null
+++ b/tests/test_proof/test_fault_matrix.py
@@ -0,0 +1,65 @@
+import pytest
+
+from proof import scenarios
+from proof.kits import KERNEL_TIMER
+from proof.matrix import (
+    Settings,
+    all_steps,
+    fault_sets,
+    find_failure,
+    find_plans,
+    run_cell,
+)
+from proof.scenario import SCENARIOS
+
+assert scenarios.__all__
+
+SEEDS = (0, 3)
+
+
+def plans_without_faults(name):
+    """Return the steps that processes take when nothing fails."""
+    reached = Settings(name).run(SEEDS[0], ()).reached
+    return {step: () for step in all_steps(name) if step in reached}
+
+
+@pytest.mark.parametrize('name', SCENARIOS.names())
+def test_single_faults_at_common_steps(name):
+    settings = Settings(name)
+    plans = plans_without_faults(name)
+    assert plans
+    for step, plan in plans.items():
+        for faults in fault_sets(pairs=False):
+            cell = run_cell(settings, step, plan, faults, SEEDS)
+            assert cell.state in {'passed', 'cannot occur'}, cell
+
+
+@pytest.mark.parametrize(
+    ('name', 'guard'),
+    [
+        ('authority', KERNEL_TIMER),
+        ('authority', 'lease.waited_out'),
+        ('authority', 'order.entry_written'),
+        ('authority', 'order.order_expired'),
+        ('claim', 'claim.nonce_own'),
+        ('drain', 'drain.all_acked'),
+        ('drain', 'drain.target_empty'),
+        ('peer', 'peer.timed_out'),
+        ('revision', 'revision.newer'),
+        ('usage_window', 'usage_window.entries_passed'),
+    ],
+)
+def test_matrix_fails_without_a_guard(name, guard):
+    settings = Settings(name, (guard,))
+    assert find_failure(settings, plans_without_faults(name), SEEDS)
+
+
+def test_step_that_is_never_reached_is_reported():
+    settings = Settings('revision')
+    step = all_steps('revision')[0]._replace(to='nowhere')
+    cell = run_cell(settings, step, None, ('killed',), SEEDS)
+    assert cell.state == 'not reached'
+
+
+def test_rare_steps_are_found_by_search():
+    assert set(find_plans(Settings('claim'))) == set(all_steps('claim'))
