--- a/proof/fault_matrix.py
+++ b/proof/fault_matrix.py
@@ -9,8 +9,18 @@
 
 from proof import scenarios
 from proof.faults import FAULTS
-from proof.matrix import Cell, Plan, Settings, all_steps, find_plans, run_cell
-from proof.matrix import fault_sets as list_fault_sets
+from proof.kits import KERNEL_TIMER
+from proof.matrix import (
+    Cell,
+    Plan,
+    Settings,
+    all_guards,
+    all_steps,
+    fault_sets,
+    find_failure,
+    find_plans,
+    run_cell,
+)
 from proof.scenario import SCENARIOS, Step
 
 ALL = 'all'
