--- /dev/null
+++ b/bench/slopes/__main__.py
@@ -0,0 +1,58 @@
+"""Measures all slopes, or the groups named as arguments."""
+
+import platform
+import resource
+import sys
+from importlib import import_module
+
+from bench.slopes.fit import fit
+from bench.slopes.series import SERIES, Series
+
+GROUPS = ('tables', 'messages', 'leases', 'policies', 'entries')
+KIB_PER_MIB = 1024
+
+
+def main() -> None:
+    for group in GROUPS:
+        import_module(f'bench.slopes.{group}')
+    measured: list[Series] = []
+    print(f'Python {platform.python_version()}, one process, one thread')
+    for name in sys.argv[1:] or SERIES.names():
+        for series in SERIES.get(name)():
+            report(series)
+            measured.append(series)
+    print_markdown(measured)
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KIB_PER_MIB
+    print(f'peak memory of this run: {peak:.0f} MiB')
+
+
+def report(series: Series) -> None:
+    line = fit(series.points)
+    print(f'\n{series.name} [{series.unit}] against {series.axis}')
+    for point in series.points:
+        print(f'  {point.size:>8g}  {point.value:>14.4g}')
+    print(
+        f'  slope {line.slope:.4g} +- {line.error:.2g} {series.unit} each, '
+        f'at 0: {line.intercept:.4g}, '
+        f'at {series.target:.4g}: {line.at(series.target):.4g}'
+    )
+
+
+def print_markdown(measured: list[Series]) -> None:
+    """Print all series as rows of a Markdown table."""
+    print('\n| quantity | against | points | slope | error | at the target |')
+    print('|---|---|---|---|---|---|')
+    for series in measured:
+        line = fit(series.points)
+        points = ', '.join(
+            f'{point.size:g}: {point.value:.4g}' for point in series.points
+        )
+        print(
+            f'| {series.name}, {series.unit} | {series.axis} | {points} '
+            f'| {line.slope:.3g} | {line.error:.2g} '
+            f'| {series.target:.4g}: {line.at(series.target):.4g} |'
+        )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/cicadahoist/entry/assembly.py
@@ -0,0 +1,72 @@
+"""Builds the tasks of one entry."""
+
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+
+from cicadahoist.application import Application
+from cicadahoist.clock import MS_PER_S
+from cicadahoist.config import Config
+from cicadahoist.entry.context import EntryContext
+from cicadahoist.entry.dispatcher import TICK_MS
+from cicadahoist.entry.peering import Peering
+from cicadahoist.entry.server import EntryServer
+from cicadahoist.entry.target_poller import TargetPoller
+from cicadahoist.mesh.local_port import LocalPort
+from cicadahoist.mesh.node import MeshNode
+from cicadahoist.mesh.table_sync import TableSync
+from cicadahoist.mesh.usage import UsageLedger
+from cicadahoist.outside.store import STORES
+from cicadahoist.settings import STORE_ADAPTER
+
+
+class PolicyTick:
+    """Sums up the load of targets and decides on suspects every second."""
+
+    __slots__ = ('_context', '_loop')
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+        self._loop = LoopingCall(self._tick)
+
+    async def start(self) -> None:
+        """Begin to tick."""
+        self._loop.start(TICK_MS / MS_PER_S)
+
+    async def stop(self) -> None:
+        """Tick no longer."""
+        self._loop.stop()
+
+    def _tick(self) -> None:
+        self._context.dispatcher.tick()
+        self._context.isolation.tick()
+
+
+def add_entry(application: Application, config: Config) -> None:
+    """Add the tasks of an entry to an application."""
+    from twisted.internet import reactor  # noqa: PLC0415, WPS433
+
+    node = MeshNode.from_config(config, application.clock, reactor)
+    store = STORES.get(config.read(STORE_ADAPTER)).from_config(config, reactor)
+    table_sync = TableSync.from_config(config, store, node, application.clock)
+    context = EntryContext.from_config(
+        config, application.clock, application.metrics, store, reactor
+    )
+    usage = UsageLedger.from_config(config, node, store, application.clock)
+    context.billing.use(usage)
+    _add_all(
+        application,
+        node,
+        LocalPort.from_config(config, node, application.clock, reactor),
+        table_sync,
+        usage,
+        PolicyTick(context),
+        Peering(context, node),
+        TargetPoller(context, node),
+        EntryServer(config, context, table_sync, reactor),
+    )
+
+
+def _add_all(application: Application, *tasks: Any) -> None:
+    for task in tasks:
+        application.add(task)
--- /dev/null
+++ b/cicadahoist/entry/attempts.py
@@ -0,0 +1,247 @@
+"""The attempts of one request: admission, targets, retries, load."""
+
+from cicadahoist.entry.context import EntryContext
+from cicadahoist.entry.isolation import Isolation
+from cicadahoist.entry.open_requests import OpenRequest
+from cicadahoist.entry.refusal import RequestRefusedError
+from cicadahoist.policy.cost import Cost
+from cicadahoist.policy.tickets import RouteRequest, Ticket
+from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.table import Target
+
+NO_TARGET_RETRY_MS = 2000
+RECHECK_MS = 250
+
+# The target did not start the request.
+_NOT_RUN_RETRIES = frozenset((Retry.connect_failed,))
+_CRASH_RETRIES = frozenset((Retry.stream_broken, Retry.target_frozen))
+
+
+class Attempts:
+    """
+    Leads one request from admission through its attempts.
+
+    :param context: shared parts of the entry
+    :param request: the open request
+    :param cost: estimated work
+    :param blocks: digests of the prompt's blocks
+    """
+
+    __slots__ = (
+        '_blocks',
+        '_context',
+        '_cost',
+        '_is_admitted',
+        '_ran_before',
+        '_request',
+        '_target',
+        '_ticket',
+        '_tried',
+    )
+
+    def __init__(
+        self,
+        context: EntryContext,
+        request: OpenRequest,
+        cost: Cost,
+        blocks: tuple[int, ...] = (),
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._cost = cost
+        self._blocks = blocks
+        self._tried: set[str] = set()
+        self._is_admitted = False
+        self._ran_before = False
+        self._target: Target | None = None
+        self._ticket = Ticket(
+            request=request.billing_id,
+            pool=request.grant.route.pool,
+            rule=request.grant.rule,
+            cost=cost,
+            arrived_ms=context.clock.now_ms(),
+        )
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no further attempt is wanted."""
+        return self._request.is_over
+
+    async def admit(self) -> None:
+        """
+        Wait until the request may be sent.
+
+        :raises RequestRefusedError: it cannot be answered in time
+        """
+        self._is_admitted = await self._context.dispatcher.admit(
+            self._ticket, self._request.on_stop
+        )
+        self._context.dispatcher.budgets.first_attempt(
+            self._request.grant.route, self._context.clock.now_ms()
+        )
+
+    def end(self, used_tokens: int) -> None:
+        """Count the request as ended."""
+        if self._is_admitted:
+            self._is_admitted = False
+            self._context.dispatcher.finished(self._ticket, used_tokens)
+
+    async def begin(self) -> Target | None:
+        """
+        Choose the target of the next attempt and count it as sent.
+
+        :return: none where the request ended while it waited
+        :raises RequestRefusedError: no target is left
+        """
+        target = await self._reserved_target()
+        if target is None:
+            return None
+        if self._request.is_over:
+            self._count_end(0, is_failed=False)
+            self._isolation.release(self._request, whole=False)
+            return None
+        self._tried.add(target.name)
+        self._target = target
+        self._request.target = target.name
+        self._ran_before = self._request.may_have_run
+        self._request.may_have_run = True
+        return target
+
+    def first_token(self) -> None:
+        """Count the prefill of the attempt as done."""
+        self._context.dispatcher.loads.first_token(
+            self._request.attempt, self._context.clock.now_ms()
+        )
+
+    def finish(self, output_tokens: int, retry: Retry | None) -> None:
+        """
+        Count the attempt as ended.
+
+        :param retry: why another one is needed, none for a whole answer
+        """
+        is_failed = retry is not None and not self._request.is_over
+        self._count_end(output_tokens, is_failed=is_failed)
+        if is_failed and retry in _CRASH_RETRIES:
+            self._report_crash()
+        if retry in _NOT_RUN_RETRIES:
+            self._request.may_have_run = self._ran_before
+        self._isolation.release(self._request, whole=retry is None)
+        self._request.end_attempt()
+
+    async def pause_before_retry(self, retry: Retry) -> None:
+        """
+        Wait before the next attempt.
+
+        :raises RequestRefusedError: the route or its budget allows none
+        """
+        if self._request.is_over:
+            return
+        not_run = retry in _NOT_RUN_RETRIES
+        delay_ms = self._context.dispatcher.budgets.retry_delay_ms(
+            self._request.grant.route,
+            len(self._tried),
+            self._context.clock.now_ms(),
+            not_run=not_run,
+        )
+        if delay_ms is None:
+            raise self._failed()
+        self._context.metrics.retried(retry)
+        await self._request.pause(self._context.clock, delay_ms)
+
+    @property
+    def _isolation(self) -> Isolation:
+        return self._context.isolation
+
+    async def _reserved_target(self) -> Target | None:
+        """Return the next target once the request may start there."""
+        while not self._request.is_over:
+            target = self._choose()
+            if target is None:
+                await self._request.pause(self._context.clock, RECHECK_MS)
+            elif await self._isolation.reserve(self._request, target.name):
+                return target
+            else:
+                self._count_end(0, is_failed=False)
+        return None
+
+    def _choose(self) -> Target | None:
+        """
+        Return a target, or none where a suspect has to wait for one.
+
+        A suspect keeps away from targets that ended under it as long as the
+        pool has others.
+
+        :raises RequestRefusedError: no target is left
+        """
+        digest = self._request.digest
+        dispatcher = self._context.dispatcher
+        pool = self._ticket.pool
+        wanted = self._wanted(self._isolation.avoid(digest))
+        target = dispatcher.choose(pool, wanted)
+        if target is not None:
+            return target
+        if not self._isolation.is_suspect(digest):
+            raise self._no_target()
+        blamed = self._isolation.blamed(digest)
+        if dispatcher.has_target(pool, self._wanted(blamed)):
+            return None
+        if dispatcher.has_target(pool, self._wanted(frozenset())):
+            wanted = self._wanted(self._isolation.claimed())
+            return dispatcher.choose(pool, wanted)
+        raise self._no_target()
+
+    def _wanted(self, avoided: frozenset[str]) -> RouteRequest:
+        rule = self._request.grant.rule
+        return RouteRequest(
+            attempt=self._request.new_attempt(),
+            workspace=rule.workspace,
+            route=rule.route,
+            cost=self._cost,
+            priority=rule.priority,
+            blocks=self._blocks,
+            tried=avoided.union(self._tried),
+            price_ceiling=rule.price_ceiling,
+        )
+
+    def _count_end(self, output_tokens: int, *, is_failed: bool) -> None:
+        self._context.dispatcher.loads.finished(
+            self._request.attempt,
+            self._context.clock.now_ms(),
+            output_tokens=output_tokens,
+            failed=is_failed,
+        )
+
+    def _report_crash(self) -> None:
+        target = self._target
+        if target is None:
+            return
+        self._context.dispatcher.loads.crashed(
+            target.name, self._context.clock.now_ms()
+        )
+        self._isolation.broke_off(target, self._request.attempt)
+
+    def _no_target(self) -> RequestRefusedError:
+        if self._request.may_have_run:
+            return self._failed()
+        return RequestRefusedError(
+            Refusal.no_target,
+            'no target can take the request',
+            retry_after_ms=NO_TARGET_RETRY_MS,
+        )
+
+    def _failed(self) -> RequestRefusedError:
+        if not self._request.may_have_run:
+            return RequestRefusedError(
+                Refusal.no_target,
+                'no target took the connection',
+                retry_after_ms=NO_TARGET_RETRY_MS,
+            )
+        if not self._request.grant.route.repeatable:
+            return RequestRefusedError(
+                Refusal.target_lost, 'the target broke off'
+            )
+        return RequestRefusedError(
+            Refusal.target_failed,
+            'the targets broke off',
+            retry_after_ms=NO_TARGET_RETRY_MS,
+        )
--- /dev/null
+++ b/cicadahoist/entry/model_handler.py
@@ -0,0 +1,269 @@
+"""Requests to models: chosen, sent, relayed, resumed and billed."""
+
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from cicadahoist.entry.answer_stream import AnswerStream
+from cicadahoist.entry.attempts import Attempts
+from cicadahoist.entry.auth import authorize
+from cicadahoist.entry.caller import CallerRequest
+from cicadahoist.entry.context import EntryContext
+from cicadahoist.entry.events import DONE, Usage, encode_event
+from cicadahoist.entry.handling import answer_or_refuse, run_open
+from cicadahoist.entry.model_request import ModelRequest
+from cicadahoist.entry.open_requests import OpenRequest
+from cicadahoist.entry.stall_watch import StallWatch
+from cicadahoist.entry.stream_attempt import AttemptEnd, StreamAttempt
+from cicadahoist.errors import LostAfterSendError, NotSentError
+from cicadahoist.ids import body_digest
+from cicadahoist.outside.engine import JSON_TYPE
+from cicadahoist.outside.http import (
+    HTTP_BUSY,
+    HTTP_OK,
+    HTTP_UNAVAILABLE,
+    TargetResponse,
+)
+from cicadahoist.reasons import Retry
+from cicadahoist.table import RouteKind, Target
+
+HTTP_SERVER_ERROR = 500
+CHAT_PATH = '/v1/chat/completions'
+COMPLETION_PATH = '/v1/completions'
+
+_RETRY_BY_END = {
+    AttemptEnd.broken: Retry.stream_broken,
+    AttemptEnd.stalled: Retry.target_frozen,
+}
+
+
+class WholeAnswer(msgspec.Struct):
+    """The part of a whole answer that the entry reads."""
+
+    choices: list[Any]
+    id: str = ''
+    usage: Usage = msgspec.field(default_factory=Usage)
+
+
+_decode_whole = msgspec.json.Decoder(WholeAnswer).decode
+
+
+class ModelHandler:
+    """
+    Answers requests of the usual model interface.
+
+    :param context: shared parts of the entry
+    """
+
+    __slots__ = ('_context',)
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+
+    async def answer(self, http: Any, path: str) -> None:
+        """
+        Answer one request.
+
+        :param path: ``CHAT_PATH`` or ``COMPLETION_PATH``
+        """
+        caller = CallerRequest.from_http(http)
+        await answer_or_refuse(
+            self._context, caller, lambda: self._authorized(caller, path)
+        )
+
+    async def _authorized(self, caller: CallerRequest, path: str) -> None:
+        wanted = ModelRequest.from_body(caller.body, is_chat=path == CHAT_PATH)
+        grant = authorize(
+            self._context.table(), caller, wanted.fields.model, RouteKind.model
+        )
+        digest = body_digest(caller.body)
+        self._context.isolation.check(digest)
+        request = OpenRequest(caller, grant, digest)
+        job = _ModelJob(self._context, request, wanted, path)
+        await run_open(self._context, request, job.run)
+
+
+class _ModelJob:
+    """One request over all its attempts."""
+
+    __slots__ = (
+        '_answer',
+        '_attempts',
+        '_context',
+        '_path',
+        '_request',
+        '_wanted',
+    )
+
+    def __init__(
+        self,
+        context: EntryContext,
+        request: OpenRequest,
+        wanted: ModelRequest,
+        path: str,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._wanted = wanted
+        self._path = path
+        self._answer = AnswerStream(wants_usage=wanted.wants_usage)
+        cost = context.dispatcher.costs.estimate(
+            request.grant.workspace,
+            request.grant.route.name,
+            wanted.prompt_tokens,
+            0,
+            wanted.max_tokens,
+        )
+        self._attempts = Attempts(
+            context, request, cost, wanted.prompt_blocks()
+        )
+
+    async def run(self) -> None:
+        """Make attempts until one completes the answer."""
+        await self._attempts.admit()
+        try:
+            await self._run_attempts()
+        finally:
+            usage = self._answer.usage
+            self._attempts.end(usage.prompt_tokens + usage.completion_tokens)
+
+    async def _run_attempts(self) -> None:
+        while not self._attempts.is_over:
+            target = await self._attempts.begin()
+            if target is None:
+                break
+            retry = await self._attempt(target)
+            self._attempts.finish(self._answer.next_offset, retry)
+            if retry is None:
+                return
+            await self._attempts.pause_before_retry(retry)
+        await self._bill()
+
+    async def _attempt(self, target: Target) -> Retry | None:
+        """Return why another attempt is needed, or none."""
+        opening = Deferred.fromCoroutine(
+            self._context.engines.open_stream(
+                target,
+                self._request.attempt,
+                self._path,
+                self._wanted.for_target(self._answer.next_offset),
+                self._request.grant.rule.priority,
+            )
+        )
+        started_ms = self._context.clock.now_ms()
+        self._request.on_stop(opening.cancel)
+        watch = StallWatch(
+            self._context,
+            target,
+            self._request.attempt,
+            lambda: started_ms,
+            opening.cancel,
+        )
+        try:
+            response = await opening
+        except NotSentError:
+            return Retry.connect_failed
+        except LostAfterSendError:
+            return Retry.stream_broken
+        finally:
+            watch.stop()
+        return await self._relay(target, response)
+
+    async def _relay(
+        self, target: Target, response: TargetResponse
+    ) -> Retry | None:
+        if response.status in {HTTP_BUSY, HTTP_UNAVAILABLE}:
+            response.abort()
+            return Retry.target_busy
+        if response.status >= HTTP_SERVER_ERROR:
+            response.abort()
+            return Retry.stream_broken
+        if response.status == HTTP_OK and self._wanted.is_stream:
+            return await self._relay_stream(target, response)
+        return await self._relay_whole(response)
+
+    async def _relay_stream(
+        self, target: Target, response: TargetResponse
+    ) -> Retry | None:
+        caller = self._request.caller
+        caller.start_stream()
+        self._answer.begin_attempt(self._answer_id())
+        attempt = StreamAttempt(
+            self._answer,
+            caller,
+            self._context.clock,
+            self._attempts.first_token,
+        )
+        response.deliver(attempt)
+        self._request.on_stop(lambda: attempt.end(AttemptEnd.stopped))
+        watch = StallWatch(
+            self._context,
+            target,
+            self._request.attempt,
+            attempt.heard_ms,
+            lambda: attempt.end(AttemptEnd.stalled),
+        )
+        end = await attempt.ended
+        watch.stop()
+        if end is not AttemptEnd.complete:
+            self._cancel(target)
+            return _RETRY_BY_END.get(end, Retry.stream_broken)
+        await self._bill()
+        if not caller.gone:
+            caller.http.write(encode_event(DONE))
+        return None
+
+    async def _relay_whole(self, response: TargetResponse) -> Retry | None:
+        reading = Deferred.fromCoroutine(response.read_body())
+        self._request.on_stop(reading.cancel)
+        try:
+            body = await reading
+        except LostAfterSendError:
+            return Retry.stream_broken
+        if response.status == HTTP_OK:
+            try:
+                whole = _decode_whole(body)
+            except msgspec.MsgspecError:
+                return Retry.stream_broken
+            if self._answer_id() not in {'', whole.id}:
+                return Retry.stream_broken
+            self._attempts.first_token()
+            self._answer.usage = whole.usage
+            self._answer.next_offset = whole.usage.completion_tokens
+            await self._bill()
+        self._request.caller.send_whole(
+            response.status, {'Content-Type': JSON_TYPE}, body
+        )
+        return None
+
+    def _answer_id(self) -> str:
+        """Return the id of this attempt's answer, empty where unknown."""
+        form = self._context.answer_id_form
+        return form.format(attempt=self._request.attempt)
+
+    def _cancel(self, target: Target) -> None:
+        """Free the target of an attempt that nobody waits for."""
+        cancelling = Deferred.fromCoroutine(
+            self._context.engines.cancel(target, self._request.attempt)
+        )
+        cancelling.addErrback(lambda _: None)
+
+    async def _bill(self) -> None:
+        """Record what the caller got, before it learns of the end."""
+        usage = self._answer.usage
+        if not usage.prompt_tokens:
+            if not self._answer.next_offset:
+                return
+            usage.prompt_tokens = self._wanted.prompt_tokens
+        usage.completion_tokens = max(
+            usage.completion_tokens, self._answer.next_offset
+        )
+        grant = self._request.grant
+        self._context.dispatcher.costs.observe(
+            grant.workspace,
+            grant.route.name,
+            usage.prompt_tokens,
+            usage.completion_tokens,
+        )
+        await self._context.billing.record(self._request, usage)
--- /dev/null
+++ b/cicadahoist/entry/service_handler.py
@@ -0,0 +1,176 @@
+"""Calls to plain services: one attempt where they may not be repeated."""
+
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from cicadahoist.entry.attempts import Attempts
+from cicadahoist.entry.auth import authorize
+from cicadahoist.entry.caller import IDEMPOTENCY_HEADER, CallerRequest
+from cicadahoist.entry.claim_runner import ClaimRunner, claim_object
+from cicadahoist.entry.context import EntryContext
+from cicadahoist.entry.handling import answer_or_refuse, run_open
+from cicadahoist.entry.open_requests import OpenRequest
+from cicadahoist.entry.refusal import RequestRefusedError
+from cicadahoist.errors import LostAfterSendError, NotSentError
+from cicadahoist.ids import body_digest
+from cicadahoist.policy.cost import Cost
+from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.table import RouteKind, Target
+
+SERVICES_PATH = '/services/'
+CALL_COST = Cost(prefill=1, decode=1)
+
+# No other header of a caller reaches a target.
+FORWARDED_HEADERS = (
+    'Accept',
+    'Accept-Language',
+    'Content-Type',
+    IDEMPOTENCY_HEADER,
+)
+RETURNED_HEADERS = (
+    'Content-Language',
+    'Content-Type',
+    'ETag',
+    'Last-Modified',
+    'Location',
+    'Retry-After',
+)
+
+
+class ServiceAnswer(msgspec.Struct, frozen=True):
+    """A whole answer of a service, as it is recorded in a claim."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class ServiceHandler:
+    """
+    Answers calls below ``/services/<route>/``.
+
+    :param context: shared parts of the entry
+    """
+
+    __slots__ = ('_context',)
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+
+    async def answer(self, http: Any) -> None:
+        """Answer one call."""
+        caller = CallerRequest.from_http(http)
+        await answer_or_refuse(
+            self._context, caller, lambda: self._authorized(caller)
+        )
+
+    async def _authorized(self, caller: CallerRequest) -> None:
+        name, _, path = caller.uri.removeprefix(SERVICES_PATH).partition('/')
+        grant = authorize(
+            self._context.table(), caller, name, RouteKind.service
+        )
+        call = f'{caller.method} {caller.uri}\n'.encode() + caller.body
+        digest = body_digest(call)
+        self._context.isolation.check(digest)
+        request = OpenRequest(caller, grant, digest)
+        job = _ServiceJob(self._context, request, f'/{path}')
+        await run_open(self._context, request, job.run)
+
+
+class _ServiceJob:
+    """One call over all its attempts."""
+
+    __slots__ = ('_attempts', '_context', '_path', '_request')
+
+    def __init__(
+        self, context: EntryContext, request: OpenRequest, path: str
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._path = path
+        self._attempts = Attempts(context, request, CALL_COST)
+
+    async def run(self) -> None:
+        """Make attempts until one is answered."""
+        await self._attempts.admit()
+        try:
+            answer = await self._answered_once()
+        finally:
+            self._attempts.end(0)
+        if answer is not None:
+            self._request.caller.send_whole(
+                answer.status, answer.headers, answer.body
+            )
+
+    async def _answered_once(self) -> ServiceAnswer | None:
+        """Answer under a claim where the call may not be repeated."""
+        key = self._request.caller.idempotency_key
+        if self._request.grant.route.repeatable or not key:
+            return await self._answered()
+        self._request.outlives_caller = True
+        grant = self._request.grant
+        runner = ClaimRunner.for_request(
+            self._context.store,
+            self._context.clock,
+            claim_object(grant.workspace, grant.route.name, key),
+            self._request.digest,
+            self._encoded_answer,
+        )
+        return msgspec.json.decode(await runner.outcome(), type=ServiceAnswer)
+
+    async def _encoded_answer(self) -> bytes:
+        answer = await self._answered()
+        if answer is None:
+            raise self._request.refused or RequestRefusedError(
+                Refusal.target_lost, 'the caller is gone'
+            )
+        return msgspec.json.encode(answer)
+
+    async def _answered(self) -> ServiceAnswer | None:
+        while not self._attempts.is_over:
+            target = await self._attempts.begin()
+            if target is None:
+                break
+            calling = Deferred.fromCoroutine(self._call(target))
+            self._request.on_stop(calling.cancel)
+            retry = Retry.connect_failed
+            try:
+                return await calling
+            except NotSentError:
+                self._attempts.finish(0, retry)
+            except LostAfterSendError:
+                retry = Retry.stream_broken
+                self._attempts.finish(0, retry)
+            await self._attempts.pause_before_retry(retry)
+        return None
+
+    async def _call(self, target: Target) -> ServiceAnswer:
+        caller = self._request.caller
+        response = await self._context.plain_services.call(
+            target,
+            self._request.attempt,
+            caller.method,
+            self._path,
+            _forwarded(caller),
+            caller.body,
+            repeatable=self._request.grant.route.repeatable,
+        )
+        self._attempts.first_token()
+        body = await response.read_body()
+        self._attempts.finish(0, None)
+        headers = {
+            name: response.header(name)
+            for name in RETURNED_HEADERS
+            if response.header(name)
+        }
+        return ServiceAnswer(response.status, headers, body)
+
+
+def _forwarded(caller: CallerRequest) -> dict[str, str]:
+    return {
+        name: caller.header(name)
+        for name in FORWARDED_HEADERS
+        if caller.header(name)
+    }
--- a/cicadahoist/errors.py
+++ b/cicadahoist/errors.py
@@ -59,12 +59,58 @@
     kind = 'target'
 
 
+class NotSentError(TargetError):
+    """No byte of the call reached the target."""
+
+    kind = 'not-sent'
+
+
+class TargetDownError(NotSentError):
+    """Nothing listens at the target's address."""
+
+    kind = 'target-down'
+
+
+class LostAfterSendError(TargetError):
+    """The call may have reached the target; what it did is unknown."""
+
+    kind = 'lost-after-send'
+
+
+class RefusedError(TargetError):
+    """The target answered that it does not do what was asked."""
+
+    kind = 'refused'
+
+
+class BusyError(RefusedError):
+    """
+    The target or the platform refused the call for now.
+
+    :param retry_after_ms: when coming back helps, 0 for unknown
+    """
+
+    kind = 'busy'
+
+    def __init__(
+        self, problem: str, *, remedy: str, retry_after_ms: int = 0
+    ) -> None:
+        super().__init__(problem, remedy=remedy)
+        self.retry_after_ms = retry_after_ms
+
+
 class FencedError(CicadahoistError):
     """An order carried an old fencing number."""
 
     kind = 'fenced'
 
 
+class UsageConflictError(CicadahoistError):
+    """Other figures were reported for the same billing window."""
+
+    kind = 'usage-conflict'
+
+
 class WireError(CicadahoistError):
     """A message could not be decoded."""
 
--- /dev/null
+++ b/cicadahoist/mesh/peers.py
@@ -0,0 +1,159 @@
+"""What an instance knows of those it exchanges batches with."""
+
+from collections.abc import Mapping
+
+from cicadahoist.messages import Batch, Heartbeat, InstanceInfo
+from cicadahoist.protocol.events import Tick
+from cicadahoist.protocol.membership import (
+    HEARD_STATES,
+    REACHABLE_STATES,
+    HeartbeatReceived,
+    Membership,
+    PeerListed,
+    PeerUnlisted,
+)
+
+NEVER = -1
+
+SILENT_STATES = frozenset(('seeded', 'silent'))
+
+
+ByName = Mapping[str, InstanceInfo]
+Choice = tuple[frozenset[str], str]
+
+
+class Link:
+    """
+    Batches exchanged with one incarnation of a peer.
+
+    :param incarnation: the incarnation
+    """
+
+    __slots__ = ('echoed_ms', 'incarnation', 'sequence', 'stamp_ms')
+
+    def __init__(self, incarnation: str) -> None:
+        self.incarnation = incarnation
+        self.sequence = NEVER
+        self.stamp_ms = 0
+        self.echoed_ms = NEVER
+
+
+class PeerSet:
+    """
+    Peers by name: their membership state, and the batches exchanged.
+
+    An incarnation that was replaced is passed over while its successor is
+    heard, however late its messages come.
+
+    :param own: identity of this process
+    :param timeout_ms: silence after which a peer counts as away
+    """
+
+    __slots__ = ('_chosen', '_links_by_name', '_membership', '_own')
+
+    def __init__(self, own: InstanceInfo, timeout_ms: int) -> None:
+        self._own = own
+        self._membership = Membership(own, timeout_ms)
+        self._links_by_name: dict[str, Link] = {}
+        # Kept until a peer changes, as most batches change nothing.
+        self._chosen: dict[Choice, ByName] = {}
+
+    def accept(self, batch: Batch, now_ms: int) -> bool:
+        """
+        Note the stamps of a batch.
+
+        :return: whether it is newer than all before from the same instance
+        """
+        sender = batch.sender
+        if self._is_replaced(sender, now_ms):
+            return False
+        link = self._links_by_name.get(sender.name)
+        if link is None or link.incarnation != sender.incarnation:
+            link = Link(sender.incarnation)
+            self._links_by_name[sender.name] = link
+        if batch.sequence <= link.sequence:
+            return False
+        link.sequence = batch.sequence
+        link.stamp_ms = batch.sent_ms
+        if batch.echo_incarnation == self._own.incarnation:
+            link.echoed_ms = max(link.echoed_ms, batch.echo_ms)
+        return True
+
+    def note_heartbeat(
+        self, sender: InstanceInfo, heartbeat: Heartbeat, now_ms: int
+    ) -> None:
+        """Take in the state that a peer tells."""
+        event = HeartbeatReceived(sender, heartbeat)
+        is_same = self.find(sender.name) == sender
+        if self._membership.handle(event, now_ms) or not is_same:
+            self._chosen.clear()
+
+    def tick(self, now_ms: int) -> None:
+        """Find the peers that went silent."""
+        if self._membership.handle(Tick(), now_ms):
+            self._chosen.clear()
+
+    def note_listed(self, listed: list[InstanceInfo], now_ms: int) -> None:
+        """Take in the platform's list of instances."""
+        self._chosen.clear()
+        names = {instance.name for instance in listed}
+        for instance in listed:
+            if instance.name != self._own.name:
+                self._membership.handle(PeerListed(instance), now_ms)
+        for name in set(self._membership.peers_by_name) - names:
+            self._membership.handle(PeerUnlisted(name), now_ms)
+
+    def heard(self) -> dict[str, str]:
+        """Return the incarnations that were heard of late, by name."""
+        return self._membership.heard()
+
+    def live(self, zone: str) -> ByName:
+        """Return the instances of a zone that were heard of late."""
+        return self._in_states(HEARD_STATES, zone)
+
+    def reachable(self, zone: str) -> ByName:
+        """Return the instances of a zone that also hear this one."""
+        return self._in_states(REACHABLE_STATES, zone)
+
+    def not_gone(self) -> dict[str, InstanceInfo]:
+        """Return the instances that may still be running."""
+        return {each.name: each for each in self._membership.not_gone()}
+
+    def silent(self) -> list[InstanceInfo]:
+        """Return the instances that are not heard but may be running."""
+        return [
+            peer.info
+            for peer in self._membership.peers_by_name.values()
+            if peer.state in SILENT_STATES
+        ]
+
+    def find(self, name: str) -> InstanceInfo | None:
+        """Return the identity of a peer, heard of late or not."""
+        peer = self._membership.peers_by_name.get(name)
+        return None if peer is None else peer.info
+
+    def link(self, name: str) -> Link | None:
+        """Return the batches exchanged with a peer."""
+        return self._links_by_name.get(name)
+
+    def _is_replaced(self, sender: InstanceInfo, now_ms: int) -> bool:
+        peer = self._membership.peers_by_name.get(sender.name)
+        if peer is None or sender.incarnation not in peer.retired:
+            return False
+        return now_ms - peer.heard_ms < self._membership.timeout_ms
+
+    def _in_states(self, states: frozenset[str], zone: str) -> ByName:
+        chosen = self._chosen.get((states, zone))
+        if chosen is None:
+            chosen = {
+                name: peer.info
+                for name, peer in self._membership.peers_by_name.items()
+                if peer.state in states and peer.info.zone == zone
+            }
+            self._chosen[states, zone] = chosen
+        return chosen
+
+
+def address_of(instance: InstanceInfo) -> str:
+    """Return the address under which an instance is reached."""
+    return f'{instance.address}:{instance.port}'
--- /dev/null
+++ b/cicadahoist/mesh/table_peers.py
@@ -0,0 +1,53 @@
+"""Compares and exchanges table revisions with peers."""
+
+from cicadahoist.mesh.node import MeshNode
+from cicadahoist.mesh.table_state import TableState
+from cicadahoist.messages import (
+    Heartbeat,
+    InstanceInfo,
+    TableDelta,
+    TableWanted,
+)
+
+
+class TablePeers:
+    """
+    Asks peers with a newer revision for it, and answers such requests.
+
+    :param node: the mesh
+    :param state: the table in force
+    """
+
+    __slots__ = ('_node', '_state', 'newest_heard')
+
+    def __init__(self, node: MeshNode, state: TableState) -> None:
+        self.newest_heard = 0
+        self._node = node
+        self._state = state
+        node.subscribe(Heartbeat, self._on_heartbeat)
+        node.subscribe(TableDelta, self._on_delta)
+        node.subscribe(TableWanted, self._on_wanted)
+
+    def announce(self, old_revision: int) -> None:
+        """Send the zone what changed since an older revision."""
+        delta = self._state.replica.delta_since(old_revision)
+        self._node.broadcast_zone(delta)
+
+    def _on_heartbeat(self, sender: InstanceInfo, heartbeat: Heartbeat) -> None:
+        self.newest_heard = max(self.newest_heard, heartbeat.revision)
+        if heartbeat.revision > self._state.revision:
+            if self._state.offer(heartbeat.revision, sender.name):
+                wanted = TableWanted(revision=self._state.revision)
+                self._node.send_to(sender.name, wanted)
+        elif heartbeat.revision == self._state.revision:
+            self._state.freshness.confirm_by_peer(
+                self._node.echoed_ms(sender.name), heartbeat.confirmed_age_ms
+            )
+
+    def _on_wanted(self, sender: InstanceInfo, wanted: TableWanted) -> None:
+        if wanted.revision < self._state.revision:
+            delta = self._state.replica.delta_since(wanted.revision)
+            self._node.send_to(sender.name, delta)
+
+    def _on_delta(self, sender: InstanceInfo, delta: TableDelta) -> None:
+        self._state.apply_delta(delta)
--- /dev/null
+++ b/cicadahoist/mesh/view.py
@@ -0,0 +1,81 @@
+"""The live instances as one process sees them, in its own and other zones."""
+
+from cicadahoist.mesh.peers import ByName, Link, PeerSet
+from cicadahoist.mesh.zones import ZoneMap, gateways, linked_gateways
+from cicadahoist.messages import InstanceInfo, KnownInstances
+
+
+class View:
+    """
+    Live instances: peers heard directly, other zones by their gateways.
+
+    :param info: identity of this process
+    :param timeout_ms: silence after which a peer counts as away
+    """
+
+    __slots__ = ('info', 'peers', 'zones')
+
+    def __init__(self, info: InstanceInfo, timeout_ms: int) -> None:
+        self.info = info
+        self.peers = PeerSet(info, timeout_ms)
+        self.zones = ZoneMap(info.zone)
+
+    def live(self) -> dict[str, InstanceInfo]:
+        """Return the live instances of all zones by name, this one too."""
+        return self.zones.live() | self.zone_live()
+
+    def is_live(self, instance: InstanceInfo) -> bool:
+        """Tell whether an incarnation is live, in its own zone or another."""
+        live = self.zone_peers()
+        if instance.zone != self.info.zone:
+            live = self.zones.zone_live(instance.zone)
+        return live.get(instance.name) == instance
+
+    def zone_live(self) -> dict[str, InstanceInfo]:
+        """Return the live instances of the own zone by name, this one too."""
+        return {**self.zone_peers(), self.info.name: self.info}
+
+    def zone_peers(self) -> ByName:
+        """Return the other live instances of the own zone by name."""
+        return self.peers.live(self.info.zone)
+
+    def reachable(self) -> ByName:
+        """Return the peers of the own zone that hear this one as well."""
+        return self.peers.reachable(self.info.zone)
+
+    def gateways(self) -> list[str]:
+        """Return the gateways of the own zone."""
+        return gateways(self.info.zone, list(self.zone_live()))
+
+    def links(self) -> list[InstanceInfo]:
+        """Return the gateways of other zones that this process links to."""
+        own = self.gateways()
+        linked: list[InstanceInfo] = []
+        for zone in self.zones.zones():
+            by_name = self.zones.zone_live(zone)
+            other = gateways(zone, list(by_name))
+            names = linked_gateways(self.info.name, own, other)
+            linked.extend(by_name[name] for name in names)
+        return linked
+
+    def summary(self) -> KnownInstances:
+        """Return the live instances of the own zone as a message."""
+        return KnownInstances(
+            instances=list(self.zone_live().values()), zone=self.info.zone
+        )
+
+    def not_gone(self) -> dict[str, InstanceInfo]:
+        """
+        Return the instances that may be running by name, this one too.
+
+        One that is silent may be paused or cut off, and go on sending.
+        """
+        return self.zones.live() | self.peers.not_gone() | self.zone_live()
+
+    def find(self, name: str) -> InstanceInfo | None:
+        """Return the identity of an instance of any zone."""
+        return self.peers.find(name) or self.zones.live().get(name)
+
+    def link(self, name: str) -> Link | None:
+        """Return the batches exchanged directly with an instance."""
+        return self.peers.link(name)
--- /dev/null
+++ b/cicadahoist/outside/http.py
@@ -0,0 +1,242 @@
+"""HTTP towards targets and the platform, by treq."""
+
+from typing import Any
+
+import msgspec
+import treq
+from twisted.internet import error as network_errors
+from twisted.internet.defer import CancelledError, Deferred, TimeoutError
+from twisted.internet.protocol import Factory, Protocol
+from twisted.web.client import (
+    URI,
+    Agent,
+    RequestGenerationFailed,
+    RequestNotSent,
+    RequestTransmissionFailed,
+    ResponseFailed,
+    ResponseNeverReceived,
+)
+from twisted.web.http import PotentialDataLoss
+from twisted.web.http_headers import Headers
+
+from cicadahoist.clock import MS_PER_S
+from cicadahoist.errors import LostAfterSendError, NotSentError, TargetDownError
+from cicadahoist.outside.bodies import (
+    BodyCollector,
+    BytesProducer,
+    ClosingReceiver,
+)
+from cicadahoist.outside.connections import IDLE_MS, Endpoints, new_pool
+
+HTTP_OK = 200
+HTTP_NO_CONTENT = 204
+HTTP_MULTIPLE_CHOICES = 300
+HTTP_NOT_MODIFIED = 304
+HTTP_BAD_REQUEST = 400
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+HTTP_PRECONDITION_FAILED = 412
+HTTP_TOO_LARGE = 413
+HTTP_LOCKED = 423
+HTTP_BUSY = 429
+HTTP_BAD_GATEWAY = 502
+HTTP_UNAVAILABLE = 503
+
+# Raised before the first byte of a request is written.
+NOT_SENT_ERRORS = (
+    network_errors.ConnectError,
+    network_errors.ConnectingCancelledError,
+    network_errors.DNSLookupError,
+    RequestNotSent,
+)
+# Raised when a request may have been written in part or whole.
+SENT_ERRORS = (
+    network_errors.ConnectionClosed,
+    RequestGenerationFailed,
+    RequestTransmissionFailed,
+    ResponseFailed,
+    ResponseNeverReceived,
+    PotentialDataLoss,
+    CancelledError,
+    TimeoutError,
+)
+
+
+class TargetResponse:
+    """
+    An answer whose status and headers arrived and whose body is to come.
+
+    :param status: HTTP status
+    :param headers: headers as they arrived
+    """
+
+    __slots__ = ('_reactor', '_response', 'headers', 'status')
+
+    def __init__(self, response: Any, reactor: Any) -> None:
+        self._response = response
+        self._reactor = reactor
+        self.status: int = response.code
+        self.headers: Headers = response.headers
+
+    def header(self, name: str) -> str:
+        """Return a header, empty where there is none."""
+        found = self.headers.getRawHeaders(name)
+        return found[-1] if found else ''
+
+    def deliver(self, receiver: Protocol) -> None:
+        """
+        Pass the body on to a twisted protocol, chunk by chunk.
+
+        The receiver may pause and resume its transport. Its
+        ``connectionLost`` gets ``ResponseDone`` after a whole body.
+        """
+        self._response.deliverBody(receiver)
+
+    def abort(self) -> None:
+        """Close the connection; only for a body that nothing receives."""
+        self._response.deliverBody(ClosingReceiver())
+
+    async def read_body(self, timeout_ms: int = 0) -> bytes:
+        """
+        Return the whole body.
+
+        :param timeout_ms: longest wait for its end, 0 for no bound
+        :raises LostAfterSendError: the body broke off
+        """
+        collector = BodyCollector()
+        if timeout_ms:
+            collector.whole.addTimeout(timeout_ms / MS_PER_S, self._reactor)
+        self._response.deliverBody(collector)
+        try:
+            return await collector.whole
+        except SENT_ERRORS as error:
+            raise lost_after_send('answer', error) from error
+
+    async def read_json(self) -> Any:
+        """Return the decoded JSON body."""
+        return msgspec.json.decode(await self.read_body())
+
+
+class HttpClient:
+    """
+    Sends calls and tells unsent calls from lost ones.
+
+    :param connect_timeout_ms: longest time to connect
+    :param reuse: whether connections are kept for later calls; a call on a
+        kept connection that the other side just closed is lost after sending
+    :param idle_ms: how long an idle connection is kept
+    :param send_timeout_ms: time after which the kernel drops bytes that the
+        other side has not acknowledged, 0 for the kernel's own bound
+    """
+
+    __slots__ = ('_agent', '_endpoints', '_pool', '_reactor')
+
+    def __init__(
+        self,
+        reactor: Any,
+        connect_timeout_ms: int,
+        *,
+        reuse: bool = True,
+        idle_ms: int = IDLE_MS,
+        send_timeout_ms: int = 0,
+    ) -> None:
+        self._reactor = reactor
+        self._pool = new_pool(reactor, idle_ms, reuse=reuse)
+        self._endpoints: Any = Endpoints(
+            reactor, connect_timeout_ms, send_timeout_ms
+        )
+        self._agent: Any = Agent.usingEndpointFactory(
+            reactor, self._endpoints, pool=self._pool
+        )
+
+    @classmethod
+    def over(cls, endpoints: Any, reactor: Any) -> 'HttpClient':
+        """
+        Return a client that connects by given endpoints.
+
+        :param endpoints: a twisted ``IAgentEndpointFactory`` provider
+        :param reactor: schedules timeouts
+        """
+        client = cls(reactor, 0)
+        client._endpoints = endpoints
+        client._agent = Agent.usingEndpointFactory(
+            reactor, endpoints, pool=client._pool
+        )
+        return client
+
+    async def probe(self, url: str) -> None:
+        """
+        Open a connection and close it; no byte is sent.
+
+        :raises TargetDownError: nothing listens there
+        :raises NotSentError: the connection was not made in time
+        """
+        endpoint = self._endpoints.endpointForURI(URI.fromBytes(url.encode()))
+        try:
+            opened = await endpoint.connect(Factory.forProtocol(Protocol))
+        except network_errors.ConnectionRefusedError as refused:
+            raise _target_down(url) from refused
+        except NOT_SENT_ERRORS as unsent:
+            raise NotSentError(
+                f'{url}: {unsent!r}', remedy='send it to another target'
+            ) from unsent
+        opened.transport.abortConnection()
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        *,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+        timeout_ms: int = 0,
+    ) -> TargetResponse:
+        """
+        Send a call and return the answer once its headers arrived.
+
+        :param timeout_ms: longest wait for the headers, 0 for no bound
+        :raises NotSentError: no byte of the call was written
+        :raises LostAfterSendError: the call may have arrived
+        """
+        timeout_s = timeout_ms / MS_PER_S if timeout_ms else None
+        sent_headers: Any = headers
+        producer: Any = None if body is None else BytesProducer(body)
+        try:
+            response = await treq.request(
+                method,
+                url,
+                headers=sent_headers,
+                data=producer,
+                agent=self._agent,
+                reactor=self._reactor,
+                timeout=timeout_s,
+                allow_redirects=False,
+                unbuffered=True,
+            )
+        except network_errors.ConnectionRefusedError as refused:
+            raise _target_down(url) from refused
+        except NOT_SENT_ERRORS as unsent:
+            raise NotSentError(
+                f'{method} {url}: {unsent!r}',
+                remedy='send it to another target',
+            ) from unsent
+        except SENT_ERRORS as lost:
+            raise lost_after_send(f'{method} {url}', lost) from lost
+        return TargetResponse(response, self._reactor)
+
+    def close(self) -> 'Deferred[Any]':
+        """Close kept connections."""
+        return self._pool.closeCachedConnections()
+
+
+def _target_down(url: str) -> TargetDownError:
+    return TargetDownError(
+        f'{url}: connection refused', remedy='send it to another target'
+    )
+
+
+def lost_after_send(what: str, error: BaseException) -> LostAfterSendError:
+    """Return the typed error of a call that broke off."""
+    return LostAfterSendError(
+        f'{what}: {error!r}', remedy='look up whether it took effect'
+    )
--- /dev/null
+++ b/cicadahoist/policy/quarantine.py
@@ -0,0 +1,191 @@
+"""
+Requests that crash the targets that run them.
+
+A body that ran on a target while the target died is a suspect. A suspect runs
+only on a target where no other suspect runs, so that a second crash shows
+which one it was. Two blames from different targets put a body in quarantine and
+clear the bodies beside it.
+"""
+
+from cicadahoist.messages import Blame, Quarantined, SuspectRun
+from cicadahoist.policy.suspects import Claims, Suspect
+
+BLAME_LIFE_MS = 600_000
+QUARANTINE_MS = 600_000
+CORRELATED_MS = 1000
+CLAIM_WAIT_MS = 1200
+CLAIM_LIFE_MS = 120_000
+SETTLE_MS = 1000
+SUSPECTS_KEPT = 10_000
+
+
+class Quarantine:
+    """
+    Blames, suspects and quarantined digests at one entry.
+
+    :param own_name: name of this instance
+    """
+
+    __slots__ = ('_claims', '_suspects_by_digest', '_until_by_digest')
+
+    def __init__(self, own_name: str = '') -> None:
+        self._until_by_digest: dict[str, int] = {}
+        self._suspects_by_digest: dict[str, Suspect] = {}
+        self._claims = Claims(own_name)
+
+    def refused_for_ms(self, digest: str, now_ms: int) -> int:
+        """Return for how long a body is refused, 0 if it is not."""
+        return max(0, self._until_by_digest.get(digest, 0) - now_ms)
+
+    def is_suspect(self, digest: str) -> bool:
+        """Tell whether a body has to run apart from other suspects."""
+        return digest in self._suspects_by_digest
+
+    def blamed(self, digest: str) -> frozenset[str]:
+        """Return targets that ended while they ran a body."""
+        suspect = self._suspects_by_digest.get(digest)
+        if suspect is None:
+            return frozenset()
+        return frozenset(suspect.blamed_ms)
+
+    def claimed(self) -> frozenset[str]:
+        """Return targets that are reserved for suspects."""
+        return frozenset(self._claims.targets())
+
+    def avoid(self, digest: str, now_ms: int) -> frozenset[str]:
+        """Return targets on which a suspect may not run now."""
+        if not self.is_suspect(digest):
+            return frozenset()
+        return self.claimed().union(self.blamed(digest))
+
+    def claim(self, digest: str, target: str, now_ms: int) -> SuspectRun | None:
+        """
+        Reserve a target for a suspect; return what to tell all peers.
+
+        None is returned while the same body is claimed; try again later.
+        """
+        if self._claims.is_claimed(digest):
+            return None
+        return self._claims.add_own(digest, target, now_ms)
+
+    def hold_ms(self, digest: str, now_ms: int) -> int:
+        """
+        Return how long a suspect still has to wait after its claim.
+
+        Peers have to hear of the claim first, and open decisions to be made.
+        """
+        suspect = self._suspects_by_digest.get(digest)
+        claim = self._claims.own(digest)
+        if suspect is None or claim is None:
+            return 0
+        ready_ms = claim.since_ms + CLAIM_WAIT_MS
+        if len(suspect.blamed_ms) > 1:
+            ready_ms = max(ready_ms, suspect.newest_ms() + 2 * SETTLE_MS)
+        return max(0, ready_ms - now_ms)
+
+    def may_start(self, digest: str, now_ms: int) -> bool:
+        """
+        Tell whether a claimed suspect may start.
+
+        If not although its wait is over, another suspect claimed the same
+        target; release the claim by :meth:`ended` and choose again.
+        """
+        if not self.is_suspect(digest):
+            return True
+        claim = self._claims.own(digest)
+        if claim is None or self.hold_ms(digest, now_ms):
+            return False
+        return self._claims.goes_first(claim)
+
+    def ended(
+        self, digest: str, now_ms: int, *, whole: bool = False
+    ) -> SuspectRun | None:
+        """
+        Release the claim of a suspect; return what to tell all peers.
+
+        :param whole: whether it ran to its end, which clears it
+        """
+        if whole:
+            self._suspects_by_digest.pop(digest, None)
+        return self._claims.remove_own(digest)
+
+    def target_died(
+        self, target: str, digests: list[str], now_ms: int
+    ) -> list[Blame]:
+        """
+        Blame the bodies that ran on a target; return what to tell all peers.
+
+        Not to be called for targets that were reclaimed or cut off.
+        """
+        alone = len(digests) == 1
+        blames = [
+            Blame(digest=digest, target=target, alone=alone)
+            for digest in digests
+        ]
+        for blame in blames:
+            self._blame(blame, now_ms)
+        return blames
+
+    def hear(
+        self, message: Blame | Quarantined | SuspectRun, now_ms: int
+    ) -> None:
+        """Take over a message of a peer."""
+        match message:
+            case Blame():
+                self._blame(message, now_ms)
+            case Quarantined():
+                self._confine(message.digest, message.for_ms, now_ms)
+            case SuspectRun():
+                self._claims.hear(message, now_ms)
+
+    def tick(self, now_ms: int) -> list[Quarantined]:
+        """Decide on suspects; return new quarantines to tell all peers."""
+        self._forget(now_ms)
+        guilty = [
+            digest
+            for digest, suspect in self._suspects_by_digest.items()
+            if self._is_guilty(suspect, now_ms)
+        ]
+        for found in guilty:
+            self._confine(found, QUARANTINE_MS, now_ms)
+        return [
+            Quarantined(digest=digest, for_ms=QUARANTINE_MS)
+            for digest in guilty
+        ]
+
+    def _blame(self, blame: Blame, now_ms: int) -> None:
+        suspects = self._suspects_by_digest
+        if blame.digest not in suspects and len(suspects) >= SUSPECTS_KEPT:
+            suspects.pop(next(iter(suspects)))
+        suspect = suspects.setdefault(blame.digest, Suspect())
+        suspect.blame(blame.target, now_ms, alone=blame.alone)
+
+    def _is_guilty(self, suspect: Suspect, now_ms: int) -> bool:
+        if now_ms - suspect.newest_ms() < SETTLE_MS:
+            return False
+        targets = suspect.separate_targets(CORRELATED_MS)
+        if len(targets) < 2:
+            return False
+        return suspect.was_alone or not any(
+            other is not suspect and targets <= set(other.blamed_ms)
+            for other in self._suspects_by_digest.values()
+        )
+
+    def _confine(self, digest: str, for_ms: int, now_ms: int) -> None:
+        self._until_by_digest[digest] = now_ms + for_ms
+        guilty = self._suspects_by_digest.pop(digest, None)
+        if guilty is None:
+            return
+        for other, suspect in list(self._suspects_by_digest.items()):
+            suspect.clear(set(guilty.blamed_ms))
+            if not suspect.blamed_ms:
+                self._suspects_by_digest.pop(other)
+
+    def _forget(self, now_ms: int) -> None:
+        for digest, until_ms in list(self._until_by_digest.items()):
+            if until_ms <= now_ms:
+                self._until_by_digest.pop(digest)
+        for blamed, suspect in list(self._suspects_by_digest.items()):
+            if now_ms - suspect.newest_ms() > BLAME_LIFE_MS:
+                self._suspects_by_digest.pop(blamed)
+        self._claims.expire(now_ms - CLAIM_LIFE_MS)
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -1,6 +1,6 @@
 """Every setting of every program, declared once."""
 
-from cicadahoist.config import Option, OptionSet
+from cicadahoist.config import NameOption, Option, OptionSet
 
 SETTINGS = OptionSet()
 _declare = SETTINGS.declare
@@ -8,7 +8,7 @@
 MAX_PORT = 65535
 
 INSTANCE_NAME = _declare(
-    Option(
+    NameOption(
         'instance',
         'name',
         'instance-1',
@@ -16,7 +16,7 @@
     )
 )
 INSTANCE_ZONE = _declare(
-    Option(
+    NameOption(
         'instance',
         'zone',
         'zone-a',
@@ -119,6 +119,22 @@
         summary='Longest time that open requests have to finish.',
     )
 )
+ADMISSION = _declare(
+    Option(
+        'policy',
+        'admission',
+        'fair',
+        summary='Registered order in which queued requests are sent.',
+    )
+)
+ROUTER = _declare(
+    Option(
+        'policy',
+        'router',
+        'predicted',
+        summary='Registered choice of the target of an attempt.',
+    )
+)
 MESH_PORT = _declare(
     Option(
         'mesh',
@@ -197,7 +213,7 @@
     Option(
         'store',
         'watch_wait',
-        20_000,
+        2000,
         unit='ms',
         lowest=100,
         summary='How long one watch waits for a change.',
@@ -227,6 +243,15 @@
         summary="Bearer token towards engines; never a caller's key.",
     )
 )
+ANSWER_ID = _declare(
+    Option(
+        'targets',
+        'answer_id',
+        '{attempt}',
+        summary='Ids of answers of engines; {attempt} stands for the attempt.'
+        ' Answers with another id are dropped; empty for no check.',
+    )
+)
 SERVICE_ADAPTER = _declare(
     Option(
         'targets',
@@ -235,6 +260,74 @@
         summary='Registered adapter for plain services.',
     )
 )
+TARGET_TIMEOUT = _declare(
+    Option(
+        'targets',
+        'timeout',
+        1000,
+        unit='ms',
+        lowest=10,
+        summary='Longest wait for an answer that holds no request of a caller.',
+    )
+)
+PLATFORM_URL = _declare(
+    Option(
+        'platform',
+        'url',
+        'http://127.0.0.1:8071',
+        summary='Address of the interfaces of the platform.',
+    )
+)
+PLATFORM_CREDENTIAL = _declare(
+    Option(
+        'platform',
+        'credential',
+        '',
+        summary='Bearer token towards the platform.',
+    )
+)
+PLATFORM_TIMEOUT = _declare(
+    Option(
+        'platform',
+        'timeout',
+        1000,
+        unit='ms',
+        lowest=10,
+        summary='Longest wait for an answer of the platform.',
+    )
+)
+WEIGHT_ADAPTER = _declare(
+    Option(
+        'platform',
+        'weight_adapter',
+        'http',
+        summary='Registered adapter for the weight store.',
+    )
+)
+TARGET_ORDER_ADAPTER = _declare(
+    Option(
+        'platform',
+        'target_order_adapter',
+        'http',
+        summary='Registered adapter for target orders.',
+    )
+)
+USAGE_ADAPTER = _declare(
+    Option(
+        'platform',
+        'usage_adapter',
+        'http',
+        summary='Registered adapter for usage reports.',
+    )
+)
+INSTANCE_ADAPTER = _declare(
+    Option(
+        'platform',
+        'instance_adapter',
+        'http',
+        summary='Registered adapter for the list of instances.',
+    )
+)
 LEASE_TERM = _declare(
     Option(
         'control',
@@ -265,6 +358,14 @@
         summary='Longest time that a sent order can be on its way.',
     )
 )
+ROLE_PLANNER = _declare(
+    Option(
+        'control',
+        'role_planner',
+        'planned',
+        summary='Registered planner for the roles of engines.',
+    )
+)
 USAGE_WINDOW = _declare(
     Option(
         'usage',
@@ -285,3 +386,8 @@
         summary='Time between two writes of usage counts to the store.',
     )
 )
+
+SETTINGS.declare_order(HEARTBEAT_PERIOD, PEER_TIMEOUT)
+SETTINGS.declare_order(LEASE_MARGIN, LEASE_TERM)
+SETTINGS.declare_order(ORDER_BOUND, LEASE_TERM)
+SETTINGS.declare_order(USAGE_FLUSH_PERIOD, USAGE_WINDOW)
