Measure idle instances with both programs; targets on loopback only

The rows of the bench named targets at private addresses, which nobody called until entries began to poll engines. They now share one engine stand-in.

--- a/bench/slopes/__main__.py
+++ b/bench/slopes/__main__.py
@@ -8,7 +8,7 @@
 from bench.slopes.fit import fit
 from bench.slopes.series import SERIES, Series
 
-GROUPS = ('tables', 'messages', 'leases', 'policies', 'entries')
+GROUPS = ('tables', 'messages', 'leases', 'policies', 'instances')
 KIB_PER_MIB = 1024
 
 
--- a/bench/slopes/deployment.py
+++ b/bench/slopes/deployment.py
@@ -21,10 +21,11 @@
 ZONES = 26
 TARGET_WORKSPACES = 2900
 TARGET_TARGETS = 1800
+NO_URL = 'http://127.0.0.1:9'
 
 
-def rows_for(workspaces: int, targets: int) -> list[Row]:
-    """Return the rows of a deployment."""
+def rows_for(workspaces: int, targets: int, url: str = NO_URL) -> list[Row]:
+    """Return the rows of a deployment whose targets share an address."""
     rows: list[Row] = [
         Route(name=f'model-{number}', pool=f'pool-{number}', revision=1)
         for number in range(MODELS)
@@ -33,7 +34,7 @@
         Target(
             name=f'engine-{number}',
             pool=f'pool-{number % MODELS}',
-            url=f'http://10.0.{number // 250}.{number % 250}:8000',
+            url=url,
             zone=f'zone-{number % ZONES}',
             revision=1,
         )
@@ -61,7 +62,9 @@
     return [Workspace(name=name, revision=1), *keys, *rules]
 
 
-def shards_for(workspaces: int, targets: int) -> dict[str, Shard]:
+def shards_for(
+    workspaces: int, targets: int, url: str = NO_URL
+) -> dict[str, Shard]:
     """Return the shards of a deployment by number."""
     by_number: dict[str, Shard] = {}
     fields_by_kind = {
@@ -71,18 +74,20 @@
         Route: 'routes',
         Rule: 'rules',
     }
-    for row in rows_for(workspaces, targets):
+    for row in rows_for(workspaces, targets, url):
         shard = by_number.setdefault(shard_of(row), Shard())
         field = fields_by_kind[type(row)]
         setattr(shard, field, [*getattr(shard, field), row])
     return by_number
 
 
-def payloads_for(workspaces: int, targets: int) -> dict[str, bytes]:
+def payloads_for(
+    workspaces: int, targets: int, url: str = NO_URL
+) -> dict[str, bytes]:
     """Return the stored form of the shards of a deployment."""
     return {
         number: msgspec.json.encode(shard)
-        for number, shard in shards_for(workspaces, targets).items()
+        for number, shard in shards_for(workspaces, targets, url).items()
     }
 
 
