--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -69,7 +69,8 @@
         401,
         Outcome.not_run,
         'ask your operator for a new key',
-        'tell the workspace, and create a key if the caller is welcome',
+        'see "key list", and whether the workspace is disabled; create a key '
+        'if the caller is welcome',
     )
     key_withdrawn_midway = RefusalSpec(
         401,
@@ -81,8 +82,7 @@
         403,
         Outcome.not_run,
         'ask your operator for a row for this workspace and route',
-        'if the workspace may use the route, save a row with "table set"; '
-        'see also whether the workspace is disabled',
+        'if the workspace may use the route, save a row with "table set"',
     )
     unknown_route = RefusalSpec(
         404,
