--- a/cicadahoist/cmd/operator/statuses.py
+++ b/cicadahoist/cmd/operator/statuses.py
@@ -8,8 +8,10 @@
 from cicadahoist.cmd.operator.output import Output, align, print_json
 from cicadahoist.cmd.operator.session import Session
 from cicadahoist.cmd.operator.times import utc_text
+from cicadahoist.cmd.operator.usages import UsageLag, read_usage_names
 from cicadahoist.errors import WireError
 from cicadahoist.messages import ZoneStatus, zone_status_name
+from cicadahoist.settings import USAGE_WINDOW
 
 _decode_status = msgspec.json.Decoder(ZoneStatus).decode
 
@@ -56,15 +58,17 @@
     revision: int
     zones: list[ZoneRow]
     leases: list[LeaseRow]
+    usage: UsageLag
 
 
 async def show_status(session: Session) -> None:
-    """Show revisions in force by zone, and leases."""
+    """Show revisions in force by zone, leases, and how late usage is."""
     head, _ = await session.table_store.read_head()
     view = StatusView(
         revision=head.revision,
         zones=await _read_zones(session, head.revision),
         leases=await read_leases(session),
+        usage=await _read_usage_lag(session),
     )
     if session.output is Output.json:
         print_json(view)
@@ -83,6 +87,12 @@
     return rows
 
 
+async def _read_usage_lag(session: Session) -> UsageLag:
+    names = await read_usage_names(session)
+    window_ms = session.config.read(USAGE_WINDOW)
+    return UsageLag.from_names(names, window_ms, wall_ms())
+
+
 def _decoded(payload: bytes) -> ZoneStatus:
     try:
         return _decode_status(payload)
@@ -99,3 +109,5 @@
     typer.echo('\n'.join(align(view.zones)))
     typer.echo('\nleases')
     typer.echo('\n'.join(align(view.leases)))
+    typer.echo('\nusage')
+    typer.echo('\n'.join(align([view.usage])))
--- a/cicadahoist/cmd/operator/usages.py
+++ b/cicadahoist/cmd/operator/usages.py
@@ -6,6 +6,7 @@
 import msgspec
 import typer
 
+from cicadahoist.clock import MS_PER_S
 from cicadahoist.cmd.operator.session import Session
 from cicadahoist.cmd.operator.times import utc_text
 from cicadahoist.mesh.usage_record import decode_record
@@ -67,6 +68,46 @@
         return sorted(windows, reverse=True)[:count]
 
 
+class UsageLag(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    How far billing is behind.
+
+    :param sealed_until: end of the newest sealed window, UTC; empty for none
+    :param waiting: windows with usage that have ended and are not sealed
+    :param oldest_waiting_s: seconds since the oldest of these ended
+    """
+
+    sealed_until: str
+    waiting: int
+    oldest_waiting_s: int
+
+    @classmethod
+    def from_names(
+        cls, names: UsageNames, window_ms: int, now_ms: int
+    ) -> 'UsageLag':
+        """Return the lag that the names of usage objects show."""
+        newest = max(names.figures_by_window, default=None)
+        waiting = [
+            window
+            for window in names.records_by_window
+            if window not in names.figures_by_window
+            and (window + 1) * window_ms <= now_ms
+        ]
+        oldest_ms = (min(waiting) + 1) * window_ms if waiting else now_ms
+        return cls(
+            sealed_until=(
+                '' if newest is None else utc_text((newest + 1) * window_ms)
+            ),
+            waiting=len(waiting),
+            oldest_waiting_s=(now_ms - oldest_ms) // MS_PER_S,
+        )
+
+
+async def read_usage_names(session: Session) -> UsageNames:
+    """Return the names of all usage objects."""
+    return UsageNames(await session.store.names(USAGE_PREFIX))
+
+
 async def show_usage(
     session: Session,
     windows: Annotated[
@@ -77,7 +118,7 @@
     ] = None,
 ) -> None:
     """Show usage by window and workspace."""
-    names = UsageNames(await session.store.names(USAGE_PREFIX))
+    names = await read_usage_names(session)
     rows: list[UsageRow] = []
     for window in names.latest(windows):
         rows.extend(await _window_rows(session, names, window))
--- a/tests/test_cmd/test_operator_status.py
+++ b/tests/test_cmd/test_operator_status.py
@@ -36,6 +36,23 @@
     assert 'zone-b' in deployed.done('status').stdout
 
 
+def test_status_says_how_late_usage_is(operator, monkeypatch):
+    monkeypatch.setattr(statuses, 'wall_ms', lambda: 13 * MINUTE_MS + 5000)
+    for name in (
+        'usage/9/e1/aa',
+        'usage/10/e1/aa',
+        'usage/11/e1/aa',
+        'usage/13/e1/aa',
+        'usage/figures/0/9',
+    ):
+        operator.store.by_name[name] = Stored(name, 1, b'')
+    assert operator.rows('status')['usage'] == {
+        'sealed_until': '1970-01-01T00:10:00Z',
+        'waiting': 2,
+        'oldest_waiting_s': 125,
+    }
+
+
 def test_status_of_an_empty_store(operator):
     printed = operator.done('status').stdout
     assert 'table revision 0' in printed
