Run unrepeatable model requests under claims, and replay their answers

Streams are recorded as their events and replayed whole; a claimed stream goes on when its caller leaves.

--- a/cicadahoist/entry/answer_stream.py
+++ b/cicadahoist/entry/answer_stream.py
@@ -32,6 +32,8 @@
     """
     Turns events of attempts into the events of one whole answer.
 
+    ``record``, where it is set, keeps the events that the caller got.
+
     :param wants_usage: whether the caller asked for a usage chunk
     """
 
@@ -42,18 +44,25 @@
         '_rewrites',
         '_wants_usage',
         'next_offset',
+        'record',
         'usage',
     )
 
     def __init__(self, *, wants_usage: bool) -> None:
         self.next_offset = 0
         self.usage = Usage()
+        self.record: list[bytes] | None = None
         self._wants_usage = wants_usage
         self._finished = False
         self._answer_id = ''
         self._expected_id = ''
         self._rewrites = False
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the answer's last token was accepted."""
+        return self._finished
+
     def begin_attempt(self, expected_id: str) -> None:
         """
         Take further events as those of a new attempt.
--- a/cicadahoist/entry/caller.py
+++ b/cicadahoist/entry/caller.py
@@ -10,6 +10,7 @@
 REQUEST_ID_HEADER = 'X-Request-Id'
 IDEMPOTENCY_HEADER = 'Idempotency-Key'
 MAX_ID_LENGTH = 128
+EVENT_STREAM_TYPE = 'text/event-stream'
 
 _PRINTABLE_ID = re.compile(r'^[\w.:/@+=-]+$')
 
@@ -67,7 +68,9 @@
 
     def start_stream(self) -> None:
         """Send the header of a stream of server-sent events."""
-        self.http.setHeader('Content-Type', 'text/event-stream')
+        if self.gone:
+            return
+        self.http.setHeader('Content-Type', EVENT_STREAM_TYPE)
         self.http.setHeader('Cache-Control', 'no-cache')
 
     def send_whole(
--- /dev/null
+++ b/cicadahoist/entry/claimed.py
@@ -0,0 +1,77 @@
+"""Answers of requests that may not be repeated, recorded in their claims."""
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from cicadahoist.entry.claim_runner import ClaimRunner, claim_object
+from cicadahoist.entry.context import EntryContext
+from cicadahoist.entry.open_requests import OpenRequest
+from cicadahoist.entry.refusal import RequestRefusedError
+from cicadahoist.outside.engine import JSON_TYPE
+from cicadahoist.reasons import Refusal
+
+LONGEST_RECORD_BYTES = 524_288
+
+
+class RecordedAnswer(msgspec.Struct, frozen=True):
+    """A whole answer as it is recorded in a claim."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+Produce = Callable[[], Awaitable[RecordedAnswer | None]]
+
+
+def needs_claim(request: OpenRequest) -> bool:
+    """Tell whether a request runs under a claim."""
+    key = request.caller.idempotency_key
+    return bool(key) and not request.grant.route.repeatable
+
+
+async def answer_once(
+    context: EntryContext, request: OpenRequest, produce: Produce
+) -> RecordedAnswer:
+    """
+    Return the answer of a request, from its first run wherever that was.
+
+    :param produce: runs the request; none where it ended without an answer
+    :raises RequestRefusedError: it does not run here, or failed
+    """
+    request.outlives_caller = True
+    grant = request.grant
+    runner = ClaimRunner.for_request(
+        context.store,
+        context.clock,
+        claim_object(
+            grant.workspace, grant.route.name, request.caller.idempotency_key
+        ),
+        request.digest,
+        lambda: _encoded(request, produce),
+    )
+    recorded = await runner.outcome()
+    return msgspec.json.decode(recorded, type=RecordedAnswer)
+
+
+async def _encoded(request: OpenRequest, produce: Produce) -> bytes:
+    answer = await produce()
+    if answer is None:
+        raise request.refused or RequestRefusedError(
+            Refusal.target_lost, 'the request ended without an answer'
+        )
+    if len(answer.body) > LONGEST_RECORD_BYTES:
+        answer = _too_long(request)
+    return msgspec.json.encode(answer)
+
+
+def _too_long(request: OpenRequest) -> RecordedAnswer:
+    refused = RequestRefusedError(
+        Refusal.claim_outcome_unknown, 'the answer was too long to be recorded'
+    )
+    return RecordedAnswer(
+        refused.reason.status,
+        {'Content-Type': JSON_TYPE},
+        refused.body(request.caller.request_id),
+    )
--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -8,7 +8,12 @@
 from cicadahoist.entry.answer_stream import AnswerStream
 from cicadahoist.entry.attempts import Attempts
 from cicadahoist.entry.auth import authorize
-from cicadahoist.entry.caller import CallerRequest
+from cicadahoist.entry.caller import EVENT_STREAM_TYPE, CallerRequest
+from cicadahoist.entry.claimed import (
+    RecordedAnswer,
+    answer_once,
+    needs_claim,
+)
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.events import DONE, Usage, encode_event
 from cicadahoist.entry.handling import answer_or_refuse, run_open
@@ -94,6 +99,7 @@
         '_path',
         '_request',
         '_wanted',
+        '_whole',
     )
 
     def __init__(
@@ -107,6 +113,7 @@
         self._request = request
         self._wanted = wanted
         self._path = path
+        self._whole: RecordedAnswer | None = None
         self._answer = AnswerStream(wants_usage=wanted.wants_usage)
         cost = context.dispatcher.costs.estimate(
             request.grant.workspace,
@@ -123,11 +130,30 @@
         """Make attempts until one completes the answer."""
         await self._attempts.admit()
         try:
-            await self._run_attempts()
+            await self._run_once()
         finally:
             usage = self._answer.usage
             self._attempts.end(usage.prompt_tokens + usage.completion_tokens)
 
+    async def _run_once(self) -> None:
+        if not needs_claim(self._request):
+            await self._run_attempts()
+            return
+        self._answer.record = []
+        answer = await answer_once(self._context, self._request, self._recorded)
+        if self._whole is None and not self._answer.record:
+            self._request.caller.send_whole(
+                answer.status, answer.headers, answer.body
+            )
+
+    async def _recorded(self) -> RecordedAnswer | None:
+        await self._run_attempts()
+        if self._whole is not None or not self._answer.is_complete:
+            return self._whole
+        events = [*(self._answer.record or []), encode_event(DONE)]
+        headers = {'Content-Type': EVENT_STREAM_TYPE}
+        return RecordedAnswer(HTTP_OK, headers, b''.join(events))
+
     async def _run_attempts(self) -> None:
         while not self._attempts.is_over:
             target = await self._attempts.begin()
@@ -223,18 +249,20 @@
             return Retry.stream_broken
         if response.status == HTTP_OK:
             try:
-                whole = _decode_whole(body)
+                decoded = _decode_whole(body)
             except msgspec.MsgspecError:
                 return Retry.stream_broken
-            if self._answer_id() not in {'', whole.id}:
+            if self._answer_id() not in {'', decoded.id}:
                 return Retry.stream_broken
             self._attempts.first_token()
-            self._answer.usage = whole.usage
-            self._answer.next_offset = whole.usage.completion_tokens
+            self._answer.usage = decoded.usage
+            self._answer.next_offset = decoded.usage.completion_tokens
             await self._bill()
-        self._request.caller.send_whole(
+        whole = RecordedAnswer(
             response.status, {'Content-Type': JSON_TYPE}, body
         )
+        self._whole = whole
+        self._request.caller.send_whole(whole.status, whole.headers, body)
         return None
 
     def _answer_id(self) -> str:
--- a/cicadahoist/entry/service_handler.py
+++ b/cicadahoist/entry/service_handler.py
@@ -2,21 +2,23 @@
 
 from typing import Any
 
-import msgspec
 from twisted.internet.defer import Deferred
 
 from cicadahoist.entry.attempts import Attempts
 from cicadahoist.entry.auth import authorize
 from cicadahoist.entry.caller import IDEMPOTENCY_HEADER, CallerRequest
-from cicadahoist.entry.claim_runner import ClaimRunner, claim_object
+from cicadahoist.entry.claimed import (
+    RecordedAnswer,
+    answer_once,
+    needs_claim,
+)
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.handling import answer_or_refuse, run_open
 from cicadahoist.entry.open_requests import OpenRequest
-from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.errors import LostAfterSendError, NotSentError
 from cicadahoist.ids import body_digest
 from cicadahoist.policy.cost import Cost
-from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.reasons import Retry
 from cicadahoist.table import RouteKind, Target
 
 SERVICES_PATH = '/services/'
@@ -39,14 +41,6 @@
 )
 
 
-class ServiceAnswer(msgspec.Struct, frozen=True):
-    """A whole answer of a service, as it is recorded in a claim."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
 class ServiceHandler:
     """
     Answers calls below ``/services/<route>/``.
@@ -104,31 +98,14 @@
                 answer.status, answer.headers, answer.body
             )
 
-    async def _answered_once(self) -> ServiceAnswer | None:
-        """Answer under a claim where the call may not be repeated."""
-        key = self._request.caller.idempotency_key
-        if self._request.grant.route.repeatable or not key:
-            return await self._answered()
-        self._request.outlives_caller = True
-        grant = self._request.grant
-        runner = ClaimRunner.for_request(
-            self._context.store,
-            self._context.clock,
-            claim_object(grant.workspace, grant.route.name, key),
-            self._request.digest,
-            self._encoded_answer,
-        )
-        return msgspec.json.decode(await runner.outcome(), type=ServiceAnswer)
-
-    async def _encoded_answer(self) -> bytes:
-        answer = await self._answered()
-        if answer is None:
-            raise self._request.refused or RequestRefusedError(
-                Refusal.target_lost, 'the caller is gone'
+    async def _answered_once(self) -> RecordedAnswer | None:
+        if needs_claim(self._request):
+            return await answer_once(
+                self._context, self._request, self._answered
             )
-        return msgspec.json.encode(answer)
+        return await self._answered()
 
-    async def _answered(self) -> ServiceAnswer | None:
+    async def _answered(self) -> RecordedAnswer | None:
         while not self._attempts.is_over:
             target = await self._attempts.begin()
             if target is None:
@@ -146,7 +123,7 @@
             await self._attempts.pause_before_retry(retry)
         return None
 
-    async def _call(self, target: Target) -> ServiceAnswer:
+    async def _call(self, target: Target) -> RecordedAnswer:
         caller = self._request.caller
         response = await self._context.plain_services.call(
             target,
@@ -165,7 +142,7 @@
             for name in RETURNED_HEADERS
             if response.header(name)
         }
-        return ServiceAnswer(response.status, headers, body)
+        return RecordedAnswer(response.status, headers, body)
 
 
 def _forwarded(caller: CallerRequest) -> dict[str, str]:
--- a/cicadahoist/entry/stream_attempt.py
+++ b/cicadahoist/entry/stream_attempt.py
@@ -74,16 +74,22 @@
             progress = self._answer.accept(payload, out)
             if progress is not Progress.going_on:
                 break
-        if out and self._on_first_token is not None:
-            self._on_first_token()
-            self._on_first_token = None
-        if out and not self._caller.gone:
-            self._caller.http.write(b''.join(out))
+        if out:
+            self._pass_on(out)
         if progress is Progress.complete:
             self.end(AttemptEnd.complete)
         elif progress is Progress.broken:
             self.end(AttemptEnd.broken)
 
+    def _pass_on(self, out: list[bytes]) -> None:
+        if self._on_first_token is not None:
+            self._on_first_token()
+            self._on_first_token = None
+        if self._answer.record is not None:
+            self._answer.record.extend(out)
+        if not self._caller.gone:
+            self._caller.http.write(b''.join(out))
+
     def connectionLost(self, reason: Any = None) -> None:
         """End an attempt whose target broke off."""
         self.end(AttemptEnd.broken)
@@ -111,5 +117,6 @@
         self.transport.resumeProducing()
 
     def stopProducing(self) -> None:
-        """End the attempt, as the caller is gone."""
-        self.end(AttemptEnd.stopped)
+        """Read on without the caller; its request decides whether to end."""
+        if self._is_paused:
+            self.resumeProducing()
--- a/tests/test_entry/test_claims.py
+++ b/tests/test_entry/test_claims.py
@@ -144,3 +144,52 @@
     assert error_of(first)['outcome'] == 'unknown'
     assert error_of(second)['outcome'] == 'unknown'
     assert runs(world) == 1
+
+
+def ask_once(world, stream, entry=0):
+    return world.chat(
+        'once-model',
+        tokens=30,
+        stream=stream,
+        entry=entry,
+        headers={'Idempotency-Key': 'ask-1'},
+    )
+
+
+def attempts(world):
+    return sum(len(each.seen().attempts) for each in world.engines.values())
+
+
+@pytest.mark.parametrize('stream', [True, False])
+def test_a_model_request_that_may_not_repeat_is_replayed(stream):
+    world = World(entries=2)
+    first = world.finish(ask_once(world, stream))
+    second = world.finish(ask_once(world, stream, entry=1))
+    assert first.body == second.body
+    assert attempts(world) == 1
+
+
+def test_a_claimed_stream_whose_caller_left_is_replayed_whole():
+    world = World(entries=2)
+    first = ask_once(world, stream=True)
+    world.net.until(lambda: len(first.body) > 500)
+    first.leave()
+    world.net.advance(2000)
+    second = world.finish(ask_once(world, stream=True, entry=1))
+    assert second.body.startswith(first.body)
+    assert second.body.endswith(b'data: [DONE]\n\n')
+    assert attempts(world) == 1
+
+
+def test_a_claimed_stream_whose_engine_died_never_runs_again():
+    world = World(engines=2)
+    first = ask_once(world, stream=True)
+    world.net.until(lambda: len(first.body) > 500)
+    for name, server in world.engines.items():
+        if server.seen().attempts:
+            world.kill(name)
+    world.finish(first)
+    assert b'"outcome":"unknown"' in first.body
+    second = world.finish(ask_once(world, stream=True))
+    assert error_of(second)['outcome'] == 'unknown'
+    assert attempts(world) == 1
