Bench a workspace that asks in bursts, and a baseline without any order

Tayside's scenario had no workspace that floods the helpline, and the baseline without fairness still put urgent work first, so that it showed nothing. A script of the largest clerk now asks 120 questions at once four times, and the baseline takes all work in the order of its arrival. The bound now holds the time to the first token, too.

--- a/bench/policy/bound.py
+++ b/bench/policy/bound.py
@@ -63,6 +63,18 @@
     return engines
 
 
+def jobs_of(request):
+    """Return the parts of a request as due time, name, work and request."""
+    whole_ms = engine_ms(request)
+    jobs = [[due_ms(request), request.name, whole_ms, request]]
+    if request.urgent:
+        share = PREFILL_MS * request.prompt / URGENT_USABLE / whole_ms
+        jobs[0][2] = whole_ms * (1 - share)
+        first_ms = request.at_ms + FIRST_TOKEN_MS
+        jobs.append([first_ms, request.name, whole_ms * share, request])
+    return jobs
+
+
 class Pool:
     """All engines as one machine that serves the earliest deadline first."""
 
@@ -80,18 +92,22 @@
                 self.jobs.pop(0)
 
     def add(self, request, now_ms, rate):
-        bisect.insort(
-            self.jobs,
-            [due_ms(request), request.name, engine_ms(request), request],
-        )
-        ahead = 0
-        for number, job in enumerate(self.jobs):
-            ahead += job[2]
-            if ahead > rate * (job[0] - now_ms):
-                largest = max(self.jobs[: number + 1], key=lambda one: one[2])
-                self.jobs.remove(largest)
-                self.dropped.append(largest[3])
-                return
+        for job in jobs_of(request):
+            bisect.insort(self.jobs, job, key=lambda one: one[:2])
+        late = self.first_late(now_ms, rate)
+        while late:
+            largest = max(self.jobs[:late], key=lambda one: one[2])
+            self.dropped.append(largest[3])
+            self.jobs = [job for job in self.jobs if job[1] != largest[1]]
+            late = self.first_late(now_ms, rate)
+
+    def first_late(self, now_ms, rate):
+        ahead_ms = 0
+        for number, job in enumerate(self.jobs, 1):
+            ahead_ms += job[2]
+            if ahead_ms > rate * (job[0] - now_ms) + 1e-6:
+                return number
+        return 0
 
 
 def served_at_best(scenario, fault, requests):
@@ -109,7 +125,13 @@
 
 
 def fair_counts(requests, served):
-    """Return the fair number of good requests, by workspace."""
+    """
+    Return the fair number of good requests, by workspace.
+
+    Equal parts of the work that is served at best, but no more than a
+    workspace asks for or than is served of it at best.
+    """
+    best = Counter(request.workspace for request in served)
     wanted = Counter()
     offered = Counter()
     for request in requests:
@@ -122,7 +144,7 @@
     for number, name in enumerate(ordered):
         part = min(wanted[name], left / (len(ordered) - number))
         left -= part
-        fair[name] = offered[name] * part / wanted[name]
+        fair[name] = min(best[name], offered[name] * part / wanted[name])
     return fair
 
 
--- a/bench/policy/workload.py
+++ b/bench/policy/workload.py
@@ -126,15 +126,19 @@
 CLERKS = {f'clerk-{n}': weight for n, weight in enumerate((8, 5, 3, 1, 1, 1))}
 COUNCILS = {'council-0': 3, 'council-1': 1}
 YARDS = {f'yard-{n}': weight for n, weight in enumerate((9, 6, 4, 1, 1, 1))}
+BURST = 120
 DESKS = {'yard-0': 2, 'desk-1': 1}
 
 
 def tayside(draw):
-    """Ledgers of the night arrive at once beside helpline questions."""
+    """Ledgers of the night arrive at once; a clerk's script asks in bursts."""
     draw.stream(QUESTION, CLERKS, 24, 0, DURATION_MS - 10_000)
     for number in range(160):
         name = 'council-0' if number % 4 else 'council-1'
         draw.add(LEDGER, name, 15_000 + number * 20, 1 + number % 2)
+    for number in range(4 * BURST):
+        at_ms = 40_000 * (1 + number // BURST) + number % BURST * 5
+        draw.add(QUESTION, 'clerk-0', at_ms)
 
 
 def pilbara(draw):
--- a/cicadahoist/policy/admission.py
+++ b/cicadahoist/policy/admission.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from cicadahoist.policy.flows import Backlog, FlowKey, QueuedTicket
-from cicadahoist.policy.lanes import lane_of, prepare
+from cicadahoist.policy.lanes import URGENT, lane_of, prepare
 from cicadahoist.policy.limits import LimitShares
 from cicadahoist.policy.load import TargetLoads
 from cicadahoist.policy.poolqueue import PoolQueue
@@ -167,9 +167,9 @@
 
 @ADMISSIONS.register('fifo')
 class FifoQueue(FairQueue):
-    """Queues requests in the order of their arrival, without weights."""
+    """Queues all requests in the order of their arrival."""
 
     __slots__ = ()
 
     def _key_of(self, ticket: Ticket) -> FlowKey:
-        return (lane_of(ticket), '', '')
+        return (URGENT, '', '')
