--- a/cicadahoist/entry/assembly.py
+++ b/cicadahoist/entry/assembly.py
@@ -16,6 +16,7 @@
 from cicadahoist.mesh.node import MeshNode
 from cicadahoist.mesh.table_sync import TableSync
 from cicadahoist.mesh.usage import UsageLedger
+from cicadahoist.mesh.zone_status import ZoneStatusWriter
 from cicadahoist.outside.store import STORES
 from cicadahoist.settings import STORE_ADAPTER
 
@@ -60,6 +61,7 @@
         LocalPort.from_config(config, node, application.clock, reactor),
         table_sync,
         usage,
+        ZoneStatusWriter(node, table_sync, store, application.clock),
         PolicyTick(context),
         Peering(context, node),
         TargetPoller(context, node),
