Close connections to addresses where nobody answered

At most the last two rounds of probes stay open; without the closing a test of eleven dead instances fails.

--- a/cicadahoist/mesh/memory_transport.py
+++ b/cicadahoist/mesh/memory_transport.py
@@ -94,11 +94,12 @@
     :param address: own address
     """
 
-    __slots__ = ('_address', '_network')
+    __slots__ = ('_address', '_network', 'connected')
 
     def __init__(self, network: MemoryNetwork, address: str) -> None:
         self._network = network
         self._address = address
+        self.connected: set[str] = set()
 
     def start(self, receiver: Receiver) -> None:
         """Begin to pass received messages to ``receiver``."""
@@ -106,11 +107,13 @@
 
     def send(self, address: str, wire: bytes) -> bool:
         """Post a message."""
+        self.connected.add(address)
         self._network.post(self._address, address, wire)
         return True
 
     def forget(self, address: str) -> None:
-        """Do nothing: messages on their way are delivered or lost."""
+        """Close a connection; messages on their way are delivered or lost."""
+        self.connected.discard(address)
 
     def stop(self) -> None:
         """Lose all further messages."""
--- a/cicadahoist/mesh/outbox.py
+++ b/cicadahoist/mesh/outbox.py
@@ -101,6 +101,10 @@
         self._transport.forget(address)
         self._post(address, '', messages)
 
+    def close(self, address: str) -> None:
+        """Close the connection to an address."""
+        self._transport.forget(address)
+
     def _post(self, address: str, name: str, messages: list[Outgoing]) -> None:
         self._sequence += 1
         link = self._view.link(name)
--- a/cicadahoist/mesh/rounds.py
+++ b/cicadahoist/mesh/rounds.py
@@ -49,6 +49,7 @@
         '_number',
         '_outbox',
         '_period_ms',
+        '_probed',
         '_prober',
         '_timer',
         '_view',
@@ -76,6 +77,7 @@
         self._period_ms = period_ms
         self._zone_timeout_ms = zone_timeout_ms
         self._number = 0
+        self._probed: list[str] = []
         self._drains = DrainNotices()
         self._last_summary: KnownInstances | None = None
         self._timer: Timer | None = None
@@ -161,7 +163,11 @@
             self._prober.add(address_of(silent))
         live = self._view.live().values()
         heard = {address_of(instance) for instance in live}
-        for address in self._prober.due(heard):
+        # A connection that led nowhere would be dialled for ever.
+        for address in set(self._probed) - heard:
+            self._outbox.close(address)
+        self._probed = self._prober.due(heard)
+        for address in self._probed:
             self._outbox.probe(address, [self._heartbeat('', {})])
 
     def _heartbeat(self, name: str, heard: dict[str, str]) -> Heartbeat:
--- a/tests/test_mesh/cluster.py
+++ b/tests/test_mesh/cluster.py
@@ -4,7 +4,7 @@
 
 from cicadahoist.clock import Clock
 from cicadahoist.ids import new_nonce
-from cicadahoist.mesh.memory_transport import MemoryNetwork
+from cicadahoist.mesh.memory_transport import MemoryNetwork, MemoryTransport
 from cicadahoist.mesh.node import MeshNode
 from cicadahoist.messages import InstanceInfo
 
@@ -33,6 +33,7 @@
         self.clock = Clock.manual()
         self.network = MemoryNetwork(self.clock, **faults)
         self.nodes: dict[str, MeshNode] = {}
+        self.transports: dict[str, MemoryTransport] = {}
         self._zone_of = {
             f'{zone}{number}': zone
             for zone, size in sizes.items()
@@ -50,9 +51,11 @@
             port=1,
             incarnation=new_nonce(),
         )
+        transport = self.network.transport(self.address(name))
+        self.transports[name] = transport
         node = MeshNode(
             info,
-            self.network.transport(self.address(name)),
+            transport,
             self.clock,
             period_ms=PERIOD_MS,
             timeout_ms=TIMEOUT_MS,
--- a/tests/test_mesh/test_node.py
+++ b/tests/test_mesh/test_node.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cicadahoist.mesh.prober import PROBES_PER_ROUND
 from cicadahoist.messages import Blame, Demand, DrainNotice, Quarantined
 from tests.test_mesh.cluster import PERIOD_MS, TIMEOUT_MS, Cluster
 
@@ -83,6 +84,15 @@
     assert cluster.views() == {frozenset(cluster.nodes)}
 
 
+def test_connections_to_dead_instances_are_closed():
+    cluster = Cluster({'a': 12})
+    cluster.advance(5000)
+    for number in range(1, 12):
+        cluster.kill(f'a{number}')
+    cluster.advance(60_000)
+    assert len(cluster.transports['a0'].connected) <= 2 * PROBES_PER_ROUND
+
+
 def test_broadcast_reaches_all_zones_once():
     cluster = Cluster({'a': 4, 'b': 4, 'c': 4})
     cluster.advance(10_000)
