--- a/cicadahoist/control/assembly.py
+++ b/cicadahoist/control/assembly.py
@@ -4,6 +4,7 @@
 
 from cicadahoist.application import Application
 from cicadahoist.config import Config
+from cicadahoist.control.claim_sweeper import ClaimSweeper
 from cicadahoist.control.context import ControlContext
 from cicadahoist.control.engine_duty import EngineDuty
 from cicadahoist.control.figure_calls import FigureCalls
@@ -68,4 +69,8 @@
         context.config.read(USAGE_WINDOW),
     )
     reporter.use_lease(authority.lease.is_holder)
-    return [context.lease_task(authority, reporter, context.link.is_up)]
+    sweeper = ClaimSweeper(
+        context.store, context.clock, authority.lease.is_holder
+    )
+    task = context.lease_task(authority, reporter, context.link.is_up)
+    return [task, sweeper]
--- a/cicadahoist/entry/claim_runner.py
+++ b/cicadahoist/entry/claim_runner.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from cicadahoist.clock import Clock
+from cicadahoist.clock import Clock, wall_ms
 from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.errors import (
     StoreError,
@@ -79,7 +79,7 @@
         :param name: name of the claim object
         :param digest: digest of what the claim is for
         """
-        claim = Claim(name, new_nonce(), digest)
+        claim = Claim(name, new_nonce(), digest, created_ms=wall_ms())
         return cls(store, clock, claim, run)
 
     async def outcome(self) -> bytes:
--- a/cicadahoist/protocol/claim_records.py
+++ b/cicadahoist/protocol/claim_records.py
@@ -12,13 +12,17 @@
     :param nonce: the request that may run
     :param digest: digest of the request's body
     :param outcome: encoded outcome, empty while unknown
+    :param created_ms: wall-clock time of the request, from which it expires
     """
 
     nonce: str
     digest: str
     outcome: bytes = b''
+    created_ms: int = 0
 
 
+CLAIMS_PREFIX = 'claims/'
+
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(ClaimRecord)
 
@@ -34,7 +38,7 @@
 
     :param idempotency_digest: digest of the caller's ``Idempotency-Key``
     """
-    return f'claims/{workspace}/{route}/{idempotency_digest}'
+    return f'{CLAIMS_PREFIX}{workspace}/{route}/{idempotency_digest}'
 
 
 def decode_claim(payload: bytes) -> ClaimRecord:
--- a/cicadahoist/protocol/claims.py
+++ b/cicadahoist/protocol/claims.py
@@ -38,16 +38,24 @@
     :param nonce: drawn anew for each request that arrives
     :param digest: digest of the body
     :param kit: the chart to follow
+    :param created_ms: wall-clock time of the request
     """
 
     __slots__ = ('name', 'record', 'version')
 
     def __init__(
-        self, name: str, nonce: str, digest: str, kit: ChartKit | None = None
+        self,
+        name: str,
+        nonce: str,
+        digest: str,
+        kit: ChartKit | None = None,
+        created_ms: int = 0,
     ) -> None:
         super().__init__(kit or CLAIM_KIT)
         self.name = name
-        self.record = ClaimRecord(nonce=nonce, digest=digest)
+        self.record = ClaimRecord(
+            nonce=nonce, digest=digest, created_ms=created_ms
+        )
         self.version = 0
 
 
