--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -182,9 +182,12 @@
 
     :param by_pool: prompt tokens, cached ones left out, and output tokens a
         ms, by pool
+    :param urgent_by_pool: the part of requests whose callers wait; a pool that
+        lacks here has urgent work only
     """
 
     by_pool: dict[str, tuple[float, float]]
+    urgent_by_pool: dict[str, tuple[float, float]] = {}
 
 
 class LoadView(
--- a/cicadahoist/table.py
+++ b/cicadahoist/table.py
@@ -62,6 +62,7 @@
     :param pool: routes are served by the targets of one pool
     :param fencing: whether it refuses orders with an old fencing number
     :param price: cost while running, in thousandths of a unit an hour
+    :param ordered: whether control bought it; only such rows does it remove
     """
 
     name: str
@@ -73,6 +74,7 @@
     reclaimable: bool = False
     price: int = 1000
     draining: bool = False
+    ordered: bool = False
     revision: int = 0
 
 
