Order targets from the platform under a lease of the zone

The duty journals each order, sends it under the epoch and a token that is unique over zones, and settles it by the platform's list. Bought targets become rows of the table, drained before their release. The default bound is 0, so that nothing is bought until an operator allows it.

--- a/cicadahoist/control/assembly.py
+++ b/cicadahoist/control/assembly.py
@@ -9,6 +9,7 @@
 from cicadahoist.control.figure_calls import FigureCalls
 from cicadahoist.control.fleet_reader import FleetReader
 from cicadahoist.control.planner import Planner
+from cicadahoist.control.target_assembly import target_tasks
 from cicadahoist.control.targets import Targets
 from cicadahoist.control.usage_report import UsageReporter
 from cicadahoist.control.usage_sources import UsageSources
@@ -31,7 +32,12 @@
 
     context = ControlContext(config, application.clock, reactor)
     application.add(context.link)
-    for task in (*_engine_tasks(context), *_usage_tasks(context)):
+    tasks = (
+        *_engine_tasks(context),
+        *target_tasks(context),
+        *_usage_tasks(context),
+    )
+    for task in tasks:
         application.add(task)
 
 
--- /dev/null
+++ b/cicadahoist/control/target_duty.py
@@ -0,0 +1,171 @@
+"""The duty of the targets of one zone: bought, drained, released."""
+
+from collections.abc import Callable
+
+from cicadahoist.clock import Clock
+from cicadahoist.control.drains import Drains
+from cicadahoist.control.entry_link import EntryLink
+from cicadahoist.control.target_orders import (
+    BUY,
+    DEDICATED,
+    RECLAIMABLE,
+    RELEASE,
+    OrderEvent,
+    TargetSender,
+)
+from cicadahoist.control.target_slots import Slot
+from cicadahoist.control.targets import Targets
+from cicadahoist.log import get_logger
+from cicadahoist.outside.engine import EngineAdapter
+from cicadahoist.protocol.actions import OrderOutcome
+from cicadahoist.protocol.authority import Authority
+from cicadahoist.protocol.order_events import PlanOrder, TargetRead
+from cicadahoist.protocol.records import JournalEntry, LeaseRecord
+
+logger = get_logger(__name__)
+
+DRAIN_TICK_MS = 500
+READ_AGAIN_MS = 1000
+IDLE = 'idle'
+
+# A release is final, so its drain outranks those of changes of the engine.
+RELEASE_EPOCH = 1_000_000_000
+
+
+class TargetDuty:
+    """
+    Orders for targets under the lease of a zone.
+
+    :param authority: the lease and its order book
+    :param sender: carries single orders
+    :param engines: adapter for engines
+    :param link: way to the entries
+    :param clock: gives the time
+    :param targets: targets of the table
+    """
+
+    __slots__ = (
+        '_authority',
+        '_clock',
+        '_drains',
+        '_handle',
+        '_number',
+        '_read_ms_by_slot',
+        '_sender',
+        '_slot_by_row',
+        '_ticked_ms',
+        'refused_ms_by_kind',
+    )
+
+    def __init__(
+        self,
+        authority: Authority,
+        sender: TargetSender,
+        engines: EngineAdapter,
+        link: EntryLink,
+        clock: Clock,
+        targets: Targets,
+    ) -> None:
+        self._authority = authority
+        self._sender = sender
+        self._clock = clock
+        self._drains = Drains(
+            engines, link, clock, targets=targets, plan=self._plan
+        )
+        self._handle: Callable[[PlanOrder], None] = _ignore
+        self._number = 0
+        self._ticked_ms = 0
+        self._slot_by_row: dict[str, Slot] = {}
+        self._read_ms_by_slot: dict[str, int] = {}
+        self.refused_ms_by_kind: dict[str, int] = {}
+
+    def use_task(self, handle: Callable[[PlanOrder], None]) -> None:
+        """Set what takes plans to the lease task."""
+        self._handle = handle
+
+    def journal(self) -> dict[str, JournalEntry]:
+        """Return the last order of each slot."""
+        return dict(self._authority.lease.record.orders)
+
+    def buy(self, slot: str, *, reclaimable: bool) -> None:
+        """Order a target for a slot that is free."""
+        if self._is_idle(slot):
+            kind = RECLAIMABLE if reclaimable else DEDICATED
+            logger.info('buying a {0} target for {1}', kind, slot)
+            self._handle(PlanOrder(slot, BUY, kind))
+
+    def release(self, slot: Slot) -> None:
+        """Drain the target of a slot, then order its release."""
+        if slot.row in self._drains.targets() or not self._is_idle(slot.name):
+            return
+        self._slot_by_row[slot.row] = slot
+        self._number += 1
+        epoch = RELEASE_EPOCH + self._authority.lease.record.epoch
+        plan = PlanOrder(slot.row, RELEASE, slot.target)
+        self._drains.begin(plan, f'{epoch}.{self._number}')
+
+    def draining(self) -> set[str]:
+        """Return the rows whose drains or releases are under way."""
+        return self._drains.targets()
+
+    def won(self, record: LeaseRecord) -> None:
+        """Begin anew; the order book holds what the predecessor left open."""
+        self._number = 0
+        self._slot_by_row.clear()
+        self._read_ms_by_slot.clear()
+
+    def lost(self) -> None:
+        """Take back the drains that led to no order."""
+        self._drains.abandon()
+        self._slot_by_row.clear()
+
+    def tick(self, now_ms: int) -> None:
+        """Go on with the drains."""
+        if now_ms - self._ticked_ms >= DRAIN_TICK_MS:
+            self._ticked_ms = now_ms
+            self._drains.tick()
+
+    async def send(self, entry: JournalEntry) -> OrderEvent:
+        """Send an order to the platform."""
+        event = await self._sender.send(entry)
+        self._read_ms_by_slot.pop(entry.target, None)
+        return event
+
+    async def read(self, target: str, token: str) -> TargetRead | None:
+        """Read what the platform shows about an order, once a second."""
+        now_ms = self._clock.now_ms()
+        last_ms = self._read_ms_by_slot.get(target)
+        if last_ms is not None and now_ms - last_ms < READ_AGAIN_MS:
+            return None
+        self._read_ms_by_slot[target] = now_ms
+        return await self._sender.read(target, token)
+
+    def settled(self, entry: JournalEntry, outcome: OrderOutcome) -> None:
+        """Note a refusal, and end the drain of a release."""
+        logger.info(
+            'target order {0} ({1} for {2}): {3}',
+            entry.token,
+            entry.kind,
+            entry.target,
+            outcome.value,
+        )
+        if outcome is OrderOutcome.refused:
+            self.refused_ms_by_kind[entry.argument] = self._clock.now_ms()
+        for row, slot in list(self._slot_by_row.items()):
+            if slot.name == entry.target:
+                self._slot_by_row.pop(row)
+                self._drains.end(row)
+
+    def _plan(self, plan: PlanOrder) -> bool:
+        slot = self._slot_by_row.get(plan.target)
+        if slot is None or not self._is_idle(slot.name):
+            return False
+        self._handle(PlanOrder(slot.name, plan.kind, plan.argument))
+        return not self._is_idle(slot.name)
+
+    def _is_idle(self, slot: str) -> bool:
+        return self._authority.book.state_of(slot) == IDLE
+
+
+def _ignore(plan: PlanOrder) -> None:
+    """Drop a plan: no task has been set yet."""
--- /dev/null
+++ b/cicadahoist/control/target_market.py
@@ -0,0 +1,60 @@
+"""Reads what the platform shows of the targets of one zone."""
+
+from cicadahoist.control.target_orders import ACCEPTED, BUY, platform_token
+from cicadahoist.control.target_slots import Journal, Market
+from cicadahoist.errors import CicadahoistError
+from cicadahoist.log import get_logger
+from cicadahoist.outside.platform import TargetOrders
+from cicadahoist.outside.platform_messages import TargetOrderState
+
+logger = get_logger(__name__)
+
+
+class MarketReader:
+    """
+    Reads the list of targets, and that of orders where it may have changed.
+
+    :param platform: adapter for target orders
+    :param zone: the zone
+    """
+
+    __slots__ = ('_platform', '_state_by_token', '_zone')
+
+    def __init__(self, platform: TargetOrders, zone: str) -> None:
+        self._platform = platform
+        self._zone = zone
+        self._state_by_token: dict[str, TargetOrderState] = {}
+
+    async def read(self, journal: Journal) -> Market | None:
+        """
+        Return what the platform shows, none where it does not answer.
+
+        :param journal: orders whose states are asked for
+        """
+        try:
+            return await self._read(journal)
+        except CicadahoistError as error:
+            logger.debug('targets of {0}: {1}', self._zone, error)
+            return None
+
+    async def _read(self, journal: Journal) -> Market:
+        if self._is_news_possible(journal):
+            # Read before the targets: an order that is done then has its
+            # target among them.
+            states = await self._platform.orders(self._zone)
+            self._state_by_token = {state.token: state for state in states}
+        targets = await self._platform.targets(self._zone)
+        return Market(
+            zone=self._zone,
+            state_by_token=self._state_by_token,
+            running_by_name={target.name: target for target in targets},
+        )
+
+    def _is_news_possible(self, journal: Journal) -> bool:
+        tokens = [
+            platform_token(self._zone, entry.token)
+            for entry in journal.values()
+            if entry.kind == BUY and entry.settled
+        ]
+        states = [self._state_by_token.get(token) for token in tokens]
+        return any(state is None or state.state == ACCEPTED for state in states)
--- /dev/null
+++ b/cicadahoist/control/target_orders.py
@@ -0,0 +1,99 @@
+"""Sends target orders to the platform, and reads what became of them."""
+
+from cicadahoist.errors import CicadahoistError
+from cicadahoist.log import get_logger
+from cicadahoist.outside.platform import TargetOrders
+from cicadahoist.outside.platform_messages import (
+    TargetOrderCall,
+    TargetOrderState,
+)
+from cicadahoist.protocol.order_events import (
+    OrderDone,
+    OrderRefused,
+    OrderUnanswered,
+    Shown,
+    TargetRead,
+)
+from cicadahoist.protocol.records import JournalEntry
+
+logger = get_logger(__name__)
+
+BUY = 'buy'
+RELEASE = 'release'
+RECLAIMABLE = 'reclaimable'
+DEDICATED = 'dedicated'
+UNAVAILABLE = 'unavailable'
+ACCEPTED = 'accepted'
+
+OrderEvent = OrderDone | OrderRefused | OrderUnanswered
+
+
+class TargetSender:
+    """
+    Carries single orders to the platform.
+
+    :param platform: adapter for target orders
+    :param zone: zone of the lease
+    """
+
+    __slots__ = ('_platform', '_zone')
+
+    def __init__(self, platform: TargetOrders, zone: str) -> None:
+        self._platform = platform
+        self._zone = zone
+
+    async def send(self, entry: JournalEntry) -> OrderEvent:
+        """
+        Send an order.
+
+        An accepted one counts as done: the platform knows its token and
+        carries it out without another call.
+        """
+        try:
+            state = await self._platform.send(order_call(entry, self._zone))
+        except CicadahoistError as error:
+            logger.info('target order {0}: {1}', entry.token, error)
+            return OrderUnanswered(entry.target, entry.token)
+        if state.state == UNAVAILABLE:
+            return OrderRefused(entry.target, entry.token)
+        return OrderDone(entry.target, entry.token)
+
+    async def read(self, slot: str, token: str) -> TargetRead | None:
+        """Return what the platform shows about an order, none for silence."""
+        try:
+            states = await self._platform.orders(self._zone)
+        except CicadahoistError as error:
+            logger.debug('target orders of {0}: {1}', self._zone, error)
+            return None
+        return TargetRead(slot, token, self._shown(states, token))
+
+    def _shown(self, states: list[TargetOrderState], token: str) -> Shown:
+        expected = platform_token(self._zone, token)
+        for state in states:
+            if state.token == expected and state.state != UNAVAILABLE:
+                return Shown.done
+        return Shown.absent
+
+
+def platform_token(zone: str, token: str) -> str:
+    """Return the token of an order for the platform, unique over zones."""
+    return f'{zone}.{token}'
+
+
+def pool_of(slot: str) -> str:
+    """Return the pool of a slot."""
+    return slot.rpartition('/')[0]
+
+
+def order_call(entry: JournalEntry, zone: str) -> TargetOrderCall:
+    """Return the call that a journalled order stands for."""
+    is_buy = entry.kind == BUY
+    return TargetOrderCall(
+        token=platform_token(zone, entry.token),
+        epoch=entry.epoch,
+        zone=zone,
+        kind=entry.kind,
+        pool=pool_of(entry.target),
+        reclaimable=is_buy and entry.argument == RECLAIMABLE,
+        target='' if is_buy else entry.argument,
+    )
--- /dev/null
+++ b/cicadahoist/control/target_planner.py
@@ -0,0 +1,173 @@
+"""Decides which targets to buy and release in a zone."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from cicadahoist.clock import Clock, wall_ms
+from cicadahoist.control.fleet_reader import FleetReader
+from cicadahoist.control.target_demand import TargetDemand
+from cicadahoist.control.target_duty import TargetDuty
+from cicadahoist.control.target_orders import DEDICATED, RECLAIMABLE
+from cicadahoist.control.target_rows import TargetRows
+from cicadahoist.control.target_slots import Slot, SlotPhase
+from cicadahoist.policy.fleet import FleetView, TargetPhase, TargetView
+from cicadahoist.policy.forecast import DAY_MS
+from cicadahoist.policy.spending import (
+    SpendingPlanner,
+    TargetOrder,
+    TargetRelease,
+)
+from cicadahoist.table import Target
+
+BUY_AGAIN_MS = 30_000
+COMING_PHASES = frozenset((SlotPhase.ordering, SlotPhase.arriving))
+
+SlotsByName = dict[str, Slot]
+
+
+class TargetPlanner:
+    """
+    Carries the plans of the spending policy to the duty, within bounds.
+
+    :param duty: takes purchases and releases
+    :param rows: rows of the zone
+    :param reader: loads of the zone's engines
+    :param demand: work of the zone
+    :param clock: gives the time
+    :param zone: the zone
+    :param most_ordered: most targets bought per pool, 0 to buy none
+    :param read_wall_ms: gives the milliseconds since the epoch
+    """
+
+    __slots__ = (
+        '_clock',
+        '_demand',
+        '_duty',
+        '_most_ordered',
+        '_read_wall_ms',
+        '_reader',
+        '_rows',
+        '_spending',
+        '_zone',
+    )
+
+    def __init__(
+        self,
+        duty: TargetDuty,
+        rows: TargetRows,
+        reader: FleetReader,
+        demand: TargetDemand,
+        clock: Clock,
+        *,
+        zone: str,
+        most_ordered: int,
+        read_wall_ms: Callable[[], int] = wall_ms,
+    ) -> None:
+        self._duty = duty
+        self._rows = rows
+        self._reader = reader
+        self._demand = demand
+        self._clock = clock
+        self._zone = zone
+        self._most_ordered = most_ordered
+        self._read_wall_ms = read_wall_ms
+        self._spending = SpendingPlanner()
+
+    async def view(self, slots: SlotsByName) -> FleetView:
+        """Return the fleet, targets on their way included."""
+        fleet = await self._reader.read(self._duty.draining())
+        answered = {view.name for view in fleet.targets}
+        # An ordered target that does not answer yet is not bought again.
+        silent = [
+            _row_view(row)
+            for row in self._rows.ordered()
+            if row.name not in answered
+        ]
+        coming = [
+            _slot_view(slot, self._zone)
+            for slot in slots.values()
+            if slot.phase in COMING_PHASES
+        ]
+        pools = {slot.pool for slot in slots.values()}
+        no_cheap = self._is_refused(RECLAIMABLE)
+        return msgspec.structs.replace(
+            fleet,
+            targets=[*fleet.targets, *silent, *coming],
+            demands=self._demand.read(pools),
+            cheap_unavailable=frozenset((self._zone,) if no_cheap else ()),
+            day_ms=self._read_wall_ms() % DAY_MS,
+        )
+
+    async def plan(self, view: FleetView, slots: SlotsByName) -> None:
+        """Ask for what the policy plans."""
+        if not any(
+            target.phase is TargetPhase.ready for target in view.targets
+        ):
+            # This process may be cut off from the engines.
+            return
+        taken = {
+            name
+            for name, slot in slots.items()
+            if slot.phase is not SlotPhase.free
+        }
+        for plan in self._spending.plan(view, self._clock.now_ms()):
+            match plan:
+                case TargetOrder():
+                    self._buy(plan, taken)
+                case TargetRelease():
+                    await self._release(plan, view)
+
+    def _buy(self, order: TargetOrder, taken: set[str]) -> None:
+        kind = RECLAIMABLE if order.reclaimable else DEDICATED
+        if self._is_refused(kind):
+            return
+        for number in range(self._most_ordered):
+            slot = f'{order.pool}/{number}'
+            if slot not in taken:
+                taken.add(slot)
+                self._duty.buy(slot, reclaimable=order.reclaimable)
+                return
+
+    async def _release(self, release: TargetRelease, view: FleetView) -> None:
+        by_name = {target.name: target for target in view.targets}
+        planned = by_name[release.target]
+        ordered = {row.name for row in self._rows.ordered()}
+        # Only what control bought is released.
+        choices = [
+            target
+            for target in view.of_pool(planned.pool)
+            if target.name in ordered
+            and target.reclaimable == planned.reclaimable
+            and target.phase is TargetPhase.ready
+        ]
+        if choices:
+            idlest = min(choices, key=lambda target: target.open_requests)
+            await self._rows.drain(idlest.name)
+
+    def _is_refused(self, kind: str) -> bool:
+        refused_ms = self._duty.refused_ms_by_kind.get(kind)
+        if refused_ms is None:
+            return False
+        return self._clock.now_ms() - refused_ms < BUY_AGAIN_MS
+
+
+def _row_view(row: Target) -> TargetView:
+    phase = TargetPhase.leaving if row.draining else TargetPhase.changing
+    return TargetView(
+        name=row.name,
+        pool=row.pool,
+        zone=row.zone,
+        phase=phase,
+        reclaimable=row.reclaimable,
+    )
+
+
+def _slot_view(slot: Slot, zone: str) -> TargetView:
+    return TargetView(
+        name=slot.name,
+        pool=slot.pool,
+        zone=zone,
+        phase=TargetPhase.ordered,
+        reclaimable=slot.reclaimable,
+    )
--- /dev/null
+++ b/cicadahoist/control/target_slots.py
@@ -0,0 +1,187 @@
+"""Where each order for a target stands: in journal, platform and table."""
+
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+
+from cicadahoist.control.target_orders import (
+    ACCEPTED,
+    BUY,
+    RECLAIMABLE,
+    UNAVAILABLE,
+    platform_token,
+    pool_of,
+)
+from cicadahoist.outside.platform_messages import (
+    RunningTarget,
+    TargetOrderState,
+)
+from cicadahoist.protocol.records import JournalEntry
+from cicadahoist.table import Target
+
+Journal = dict[str, JournalEntry]
+
+
+class SlotPhase(Enum):
+    """
+    State of a slot.
+
+    A slot is ``gone`` when its target has vanished and its row has not.
+    """
+
+    free = 'free'
+    ordering = 'ordering'
+    arriving = 'arriving'
+    running = 'running'
+    releasing = 'releasing'
+    gone = 'gone'
+
+
+class Slot(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    One target that control may have bought for a pool.
+
+    :param name: ``pool/number``, by which the journal knows it
+    :param target: name that the platform gave, empty while unknown
+    :param row: name of its row in the table, empty while unknown
+    """
+
+    name: str
+    phase: SlotPhase
+    reclaimable: bool = False
+    target: str = ''
+    row: str = ''
+
+    @property
+    def pool(self) -> str:
+        """The pool that it serves."""
+        return pool_of(self.name)
+
+
+class Market(msgspec.Struct, frozen=True, kw_only=True):
+    """What the platform shows of one zone."""
+
+    zone: str
+    state_by_token: dict[str, TargetOrderState]
+    running_by_name: dict[str, RunningTarget]
+
+    def bought(self, entry: JournalEntry) -> TargetOrderState | None:
+        """Return the state of a purchase, none where nothing was bought."""
+        token = platform_token(self.zone, entry.token)
+        state = self.state_by_token.get(token)
+        if state is None or state.state == UNAVAILABLE:
+            return None
+        return state
+
+
+class SlotReader:
+    """
+    Puts journal, platform and table together.
+
+    :param journal: taken before the platform was read, so that every settled
+        order in it shows there
+    :param market: what the platform shows
+    :param rows: rows of the zone that control added
+    """
+
+    __slots__ = ('_journal', '_market', '_newest_by_target', '_row_by_target')
+
+    def __init__(
+        self, journal: Journal, market: Market, rows: Iterable[Target]
+    ) -> None:
+        self._journal = journal
+        self._market = market
+        self._row_by_target = {target_name(row): row.name for row in rows}
+        self._newest_by_target: dict[str, JournalEntry] = {}
+        for entry in sorted(journal.values(), key=_number):
+            state = market.bought(entry) if entry.kind == BUY else None
+            if state is not None:
+                self._newest_by_target[state.target] = entry
+
+    def slots(self) -> dict[str, Slot]:
+        """Return the slots that the journal names, by name."""
+        return {
+            name: self._slot(name, entry)
+            for name, entry in self._journal.items()
+        }
+
+    def is_current(self, row: Target) -> bool:
+        """Tell whether the target of a row that control added runs on."""
+        name = target_name(row)
+        if name not in self._market.running_by_name:
+            return False
+        newest = self._newest_by_target.get(name)
+        # The platform may sell the same target again under its old name.
+        return newest is None or _number(newest) <= row_number(row)
+
+    def _slot(self, name: str, entry: JournalEntry) -> Slot:
+        if entry.kind == BUY:
+            return self._purchase(name, entry)
+        return self._release(name, entry)
+
+    def _purchase(self, name: str, entry: JournalEntry) -> Slot:
+        cheap = entry.argument == RECLAIMABLE
+        if not entry.settled:
+            return Slot(name=name, phase=SlotPhase.ordering, reclaimable=cheap)
+        state = self._market.bought(entry)
+        if state is None:
+            return Slot(name=name, phase=SlotPhase.free)
+        row = row_name(state.target, entry)
+        return Slot(
+            name=name,
+            phase=self._phase(state, entry, row),
+            reclaimable=cheap,
+            target=state.target,
+            row=row,
+        )
+
+    def _phase(
+        self, state: TargetOrderState, entry: JournalEntry, row: str
+    ) -> SlotPhase:
+        if state.state == ACCEPTED:
+            return SlotPhase.arriving
+        is_newest = self._newest_by_target.get(state.target) == entry
+        if is_newest and state.target in self._market.running_by_name:
+            return SlotPhase.running
+        if self._row_by_target.get(state.target) == row:
+            return SlotPhase.gone
+        return SlotPhase.free
+
+    def _release(self, name: str, entry: JournalEntry) -> Slot:
+        target = entry.argument
+        row = self._row_by_target.get(target, '')
+        running = self._market.running_by_name.get(target)
+        phase = SlotPhase.gone if row else SlotPhase.free
+        if not entry.settled:
+            phase = SlotPhase.releasing
+        elif running and target not in self._newest_by_target:
+            # The order was cancelled.
+            phase = SlotPhase.running
+        return Slot(
+            name=name,
+            phase=phase,
+            reclaimable=bool(running and running.reclaimable),
+            target=target,
+            row=row,
+        )
+
+
+def row_name(target: str, entry: JournalEntry) -> str:
+    """Return the name of the row of a purchase, which never comes again."""
+    return f'{target}.{entry.token}'
+
+
+def target_name(row: Target) -> str:
+    """Return the platform's name of the target of a row."""
+    return row.name.rsplit('.', 2)[0]
+
+
+def row_number(row: Target) -> tuple[int, int]:
+    """Return epoch and sequence number of the purchase of a row."""
+    _, epoch, seq = row.name.rsplit('.', 2)
+    return int(epoch), int(seq)
+
+
+def _number(entry: JournalEntry) -> tuple[int, int]:
+    return entry.epoch, entry.seq
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -366,6 +366,16 @@
         summary='Registered planner for the roles of engines.',
     )
 )
+MOST_ORDERED = _declare(
+    Option(
+        'control',
+        'most_ordered',
+        0,
+        unit='targets',
+        lowest=0,
+        summary='Most targets that control may have bought per pool and zone.',
+    )
+)
 USAGE_WINDOW = _declare(
     Option(
         'usage',
