Test target orders on the platform's own record; keep operators' targets

The tests showed that the policy released operators' dedicated targets first, so that a bought one was never released. Targets of operators now count as fixed: demand is raised to them before the policy looks.

--- a/cicadahoist/control/target_planner.py
+++ b/cicadahoist/control/target_planner.py
@@ -1,5 +1,6 @@
 """Decides which targets to buy and release in a zone."""
 
+from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -11,7 +12,12 @@
 from cicadahoist.control.target_orders import DEDICATED, RECLAIMABLE
 from cicadahoist.control.target_rows import TargetRows
 from cicadahoist.control.target_slots import Slot, SlotPhase
-from cicadahoist.policy.fleet import FleetView, TargetPhase, TargetView
+from cicadahoist.policy.fleet import (
+    FleetView,
+    PoolDemand,
+    TargetPhase,
+    TargetView,
+)
 from cicadahoist.policy.forecast import DAY_MS
 from cicadahoist.policy.spending import (
     SpendingPlanner,
@@ -90,11 +96,17 @@
             if slot.phase in COMING_PHASES
         ]
         pools = {slot.pool for slot in slots.values()}
+        fixed = Counter(
+            target.pool for target in fleet.targets if self._is_fixed(target)
+        )
         no_cheap = self._is_refused(RECLAIMABLE)
         return msgspec.structs.replace(
             fleet,
             targets=[*fleet.targets, *silent, *coming],
-            demands=self._demand.read(pools),
+            demands=[
+                _above_fixed(demand, fixed[demand.pool])
+                for demand in self._demand.read(pools)
+            ],
             cheap_unavailable=frozenset((self._zone,) if no_cheap else ()),
             day_ms=self._read_wall_ms() % DAY_MS,
         )
@@ -145,6 +157,12 @@
             idlest = min(choices, key=lambda target: target.open_requests)
             await self._rows.drain(idlest.name)
 
+    def _is_fixed(self, target: TargetView) -> bool:
+        row = self._rows.find(target.name)
+        is_ordered = row is not None and row.ordered
+        is_leaving = target.phase is TargetPhase.leaving
+        return not (is_ordered or target.reclaimable or is_leaving)
+
     def _is_refused(self, kind: str) -> bool:
         refused_ms = self._duty.refused_ms_by_kind.get(kind)
         if refused_ms is None:
@@ -152,6 +170,17 @@
         return self._clock.now_ms() - refused_ms < BUY_AGAIN_MS
 
 
+def _above_fixed(demand: PoolDemand, fixed: int) -> PoolDemand:
+    # Targets of operators stay, so that work fills them before any other.
+    strict = max(demand.strict_engines, fixed)
+    total = demand.strict_engines + demand.batch_engines
+    return PoolDemand(
+        pool=demand.pool,
+        strict_engines=strict,
+        batch_engines=max(0, total - strict),
+    )
+
+
 def _row_view(row: Target) -> TargetView:
     phase = TargetPhase.leaving if row.draining else TargetPhase.changing
     return TargetView(
