--- a/tests/test_control/test_target_duty.py
+++ b/tests/test_control/test_target_duty.py
@@ -68,6 +68,13 @@
     assert len(world.ordered()) == 1
 
 
+def test_slow_reading_of_the_platform_does_not_buy_twice(world):
+    world.platform.read_ms = 4000
+    world.platform.send_ms = TIMING.bound_ms - STEP_MS
+    world.advance(120_000)
+    assert world.platform.kinds() == ['buy']
+
+
 def test_successor_finishes_what_a_killed_holder_sent(world):
     world.platform.loses_answers = True
     world.advance_until(lambda: world.platform.calls, PLANNED_MS)
