--- a/cicadahoist/entry/attempts.py
+++ b/cicadahoist/entry/attempts.py
@@ -1,15 +1,14 @@
 """The attempts of one request: admission, targets, retries, load."""
 
 from cicadahoist.entry.context import EntryContext
-from cicadahoist.entry.isolation import Isolation
 from cicadahoist.entry.open_requests import OpenRequest
-from cicadahoist.entry.refusal import RequestRefusedError
+from cicadahoist.entry.target_choice import TargetChoice
 from cicadahoist.policy.cost import Cost
-from cicadahoist.policy.tickets import RouteRequest, Ticket
-from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.policy.handoff import ANY_ROLE
+from cicadahoist.policy.tickets import Ticket
+from cicadahoist.reasons import Retry
 from cicadahoist.table import Target
 
-NO_TARGET_RETRY_MS = 2000
 RECHECK_MS = 250
 
 # The target did not start the request.
@@ -28,15 +27,13 @@
     """
 
     __slots__ = (
-        '_blocks',
+        '_choice',
         '_context',
-        '_cost',
         '_is_admitted',
         '_ran_before',
         '_request',
         '_target',
         '_ticket',
-        '_tried',
     )
 
     def __init__(
@@ -48,9 +45,7 @@
     ) -> None:
         self._context = context
         self._request = request
-        self._cost = cost
-        self._blocks = blocks
-        self._tried: set[str] = set()
+        self._choice = TargetChoice(context, request, cost, blocks)
         self._is_admitted = False
         self._ran_before = False
         self._target: Target | None = None
@@ -67,6 +62,11 @@
         """Whether no further attempt is wanted."""
         return self._request.is_over
 
+    @property
+    def cost(self) -> Cost:
+        """Estimated work."""
+        return self._choice.cost
+
     async def admit(self) -> None:
         """
         Wait until the request may be sent.
@@ -86,21 +86,30 @@
             self._is_admitted = False
             self._context.dispatcher.finished(self._ticket, used_tokens)
 
-    async def begin(self) -> Target | None:
+    def skip_prefill(self) -> None:
+        """Count the prompt as processed in all further attempts."""
+        self._choice.cost = Cost(0, self.cost.decode)
+
+    def can_begin(self, roles: frozenset[str]) -> bool:
+        """Tell whether an engine in one of some roles may take an attempt."""
+        return self._choice.is_possible(roles)
+
+    async def begin(self, roles: frozenset[str] = ANY_ROLE) -> Target | None:
         """
         Choose the target of the next attempt and count it as sent.
 
+        :param roles: roles of engines that may take it
         :return: none where the request ended while it waited
         :raises RequestRefusedError: no target is left
         """
-        target = await self._reserved_target()
+        target = await self._reserved_target(roles)
         if target is None:
             return None
         if self._request.is_over:
             self._count_end(0, is_failed=False)
-            self._isolation.release(self._request, whole=False)
+            self._context.isolation.release(self._request, whole=False)
             return None
-        self._tried.add(target.name)
+        self._choice.tried.add(target.name)
         self._target = target
         self._request.target = target.name
         self._ran_before = self._request.may_have_run
@@ -125,7 +134,7 @@
             self._report_crash()
         if retry in _NOT_RUN_RETRIES:
             self._request.may_have_run = self._ran_before
-        self._isolation.release(self._request, whole=retry is None)
+        self._context.isolation.release(self._request, whole=retry is None)
         self._request.end_attempt()
 
     async def pause_before_retry(self, retry: Retry) -> None:
@@ -136,73 +145,31 @@
         """
         if self._request.is_over:
             return
-        not_run = retry in _NOT_RUN_RETRIES
         delay_ms = self._context.dispatcher.budgets.retry_delay_ms(
             self._request.grant.route,
-            len(self._tried),
+            len(self._choice.tried),
             self._context.clock.now_ms(),
-            not_run=not_run,
+            not_run=retry in _NOT_RUN_RETRIES,
         )
         if delay_ms is None:
-            raise self._failed()
+            raise self._choice.failed()
         self._context.metrics.retried(retry)
         await self._request.pause(self._context.clock, delay_ms)
 
-    @property
-    def _isolation(self) -> Isolation:
-        return self._context.isolation
-
-    async def _reserved_target(self) -> Target | None:
+    async def _reserved_target(self, roles: frozenset[str]) -> Target | None:
         """Return the next target once the request may start there."""
         while not self._request.is_over:
-            target = self._choose()
+            target = self._choice.choose(roles)
             if target is None:
                 await self._request.pause(self._context.clock, RECHECK_MS)
-            elif await self._isolation.reserve(self._request, target.name):
+            elif await self._context.isolation.reserve(
+                self._request, target.name
+            ):
                 return target
             else:
                 self._count_end(0, is_failed=False)
         return None
 
-    def _choose(self) -> Target | None:
-        """
-        Return a target, or none where a suspect has to wait for one.
-
-        A suspect keeps away from targets that ended under it as long as the
-        pool has others.
-
-        :raises RequestRefusedError: no target is left
-        """
-        digest = self._request.digest
-        dispatcher = self._context.dispatcher
-        pool = self._ticket.pool
-        wanted = self._wanted(self._isolation.avoid(digest))
-        target = dispatcher.choose(pool, wanted)
-        if target is not None:
-            return target
-        if not self._isolation.is_suspect(digest):
-            raise self._no_target()
-        blamed = self._isolation.blamed(digest)
-        if dispatcher.has_target(pool, self._wanted(blamed)):
-            return None
-        if dispatcher.has_target(pool, self._wanted(frozenset())):
-            wanted = self._wanted(self._isolation.claimed())
-            return dispatcher.choose(pool, wanted)
-        raise self._no_target()
-
-    def _wanted(self, avoided: frozenset[str]) -> RouteRequest:
-        rule = self._request.grant.rule
-        return RouteRequest(
-            attempt=self._request.new_attempt(),
-            workspace=rule.workspace,
-            route=rule.route,
-            cost=self._cost,
-            priority=rule.priority,
-            blocks=self._blocks,
-            tried=avoided.union(self._tried),
-            price_ceiling=rule.price_ceiling,
-        )
-
     def _count_end(self, output_tokens: int, *, is_failed: bool) -> None:
         self._context.dispatcher.loads.finished(
             self._request.attempt,
@@ -218,30 +185,4 @@
         self._context.dispatcher.loads.crashed(
             target.name, self._context.clock.now_ms()
         )
-        self._isolation.broke_off(target, self._request.attempt)
-
-    def _no_target(self) -> RequestRefusedError:
-        if self._request.may_have_run:
-            return self._failed()
-        return RequestRefusedError(
-            Refusal.no_target,
-            'no target can take the request',
-            retry_after_ms=NO_TARGET_RETRY_MS,
-        )
-
-    def _failed(self) -> RequestRefusedError:
-        if not self._request.may_have_run:
-            return RequestRefusedError(
-                Refusal.no_target,
-                'no target took the connection',
-                retry_after_ms=NO_TARGET_RETRY_MS,
-            )
-        if not self._request.grant.route.repeatable:
-            return RequestRefusedError(
-                Refusal.target_lost, 'the target broke off'
-            )
-        return RequestRefusedError(
-            Refusal.target_failed,
-            'the targets broke off',
-            retry_after_ms=NO_TARGET_RETRY_MS,
-        )
+        self._context.isolation.broke_off(target, self._request.attempt)
--- a/cicadahoist/entry/dispatcher.py
+++ b/cicadahoist/entry/dispatcher.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from random import Random
 
+import msgspec
 from result import Err
 from twisted.internet.defer import Deferred
 
@@ -14,6 +15,7 @@
 from cicadahoist.messages import PoolWork
 from cicadahoist.policy.admission import ADMISSIONS
 from cicadahoist.policy.cost import CostModel
+from cicadahoist.policy.handoff import OUTPUT_ROLES, HandoffPolicy
 from cicadahoist.policy.limits import LimitShares
 from cicadahoist.policy.load import TargetLoads
 from cicadahoist.policy.prefix import PrefixIndex
@@ -23,6 +25,7 @@
 from cicadahoist.reasons import Refusal
 from cicadahoist.settings import (
     ADMISSION,
+    HANDOFF_TOKENS,
     INSTANCE_NAME,
     INSTANCE_ZONE,
     ROUTER,
@@ -59,6 +62,7 @@
         '_waiting_by_request',
         'budgets',
         'costs',
+        'handoffs',
         'limits',
         'loads',
         'prefixes',
@@ -69,6 +73,7 @@
         self.loads = TargetLoads()
         self.limits = LimitShares(config.read(INSTANCE_NAME))
         self.costs = CostModel()
+        self.handoffs = HandoffPolicy(config.read(HANDOFF_TOKENS))
         self.prefixes = PrefixIndex()
         self.budgets = RetryBudgets(rng)
         admission = ADMISSIONS.get(config.read(ADMISSION))
@@ -152,8 +157,20 @@
         return self._route(pool, request) is not None
 
     def _route(self, pool: str, request: RouteRequest) -> Target | None:
+        """
+        Return the target that the router chooses.
+
+        Engines for prefill only get what asks for them, or what no other
+        engine can take.
+        """
         targets = self._table.targets_by_pool.get(pool, [])
-        return self._router.choose(request, targets, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        if request.roles:
+            return self._router.choose(request, targets, now_ms)
+        preferred = msgspec.structs.replace(request, roles=OUTPUT_ROLES)
+        return self._router.choose(
+            preferred, targets, now_ms
+        ) or self._router.choose(request, targets, now_ms)
 
     def pump(self) -> None:
         """Send what may go, refuse what is late, and set the next wake."""
--- /dev/null
+++ b/cicadahoist/entry/handoff.py
@@ -0,0 +1,144 @@
+"""
+Processes a long prompt on an engine for prefill.
+
+The KV cache goes from engine to engine; only its handle passes through the
+entry. Wherever that fails, the prompt is processed where the output is made.
+"""
+
+from twisted.internet.defer import Deferred
+
+from cicadahoist.entry.attempts import Attempts
+from cicadahoist.entry.context import EntryContext
+from cicadahoist.entry.model_request import ModelRequest
+from cicadahoist.entry.open_requests import OpenRequest
+from cicadahoist.entry.stall_watch import StallWatch
+from cicadahoist.errors import (
+    LostAfterSendError,
+    NotSentError,
+    RefusedError,
+    TargetError,
+)
+from cicadahoist.log import get_logger
+from cicadahoist.outside.http import HTTP_OK
+from cicadahoist.policy.handoff import PREFILL_ROLES
+from cicadahoist.reasons import Retry
+from cicadahoist.table import Target
+
+logger = get_logger(__name__)
+
+ERROR_BYTES = 200
+
+
+class Handoff:
+    """
+    The KV cache of one request.
+
+    :param context: shared parts of the entry
+    :param request: the open request
+    :param attempts: its attempts
+    :param wanted: what the caller asked for
+    :param path: path of the interface
+    """
+
+    __slots__ = (
+        '_attempts',
+        '_context',
+        '_handle',
+        '_path',
+        '_request',
+        '_source',
+        '_wanted',
+    )
+
+    def __init__(
+        self,
+        context: EntryContext,
+        request: OpenRequest,
+        attempts: Attempts,
+        wanted: ModelRequest,
+        path: str,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._attempts = attempts
+        self._wanted = wanted
+        self._path = path
+        self._handle = ''
+        self._source: Target | None = None
+
+    async def prepare(self) -> None:
+        """Process the prompt on an engine for prefill, where it is worth it."""
+        if not self._is_worth():
+            return
+        if not self._attempts.can_begin(PREFILL_ROLES):
+            return
+        target = await self._attempts.begin(PREFILL_ROLES)
+        if target is None:
+            return
+        retry = await self._prefill(target)
+        self._attempts.finish(0, retry)
+        if retry is None:
+            self._source = target
+            self._attempts.skip_prefill()
+        elif not self._attempts.is_over:
+            self._context.metrics.retried(Retry.handoff_failed)
+
+    async def handle_for(self, target: Target) -> str:
+        """Return a handle that an engine can use, empty for none."""
+        if self._source is None:
+            return ''
+        try:
+            return await self._context.engines.kv_import(
+                target, self._handle, self._source
+            )
+        except TargetError as error:
+            logger.bind(target=target.name).info('no handoff: {0}', error)
+            self._context.metrics.retried(Retry.handoff_failed)
+            return ''
+
+    def _is_worth(self) -> bool:
+        return self._context.dispatcher.handoffs.is_worth(
+            self._attempts.cost, self._request.grant.route
+        )
+
+    async def _prefill(self, target: Target) -> Retry | None:
+        """Return why there is no KV cache, or none."""
+        running = Deferred.fromCoroutine(self._run(target))
+        started_ms = self._context.clock.now_ms()
+        self._request.on_stop(running.cancel)
+        watch = StallWatch(
+            self._context,
+            target,
+            self._request.attempt,
+            lambda: started_ms,
+            running.cancel,
+        )
+        try:
+            self._handle = await running
+        except NotSentError:
+            return Retry.connect_failed
+        except LostAfterSendError:
+            return Retry.stream_broken
+        except TargetError:
+            return Retry.handoff_failed
+        finally:
+            watch.stop()
+        return None
+
+    async def _run(self, target: Target) -> str:
+        attempt = self._request.attempt
+        response = await self._context.engines.open_stream(
+            target,
+            attempt,
+            self._path,
+            self._wanted.for_prefill(),
+            self._request.grant.rule.priority,
+        )
+        body = await response.read_body()
+        if response.status != HTTP_OK:
+            raise RefusedError(
+                f'prefill: HTTP {response.status} {body[:ERROR_BYTES]!r}',
+                remedy='read what the engine reports',
+            )
+        self._attempts.first_token()
+        return await self._context.engines.kv_export(target, attempt)
--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -17,6 +17,7 @@
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.events import DONE, Usage, encode_event
 from cicadahoist.entry.handling import answer_or_refuse, run_open
+from cicadahoist.entry.handoff import Handoff
 from cicadahoist.entry.model_request import ModelRequest
 from cicadahoist.entry.open_requests import OpenRequest
 from cicadahoist.entry.stall_watch import StallWatch
@@ -96,6 +97,7 @@
         '_answer',
         '_attempts',
         '_context',
+        '_handoff',
         '_path',
         '_request',
         '_wanted',
@@ -125,6 +127,7 @@
         self._attempts = Attempts(
             context, request, cost, wanted.prompt_blocks()
         )
+        self._handoff = Handoff(context, request, self._attempts, wanted, path)
 
     async def run(self) -> None:
         """Make attempts until one completes the answer."""
@@ -155,6 +158,7 @@
         return RecordedAnswer(HTTP_OK, headers, b''.join(events))
 
     async def _run_attempts(self) -> None:
+        await self._handoff.prepare()
         while not self._attempts.is_over:
             target = await self._attempts.begin()
             if target is None:
@@ -168,15 +172,7 @@
 
     async def _attempt(self, target: Target) -> Retry | None:
         """Return why another attempt is needed, or none."""
-        opening = Deferred.fromCoroutine(
-            self._context.engines.open_stream(
-                target,
-                self._request.attempt,
-                self._path,
-                self._wanted.for_target(self._answer.next_offset),
-                self._request.grant.rule.priority,
-            )
-        )
+        opening = Deferred.fromCoroutine(self._open(target))
         started_ms = self._context.clock.now_ms()
         self._request.on_stop(opening.cancel)
         watch = StallWatch(
@@ -196,6 +192,16 @@
             watch.stop()
         return await self._relay(target, response)
 
+    async def _open(self, target: Target) -> TargetResponse:
+        handle = await self._handoff.handle_for(target)
+        return await self._context.engines.open_stream(
+            target,
+            self._request.attempt,
+            self._path,
+            self._wanted.for_target(self._answer.next_offset, handle),
+            self._request.grant.rule.priority,
+        )
+
     async def _relay(
         self, target: Target, response: TargetResponse
     ) -> Retry | None:
--- a/cicadahoist/entry/model_request.py
+++ b/cicadahoist/entry/model_request.py
@@ -105,22 +105,37 @@
             or DEFAULT_MAX_TOKENS
         )
 
-    def for_target(self, resume_from: int = 0) -> bytes:
+    def for_target(self, resume_from: int = 0, kv_handle: str = '') -> bytes:
         """
         Return the body for a target.
 
         A stream always asks for usage, as bills are made from it.
 
         :param resume_from: number of output tokens the caller has already
+        :param kv_handle: KV cache that the target has imported
         """
         fields: dict[str, Any] = dict(self._raw)
         if self.is_stream:
             fields['stream_options'] = StreamOptions(include_usage=True)
-        fields.pop('resume_from', None)
+        for name in _OWN_FIELDS:
+            fields.pop(name, None)
         if resume_from:
             fields['resume_from'] = resume_from
+        if kv_handle:
+            fields['kv_handle'] = kv_handle
         return msgspec.json.encode(fields)
 
+    def for_prefill(self) -> bytes:
+        """Return the body for a target that only processes the prompt."""
+        fields: dict[str, Any] = dict(self._raw)
+        for name in (*_OWN_FIELDS, *_OUTPUT_FIELDS):
+            fields.pop(name, None)
+        fields['max_tokens'] = 1
+        return msgspec.json.encode(fields)
+
+
+_OWN_FIELDS = ('resume_from', 'kv_handle')
+_OUTPUT_FIELDS = ('max_completion_tokens', 'stream', 'stream_options')
 
 _decode_fields = msgspec.json.Decoder(ModelFields).decode
 _decode_raw = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
--- a/cicadahoist/policy/routing.py
+++ b/cicadahoist/policy/routing.py
@@ -73,6 +73,8 @@
     row = state.row
     if row.name in request.tried or not state.share(now_ms):
         return False
+    if request.roles and state.role not in request.roles:
+        return False
     if request.price_ceiling and row.price > request.price_ceiling:
         return False
     return row.reclaimable or not request.cheap_only
--- a/cicadahoist/policy/tickets.py
+++ b/cicadahoist/policy/tickets.py
@@ -79,6 +79,7 @@
     :param tried: names of targets that are left out
     :param price_ceiling: highest target price, 0 for no ceiling
     :param cheap_only: whether only reclaimable targets may serve it
+    :param roles: roles of engines that may serve it, empty for all
     """
 
     attempt: str
@@ -90,6 +91,7 @@
     tried: frozenset[str] = frozenset()
     price_ceiling: int = 0
     cheap_only: bool = False
+    roles: frozenset[str] = frozenset()
 
     @property
     def is_urgent(self) -> bool:
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -234,6 +234,10 @@
         'the stream broke off and is resumed',
         'see the log of the target; drain it if it breaks off again',
     )
+    handoff_failed = RetrySpec(
+        'KV cache was not passed on; the prompt is processed again',
+        'see whether engines of the pool reach each other',
+    )
     target_frozen = RetrySpec(
         'no bytes arrived within the stall timeout',
         'drain the target; raise [entry] stall_timeout if it is only slow',
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -135,6 +135,17 @@
         summary='Registered choice of the target of an attempt.',
     )
 )
+HANDOFF_TOKENS = _declare(
+    Option(
+        'policy',
+        'handoff_tokens',
+        1024,
+        unit='tokens',
+        lowest=0,
+        summary='Prompt length from which engines for prefill process it and'
+        ' pass the KV cache on; 0 for never.',
+    )
+)
 MESH_PORT = _declare(
     Option(
         'mesh',
--- a/tests/test_entry/world.py
+++ b/tests/test_entry/world.py
@@ -221,6 +221,7 @@
         engine = Engine(options, self.net.clock)
         server = EngineServer(engine, self.net.clock, self.net.reactor)
         server.faults.crash = lambda: self.kill(name)
+        server._peers = HttpClient.over(Endpoints(self.net), self.net.reactor)
         self.engines[name] = server
         self._add_target(name, server.app, RouteKind.model, 'models')
 
