--- a/tests/test_control/test_target_duty.py
+++ b/tests/test_control/test_target_duty.py
@@ -4,8 +4,10 @@
 import pytest
 
 from cicadahoist.control.target_planner import BUY_AGAIN_MS
+from cicadahoist.control.target_rounds import PLAN_ROUNDS
 from cicadahoist.outside.tablestore import RowChange
 from cicadahoist.policy.spending import RELEASE_AFTER_MS
+from cicadahoist.standin.memory import Cut
 from tests.test_control.holders import STEP_MS, TIMING
 from tests.test_control.target_world import ARRIVAL_MS, BATCH_RATE, World
 from tests.test_mesh.cluster import run
@@ -15,6 +17,7 @@
 BOUGHT_MS = PLANNED_MS + ARRIVAL_MS + 2000
 TAKEOVER_MS = TIMING.takeover_ms + 3000
 LEAVING_MS = 3000
+SLOW_READ_MS = 60_000
 
 
 @pytest.fixture
@@ -117,6 +120,22 @@
     assert [call.epoch for call in world.platform.calls] == [2]
 
 
+def test_reading_from_before_another_holder_is_not_acted_upon(world):
+    first = world.processes[0]
+    first.rounds._rounds = PLAN_ROUNDS - 1
+    world.platform.read_ms = SLOW_READ_MS
+    world.advance(2000)
+    world.platform.read_ms = 0
+    second = world.begin('second')
+    first.store.cut = Cut.requests
+    world.advance_until(lambda: world.platform.calls, SLOW_READ_MS)
+    second.store.cut = Cut.requests
+    first.store.cut = Cut.none
+    world.advance_until(lambda: first.task.is_holder, SLOW_READ_MS)
+    world.advance(SLOW_READ_MS)
+    assert world.platform.kinds() == ['buy']
+
+
 def test_reclaim_notice_drains_within_3_s(world):
     world.advance(BOUGHT_MS)
     notice_ms = world.clock.now_ms() + 20_000
--- a/tests/test_control/test_target_faults.py
+++ b/tests/test_control/test_target_faults.py
@@ -22,6 +22,7 @@
         self.world = World(most_ordered=MOST_ORDERED, seed=seed)
         self.world.begin('first')
         self.world.begin('second')
+        self.world.batch_rate = BATCH_RATE
         self._started = 2
 
     def run(self) -> None:
