--- a/cicadahoist/policy/admission.py
+++ b/cicadahoist/policy/admission.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from cicadahoist.policy.flows import Backlog, FlowKey, QueuedTicket
-from cicadahoist.policy.lanes import lane_of, prepare
+from cicadahoist.policy.lanes import URGENT, lane_of, prepare
 from cicadahoist.policy.limits import LimitShares
 from cicadahoist.policy.load import TargetLoads
 from cicadahoist.policy.poolqueue import PoolQueue
@@ -20,6 +20,7 @@
 MIN_RETRY_AFTER_MS = 100
 NO_TARGET_RETRY_MS = 1000
 RECHECK_MS = 250
+PRESSED_MS = 5000
 
 
 @ADMISSIONS.register('fair')
@@ -64,6 +65,8 @@
         queued = prepare(ticket, totals)
         start_ms = now_ms + round(queue.wait_ms(queued, totals, now_ms))
         if start_ms > queued.latest_ms:
+            if ticket.is_urgent:
+                queue.pressed_until_ms = now_ms + PRESSED_MS
             late_ms = max(MIN_RETRY_AFTER_MS, start_ms - queued.latest_ms)
             return Err(Refused(Refusal.deadline_unreachable, late_ms))
         limit_ms = self._limits.admit(ticket, now_ms)
@@ -164,9 +167,9 @@
 
 @ADMISSIONS.register('fifo')
 class FifoQueue(FairQueue):
-    """Queues requests in the order of their arrival, without weights."""
+    """Queues all requests in the order of their arrival."""
 
     __slots__ = ()
 
     def _key_of(self, ticket: Ticket) -> FlowKey:
-        return (lane_of(ticket), '', '')
+        return (URGENT, '', '')
