--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -2,6 +2,8 @@
 
 from bench.launch import Fleet, free_port
 
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+
 ENTRY_SETTINGS = """
 [instance]
 name = {name}
@@ -54,8 +56,10 @@
         self.entries: list[str] = []
         self.target_urls: dict[str, str] = {}
 
-    def start(self, entry_port: int = 0, entries: int = 2) -> None:
-        """Start stand-ins and entries."""
+    def start(
+        self, entry_port: int = 0, entries: int = 2, zones: int = 2
+    ) -> None:
+        """Start stand-ins and entries, the latter spread over zones."""
         self.store = self.standin('store', 'store')
         self.platform = self.standin('platform', 'platform')
         for number in range(1, self.engine_count + 1):
@@ -68,9 +72,9 @@
             self.target_urls[name] = self.standin(
                 name, 'service', '--name', name
             )
-        self.start_entries(entry_port, entries)
+        self.start_entries(entry_port, entries, zones)
 
-    def start_entries(self, entry_port: int, entries: int) -> None:
+    def start_entries(self, entry_port: int, entries: int, zones: int) -> None:
         """Start entries that know each other."""
         mesh_ports = [free_port() for _ in range(entries)]
         seeds = ', '.join(f'127.0.0.1:{port}' for port in mesh_ports)
@@ -79,7 +83,7 @@
             name = f'entry-{number}'
             settings = ENTRY_SETTINGS.format(
                 name=name,
-                zone='zone-a' if number % 2 else 'zone-b',
+                zone=ZONES[(number - 1) % zones],
                 port=port,
                 store=self.store,
                 mesh_port=mesh_port,
--- a/bench/launch.py
+++ b/bench/launch.py
@@ -31,6 +31,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.by_name: dict[str, subprocess.Popen[bytes]] = {}
         self.port_by_name: dict[str, int] = {}
+        self._command_by_name: dict[str, tuple[str, ...]] = {}
 
     def __enter__(self) -> 'Fleet':
         return self
@@ -43,6 +44,7 @@
 
     def spawn(self, name: str, module: str, *arguments: str) -> None:
         """Start a process whose log goes to a file of its own."""
+        self._command_by_name[name] = (module, *arguments)
         log = self.path(f'{name}.log').open('ab')
         self.by_name[name] = subprocess.Popen(
             [sys.executable, '-m', module, *arguments],
@@ -52,6 +54,10 @@
             stderr=log,
         )
 
+    def respawn(self, name: str) -> None:
+        """Start a process again with the arguments that it had."""
+        self.spawn(name, *self._command_by_name[name])
+
     def standin(self, name: str, kind: str, *arguments: str) -> str:
         """Start a stand-in and return its address."""
         port = free_port()
