Leave peers' urgent prompts out of the score

Their open requests and other prompts still count; the field of the view that carried the urgent part is gone.

--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -201,11 +201,9 @@
 
     :param by_target: prompt tokens before their first output token, and
         open requests, by target
-    :param urgent_by_target: the urgent part of these prompt tokens
     """
 
     by_target: dict[str, tuple[int, int]]
-    urgent_by_target: dict[str, int] = {}
 
 
 class TargetReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/cicadahoist/policy/load.py
+++ b/cicadahoist/policy/load.py
@@ -36,9 +36,8 @@
 
     def __init__(self, view: LoadView, heard_ms: int) -> None:
         self.heard_ms = heard_ms
-        urgent = view.urgent_by_target
         self.loads_by_target = {
-            name: Load(open_requests, prefill, urgent.get(name, 0))
+            name: Load(open_requests, prefill)
             for name, (prefill, open_requests) in view.by_target.items()
         }
 
@@ -223,9 +222,6 @@
                 state.row.name: (state.own.prefill, state.own.open_requests)
                 for state in busy
             },
-            urgent_by_target={
-                state.row.name: state.own.urgent_prefill for state in busy
-            },
         )
 
     def _newcomer(self, row: Target, since_ms: int | None) -> TargetState:
--- a/cicadahoist/policy/state.py
+++ b/cicadahoist/policy/state.py
@@ -110,10 +110,11 @@
         Return the prompt tokens that go before a new request.
 
         :param urgent: whether the new request is urgent, so that only other
-            urgent ones go before it
+            urgent ones go before it; those of peers are done before their
+            views arrive, and are not counted
         """
         if urgent:
-            return self.own.urgent_prefill + self.peers.urgent_prefill
+            return self.own.urgent_prefill
         known = self.own.prefill + self.peers.prefill
         return known + self.unexplained.prefill
 
