--- a/cicadahoist/control/assembly.py
+++ b/cicadahoist/control/assembly.py
@@ -4,11 +4,13 @@
 
 from cicadahoist.application import Application
 from cicadahoist.config import Config
+from cicadahoist.control.claim_sweeper import ClaimSweeper
 from cicadahoist.control.context import ControlContext
 from cicadahoist.control.engine_duty import EngineDuty
 from cicadahoist.control.figure_calls import FigureCalls
 from cicadahoist.control.fleet_reader import FleetReader
 from cicadahoist.control.planner import Planner
+from cicadahoist.control.target_assembly import target_tasks
 from cicadahoist.control.targets import Targets
 from cicadahoist.control.usage_report import UsageReporter
 from cicadahoist.control.usage_sources import UsageSources
@@ -31,7 +33,12 @@
 
     context = ControlContext(config, application.clock, reactor)
     application.add(context.link)
-    for task in (*_engine_tasks(context), *_usage_tasks(context)):
+    tasks = (
+        *_engine_tasks(context),
+        *target_tasks(context),
+        *_usage_tasks(context),
+    )
+    for task in tasks:
         application.add(task)
 
 
@@ -68,4 +75,8 @@
         context.config.read(USAGE_WINDOW),
     )
     reporter.use_lease(authority.lease.is_holder)
-    return [context.lease_task(authority, reporter, context.link.is_up)]
+    sweeper = ClaimSweeper(
+        context.store, context.clock, authority.lease.is_holder
+    )
+    task = context.lease_task(authority, reporter, context.link.is_up)
+    return [task, sweeper]
--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -69,11 +69,14 @@
     :param base: revision to which the delta applies
     :param head: encoded :class:`~cicadahoist.table.Head`
     :param shards: encoded shard objects, by object name
+    :param patches: encoded differences to older shard objects, by the name
+        of the newer one
     """
 
     base: int
     head: bytes
     shards: dict[str, bytes]
+    patches: dict[str, bytes] = {}
 
 
 class TableWanted(
@@ -182,9 +185,12 @@
 
     :param by_pool: prompt tokens, cached ones left out, and output tokens a
         ms, by pool
+    :param urgent_by_pool: the part of requests whose callers wait; a pool that
+        lacks here has urgent work only
     """
 
     by_pool: dict[str, tuple[float, float]]
+    urgent_by_pool: dict[str, tuple[float, float]] = {}
 
 
 class LoadView(
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -69,7 +69,8 @@
         401,
         Outcome.not_run,
         'ask your operator for a new key',
-        'tell the workspace, and create a key if the caller is welcome',
+        'see "key list", and whether the workspace is disabled; create a key '
+        'if the caller is welcome',
     )
     key_withdrawn_midway = RefusalSpec(
         401,
@@ -81,8 +82,7 @@
         403,
         Outcome.not_run,
         'ask your operator for a row for this workspace and route',
-        'if the workspace may use the route, save a row with "table set"; '
-        'see also whether the workspace is disabled',
+        'if the workspace may use the route, save a row with "table set"',
     )
     unknown_route = RefusalSpec(
         404,
@@ -234,6 +234,10 @@
         'the stream broke off and is resumed',
         'see the log of the target; drain it if it breaks off again',
     )
+    handoff_failed = RetrySpec(
+        'KV cache was not passed on; the prompt is processed again',
+        'see whether engines of the pool reach each other',
+    )
     target_frozen = RetrySpec(
         'no bytes arrived within the stall timeout',
         'drain the target; raise [entry] stall_timeout if it is only slow',
