--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -275,7 +275,7 @@
 
 class ZoneStatus(msgspec.Struct, frozen=True, kw_only=True):
     """
-    State of a zone, written to the store by its control process.
+    State of a zone, written to the store by one of its entries.
 
     :param revision: lowest table revision in force at a live entry
     :param since_ms: wall-clock time from which all live entries had it
