--- a/tests/test_control/test_target_faults.py
+++ b/tests/test_control/test_target_faults.py
@@ -9,6 +9,7 @@
 
 SEEDS = (1, 2, 3, 4, 5)
 FAULT_ROUNDS = 60
+FIRST_PURCHASE_MS = 10_000
 MOST_ORDERED = 2
 QUIET_MS = 200_000
 LONGEST_FAULT_MS = 12_000
@@ -37,6 +38,8 @@
             self.reclaim,
             self.change_demand,
         ]
+        # No seed goes without a purchase.
+        self._advance(FIRST_PURCHASE_MS)
         for _ in range(FAULT_ROUNDS):
             self.random.choice(choices)()
             self._advance(self.random.randrange(0, LONGEST_FAULT_MS, STEP_MS))
