Follow the platform's list of instances, and order drain notices

A crossed notice took back a newer drain (new test failed before); an entry that was killed never counted as gone, as nobody read the platform's list.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -1,5 +1,9 @@
 """One deployment on stand-ins: engines, services, platform, entries."""
 
+import json
+import signal
+import urllib.request
+
 from bench.launch import Fleet, free_port
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
@@ -55,6 +59,7 @@
         self.platform = ''
         self.entries: list[str] = []
         self.target_urls: dict[str, str] = {}
+        self._listed: list[dict[str, str | int]] = []
 
     def start(
         self, entry_port: int = 0, entries: int = 2, zones: int = 2
@@ -77,6 +82,16 @@
     def start_entries(self, entry_port: int, entries: int, zones: int) -> None:
         """Start entries that know each other."""
         mesh_ports = [free_port() for _ in range(entries)]
+        self._listed = [
+            {
+                'name': f'entry-{number}',
+                'zone': ZONES[(number - 1) % zones],
+                'address': '127.0.0.1',
+                'port': port,
+            }
+            for number, port in enumerate(mesh_ports, start=1)
+        ]
+        self._tell_platform()
         seeds = ', '.join(f'127.0.0.1:{port}' for port in mesh_ports)
         for number, mesh_port in enumerate(mesh_ports, start=1):
             port = entry_port if number == 1 and entry_port else free_port()
@@ -98,6 +113,20 @@
         for number, url in enumerate(self.entries, start=1):
             self.wait_for_url(f'entry-{number}', f'{url}/healthz')
 
+    def terminate(self, name: str, signum: int = signal.SIGTERM) -> int:
+        """End a process for good; the platform lists an entry no longer."""
+        code = super().terminate(name, signum)
+        self._listed = [each for each in self._listed if each['name'] != name]
+        self._tell_platform()
+        return code
+
+    def _tell_platform(self) -> None:
+        body = json.dumps({'instances': self._listed}).encode()
+        url = f'{self.platform}/standin/instances'
+        urllib.request.urlopen(
+            urllib.request.Request(url, data=body, method='POST')
+        ).close()
+
     def run_operator(self, *arguments: str) -> str:
         """Run a command of the operators' command line."""
         return self.operator(self.store, *arguments)
--- a/cicadahoist/entry/assembly.py
+++ b/cicadahoist/entry/assembly.py
@@ -12,6 +12,7 @@
 from cicadahoist.entry.peering import Peering
 from cicadahoist.entry.server import EntryServer
 from cicadahoist.entry.target_poller import TargetPoller
+from cicadahoist.mesh.instance_list import InstanceListTask
 from cicadahoist.mesh.local_port import LocalPort
 from cicadahoist.mesh.node import MeshNode
 from cicadahoist.mesh.table_sync import TableSync
@@ -59,6 +60,7 @@
         application,
         node,
         LocalPort.from_config(config, node, application.clock, reactor),
+        InstanceListTask.from_config(config, node, application.clock, reactor),
         table_sync,
         usage,
         ZoneStatusWriter(node, table_sync, store, application.clock),
--- a/cicadahoist/entry/peering.py
+++ b/cicadahoist/entry/peering.py
@@ -10,13 +10,13 @@
 from cicadahoist.messages import (
     Blame,
     Demand,
-    DrainAck,
     DrainNotice,
     InstanceInfo,
     LoadView,
     Quarantined,
     SuspectRun,
 )
+from cicadahoist.protocol.drain_notices import DrainNotices
 
 EXCHANGE_PERIOD_MS = 500
 
@@ -29,11 +29,12 @@
     :param node: the mesh
     """
 
-    __slots__ = ('_context', '_loop', '_node')
+    __slots__ = ('_context', '_drains', '_loop', '_node')
 
     def __init__(self, context: EntryContext, node: MeshNode) -> None:
         self._context = context
         self._node = node
+        self._drains = DrainNotices()
         self._loop = LoopingCall(self._exchange)
         self._loop.clock = context.clock.scheduler
         node.subscribe(LoadView, self._hear_load)
@@ -79,14 +80,14 @@
 
     def _hear_drain(self, sender: InstanceInfo, notice: DrainNotice) -> None:
         """Stop sending work to a target, then say how much is open there."""
+        self._drains.take(notice)
+        is_drained = self._drains.is_drained(notice.target)
         loads = self._context.dispatcher.loads
-        loads.drain(notice.target, self._clock.now_ms(), active=notice.active)
-        open_requests = self._context.open_requests
-        ack = DrainAck(
-            target=notice.target,
-            order=notice.order,
-            instance=self._node.info.name,
-            incarnation=self._node.info.incarnation,
-            open_requests=open_requests.count_on(notice.target),
-        )
-        self._node.send_to(sender.name, ack)
+        loads.drain(notice.target, self._clock.now_ms(), active=is_drained)
+        own = self._node.info
+        open_requests = self._context.open_requests.count_on(notice.target)
+        for ack in self._drains.acks(
+            own.name, own.incarnation, {notice.target: open_requests}
+        ):
+            if ack.target == notice.target:
+                self._node.send_to(sender.name, ack)
--- a/tests/test_entry/test_peering.py
+++ b/tests/test_entry/test_peering.py
@@ -103,6 +103,15 @@
     assert world.finish(world.chat(tokens=1)).status == 200
 
 
+def test_a_crossed_notice_does_not_end_a_newer_drain(world):
+    node = FakeNode(['entry-0'])
+    start(world, Peering(world.entries[0].context, node))
+    for name in world.engines:
+        node.receive(DrainNotice(target=name, order='2.1'))
+        node.receive(DrainNotice(target=name, order='1.9', active=False))
+    assert world.finish(world.chat(tokens=1)).status == 503
+
+
 def test_load_is_told_to_peers(world):
     node = FakeNode(['entry-0'])
     start(world, Peering(world.entries[0].context, node))
