Seal windows that an entry was paused through

Ruled out: the killed entry, whose counts its peers had stored, and the lease, which was held. An entry stores its windows in order and counts late ones in the newest, so one that has a later record and none for a window has passed it.

--- a/cicadahoist/control/usage_sources.py
+++ b/cicadahoist/control/usage_sources.py
@@ -56,18 +56,19 @@
 
     def passed(self, sources: Iterable[str], window: int) -> list[str]:
         """
-        Return the sources that began after a window.
+        Return the sources that have nothing in a window and never will.
 
-        An entry stores a record of its first window when it begins.
+        These began after it, or were paused all through it. An entry stores
+        its windows in their order, and counts what is late in the newest.
         """
-        first_by_source: dict[str, int] = {}
+        windows_by_source: dict[str, set[int]] = {}
         for totals in self.totals():
-            first = first_by_source.get(totals.source, totals.window)
-            first_by_source[totals.source] = min(first, totals.window)
+            windows = windows_by_source.setdefault(totals.source, set())
+            windows.add(totals.window)
         return [
             source
             for source in sources
-            if first_by_source.get(source, window) > window
+            if _is_past(windows_by_source.get(source, set()), window)
         ]
 
     async def remove_before(self, window: int) -> None:
@@ -84,6 +85,10 @@
             self._version_by_name[name] = stored.version
 
 
+def _is_past(windows: set[int], window: int) -> bool:
+    return window not in windows and max(windows, default=window) > window
+
+
 def window_of(name: str) -> int | None:
     """Return the window of a usage record, none for other objects."""
     number = name.removeprefix(PREFIX).partition('/')[0]
--- a/tests/test_control/test_usage_report.py
+++ b/tests/test_control/test_usage_report.py
@@ -197,6 +197,16 @@
     assert reporters.intake.figures == {('w', 0): (30, 3, 3, 0)}
 
 
+def test_entry_that_was_paused_through_a_window_does_not_hold_it_up(reporters):
+    for window in (0, 2):
+        reporters.count('a1', window, 1)
+    for window in (0, 1, 2):
+        reporters.count('a0', window, 3)
+    reporters.advance(3 * WINDOW_MS + SEALED_MS)
+    assert reporters.intake.figures['w', 1] == (30, 3, 3, 0)
+    assert reporters.intake.figures['w', 2] == (40, 4, 4, 0)
+
+
 def test_store_outage_delays_the_report(reporters):
     reporters.count('a0', 0, 3)
     reporters.count('a1', 0, 2)
