Ask a busy store again for a claim, and tell running from lost first runs

A claim that the store refused for its rate limit was refused to the caller at once, although nothing had been written. claim_in_progress, store_busy, store_unavailable and version_conflict stood on the reasons page and were never counted; target_draining had no cause left and is gone.

--- a/cicadahoist/entry/claim_runner.py
+++ b/cicadahoist/entry/claim_runner.py
@@ -7,12 +7,14 @@
 from cicadahoist.clock import Clock, wall_ms
 from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.errors import (
+    StoreBusyError,
     StoreError,
     StoreUnavailableError,
     VersionConflictError,
 )
-from cicadahoist.ids import body_digest, new_nonce
+from cicadahoist.ids import body_digest
 from cicadahoist.log import get_logger
+from cicadahoist.metrics import Metrics
 from cicadahoist.outside.store import ABSENT, Store
 from cicadahoist.protocol.claim_events import (
     ClaimCreated,
@@ -31,15 +33,21 @@
     RunRequest,
     WriteOutcome,
 )
-from cicadahoist.protocol.claim_records import claim_name
+from cicadahoist.protocol.claim_records import claim_name, decode_claim
 from cicadahoist.protocol.claims import Claim
-from cicadahoist.reasons import Outcome
+from cicadahoist.reasons import Outcome, Refusal, Retry
 from cicadahoist.registry import Registry
 
 logger = get_logger(__name__)
 
 CLAIM_LIMIT_MS = 2000
 REREAD_DELAY_MS = 100
+IN_PROGRESS_RETRY_MS = 1000
+
+_RETRY_BY_KIND = {
+    StoreBusyError.kind: Retry.store_busy,
+    VersionConflictError.kind: Retry.version_conflict,
+}
 
 Run = Callable[[], Awaitable[bytes]]
 Perform = Callable[['ClaimRunner', Any], Awaitable[Any]]
@@ -53,15 +61,36 @@
 
     :param store: the platform's store
     :param clock: times the store's answers
+    :param metrics: counts calls that are repeated
     :param claim: the claim of this request
     :param run: sends the request and returns its encoded outcome
+    :param deadline_ms: longest time that a first run takes
     """
 
-    __slots__ = ('_answer', '_claim', '_clock', '_limit_ms', '_run', '_store')
+    __slots__ = (
+        '_answer',
+        '_claim',
+        '_clock',
+        '_deadline_ms',
+        '_found_ms',
+        '_limit_ms',
+        '_metrics',
+        '_run',
+        '_store',
+    )
 
     def __init__(
-        self, store: Store, clock: Clock, claim: Claim, run: Run
+        self,
+        store: Store,
+        clock: Clock,
+        metrics: Metrics,
+        claim: Claim,
+        run: Run,
+        deadline_ms: int,
     ) -> None:
+        self._metrics = metrics
+        self._deadline_ms = deadline_ms
+        self._found_ms = 0
         self._store = store
         self._clock = clock
         self._claim = claim
@@ -69,19 +98,6 @@
         self._answer = b''
         self._limit_ms = clock.now_ms() + CLAIM_LIMIT_MS
 
-    @classmethod
-    def for_request(
-        cls, store: Store, clock: Clock, name: str, digest: str, run: Run
-    ) -> 'ClaimRunner':
-        """
-        Return a runner for a request that has just arrived.
-
-        :param name: name of the claim object
-        :param digest: digest of what the claim is for
-        """
-        claim = Claim(name, new_nonce(), digest, created_ms=wall_ms())
-        return cls(store, clock, claim, run)
-
     async def outcome(self) -> bytes:
         """
         Run the request, or return the outcome of its first run.
@@ -101,17 +117,21 @@
     @_PERFORMERS.register('CreateClaim')
     async def create(self, action: CreateClaim) -> Any:
         """Create the claim object."""
-        try:
-            version = await self._store.write(
-                action.name, action.payload, ABSENT
-            )
-        except VersionConflictError:
-            return ClaimExists()
-        except StoreUnavailableError:
-            return CreateUnknown()
-        except StoreError:
-            return GiveUp()
-        return ClaimCreated(version)
+        while self._clock.now_ms() < self._limit_ms:
+            try:
+                version = await self._store.write(
+                    action.name, action.payload, ABSENT
+                )
+            except VersionConflictError:
+                return ClaimExists()
+            except StoreUnavailableError as error:
+                self._count(error)
+                return CreateUnknown()
+            except StoreError as busy:
+                await self._pause_after(busy)
+            else:
+                return ClaimCreated(version)
+        return GiveUp()
 
     @_PERFORMERS.register('ReadClaim')
     async def read(self, action: ReadClaim) -> Any:
@@ -119,11 +139,12 @@
         while self._clock.now_ms() < self._limit_ms:
             try:
                 stored = await self._store.read(action.name)
-            except StoreError:
-                await self._clock.sleep(REREAD_DELAY_MS)
+            except StoreError as error:
+                await self._pause_after(error)
                 continue
             if stored is None:
                 return ClaimRead(ABSENT, b'')
+            self._found_ms = decode_claim(stored.payload).created_ms
             return ClaimRead(stored.version, stored.payload)
         return GiveUp()
 
@@ -148,16 +169,22 @@
             await self._store.write(
                 action.name, action.payload, action.expected
             )
-        except VersionConflictError:
-            return OutcomeUnknown()
-        except StoreError:
-            await self._clock.sleep(REREAD_DELAY_MS)
+        except StoreError as error:
+            await self._pause_after(error)
             return OutcomeUnknown()
         return OutcomeWritten()
 
     @_PERFORMERS.register('RefuseClaim')
     async def refuse(self, action: RefuseClaim) -> Any:
         """End the request with a refusal."""
+        age_ms = wall_ms() - self._found_ms
+        is_open = action.refusal is Refusal.claim_outcome_unknown
+        if is_open and age_ms <= self._deadline_ms:
+            raise RequestRefusedError(
+                Refusal.claim_in_progress,
+                'its first run goes on',
+                retry_after_ms=IN_PROGRESS_RETRY_MS,
+            )
         raise RequestRefusedError(action.refusal, 'it does not run here')
 
     @_PERFORMERS.register('ReplayOutcome')
@@ -165,6 +192,14 @@
         """Answer with the outcome of the first run."""
         self._answer = action.outcome
 
+    async def _pause_after(self, error: StoreError) -> None:
+        self._count(error)
+        await self._clock.sleep(REREAD_DELAY_MS)
+
+    def _count(self, error: StoreError) -> None:
+        reason = _RETRY_BY_KIND.get(error.kind, Retry.store_unavailable)
+        self._metrics.retried(reason)
+
     async def _release(self, name: str) -> None:
         """Remove the claim, so that the caller may send the request again."""
         try:
--- a/cicadahoist/entry/claimed.py
+++ b/cicadahoist/entry/claimed.py
@@ -4,11 +4,14 @@
 
 import msgspec
 
+from cicadahoist.clock import wall_ms
 from cicadahoist.entry.claim_runner import ClaimRunner, claim_object
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.open_requests import OpenRequest
 from cicadahoist.entry.refusal import RequestRefusedError
+from cicadahoist.ids import new_nonce
 from cicadahoist.outside.engine import JSON_TYPE
+from cicadahoist.protocol.claims import Claim
 from cicadahoist.reasons import Refusal
 
 LONGEST_RECORD_BYTES = 524_288
@@ -42,14 +45,17 @@
     """
     request.outlives_caller = True
     grant = request.grant
-    runner = ClaimRunner.for_request(
+    name = claim_object(
+        grant.workspace, grant.route.name, request.caller.idempotency_key
+    )
+    claim = Claim(name, new_nonce(), request.digest, created_ms=wall_ms())
+    runner = ClaimRunner(
         context.store,
         context.clock,
-        claim_object(
-            grant.workspace, grant.route.name, request.caller.idempotency_key
-        ),
-        request.digest,
+        context.metrics,
+        claim,
         lambda: _encoded(request, produce),
+        grant.rule.deadline_ms,
     )
     recorded = await runner.outcome()
     return msgspec.json.decode(recorded, type=RecordedAnswer)
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -242,10 +242,6 @@
         'no bytes arrived within the stall timeout',
         'drain the target; raise [entry] stall_timeout if it is only slow',
     )
-    target_draining = RetrySpec(
-        'the target is leaving',
-        'none: the work goes to another target',
-    )
     store_busy = RetrySpec(
         'the store refused the call because of its rate limit',
         'see who else calls the store; raise the limit if it is yours alone',
--- a/tests/test_entry/test_claims.py
+++ b/tests/test_entry/test_claims.py
@@ -1,5 +1,7 @@
 import pytest
 
+from cicadahoist.errors import StoreBusyError
+from cicadahoist.reasons import Retry
 from cicadahoist.standin.faults import Fault
 from cicadahoist.standin.memory import Cut
 from tests.test_entry.test_failures import runs
@@ -38,6 +40,8 @@
     assert outcomes == [200, 409, 409, 409]
     refused = next(answer for answer in answers if answer.status == 409)
     assert error_of(refused)['outcome'] == 'unknown'
+    assert error_of(refused)['code'] == 'claim-in-progress'
+    assert refused.headers.hasHeader('Retry-After')
 
 
 def test_one_key_with_another_body_is_refused():
@@ -105,6 +109,29 @@
     assert runs(world) <= 1
 
 
+def test_a_busy_store_is_asked_again_and_counted():
+    world = World()
+    store = world.entries[0].store
+    write = store.write
+    calls = []
+
+    class BusyOnce:
+        read = store.read
+        remove = store.remove
+
+        async def write(self, name, payload, expected):
+            calls.append(name)
+            if len(calls) == 1:
+                raise StoreBusyError('rate limit', remedy='send fewer calls')
+            return await write(name, payload, expected)
+
+    world.entries[0].context.store = BusyOnce()
+    answer = world.finish(file_return(world))
+    assert answer.status == 200
+    assert runs(world) == 1
+    assert world.entries[0].metrics.counted == [Retry.store_busy]
+
+
 def test_a_call_whose_caller_left_is_recorded():
     world = World()
     for service in world.services.values():
