--- a/cicadahoist/cmd/control.py
+++ b/cicadahoist/cmd/control.py
@@ -6,6 +6,7 @@
 from cicadahoist.cmd.daemon import daemon_command
 from cicadahoist.config import Config
 from cicadahoist.control.assembly import add_control
+from cicadahoist.protocol.term_timer import block_alarm
 
 app = typer.Typer(add_completion=False)
 
@@ -19,7 +20,8 @@
 
 
 def main() -> None:
-    """Run control."""
+    """Run control; the lease's timer may only reach its main thread."""
+    block_alarm()
     app()
 
 
