--- a/cicadahoist/entry/attempts.py
+++ b/cicadahoist/entry/attempts.py
@@ -49,12 +49,12 @@
         self._is_admitted = False
         self._ran_before = False
         self._target: Target | None = None
-        self._ticket = Ticket(
-            request=request.billing_id,
-            pool=request.grant.route.pool,
-            rule=request.grant.rule,
-            cost=cost,
-            arrived_ms=context.clock.now_ms(),
+        self._ticket = Ticket.from_rule(
+            request.billing_id,
+            request.grant.route.pool,
+            request.grant.rule,
+            cost,
+            context.clock.now_ms(),
         )
 
     @property
@@ -102,6 +102,7 @@
         :return: none where the request ended while it waited
         :raises RequestRefusedError: no target is left
         """
+        self._choice.cheap_only = self._ticket.cheap_only
         target = await self._reserved_target(roles)
         if target is None:
             return None
--- a/cicadahoist/entry/peering.py
+++ b/cicadahoist/entry/peering.py
@@ -73,7 +73,12 @@
 
     def _hear_demand(self, sender: InstanceInfo, demand: Demand) -> None:
         limits = self._context.dispatcher.limits
-        limits.hear(sender.name, demand, self._clock.now_ms())
+        hears_us = sender.name in self._node.view.reachable()
+        if sender.zone != self._node.info.zone:
+            hears_us = self._node.view.is_live(sender)
+        limits.hear(
+            sender.name, demand, self._clock.now_ms(), hears_us=hears_us
+        )
 
     def _hear_isolation(self, sender: InstanceInfo, message: Any) -> None:
         self._context.isolation.hear(message)
--- a/cicadahoist/entry/pool_demands.py
+++ b/cicadahoist/entry/pool_demands.py
@@ -30,7 +30,12 @@
     def work(self, now_ms: int) -> PoolWork:
         """Return the present work of all pools."""
         by_pool = {}
+        urgent_by_pool = {}
         for pool, meter in self._meter_by_pool.items():
             demand = meter.measure(pool, now_ms)
             by_pool[pool] = (demand.prefill_per_ms, demand.decode_per_ms)
-        return PoolWork(by_pool=by_pool)
+            urgent_by_pool[pool] = (
+                demand.urgent_prefill_per_ms,
+                demand.urgent_decode_per_ms,
+            )
+        return PoolWork(by_pool=by_pool, urgent_by_pool=urgent_by_pool)
--- a/cicadahoist/entry/target_choice.py
+++ b/cicadahoist/entry/target_choice.py
@@ -21,7 +21,14 @@
     :param blocks: digests of the prompt's blocks
     """
 
-    __slots__ = ('_blocks', '_context', '_request', 'cost', 'tried')
+    __slots__ = (
+        '_blocks',
+        '_context',
+        '_request',
+        'cheap_only',
+        'cost',
+        'tried',
+    )
 
     def __init__(
         self,
@@ -34,6 +41,7 @@
         self._request = request
         self._blocks = blocks
         self.cost = cost
+        self.cheap_only = False
         self.tried: set[str] = set()
 
     def is_possible(self, roles: frozenset[str]) -> bool:
@@ -117,5 +125,6 @@
             blocks=self._blocks,
             tried=avoided.union(self.tried),
             price_ceiling=rule.price_ceiling,
+            cheap_only=self.cheap_only,
             roles=roles,
         )
