Follow time in the sums of a pool only where it matters

Ruled out: fewer ticks, which would let slow start and ejection lag. Only targets that start slowly or are ejected are looked at now; a peer's view that is replaced refreshes the targets of the old one too, which the full sum had hidden.

--- a/cicadahoist/policy/health.py
+++ b/cicadahoist/policy/health.py
@@ -22,6 +22,11 @@
         self._failed_ms = 0
         self.ejected_until_ms = 0
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether its share does not change with time alone."""
+        return self._since_ms is None
+
     def succeeded(self) -> None:
         """Forget earlier failures."""
         self._failures = 0
--- a/cicadahoist/policy/load.py
+++ b/cicadahoist/policy/load.py
@@ -9,6 +9,7 @@
 from cicadahoist.table import Target
 
 VIEW_LIFE_MS = 3000
+TICKS_PER_SUM = 60
 
 
 class ReportedLoad(msgspec.Struct, frozen=True, kw_only=True):
@@ -53,6 +54,7 @@
     __slots__ = (
         '_attempts_by_id',
         '_states_by_name',
+        '_ticks',
         '_totals_by_pool',
         '_views_by_peer',
     )
@@ -62,6 +64,7 @@
         self._totals_by_pool: dict[str, PoolPart] = {}
         self._attempts_by_id: dict[str, Attempt] = {}
         self._views_by_peer: dict[str, PeerView] = {}
+        self._ticks = 0
 
     def sync(self, targets: list[Target], now_ms: int) -> None:
         """
@@ -74,18 +77,31 @@
         for row in targets:
             state = self._states_by_name.get(row.name)
             if state is None:
-                state = self._newcomer(row, since_ms)
+                state = _newcomer(row, since_ms, self._views_by_peer)
             state.row = row
             states[row.name] = state
         self._states_by_name = states
-        self.tick(now_ms)
+        self._sum_up(now_ms)
 
     def tick(self, now_ms: int) -> None:
-        """Forget silent peers and sum up all pools; call it every second."""
+        """
+        Forget silent peers and follow time; call it every second.
+
+        Sums are made anew now and then, so that rounding does not add up.
+        """
         for peer, view in list(self._views_by_peer.items()):
             if now_ms - view.heard_ms > VIEW_LIFE_MS:
-                self._apply(view, -1)
                 self._views_by_peer.pop(peer)
+                self._replace_view(view, None, now_ms)
+        self._ticks += 1
+        if self._ticks % TICKS_PER_SUM == 0:
+            self._sum_up(now_ms)
+            return
+        for state in self._states_by_name.values():
+            if not state.health.is_settled:
+                self._refresh(state, now_ms)
+
+    def _sum_up(self, now_ms: int) -> None:
         self._totals_by_pool = {}
         for state in self._states_by_name.values():
             state.part = PoolPart()
@@ -200,15 +216,9 @@
     def hear(self, peer: str, view: LoadView, now_ms: int) -> None:
         """Take over the view of a peer."""
         earlier = self._views_by_peer.get(peer)
-        if earlier is not None:
-            self._apply(earlier, -1)
         current = PeerView(view, now_ms)
         self._views_by_peer[peer] = current
-        self._apply(current, 1)
-        for name in current.loads_by_target:
-            state = self._states_by_name.get(name)
-            if state is not None:
-                self._refresh(state, now_ms)
+        self._replace_view(earlier, current, now_ms)
 
     def view(self) -> LoadView:
         """Return the own work in flight, for peers."""
@@ -224,19 +234,23 @@
             },
         )
 
-    def _newcomer(self, row: Target, since_ms: int | None) -> TargetState:
-        state = TargetState(row, since_ms)
-        for view in self._views_by_peer.values():
-            load = view.loads_by_target.get(row.name)
-            if load is not None:
-                state.peers.add(load)
-        return state
-
-    def _apply(self, view: PeerView, sign: int) -> None:
-        for name, load in view.loads_by_target.items():
+    def _replace_view(
+        self, earlier: PeerView | None, current: PeerView | None, now_ms: int
+    ) -> None:
+        """Count a view of a peer in place of its earlier one."""
+        old = earlier.loads_by_target if earlier else {}
+        new = current.loads_by_target if current else {}
+        for name in old.keys() | new.keys():
             state = self._states_by_name.get(name)
-            if state is not None:
-                state.peers.add(load, sign)
+            if state is None:
+                continue
+            before = old.get(name)
+            after = new.get(name)
+            if before is not None:
+                state.peers.add(before, -1)
+            if after is not None:
+                state.peers.add(after)
+            self._refresh(state, now_ms)
 
     def _refresh(self, state: TargetState, now_ms: int) -> None:
         totals = self._totals_by_pool.setdefault(state.row.pool, PoolPart())
@@ -248,3 +262,14 @@
 def _end_prefill(state: TargetState, attempt: Attempt) -> None:
     prefill = attempt.prefill
     state.own.add(Load(0, prefill, prefill * attempt.urgent), -1)
+
+
+def _newcomer(
+    row: Target, since_ms: int | None, views_by_peer: dict[str, PeerView]
+) -> TargetState:
+    state = TargetState(row, since_ms)
+    for view in views_by_peer.values():
+        load = view.loads_by_target.get(row.name)
+        if load is not None:
+            state.peers.add(load)
+    return state
