--- /dev/null
+++ b/cicadahoist/codec.py
@@ -0,0 +1,56 @@
+"""Typed encoding of messages and of stored objects."""
+
+from typing import Any, Generic, TypeVar
+
+import msgspec
+
+from cicadahoist.errors import WireError
+
+Typed = TypeVar('Typed')
+
+
+class Codec(Generic[Typed]):
+    """
+    Encodes and decodes values of one type.
+
+    :param kind: what is encoded, for error messages
+    :param encoder: a msgspec encoder
+    :param decoder: a msgspec decoder of the type
+    """
+
+    __slots__ = ('_decoder', '_encoder', '_kind')
+
+    def __init__(self, kind: str, encoder: Any, decoder: Any) -> None:
+        self._kind = kind
+        self._encoder = encoder
+        self._decoder = decoder
+
+    @classmethod
+    def packed(cls, kind: str, typed: Any) -> 'Codec[Any]':
+        """Return a codec for messages between processes (MessagePack)."""
+        encoder = msgspec.msgpack.Encoder()
+        return cls(kind, encoder, msgspec.msgpack.Decoder(typed))
+
+    @classmethod
+    def stored(cls, kind: str, typed: Any) -> 'Codec[Any]':
+        """Return a codec for objects in the store (JSON)."""
+        encoder = msgspec.json.Encoder()
+        return cls(kind, encoder, msgspec.json.Decoder(typed))
+
+    def encode(self, content: Typed) -> bytes:
+        """Return the encoded form."""
+        return self._encoder.encode(content)
+
+    def decode(self, wire: bytes) -> Typed:
+        """
+        Decode a value.
+
+        :raises WireError: the bytes are no such value of this version
+        """
+        try:
+            return self._decoder.decode(wire)
+        except msgspec.MsgspecError as error:
+            raise WireError(
+                f'undecodable {self._kind}: {error}',
+                remedy='run the same version of all programs',
+            ) from error
--- a/cicadahoist/mesh/local_messages.py
+++ b/cicadahoist/mesh/local_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cicadahoist.errors import WireError
+from cicadahoist.codec import Codec
 from cicadahoist.messages import InstanceInfo, Message
 
 
@@ -35,27 +35,6 @@
 
 LocalMessage = EntryState | Received | SendToAll
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder: msgspec.msgpack.Decoder[LocalMessage] = msgspec.msgpack.Decoder(
-    LocalMessage
-)
-
-
-def encode_local(message: LocalMessage) -> bytes:
-    """Return the wire form (MessagePack) of a message."""
-    return _encoder.encode(message)
-
-
-def decode_local(wire: bytes) -> LocalMessage:
-    """
-    Decode a message.
-
-    :raises WireError: the bytes are no message of this version
-    """
-    try:
-        return _decoder.decode(wire)
-    except msgspec.MsgspecError as error:
-        raise WireError(
-            f'undecodable local message: {error}',
-            remedy='run the same version of entry and control',
-        ) from error
+_codec: Codec[LocalMessage] = Codec.packed('local message', LocalMessage)
+encode_local = _codec.encode
+decode_local = _codec.decode
--- a/cicadahoist/mesh/usage_record.py
+++ b/cicadahoist/mesh/usage_record.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cicadahoist.errors import WireError
+from cicadahoist.codec import Codec
 from cicadahoist.messages import UsageCount
 from cicadahoist.protocol.usage_figures import (
     SourceTotals,
@@ -76,28 +76,9 @@
     return f'{window_prefix(window)}{source}'
 
 
-def encode_record(record: UsageRecord) -> bytes:
-    """Return the stored form (JSON) of a record."""
-    return _encoder.encode(record)
-
-
-def decode_record(payload: bytes) -> UsageRecord:
-    """
-    Decode a record.
-
-    :raises WireError: the payload is no record of this version
-    """
-    try:
-        return _decoder.decode(payload)
-    except msgspec.MsgspecError as error:
-        raise WireError(
-            f'undecodable usage record: {error}',
-            remedy='run the same version on all instances',
-        ) from error
-
-
-_encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(UsageRecord)
+_codec: Codec[UsageRecord] = Codec.stored('usage record', UsageRecord)
+encode_record = _codec.encode
+decode_record = _codec.decode
 
 
 def _compact(through: int, beyond: set[int]) -> tuple[int, list[int]]:
--- a/cicadahoist/messages.py
+++ b/cicadahoist/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cicadahoist.errors import WireError
+from cicadahoist.codec import Codec
 
 
 class InstanceInfo(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -352,25 +352,6 @@
     echo_ms: int = 0
 
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Batch)
-
-
-def encode_batch(batch: Batch) -> bytes:
-    """Return the wire form (MessagePack) of a batch."""
-    return _encoder.encode(batch)
-
-
-def decode_batch(wire: bytes) -> Batch:
-    """
-    Decode a batch.
-
-    :raises WireError: the bytes are no batch of this version
-    """
-    try:
-        return _decoder.decode(wire)
-    except msgspec.MsgspecError as error:
-        raise WireError(
-            f'undecodable batch: {error}',
-            remedy='run the same version on all instances',
-        ) from error
+_batches: Codec[Batch] = Codec.packed('batch', Batch)
+encode_batch = _batches.encode
+decode_batch = _batches.decode
--- a/cicadahoist/protocol/claim_records.py
+++ b/cicadahoist/protocol/claim_records.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cicadahoist.errors import WireError
+from cicadahoist.codec import Codec
 
 
 class ClaimRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -23,13 +23,9 @@
 
 CLAIMS_PREFIX = 'claims/'
 
-_encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(ClaimRecord)
-
-
-def encode_claim(record: ClaimRecord) -> bytes:
-    """Return the stored form (JSON) of a claim."""
-    return _encoder.encode(record)
+_codec: Codec[ClaimRecord] = Codec.stored('claim', ClaimRecord)
+encode_claim = _codec.encode
+decode_claim = _codec.decode
 
 
 def claim_name(workspace: str, route: str, idempotency_digest: str) -> str:
@@ -39,18 +35,3 @@
     :param idempotency_digest: digest of the caller's ``Idempotency-Key``
     """
     return f'{CLAIMS_PREFIX}{workspace}/{route}/{idempotency_digest}'
-
-
-def decode_claim(payload: bytes) -> ClaimRecord:
-    """
-    Decode a claim.
-
-    :raises WireError: the payload is no claim of this version
-    """
-    try:
-        return _decoder.decode(payload)
-    except msgspec.MsgspecError as error:
-        raise WireError(
-            f'undecodable claim: {error}',
-            remedy='run the same version on all instances',
-        ) from error
--- a/cicadahoist/protocol/records.py
+++ b/cicadahoist/protocol/records.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cicadahoist.errors import WireError
+from cicadahoist.codec import Codec
 
 
 class JournalEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -54,13 +54,8 @@
         return all(entry.settled for entry in self.orders.values())
 
 
-_encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(LeaseRecord)
-
-
-def encode_record(record: LeaseRecord) -> bytes:
-    """Return the stored form (JSON) of a record."""
-    return _encoder.encode(record)
+_codec: Codec[LeaseRecord] = Codec.stored('lease', LeaseRecord)
+encode_record = _codec.encode
 
 
 def decode_record(payload: bytes) -> LeaseRecord:
@@ -72,13 +67,7 @@
     """
     if not payload:
         return LeaseRecord()
-    try:
-        return _decoder.decode(payload)
-    except msgspec.MsgspecError as error:
-        raise WireError(
-            f'undecodable lease: {error}',
-            remedy='run the same version on all instances',
-        ) from error
+    return _codec.decode(payload)
 
 
 def lease_name(zone: str, duty: str) -> str:
--- a/cicadahoist/protocol/usage_window.py
+++ b/cicadahoist/protocol/usage_window.py
@@ -3,9 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
-from cicadahoist.errors import WireError
+from cicadahoist.codec import Codec
 from cicadahoist.protocol.machine import ChartCore, ChartKit, Guard, Output
 from cicadahoist.protocol.usage_events import (
     CreateFigure,
@@ -24,8 +22,8 @@
 GUARDS: Registry[Guard] = Registry('guard of the usage window chart')
 OUTPUTS: Registry[Output] = Registry('output of the usage window chart')
 
-_encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(Figure)
+_codec: Codec[Figure] = Codec.stored('figure', Figure)
+decode_figure = _codec.decode
 
 
 class UsageWindow(ChartCore):
@@ -85,21 +83,6 @@
     return f'usage/figures/{shard}/{window}'
 
 
-def decode_figure(payload: bytes) -> Figure:
-    """
-    Decode a figure.
-
-    :raises WireError: the payload is no figure of this version
-    """
-    try:
-        return _decoder.decode(payload)
-    except msgspec.MsgspecError as error:
-        raise WireError(
-            f'undecodable figure: {error}',
-            remedy='run the same version on all instances',
-        ) from error
-
-
 @GUARDS.register('entries_passed')
 def _entries_passed(window: UsageWindow, event: Any, now_ms: int) -> bool:
     return not window.missing
@@ -118,7 +101,7 @@
 @OUTPUTS.register('create_figure')
 def _create_figure(window: UsageWindow, event: Any, now_ms: int) -> None:
     window.draft = compose_figure(window.window, window.totals, window.previous)
-    payload = _encoder.encode(window.draft)
+    payload = _codec.encode(window.draft)
     window.actions.append(CreateFigure(window.name, payload))
 
 
