--- a/cicadahoist/application.py
+++ b/cicadahoist/application.py
@@ -1,6 +1,7 @@
 """A process: settings, logs, metrics, and tasks that start and stop."""
 
 import signal
+import sys
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
@@ -14,6 +15,8 @@
 
 logger = get_logger(__name__)
 
+EXIT_FAILURE = 1
+
 
 class Task(Protocol):
     """A part of a process that owns its sockets and its state."""
@@ -36,7 +39,15 @@
     :param reactor: the twisted reactor
     """
 
-    __slots__ = ('_leaving', '_reactor', '_tasks', 'clock', 'config', 'metrics')
+    __slots__ = (
+        '_has_failed',
+        '_leaving',
+        '_reactor',
+        '_tasks',
+        'clock',
+        'config',
+        'metrics',
+    )
 
     def __init__(self, config: Config, reactor: Any) -> None:
         self.config = config
@@ -45,6 +56,7 @@
         self._reactor = reactor
         self._tasks: list[Task] = []
         self._leaving = False
+        self._has_failed = False
 
     @classmethod
     def from_config(cls, config: Config) -> 'Application':
@@ -59,9 +71,15 @@
         self._tasks.append(task)
 
     def run(self) -> None:
-        """Run until a signal arrives and all tasks have stopped."""
+        """
+        Run until a signal arrives and all tasks have stopped.
+
+        :raises SystemExit: a task failed to start or to stop
+        """
         self._reactor.callWhenRunning(self._spawn, self._start())
         self._reactor.run(installSignalHandlers=False)
+        if self._has_failed:
+            sys.exit(EXIT_FAILURE)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         Deferred.fromCoroutine(work).addErrback(self._fail)
@@ -87,4 +105,5 @@
 
     def _fail(self, failure: Any) -> None:
         logger.error('stopping after an error: {0}', failure.getTraceback())
+        self._has_failed = True
         self._reactor.stop()
