Give unexpected errors of the entry a typed answer; bill by whose doing it was

An error of the entry's own reached the caller as klein's page, without outcome; it is now internal-error with outcome unknown. Answers that broke off at a deadline were billed and ones that broke off with their target were not: what ends by our doing is not billed, what the caller ends is, up to there.

--- a/cicadahoist/entry/handling.py
+++ b/cicadahoist/entry/handling.py
@@ -20,7 +20,7 @@
 ) -> None:
     """Do the work of a request and send a refusal where it raises one."""
     try:
-        await work()
+        await _typed(caller, work)
     except RequestRefusedError as refused:
         context.metrics.refused(refused.reason)
         logger.bind(
@@ -31,6 +31,25 @@
         caller.send_refusal(refused)
 
 
+async def _typed(
+    caller: CallerRequest, work: Callable[[], Awaitable[None]]
+) -> None:
+    """
+    Do the work of a request.
+
+    :raises RequestRefusedError: the only error that gets out
+    """
+    try:
+        await work()
+    except RequestRefusedError:
+        raise
+    except Exception as error:
+        logger.bind(request=caller.request_id).exception('unexpected error')
+        raise RequestRefusedError(
+            Refusal.internal_error, 'the entry met an error of its own'
+        ) from error
+
+
 async def run_open(
     context: EntryContext,
     request: OpenRequest,
--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -168,7 +168,8 @@
             if retry is None:
                 return
             await self._attempts.pause_before_retry(retry)
-        await self._bill()
+        if self._request.was_ended_by_caller:
+            await self._bill()
 
     async def _attempt(self, target: Target) -> Retry | None:
         """Return why another attempt is needed, or none."""
--- a/cicadahoist/entry/open_requests.py
+++ b/cicadahoist/entry/open_requests.py
@@ -9,6 +9,7 @@
 from cicadahoist.entry.caller import CallerRequest
 from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.ids import new_nonce
+from cicadahoist.reasons import Refusal
 
 
 class OpenRequest:
@@ -89,6 +90,13 @@
             self.refused = refused
             self._stop_attempt()
 
+    @property
+    def was_ended_by_caller(self) -> bool:
+        """Whether it ended by the caller's own doing."""
+        if self.refused is None:
+            return self.caller.gone
+        return self.refused.reason is Refusal.key_withdrawn_midway
+
     @property
     def _is_abandoned(self) -> bool:
         return self.caller.gone and not self.outlives_caller
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -186,6 +186,12 @@
         'look up whether it took effect',
         'raise deadline_ms of the row, or see why the target is slow',
     )
+    internal_error = RefusalSpec(
+        500,
+        Outcome.unknown,
+        'look up whether it took effect; tell your operator the request id',
+        'look for the request id in the log of the entry, and report the error',
+    )
     leaving = RefusalSpec(
         503,
         Outcome.not_run,
--- a/tests/test_entry/test_failures.py
+++ b/tests/test_entry/test_failures.py
@@ -115,6 +115,23 @@
     assert int(answer.headers.getRawHeaders('Retry-After')[0]) > 0
 
 
+def test_an_error_of_the_entry_is_typed_and_not_called_not_run():
+    world = World()
+
+    world.entries[0].context.engines = None
+    answer = world.finish(world.chat(stream=False))
+    assert answer.status == 500
+    assert error_of(answer)['code'] == 'internal-error'
+    assert error_of(answer)['outcome'] == 'unknown'
+
+
+def test_an_answer_that_breaks_off_here_is_not_billed():
+    world = World(engines=1)
+    world.engines['engine-0'].faults.apply(Fault(kind='cut', count=7))
+    world.finish(world.chat(tokens=60))
+    assert not world.entries[0].usage
+
+
 def test_the_deadline_gives_the_final_answer_at_once():
     world = World(engines=1)
     world.apply(world.rows(deadline_ms=3000))
