--- a/bench/serve.py
+++ b/bench/serve.py
@@ -14,6 +14,7 @@
         deployment.start(entry_port=8080)
         deployment.create_demo_rows()
         print('entry at http://127.0.0.1:8080, key demo-key, model demo-model')
+        print(f'store: export CICADAHOIST_STORE_URL={deployment.store}')
         print('interrupt to stop', flush=True)
         signal.pause()
     return 0
