--- a/cicadahoist/codec.py
+++ b/cicadahoist/codec.py
@@ -52,5 +52,5 @@
         except msgspec.MsgspecError as error:
             raise WireError(
                 f'undecodable {self._kind}: {error}',
-                remedy='run the same version of all programs',
+                remedy='run the same version on all instances',
             ) from error
