--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -72,17 +72,19 @@
         self._front.is_leaving = True
         started_ms = self._clock.now_ms()
         logger.bind(busy=self._connections.count_busy()).info('leaving')
+        await self._clock.sleep(UNREADY_MS)
+        # A request that is not read yet may safely go elsewhere; one that is
+        # read near the end of the grace would be cut.
+        if self._listening is not None:
+            await self._listening.stopListening()
         end_ms = started_ms + self._grace_ms - EXIT_MS
         while self._clock.now_ms() < end_ms:
-            waited_ms = self._clock.now_ms() - started_ms
-            if waited_ms > UNREADY_MS and not self._connections.count_busy():
+            self._connections.close_idle()
+            if not self._connections.count_busy():
                 break
             await self._clock.sleep(LEAVE_POLL_MS)
         logger.bind(busy=self._connections.count_busy()).info('left')
-        self._connections.close_idle()
         self._connections.end()
-        if self._listening is not None:
-            await self._listening.stopListening()
 
 
 class ReadyServer:
