Order cheap engines and roles by plan; urgency of short prompts

Plans order cheap engines in each zone, give up steady ones, keep one generator a zone and let all others read prompts. Watches hold longer; short prompts are not preempted.

--- a/cicadahoist/platform/assembly.py
+++ b/cicadahoist/platform/assembly.py
@@ -6,6 +6,7 @@
 from cicadahoist.control.lease_task import LeaseTask
 from cicadahoist.control.term_deadlines import TermDeadlines
 from cicadahoist.ids import new_nonce
+from cicadahoist.objects import StoredObject
 from cicadahoist.outside.http import HttpClient
 from cicadahoist.platform.cloud import PlatformCalls
 from cicadahoist.platform.configuration import (
@@ -31,6 +32,7 @@
     NoTimer,
     PlatformDuties,
 )
+from cicadahoist.serving.fleet_orders import RoleChanges, TargetOrders
 from cicadahoist.serving.front import Front
 from cicadahoist.serving.instance_records import InstanceRecords
 from cicadahoist.serving.load_exchange import (
@@ -39,7 +41,7 @@
     PeerRecord,
 )
 from cicadahoist.serving.server import FrontServer, ReadyServer
-from cicadahoist.serving.store_follower import KindFollower
+from cicadahoist.serving.store_follower import KindFollower, ListTaker
 from cicadahoist.serving.target_source import TargetSource
 from cicadahoist.serving.usage_report import UsageReport
 
@@ -52,6 +54,14 @@
 # Callers are sent elsewhere before keyed requests have to be refused.
 READY_AGE_SHARE = 0.6
 USAGE_PERIOD_MS = 400
+ORDER_PERIOD_MS = 500
+# Targets register within a heartbeat or two; a list is whole after this time.
+SETTLE_MS = 3500
+# How long the store holds a watch. The configuration's bounds how long ago a
+# key was known to be valid; the others cost a call each.
+CONFIG_WAIT_MS = 1000
+LISTING_WAIT_MS = 1500
+PEER_WAIT_MS = 6000
 LEASE_MARGIN_MS = 200
 
 
@@ -68,6 +78,7 @@
         '_clock',
         '_config_follower',
         '_context',
+        '_engine_calls',
         '_front',
         '_incarnation',
         '_reactor',
@@ -95,6 +106,9 @@
             terms,
             self._reactor,
         )
+        self._engine_calls = EngineCalls(
+            self._http(), settings.instance, ORDER_TIMEOUT_MS
+        )
         self._context.usage.window_ms = settings.usage_window_ms
 
     def build(self) -> None:
@@ -120,6 +134,7 @@
         follower = KindFollower(
             self._store(),
             CONFIG_KIND,
+            CONFIG_WAIT_MS,
             self._clock,
             source.list_received,
             source.change_received,
@@ -134,8 +149,9 @@
         listings = KindFollower(
             self._store(),
             LISTING_KIND,
+            LISTING_WAIT_MS,
             self._clock,
-            targets.list_received,
+            self._settling(targets.list_received),
             targets.change_received,
         )
         settings = self._settings
@@ -146,6 +162,7 @@
         peers = KindFollower(
             self._store(),
             PEER_KIND,
+            PEER_WAIT_MS,
             self._clock,
             exchange.list_received,
             exchange.change_received,
@@ -162,6 +179,19 @@
         for task in (follower, listings, exchange, peers, records):
             self._application.add(task)
 
+    def _settling(self, take: ListTaker) -> ListTaker:
+        """Return a taker of lists that lets orders begin some time later."""
+
+        def taken(found: list[StoredObject]) -> None:
+            take(found)
+            if not self._context.is_settled:
+                self._clock.call_later(SETTLE_MS, self._settle)
+
+        return taken
+
+    def _settle(self) -> None:
+        self._context.is_settled = True
+
     def _add_duties(self) -> None:
         settings = self._settings
         if settings.orders is None:
@@ -175,6 +205,12 @@
             store, calls, settings.usage_window_ms, settings.usage_due_ms
         )
         duties.add(usage, USAGE_PERIOD_MS)
+        duties.add(
+            TargetOrders(self._context, calls, settings.zones), ORDER_PERIOD_MS
+        )
+        duties.add(
+            RoleChanges(self._context, self._engine_calls), ORDER_PERIOD_MS
+        )
         timing = LeaseTiming(
             term_ms=settings.term_ms,
             margin_ms=LEASE_MARGIN_MS,
@@ -197,10 +233,9 @@
 
     def _add_servers(self) -> None:
         settings = self._settings
-        engines = EngineCalls(
-            self._http(), settings.instance, ORDER_TIMEOUT_MS
+        self._front = Front(
+            self._context, self._may_use_keys, self._engine_calls.free
         )
-        self._front = Front(self._context, self._may_use_keys, engines.free)
         self._application.add(
             FrontServer(
                 self._front,
--- a/cicadahoist/platform/engines.py
+++ b/cicadahoist/platform/engines.py
@@ -2,12 +2,13 @@
 
 import msgspec
 
-from cicadahoist.errors import NotSentError, TargetError
+from cicadahoist.errors import NotSentError, RefusedError, TargetError
 from cicadahoist.outside.http import HTTP_OK, HttpClient
 from cicadahoist.platform.names import (
     EXPECTED_TARGET,
     HANDLE_PATH,
     ORDER_PATH,
+    REPORT_PATH,
 )
 from cicadahoist.serving.duty_calls import OrderReply
 from cicadahoist.requests import Handle
@@ -21,6 +22,16 @@
     stage: str
     holder: str
     fence: int
+    # Orders that the engine must have accepted before this one.
+    expected: int
+
+
+class _WireReport(msgspec.Struct, rename='kebab', kw_only=True):
+    # Orders accepted since the start of the engine.
+    seq: int = 0
+
+
+_decode_report = msgspec.json.Decoder(_WireReport).decode
 
 
 class EngineCalls:
@@ -41,12 +52,37 @@
         self._holder = holder
         self._timeout_ms = timeout_ms
 
+    async def orders_accepted(self, engine: Listing) -> int:
+        """
+        Return how many orders an engine has accepted since its start.
+
+        :raises TargetError: the engine did not tell
+        """
+        response = await self._http.call(
+            'GET',
+            f'http://{engine.address}{REPORT_PATH}',
+            headers={EXPECTED_TARGET.decode(): engine.name},
+            timeout_ms=self._timeout_ms,
+        )
+        body = await response.read_body(self._timeout_ms)
+        try:
+            return _decode_report(body).seq
+        except msgspec.MsgspecError as error:
+            raise RefusedError(
+                f'{engine.name}: undecodable report: {error}',
+                remedy='look at the version of the engine',
+            ) from error
+
     async def order_role(
-        self, engine: Listing, role: str, epoch: int
+        self, engine: Listing, role: str, epoch: int, accepted: int
     ) -> OrderReply:
-        """Order an engine to change its role."""
+        """Order a role, if the engine has accepted so many orders before."""
         order = _WireOrder(
-            op='stage', stage=role, holder=self._holder, fence=epoch
+            op='stage',
+            stage=role,
+            holder=self._holder,
+            fence=epoch,
+            expected=accepted,
         )
         try:
             response = await self._http.call(
--- a/cicadahoist/policy/engine_board.py
+++ b/cicadahoist/policy/engine_board.py
@@ -94,12 +94,18 @@
     :param zone: availability zone of this instance
     """
 
-    __slots__ = ('_engines_by_name', '_loads_by_peer', 'zone')
+    __slots__ = (
+        '_closed_by_engine',
+        '_engines_by_name',
+        '_loads_by_peer',
+        'zone',
+    )
 
     def __init__(self, zone: str) -> None:
         self.zone = zone
         self._engines_by_name: dict[str, EngineState] = {}
         self._loads_by_peer: dict[str, PeerLoad] = {}
+        self._closed_by_engine: dict[str, int] = {}
 
     def sync(self, engines: Iterable[EngineState]) -> None:
         """Take over a list of engines, keeping what is known of each."""
@@ -110,6 +116,7 @@
                 kept[listed.name] = listed
                 continue
             if known.role != listed.role:
+                self._closed_by_engine.pop(listed.name, None)
                 known.role = listed.role
                 known.slowness = 1.0
             kept[listed.name] = known
@@ -121,11 +128,26 @@
             engine
             for engine in self._engines_by_name.values()
             if engine.role == role
+            and self._closed_by_engine.get(engine.name, 0) <= now_ms
         ]
         return [
             engine for engine in engines if engine.health.share(now_ms)
         ] or engines
 
+    def close(self, engine: str, until_ms: int) -> None:
+        """Send no new work to an engine whose role is being changed."""
+        self._closed_by_engine[engine] = until_ms
+
+    def closed_for(self, now_ms: int) -> dict[str, int]:
+        """Return for how long engines stay closed."""
+        closed = {
+            name: until_ms
+            for name, until_ms in self._closed_by_engine.items()
+            if until_ms > now_ms
+        }
+        self._closed_by_engine = closed
+        return {name: until_ms - now_ms for name, until_ms in closed.items()}
+
     def get(self, name: str) -> EngineState | None:
         """Return an engine, or none."""
         return self._engines_by_name.get(name)
--- a/cicadahoist/policy/placement.py
+++ b/cicadahoist/policy/placement.py
@@ -6,6 +6,7 @@
 from cicadahoist.policy.engine_board import (
     DECODE,
     PREFILL,
+    READ_TOKENS_PER_MS,
     EngineBoard,
     EngineState,
 )
@@ -19,6 +20,8 @@
 # Parts cached at their home engines save so much of their reading on average.
 HOME_HIT_SHARE = 0.25
 FULL_ENGINE_MS = 400.0
+# Share of an engine's step that one of some ten running requests takes.
+TOKEN_MS = 0.1
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
@@ -131,6 +134,24 @@
         return crowd_ms
 
 
+def engine_urgency(work: ModelWork, rank: int) -> int:
+    """
+    Return how urgent a request is to its engine, 0 for the most urgent.
+
+    Engines preempt the least urgent when their memory is full. A short prompt
+    frees next to nothing and its stream would stall, so it goes first.
+    """
+    if work.prompt_tokens < HANDOFF_TOKENS:
+        return 0
+    return max(1, rank)
+
+
+def engine_ms(work: ModelWork) -> float:
+    """Return how long a request keeps an engine busy, roughly."""
+    output = work.likely_output_tokens or work.most_output_tokens
+    return uncached_tokens(work) / READ_TOKENS_PER_MS + output * TOKEN_MS
+
+
 def home_engine(work: ModelWork, readers: list[str]) -> str:
     """Return the engine at which all instances place a shared part first."""
     shared = work.parts[:-1]
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -6,6 +6,7 @@
 from cicadahoist.ids import fast_hash
 from cicadahoist.listings import Listing, TargetDirectory
 from cicadahoist.metrics import METRICS, Metrics, MetricSpec
+from cicadahoist.policy.demand_rate import DemandRate
 from cicadahoist.policy.engine_board import EngineBoard, EngineState
 from cicadahoist.policy.health import TargetHealth
 from cicadahoist.policy.placement import Placer
@@ -62,11 +63,13 @@
         'answered',
         'clock',
         'connections',
+        'demand',
         'deployment',
         'dialect',
         'directory',
         'first_byte',
         'instances',
+        'is_settled',
         'metrics',
         'true_time',
         'usage',
@@ -90,6 +93,9 @@
         self.connections = TargetConnections(reactor, clock)
         self.deployment: Deployment | None = None
         self.instances = 1
+        self.demand = DemandRate()
+        # Whether the list of targets can be relied on for orders.
+        self.is_settled = False
         self.usage = UsageCounts()
         self.true_time = TrueTime(clock.now_ms, wall_ms)
         self.answered = metrics.counter(ANSWERED)
@@ -106,6 +112,11 @@
         self.deployment = deployment
         self._sync_targets()
 
+    def count_instances(self, count: int) -> None:
+        """Take note of the number of instances."""
+        self.instances = count
+        self.demand.instances = count
+
     def board(self, service: str) -> EngineBoard:
         """Return the engines of a service."""
         board = self._boards_by_service.get(service)
--- a/cicadahoist/serving/duty_calls.py
+++ b/cicadahoist/serving/duty_calls.py
@@ -52,7 +52,10 @@
 class RoleOrders(Protocol):
     """Orders to engines."""
 
+    async def orders_accepted(self, engine: Listing) -> int:
+        """Return how many orders an engine has accepted since its start."""
+
     async def order_role(
-        self, engine: Listing, role: str, epoch: int
+        self, engine: Listing, role: str, epoch: int, accepted: int
     ) -> OrderReply:
-        """Order an engine to change its role."""
+        """Order a role, if the engine has accepted so many orders before."""
--- /dev/null
+++ b/cicadahoist/serving/fleet_orders.py
@@ -0,0 +1,247 @@
+"""Orders targets and roles as the plans want them."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from cicadahoist.clock import Clock
+from cicadahoist.errors import TargetError
+from cicadahoist.listings import Listing
+from cicadahoist.log import get_logger
+from cicadahoist.policy.fleet_plan import (
+    ZoneFleet,
+    ZoneWish,
+    engines_wanted,
+    plan_fleet,
+)
+from cicadahoist.policy.role_plan import EngineView, plan_roles
+from cicadahoist.rules import OrderLimits, ServiceRule
+from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.duty_calls import (
+    DutyInterface,
+    OrderReply,
+    RoleOrders,
+    TargetOrder,
+)
+
+logger = get_logger(__name__)
+
+# An order is repeated if its targets are not listed this long after booting.
+LISTED_MS = 2500
+# Where no target was to be had, it is asked for again after this time.
+UNAVAILABLE_MS = 1500
+# A role order without an answer may still be carried out within this time.
+LATE_ORDER_MS = 13_000
+# Time in which a role change shows in the list, beside the change itself.
+ROLE_LISTED_MS = 2000
+
+
+class _SentOrder(msgspec.Struct, frozen=True):
+    count: int
+    again_ms: int
+
+
+class TargetOrders:
+    """
+    Keeps the number of targets as the plan wants it.
+
+    :param context: shared parts of the data path
+    :param interface: takes the orders
+    :param zones: availability zones of the deployment
+    """
+
+    __slots__ = ('_context', '_interface', '_sent', '_start', '_zones')
+
+    def __init__(
+        self,
+        context: ServingContext,
+        interface: DutyInterface,
+        zones: tuple[str, ...],
+    ) -> None:
+        self._context = context
+        self._interface = interface
+        self._zones = zones
+        self._sent: dict[tuple[str, str, bool], _SentOrder] = {}
+        self._start: dict[str, int] = {}
+
+    def begin(self) -> None:
+        """Begin a term: forget what was ordered."""
+        self._sent.clear()
+
+    async def run(
+        self, true_ms: int, may_act: Callable[[], bool], epoch: int
+    ) -> None:
+        """Order what is wanted and not there."""
+        deployment = self._context.deployment
+        if deployment is None:
+            return
+        for rule in deployment.services_by_name.values():
+            if rule.orders is None or not self._context.is_settled:
+                continue
+            for wish in self._wishes(rule, rule.orders):
+                for is_cheap in (True, False):
+                    if not may_act():
+                        return
+                    await self._order(rule, rule.orders, wish, epoch, is_cheap)
+
+    def _wishes(
+        self, rule: ServiceRule, limits: OrderLimits
+    ) -> list[ZoneWish]:
+        listings = self._context.directory.usable(rule.name)
+        start = self._start.setdefault(rule.name, len(listings))
+        wanted = engines_wanted(
+            limits,
+            len(self._zones),
+            start,
+            self._context.demand.engines_busy(self._context.clock.now_ms()),
+        )
+        fleets = [
+            ZoneFleet(
+                zone=zone,
+                steady=_count(listings, zone, is_cheap=False),
+                cheap=_count(listings, zone, is_cheap=True),
+            )
+            for zone in self._zones
+        ]
+        return plan_fleet(
+            limits,
+            fleets,
+            wanted,
+            is_idle=self._context.demand.is_idle(self._context.clock.now_ms()),
+        )
+
+    async def _order(
+        self,
+        rule: ServiceRule,
+        limits: OrderLimits,
+        wish: ZoneWish,
+        epoch: int,
+        is_cheap: bool,
+    ) -> None:
+        count = wish.cheap if is_cheap else wish.steady
+        listings = self._context.directory.usable(rule.name)
+        present = _count(listings, wish.zone, is_cheap=is_cheap)
+        key = (rule.name, wish.zone, is_cheap)
+        now_ms = self._context.clock.now_ms()
+        sent = self._sent.get(key)
+        if sent is None and present == count:
+            return
+        if sent is not None and sent.count == count:
+            if present >= count or now_ms < sent.again_ms:
+                return
+        order = TargetOrder(
+            service=rule.name, zone=wish.zone, count=count, is_cheap=is_cheap
+        )
+        reply = await self._interface.order_targets(order, epoch)
+        logger.bind(
+            service=rule.name,
+            zone=wish.zone,
+            count=count,
+            present=present,
+            is_cheap=is_cheap,
+            epoch=epoch,
+            outcome=reply.value,
+        ).info('targets ordered')
+        pause_ms = limits.boot_ms + LISTED_MS
+        if reply is not OrderReply.accepted:
+            pause_ms = UNAVAILABLE_MS
+        self._sent[key] = _SentOrder(count, now_ms + pause_ms)
+
+
+class RoleChanges:
+    """
+    Keeps the roles of engines as the plan wants them.
+
+    :param context: shared parts of the data path
+    :param orders: sends orders to engines
+    """
+
+    __slots__ = ('_again_by_engine', '_clock', '_context', '_orders')
+
+    def __init__(self, context: ServingContext, orders: RoleOrders) -> None:
+        self._context = context
+        self._clock: Clock = context.clock
+        self._orders = orders
+        self._again_by_engine: dict[str, int] = {}
+
+    def begin(self) -> None:
+        """Begin a term: orders of the holder before may still be under way."""
+        now_ms = self._clock.now_ms()
+        self._again_by_engine = {
+            name: max(again_ms, now_ms)
+            for name, again_ms in self._again_by_engine.items()
+        }
+
+    async def run(
+        self, true_ms: int, may_act: Callable[[], bool], epoch: int
+    ) -> None:
+        """Order the roles that are wanted."""
+        deployment = self._context.deployment
+        if deployment is None or not self._context.is_settled:
+            return
+        now_ms = self._clock.now_ms()
+        for rule in deployment.services_by_name.values():
+            if rule.engine is None:
+                continue
+            listings = {
+                listing.name: listing
+                for listing in self._context.directory.usable(rule.name)
+            }
+            views = [
+                EngineView(
+                    name=listing.name,
+                    zone=listing.zone,
+                    role=listing.role,
+                    is_cheap=listing.is_cheap,
+                    is_changing=self._is_changing(listing.name, now_ms),
+                )
+                for listing in listings.values()
+            ]
+            is_idle = self._context.demand.is_idle(now_ms)
+            for change in plan_roles(views, is_idle=is_idle):
+                await self._order(
+                    listings[change.engine], change.role, rule, may_act, epoch
+                )
+
+    def _is_changing(self, engine: str, now_ms: int) -> bool:
+        return now_ms < self._again_by_engine.get(engine, 0)
+
+    async def _order(
+        self,
+        listing: Listing,
+        role: str,
+        rule: ServiceRule,
+        may_act: Callable[[], bool],
+        epoch: int,
+    ) -> None:
+        """Order one engine, closing it to new work for the change."""
+        try:
+            accepted = await self._orders.orders_accepted(listing)
+        except TargetError as error:
+            logger.bind(target=listing.name).info('not asked: {0}', error)
+            return
+        if not may_act():
+            return
+        change_ms = rule.engine.role_change_ms if rule.engine else 0
+        now_ms = self._clock.now_ms()
+        self._again_by_engine[listing.name] = now_ms + LATE_ORDER_MS
+        reply = await self._orders.order_role(listing, role, epoch, accepted)
+        logger.bind(
+            target=listing.name,
+            role=role,
+            before=listing.role,
+            epoch=epoch,
+            seq=accepted,
+            outcome=reply.value,
+        ).info('role ordered')
+        if reply is OrderReply.accepted:
+            closed_ms = now_ms + change_ms + ROLE_LISTED_MS
+            self._context.board(rule.name).close(listing.name, closed_ms)
+            self._again_by_engine[listing.name] = closed_ms
+
+
+def _count(listings: list[Listing], zone: str, *, is_cheap: bool) -> int:
+    return sum(
+        listing.zone == zone and listing.is_cheap == is_cheap
+        for listing in listings
+    )
--- a/cicadahoist/serving/instance_records.py
+++ b/cicadahoist/serving/instance_records.py
@@ -14,7 +14,7 @@
 
 COUNT_KIND = 'cicadahoist-usage-counts'
 # A killed process loses the counts of this time.
-COUNT_PERIOD_MS = 1000
+COUNT_PERIOD_MS = 1500
 RETRY_MS = 300
 
 
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -32,12 +32,14 @@
     :param true_ms: what it takes the wall-clock time to be
     :param reads_by_engine: prompt tokens in flight
     :param runs_by_engine: requests in flight
+    :param closed_by_engine: for how long engines get no new work, in ms
     """
 
     sender: str
     true_ms: int
     reads_by_engine: dict[str, int]
     runs_by_engine: dict[str, int]
+    closed_by_engine: dict[str, int] = {}
 
 
 class PeerRecord(msgspec.Struct):
@@ -120,6 +122,9 @@
         heard = PeerLoad(load.reads_by_engine, load.runs_by_engine, now_ms)
         for board in self._context.boards():
             board.hear(load.sender, heard)
+            for engine, closed_ms in load.closed_by_engine.items():
+                if board.get(engine) is not None:
+                    board.close(engine, now_ms + closed_ms)
 
     def _add(self, stored: StoredObject) -> None:
         if stored.name == self._instance:
@@ -132,30 +137,37 @@
         self._addresses_by_peer[stored.name] = (peer.host, peer.port)
 
     def _count(self) -> None:
-        self._context.instances = len(self._addresses_by_peer) + 1
+        self._context.count_instances(len(self._addresses_by_peer) + 1)
 
     def _tell(self) -> None:
         now_ms = self._clock.now_ms()
         reads: dict[str, int] = {}
         runs: dict[str, int] = {}
+        closed: dict[str, int] = {}
         for board in self._context.boards():
             board.forget_silent(now_ms)
             own_reads, own_runs = board.own_load()
             reads.update(own_reads)
             runs.update(own_runs)
+            closed.update(board.closed_for(now_ms))
         is_due = now_ms - self._sent_ms >= REPEAT_MS
-        if is_due or (reads, runs) != self._sent:
+        if is_due or closed or (reads, runs) != self._sent:
             self._sent = (reads, runs)
             self._sent_ms = now_ms
-            self._send(reads, runs)
+            self._send(reads, runs, closed)
         peers = len(self._addresses_by_peer)
         period_ms = max(LOAD_PERIOD_MS, PERIOD_PER_PEER_MS * peers)
         self._timer = self._clock.call_later(period_ms, self._tell)
 
-    def _send(self, reads: dict[str, int], runs: dict[str, int]) -> None:
+    def _send(
+        self,
+        reads: dict[str, int],
+        runs: dict[str, int],
+        closed: dict[str, int],
+    ) -> None:
         true_ms = self._context.true_time.own_ms()
         datagram = _codec.encode(
-            LoadMessage(self._instance, true_ms, reads, runs)
+            LoadMessage(self._instance, true_ms, reads, runs, closed)
         )
         for address in self._addresses_by_peer.values():
             try:
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -8,7 +8,7 @@
 from cicadahoist.errors import TargetError, WireError
 from cicadahoist.log import get_logger
 from cicadahoist.policy.engine_board import EngineState
-from cicadahoist.policy.placement import Placement
+from cicadahoist.policy.placement import Placement, engine_ms, engine_urgency
 from cicadahoist.reasons import Refusal, Retry
 from cicadahoist.requests import (
     AnswerHead,
@@ -51,6 +51,9 @@
         self._relay = EventRelay(self._request.resume_after)
         self._sends = 0
         self._connects = 0
+        self._context.demand.arrived(
+            engine_ms(work), self._context.clock.now_ms()
+        )
         return self
 
     async def _serve(self) -> None:
@@ -253,7 +256,7 @@
             prefill_only=prefill_only,
             handle=handle,
             resume_after='' if last_id is None else str(last_id),
-            urgency=self._urgency,
+            urgency=engine_urgency(self._work, self._urgency),
         )
 
     def _engine(self, name: str | None) -> EngineState | None:
--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -12,21 +12,23 @@
 
 logger = get_logger(__name__)
 
-# A watch that hears nothing is asked anew after this time, so that the age of
-# what is known stays below it.
-WATCH_WAIT_MS = 700
 FIRST_PAUSE_MS = 50
 LONGEST_PAUSE_MS = 400
 # Answers that come this much later than usual count as an outage of the store.
 OUTAGE_MS = 1500
 
 
+ListTaker = Callable[[list[StoredObject]], None]
+
+
 class KindFollower:
     """
     Keeps what it knows of one kind up to date.
 
     :param objects: the store
     :param kind: kind of the objects
+    :param wait_ms: how long the store holds a watch that hears nothing; the
+        age of what is known stays about below it
     :param on_list: called with all objects after a list
     :param on_change: called with each change after it
     """
@@ -39,6 +41,7 @@
         '_on_change',
         '_on_list',
         '_running',
+        '_wait_ms',
         'back_since_ms',
         'confirmed_ms',
         'revision',
@@ -48,12 +51,14 @@
         self,
         objects: Objects,
         kind: str,
+        wait_ms: int,
         clock: Clock,
-        on_list: Callable[[list[StoredObject]], None],
+        on_list: ListTaker,
         on_change: Callable[[Change], None],
     ) -> None:
         self._objects = objects
         self._kind = kind
+        self._wait_ms = wait_ms
         self._clock = clock
         self._on_list = on_list
         self._on_change = on_change
@@ -127,7 +132,7 @@
 
     async def _watch(self) -> None:
         seen = await self._objects.watch(
-            self._kind, self.revision, WATCH_WAIT_MS
+            self._kind, self.revision, self._wait_ms
         )
         for change in seen.changes:
             self._on_change(change)
@@ -136,7 +141,7 @@
     def _confirm(self, asked_ms: int) -> None:
         now_ms = self._clock.now_ms()
         age_ms = self.age_ms(now_ms)
-        if age_ms is not None and age_ms > WATCH_WAIT_MS + OUTAGE_MS:
+        if age_ms is not None and age_ms > self._wait_ms + OUTAGE_MS:
             self.back_since_ms = now_ms
             logger.bind(kind=self._kind, age_ms=age_ms).info(
                 'store is heard again'
--- a/cicadahoist/serving/usage_report.py
+++ b/cicadahoist/serving/usage_report.py
@@ -14,7 +14,7 @@
 
 SEALED_KIND = 'cicadahoist-usage-windows'
 # All instances have stored their counts of a window this long after its end.
-SETTLE_MS = 2600
+SETTLE_MS = 3000
 # Windows whose records are kept after they were due.
 WINDOWS_KEPT = 8
 
