--- a/cicadahoist/serving/fleet_orders.py
+++ b/cicadahoist/serving/fleet_orders.py
@@ -32,12 +32,21 @@
 UNAVAILABLE_MS = 1500
 # A role order without an answer may still be carried out within this time.
 LATE_ORDER_MS = 13_000
-# Time in which a role change shows in the list, beside the change itself.
-ROLE_LISTED_MS = 2000
+# An engine finishes what runs before it changes: the longest answers of a day.
+RUN_OUT_MS = 15_000
 
 
 class _SentOrder(msgspec.Struct, frozen=True):
+    """
+    An order that was answered.
+
+    :param count: targets that it asked for
+    :param coming_until_ms: when these are listed at the latest
+    :param again_ms: when to ask again for what is missing
+    """
+
     count: int
+    coming_until_ms: int
     again_ms: int
 
 
@@ -98,8 +107,8 @@
         fleets = [
             ZoneFleet(
                 zone=zone,
-                steady=_count(listings, zone, is_cheap=False),
-                cheap=_count(listings, zone, is_cheap=True),
+                steady=self._expected(rule.name, listings, zone, is_cheap=False),
+                cheap=self._expected(rule.name, listings, zone, is_cheap=True),
             )
             for zone in self._zones
         ]
@@ -110,6 +119,17 @@
             is_idle=self._context.demand.is_idle(self._context.clock.now_ms()),
         )
 
+    def _expected(
+        self, service: str, listings: list[Listing], zone: str, *, is_cheap: bool
+    ) -> int:
+        """Return the targets that are there or on their way."""
+        present = _count(listings, zone, is_cheap=is_cheap)
+        sent = self._sent.get((service, zone, is_cheap))
+        now_ms = self._context.clock.now_ms()
+        if sent is not None and now_ms < sent.coming_until_ms:
+            return max(present, sent.count)
+        return present
+
     async def _order(
         self,
         rule: ServiceRule,
@@ -142,10 +162,11 @@
             epoch=epoch,
             outcome=reply.value,
         ).info('targets ordered')
-        pause_ms = limits.boot_ms + LISTED_MS
-        if reply is not OrderReply.accepted:
-            pause_ms = UNAVAILABLE_MS
-        self._sent[key] = _SentOrder(count, now_ms + pause_ms)
+        listed_ms = now_ms + limits.boot_ms + LISTED_MS
+        if reply is OrderReply.accepted:
+            self._sent[key] = _SentOrder(count, listed_ms, listed_ms)
+        else:
+            self._sent[key] = _SentOrder(count, 0, now_ms + UNAVAILABLE_MS)
 
 
 class RoleChanges:
@@ -162,15 +183,11 @@
         self._context = context
         self._clock: Clock = context.clock
         self._orders = orders
-        self._again_by_engine: dict[str, int] = {}
+        self._again_by_engine: dict[str, tuple[str, int]] = {}
 
     def begin(self) -> None:
         """Begin a term: orders of the holder before may still be under way."""
-        now_ms = self._clock.now_ms()
-        self._again_by_engine = {
-            name: max(again_ms, now_ms)
-            for name, again_ms in self._again_by_engine.items()
-        }
+        self._again_by_engine.clear()
 
     async def run(
         self, true_ms: int, may_act: Callable[[], bool], epoch: int
@@ -193,7 +210,7 @@
                     zone=listing.zone,
                     role=listing.role,
                     is_cheap=listing.is_cheap,
-                    is_changing=self._is_changing(listing.name, now_ms),
+                    is_changing=self._is_changing(listing, now_ms),
                 )
                 for listing in listings.values()
             ]
@@ -203,8 +220,12 @@
                     listings[change.engine], change.role, rule, may_act, epoch
                 )
 
-    def _is_changing(self, engine: str, now_ms: int) -> bool:
-        return now_ms < self._again_by_engine.get(engine, 0)
+    def _is_changing(self, listing: Listing, now_ms: int) -> bool:
+        role, again_ms = self._again_by_engine.get(listing.name, ('', 0))
+        if role == listing.role:
+            self._again_by_engine.pop(listing.name, None)
+            return False
+        return now_ms < again_ms
 
     async def _order(
         self,
@@ -224,7 +245,7 @@
             return
         change_ms = rule.engine.role_change_ms if rule.engine else 0
         now_ms = self._clock.now_ms()
-        self._again_by_engine[listing.name] = now_ms + LATE_ORDER_MS
+        self._again_by_engine[listing.name] = (role, now_ms + LATE_ORDER_MS)
         reply = await self._orders.order_role(listing, role, epoch, accepted)
         logger.bind(
             target=listing.name,
@@ -235,9 +256,9 @@
             outcome=reply.value,
         ).info('role ordered')
         if reply is OrderReply.accepted:
-            closed_ms = now_ms + change_ms + ROLE_LISTED_MS
+            closed_ms = now_ms + change_ms + RUN_OUT_MS
             self._context.board(rule.name).close(listing.name, closed_ms)
-            self._again_by_engine[listing.name] = closed_ms
+            self._again_by_engine[listing.name] = (role, closed_ms)
 
 
 def _count(listings: list[Listing], zone: str, *, is_cheap: bool) -> int:
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -80,7 +80,11 @@
             return None
         first_ms = placement.first_token_ms
         self._notes['predicted_ms'] = round(first_ms)
-        if first_ms > PATIENCE_SHARE * self._left_ms:
+        self._notes['prompt_tokens'] = self._work.prompt_tokens
+        self._notes['output_tokens'] = self._work.most_output_tokens
+        self._notes['estimate'] = self._work.likely_output_tokens
+        bound_ms = max(self._route.first_aim_ms, PATIENCE_SHARE * self._left_ms)
+        if first_ms > min(bound_ms, self._left_ms):
             late_ms = round(first_ms - self._route.first_aim_ms)
             self._refuse(Refusal.deadline_unreachable, late_ms)
             return None
