--- a/cicadahoist/policy/engine_board.py
+++ b/cicadahoist/policy/engine_board.py
@@ -16,6 +16,17 @@
 LEAST_SLOWNESS = 0.5
 # Readings below this are dominated by overhead and tell no speed.
 LEAST_READ_MS = 8.0
+# Time of one step, empty and for each 1,000 tokens that it attends to: the
+# figures of the deployments' sheets.
+STEP_MS = 0.7
+STEP_MS_PER_K_TOKENS = 0.003
+TOKENS_PER_K = 1000
+# Steps until the first event of a short answer leaves.
+FIRST_STEPS = 6
+# Steps of a short answer, after which its slot and memory are free.
+SHORT_RUN_STEPS = 80
+# Memory goes by blocks, and parts that are cached yield only in time.
+MEMORY_USED_SHARE = 0.9
 PEER_VIEW_LIFE_MS = 1500
 PREFILL = 'prefill'
 DECODE = 'decode'
@@ -24,16 +35,23 @@
 class PeerLoad:
     """What one peer has in flight at each engine, and when it said so."""
 
-    __slots__ = ('heard_ms', 'reads_by_engine', 'runs_by_engine')
+    __slots__ = (
+        'heard_ms',
+        'held_by_engine',
+        'reads_by_engine',
+        'runs_by_engine',
+    )
 
     def __init__(
         self,
         reads_by_engine: dict[str, int],
         runs_by_engine: dict[str, int],
+        held_by_engine: dict[str, int],
         heard_ms: int,
     ) -> None:
         self.reads_by_engine = reads_by_engine
         self.runs_by_engine = runs_by_engine
+        self.held_by_engine = held_by_engine
         self.heard_ms = heard_ms
 
 
@@ -42,13 +60,15 @@
     One engine as this instance sees it.
 
     :param slots: requests that it runs at once
-    :param is_new: whether it came after this instance started
+    :param cache_tokens: tokens that its memory holds, 0 for unknown
     """
 
     __slots__ = (
+        'cache_tokens',
         'health',
         'is_cheap',
         'name',
+        'own_held',
         'own_reads',
         'own_runs',
         'role',
@@ -58,13 +78,22 @@
     )
 
     def __init__(
-        self, name: str, zone: str, role: str, slots: int, *, is_cheap: bool
+        self,
+        name: str,
+        zone: str,
+        role: str,
+        slots: int,
+        *,
+        cache_tokens: int = 0,
+        is_cheap: bool = False,
     ) -> None:
         self.name = name
         self.zone = zone
         self.role = role
         self.slots = slots
         self.is_cheap = is_cheap
+        self.cache_tokens = cache_tokens
+        self.own_held = 0
         self.own_reads = 0
         self.own_runs = 0
         self.slowness = 1.0
@@ -156,16 +185,18 @@
         """Take over the load of a peer."""
         self._loads_by_peer[peer] = load
 
-    def own_load(self) -> tuple[dict[str, int], dict[str, int]]:
-        """Return the own prompt tokens and runs by engine, for peers."""
+    def own_load(self) -> PeerLoad:
+        """Return what this instance has in flight, for peers."""
         busy = [
             engine
             for engine in self._engines_by_name.values()
             if engine.own_reads or engine.own_runs
         ]
-        return (
+        return PeerLoad(
             {engine.name: engine.own_reads for engine in busy},
             {engine.name: engine.own_runs for engine in busy},
+            {engine.name: engine.own_held for engine in busy},
+            0,
         )
 
     def forget_silent(self, now_ms: int) -> None:
@@ -188,6 +219,30 @@
             for load in self._loads_by_peer.values()
         )
 
+    def held(self, engine: EngineState) -> int:
+        """Return the tokens that runs in flight hold at an engine."""
+        return engine.own_held + sum(
+            load.held_by_engine.get(engine.name, 0)
+            for load in self._loads_by_peer.values()
+        )
+
+    def generate_wait_ms(self, engine: EngineState, tokens: int) -> float:
+        """
+        Return how long a run waits for a slot and memory, and its first step.
+
+        :param tokens: tokens that it will hold
+        """
+        runs = self.runs(engine)
+        held = self.held(engine)
+        step_ms = engine.slowness * (
+            STEP_MS + STEP_MS_PER_K_TOKENS * held / TOKENS_PER_K
+        )
+        over = max(0, runs + 1 - engine.slots) / engine.slots
+        if engine.cache_tokens:
+            room = engine.cache_tokens * MEMORY_USED_SHARE
+            over = max(over, (held + tokens - room) / room)
+        return step_ms * (FIRST_STEPS + max(0, over) * SHORT_RUN_STEPS)
+
     def first_token_ms(self, engine: EngineState, tokens: int) -> float:
         """Return the time until an engine has read a prompt sent now."""
         return (self.reads(engine) + tokens) / engine.read_rate + OVERHEAD_MS
--- a/cicadahoist/policy/placement.py
+++ b/cicadahoist/policy/placement.py
@@ -19,7 +19,9 @@
 OTHER_ZONE_MS = 1.5
 # Parts cached at their home engines save so much of their reading on average.
 HOME_HIT_SHARE = 0.25
-FULL_ENGINE_MS = 400.0
+# Reading a whole prompt slows the running answers of a generator down.
+WHOLE_MS = 40.0
+LIKELY_OUTPUT_TOKENS = 100
 # Share of an engine's step that one of some ten running requests takes.
 TOKEN_MS = 0.1
 
@@ -31,12 +33,14 @@
     :param reader: engine that reads the prompt, none where the generator does
     :param generator: engine that generates the answer
     :param first_token_ms: predicted time to the first token
+    :param read_ms: predicted time until the prompt is read
     :param reads: prompt tokens that are counted as work
     """
 
     reader: str | None
     generator: str
     first_token_ms: float
+    read_ms: float
     reads: int
 
 
@@ -68,7 +72,7 @@
         if not readers or work.prompt_tokens < HANDOFF_TOKENS:
             return whole
         split = self._split(work, readers, generators)
-        if split.first_token_ms <= whole.first_token_ms:
+        if split.first_token_ms <= whole.first_token_ms + WHOLE_MS:
             return split
         return whole
 
@@ -82,16 +86,21 @@
         self, work: ModelWork, generators: list[EngineState]
     ) -> Placement:
         reads = uncached_tokens(work)
+        tokens = held_tokens(work)
         best_ms, best = min(
             (
                 self._board.first_token_ms(engine, reads)
-                + self._crowd_ms(engine),
+                + self._board.generate_wait_ms(engine, tokens),
                 engine.name,
             )
             for engine in generators
         )
         return Placement(
-            reader=None, generator=best, first_token_ms=best_ms, reads=reads
+            reader=None,
+            generator=best,
+            first_token_ms=best_ms,
+            read_ms=best_ms,
+            reads=reads,
         )
 
     def _split(
@@ -111,9 +120,11 @@
             zone_ms = OTHER_ZONE_MS * (engine.zone != self._board.zone)
             options.append((first_ms + zone_ms, engine.name, engine.zone, own))
         read_ms, reader, zone, own = min(options)
-        _, generator = min(
+        tokens = held_tokens(work)
+        wait_ms, generator = min(
             (
-                self._crowd_ms(engine) + OTHER_ZONE_MS * (engine.zone != zone),
+                self._board.generate_wait_ms(engine, tokens)
+                + OTHER_ZONE_MS * (engine.zone != zone),
                 engine.name,
             )
             for engine in generators
@@ -121,17 +132,16 @@
         return Placement(
             reader=reader,
             generator=generator,
-            first_token_ms=read_ms + HANDOFF_MS,
+            first_token_ms=read_ms + HANDOFF_MS + wait_ms,
+            read_ms=read_ms,
             reads=own,
         )
 
-    def _crowd_ms(self, engine: EngineState) -> float:
-        """Return the delay that the runs of an engine cause to a new one."""
-        runs = self._board.runs(engine)
-        crowd_ms = engine.slowness * runs
-        if runs >= engine.slots:
-            crowd_ms += FULL_ENGINE_MS
-        return crowd_ms
+
+def held_tokens(work: ModelWork) -> int:
+    """Return the tokens that a run holds in its engine's memory."""
+    output = work.likely_output_tokens or LIKELY_OUTPUT_TOKENS
+    return work.prompt_tokens + output // 2
 
 
 def engine_urgency(work: ModelWork, rank: int) -> int:
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -198,12 +198,16 @@
             self._sync_board(service, board)
 
     def _sync_board(self, service: str, board: EngineBoard) -> None:
+        rule = self.deployment and self.deployment.services_by_name.get(service)
+        engine = rule.engine if rule else None
+        cache_tokens = engine.cache_tokens if engine else 0
         board.sync(
             EngineState(
                 listing.name,
                 listing.zone,
                 listing.role,
                 listing.slots,
+                cache_tokens=cache_tokens,
                 is_cheap=listing.is_cheap,
             )
             for listing in self.directory.usable(service)
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -32,6 +32,7 @@
     :param true_ms: what it takes the wall-clock time to be
     :param reads_by_engine: prompt tokens in flight
     :param runs_by_engine: requests in flight
+    :param held_by_engine: tokens that runs in flight hold
     :param closed_by_engine: for how long engines get no new work, in ms
     """
 
@@ -39,6 +40,7 @@
     true_ms: int
     reads_by_engine: dict[str, int]
     runs_by_engine: dict[str, int]
+    held_by_engine: dict[str, int]
     closed_by_engine: dict[str, int] = {}
 
 
@@ -76,7 +78,7 @@
         self._record = record
         self._reactor = reactor
         self._addresses_by_peer: dict[str, tuple[str, int]] = {}
-        self._sent: tuple[dict[str, int], dict[str, int]] = ({}, {})
+        self._sent = LoadMessage(instance, 0, {}, {}, {})
         self._sent_ms = 0
         self._port: Any = None
         self._timer: Timer | None = None
@@ -119,7 +121,12 @@
             return
         now_ms = self._clock.now_ms()
         self._context.true_time.hear(load.sender, load.true_ms)
-        heard = PeerLoad(load.reads_by_engine, load.runs_by_engine, now_ms)
+        heard = PeerLoad(
+            load.reads_by_engine,
+            load.runs_by_engine,
+            load.held_by_engine,
+            now_ms,
+        )
         for board in self._context.boards():
             board.hear(load.sender, heard)
             for engine, closed_ms in load.closed_by_engine.items():
@@ -141,34 +148,28 @@
 
     def _tell(self) -> None:
         now_ms = self._clock.now_ms()
-        reads: dict[str, int] = {}
-        runs: dict[str, int] = {}
-        closed: dict[str, int] = {}
+        message = LoadMessage(self._instance, 0, {}, {}, {})
         for board in self._context.boards():
             board.forget_silent(now_ms)
-            own_reads, own_runs = board.own_load()
-            reads.update(own_reads)
-            runs.update(own_runs)
-            closed.update(board.closed_for(now_ms))
+            load = board.own_load()
+            message.reads_by_engine.update(load.reads_by_engine)
+            message.runs_by_engine.update(load.runs_by_engine)
+            message.held_by_engine.update(load.held_by_engine)
+            message.closed_by_engine.update(board.closed_for(now_ms))
         is_due = now_ms - self._sent_ms >= REPEAT_MS
-        if is_due or closed or (reads, runs) != self._sent:
-            self._sent = (reads, runs)
+        if is_due or message != self._sent:
+            self._sent = message
             self._sent_ms = now_ms
-            self._send(reads, runs, closed)
+            self._send(message)
         peers = len(self._addresses_by_peer)
         period_ms = max(LOAD_PERIOD_MS, PERIOD_PER_PEER_MS * peers)
         self._timer = self._clock.call_later(period_ms, self._tell)
 
-    def _send(
-        self,
-        reads: dict[str, int],
-        runs: dict[str, int],
-        closed: dict[str, int],
-    ) -> None:
-        true_ms = self._context.true_time.own_ms()
-        datagram = _codec.encode(
-            LoadMessage(self._instance, true_ms, reads, runs, closed)
+    def _send(self, message: LoadMessage) -> None:
+        stamped = msgspec.structs.replace(
+            message, true_ms=self._context.true_time.own_ms()
         )
+        datagram = _codec.encode(stamped)
         for address in self._addresses_by_peer.values():
             try:
                 self.transport.write(datagram, address)
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -8,7 +8,12 @@
 from cicadahoist.errors import TargetError, WireError
 from cicadahoist.log import get_logger
 from cicadahoist.policy.engine_board import EngineState
-from cicadahoist.policy.placement import Placement, engine_ms, engine_urgency
+from cicadahoist.policy.placement import (
+    Placement,
+    engine_ms,
+    engine_urgency,
+    held_tokens,
+)
 from cicadahoist.reasons import Refusal, Retry
 from cicadahoist.requests import (
     AnswerHead,
@@ -109,7 +114,7 @@
         self._take_handle(engine, end, listing.address)
         if self._handle is not None:
             self._notes['read_ms'] = took_ms
-            engine.observe(placement.first_token_ms, took_ms)
+            engine.observe(placement.read_ms, took_ms)
         elif not self._is_over:
             self._after_unread(end)
 
@@ -158,7 +163,9 @@
         handle, self._handle = self._handle, None
         options = self._options(listing.name, handle=handle)
         reading = _Reading(engine, 0 if handle else placement.reads)
+        held = held_tokens(self._work)
         engine.own_runs += 1
+        engine.own_held += held
         try:
             end = await self._run(
                 Attempt(
@@ -171,6 +178,7 @@
             )
         finally:
             engine.own_runs -= 1
+            engine.own_held -= held
             reading.end()
         if end.outcome is AttemptOutcome.unsent:
             self._handle = handle
