--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -32,7 +32,9 @@
 NO_ENGINE_RETURN_MS = 500
 BUSY_RETURN_MS = 100
 # Share of the time left within which a first token must be expected.
-PATIENCE_SHARE = 0.6
+PATIENCE_SHARE = 0.2
+# The same where the aim is missed already, as for callers that come back.
+LATE_PATIENCE_SHARE = 0.08
 # Engines that may be tried without a byte having left.
 MOST_CONNECTS = 3
 
@@ -88,13 +90,27 @@
         self._notes['prompt_tokens'] = self._work.prompt_tokens
         self._notes['output_tokens'] = self._work.most_output_tokens
         self._notes['estimate'] = self._work.likely_output_tokens
-        bound_ms = max(self._route.first_aim_ms, PATIENCE_SHARE * self._left_ms)
-        if first_ms > min(bound_ms, self._left_ms):
+        if first_ms > self._patience_ms():
             late_ms = round(first_ms - self._route.first_aim_ms)
             self._refuse(Refusal.deadline_unreachable, late_ms)
             return None
         return placement
 
+    def _patience_ms(self) -> float:
+        """
+        Return the longest wait for a first token that is worth its place.
+
+        Under overload, places go first to requests that can still be answered
+        within their aim.
+        """
+        left_ms = self._left_ms
+        spent_ms = self._route.timeout_ms - left_ms
+        aim_left_ms = self._route.first_aim_ms - spent_ms
+        if aim_left_ms > 0:
+            share_ms = PATIENCE_SHARE * left_ms
+            return min(left_ms, max(aim_left_ms, share_ms))
+        return LATE_PATIENCE_SHARE * left_ms
+
     async def _read(self, placement: Placement) -> None:
         """Let an engine read the prompt and keep its cache."""
         engine = self._engine(placement.reader)
