Let steady engines stand in for reclaimed ones

Orders of both kinds share a zone's bound and the platform keeps its minimum of either kind, so that a fleet ordered cheap first came late.

--- a/cicadahoist/platform/engines.py
+++ b/cicadahoist/platform/engines.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from cicadahoist.errors import NotSentError, RefusedError, TargetError
+from cicadahoist.listings import Listing
 from cicadahoist.outside.http import HTTP_OK, HttpClient
 from cicadahoist.platform.names import (
     EXPECTED_TARGET,
@@ -10,9 +11,8 @@
     ORDER_PATH,
     REPORT_PATH,
 )
-from cicadahoist.serving.duty_calls import OrderReply
 from cicadahoist.requests import Handle
-from cicadahoist.listings import Listing
+from cicadahoist.serving.duty_calls import OrderReply
 
 HTTP_ACCEPTED = 202
 
@@ -45,9 +45,7 @@
 
     __slots__ = ('_holder', '_http', '_timeout_ms')
 
-    def __init__(
-        self, http: HttpClient, holder: str, timeout_ms: int
-    ) -> None:
+    def __init__(self, http: HttpClient, holder: str, timeout_ms: int) -> None:
         self._http = http
         self._holder = holder
         self._timeout_ms = timeout_ms
--- a/cicadahoist/platform/objects.py
+++ b/cicadahoist/platform/objects.py
@@ -14,6 +14,7 @@
     TargetError,
     VersionConflictError,
 )
+from cicadahoist.objects import Change, Changes, ObjectPage, StoredObject
 from cicadahoist.outside.http import (
     HTTP_BUSY,
     HTTP_CONFLICT,
@@ -25,7 +26,6 @@
 from cicadahoist.outside.store import ABSENT, Stored
 from cicadahoist.platform.names import OBJECTS_PATH
 from cicadahoist.platform.settings_file import Address
-from cicadahoist.objects import Change, Changes, ObjectPage, StoredObject
 
 HTTP_GONE = 410
 HTTP_CREATED = 201
--- a/cicadahoist/policy/fleet_plan.py
+++ b/cicadahoist/policy/fleet_plan.py
@@ -8,27 +8,33 @@
 
 # Reclaimable targets below this share of the price replace steady ones.
 CHEAP_ENOUGH = 0.6
-# Steady engines that are kept so that a reclaim everywhere leaves some.
+# Steady targets that are kept where they cost least, as a reclaim may take
+# all others.
 STEADY_KEPT = 1
-# A burst asks for several times the mean, and new engines take seconds.
+# A burst asks for several times the mean, and new targets take seconds.
 BURST_HEADROOM = 4.0
-# Engines wanted against those found at the start, before demand is known.
+# Targets wanted against those found at the start, before demand is known.
 START_HEADROOM = 2
-# Below this share of the wanted engines, steady ones are ordered beside.
-LEAST_READY_SHARE = 0.5
+# Below this share of the wanted targets, steady ones stand in.
+ENOUGH_SHARE = 0.9
+# Share of a zone's places that steady targets take while they stand in; the
+# others are left for reclaimable ones to come back to.
+STAND_IN_SHARE = 0.5
 
 
 class ZoneFleet(msgspec.Struct, frozen=True, kw_only=True):
     """
     Targets of one service in one availability zone that take work.
 
-    :param steady: targets that stay
-    :param cheap: reclaimable targets
+    :param steady: targets that stay, ordered ones included
+    :param cheap: reclaimable targets, ordered ones included
+    :param cheap_ready: reclaimable targets that serve
     """
 
     zone: str
     steady: int = 0
     cheap: int = 0
+    cheap_ready: int = 0
 
 
 class ZoneWish(msgspec.Struct, frozen=True):
@@ -39,68 +45,89 @@
     cheap: int
 
 
-def engines_wanted(limits: OrderLimits, zones: int, start: int, demand: float) -> int:
+class FleetPlan:
     """
-    Return the engines that a service should have.
+    Decides on the targets of one service.
 
-    :param zones: availability zones in which it may run
-    :param start: engines that were found at the start
-    :param demand: engines that the mean load keeps busy
+    :param limits: what may be ordered in one availability zone
+    :param fleets: what is there
+    :param wanted: targets wanted in all
+    :param is_idle: whether no requests come
     """
-    wanted = max(START_HEADROOM * start, math.ceil(BURST_HEADROOM * demand))
-    return max(limits.fewest * zones, min(limits.most * zones, wanted))
-
 
-def plan_fleet(
-    limits: OrderLimits,
-    fleets: list[ZoneFleet],
-    wanted: int,
-    *,
-    is_idle: bool,
-) -> list[ZoneWish]:
+    __slots__ = ('_fleets', '_is_idle', '_limits', '_share', '_wanted')
+
+    def __init__(
+        self,
+        limits: OrderLimits,
+        fleets: list[ZoneFleet],
+        wanted: int,
+        *,
+        is_idle: bool,
+    ) -> None:
+        self._limits = limits
+        self._fleets = fleets
+        self._wanted = wanted
+        self._is_idle = is_idle
+        self._share = min(limits.most, math.ceil(wanted / max(1, len(fleets))))
+
+    def wishes(self) -> list[ZoneWish]:
+        """Return what to order in each availability zone."""
+        if self._limits.cheap_price > CHEAP_ENOUGH:
+            return [self._steady_only(fleet) for fleet in self._fleets]
+        ordered = sorted(
+            self._fleets, key=lambda fleet: (self._price(fleet), fleet.zone)
+        )
+        wishes = []
+        for rank, fleet in enumerate(ordered):
+            kept = STEADY_KEPT if rank == 0 else 0
+            if fleet.cheap_ready < self._limits.fewest:
+                # The platform keeps this many of either kind in a zone.
+                kept = max(kept, self._limits.fewest)
+            steady = self._steady(fleet, kept)
+            wishes.append(ZoneWish(fleet.zone, steady, self._share - steady))
+        return wishes
+
+    def _steady(self, fleet: ZoneFleet, kept: int) -> int:
+        """
+        Return the steady targets of a zone, stand-ins included.
+
+        Stand-ins stay until the zone's reclaimable targets serve again.
+        """
+        full = self._share - kept
+        if fleet.cheap_ready >= max(1, full - max(0, fleet.steady - kept)):
+            return kept
+        if self._is_idle:
+            return kept
+        if not self._is_short:
+            return max(kept, fleet.steady)
+        most = kept + math.floor(STAND_IN_SHARE * self._share)
+        missing = full - fleet.cheap
+        return min(self._share, most, max(kept + missing, fleet.steady))
+
+    @property
+    def _is_short(self) -> bool:
+        present = sum(fleet.steady + fleet.cheap for fleet in self._fleets)
+        return present < ENOUGH_SHARE * self._wanted
+
+    def _steady_only(self, fleet: ZoneFleet) -> ZoneWish:
+        share = round(self._wanted / START_HEADROOM / len(self._fleets))
+        steady = max(self._limits.fewest, min(self._limits.most, share))
+        return ZoneWish(fleet.zone, steady, 0)
+
+    def _price(self, fleet: ZoneFleet) -> float:
+        return self._limits.price_by_zone.get(fleet.zone, 1)
+
+
+def targets_wanted(
+    limits: OrderLimits, zones: int, start: int, demand: float
+) -> int:
     """
-    Return what to order in each availability zone.
+    Return the targets that a service should have.
 
-    Steady targets are given up once as many reclaimable ones serve, or at
-    once where nothing is asked.
-
-    :param fleets: what is there
-    :param wanted: targets wanted in all
-    :param is_idle: whether no requests come
+    :param zones: availability zones in which it may run
+    :param start: targets that were found at the start
+    :param demand: targets that the mean load keeps busy
     """
-    if limits.cheap_price > CHEAP_ENOUGH:
-        return [_steady_wish(limits, fleet, wanted, fleets) for fleet in fleets]
-    present_steady = sum(fleet.steady for fleet in fleets)
-    present_cheap = sum(fleet.cheap for fleet in fleets)
-    present = present_steady + present_cheap
-    may_swap = is_idle or present_cheap >= present_steady - STEADY_KEPT
-    shortage = math.ceil(LEAST_READY_SHARE * wanted) - present
-    ordered = sorted(
-        fleets, key=lambda fleet: (_price(limits, fleet.zone), fleet.zone)
-    )
-    wishes = []
-    kept_left = STEADY_KEPT + max(0, shortage)
-    for fleet in ordered:
-        room = limits.most if shortage > 0 else 1
-        kept = min(kept_left, room)
-        kept_left -= kept
-        steady = kept if may_swap or kept > fleet.steady else fleet.steady
-        share = math.ceil(wanted / len(fleets))
-        cheap = max(0, min(limits.most, share) - steady)
-        wishes.append(ZoneWish(fleet.zone, steady, cheap))
-    return wishes
-
-
-def _steady_wish(
-    limits: OrderLimits,
-    fleet: ZoneFleet,
-    wanted: int,
-    fleets: list[ZoneFleet],
-) -> ZoneWish:
-    share = round(wanted / START_HEADROOM / len(fleets))
-    steady = max(limits.fewest, min(limits.most, share))
-    return ZoneWish(fleet.zone, steady, 0)
-
-
-def _price(limits: OrderLimits, zone: str) -> float:
-    return limits.price_by_zone.get(zone, 1)
+    wanted = max(START_HEADROOM * start, math.ceil(BURST_HEADROOM * demand))
+    return max(limits.fewest * zones, min(limits.most * zones, wanted))
--- a/cicadahoist/policy/role_plan.py
+++ b/cicadahoist/policy/role_plan.py
@@ -29,9 +29,7 @@
     role: str
 
 
-def plan_roles(
-    engines: list[EngineView], *, is_idle: bool
-) -> list[RoleChange]:
+def plan_roles(engines: list[EngineView], *, is_idle: bool) -> list[RoleChange]:
     """
     Return the engines that should change now.
 
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -9,12 +9,7 @@
 from twisted.internet.defer import Deferred
 
 from cicadahoist.errors import NotSentError
-from cicadahoist.serving.outbound import (
-    IDLE_MARGIN_MS,
-    Lost,
-    TargetConnection,
-    TargetConnections,
-)
+from cicadahoist.listings import Listing
 from cicadahoist.requests import (
     AnswerHead,
     AnswerMeaning,
@@ -23,7 +18,12 @@
     InboundRequest,
     SendOptions,
 )
-from cicadahoist.listings import Listing
+from cicadahoist.serving.outbound import (
+    IDLE_MARGIN_MS,
+    Lost,
+    TargetConnection,
+    TargetConnections,
+)
 
 
 class Dialect(Protocol):
--- a/cicadahoist/serving/fleet_orders.py
+++ b/cicadahoist/serving/fleet_orders.py
@@ -9,10 +9,10 @@
 from cicadahoist.listings import Listing
 from cicadahoist.log import get_logger
 from cicadahoist.policy.fleet_plan import (
+    FleetPlan,
     ZoneFleet,
     ZoneWish,
-    engines_wanted,
-    plan_fleet,
+    targets_wanted,
 )
 from cicadahoist.policy.role_plan import EngineView, plan_roles
 from cicadahoist.rules import OrderLimits, ServiceRule
@@ -27,7 +27,7 @@
 logger = get_logger(__name__)
 
 # An order is repeated if its targets are not listed this long after booting.
-LISTED_MS = 2500
+LISTED_MS = 1500
 # Where no target was to be had, it is asked for again after this time.
 UNAVAILABLE_MS = 1500
 # A role order without an answer may still be carried out within this time.
@@ -88,17 +88,16 @@
             if rule.orders is None or not self._context.is_settled:
                 continue
             for wish in self._wishes(rule, rule.orders):
-                for is_cheap in (True, False):
+                # Places of targets that are given up are taken by the others.
+                for is_cheap in (False, True):
                     if not may_act():
                         return
                     await self._order(rule, rule.orders, wish, epoch, is_cheap)
 
-    def _wishes(
-        self, rule: ServiceRule, limits: OrderLimits
-    ) -> list[ZoneWish]:
+    def _wishes(self, rule: ServiceRule, limits: OrderLimits) -> list[ZoneWish]:
         listings = self._context.directory.usable(rule.name)
         start = self._start.setdefault(rule.name, len(listings))
-        wanted = engines_wanted(
+        wanted = targets_wanted(
             limits,
             len(self._zones),
             start,
@@ -107,20 +106,24 @@
         fleets = [
             ZoneFleet(
                 zone=zone,
-                steady=self._expected(rule.name, listings, zone, is_cheap=False),
+                steady=self._expected(
+                    rule.name, listings, zone, is_cheap=False
+                ),
                 cheap=self._expected(rule.name, listings, zone, is_cheap=True),
+                cheap_ready=_count(listings, zone, is_cheap=True),
             )
             for zone in self._zones
         ]
-        return plan_fleet(
-            limits,
-            fleets,
-            wanted,
-            is_idle=self._context.demand.is_idle(self._context.clock.now_ms()),
-        )
+        is_idle = self._context.demand.is_idle(self._context.clock.now_ms())
+        return FleetPlan(limits, fleets, wanted, is_idle=is_idle).wishes()
 
     def _expected(
-        self, service: str, listings: list[Listing], zone: str, *, is_cheap: bool
+        self,
+        service: str,
+        listings: list[Listing],
+        zone: str,
+        *,
+        is_cheap: bool,
     ) -> int:
         """Return the targets that are there or on their way."""
         present = _count(listings, zone, is_cheap=is_cheap)
--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -71,7 +71,9 @@
         deployment = self._context.deployment
         return deployment.limits if deployment else CallerLimits()
 
-    def handle(self, raw: RawRequest, exchange: Exchange) -> 'Flow | NoHandling':
+    def handle(
+        self, raw: RawRequest, exchange: Exchange
+    ) -> 'Flow | NoHandling':
         """Begin to handle a request, or answer it at once."""
         try:
             request = self._context.dialect.request_from(
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -128,9 +128,7 @@
             self.is_over = True
             self._connection.abort()
 
-    def _begin(
-        self, status: int, headers: HeaderList, *, closes: bool
-    ) -> None:
+    def _begin(self, status: int, headers: HeaderList, *, closes: bool) -> None:
         self.is_begun = True
         self._connection.begin(status, headers, closes=closes)
 
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -149,9 +149,7 @@
                 end.body, engine.name, address
             )
         except WireError as error:
-            logger.bind(request=self._request.attempt_id).warning(
-                '{0}', error
-            )
+            logger.bind(request=self._request.attempt_id).warning('{0}', error)
             engine.health.failed(now_ms)
             return
         engine.health.succeeded()
@@ -316,5 +314,3 @@
 def _log_unfreed(failure: Any) -> None:
     failure.trap(TargetError)
     logger.info('cache not freed; it lapses by itself: {0}', failure.value)
-
-
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -12,8 +12,8 @@
 
 from cicadahoist.clock import MS_PER_S, Clock
 from cicadahoist.errors import NotSentError
-from cicadahoist.requests import HeaderList
 from cicadahoist.listings import Listing
+from cicadahoist.requests import HeaderList
 
 # Targets stand within a few ms; a lost opening packet is sent again after 1 s.
 CONNECT_TIMEOUT_MS = 600
@@ -185,7 +185,9 @@
         receiver = self._receiver
         if receiver is None:
             return
-        headers = [(bytes(name), bytes(text)) for name, text in response.headers]
+        headers = [
+            (bytes(name), bytes(text)) for name, text in response.headers
+        ]
         is_own = receiver.head_received(response.status_code, headers)
         self._skips = not is_own
 
@@ -294,7 +296,9 @@
         self._clock = clock
         self._pools_by_name: dict[str, TargetPool] = {}
 
-    async def open(self, listing: Listing) -> tuple[TargetConnection, TargetPool]:
+    async def open(
+        self, listing: Listing
+    ) -> tuple[TargetConnection, TargetPool]:
         """
         Return a connection to a target.
 
--- a/cicadahoist/serving/target_source.py
+++ b/cicadahoist/serving/target_source.py
@@ -4,9 +4,9 @@
 from typing import Any
 
 from cicadahoist.clock import Clock
+from cicadahoist.listings import Listing, TargetDirectory
 from cicadahoist.log import get_logger
 from cicadahoist.objects import Change, StoredObject
-from cicadahoist.listings import Listing, TargetDirectory
 
 logger = get_logger(__name__)
 
