Split the data path by what each part decides

Flow keeps what may have run, Reply how a request ends, RequestReader what a caller may send; boards, plain targets and repeats have modules of their own.

--- a/cicadahoist/cmd/front.py
+++ b/cicadahoist/cmd/front.py
@@ -8,7 +8,7 @@
 
 from cicadahoist.application import Application
 from cicadahoist.cmd.daemon import read_config
-from cicadahoist.platform.assembly import add_front
+from cicadahoist.cmd.front_assembly import add_front
 from cicadahoist.platform.settings_file import InstanceSettings
 
 app = typer.Typer(add_completion=False)
--- a/cicadahoist/platform/assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -1,14 +1,18 @@
 """Composes the tasks of one instance on the platform."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from cicadahoist.application import Application
-from cicadahoist.control.lease_task import LeaseTask
-from cicadahoist.control.term_deadlines import TermDeadlines
+from cicadahoist.cmd.front_duties import DutyAssembly
 from cicadahoist.ids import new_nonce
-from cicadahoist.objects import StoredObject
-from cicadahoist.outside.http import HttpClient
-from cicadahoist.platform.cloud import PlatformCalls
+from cicadahoist.objects import Change, StoredObject
+from cicadahoist.platform.clients import (
+    ORDER_TIMEOUT_MS,
+    new_http,
+    new_store,
+)
 from cicadahoist.platform.configuration import (
     CONFIG_KIND,
     CONFIG_NAME,
@@ -18,21 +22,10 @@
 from cicadahoist.platform.discovery import LISTING_KIND, listing_from
 from cicadahoist.platform.engines import EngineCalls
 from cicadahoist.platform.names import READY_PATH
-from cicadahoist.platform.objects import LeaseObjects, ObjectStore
 from cicadahoist.platform.settings_file import InstanceSettings
-from cicadahoist.protocol.authority import Authority
-from cicadahoist.protocol.lease import LeaseKeeper
-from cicadahoist.protocol.orders import OrderBook
-from cicadahoist.protocol.timing import LeaseTiming
-from cicadahoist.serving.context import RetryTerms, ServingContext
+from cicadahoist.policy.retry_share import RetryTerms
+from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.deployment_source import DeploymentSource
-from cicadahoist.serving.duties import (
-    LEASE_KIND,
-    LEASE_NAME,
-    NoTimer,
-    PlatformDuties,
-)
-from cicadahoist.serving.fleet_orders import RoleChanges, TargetOrders
 from cicadahoist.serving.front import Front
 from cicadahoist.serving.instance_records import InstanceRecords
 from cicadahoist.serving.load_exchange import (
@@ -43,18 +36,11 @@
 from cicadahoist.serving.server import FrontServer, ReadyServer
 from cicadahoist.serving.store_follower import KindFollower, ListTaker
 from cicadahoist.serving.target_source import TargetSource
-from cicadahoist.serving.usage_report import UsageReport
 
-# The store answers in some ms, sixty times as slowly on a bad day.
-STORE_TIMEOUT_MS = 900
-CONNECT_TIMEOUT_MS = 500
-ORDER_TIMEOUT_MS = 800
 # Keyed requests stop well before a withdrawn key must no longer work.
 KEY_AGE_SHARE = 0.8
 # Callers are sent elsewhere before keyed requests have to be refused.
 READY_AGE_SHARE = 0.6
-USAGE_PERIOD_MS = 400
-ORDER_PERIOD_MS = 500
 # Targets register within a heartbeat or two; a list is whole after this time.
 SETTLE_MS = 3500
 # How long the store holds a watch. The configuration's bounds how long ago a
@@ -62,7 +48,6 @@
 CONFIG_WAIT_MS = 1000
 LISTING_WAIT_MS = 1500
 PEER_WAIT_MS = 6000
-LEASE_MARGIN_MS = 200
 
 
 class FrontAssembly:
@@ -107,68 +92,56 @@
             self._reactor,
         )
         self._engine_calls = EngineCalls(
-            self._http(), settings.instance, ORDER_TIMEOUT_MS
+            new_http(self._reactor), settings.instance, ORDER_TIMEOUT_MS
         )
         self._context.usage.window_ms = settings.usage_window_ms
 
     def build(self) -> None:
         """Add all tasks, the ones that callers need last."""
         self._add_followers()
+        self._add_peering()
         self._add_duties()
         self._add_servers()
 
-    def _store(self) -> ObjectStore:
-        """Return a client with connections of its own."""
-        return ObjectStore.from_address(
-            self._settings.store, self._http(), STORE_TIMEOUT_MS
-        )
-
-    def _http(self) -> HttpClient:
-        return HttpClient(
-            self._reactor, CONNECT_TIMEOUT_MS, send_timeout_ms=STORE_TIMEOUT_MS
-        )
-
     def _add_followers(self) -> None:
         source = DeploymentSource(CONFIG_NAME, deployment_from)
         source.on_change(self._context.use)
-        follower = KindFollower(
-            self._store(),
+        self._config_follower = self._follower(
             CONFIG_KIND,
             CONFIG_WAIT_MS,
-            self._clock,
             source.list_received,
             source.change_received,
         )
-        self._config_follower = follower
         targets = TargetSource(
-            self._context.directory,
+            self._context.fleet.directory,
             listing_from,
             self._clock,
             lambda: listings.back_since_ms,
         )
-        listings = KindFollower(
-            self._store(),
+        listings = self._follower(
             LISTING_KIND,
             LISTING_WAIT_MS,
-            self._clock,
             self._settling(targets.list_received),
             targets.change_received,
         )
+        self._application.add(self._config_follower)
+        self._application.add(listings)
+
+    def _add_peering(self) -> None:
+        """Add what instances of one deployment tell each other."""
         settings = self._settings
         peer = PeerRecord(settings.host, settings.peer_ports[0])
         exchange = LoadExchange(
             self._context, settings.instance, peer, self._reactor
         )
-        peers = KindFollower(
-            self._store(),
+        peers = self._follower(
             PEER_KIND,
             PEER_WAIT_MS,
-            self._clock,
             exchange.list_received,
             exchange.change_received,
         )
         records = InstanceRecords(
-            self._store(),
+            new_store(settings.store, self._reactor),
             self._clock,
             PEER_KIND,
             settings.instance,
@@ -176,60 +149,45 @@
             msgspec.to_builtins(peer),
             self._context.usage,
         )
-        for task in (follower, listings, exchange, peers, records):
+        for task in (exchange, peers, records):
             self._application.add(task)
 
+    def _follower(
+        self,
+        kind: str,
+        wait_ms: int,
+        on_list: ListTaker,
+        on_change: Callable[[Change], None],
+    ) -> KindFollower:
+        store = new_store(self._settings.store, self._reactor)
+        return KindFollower(
+            store, kind, wait_ms, self._clock, on_list, on_change
+        )
+
     def _settling(self, take: ListTaker) -> ListTaker:
         """Return a taker of lists that lets orders begin some time later."""
 
         def taken(found: list[StoredObject]) -> None:
             take(found)
-            if not self._context.is_settled:
+            if not self._context.fleet.is_settled:
                 self._clock.call_later(SETTLE_MS, self._settle)
 
         return taken
 
     def _settle(self) -> None:
-        self._context.is_settled = True
+        self._context.fleet.is_settled = True
 
     def _add_duties(self) -> None:
-        settings = self._settings
-        if settings.orders is None:
+        if self._settings.orders is None:
             return
-        store = self._store()
-        duties = PlatformDuties(self._clock, self._context.true_time.now_ms)
-        calls = PlatformCalls.from_address(
-            settings.orders, self._http(), settings.instance, ORDER_TIMEOUT_MS
-        )
-        usage = UsageReport(
-            store, calls, settings.usage_window_ms, settings.usage_due_ms
-        )
-        duties.add(usage, USAGE_PERIOD_MS)
-        duties.add(
-            TargetOrders(self._context, calls, settings.zones), ORDER_PERIOD_MS
-        )
-        duties.add(
-            RoleChanges(self._context, self._engine_calls), ORDER_PERIOD_MS
-        )
-        timing = LeaseTiming(
-            term_ms=settings.term_ms,
-            margin_ms=LEASE_MARGIN_MS,
-            bound_ms=ORDER_TIMEOUT_MS,
-        )
-        lease = LeaseKeeper(LEASE_NAME, self._incarnation, timing)
-        task = LeaseTask(
-            Authority(lease, OrderBook(lease)),
-            duties,
-            LeaseObjects(store, LEASE_KIND),
-            self._clock,
-            TermDeadlines(NoTimer()),
-            may_stand=self._may_stand,
-            may_hold=self._may_stand,
+        duties = DutyAssembly(
+            self._context,
+            self._settings,
+            self._settings.orders,
+            self._incarnation,
+            self._reactor,
         )
-        duties.use(task)
-        # The lease lapses when the process ends: it is not given back, so
-        # that holders never change within a term.
-        self._application.add(Unstopped(task))
+        self._application.add(duties.task(self._engine_calls, self._may_stand))
 
     def _add_servers(self) -> None:
         settings = self._settings
@@ -274,23 +232,7 @@
         share = self._config_age_share()
         if share is None or share > READY_AGE_SHARE or self._front.is_leaving:
             return False
-        return any(True for _ in self._context.directory.everything())
-
-
-class Unstopped:
-    """A task that ends with its process."""
-
-    __slots__ = ('_task',)
-
-    def __init__(self, task: LeaseTask) -> None:
-        self._task = task
-
-    async def start(self) -> None:
-        """Start the task."""
-        await self._task.start()
-
-    async def stop(self) -> None:
-        """Leave the task as it is."""
+        return any(True for _ in self._context.fleet.directory.everything())
 
 
 def add_front(application: Application, settings: InstanceSettings) -> None:
--- /dev/null
+++ b/cicadahoist/cmd/front_duties.py
@@ -0,0 +1,123 @@
+"""Composes the duties of one instance at a time."""
+
+from collections.abc import Callable
+from typing import Any
+
+from cicadahoist.control.lease_task import LeaseTask
+from cicadahoist.control.term_deadlines import TermDeadlines
+from cicadahoist.platform.clients import ORDER_TIMEOUT_MS, new_http, new_store
+from cicadahoist.platform.cloud import PlatformCalls
+from cicadahoist.platform.engines import EngineCalls
+from cicadahoist.platform.objects import LeaseObjects
+from cicadahoist.platform.settings_file import Address, InstanceSettings
+from cicadahoist.protocol.authority import Authority
+from cicadahoist.protocol.lease import LeaseKeeper
+from cicadahoist.protocol.orders import OrderBook
+from cicadahoist.protocol.timing import LeaseTiming
+from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.duties import (
+    LEASE_KIND,
+    LEASE_NAME,
+    NoTimer,
+    PlatformDuties,
+)
+from cicadahoist.serving.fleet_orders import RoleChanges, TargetOrders
+from cicadahoist.serving.usage_report import UsageReport
+
+USAGE_PERIOD_MS = 400
+ORDER_PERIOD_MS = 500
+# Twice this time before its term ends, a holder stops using the lease.
+LEASE_MARGIN_MS = 200
+
+
+class DutyAssembly:
+    """
+    Builds the task that stands for the duties.
+
+    :param orders: the platform's interface for orders and reports
+    :param incarnation: name of this process, not used by any other
+    """
+
+    __slots__ = ('_context', '_incarnation', '_orders', '_reactor', '_settings')
+
+    def __init__(
+        self,
+        context: ServingContext,
+        settings: InstanceSettings,
+        orders: Address,
+        incarnation: str,
+        reactor: Any,
+    ) -> None:
+        self._context = context
+        self._settings = settings
+        self._orders = orders
+        self._incarnation = incarnation
+        self._reactor = reactor
+
+    def task(
+        self, engines: EngineCalls, may_stand: Callable[[], bool]
+    ) -> 'Unstopped':
+        """
+        Return the task.
+
+        :param engines: sends orders to engines
+        :param may_stand: tells whether this instance should stand
+        """
+        settings = self._settings
+        store = new_store(settings.store, self._reactor)
+        calls = PlatformCalls.from_address(
+            self._orders,
+            new_http(self._reactor),
+            settings.instance,
+            ORDER_TIMEOUT_MS,
+        )
+        clock = self._context.clock
+        duties = PlatformDuties(clock, self._context.true_time.now_ms)
+        usage = UsageReport(
+            store, calls, settings.usage_window_ms, settings.usage_due_ms
+        )
+        duties.add(usage, USAGE_PERIOD_MS)
+        duties.add(
+            TargetOrders(self._context, calls, settings.zones), ORDER_PERIOD_MS
+        )
+        duties.add(RoleChanges(self._context, engines), ORDER_PERIOD_MS)
+        task = LeaseTask(
+            self._authority(),
+            duties,
+            LeaseObjects(store, LEASE_KIND),
+            clock,
+            TermDeadlines(NoTimer()),
+            may_stand=may_stand,
+            may_hold=may_stand,
+        )
+        duties.use(task)
+        return Unstopped(task)
+
+    def _authority(self) -> Authority:
+        timing = LeaseTiming(
+            term_ms=self._settings.term_ms,
+            margin_ms=LEASE_MARGIN_MS,
+            bound_ms=ORDER_TIMEOUT_MS,
+        )
+        lease = LeaseKeeper(LEASE_NAME, self._incarnation, timing)
+        return Authority(lease, OrderBook(lease))
+
+
+class Unstopped:
+    """
+    A lease that lapses when its process ends.
+
+    It is not given back, so that holders never change within a term.
+    """
+
+    __slots__ = ('_task',)
+
+    def __init__(self, task: LeaseTask) -> None:
+        self._task = task
+
+    async def start(self) -> None:
+        """Start the task."""
+        await self._task.start()
+
+    async def stop(self) -> None:
+        """Leave the task as it is."""
--- a/cicadahoist/control/lease_task.py
+++ b/cicadahoist/control/lease_task.py
@@ -9,7 +9,7 @@
 from cicadahoist.control.store_calls import StoreCalls
 from cicadahoist.control.term_deadlines import TermDeadlines
 from cicadahoist.log import get_logger
-from cicadahoist.outside.store import Store
+from cicadahoist.outside.store import LeaseStore
 from cicadahoist.protocol.actions import (
     Action,
     ArmTimer,
@@ -67,7 +67,7 @@
         self,
         authority: Authority,
         duty: Duty,
-        store: Store,
+        store: LeaseStore,
         clock: Clock,
         deadlines: TermDeadlines,
         *,
--- a/cicadahoist/control/store_calls.py
+++ b/cicadahoist/control/store_calls.py
@@ -7,7 +7,7 @@
 
 from cicadahoist.errors import StoreError, VersionConflictError
 from cicadahoist.log import get_logger
-from cicadahoist.outside.store import Store
+from cicadahoist.outside.store import LeaseStore
 from cicadahoist.protocol.actions import ReadObject, WriteObject
 from cicadahoist.protocol.events import (
     ObjectRead,
@@ -33,7 +33,9 @@
 
     __slots__ = ('_handle', '_is_reading', '_store', 'writes_open')
 
-    def __init__(self, store: Store, handle: Callable[[Any], None]) -> None:
+    def __init__(
+        self, store: LeaseStore, handle: Callable[[Any], None]
+    ) -> None:
         self._store = store
         self._handle = handle
         self._is_reading = False
--- a/cicadahoist/log.py
+++ b/cicadahoist/log.py
@@ -112,7 +112,7 @@
             line.fields = {'fields_dropped': True}
             encoded = msgspec.json.encode(line, enc_hook=str)
         self._dropped = 0
-        os.write(self._descriptor, encoded + b'\n')
+        os.write(self._descriptor, b''.join((encoded, b'\n')))
 
     def _may_write(self) -> bool:
         now_s = self._seconds()
--- a/cicadahoist/outside/store.py
+++ b/cicadahoist/outside/store.py
@@ -38,7 +38,17 @@
     payload: bytes
 
 
-class Store(Protocol):
+class LeaseStore(Protocol):
+    """The part of a store that leases are kept in; see :class:`Store`."""
+
+    async def read(self, name: str) -> Stored | None:
+        """Return an object, or none."""
+
+    async def write(self, name: str, payload: bytes, expected: int) -> int:
+        """Write an object if its version is still the expected one."""
+
+
+class Store(LeaseStore, Protocol):
     """
     Versioned objects of up to 1 MiB.
 
--- a/cicadahoist/platform/configuration.py
+++ b/cicadahoist/platform/configuration.py
@@ -134,7 +134,8 @@
 
 
 def _service(wire: _WireService) -> ServiceRule:
-    engine = orders = None
+    engine: EngineSizes | None = None
+    orders: OrderLimits | None = None
     if wire.engine is not None:
         engine = EngineSizes(
             slots=wire.engine.slots,
--- a/cicadahoist/platform/dialect.py
+++ b/cicadahoist/platform/dialect.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cicadahoist.errors import CallerError, WireError
+from cicadahoist.outside.http import HTTP_MULTIPLE_CHOICES, HTTP_OK
 from cicadahoist.platform.names import (
     ATTEMPT_ID,
     CONNECTION_HEADERS,
@@ -37,8 +38,7 @@
 
 MS_PER_S = 1000
 HTTP_MISDIRECTED = 421
-HTTP_FAILURES = 400
-HTTP_SUCCESSES = range(200, 300)
+HTTP_SUCCESSES = range(HTTP_OK, HTTP_MULTIPLE_CHOICES)
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 
 
--- a/cicadahoist/platform/settings_file.py
+++ b/cicadahoist/platform/settings_file.py
@@ -115,6 +115,10 @@
                 remedy='correct the settings file; the old ones stay in force',
             ) from wrong
 
+    def with_bounds(self, bounds: dict[str, float]) -> 'InstanceSettings':
+        """Return a copy with other bounds."""
+        return msgspec.structs.replace(self, **bounds)
+
     @classmethod
     def _from_fields(cls, fields: dict[str, str]) -> 'InstanceSettings':
         first, _, last = fields['port-range'].partition(',')
@@ -133,8 +137,7 @@
             peer_ports=(int(first), int(last)),
             store=Address.from_text(fields['platform.address']),
             orders=Address.from_text(orders) if orders else None,
-            **_bounds(fields),
-        )
+        ).with_bounds(_bounds(fields))
 
 
 def _bounds(fields: dict[str, str]) -> dict[str, float]:
--- /dev/null
+++ b/cicadahoist/policy/patience.py
@@ -0,0 +1,24 @@
+"""How long a first token may be away for a request to be worth its place."""
+
+# Share of the time left within which a first token must be expected. Longer
+# queues serve as many, but all of them late.
+PATIENCE_SHARE = 0.2
+# The same where the aim is missed already, as for callers that come back.
+LATE_PATIENCE_SHARE = 0.08
+
+
+def patience_ms(left_ms: int, timeout_ms: int, aim_ms: int) -> float:
+    """
+    Return the longest expected wait with which a request is accepted.
+
+    Under overload, places go first to requests that can still be answered
+    within their aim.
+
+    :param left_ms: how long the caller goes on waiting
+    :param timeout_ms: how long it waits from its first attempt on
+    :param aim_ms: time in which an answer should begin, from then on
+    """
+    aim_left_ms = aim_ms - (timeout_ms - left_ms)
+    if aim_left_ms > 0:
+        return min(left_ms, max(aim_left_ms, PATIENCE_SHARE * left_ms))
+    return LATE_PATIENCE_SHARE * left_ms
--- a/cicadahoist/policy/placement.py
+++ b/cicadahoist/policy/placement.py
@@ -12,6 +12,7 @@
 )
 from cicadahoist.requests import ModelWork
 
+NONE_TRIED: frozenset[str] = frozenset()
 # Shorter prompts are read faster by a decode engine than handed over.
 HANDOFF_TOKENS = 600
 # Time to move a prompt's cache and to begin at the other engine.
@@ -57,7 +58,7 @@
         self._board = board
 
     def place(
-        self, work: ModelWork, now_ms: int, tried: frozenset[str] = frozenset()
+        self, work: ModelWork, now_ms: int, tried: frozenset[str] = NONE_TRIED
     ) -> Placement | None:
         """
         Return the engines for a request, or none where no engine is left.
@@ -109,34 +110,57 @@
         readers: list[EngineState],
         generators: list[EngineState],
     ) -> Placement:
-        reads = uncached_tokens(work)
-        home = home_engine(work, [engine.name for engine in readers])
-        options = []
-        for engine in readers:
-            own = reads
-            if engine.name == home:
-                own = home_tokens(work)
-            first_ms = self._board.first_token_ms(engine, own)
-            zone_ms = OTHER_ZONE_MS * (engine.zone != self._board.zone)
-            options.append((first_ms + zone_ms, engine.name, engine.zone, own))
-        read_ms, reader, zone, own = min(options)
-        tokens = held_tokens(work)
+        names = [reader.name for reader in readers]
+        home = home_engine(work, names)
+        reading = min(
+            (self._reading(work, reader, home) for reader in readers),
+            key=_soonest_reading,
+        )
         wait_ms, generator = min(
-            (
-                self._board.generate_wait_ms(engine, tokens)
-                + OTHER_ZONE_MS * (engine.zone != zone),
-                engine.name,
-            )
+            (self._wait_ms(work, engine, reading.zone), engine.name)
             for engine in generators
         )
         return Placement(
-            reader=reader,
+            reader=reading.engine,
             generator=generator,
-            first_token_ms=read_ms + HANDOFF_MS + wait_ms,
-            read_ms=read_ms,
-            reads=own,
+            first_token_ms=reading.read_ms + HANDOFF_MS + wait_ms,
+            read_ms=reading.read_ms,
+            reads=reading.reads,
         )
 
+    def _reading(
+        self, work: ModelWork, engine: EngineState, home: str
+    ) -> '_Reading':
+        reads = uncached_tokens(work)
+        if engine.name == home:
+            reads = home_tokens(work)
+        read_ms = self._board.first_token_ms(engine, reads)
+        if engine.zone != self._board.zone:
+            read_ms += OTHER_ZONE_MS
+        return _Reading(engine.name, engine.zone, read_ms, reads)
+
+    def _wait_ms(
+        self, work: ModelWork, engine: EngineState, zone: str
+    ) -> float:
+        """
+        Return the wait at a generator.
+
+        :param zone: availability zone of the engine that reads the prompt
+        """
+        wait_ms = self._board.generate_wait_ms(engine, held_tokens(work))
+        return wait_ms + OTHER_ZONE_MS * (engine.zone != zone)
+
+
+class _Reading(msgspec.Struct, frozen=True):
+    engine: str
+    zone: str
+    read_ms: float
+    reads: int
+
+
+def _soonest_reading(reading: _Reading) -> tuple[float, str]:
+    return (reading.read_ms, reading.engine)
+
 
 def held_tokens(work: ModelWork) -> int:
     """Return the tokens that a run holds in its engine's memory."""
--- a/cicadahoist/policy/retry_share.py
+++ b/cicadahoist/policy/retry_share.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+import msgspec
+
 # Buckets in which a window is counted.
 BUCKETS = 10
 # The slack is split among more instances than are known, as some may come.
@@ -10,21 +12,62 @@
 USED_SHARE = 0.6
 
 
-class RetryShare:
+class RetryTerms(msgspec.Struct, frozen=True):
     """
-    The own share of the repeats allowed at one service.
+    Bounds on repeats at one service, over all instances.
 
     :param share: repeats allowed for each request
-    :param slack: repeats allowed beside, over all instances
+    :param slack: repeats allowed beside
     :param window_ms: span over which they are counted
     """
 
-    __slots__ = ('_buckets', '_share', '_slack', '_width_ms')
+    share: float
+    slack: float
+    window_ms: int
+
+
+class RetryShares:
+    """
+    The own shares of the repeats at all services.
+
+    :param terms: bounds that the platform states
+    """
+
+    __slots__ = ('_by_service', '_terms', 'instances')
+
+    def __init__(self, terms: RetryTerms) -> None:
+        self._terms = terms
+        self._by_service: dict[str, RetryShare] = {}
+        self.instances = 1
+
+    def requested(self, service: str, now_ms: int) -> None:
+        """Count a request for a service."""
+        self._share(service).requested(now_ms)
+
+    def may_repeat(self, service: str, now_ms: int) -> bool:
+        """Take one repeat, or return false where none is left."""
+        return self._share(service).may_repeat(self.instances, now_ms)
+
+    def _share(self, service: str) -> 'RetryShare':
+        share = self._by_service.get(service)
+        if share is None:
+            share = RetryShare(self._terms)
+            self._by_service[service] = share
+        return share
+
+
+class RetryShare:
+    """
+    The own share of the repeats at one service.
+
+    :param terms: bounds that the platform states
+    """
+
+    __slots__ = ('_buckets', '_terms', '_width_ms')
 
-    def __init__(self, share: float, slack: float, window_ms: int) -> None:
-        self._share = share
-        self._slack = slack
-        self._width_ms = window_ms // BUCKETS
+    def __init__(self, terms: RetryTerms) -> None:
+        self._terms = terms
+        self._width_ms = terms.window_ms // BUCKETS
         self._buckets: deque[list[int]] = deque(maxlen=BUCKETS + 1)
 
     def requested(self, now_ms: int) -> None:
@@ -43,14 +86,15 @@
         ]
         requests = sum(entry[1] for entry in recent)
         repeats = sum(entry[2] for entry in recent)
-        own_slack = self._slack / (instances + SPARE_INSTANCES)
-        allowed = USED_SHARE * (self._share * requests + own_slack)
+        own_slack = self._terms.slack / (instances + SPARE_INSTANCES)
+        allowed = USED_SHARE * (self._terms.share * requests + own_slack)
         if repeats + 1 > allowed:
             return False
         bucket[2] += 1
         return True
 
     def _bucket(self, now_ms: int) -> list[int]:
+        """Return the counts of this moment: number, requests, repeats."""
         number = now_ms // self._width_ms
         if not self._buckets or self._buckets[-1][0] != number:
             self._buckets.append([number, 0, 0])
--- a/cicadahoist/policy/role_plan.py
+++ b/cicadahoist/policy/role_plan.py
@@ -37,8 +37,8 @@
     when it is cut off; steady engines generate, as streams last longest.
     """
     by_zone: dict[str, list[EngineView]] = {}
-    for engine in engines:
-        by_zone.setdefault(engine.zone, []).append(engine)
+    for listed in engines:
+        by_zone.setdefault(listed.zone, []).append(listed)
     changes = []
     for zone in sorted(by_zone):
         changes.extend(_plan_zone(by_zone[zone]))
@@ -53,15 +53,7 @@
 
 def _plan_zone(engines: list[EngineView]) -> list[RoleChange]:
     wanted = max(1, round(len(engines) / ENGINES_PER_GENERATOR))
-    ranked = sorted(
-        engines,
-        key=lambda engine: (
-            engine.is_changing,
-            engine.is_cheap,
-            engine.role != DECODE,
-            engine.name,
-        ),
-    )
+    ranked = sorted(engines, key=_generator_rank)
     chosen = {engine.name for engine in ranked[:wanted]}
     # An engine that generates already stays before a steady one changes.
     generating = [engine for engine in ranked if engine.role == DECODE]
@@ -73,3 +65,13 @@
         if engine.role and engine.role != role and not engine.is_changing:
             changes.append(RoleChange(engine.name, role))
     return changes
+
+
+def _generator_rank(engine: EngineView) -> tuple[bool, bool, bool, str]:
+    """Rank engines for generating, the best one first."""
+    return (
+        engine.is_changing,
+        engine.is_cheap,
+        engine.role != DECODE,
+        engine.name,
+    )
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -240,6 +240,10 @@
         'the stream broke off and is resumed',
         'see the log of the target; drain it if it breaks off again',
     )
+    target_failed = RetrySpec(
+        'the target failed a request that may be repeated',
+        'see the log of the target; drain it if it goes on failing',
+    )
     handoff_failed = RetrySpec(
         'KV cache was not passed on; the prompt is processed again',
         'see whether engines of the pool reach each other',
--- a/cicadahoist/rules.py
+++ b/cicadahoist/rules.py
@@ -138,7 +138,7 @@
     ) -> 'Deployment':
         """Return a deployment, its routes sorted for lookups."""
         by_host: dict[str, list[RouteRule]] = {}
-        for route in sorted(routes, key=lambda rule: -len(rule.prefix)):
+        for route in sorted(routes, key=_longest_first):
             by_host.setdefault(route.host, []).append(route)
         return cls(
             version=version,
@@ -154,3 +154,7 @@
             if path.startswith(route.prefix):
                 return route
         return None
+
+
+def _longest_first(route: RouteRule) -> int:
+    return -len(route.prefix)
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -220,6 +220,7 @@
         self._end(AttemptEnd(outcome, head, bytes(self._body), detail))
 
     def _end(self, end: AttemptEnd) -> None:
-        ended, self._ended = self._ended, None
+        ended = self._ended
+        self._ended = None
         if ended is not None:
             ended.callback(end)
--- /dev/null
+++ b/cicadahoist/serving/engine_boards.py
@@ -0,0 +1,70 @@
+"""The engines of all services, with their load."""
+
+from cicadahoist.listings import TargetDirectory
+from cicadahoist.policy.engine_board import EngineBoard, EngineState
+from cicadahoist.policy.placement import Placer
+from cicadahoist.rules import Deployment
+
+
+class EngineBoards:
+    """
+    Boards by service, kept in step with the directory.
+
+    :param directory: the targets of this moment
+    :param zone: availability zone of this instance
+    """
+
+    __slots__ = ('_by_service', '_deployment', '_directory', '_zone')
+
+    def __init__(self, directory: TargetDirectory, zone: str) -> None:
+        self._directory = directory
+        self._zone = zone
+        self._by_service: dict[str, EngineBoard] = {}
+        self._deployment: Deployment | None = None
+
+    def use(self, deployment: Deployment) -> None:
+        """Take over the sizes of the engines."""
+        self._deployment = deployment
+        self.sync()
+
+    def board(self, service: str) -> EngineBoard:
+        """Return the engines of a service."""
+        board = self._by_service.get(service)
+        if board is None:
+            board = EngineBoard(self._zone)
+            self._by_service[service] = board
+            self._sync_board(service, board)
+        return board
+
+    def placer(self, service: str) -> Placer:
+        """Return what places requests on the engines of a service."""
+        return Placer(self.board(service))
+
+    def everything(self) -> list[EngineBoard]:
+        """Return the boards of all services in use."""
+        return list(self._by_service.values())
+
+    def sync(self) -> None:
+        """Take over the directory."""
+        for service, board in self._by_service.items():
+            self._sync_board(service, board)
+
+    def _sync_board(self, service: str, board: EngineBoard) -> None:
+        cache_tokens = self._cache_tokens(service)
+        board.sync(
+            EngineState(
+                listing.name,
+                listing.zone,
+                listing.role,
+                listing.slots,
+                cache_tokens=cache_tokens,
+                is_cheap=listing.is_cheap,
+            )
+            for listing in self._directory.usable(service)
+        )
+
+    def _cache_tokens(self, service: str) -> int:
+        if self._deployment is None:
+            return 0
+        rule = self._deployment.services_by_name.get(service)
+        return rule.engine.cache_tokens if rule and rule.engine else 0
--- a/cicadahoist/serving/event_relay.py
+++ b/cicadahoist/serving/event_relay.py
@@ -41,7 +41,8 @@
 
     def end(self) -> bytes:
         """Return the bytes after the last event of a whole answer."""
-        rest, self._rest = self._rest, b''
+        rest = self._rest
+        self._rest = b''
         return rest
 
     def _is_new(self, event: bytes) -> bool:
--- a/cicadahoist/serving/fleet_orders.py
+++ b/cicadahoist/serving/fleet_orders.py
@@ -82,20 +82,29 @@
     ) -> None:
         """Order what is wanted and not there."""
         deployment = self._context.deployment
-        if deployment is None:
+        if deployment is None or not self._context.fleet.is_settled:
             return
         for rule in deployment.services_by_name.values():
-            if rule.orders is None or not self._context.is_settled:
-                continue
-            for wish in self._wishes(rule, rule.orders):
-                # Places of targets that are given up are taken by the others.
-                for is_cheap in (False, True):
-                    if not may_act():
-                        return
-                    await self._order(rule, rule.orders, wish, epoch, is_cheap)
+            limits = rule.orders
+            if limits is not None:
+                for wish in self._wishes(rule, limits):
+                    await self._order_both(rule, limits, wish, epoch, may_act)
+
+    async def _order_both(
+        self,
+        rule: ServiceRule,
+        limits: OrderLimits,
+        wish: ZoneWish,
+        epoch: int,
+        may_act: Callable[[], bool],
+    ) -> None:
+        # Places of targets that are given up are taken by the others.
+        for is_cheap in (False, True):
+            if may_act():
+                await self._order(rule, limits, wish, epoch, is_cheap)
 
     def _wishes(self, rule: ServiceRule, limits: OrderLimits) -> list[ZoneWish]:
-        listings = self._context.directory.usable(rule.name)
+        listings = self._context.fleet.directory.usable(rule.name)
         start = self._start.setdefault(rule.name, len(listings))
         wanted = targets_wanted(
             limits,
@@ -142,7 +151,7 @@
         is_cheap: bool,
     ) -> None:
         count = wish.cheap if is_cheap else wish.steady
-        listings = self._context.directory.usable(rule.name)
+        listings = self._context.fleet.directory.usable(rule.name)
         present = _count(listings, wish.zone, is_cheap=is_cheap)
         key = (rule.name, wish.zone, is_cheap)
         now_ms = self._context.clock.now_ms()
@@ -197,7 +206,7 @@
     ) -> None:
         """Order the roles that are wanted."""
         deployment = self._context.deployment
-        if deployment is None or not self._context.is_settled:
+        if deployment is None or not self._context.fleet.is_settled:
             return
         now_ms = self._clock.now_ms()
         for rule in deployment.services_by_name.values():
@@ -205,7 +214,7 @@
                 continue
             listings = {
                 listing.name: listing
-                for listing in self._context.directory.usable(rule.name)
+                for listing in self._context.fleet.directory.usable(rule.name)
             }
             views = [
                 EngineView(
@@ -260,7 +269,9 @@
         ).info('role ordered')
         if reply is OrderReply.accepted:
             closed_ms = now_ms + change_ms + RUN_OUT_MS
-            self._context.board(rule.name).close(listing.name, closed_ms)
+            self._context.fleet.boards.board(rule.name).close(
+                listing.name, closed_ms
+            )
             self._again_by_engine[listing.name] = (role, closed_ms)
 
 
--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -9,9 +9,10 @@
 from cicadahoist.rules import CallerLimits, Deployment, KeyHolder, RouteRule
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.flow import Flow
-from cicadahoist.serving.inbound import Exchange, RawRequest
+from cicadahoist.serving.inbound import Exchange
 from cicadahoist.serving.model_flow import FreeHandle, ModelFlow
 from cicadahoist.serving.plain_flow import PlainFlow
+from cicadahoist.serving.request_reader import RawRequest
 
 logger = get_logger(__name__)
 
@@ -140,7 +141,6 @@
             self._context,
             request,
             route,
-            route.service_for(request.attempt_id),
             holder.workspace if holder else '',
             exchange,
             min(MOST_URGENCY, rank),
@@ -168,14 +168,13 @@
         reason: Refusal,
         retry_after_ms: int | None = None,
     ) -> None:
-        deployment = self._context.deployment
         logger.bind(
             request=request.attempt_id if request else '',
             reason=reason.name,
             status=status,
-            version=deployment.version if deployment else None,
+            version=self._context.version,
         ).info('request refused')
-        self._context.metrics.refused(reason)
+        self._context.meters.refused(reason)
         exchange.answer(
             status, self._context.dialect.own_headers(request, retry_after_ms)
         )
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -11,13 +11,11 @@
 from cicadahoist.log import get_logger
 from cicadahoist.requests import HeaderList
 from cicadahoist.rules import CallerLimits
+from cicadahoist.serving.request_reader import RawRequest, RequestReader
 
 logger = get_logger(__name__)
 
-HTTP_BAD_REQUEST = 400
 HTTP_TIMEOUT = 408
-HTTP_TOO_LARGE = 413
-HTTP_HEADER_TOO_LARGE = 431
 # Bytes of further requests that a connection may send ahead.
 READ_AHEAD_BYTES = 262_144
 # How often bounds on pauses are checked; they are given in seconds.
@@ -26,23 +24,7 @@
 LINGER_MS = 1000
 
 
-class RawRequest:
-    """
-    A request as it was read.
-
-    :param path: request target as sent
-    :param headers: names in lower case
-    """
-
-    __slots__ = ('body', 'headers', 'method', 'path')
-
-    def __init__(
-        self, method: bytes, path: bytes, headers: HeaderList, body: bytes
-    ) -> None:
-        self.method = method
-        self.path = path
-        self.headers = headers
-        self.body = body
+_CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
 
 class Handling(Protocol):
@@ -133,6 +115,30 @@
         self._connection.begin(status, headers, closes=closes)
 
 
+class SlowCaller:
+    """
+    Lets a target wait while its caller reads slowly.
+
+    :param handling: what goes on with the request
+    """
+
+    __slots__ = ('_handling',)
+
+    def __init__(self, handling: Handling) -> None:
+        self._handling = handling
+
+    def pauseProducing(self) -> None:
+        """Pause the target."""
+        self._handling.pause()
+
+    def resumeProducing(self) -> None:
+        """Let the target go on."""
+        self._handling.resume()
+
+    def stopProducing(self) -> None:
+        """Nothing: the loss of the connection is told separately."""
+
+
 class CallerConnection(TwistedProtocol):
     """
     One connection of a caller.
@@ -149,8 +155,7 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=handler.limits.header_bytes
         )
-        self._request: h11.Request | None = None
-        self._body = bytearray()
+        self._reader: RequestReader | None = None
         self._exchange: Exchange | None = None
         self._handling: Handling | None = None
         self._is_closed = False
@@ -190,7 +195,8 @@
         if self._exchange is not None:
             self._exchange.is_over = True
         handling = self._handling
-        self._handling = self._exchange = None
+        self._handling = None
+        self._exchange = None
         if handling is not None:
             handling.caller_left()
         if self.on_lost is not None:
@@ -209,7 +215,10 @@
 
     def finished(self) -> None:
         """Go on with the next request, or close."""
-        self._exchange = self._handling = None
+        self._exchange = None
+        if self._handling is not None:
+            self._handling = None
+            self.transport.unregisterProducer()
         self._read_ahead = 0
         self._waits_since_ms = self._clock.now_ms()
         self._has_begun = False
@@ -247,19 +256,6 @@
         elif waited_ms > limits.idle_timeout_ms:
             self.close()
 
-    def pauseProducing(self) -> None:
-        """Pause the target, as the caller reads slowly."""
-        if self._handling is not None:
-            self._handling.pause()
-
-    def resumeProducing(self) -> None:
-        """Let the target go on."""
-        if self._handling is not None:
-            self._handling.resume()
-
-    def stopProducing(self) -> None:
-        """Nothing: the loss of the connection is told separately."""
-
     def _read(self) -> None:
         try:
             self._read_events()
@@ -271,50 +267,33 @@
             event = self._http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
-            if isinstance(event, h11.Request):
-                self._open(event)
-            elif isinstance(event, h11.Data):
-                self._add(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._dispatch()
-            else:
-                self.close()
-
-    def _open(self, request: h11.Request) -> None:
-        self._request = request
-        self._body.clear()
-        headers = list(request.headers)
-        size = sum(len(name) + len(text) for name, text in headers)
-        names = [name for name, _ in headers]
-        if size > self._handler.limits.header_bytes:
-            self._refuse(HTTP_HEADER_TOO_LARGE)
-        elif b'transfer-encoding' in names and b'content-length' in names:
-            # Two framings of one body are how requests are smuggled.
-            self._refuse(HTTP_BAD_REQUEST)
-        elif self._http.they_are_waiting_for_100_continue:
-            interim = h11.InformationalResponse(status_code=100, headers=[])
-            self.write(interim)
-
-    def _add(self, piece: bytes) -> None:
-        self._body += piece
-        if len(self._body) > self._handler.limits.body_bytes:
-            self._refuse(HTTP_TOO_LARGE)
-
-    def _dispatch(self) -> None:
-        request = self._request
-        if request is None:
-            return
-        raw = RawRequest(
-            bytes(request.method),
-            bytes(request.target),
-            [(bytes(name), bytes(text)) for name, text in request.headers],
-            bytes(self._body),
-        )
+            error = self._take(event)
+            if error is not None:
+                self._refuse(error)
+
+    def _take(self, event: Any) -> int | None:
+        """Take a part of a request; return the status if it is refused."""
+        if isinstance(event, h11.Request):
+            self._reader = RequestReader(self._handler.limits, event)
+            error = self._reader.head_error()
+            if error is None and self._http.they_are_waiting_for_100_continue:
+                self.write(_CONTINUE)
+            return error
+        if isinstance(event, h11.Data) and self._reader is not None:
+            return self._reader.body_error(bytes(event.data))
+        if isinstance(event, h11.EndOfMessage) and self._reader is not None:
+            self._dispatch(self._reader.whole())
+        else:
+            self.close()
+        return None
+
+    def _dispatch(self, raw: RawRequest) -> None:
         exchange = Exchange(self)
         self._exchange = exchange
         handling = self._handler.handle(raw, exchange)
         if self._exchange is exchange:
             self._handling = handling
+            self.transport.registerProducer(SlowCaller(handling), True)
 
     def _refuse(self, status: int) -> None:
         """Answer a request that was not read as a whole, and close."""
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -65,6 +65,8 @@
     :param record: where this instance takes loads
     """
 
+    transport: Any
+
     def __init__(
         self,
         context: ServingContext,
@@ -127,7 +129,7 @@
             load.held_by_engine,
             now_ms,
         )
-        for board in self._context.boards():
+        for board in self._context.fleet.boards.everything():
             board.hear(load.sender, heard)
             for engine, closed_ms in load.closed_by_engine.items():
                 if board.get(engine) is not None:
@@ -149,7 +151,7 @@
     def _tell(self) -> None:
         now_ms = self._clock.now_ms()
         message = LoadMessage(self._instance, 0, {}, {}, {})
-        for board in self._context.boards():
+        for board in self._context.fleet.boards.everything():
             board.forget_silent(now_ms)
             load = board.own_load()
             message.reads_by_engine.update(load.reads_by_engine)
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -171,20 +171,19 @@
             event = self._http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
-            if isinstance(event, h11.Response):
-                self._take_head(event)
-            elif isinstance(event, h11.Data):
-                if not self._skips:
-                    self._receiver.body_received(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._end_answer()
-            elif isinstance(event, h11.ConnectionClosed):
-                self._lose(Lost.closed)
-
-    def _take_head(self, response: h11.Response) -> None:
-        receiver = self._receiver
-        if receiver is None:
-            return
+            self._take(event, self._receiver)
+
+    def _take(self, event: Any, receiver: Receiver) -> None:
+        if isinstance(event, h11.Response):
+            self._take_head(event, receiver)
+        elif isinstance(event, h11.Data) and not self._skips:
+            receiver.body_received(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._end_answer()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._lose(Lost.closed)
+
+    def _take_head(self, response: h11.Response, receiver: Receiver) -> None:
         headers = [
             (bytes(name), bytes(text)) for name, text in response.headers
         ]
@@ -276,7 +275,8 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        idle, self._idle = self._idle, []
+        idle = self._idle
+        self._idle = []
         for connection in idle:
             connection.close()
 
@@ -324,7 +324,9 @@
         endpoint = TCP4ClientEndpoint(
             self._reactor, host, port, timeout=CONNECT_TIMEOUT_MS / MS_PER_S
         )
-        factory = Factory.forProtocol(lambda: TargetConnection(self._clock))
+        factory: Any = Factory.forProtocol(
+            lambda: TargetConnection(self._clock)
+        )
         factory.noisy = False
         try:
             return await endpoint.connect(factory)
--- /dev/null
+++ b/cicadahoist/serving/plain_targets.py
@@ -0,0 +1,78 @@
+"""Choice among the targets of a plain service."""
+
+from cicadahoist.ids import fast_hash
+from cicadahoist.listings import Listing, TargetDirectory
+from cicadahoist.policy.health import TargetHealth
+
+
+class PlainTargets:
+    """
+    Targets of plain services: own open requests and health.
+
+    :param directory: the targets of this moment
+    :param zone: availability zone of this instance
+    """
+
+    __slots__ = (
+        '_directory',
+        '_health_by_target',
+        '_open_by_target',
+        '_zone',
+    )
+
+    def __init__(self, directory: TargetDirectory, zone: str) -> None:
+        self._directory = directory
+        self._zone = zone
+        self._open_by_target: dict[str, int] = {}
+        self._health_by_target: dict[str, TargetHealth] = {}
+
+    def choose(
+        self, service: str, request_id: str, tried: set[str], now_ms: int
+    ) -> Listing | None:
+        """
+        Return the least used target of a service, or none.
+
+        An ejected target is used only where no other is left.
+        """
+        left = [
+            listing
+            for listing in self._directory.usable(service)
+            if listing.name not in tried
+        ]
+        if not left:
+            return None
+        return min(
+            left,
+            key=lambda listing: (
+                not self.health(listing.name).share(now_ms),
+                self._open_by_target.get(listing.name, 0),
+                listing.zone != self._zone,
+                fast_hash(request_id + listing.name),
+            ),
+        )
+
+    def health(self, target: str) -> TargetHealth:
+        """Return the health of a target."""
+        health = self._health_by_target.get(target)
+        if health is None:
+            health = TargetHealth()
+            self._health_by_target[target] = health
+        return health
+
+    def opened(self, target: str) -> None:
+        """Count an attempt at a target."""
+        self._open_by_target[target] = self._open_by_target.get(target, 0) + 1
+
+    def closed(self, target: str) -> None:
+        """Count an attempt as ended."""
+        left = self._open_by_target.get(target, 1) - 1
+        if left > 0:
+            self._open_by_target[target] = left
+        else:
+            self._open_by_target.pop(target, None)
+
+    def retain(self, names: set[str]) -> None:
+        """Forget the health of all other targets."""
+        for target in list(self._health_by_target):
+            if target not in names:
+                self._health_by_target.pop(target)
--- /dev/null
+++ b/cicadahoist/serving/reply.py
@@ -0,0 +1,148 @@
+"""How one request ends towards its caller: answer, refusal or failure."""
+
+from typing import Any
+
+from cicadahoist.clock import Timer
+from cicadahoist.log import get_logger
+from cicadahoist.reasons import Refusal
+from cicadahoist.requests import AnswerHead, InboundRequest
+from cicadahoist.rules import RouteRule
+from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.inbound import Exchange
+
+logger = get_logger(__name__)
+
+HTTP_UNAVAILABLE = 503
+# Callers come back no later than a third of the time that they have left.
+RETURN_SHARE = 0.33
+LEAST_RETURN_MS = 30
+
+
+class Reply:
+    """
+    The end of one request, told once to its caller, the log and the meters.
+
+    :param context: shared parts of the data path
+    :param request: the caller's request
+    :param exchange: takes the answer
+    """
+
+    __slots__ = (
+        '_began_ms',
+        '_context',
+        '_exchange',
+        '_request',
+        '_route',
+        'is_over',
+        'notes',
+        'timer',
+    )
+
+    def __init__(
+        self,
+        context: ServingContext,
+        request: InboundRequest,
+        route: RouteRule,
+        exchange: Exchange,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._route = route
+        self._exchange = exchange
+        self._began_ms: int | None = None
+        self.is_over = False
+        # Ends the request when its time is over.
+        self.timer: Timer | None = None
+        # What decided on the request, for its last log line.
+        self.notes: dict[str, Any] = {}
+
+    @property
+    def is_begun(self) -> bool:
+        """Whether the caller has got the head of an answer."""
+        return self._exchange.is_begun
+
+    def deliver(self, head: AnswerHead, body: bytes) -> None:
+        """Pass on a whole answer of a target."""
+        if self.is_over:
+            return
+        self._note_first_byte()
+        self._exchange.answer(head.status, head.headers, body)
+        self._context.meters.answered()
+        self.end('answered', status=head.status)
+
+    def begin(self, head: AnswerHead) -> None:
+        """Pass on the head of an answer that comes in pieces."""
+        if not self.is_over and not self._exchange.is_begun:
+            self._note_first_byte()
+            self._exchange.begin(head.status, head.headers)
+
+    def send(self, piece: bytes) -> None:
+        """Pass on a piece."""
+        if not self.is_over:
+            self._exchange.send(piece)
+
+    def finish(self, status: int) -> None:
+        """End an answer that came in pieces and is whole."""
+        if not self.is_over:
+            self._exchange.finish()
+            self._context.meters.answered()
+            self.end('answered', status=status)
+
+    def refuse(
+        self, reason: Refusal, retry_after_ms: int, left_ms: int
+    ) -> None:
+        """
+        Answer that the request has not run and will not.
+
+        :param retry_after_ms: when coming back helps
+        :param left_ms: how long the caller goes on waiting
+        """
+        if self.is_over:
+            return
+        bound_ms = max(LEAST_RETURN_MS, round(RETURN_SHARE * left_ms))
+        back_ms = min(max(LEAST_RETURN_MS, retry_after_ms), bound_ms)
+        self._context.meters.refused(reason)
+        self._exchange.answer(
+            HTTP_UNAVAILABLE,
+            self._context.dialect.own_headers(self._request, back_ms),
+        )
+        self.end('refused', reason=reason.name, retry_after_ms=back_ms)
+
+    def fail(self, status: int, reason: Refusal) -> None:
+        """End a request that may have run, promising nothing."""
+        if self.is_over:
+            return
+        self._context.meters.refused(reason)
+        if self._exchange.is_begun:
+            self._exchange.abort()
+        else:
+            self._exchange.answer(
+                status, self._context.dialect.own_headers(self._request, None)
+            )
+        self.end('failed', reason=reason.name, status=status)
+
+    def end(self, outcome: str, **notes: Any) -> None:
+        """Take note of the end."""
+        if self.is_over:
+            return
+        self.is_over = True
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        arrived_ms = self._request.arrived_ms
+        logger.bind(
+            request=self._request.attempt_id,
+            route=self._route.name,
+            outcome=outcome,
+            version=self._context.version,
+            first_ms=self._began_ms and self._began_ms - arrived_ms,
+            took_ms=self._context.clock.now_ms() - arrived_ms,
+            **self.notes,
+            **notes,
+        ).info('request ended')
+
+    def _note_first_byte(self) -> None:
+        if self._began_ms is None:
+            self._began_ms = self._context.clock.now_ms()
+            self._context.meters.began(
+                self._began_ms - self._request.arrived_ms
+            )
--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -8,6 +8,7 @@
 from cicadahoist.clock import Clock
 from cicadahoist.log import get_logger
 from cicadahoist.metrics import render_metrics
+from cicadahoist.outside.http import HTTP_OK, HTTP_UNAVAILABLE
 from cicadahoist.serving.front import Front
 from cicadahoist.serving.inbound import CallerConnections
 
@@ -108,7 +109,8 @@
 
         @app.route(path)
         def ready(request: Any) -> bytes:
-            request.setResponseCode(200 if is_ready() else 503)
+            status = HTTP_OK if is_ready() else HTTP_UNAVAILABLE
+            request.setResponseCode(status)
             return b''
 
         @app.route('/metrics')
