--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -213,7 +213,9 @@
                 if int(length):
                     self._http.send(h11.Data(data=bytes(int(length))))
                 self._http.send(h11.EndOfMessage())
-        self._http.receive_data(rest)
+        if rest:
+            # An empty piece would stand for the end of the connection.
+            self._http.receive_data(rest)
 
     def _settle(self) -> None:
         """Keep the connection for the next attempt, or close it."""
--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -14,7 +14,7 @@
 
 FIRST_PAUSE_MS = 50
 LONGEST_PAUSE_MS = 400
-# Answers that come this much later than usual count as an outage of the store.
+# Silence that is so much longer than a watch counts as an outage.
 OUTAGE_MS = 1500
 
 
@@ -35,6 +35,7 @@
 
     __slots__ = (
         '_clock',
+        '_heard_ms',
         '_is_stopped',
         '_kind',
         '_objects',
@@ -63,6 +64,7 @@
         self._on_list = on_list
         self._on_change = on_change
         self._is_stopped = False
+        self._heard_ms: int | None = None
         self._running: Deferred[None] | None = None
         self.revision = 0
         self.confirmed_ms: int | None = None
@@ -104,6 +106,7 @@
                     'history of the store is gone; listing again'
                 )
                 must_list = True
+                await self._clock.sleep(FIRST_PAUSE_MS)
                 continue
             except StoreError as error:
                 pause_ms = min(
@@ -114,12 +117,13 @@
                 ).warning('store not heard: {0}', error)
                 await self._clock.sleep(pause_ms)
                 continue
-            must_list = False
             pause_ms = 0
-            self._confirm(asked_ms)
+            must_list = False
+            self.confirmed_ms = asked_ms
 
     async def _list(self) -> None:
         page = await self._objects.page(self._kind)
+        self._note_answer()
         revision = page.as_of
         found = list(page.found)
         while page.has_more:
@@ -134,19 +138,24 @@
         seen = await self._objects.watch(
             self._kind, self.revision, self._wait_ms
         )
+        self._note_answer()
         for change in seen.changes:
             self._on_change(change)
         self.revision = max(self.revision, seen.as_of)
 
-    def _confirm(self, asked_ms: int) -> None:
+    def _note_answer(self) -> None:
+        """Take note that the store answers, and whether it was away."""
         now_ms = self._clock.now_ms()
-        age_ms = self.age_ms(now_ms)
-        if age_ms is not None and age_ms > self._wait_ms + OUTAGE_MS:
+        heard_ms = self._heard_ms
+        self._heard_ms = now_ms
+        if heard_ms is None:
+            return
+        silence_ms = now_ms - heard_ms
+        if silence_ms > self._wait_ms + OUTAGE_MS:
             self.back_since_ms = now_ms
-            logger.bind(kind=self._kind, age_ms=age_ms).info(
+            logger.bind(kind=self._kind, silence_ms=silence_ms).info(
                 'store is heard again'
             )
-        self.confirmed_ms = asked_ms
 
 
 def _log_end(failure: Any) -> None:
--- a/tests/test_core/test_log.py
+++ b/tests/test_core/test_log.py
@@ -1,9 +1,17 @@
 import json
+import os
 
 import pytest
 from loguru import logger
 
-from cicadahoist.log import configure_logging, get_logger
+from cicadahoist.log import (
+    BURST_LINES,
+    LINE_BYTES,
+    LINES_PER_S,
+    LineWriter,
+    configure_logging,
+    get_logger,
+)
 
 
 @pytest.fixture(autouse=True)
@@ -12,12 +20,12 @@
     logger.remove()
 
 
-def test_json_lines_carry_context_and_fields(capsys):
+def test_json_lines_carry_context_and_fields(capfd):
     configure_logging('json', 'INFO')
     log = get_logger('cicadahoist.entry')
     log.bind(request='r1', target='e1', epoch=7, reason='x').info('sent {0}', 1)
     log.debug('not written')
-    lines = capsys.readouterr().err.splitlines()
+    lines = capfd.readouterr().out.splitlines()
     assert len(lines) == 1
     line = json.loads(lines[0])
     assert line.pop('time')
@@ -41,15 +49,69 @@
 
 
 @pytest.mark.parametrize('log_format', ['text', 'json'])
-def test_error_is_logged_without_values_of_variables(capsys, log_format):
+def test_error_is_logged_without_values_of_variables(capfd, log_format):
     configure_logging(log_format, 'INFO')
     secret = 'key-of-clerk'
     try:
         raise ValueError(len(secret))
     except ValueError:
         get_logger('here').exception('failed')
-    written = capsys.readouterr().err
+    written = ''.join(capfd.readouterr())
     assert 'ValueError' in written
     assert 'key-of-clerk' not in written
     if log_format == 'json':
         assert len(written.splitlines()) == 1
+
+
+class Pipe:
+    """A pipe and a writer of lines to it, on a clock of the test's own."""
+
+    def __init__(self):
+        self.read_end, self.write_end = os.pipe()
+        self.seconds = 0
+        writer = LineWriter(self.write_end, lambda: self.seconds)
+        logger.remove()
+        logger.configure(extra={'module': 'here'})
+        logger.add(writer.write, level='INFO', diagnose=False)
+
+    def close(self):
+        os.close(self.read_end)
+        os.close(self.write_end)
+
+    def lines(self):
+        received = os.read(self.read_end, 1 << 20)
+        return [json.loads(line) for line in received.splitlines()]
+
+
+@pytest.fixture
+def pipe():
+    pipe = Pipe()
+    yield pipe
+    pipe.close()
+
+
+def test_a_reader_that_stops_never_blocks_the_process(pipe):
+    for _ in range(BURST_LINES - 1):
+        logger.bind(filler='x' * 1000).info('a line')
+    assert 0 < len(pipe.lines()) < BURST_LINES - 1
+    logger.info('after')
+    assert pipe.lines()[-1]['fields']['lines_dropped'] > 0
+
+
+def test_lines_a_second_are_bounded_and_dropped_ones_counted(pipe):
+    for _ in range(BURST_LINES + 50):
+        logger.info('x')
+    assert len(pipe.lines()) == BURST_LINES
+    pipe.seconds += 1
+    for _ in range(LINES_PER_S + 50):
+        logger.info('y')
+    lines = pipe.lines()
+    assert len(lines) == LINES_PER_S
+    assert lines[0]['fields']['lines_dropped'] == 50
+
+
+def test_a_line_is_never_longer_than_a_pipe_takes_at_once(pipe):
+    logger.bind(value='x' * 9000).info('long {0}', 'y' * 9000)
+    received = os.read(pipe.read_end, 1 << 20)
+    assert len(received) <= LINE_BYTES
+    assert json.loads(received)['message'].startswith('long')
--- /dev/null
+++ b/tests/test_platform/test_formats.py
@@ -0,0 +1,185 @@
+import pytest
+
+from cicadahoist.errors import ConfigError, WireError
+from cicadahoist.platform.configuration import deployment_from
+from cicadahoist.platform.discovery import listing_from
+from cicadahoist.platform.settings_file import Address, InstanceSettings
+from cicadahoist.requests import RepeatRule
+
+SETTINGS = """
+node=front-a-1
+zone=zone-a
+zones.zone-a=region
+zones.zone-b=region
+ip=10.1.0.7
+listen.front=10.1.0.7:8405
+listen.ready=10.1.0.7:8406
+port-range=7660,7675
+platform.address=10.200.1.7:8408
+cloud.address=10.200.0.60:8408
+bounds.revoke-ms=5000
+bounds.grace-s=8
+bounds.retry-ratio=0.2
+bounds.report-window-s=5
+something.new=1
+"""
+
+CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r1',
+            'host': 'h.example',
+            'path-prefix': '/a/',
+            'kind': 'streaming',
+            'timeout-ms': 2000,
+            'target-latency-ms': 150,
+            'priority': 0,
+            'traffic-split': [
+                {'service': 's1', 'weight': 90},
+                {'service': 's2', 'weight': 10},
+            ],
+            'max-attempts': 1,
+            'public': False,
+            'sticky': True,
+            'resumable': False,
+        },
+        {
+            'name': 'r2',
+            'host': 'h.example',
+            'path-prefix': '/a/b/',
+            'kind': 'safe',
+            'timeout-ms': 800,
+            'service': 's2',
+            'max-attempts': 2,
+            'public': True,
+        },
+    ],
+    'services': [
+        {
+            'name': 's1',
+            'engine': {'slots': 32, 'kv-capacity-tokens': 9000},
+            'autoscale': {
+                'min': 1,
+                'max': 4,
+                'boot-s': 4.0,
+                'spot-price': 0.15,
+                'zone-prices': {'zone-a': 1.0},
+            },
+        },
+        {'name': 's2', 'health-path': '/health', 'max-conns': 110},
+    ],
+    'limits': {'max-body-bytes': 100, 'unknown': 1},
+    'tenants': [{'name': 'w1', 'api-keys': ['k1', 'k2'], 'priority': 3}],
+}
+
+ENTRY = {
+    'service': 's1',
+    'address': '10.128.0.9:8080',
+    'zone': 'zone-a',
+    'version': 'v1',
+    'slots': 32,
+    'state': 'ready',
+    'cold-left-ms': 0,
+    'stage': 'decode',
+    'spot': True,
+    'seq': 4,
+}
+
+
+def test_settings_are_read_in_milliseconds():
+    settings = InstanceSettings.from_text(SETTINGS)
+    assert settings.instance == 'front-a-1'
+    assert settings.zones == ('zone-a', 'zone-b')
+    assert settings.callers == Address('10.1.0.7', 8405)
+    assert settings.peer_ports == (7660, 7675)
+    assert settings.grace_ms == 8000
+    assert settings.usage_window_ms == 5000
+    assert settings.retry_share == pytest.approx(0.2)
+
+
+@pytest.mark.parametrize(
+    ('before', 'after'),
+    [
+        ('node=front-a-1\n', ''),
+        ('listen.front=10.1.0.7:8405', 'listen.front=nowhere'),
+        ('bounds.grace-s=8', 'bounds.grace-s=long'),
+    ],
+)
+def test_wrong_settings_are_an_error_with_a_remedy(before, after):
+    with pytest.raises(ConfigError) as caught:
+        InstanceSettings.from_text(SETTINGS.replace(before, after))
+    assert caught.value.remedy
+
+
+def test_missing_settings_file_names_its_variable(tmp_path):
+    with pytest.raises(ConfigError, match='CICADAHOIST_CONFIG'):
+        InstanceSettings.from_file(str(tmp_path / 'none'))
+
+
+def test_the_longest_prefix_of_a_host_selects_the_route():
+    deployment = deployment_from(CONFIG)
+    assert deployment.route_for('h.example', '/a/b/c').name == 'r2'
+    assert deployment.route_for('h.example', '/a/x').name == 'r1'
+    assert deployment.route_for('h.example', '/ab') is None
+    assert deployment.route_for('other', '/a/x') is None
+
+
+def test_kinds_give_the_repeat_rule():
+    deployment = deployment_from(CONFIG)
+    assert deployment.route_for('h.example', '/a/x').repeat is RepeatRule.once
+    safe = deployment.route_for('h.example', '/a/b/')
+    assert safe.repeat is RepeatRule.repeatable
+
+
+def test_shares_of_a_route_follow_their_weights():
+    route = deployment_from(CONFIG).route_for('h.example', '/a/x')
+    chosen = [route.service_for(f'request-{n}') for n in range(2000)]
+    assert 140 < chosen.count('s2') < 260
+    assert route.service_for('request-1') == route.service_for('request-1')
+
+
+def test_keys_services_and_limits():
+    deployment = deployment_from(CONFIG)
+    assert deployment.holder_by_key['k2'].workspace == 'w1'
+    assert deployment.holder_by_key['k2'].priority == 3
+    assert deployment.limits.body_bytes == 100
+    service = deployment.services_by_name['s1']
+    assert service.orders.boot_ms == 4000
+    assert service.engine.cache_tokens == 9000
+    without = {k: v for k, v in CONFIG.items() if k != 'tenants'}
+    assert deployment_from(without).holder_by_key is None
+
+
+@pytest.mark.parametrize('spec', [None, 'x', {'version': 'one'}, {}])
+def test_undecodable_configuration_is_a_typed_error(spec):
+    with pytest.raises(WireError):
+        deployment_from(spec)
+
+
+def test_an_entry_names_a_target():
+    listing = listing_from('i-1', ENTRY)
+    assert listing.endpoint == ('10.128.0.9', 8080)
+    assert (listing.role, listing.is_cheap) == ('decode', True)
+    assert not listing.is_leaving
+    assert listing_from('i-1', {**ENTRY, 'state': 'draining'}).is_leaving
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'resting'},
+        {'address': 'nowhere'},
+        {'address': 7},
+        {'slots': 'many'},
+        {'stage': 'sleep'},
+        {'service': None},
+    ],
+)
+def test_odd_entries_name_no_target(change):
+    assert listing_from('i-1', {**ENTRY, **change}) is None
+
+
+@pytest.mark.parametrize('entry', [None, 'x', 4, []])
+def test_unreadable_entries_name_no_target(entry):
+    assert listing_from('i-1', entry) is None
--- /dev/null
+++ b/tests/test_policy/test_fleet_plan.py
@@ -0,0 +1,180 @@
+"""Which engines are kept running as cheap ones come and go."""
+
+import pytest
+
+from cicadahoist.policy.demand_rate import DemandRate
+from cicadahoist.policy.fleet_plan import (
+    FleetPlan,
+    ZoneFleet,
+    targets_wanted,
+)
+from cicadahoist.policy.role_plan import EngineView, plan_roles
+from cicadahoist.rules import OrderLimits
+
+ZONES = ('a', 'b', 'c')
+PRICES = {'a': 1.0, 'b': 0.8, 'c': 1.25}
+
+
+def limits(cheap_price=0.15, most=4):
+    return OrderLimits(
+        fewest=1,
+        most=most,
+        boot_ms=4000,
+        cheap_price=cheap_price,
+        price_by_zone=PRICES,
+    )
+
+
+def fleet(zone, steady=0, cheap=0, ready=None):
+    return ZoneFleet(
+        zone=zone,
+        steady=steady,
+        cheap=cheap,
+        cheap_ready=cheap if ready is None else ready,
+    )
+
+
+def wishes(fleets, wanted=12, is_idle=False, **terms):
+    plan = FleetPlan(limits(**terms), fleets, wanted, is_idle=is_idle)
+    return {wish.zone: (wish.steady, wish.cheap) for wish in plan.wishes()}
+
+
+def test_before_traffic_cheap_engines_replace_steady_ones():
+    found = [fleet(zone, steady=2) for zone in ZONES]
+    assert wishes(found, is_idle=True) == {
+        'a': (1, 3),
+        'b': (1, 3),
+        'c': (1, 3),
+    }
+
+
+def test_one_steady_engine_stays_in_the_cheapest_zone():
+    found = [fleet(zone, steady=1, cheap=3) for zone in ZONES]
+    assert wishes(found) == {'a': (0, 4), 'b': (1, 3), 'c': (0, 4)}
+
+
+def test_under_load_steady_engines_go_only_when_cheap_ones_serve():
+    found = [fleet(zone, steady=2, cheap=2, ready=0) for zone in ZONES]
+    assert all(steady == 2 for steady, _ in wishes(found).values())
+
+
+def test_a_reclaimed_zone_gets_stand_ins_and_room_for_cheap_ones():
+    found = [
+        fleet('a', steady=0, cheap=4),
+        fleet('b', steady=1, cheap=3),
+        fleet('c', steady=0, cheap=0),
+    ]
+    wished = wishes(found)
+    assert wished['c'] == (3, 1) or wished['c'] == (2, 2)
+    assert wished['a'] == (0, 4)
+    assert wished['b'] == (1, 3)
+
+
+def test_stand_ins_stay_until_cheap_engines_serve_again():
+    coming = [
+        fleet('a', cheap=4),
+        fleet('b', steady=1, cheap=3),
+        fleet('c', steady=2, cheap=2, ready=0),
+    ]
+    assert wishes(coming)['c'][0] == 2
+    serving = [*coming[:2], fleet('c', steady=2, cheap=2)]
+    assert wishes(serving)['c'] == (0, 4)
+
+
+def test_a_plan_that_was_carried_out_wants_no_change():
+    state = {zone: (2, 0) for zone in ZONES}
+    seen = []
+    for _ in range(6):
+        found = [
+            fleet(zone, steady=steady, cheap=cheap)
+            for zone, (steady, cheap) in state.items()
+        ]
+        state = wishes(found)
+        seen.append(state)
+    assert seen[-1] == seen[-2]
+
+
+def test_dear_cheap_engines_are_not_bought():
+    found = [fleet(zone, steady=2) for zone in ZONES]
+    assert wishes(found, cheap_price=0.9) == {zone: (2, 0) for zone in ZONES}
+
+
+@pytest.mark.parametrize('steady', range(5))
+@pytest.mark.parametrize('ready', range(5))
+def test_wishes_stay_within_the_bounds_of_a_zone(steady, ready):
+    found = [fleet(zone, steady=steady, cheap=4, ready=ready) for zone in ZONES]
+    for is_idle in (True, False):
+        for steady_wish, cheap_wish in wishes(found, is_idle=is_idle).values():
+            assert steady_wish >= 0
+            assert cheap_wish >= 0
+            assert 1 <= steady_wish + cheap_wish <= 4
+
+
+def test_demand_beyond_the_start_asks_for_more_engines():
+    assert targets_wanted(limits(most=30), 3, 11, 2) == 22
+    assert targets_wanted(limits(most=30), 3, 11, 9) == 36
+    assert targets_wanted(limits(), 3, 11, 9) == 12
+
+
+def test_demand_is_scaled_to_all_instances_and_forgotten():
+    rate = DemandRate()
+    rate.instances = 9
+    assert rate.is_idle(0)
+    for now_ms in range(0, 15_000, 100):
+        rate.arrived(20, now_ms)
+    assert 1.6 < rate.engines_busy(15_000) < 2.0
+    assert not rate.is_idle(16_000)
+    assert rate.engines_busy(40_000) == 0
+    assert rate.is_idle(40_000)
+
+
+def view(name, zone, role, **fields):
+    return EngineView(name=name, zone=zone, role=role, **fields)
+
+
+def test_each_zone_gets_a_generator_and_readers():
+    engines = [
+        view(f'{zone}{number}', zone, 'decode')
+        for zone in ZONES
+        for number in range(4)
+    ]
+    changes = plan_roles(engines, is_idle=True)
+    assert len(changes) == 9
+    assert {change.role for change in changes} == {'prefill'}
+
+
+def test_a_zone_without_generator_gets_one_first():
+    engines = [
+        view('a1', 'a', 'prefill', is_cheap=True),
+        view('a2', 'a', 'prefill'),
+        view('b1', 'b', 'decode'),
+        view('b2', 'b', 'decode'),
+    ]
+    changes = plan_roles(engines, is_idle=False)
+    assert [(change.engine, change.role) for change in changes] == [
+        ('a2', 'decode')
+    ]
+
+
+def test_alternating_mixes_change_no_roles():
+    engines = [
+        view('a1', 'a', 'decode'),
+        view('a2', 'a', 'prefill'),
+        view('a3', 'a', 'prefill'),
+    ]
+    assert not plan_roles(engines, is_idle=False)
+
+
+def test_few_engines_change_at_a_time_under_load():
+    engines = [view(f'a{n}', 'a', 'decode') for n in range(8)]
+    assert len(plan_roles(engines, is_idle=False)) == 2
+    engines[7] = view('a7', 'a', 'decode', is_changing=True)
+    assert len(plan_roles(engines, is_idle=False)) == 1
+
+
+def test_an_engine_in_change_is_not_ordered_again():
+    engines = [
+        view('a1', 'a', 'decode'),
+        view('a2', 'a', 'decode', is_changing=True),
+    ]
+    assert not plan_roles(engines, is_idle=True)
--- /dev/null
+++ b/tests/test_policy/test_placement.py
@@ -0,0 +1,202 @@
+"""Where prompts go under the loads that the deployments see."""
+
+from cicadahoist.policy.engine_board import (
+    DECODE,
+    PREFILL,
+    EngineBoard,
+    EngineState,
+    PeerLoad,
+)
+from cicadahoist.policy.patience import patience_ms
+from cicadahoist.policy.placement import (
+    Placer,
+    engine_urgency,
+    home_engine,
+    uncached_tokens,
+)
+from cicadahoist.requests import ModelWork, PromptPart
+
+CACHE = 232_000
+
+
+def long_prompt(document='doc-1', own=2900):
+    parts = (
+        PromptPart('guide', 2500),
+        PromptPart(document, 3800),
+        PromptPart('own', own),
+    )
+    total = sum(part.tokens for part in parts)
+    return ModelWork(
+        model='m', prompt_tokens=total, most_output_tokens=312, parts=parts
+    )
+
+
+def question():
+    return ModelWork(model='m', prompt_tokens=220, most_output_tokens=312)
+
+
+def board(readers=3, generators=2):
+    board = EngineBoard('zone-a')
+    board.sync(
+        [
+            *(engine(f'p{n}', PREFILL) for n in range(readers)),
+            *(engine(f'd{n}', DECODE) for n in range(generators)),
+        ]
+    )
+    return board
+
+
+def engine(name, role, zone='zone-a'):
+    return EngineState(name, zone, role, 32, cache_tokens=CACHE)
+
+
+def place(board, work, now_ms=0, tried=frozenset()):
+    return Placer(board).place(work, now_ms, tried)
+
+
+def test_burst_of_long_prompts_spreads_over_all_readers():
+    fleet = board(readers=4)
+    chosen = []
+    for number in range(16):
+        placement = place(fleet, long_prompt(f'doc-{number}'))
+        busy = placement.reader or placement.generator
+        fleet.get(busy).own_reads += placement.reads
+        chosen.append(busy)
+    assert {chosen.count(f'p{n}') for n in range(4)} <= {2, 3, 4}
+
+
+def test_load_of_peers_counts_until_they_fall_silent():
+    fleet = board(readers=2)
+    fleet.hear('peer', PeerLoad({'p0': 60_000}, {}, {}, 0))
+    assert place(fleet, long_prompt()).reader == 'p1'
+    fleet.hear('other', PeerLoad({'p1': 90_000}, {}, {}, 1000))
+    fleet.forget_silent(2000)
+    assert place(fleet, long_prompt()).reader == 'p0'
+
+
+def test_shared_parts_have_one_home_for_all_instances():
+    names = ['p0', 'p1', 'p2']
+    homes = {home_engine(long_prompt(f'doc-{n}'), names) for n in range(50)}
+    assert homes == set(names)
+    home = home_engine(long_prompt('doc-7'), names)
+    assert home == home_engine(long_prompt('doc-7'), names[::-1])
+    assert place(board(), long_prompt('doc-7')).reader == home
+
+
+def test_a_busy_home_is_left():
+    fleet = board()
+    home = home_engine(long_prompt(), ['p0', 'p1', 'p2'])
+    fleet.get(home).own_reads = 20_000
+    assert place(fleet, long_prompt()).reader != home
+
+
+def test_helpline_beside_a_burst_of_ledgers_is_not_behind_it():
+    fleet = board()
+    for name in ('p0', 'p1', 'p2'):
+        fleet.get(name).own_reads = 500_000
+    placement = place(fleet, question())
+    assert placement.reader is None
+    assert placement.first_token_ms < 20
+
+
+def test_generators_full_of_streams_are_predicted():
+    fleet = board(generators=1)
+    free_ms = place(fleet, long_prompt()).first_token_ms
+    fleet.get('d0').own_held = CACHE
+    assert place(fleet, long_prompt()).first_token_ms > free_ms
+    fleet.get('d0').own_held = 0
+    fleet.get('d0').own_runs = 64
+    assert place(fleet, long_prompt()).first_token_ms > free_ms
+
+
+def test_streams_go_to_the_generator_with_room():
+    fleet = board()
+    fleet.get('d0').own_runs = 32
+    fleet.get('d0').own_held = 200_000
+    assert place(fleet, question()).generator == 'd1'
+
+
+def test_a_slow_engine_gets_less():
+    fleet = board(readers=2)
+    for _ in range(20):
+        fleet.get('p0').observe(30, 150)
+    assert fleet.get('p0').slowness > 3
+    assert place(fleet, long_prompt()).reader == 'p1'
+
+
+def test_a_slow_engine_is_found_fast_again_when_it_recovers():
+    slow = engine('p0', PREFILL)
+    for _ in range(20):
+        slow.observe(30, 150)
+    for _ in range(40):
+        slow.observe(150, 30)
+    assert slow.slowness < 1.5
+
+
+def test_a_dead_reader_is_left_out_and_let_back():
+    fleet = board(readers=2)
+    fleet.get('p0').health.crashed(0)
+    fleet.get('p0').health.crashed(0)
+    assert place(fleet, long_prompt(), 1).reader == 'p1'
+    names = {
+        place(fleet, long_prompt(f'doc-{n}'), 60_000).reader for n in range(20)
+    }
+    assert names == {'p0', 'p1'}
+
+
+def test_if_all_readers_fail_they_are_tried_rather_than_none():
+    fleet = board(readers=1)
+    for _ in range(3):
+        fleet.get('p0').health.crashed(0)
+    assert place(fleet, long_prompt(), 1).reader == 'p0'
+
+
+def test_without_readers_generators_read_themselves():
+    placement = place(board(readers=0), long_prompt())
+    assert placement.reader is None
+    assert place(board(generators=0), long_prompt()) is None
+
+
+def test_half_a_zone_gone_leaves_work_to_the_others():
+    fleet = board(readers=4)
+    fleet.sync([engine('p2', PREFILL), engine('p3', PREFILL, 'zone-b')])
+    assert place(fleet, long_prompt()) is None
+    fleet.sync([engine('p2', PREFILL), engine('d5', DECODE)])
+    assert place(fleet, long_prompt()).reader == 'p2'
+
+
+def test_an_engine_that_changes_its_role_gets_nothing():
+    fleet = board(readers=2)
+    fleet.close('p0', 5000)
+    assert place(fleet, long_prompt(), 4999).reader == 'p1'
+    assert fleet.closed_for(4000) == {'p0': 1000}
+    fleet.close('p1', 9000)
+    assert place(fleet, long_prompt(), 6000).reader == 'p0'
+
+
+def test_a_listed_new_role_opens_an_engine_again():
+    fleet = board(readers=2)
+    fleet.close('p0', 50_000)
+    fleet.sync([engine('p0', DECODE), engine('p1', PREFILL)])
+    assert place(fleet, question(), 1).generator == 'p0'
+
+
+def test_short_prompts_are_never_preempted_for_long_ones():
+    assert engine_urgency(question(), 5) == 0
+    assert engine_urgency(long_prompt(), 0) == 1
+
+
+def test_the_part_that_all_share_is_not_work():
+    assert uncached_tokens(long_prompt()) == 3800 + 2900
+
+
+def test_fresh_requests_may_wait_longer_than_late_ones():
+    fresh = patience_ms(1990, 2000, 150)
+    late = patience_ms(1300, 2000, 150)
+    assert fresh > 2 * late
+    assert fresh >= 140
+    assert patience_ms(14_990, 15_000, 120) > 120
+
+
+def test_patience_never_exceeds_the_time_left():
+    assert patience_ms(50, 60, 150) <= 50
--- /dev/null
+++ b/tests/test_serving/test_duties.py
@@ -0,0 +1,217 @@
+import pytest
+
+from cicadahoist.clock import Clock
+from cicadahoist.errors import StoreUnavailableError
+from cicadahoist.serving.duties import PlatformDuties
+from cicadahoist.serving.duty_calls import OrderReply
+from cicadahoist.serving.instance_records import COUNT_KIND, InstanceRecords
+from cicadahoist.serving.usage_counts import UsageCounts
+from cicadahoist.serving.usage_report import SEALED_KIND, UsageReport
+from tests.coroutines import Pending, result_of
+from tests.test_serving.fake_objects import FakeObjects
+
+WINDOW_MS = 5000
+
+
+class Interface:
+    """Takes reports and answers as it is told."""
+
+    def __init__(self) -> None:
+        self.reports = []
+        self.replies = []
+
+    async def report_usage(self, window, counts, epoch):
+        self.reports.append((window, counts, epoch))
+        return self.replies.pop(0) if self.replies else OrderReply.accepted
+
+
+@pytest.fixture
+def objects():
+    objects = FakeObjects()
+    for name, counts in (('i1', {'w1': 3}), ('i2', {'w1': 1, 'w2': 2})):
+        objects.put(COUNT_KIND, name, {'windows': {'100': counts}})
+    return objects
+
+
+def report_at(objects, interface, true_ms, may_act=lambda: True, epoch=1):
+    report = UsageReport(objects, interface, WINDOW_MS, 10_000)
+    result_of(report.run(true_ms, may_act, epoch))
+    return report
+
+
+def of_window(interface, window):
+    return [entry for entry in interface.reports if entry[0] == window]
+
+
+def test_a_window_is_summed_over_all_instances(objects):
+    interface = Interface()
+    report_at(objects, interface, 101 * WINDOW_MS + 3500)
+    assert of_window(interface, 100) == [(100, {'w1': 4, 'w2': 2}, 1)]
+
+
+def test_a_window_is_not_reported_before_all_have_counted(objects):
+    interface = Interface()
+    report_at(objects, interface, 101 * WINDOW_MS + 500)
+    assert not of_window(interface, 100)
+
+
+def test_a_successor_reports_what_was_sealed(objects):
+    report_at(objects, Interface(), 101 * WINDOW_MS + 3500)
+    objects.put(COUNT_KIND, 'i3', {'windows': {'100': {'w1': 50}}})
+    interface = Interface()
+    report_at(objects, interface, 101 * WINDOW_MS + 5500, epoch=2)
+    assert of_window(interface, 100) == [(100, {'w1': 4, 'w2': 2}, 2)]
+
+
+def test_a_lost_answer_to_the_seal_changes_no_figure(objects):
+    interface = Interface()
+    objects.loses_answers = True
+    report = UsageReport(objects, interface, WINDOW_MS, 10_000)
+    while '100' not in objects.names(SEALED_KIND):
+        with pytest.raises(StoreUnavailableError):
+            result_of(report.run(101 * WINDOW_MS + 3500, lambda: True, 1))
+    objects.loses_answers = False
+    objects.put(COUNT_KIND, 'i3', {'windows': {'100': {'w1': 50}}})
+    result_of(report.run(101 * WINDOW_MS + 4500, lambda: True, 1))
+    assert of_window(interface, 100) == [(100, {'w1': 4, 'w2': 2}, 1)]
+
+
+@pytest.mark.parametrize('reply', [OrderReply.unknown, OrderReply.busy])
+def test_an_unanswered_report_is_repeated_with_the_same_figures(objects, reply):
+    interface = Interface()
+    interface.replies = [OrderReply.accepted, OrderReply.accepted, reply]
+    report = report_at(objects, interface, 101 * WINDOW_MS + 3500)
+    result_of(report.run(101 * WINDOW_MS + 4500, lambda: True, 1))
+    reports = of_window(interface, 100)
+    assert len(reports) == 2
+    assert reports[0] == reports[1]
+    result_of(report.run(101 * WINDOW_MS + 4900, lambda: True, 1))
+    assert len(of_window(interface, 100)) == 2
+
+
+def test_nothing_is_reported_once_the_lease_is_lost(objects):
+    interface = Interface()
+    report_at(objects, interface, 101 * WINDOW_MS + 3500, lambda: False)
+    assert not interface.reports
+
+
+def test_windows_past_their_due_time_are_left(objects):
+    interface = Interface()
+    report_at(objects, interface, 130 * WINDOW_MS)
+    assert not of_window(interface, 100)
+    assert of_window(interface, 128)
+
+
+def test_old_records_are_removed(objects):
+    interface = Interface()
+    report_at(objects, interface, 101 * WINDOW_MS + 3500)
+    assert '100' in objects.names(SEALED_KIND)
+    report_at(objects, interface, 109 * WINDOW_MS + 3500)
+    assert '100' not in objects.names(SEALED_KIND)
+    report_at(objects, interface, 112 * WINDOW_MS)
+    assert not objects.names(COUNT_KIND)
+
+
+class Term:
+    def __init__(self):
+        self.is_holder = True
+        self.epoch = 1
+
+
+class SlowJob:
+    """A job that waits between asking the store and acting."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.acted = []
+        self.runs = 0
+
+    def begin(self):
+        self.runs = 0
+
+    async def run(self, true_ms, may_act, epoch):
+        self.runs += 1
+        await self._clock.sleep(1000)
+        if may_act():
+            self.acted.append(epoch)
+
+
+@pytest.fixture
+def duties():
+    return RunDuties()
+
+
+class RunDuties:
+    """Duties under a term that the test ends."""
+
+    def __init__(self):
+        self.clock = Clock.manual()
+        self.term = Term()
+        self._duties = PlatformDuties(self.clock, self.clock.now_ms)
+        self._duties.use(self.term)
+        self.add = self._duties.add
+        self.tick = self._duties.tick
+
+
+def test_a_job_does_not_act_after_its_term(duties):
+    job = SlowJob(duties.clock)
+    duties.add(job, 100)
+    duties.tick(0)
+    duties.term.is_holder = False
+    duties.clock.advance(1000)
+    assert not job.acted
+
+
+def test_a_job_does_not_act_under_a_later_term(duties):
+    job = SlowJob(duties.clock)
+    duties.add(job, 100)
+    duties.tick(0)
+    duties.term.epoch = 2
+    duties.clock.advance(1000)
+    assert not job.acted
+
+
+def test_a_job_is_not_run_beside_itself(duties):
+    job = SlowJob(duties.clock)
+    duties.add(job, 200)
+    for now_ms in (0, 100, 200, 900):
+        duties.tick(now_ms)
+    assert job.runs == 1
+    duties.clock.advance(1000)
+    duties.tick(1300)
+    assert job.runs == 2
+
+
+def test_counts_of_an_instance_are_kept_in_the_store():
+    clock, objects, usage = Clock.manual(), FakeObjects(), UsageCounts()
+    records = InstanceRecords(
+        objects, clock, 'peers', 'i1', 'i1.n', {'host': 'h', 'port': 1}, usage
+    )
+    Pending(records.start())
+    assert objects.names('peers') == ['i1']
+    usage.began('w1', 500_000)
+    usage.began('', 500_000)
+    clock.advance(1500)
+    stored = objects.kinds[COUNT_KIND]['i1.n']
+    assert stored.spec == {'windows': {'100': {'w1': 1}}}
+    calls = len(objects.calls)
+    clock.advance(6000)
+    assert len(objects.calls) == calls
+    usage.began('w1', 500_001)
+    result_of(records.stop())
+    assert objects.kinds[COUNT_KIND]['i1.n'].spec['windows']['100']['w1'] == 2
+    assert not objects.names('peers')
+
+
+def test_counts_are_written_once_the_store_is_back():
+    clock, objects, usage = Clock.manual(), FakeObjects(), UsageCounts()
+    records = InstanceRecords(objects, clock, 'peers', 'i1', 'n', {}, usage)
+    objects.failure = 'down'
+    Pending(records.start())
+    usage.began('w1', 500_000)
+    clock.advance(3000)
+    objects.failure = None
+    for _ in range(4):
+        clock.advance(1500)
+    assert objects.names('peers') == ['i1']
+    assert objects.names(COUNT_KIND) == ['n']
--- /dev/null
+++ b/tests/test_serving/test_following.py
@@ -0,0 +1,192 @@
+import pytest
+
+from cicadahoist.clock import Clock
+from cicadahoist.errors import WireError
+from cicadahoist.listings import TargetDirectory
+from cicadahoist.serving.deployment_source import DeploymentSource
+from cicadahoist.serving.store_follower import KindFollower
+from cicadahoist.serving.target_source import TargetSource
+from tests.coroutines import Pending
+from tests.test_serving.fake_objects import FakeObjects
+from tests.test_serving.world import deployment, target
+
+
+class Followed:
+    """A follower of targets and one of the configuration."""
+
+    def __init__(self):
+        self.clock = Clock.manual()
+        self.objects = FakeObjects()
+        self.directory = TargetDirectory()
+        self.targets = TargetSource(
+            self.directory,
+            decode_target,
+            self.clock,
+            lambda: self.listings.back_since_ms,
+        )
+        self.listings = KindFollower(
+            self.objects,
+            'servers',
+            1000,
+            self.clock,
+            self.targets.list_received,
+            self.targets.change_received,
+        )
+        self.source = DeploymentSource('main', decode_deployment)
+        self.config = KindFollower(
+            self.objects,
+            'config',
+            1000,
+            self.clock,
+            self.source.list_received,
+            self.source.change_received,
+        )
+
+    def start(self):
+        Pending(self.listings.start())
+        Pending(self.config.start())
+
+    def fail_for(self, how, delay_ms):
+        self.objects.failure = how
+        self.objects.cut()
+        self.pass_time(delay_ms)
+        self.objects.failure = None
+        self.pass_time(500)
+
+    def pass_time(self, delay_ms):
+        for _ in range(delay_ms // 50):
+            self.clock.advance(50)
+
+    @property
+    def names(self):
+        return sorted(entry.name for entry in self.directory.everything())
+
+
+def decode_target(name, spec):
+    return target(name, **spec) if isinstance(spec, dict) else None
+
+
+def decode_deployment(spec):
+    if spec == 'broken':
+        raise WireError('broken', remedy='none')
+    return deployment(spec)
+
+
+@pytest.fixture
+def followed():
+    followed = Followed()
+    followed.objects.put('config', 'main', 1)
+    for name in ('t1', 't2', 't3', 't4', 't5'):
+        followed.objects.put('servers', name, {})
+    followed.start()
+    return followed
+
+
+def test_all_pages_of_a_list_are_taken(followed):
+    assert followed.names == ['t1', 't2', 't3', 't4', 't5']
+
+
+def test_changes_are_taken_as_they_come(followed):
+    followed.objects.put('servers', 't6', {})
+    followed.objects.drop('servers', 't1')
+    assert followed.names == ['t2', 't3', 't4', 't5', 't6']
+
+
+def test_a_leaving_target_gets_no_new_work(followed):
+    followed.objects.put('servers', 't2', {'is_leaving': True})
+    usable = [entry.name for entry in followed.directory.usable('app')]
+    assert 't2' not in usable
+    assert 't2' in followed.names
+
+
+def test_an_entry_that_turns_odd_names_no_target(followed):
+    followed.objects.put('servers', 't3', 'garbage')
+    assert 't3' not in followed.names
+    assert 't2' in followed.names
+
+
+def test_lost_history_is_listed_again(followed):
+    followed.objects.cut()
+    followed.objects.kinds['servers'].pop('t5')
+    followed.objects.oldest = 1000
+    followed.pass_time(500)
+    assert 't5' not in followed.names
+    followed.objects.oldest = 0
+
+
+def test_entries_that_lapsed_in_an_outage_have_time_to_return(followed):
+    followed.objects.kinds['servers'].pop('t1')
+    followed.objects.kinds['servers'].pop('t2')
+    followed.objects.oldest = 1000
+    followed.fail_for('down', 5000)
+    assert {'t1', 't2'} <= set(followed.names)
+    followed.objects.oldest = 0
+    followed.objects.put('servers', 't1', {})
+    followed.pass_time(3000)
+    assert 't1' in followed.names
+    assert 't2' not in followed.names
+
+
+def test_a_leaving_target_that_lapses_in_an_outage_is_gone(followed):
+    followed.objects.put('servers', 't1', {'is_leaving': True})
+    followed.objects.kinds['servers'].pop('t1')
+    followed.objects.oldest = 1000
+    followed.fail_for('busy', 5000)
+    assert 't1' not in followed.names
+
+
+def test_without_an_outage_a_missing_entry_is_gone_at_once(followed):
+    followed.objects.drop('servers', 't1')
+    assert 't1' not in followed.names
+
+
+def test_quiet_watches_are_no_outage(followed):
+    for _ in range(10):
+        followed.pass_time(1000)
+        followed.objects.quiet()
+    assert followed.listings.back_since_ms is None
+    followed.objects.drop('servers', 't1')
+    assert 't1' not in followed.names
+
+
+def test_configurations_never_go_back(followed):
+    followed.objects.put('config', 'main', 5)
+    assert followed.source.current.version == 5
+    followed.objects.put('config', 'main', 4)
+    assert followed.source.current.version == 5
+    followed.objects.put('config', 'main', 'broken')
+    assert followed.source.current.version == 5
+    followed.objects.put('config', 'main', 9)
+    assert followed.source.current.version == 9
+
+
+def test_a_removed_configuration_leaves_the_last_one(followed):
+    followed.objects.drop('config', 'main')
+    assert followed.source.current.version == 1
+
+
+def test_age_counts_from_when_the_store_was_asked(followed):
+    followed.clock.advance(900)
+    followed.objects.quiet()
+    # The watch that has just been answered was sent 900 ms ago.
+    assert followed.config.age_ms(followed.clock.now_ms()) == 900
+
+
+@pytest.mark.parametrize('how', ['busy', 'down'])
+def test_age_grows_while_the_store_is_away_and_falls_on_its_return(
+    followed, how
+):
+    followed.objects.failure = how
+    followed.objects.cut()
+    followed.pass_time(5000)
+    assert followed.config.age_ms(followed.clock.now_ms()) >= 5000
+    followed.objects.failure = None
+    followed.pass_time(500)
+    followed.objects.quiet()
+    assert followed.config.age_ms(followed.clock.now_ms()) < 1000
+
+
+def test_a_store_that_is_away_is_not_flooded(followed):
+    before = len(followed.objects.calls)
+    followed.fail_for('busy', 10_000)
+    assert len(followed.objects.calls) - before < 80
--- /dev/null
+++ b/tests/test_serving/test_front.py
@@ -0,0 +1,154 @@
+import pytest
+
+from cicadahoist.rules import CallerLimits
+from tests.test_serving.world import (
+    HOST,
+    World,
+    connect,
+    deployment,
+    target,
+)
+
+
+@pytest.fixture
+def world():
+    world = World()
+    world.add(target('t1'))
+    return world
+
+
+def test_unknown_routes_and_keys_are_refused(world):
+    assert world.ask(b'/none/').status == 404
+    assert world.ask(b'/submit/x', key=b'wrong').status == 401
+    assert world.ask(b'/submit/x', key=b'').status == 401
+    assert not world.sent
+
+
+def test_open_routes_need_no_key_and_no_fresh_store(world):
+    world.keys_valid = False
+    caller = world.ask(b'/open/x', key=b'')
+    world.sent[0].answer()
+    assert caller.status == 200
+    assert world.sent[0].header(b'X-Cicadahoist-Tenant') is None
+
+
+def test_keys_that_may_have_been_withdrawn_are_refused_as_not_run(world):
+    world.keys_valid = False
+    caller = world.ask(b'/submit/x')
+    assert caller.status == 503
+    assert caller.header(b'Retry-After')
+    assert not world.sent
+
+
+def test_before_the_first_configuration_nothing_is_denied(world):
+    world.context.deployment = None
+    caller = world.ask(b'/none/')
+    assert caller.status == 503
+
+
+def test_a_new_configuration_holds_for_the_next_request(world):
+    world.context.use(deployment(2, keys=('k2',)))
+    assert world.ask(b'/submit/x').status == 401
+    world.ask(b'/submit/x', key=b'k2')
+    assert len(world.sent) == 1
+
+
+def test_a_request_without_attempt_id_is_malformed(world):
+    caller = world.caller()
+    caller.write(
+        b'POST /submit/x HTTP/1.1\r\nHost: ' + HOST.encode() + b'\r\n'
+        b'Authorization: Token k1\r\nContent-Length: 0\r\n\r\n'
+    )
+    assert caller.status == 400
+
+
+def test_two_framings_of_one_body_are_refused(world):
+    caller = world.caller()
+    caller.write(
+        b'POST /submit/x HTTP/1.1\r\nHost: h.example\r\n'
+        b'X-Cicadahoist-Attempt-Id: s1\r\nContent-Length: 4\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /submit/y'
+    )
+    assert caller.status == 400
+    assert caller.is_closed
+    assert not world.sent
+
+
+def test_chunked_bodies_reach_the_target_whole(world):
+    caller = world.caller()
+    caller.write(
+        b'POST /submit/x HTTP/1.1\r\nHost: h.example\r\n'
+        b'X-Cicadahoist-Attempt-Id: s1\r\nAuthorization: Token k1\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n'
+    )
+    caller.write(b'2\r\nde\r\n0\r\n\r\n')
+    assert world.sent[0].request.endswith(b'\r\n\r\nabcde')
+    assert world.sent[0].header(b'Content-Length') == b'5'
+
+
+def test_bounds_on_heads_and_bodies():
+    world = World()
+    limits = CallerLimits(header_bytes=300, body_bytes=10)
+    world.context.use(deployment(limits=limits))
+    world.add(target('t1'))
+    assert world.ask(b'/submit/x', b'X-Long: ' + b'a' * 400).status == 431
+    caller = world.ask(b'/submit/x', body=b'b' * 11)
+    assert caller.status == 413
+    assert caller.is_closed
+
+
+def test_slow_heads_get_408_and_idle_connections_are_closed(world):
+    slow = world.factory.buildProtocol(None)
+    idle = world.factory.buildProtocol(None)
+    slow_transport, idle_transport = connect(slow), connect(idle)
+    world.factory.begin()
+    slow.dataReceived(b'POST /submit/x HT')
+    for _ in range(16):
+        world.clock.advance(250)
+    assert b' 408 ' in slow_transport.value()
+    assert idle_transport.protocol is not None
+    for _ in range(48):
+        world.clock.advance(250)
+    assert idle_transport.protocol is None
+    assert not idle_transport.value()
+
+
+def test_requests_on_one_connection_are_answered_in_turn(world):
+    caller = world.caller()
+    for _ in range(2):
+        caller.send(b'/submit/x', [b'Authorization: Token k1'])
+    assert len(world.sent) == 1
+    world.sent[0].answer(body=b'one')
+    world.clock.advance(0)
+    assert len(world.sent) == 2
+    world.sent[1].answer(body=b'two')
+    assert caller.received.index(b'one') < caller.received.index(b'two')
+
+
+def test_read_ahead_is_bounded(world):
+    caller = world.caller()
+    caller.send(b'/submit/x', [b'Authorization: Token k1'])
+    caller.write(b'x' * 300_000)
+    assert caller.is_closed
+
+
+def test_a_leaving_instance_asks_callers_to_connect_elsewhere(world):
+    world.front.is_leaving = True
+    caller = world.ask(b'/submit/x')
+    world.sent[0].answer()
+    assert caller.status == 200
+    assert caller.header(b'Connection') == b'close'
+    assert caller.is_closed
+
+
+def test_a_caller_that_waits_for_100_is_invited(world):
+    caller = world.caller()
+    caller.write(
+        b'POST /submit/x HTTP/1.1\r\nHost: h.example\r\n'
+        b'X-Cicadahoist-Attempt-Id: s1\r\nAuthorization: Token k1\r\n'
+        b'Expect: 100-continue\r\nContent-Length: 2\r\n\r\n'
+    )
+    assert caller.received.startswith(b'HTTP/1.1 100 ')
+    caller.write(b'ab')
+    assert world.sent[0].request.endswith(b'ab')
+    assert world.sent[0].header(b'Expect') is None
--- /dev/null
+++ b/tests/test_serving/test_model_flow.py
@@ -0,0 +1,192 @@
+import pytest
+
+from tests.test_serving.world import SHORT, World, prompt, target
+
+HANDLE = b'{"kv-handle":"h7","tokens":9000,"version":1}'
+
+
+@pytest.fixture
+def world():
+    world = World()
+    world.add(
+        target('p1', 'llm', 'prefill'),
+        target('d1', 'llm', 'decode'),
+        target('d2', 'llm', 'decode'),
+    )
+    return world
+
+
+def check(world, **fields):
+    return world.ask(b'/check/x', *prompt(), patience=2000, **fields)
+
+
+def ask(world, *headers):
+    return world.ask(b'/ask/x', *SHORT, *headers, patience=15_000)
+
+
+def stream(sent, *numbers):
+    sent.begin_stream()
+    sent.send_events(*numbers)
+
+
+def test_a_long_prompt_is_read_at_one_engine_and_answered_at_another(world):
+    caller = check(world)
+    reading = world.sent[0]
+    assert reading.target == 'p1'
+    assert reading.header(b'X-Cicadahoist-Serving-Stage') == b'prefill'
+    reading.answer(body=HANDLE)
+    run = world.sent[1]
+    assert run.header(b'X-Cicadahoist-Kv-Source') == b'10.0.0.1:80/h7'
+    assert run.header(b'X-Cicadahoist-Serving-Stage') is None
+    stream(run, 1, 2)
+    run.end_stream()
+    assert caller.status == 200
+    assert b'id: 2\ndata: t2\n\n' in caller.body
+    assert caller.body.endswith(b'0\r\n\r\n')
+
+
+def test_the_answer_of_the_reader_is_not_for_the_caller(world):
+    caller = check(world)
+    world.sent[0].answer(body=HANDLE)
+    assert not caller.received
+
+
+def test_a_short_prompt_goes_to_a_generator_as_a_whole(world):
+    ask(world)
+    assert world.sent[0].target in {'d1', 'd2'}
+    assert world.sent[0].header(b'X-Cicadahoist-Request-Priority') == b'0'
+
+
+def test_a_reader_that_breaks_off_leaves_the_prompt_to_a_generator(world):
+    caller = check(world)
+    world.sent[0].reset()
+    run = world.sent[1]
+    assert run.target in {'d1', 'd2'}
+    assert run.header(b'X-Cicadahoist-Kv-Source') is None
+    stream(run, 1)
+    run.end_stream()
+    assert caller.status == 200
+
+
+def test_a_rejected_reading_is_refused_as_not_run_on_a_single_attempt(world):
+    caller = check(world)
+    world.sent[0].reject()
+    assert len(world.sent) == 1
+    assert caller.status == 503
+
+
+def test_a_stream_that_may_not_repeat_is_cut_visibly(world):
+    caller = check(world)
+    world.sent[0].answer(body=HANDLE)
+    stream(world.sent[1], 1)
+    world.sent[1].reset()
+    assert len(world.sent) == 2
+    assert caller.transport.is_aborted
+    assert not caller.body.endswith(b'0\r\n\r\n')
+
+
+def test_a_run_that_breaks_off_before_its_first_event_is_not_repeated(world):
+    caller = check(world)
+    world.sent[0].answer(body=HANDLE)
+    world.sent[1].reset()
+    assert len(world.sent) == 2
+    assert caller.status == 502
+
+
+def test_a_resumable_stream_goes_on_behind_the_last_whole_event(world):
+    caller = ask(world)
+    first = world.sent[0]
+    stream(first, 1, 2)
+    first.send_bytes(b'id: 3\ndata: bro')
+    first.reset()
+    second = world.sent[1]
+    assert second.target != first.target
+    assert second.header(b'Last-Event-Id') == b'2'
+    stream(second, 3, 4)
+    second.end_stream()
+    events = caller.body
+    assert [events.count(b'id: %d\n' % n) for n in (1, 2, 3, 4)] == [1] * 4
+    assert b'bro' not in events
+    assert events.endswith(b'0\r\n\r\n')
+
+
+def test_events_that_the_caller_has_are_not_sent_twice(world):
+    caller = ask(world, b'Last-Event-Id: 5')
+    run = world.sent[0]
+    assert run.header(b'Last-Event-Id') == b'5'
+    stream(run, 5, 6)
+    run.end_stream()
+    assert caller.body.count(b'id: 5') == 0
+    assert caller.body.count(b'id: 6') == 1
+
+
+def test_events_leave_as_they_come(world):
+    caller = ask(world)
+    stream(world.sent[0], 1)
+    assert b't1' in caller.body
+    world.sent[0].send_bytes(b'id: 2\nda')
+    assert b'id: 2' not in caller.body
+
+
+def test_work_ends_when_the_caller_leaves(world):
+    caller = check(world)
+    world.sent[0].answer(body=HANDLE)
+    stream(world.sent[1], 1)
+    caller.leave()
+    assert world.sent[1].is_closed
+    engine = world.context.fleet.boards.board('llm').get(world.sent[1].target)
+    assert (engine.own_runs, engine.own_held, engine.own_reads) == (0, 0, 0)
+
+
+def test_a_cache_that_nobody_will_take_is_freed(world):
+    world.connections.refusing = {'d1', 'd2'}
+    caller = check(world)
+    world.sent[0].answer(body=HANDLE)
+    assert caller.status == 503
+    assert [handle.name for handle in world.freed] == ['h7']
+
+
+def test_a_reader_that_answers_after_its_caller_left_runs_nothing(world):
+    caller = check(world)
+    caller.leave()
+    assert world.sent[0].is_closed
+    assert len(world.sent) == 1
+
+
+def test_what_cannot_begin_in_time_is_refused_at_once(world):
+    for name in ('p1', 'd1', 'd2'):
+        engine = world.context.fleet.boards.board('llm').get(name)
+        engine.own_reads = 400_000
+    caller = check(world)
+    assert not world.sent
+    assert caller.status == 503
+    assert 0 < float(caller.header(b'Retry-After')) <= 2 / 3
+
+
+def test_without_engines_requests_are_refused_as_not_run():
+    world = World()
+    caller = check(world)
+    assert caller.status == 503
+
+
+def test_an_engine_that_has_just_gone_gets_nothing(world):
+    world.context.fleet.directory.put(
+        target('p1', 'llm', 'prefill', is_leaving=True)
+    )
+    check(world)
+    assert world.sent[0].target in {'d1', 'd2'}
+
+
+def test_the_route_timeout_ends_a_stream_before_its_first_event(world):
+    caller = check(world)
+    world.sent[0].answer(body=HANDLE)
+    world.clock.advance(2000)
+    assert caller.status == 504
+    assert world.sent[1].is_closed
+
+
+def test_a_reading_that_outlasts_the_deadline_did_not_run(world):
+    caller = check(world)
+    world.clock.advance(2000)
+    assert caller.status == 503
+    assert world.sent[0].is_closed
--- /dev/null
+++ b/tests/test_serving/world.py
@@ -0,0 +1,361 @@
+"""The data path of one instance on a manual clock, its targets scripted."""
+
+from itertools import count
+
+from opentelemetry.sdk.metrics import MeterProvider
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from cicadahoist.clock import Clock
+from cicadahoist.errors import NotSentError
+from cicadahoist.listings import Listing
+from cicadahoist.metrics import Metrics
+from cicadahoist.platform.dialect import Dialect
+from cicadahoist.policy.retry_share import RetryTerms
+from cicadahoist.requests import RepeatRule
+from cicadahoist.rules import (
+    CallerLimits,
+    Deployment,
+    EngineSizes,
+    KeyHolder,
+    RouteRule,
+    ServiceRule,
+    ServiceShare,
+)
+from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.front import Front
+from cicadahoist.serving.inbound import CallerConnection, CallerConnections
+from cicadahoist.serving.outbound import TargetConnection, TargetPool
+
+HOST = 'h.example'
+ATTEMPTS = count(1)
+
+
+class Transport(StringTransport):
+    """Records whether a connection was closed, and how."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_aborted = False
+        self.protocol = None
+
+    def setTcpNoDelay(self, enabled):
+        """Do nothing."""
+
+    def setTcpKeepAlive(self, enabled):
+        """Do nothing."""
+
+    def getHandle(self):
+        return None
+
+    def abortConnection(self):
+        self.is_aborted = True
+        self.lose(ConnectionLost())
+
+    def loseConnection(self):
+        super().loseConnection()
+        self.lose(ConnectionDone())
+
+    def lose(self, error):
+        protocol, self.protocol = self.protocol, None
+        if protocol is not None:
+            protocol.connectionLost(Failure(error))
+
+
+def connect(protocol):
+    transport = Transport()
+    transport.protocol = protocol
+    protocol.makeConnection(transport)
+    return transport
+
+
+class Sent:
+    """One attempt as a target sees it."""
+
+    def __init__(self, listing, connection, transport) -> None:
+        self.target = listing.name
+        self.connection = connection
+        self.transport = transport
+        self.start = len(transport.value())
+
+    @property
+    def request(self):
+        return self.transport.value()[self.start :]
+
+    def header(self, name):
+        head = self.request.partition(b'\r\n\r\n')[0]
+        for line in head.split(b'\r\n')[1:]:
+            key, _, text = line.partition(b': ')
+            if key.lower() == name.lower():
+                return text
+        return None
+
+    @property
+    def is_closed(self):
+        return self.transport.protocol is None
+
+    def answer(self, status=200, body=b'body', headers=(), *, signed=True):
+        """Answer as a whole."""
+        lines = [b'HTTP/1.1 %d X' % status, b'Content-Length: %d' % len(body)]
+        lines.append(b'X-Cicadahoist-Attempt-Id: ' + self.attempt_id)
+        if signed:
+            lines.append(b'X-Cicadahoist-Server-Seal: seal-of-target')
+        lines.extend(headers)
+        self.write(b'\r\n'.join(lines) + b'\r\n\r\n' + body)
+
+    def reject(self, status=503):
+        """State that the request was not run."""
+        self.answer(
+            status, b'', [b'X-Cicadahoist-Not-Executed: 1'], signed=False
+        )
+
+    def begin_stream(self):
+        """Send the head of a chunked stream."""
+        self.write(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n'
+            b'X-Cicadahoist-Attempt-Id: ' + self.attempt_id + b'\r\n'
+            b'X-Cicadahoist-Server-Seal: seal-of-target\r\n\r\n'
+        )
+
+    def send_events(self, *numbers):
+        """Send whole events of a stream."""
+        for number in numbers:
+            self.send_bytes(b'id: %d\ndata: t%d\n\n' % (number, number))
+
+    def send_bytes(self, piece):
+        self.write(b'%x\r\n%s\r\n' % (len(piece), piece))
+
+    def end_stream(self):
+        self.write(b'0\r\n\r\n')
+
+    def write(self, received):
+        self.connection.dataReceived(received)
+
+    def close(self):
+        """Close cleanly."""
+        self.transport.lose(ConnectionDone())
+
+    def reset(self):
+        """Reset the connection."""
+        self.transport.lose(ConnectionLost())
+
+    @property
+    def attempt_id(self):
+        return self.header(b'X-Cicadahoist-Attempt-Id')
+
+
+class Connections:
+    """Stands in for connections to targets."""
+
+    def __init__(self, clock) -> None:
+        self._clock = clock
+        self._pools = {}
+        self.sent = []
+        self.refusing = set()
+        self.pending = {}
+
+    def open(self, listing):
+        if listing.name in self.refusing:
+            return fail(NotSentError('refused', remedy='try another'))
+        pool = self._pools.setdefault(listing.name, TargetPool(listing))
+        connection = pool.take(self._clock.now_ms())
+        if connection is None:
+            connection = TargetConnection(self._clock)
+            connect(connection)
+        self.sent.append(Sent(listing, connection, connection.transport))
+        if listing.name in self.pending:
+            waiting = Deferred()
+            self.pending[listing.name].append(
+                lambda: waiting.callback((connection, pool))
+            )
+            return waiting
+        return succeed((connection, pool))
+
+    def retain(self, names):
+        """Keep all."""
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, world) -> None:
+        self.connection = CallerConnection(world.front, world.clock)
+        self.transport = connect(self.connection)
+
+    def send(self, path, headers=(), body=b'', method=b'POST'):
+        """Send a request and return the id of its attempt."""
+        attempt = b'a%d' % next(ATTEMPTS)
+        lines = [method + b' ' + path + b' HTTP/1.1']
+        lines.append(b'Host: ' + HOST.encode())
+        lines.append(b'X-Cicadahoist-Attempt-Id: ' + attempt)
+        lines.append(b'Content-Length: %d' % len(body))
+        lines.extend(headers)
+        self.write(b'\r\n'.join(lines) + b'\r\n\r\n' + body)
+        return attempt
+
+    def write(self, received):
+        self.connection.dataReceived(received)
+
+    @property
+    def received(self):
+        return self.transport.value()
+
+    @property
+    def status(self):
+        return int(self.received.split(b' ', 2)[1]) if self.received else None
+
+    def header(self, name):
+        head = self.received.partition(b'\r\n\r\n')[0]
+        for line in head.split(b'\r\n')[1:]:
+            key, _, text = line.partition(b': ')
+            if key.lower() == name.lower():
+                return text
+        return None
+
+    @property
+    def body(self):
+        return self.received.partition(b'\r\n\r\n')[2]
+
+    @property
+    def is_closed(self):
+        return self.transport.protocol is None
+
+    def leave(self):
+        self.transport.lose(ConnectionDone())
+
+
+def route(name, prefix, service, **fields):
+    defaults = {
+        'repeat': RepeatRule.once,
+        'streams': False,
+        'timeout_ms': 2000,
+        'first_aim_ms': 150,
+        'priority': 0,
+        'max_sends': 1,
+    }
+    return RouteRule(
+        name=name,
+        host=HOST,
+        prefix=prefix,
+        shares=(ServiceShare(service, 1),),
+        **{**defaults, **fields},
+    )
+
+
+ROUTES = [
+    route('submit', '/submit/', 'app'),
+    route(
+        'lookup',
+        '/lookup/',
+        'app',
+        repeat=RepeatRule.repeatable,
+        max_sends=2,
+    ),
+    route('check', '/check/', 'llm', streams=True, uses_engines=True),
+    route(
+        'ask',
+        '/ask/',
+        'llm',
+        repeat=RepeatRule.resumable,
+        streams=True,
+        uses_engines=True,
+        max_sends=2,
+        timeout_ms=15_000,
+        priority=1,
+    ),
+    route('open', '/open/', 'app', is_open=True),
+]
+
+
+def deployment(version=1, routes=None, keys=('k1',), limits=None):
+    return Deployment.from_routes(
+        version,
+        ROUTES if routes is None else routes,
+        [
+            ServiceRule(name='app'),
+            ServiceRule(
+                name='llm', engine=EngineSizes(slots=32, cache_tokens=232_000)
+            ),
+        ],
+        limits or CallerLimits(),
+        {key: KeyHolder('w1') for key in keys},
+    )
+
+
+def target(name, service='app', role='', zone='zone-a', **fields):
+    return Listing(
+        name=name,
+        service=service,
+        address='10.0.0.1:80',
+        zone=zone,
+        role=role,
+        slots=32,
+        **fields,
+    )
+
+
+class World:
+    """One instance with scripted targets."""
+
+    def __init__(self) -> None:
+        self.clock = Clock.manual()
+        self.context = ServingContext(
+            'zone-a',
+            Dialect(),
+            self.clock,
+            Metrics(MeterProvider()),
+            RetryTerms(0.2, 100, 10_000),
+            None,
+        )
+        self.connections = Connections(self.clock)
+        self.context.fleet.connections = self.connections
+        self.keys_valid = True
+        self.freed = []
+        self.front = Front(self.context, lambda: self.keys_valid, self._free)
+        self.factory = CallerConnections(self.front, self.clock)
+        self.context.use(deployment())
+
+    async def _free(self, handle):
+        self.freed.append(handle)
+
+    def add(self, *listings):
+        for listing in listings:
+            self.context.fleet.directory.put(listing)
+
+    def caller(self):
+        return Caller(self)
+
+    def ask(self, path, *headers, key=b'k1', patience=None, **fields):
+        """Send a request on a new connection and return its caller."""
+        caller = self.caller()
+        extra = list(headers)
+        if key:
+            extra.append(b'Authorization: Token ' + key)
+        if patience is not None:
+            extra.append(b'X-Cicadahoist-Deadline-Ms: %d' % patience)
+        caller.send(path, extra, **fields)
+        return caller
+
+    @property
+    def sent(self):
+        return self.connections.sent
+
+
+def prompt(tokens=9000, first=2500, middle=3800):
+    """Return the headers that describe a prompt."""
+    last = tokens - first - middle
+    return [
+        b'X-Cicadahoist-Model: m',
+        b'X-Cicadahoist-Token-Count: %d,312' % tokens,
+        b'X-Cicadahoist-Prompt-Prefix: aa:%d,bb:%d,cc:%d'
+        % (first, middle, last),
+    ]
+
+
+SHORT = [
+    b'X-Cicadahoist-Model: m',
+    b'X-Cicadahoist-Token-Count: 200,312',
+    b'X-Cicadahoist-Prompt-Prefix: aa:50,cc:150',
+]
