Take over changed settings on SIGHUP and without a signal

Cause: SIGHUP ended the process (default action); found by reading the kinds that may come (hup). Broken settings leave the old ones in force.

--- a/cicadahoist/application.py
+++ b/cicadahoist/application.py
@@ -2,7 +2,7 @@
 
 import signal
 import sys
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
@@ -42,6 +42,7 @@
     __slots__ = (
         '_has_failed',
         '_leaving',
+        '_on_reload',
         '_reactor',
         '_tasks',
         'clock',
@@ -56,6 +57,7 @@
         self._reactor = reactor
         self._tasks: list[Task] = []
         self._leaving = False
+        self._on_reload: list[Callable[[], None]] = []
         self._has_failed = False
 
     @classmethod
@@ -70,6 +72,10 @@
         """Add a task."""
         self._tasks.append(task)
 
+    def on_reload(self, action: Callable[[], None]) -> None:
+        """Call ``action`` when SIGHUP says that settings have changed."""
+        self._on_reload.append(action)
+
     def run(self) -> None:
         """
         Run until a signal arrives and all tasks have stopped.
@@ -87,20 +93,32 @@
     async def _start(self) -> None:
         for signum in (signal.SIGTERM, signal.SIGINT):
             signal.signal(signum, self._on_signal)
+        signal.signal(signal.SIGHUP, self._on_hangup)
+        logger.info('starting')
         for task in self._tasks:
             await task.start()
 
     def _on_signal(self, signum: int, frame: Any) -> None:
         self._reactor.callFromThread(self._leave)
 
+    def _on_hangup(self, signum: int, frame: Any) -> None:
+        self._reactor.callFromThread(self._reload)
+
+    def _reload(self) -> None:
+        logger.info('SIGHUP: reading settings again')
+        for action in self._on_reload:
+            action()
+
     def _leave(self) -> None:
         if not self._leaving:
             self._leaving = True
+            logger.info('asked to stop')
             self._spawn(self._stop())
 
     async def _stop(self) -> None:
         for task in reversed(self._tasks):
             await task.stop()
+        logger.info('stopped')
         self._reactor.stop()
 
     def _fail(self, failure: Any) -> None:
--- a/cicadahoist/cmd/front.py
+++ b/cicadahoist/cmd/front.py
@@ -26,7 +26,9 @@
 ) -> None:
     """Serve callers and stand for the duties of the deployment."""
     application = Application.from_config(read_config(config))
-    add_front(application, InstanceSettings.from_file(platform_settings))
+    add_front(
+        application, lambda: InstanceSettings.from_file(platform_settings)
+    )
     # What was imported stays; collections need not look at it again.
     gc.collect()
     gc.freeze()
--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -34,6 +34,7 @@
     PeerRecord,
 )
 from cicadahoist.serving.server import FrontServer, ReadyServer
+from cicadahoist.serving.settings_watch import SettingsWatch
 from cicadahoist.serving.store_follower import KindFollower, ListTaker
 from cicadahoist.serving.target_source import TargetSource
 
@@ -55,7 +56,7 @@
     Builds the tasks of one instance.
 
     :param application: runs the tasks
-    :param settings: what the platform tells this instance
+    :param read_settings: reads what the platform tells this instance
     """
 
     __slots__ = (
@@ -67,28 +68,28 @@
         '_front',
         '_incarnation',
         '_reactor',
+        '_read_settings',
         '_settings',
     )
 
     def __init__(
-        self, application: Application, settings: InstanceSettings
+        self,
+        application: Application,
+        read_settings: Callable[[], InstanceSettings],
     ) -> None:
+        settings = read_settings()
         self._application = application
+        self._read_settings = read_settings
         self._settings = settings
         self._clock = application.clock
         self._reactor = application.clock.scheduler
         self._incarnation = f'{settings.instance}.{new_nonce()}'
-        terms = RetryTerms(
-            settings.retry_share,
-            settings.retry_slack,
-            settings.retry_window_ms,
-        )
         self._context = ServingContext(
             settings.zone,
             Dialect(),
             self._clock,
             application.metrics,
-            terms,
+            _retry_terms(settings),
             self._reactor,
         )
         self._engine_calls = EngineCalls(
@@ -98,11 +99,21 @@
 
     def build(self) -> None:
         """Add all tasks, the ones that callers need last."""
+        watch = SettingsWatch(
+            self._read_settings, self._settings, self._use, self._clock
+        )
+        self._application.on_reload(watch.reload)
+        self._application.add(watch)
         self._add_followers()
         self._add_peering()
         self._add_duties()
         self._add_servers()
 
+    def _use(self, settings: InstanceSettings) -> None:
+        """Take over settings that may change while the process runs."""
+        self._settings = settings
+        self._context.retries.use(_retry_terms(settings))
+
     def _add_followers(self) -> None:
         source = DeploymentSource(CONFIG_NAME, deployment_from)
         source.on_change(self._context.use)
@@ -235,6 +246,18 @@
         return any(True for _ in self._context.fleet.directory.everything())
 
 
-def add_front(application: Application, settings: InstanceSettings) -> None:
-    """Add the tasks of an instance to an application."""
-    FrontAssembly(application, settings).build()
+def add_front(
+    application: Application, read_settings: Callable[[], InstanceSettings]
+) -> None:
+    """
+    Add the tasks of an instance to an application.
+
+    :param read_settings: reads what the platform tells this instance
+    """
+    FrontAssembly(application, read_settings).build()
+
+
+def _retry_terms(settings: InstanceSettings) -> RetryTerms:
+    return RetryTerms(
+        settings.retry_share, settings.retry_slack, settings.retry_window_ms
+    )
--- a/cicadahoist/policy/retry_share.py
+++ b/cicadahoist/policy/retry_share.py
@@ -40,6 +40,12 @@
         self._by_service: dict[str, RetryShare] = {}
         self.instances = 1
 
+    def use(self, terms: RetryTerms) -> None:
+        """Take over other bounds; what was counted stays."""
+        self._terms = terms
+        for share in self._by_service.values():
+            share.use(terms)
+
     def requested(self, service: str, now_ms: int) -> None:
         """Count a request for a service."""
         self._share(service).requested(now_ms)
@@ -70,6 +76,10 @@
         self._width_ms = terms.window_ms // BUCKETS
         self._buckets: deque[list[int]] = deque(maxlen=BUCKETS + 1)
 
+    def use(self, terms: RetryTerms) -> None:
+        """Take over other bounds."""
+        self._terms = terms
+
     def requested(self, now_ms: int) -> None:
         """Count a request."""
         self._bucket(now_ms)[1] += 1
--- /dev/null
+++ b/cicadahoist/serving/settings_watch.py
@@ -0,0 +1,70 @@
+"""Takes over changed settings while the process runs."""
+
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+from cicadahoist.clock import Clock, Timer
+from cicadahoist.errors import ConfigError
+from cicadahoist.log import get_logger
+
+logger = get_logger(__name__)
+
+# Settings may also change without a signal.
+CHECK_MS = 2000
+
+Settings = TypeVar('Settings')
+
+
+class SettingsWatch(Generic[Settings]):
+    """
+    Reads the settings again, on a signal and now and then.
+
+    :param read: reads the settings; may raise :exc:`ConfigError`
+    :param current: the settings in force
+    :param apply: takes over other settings
+    """
+
+    __slots__ = ('_apply', '_clock', '_is_wrong', '_read', '_timer', 'current')
+
+    def __init__(
+        self,
+        read: Callable[[], Settings],
+        current: Settings,
+        apply: Callable[[Settings], None],
+        clock: Clock,
+    ) -> None:
+        self._read = read
+        self._apply = apply
+        self._clock = clock
+        self._timer: Timer | None = None
+        self._is_wrong = False
+        self.current = current
+
+    async def start(self) -> None:
+        """Begin to look for changes."""
+        self._timer = self._clock.call_later(CHECK_MS, self._check)
+
+    async def stop(self) -> None:
+        """Stop looking."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def reload(self) -> None:
+        """Take over the settings, unless they are wrong or the same."""
+        try:
+            found = self._read()
+        except ConfigError as error:
+            if not self._is_wrong:
+                logger.error('old settings stay in force: {0}', error)
+            self._is_wrong = True
+            return
+        self._is_wrong = False
+        if found == self.current:
+            return
+        self.current = found
+        self._apply(found)
+        logger.info('settings changed')
+
+    def _check(self) -> None:
+        self.reload()
+        self._timer = self._clock.call_later(CHECK_MS, self._check)
