Await the counts of all instances before a window is sealed

Records now say which window an instance has closed; a window is sealed when all have, or 2.5 s before it is due. Ruled out: wrong clocks, lost leases.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -159,6 +159,7 @@
             self._incarnation,
             msgspec.to_builtins(peer),
             self._context.usage,
+            self._context.true_time.now_ms,
         )
         for task in (exchange, peers, records):
             self._application.add(task)
--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -22,9 +22,10 @@
     PlatformDuties,
 )
 from cicadahoist.serving.fleet_orders import RoleChanges, TargetOrders
+from cicadahoist.serving.load_exchange import PEER_KIND
 from cicadahoist.serving.usage_report import UsageReport
 
-USAGE_PERIOD_MS = 400
+USAGE_PERIOD_MS = 800
 ORDER_PERIOD_MS = 500
 # Twice this time before its term ends, a holder stops using the lease.
 LEASE_MARGIN_MS = 200
@@ -74,7 +75,11 @@
         clock = self._context.clock
         duties = PlatformDuties(clock, self._context.true_time.now_ms)
         usage = UsageReport(
-            store, calls, settings.usage_window_ms, settings.usage_due_ms
+            store,
+            calls,
+            PEER_KIND,
+            settings.usage_window_ms,
+            settings.usage_due_ms,
         )
         duties.add(usage, USAGE_PERIOD_MS)
         duties.add(
--- a/cicadahoist/policy/patience.py
+++ b/cicadahoist/policy/patience.py
@@ -2,7 +2,7 @@
 
 # Share of the time left within which a first token must be expected. Longer
 # queues serve as many, but all of them late.
-PATIENCE_SHARE = 0.2
+PATIENCE_SHARE = 0.1
 # The same where the aim is missed already, as for callers that come back.
 LATE_PATIENCE_SHARE = 0.08
 
--- a/cicadahoist/serving/instance_records.py
+++ b/cicadahoist/serving/instance_records.py
@@ -1,5 +1,6 @@
 """Writes what an instance tells the others through the store."""
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -28,11 +29,11 @@
     :param incarnation: name of this process, not used by any other
     :param record: how other instances reach this one
     :param usage: counts of this process
+    :param true_ms: wall-clock time, corrected for steps
     """
 
     __slots__ = (
         '_clock',
-        '_counted',
         '_incarnation',
         '_instance',
         '_is_stopped',
@@ -40,7 +41,9 @@
         '_peer_kind',
         '_record',
         '_running',
+        '_true_ms',
         '_usage',
+        '_written',
     )
 
     def __init__(
@@ -52,6 +55,7 @@
         incarnation: str,
         record: dict[str, Any],
         usage: UsageCounts,
+        true_ms: Callable[[], int],
     ) -> None:
         self._objects = objects
         self._clock = clock
@@ -60,7 +64,8 @@
         self._incarnation = incarnation
         self._record = record
         self._usage = usage
-        self._counted: dict[str, dict[str, int]] = {}
+        self._true_ms = true_ms
+        self._written: dict[str, Any] = {}
         self._is_stopped = False
         self._running: Deferred[None] | None = None
 
@@ -96,11 +101,15 @@
                 logger.warning('counts not written: {0}', error)
 
     async def _write_counts(self) -> None:
-        counts = self._usage.snapshot()
-        if counts == self._counted:
+        record = {
+            'instance': self._instance,
+            'windows': self._usage.snapshot(),
+            'closed': self._usage.closed_window(self._true_ms()),
+        }
+        if record == self._written:
             return
-        await self._put(COUNT_KIND, self._incarnation, {'windows': counts})
-        self._counted = counts
+        await self._put(COUNT_KIND, self._incarnation, record)
+        self._written = record
 
     async def _put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
         """Create or replace an object that only this instance writes."""
--- a/cicadahoist/serving/usage_counts.py
+++ b/cicadahoist/serving/usage_counts.py
@@ -2,6 +2,8 @@
 
 # Windows that an instance keeps for the report.
 WINDOWS_KEPT = 8
+# A request is counted when its answer ends, which may be after its window.
+LATE_START_MS = 500
 
 
 class UsageCounts:
@@ -27,6 +29,10 @@
         while len(self._counts_by_window) > WINDOWS_KEPT:
             self._counts_by_window.pop(min(self._counts_by_window))
 
+    def closed_window(self, true_ms: int) -> int:
+        """Return the newest window to which no request is added any more."""
+        return (true_ms - LATE_START_MS) // self.window_ms - 1
+
     def snapshot(self) -> dict[str, dict[str, int]]:
         """Return the counts by window, as they are stored."""
         return {
--- a/cicadahoist/serving/usage_report.py
+++ b/cicadahoist/serving/usage_report.py
@@ -13,13 +13,17 @@
 logger = get_logger(__name__)
 
 SEALED_KIND = 'cicadahoist-usage-windows'
-# All instances have stored their counts of a window this long after its end.
-SETTLE_MS = 3000
+# Instances store their counts of a window about this long after its end.
+SETTLE_MS = 2200
+# Reports go out so long before they are due, whoever has counted by then.
+HASTE_MS = 2500
 # Windows whose records are kept after they were due.
 WINDOWS_KEPT = 8
 
 
 class _Counts(msgspec.Struct):
+    instance: str = ''
+    closed: int = 0
     windows: dict[str, dict[str, int]] = {}
 
 
@@ -33,6 +37,7 @@
 
     :param objects: the store
     :param interface: takes the reports
+    :param peer_kind: kind of the records that name all instances
     :param window_ms: length of a window
     :param due_ms: latest time of a report after its window
     """
@@ -41,6 +46,7 @@
         '_due_ms',
         '_interface',
         '_objects',
+        '_peer_kind',
         '_reported',
         '_window_ms',
     )
@@ -49,11 +55,13 @@
         self,
         objects: Objects,
         interface: DutyInterface,
+        peer_kind: str,
         window_ms: int,
         due_ms: int,
     ) -> None:
         self._objects = objects
         self._interface = interface
+        self._peer_kind = peer_kind
         self._window_ms = window_ms
         self._due_ms = due_ms
         self._reported: int | None = None
@@ -75,8 +83,9 @@
         oldest = (true_ms - self._due_ms) // self._window_ms - 1
         first = oldest if self._reported is None else self._reported + 1
         for window in range(max(first, oldest), newest + 1):
-            counts = await self._sealed(window)
-            if not may_act():
+            waits_ms = (window + 1) * self._window_ms + self._due_ms - HASTE_MS
+            counts = await self._sealed(window, must_seal=true_ms > waits_ms)
+            if counts is None or not may_act():
                 return
             reply = await self._interface.report_usage(window, counts, epoch)
             logger.bind(
@@ -86,12 +95,21 @@
                 return
             self._reported = window
 
-    async def _sealed(self, window: int) -> dict[str, int]:
-        """Return the figures of a window; the first that were sealed hold."""
+    async def _sealed(
+        self, window: int, *, must_seal: bool
+    ) -> dict[str, int] | None:
+        """
+        Return the figures of a window; the first that were sealed hold.
+
+        :param must_seal: whether to seal although instances have not counted
+        :return: none while counts of instances are awaited
+        """
         name = str(window)
         stored = await self._objects.get(SEALED_KIND, name)
         if stored is None:
-            counts = await self._sum(window)
+            counts = await self._sum(window, must_seal=must_seal)
+            if counts is None:
+                return None
             try:
                 await self._objects.create(
                     SEALED_KIND, name, {'counts': counts}
@@ -107,9 +125,14 @@
             )
         return msgspec.convert(stored.spec, _Sealed).counts
 
-    async def _sum(self, window: int) -> dict[str, int]:
+    async def _sum(
+        self, window: int, *, must_seal: bool
+    ) -> dict[str, int] | None:
+        records = await self._all(COUNT_KIND)
+        if not must_seal and not await self._have_all(window, records):
+            return None
         summed: dict[str, int] = {}
-        for stored in await self._all_counts():
+        for stored in records:
             counted = msgspec.convert(stored.spec, _Counts).windows
             for workspace, count in counted.get(str(window), {}).items():
                 summed[workspace] = summed.get(workspace, 0) + count
@@ -117,13 +140,23 @@
                 await self._objects.delete(COUNT_KIND, stored.name)
         return summed
 
-    async def _all_counts(self) -> list[StoredObject]:
-        page = await self._objects.page(COUNT_KIND)
+    async def _have_all(self, window: int, records: list[StoredObject]) -> bool:
+        """Tell whether all instances have closed a window."""
+        counts = [msgspec.convert(stored.spec, _Counts) for stored in records]
+        closed = {entry.instance for entry in counts if entry.closed >= window}
+        peers = await self._all(self._peer_kind)
+        missing = [peer.name for peer in peers if peer.name not in closed]
+        if missing:
+            logger.bind(window=window, missing=missing).info(
+                'counts of instances are awaited'
+            )
+        return not missing
+
+    async def _all(self, kind: str) -> list[StoredObject]:
+        page = await self._objects.page(kind)
         found = list(page.found)
         while page.has_more:
-            page = await self._objects.page(
-                COUNT_KIND, after=page.found[-1].name
-            )
+            page = await self._objects.page(kind, after=page.found[-1].name)
             found.extend(page.found)
         return found
 
--- a/tests/test_serving/test_duties.py
+++ b/tests/test_serving/test_duties.py
@@ -29,12 +29,20 @@
 def objects():
     objects = FakeObjects()
     for name, counts in (('i1', {'w1': 3}), ('i2', {'w1': 1, 'w2': 2})):
-        objects.put(COUNT_KIND, name, {'windows': {'100': counts}})
+        objects.put(COUNT_KIND, name, counted(name, counts))
     return objects
 
 
+def counted(instance, counts, closed=200):
+    return {
+        'instance': instance,
+        'closed': closed,
+        'windows': {'100': counts},
+    }
+
+
 def report_at(objects, interface, true_ms, may_act=lambda: True, epoch=1):
-    report = UsageReport(objects, interface, WINDOW_MS, 10_000)
+    report = UsageReport(objects, interface, 'peers', WINDOW_MS, 10_000)
     result_of(report.run(true_ms, may_act, epoch))
     return report
 
@@ -57,7 +65,7 @@
 
 def test_a_successor_reports_what_was_sealed(objects):
     report_at(objects, Interface(), 101 * WINDOW_MS + 3500)
-    objects.put(COUNT_KIND, 'i3', {'windows': {'100': {'w1': 50}}})
+    objects.put(COUNT_KIND, 'i3', counted('i3', {'w1': 50}))
     interface = Interface()
     report_at(objects, interface, 101 * WINDOW_MS + 5500, epoch=2)
     assert of_window(interface, 100) == [(100, {'w1': 4, 'w2': 2}, 2)]
@@ -66,12 +74,12 @@
 def test_a_lost_answer_to_the_seal_changes_no_figure(objects):
     interface = Interface()
     objects.loses_answers = True
-    report = UsageReport(objects, interface, WINDOW_MS, 10_000)
+    report = UsageReport(objects, interface, 'peers', WINDOW_MS, 10_000)
     while '100' not in objects.names(SEALED_KIND):
         with pytest.raises(StoreUnavailableError):
             result_of(report.run(101 * WINDOW_MS + 3500, lambda: True, 1))
     objects.loses_answers = False
-    objects.put(COUNT_KIND, 'i3', {'windows': {'100': {'w1': 50}}})
+    objects.put(COUNT_KIND, 'i3', counted('i3', {'w1': 50}))
     result_of(report.run(101 * WINDOW_MS + 4500, lambda: True, 1))
     assert of_window(interface, 100) == [(100, {'w1': 4, 'w2': 2}, 1)]
 
@@ -95,6 +103,26 @@
     assert not interface.reports
 
 
+def test_instances_cut_off_from_the_store_are_awaited_until_it_is_due(objects):
+    for name in ('i1', 'i2'):
+        objects.put('peers', name, {})
+    objects.put(COUNT_KIND, 'i2', counted('i2', {'w2': 2}, closed=99))
+    interface = Interface()
+    end_ms = 101 * WINDOW_MS
+    report = report_at(objects, interface, end_ms + 3500)
+    assert not of_window(interface, 100)
+    objects.put(COUNT_KIND, 'i2', counted('i2', {'w2': 7}, closed=100))
+    result_of(report.run(end_ms + 6000, lambda: True, 1))
+    assert of_window(interface, 100) == [(100, {'w1': 3, 'w2': 7}, 1)]
+
+
+def test_an_instance_that_never_counts_delays_no_report_past_its_time(objects):
+    objects.put('peers', 'gone', {})
+    interface = Interface()
+    report_at(objects, interface, 101 * WINDOW_MS + 7600)
+    assert of_window(interface, 100)
+
+
 def test_windows_past_their_due_time_are_left(objects):
     interface = Interface()
     report_at(objects, interface, 130 * WINDOW_MS)
@@ -185,7 +213,14 @@
 def test_counts_of_an_instance_are_kept_in_the_store():
     clock, objects, usage = Clock.manual(), FakeObjects(), UsageCounts()
     records = InstanceRecords(
-        objects, clock, 'peers', 'i1', 'i1.n', {'host': 'h', 'port': 1}, usage
+        objects,
+        clock,
+        'peers',
+        'i1',
+        'i1.n',
+        {'host': 'h', 'port': 1},
+        usage,
+        lambda: 505_600,
     )
     Pending(records.start())
     assert objects.names('peers') == ['i1']
@@ -193,7 +228,8 @@
     usage.began('', 500_000)
     clock.advance(1500)
     stored = objects.kinds[COUNT_KIND]['i1.n']
-    assert stored.spec == {'windows': {'100': {'w1': 1}}}
+    assert stored.spec['windows'] == {'100': {'w1': 1}}
+    assert stored.spec['closed'] == 100
     calls = len(objects.calls)
     clock.advance(6000)
     assert len(objects.calls) == calls
@@ -205,7 +241,9 @@
 
 def test_counts_are_written_once_the_store_is_back():
     clock, objects, usage = Clock.manual(), FakeObjects(), UsageCounts()
-    records = InstanceRecords(objects, clock, 'peers', 'i1', 'n', {}, usage)
+    records = InstanceRecords(
+        objects, clock, 'peers', 'i1', 'n', {}, usage, lambda: 0
+    )
     objects.failure = 'down'
     Pending(records.start())
     usage.began('w1', 500_000)
