--- a/cicadahoist/serving/usage_report.py
+++ b/cicadahoist/serving/usage_report.py
@@ -16,7 +16,7 @@
 # Instances store their counts of a window about this long after its end.
 SETTLE_MS = 2200
 # Reports go out so long before they are due, whoever has counted by then.
-HASTE_MS = 2500
+HASTE_MS = 4500
 # Windows whose records are kept after they were due.
 WINDOWS_KEPT = 8
 
@@ -83,8 +83,8 @@
         oldest = (true_ms - self._due_ms) // self._window_ms - 1
         first = oldest if self._reported is None else self._reported + 1
         for window in range(max(first, oldest), newest + 1):
-            waits_ms = (window + 1) * self._window_ms + self._due_ms - HASTE_MS
-            counts = await self._sealed(window, must_seal=true_ms > waits_ms)
+            seal_ms = (window + 1) * self._window_ms + self._due_ms - HASTE_MS
+            counts = await self._sealed(window, must_seal=true_ms > seal_ms)
             if counts is None or not may_act():
                 return
             reply = await self._interface.report_usage(window, counts, epoch)
