Tell refused callers to return when the queue has been worked off

Cause: Retry-After was the wait beyond the aim, 30 ms in most cases; a caller tries once more only and met the same burst.

--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -88,8 +88,8 @@
             predicted_ms=round(first_ms), patience_ms=round(bound_ms)
         )
         if first_ms > bound_ms:
-            late_ms = round(first_ms - self._route.first_aim_ms)
-            self._refuse(Refusal.deadline_unreachable, late_ms)
+            # By then, what waits now has been worked off.
+            self._refuse(Refusal.deadline_unreachable, round(first_ms))
             return None
         return placement
 
--- a/tests/test_serving/test_model_flow.py
+++ b/tests/test_serving/test_model_flow.py
@@ -190,3 +190,12 @@
     world.clock.advance(2000)
     assert caller.status == 503
     assert world.sent[0].is_closed
+
+
+def test_a_refused_caller_returns_when_the_queue_has_been_worked_off(world):
+    for name in ('p1', 'd1', 'd2'):
+        engine = world.context.fleet.boards.board('llm').get(name)
+        engine.own_reads = 110_000
+    caller = check(world)
+    assert caller.status == 503
+    assert 0.3 < float(caller.header(b'Retry-After')) < 0.6
