--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -83,6 +83,21 @@
 
 
 METRICS = MetricSet()
+FIRST_BYTE = METRICS.declare(
+    MetricSpec(
+        'serving_first_byte',
+        'Time from a whole request to the first byte of its answer.',
+        operator_remedy='look at the load of the engines, then at the network',
+        unit='ms',
+    )
+)
+ANSWERED = METRICS.declare(
+    MetricSpec(
+        'serving_answered',
+        'Requests that got the whole answer of a target.',
+        operator_remedy='none',
+    )
+)
 
 
 class Metrics:
--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -1,24 +1,8 @@
 """Counters and histograms of the data path."""
 
-from cicadahoist.metrics import METRICS, Metrics, MetricSpec
+from cicadahoist.metrics import ANSWERED, FIRST_BYTE, Metrics
 from cicadahoist.reasons import Refusal, Retry
 
-FIRST_BYTE = METRICS.declare(
-    MetricSpec(
-        'serving_first_byte',
-        'Time from a whole request to the first byte of its answer.',
-        operator_remedy='look at the load of the engines, then at the network',
-        unit='ms',
-    )
-)
-ANSWERED = METRICS.declare(
-    MetricSpec(
-        'serving_answered',
-        'Requests that got the whole answer of a target.',
-        operator_remedy='none',
-    )
-)
-
 
 class Meters:
     """
