Close connections to an address a target has left; deny no newer routes

Read as a newcomer: a target listed at a new address kept its idle connections; an instance that has not heard the store answered 404 for routes that may be newer (now 503 as not run); a defect while taking a change would have ended the following of the store for good (now it goes on, and the defect is logged).

--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -99,23 +99,22 @@
     ) -> 'Flow | NoHandling':
         path = request.path.partition(b'?')[0].decode('latin-1')
         route = deployment.route_for(request.host, path)
+        holders = deployment.holder_by_key
+        is_open = route is not None and (route.is_open or holders is None)
+        if not is_open and not self._may_use_keys():
+            # The key may be withdrawn, or the route newer than is known here.
+            self._refuse(exchange, request, Refusal.stale_table, ELSEWHERE_MS)
+            return NO_HANDLING
         if route is None:
             self._answer(
                 exchange, request, HTTP_NOT_FOUND, Refusal.unknown_route
             )
             return NO_HANDLING
-        holder = None
-        if deployment.holder_by_key is not None:
-            holder = deployment.holder_by_key.get(request.key)
-            if not route.is_open and not self._may_use_keys():
-                self._refuse(
-                    exchange, request, Refusal.stale_table, ELSEWHERE_MS
-                )
-                return NO_HANDLING
-            if holder is None and not route.is_open:
-                reason = Refusal.wrong_key if request.key else Refusal.no_key
-                self._answer(exchange, request, HTTP_UNAUTHORIZED, reason)
-                return NO_HANDLING
+        holder = holders.get(request.key) if holders else None
+        if holder is None and not is_open:
+            reason = Refusal.wrong_key if request.key else Refusal.no_key
+            self._answer(exchange, request, HTTP_UNAUTHORIZED, reason)
+            return NO_HANDLING
         if not request.attempt_id:
             self._answer(
                 exchange, request, HTTP_BAD_REQUEST, Refusal.bad_request
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -307,7 +307,10 @@
         :raises NotSentError: no connection could be made
         """
         pool = self._pools_by_name.get(listing.name)
-        if pool is None or pool.listing.address != listing.address:
+        if pool is not None and pool.listing.address != listing.address:
+            pool.close()
+            pool = None
+        if pool is None:
             pool = TargetPool(listing)
             self._pools_by_name[listing.name] = pool
         connection = pool.take(self._clock.now_ms())
--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -72,8 +72,7 @@
 
     async def start(self) -> None:
         """Begin to follow."""
-        self._running = Deferred.fromCoroutine(self._run())
-        self._running.addErrback(_log_end)
+        self._begin()
 
     async def stop(self) -> None:
         """Stop following."""
@@ -91,6 +90,17 @@
             return None
         return now_ms - self.confirmed_ms
 
+    def _begin(self) -> None:
+        self._running = Deferred.fromCoroutine(self._run())
+        self._running.addErrback(self._begin_again)
+
+    def _begin_again(self, failure: Any) -> None:
+        """Go on after a defect: knowledge that grows old stops the instance."""
+        if self._is_stopped or failure.check(CancelledError):
+            return
+        logger.error('following broke off: {0}', failure.getTraceback())
+        self._clock.call_later(LONGEST_PAUSE_MS, self._begin)
+
     async def _run(self) -> None:
         pause_ms = 0
         must_list = True
@@ -156,8 +166,3 @@
             logger.bind(kind=self._kind, silence_ms=silence_ms).info(
                 'store is heard again'
             )
-
-
-def _log_end(failure: Any) -> None:
-    if not failure.check(CancelledError):
-        logger.error('following the store ended: {0}', failure.getTraceback())
--- a/tests/test_serving/test_following.py
+++ b/tests/test_serving/test_following.py
@@ -190,3 +190,17 @@
     before = len(followed.objects.calls)
     followed.fail_for('busy', 10_000)
     assert len(followed.objects.calls) - before < 80
+
+
+def test_a_defect_in_taking_a_change_does_not_end_the_following(followed):
+    def broken(deployment):
+        raise RuntimeError('defect')
+
+    followed.source.on_change(broken)
+    followed.objects.put('config', 'main', 6)
+    followed.source._on_change.clear()
+    followed.objects.put('config', 'main', 7)
+    followed.pass_time(1000)
+    assert followed.source.current.version == 7
+    followed.objects.put('config', 'main', 8)
+    assert followed.source.current.version == 8
--- a/tests/test_serving/test_front.py
+++ b/tests/test_serving/test_front.py
@@ -152,3 +152,11 @@
     caller.write(b'ab')
     assert world.sent[0].request.endswith(b'ab')
     assert world.sent[0].header(b'Expect') is None
+
+
+def test_a_route_that_may_be_newer_than_the_store_was_heard_is_not_denied(
+    world,
+):
+    assert world.ask(b'/none/').status == 404
+    world.keys_valid = False
+    assert world.ask(b'/none/').status == 503
