--- a/tests/test_serving/test_model_flow.py
+++ b/tests/test_serving/test_model_flow.py
@@ -1,5 +1,6 @@
 import pytest
 
+from cicadahoist.policy.retry_share import RetryTerms
 from tests.test_serving.world import SHORT, World, prompt, target
 
 HANDLE = b'{"kv-handle":"h7","tokens":9000,"version":1}'
@@ -199,3 +200,17 @@
     caller = check(world)
     assert caller.status == 503
     assert 0.3 < float(caller.header(b'Retry-After')) < 0.6
+
+
+def test_rejected_readings_stay_within_the_repeat_budget(world):
+    world.context.retries.use(RetryTerms(0.2, 10, 10_000))
+    requests = 60
+    for _ in range(requests):
+        world.ask(b'/ask/x', *prompt(), patience=15_000)
+        reading = world.sent[-1]
+        if reading.header(b'X-Cicadahoist-Serving-Stage') == b'prefill':
+            # Another engine has the address now.
+            reading.answer(421, b'', signed=False)
+        world.clock.advance(10)
+    extra = len(world.sent) - requests
+    assert extra <= 0.2 * requests + 10
