Leave out targets that are not where they are listed; budget repeated readings

Cause: an engine that starts again behind a cut answers 421 to its old id until its entry lapses. Now a target is set aside after a 421 until its entry changes, for 4 s at most, and going on after a reading that was not accepted takes a repeat.

--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -6,7 +6,7 @@
 
 from cicadahoist.log import get_logger
 from cicadahoist.reasons import Refusal
-from cicadahoist.requests import InboundRequest, RepeatRule
+from cicadahoist.requests import AnswerMeaning, InboundRequest, RepeatRule
 from cicadahoist.rules import RouteRule
 from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
 from cicadahoist.serving.context import ServingContext
@@ -22,6 +22,9 @@
 RETURN_TRIP_MS = 15
 # Targets that may be tried without a byte having left.
 MOST_CONNECTS = 3
+# A target that is not where it is listed is asked again after this time: its
+# entry lapses after three missed heartbeats of 1.2 s.
+SET_ASIDE_MS = 4000
 
 _RUN_PERHAPS = frozenset(
     (AttemptOutcome.lost, AttemptOutcome.answered, AttemptOutcome.stopped)
@@ -144,8 +147,18 @@
             self._sends += 1
         if end.outcome is not AttemptOutcome.answered:
             self._log_attempt(attempt.listing.name, end)
+        if end.head and end.head.meaning is AnswerMeaning.misplaced:
+            self._set_aside(attempt.listing.name)
         return end
 
+    def _set_aside(self, target: str) -> None:
+        """Use a target that is not where it is listed no more for now."""
+        directory = self._context.fleet.directory
+        directory.set_aside(target)
+        self._context.clock.call_later(
+            SET_ASIDE_MS, directory.take_back, target
+        )
+
     def _may_repeat(self) -> bool:
         """Take one repeat, where the route and the shared budget allow it."""
         if self._sends >= self._route.max_sends:
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -147,7 +147,7 @@
         if end.outcome is AttemptOutcome.unsent:
             if self._unreached >= MOST_CONNECTS:
                 self._refuse(Refusal.no_target, NO_ENGINE_RETURN_MS)
-        elif self._sends < self._route.max_sends:
+        elif self._may_repeat():
             self._context.meters.retried(Retry.handoff_failed)
         else:
             self._refuse(Refusal.limit_reached, BUSY_RETURN_MS)
--- a/tests/test_platform/test_front_process.py
+++ b/tests/test_platform/test_front_process.py
@@ -3,6 +3,7 @@
 import os
 import socket
 import sys
+import tempfile
 
 import treq
 from twisted.internet import error, protocol, reactor
@@ -115,7 +116,10 @@
             entry |= {'state': 'ready', 'zone': 'zone-a', 'slots': 8}
             self.store.put('servers', name, entry)
         self.store.put('config', 'main', config(1, [KEY]))
-        self.settings = self.mktemp()
+        # Trial's own temporary names lie in the working directory.
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.settings = os.path.join(folder.name, 'boot.conf')
         with open(self.settings, 'w') as settings:
             settings.write(SETTINGS.format(**ports))
         self.addCleanup(self.store.close)
--- a/tests/test_serving/test_plain_flow.py
+++ b/tests/test_serving/test_plain_flow.py
@@ -206,3 +206,35 @@
     world.clock.advance(1700)
     world.ask(b'/submit/x')
     assert world.sent[2].transport is not world.sent[0].transport
+
+
+def test_a_target_that_is_not_where_it_is_listed_is_left_out():
+    world = World()
+    world.add(target('t1'), target('t2'))
+    world.ask(b'/submit/x')
+    misplaced = world.sent[-1].target
+    world.sent[-1].answer(421, b'', signed=False)
+    for _ in range(6):
+        world.ask(b'/submit/x')
+    assert misplaced not in {sent.target for sent in world.sent[1:]}
+
+
+def test_a_target_that_was_set_aside_is_used_at_its_new_place():
+    world = World()
+    world.add(target('t1'))
+    world.ask(b'/submit/x')
+    world.sent[-1].answer(421, b'', signed=False)
+    assert world.ask(b'/submit/x').status == 503
+    world.add(target('t1', born_ms=7))
+    world.ask(b'/submit/x')
+    assert len(world.sent) == 2
+
+
+def test_a_target_that_was_set_aside_is_asked_again_after_a_while():
+    world = World()
+    world.add(target('t1'))
+    world.ask(b'/submit/x')
+    world.sent[-1].answer(421, b'', signed=False)
+    world.clock.advance(4000)
+    world.ask(b'/submit/x')
+    assert len(world.sent) == 2
