Leave targets that hang; bar requests that crash their targets

Cause: an attempt at a target that hangs was only ended by its deadline, and nothing told the next request so; a request that crashes each target that runs it was sent on without end. Ruled out: health checks, as they pass on targets that hang. A target that says nothing for longer than its oldest attempt may take gets no new work, and what may repeat leaves it within the shared budget. Requests that ran when a target crashed are blamed, blames go round with the loads, and the third crash bars a request. A target that starts again under its id is new. A target is connected to within 300 ms.

--- /dev/null
+++ b/cicadahoist/policy/crash_blame.py
@@ -0,0 +1,71 @@
+"""Finds requests that crash the targets that run them."""
+
+import msgspec
+
+# Crashes after which a request is not sent any more. The platform tolerates
+# three; innocent requests rarely meet as many within the life of a blame.
+MOST_CRASHES = 3
+BLAME_LIFE_MS = 60_000
+# Losses of one request at one target within this time are one crash.
+SAME_CRASH_MS = 1000
+DIGESTS_KEPT = 4096
+
+
+class Blame(msgspec.Struct, frozen=True, array_like=True):
+    """
+    A request that was running when its target crashed.
+
+    :param digest: stands for path, caller and body of the request
+    :param true_ms: wall-clock time of the crash
+    """
+
+    digest: str
+    target: str
+    true_ms: int
+
+
+class CrashBlame:
+    """Blames of this instance and its peers, by the digests of requests."""
+
+    __slots__ = ('_blames_by_digest',)
+
+    def __init__(self) -> None:
+        self._blames_by_digest: dict[str, list[Blame]] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no request is blamed, so that no digest is needed."""
+        return not self._blames_by_digest
+
+    def blame(self, blame: Blame) -> bool:
+        """
+        Take note of a blame.
+
+        :return: whether it was new
+        """
+        known = self._blames_by_digest.setdefault(blame.digest, [])
+        if any(_is_same_crash(blame, other) for other in known):
+            return False
+        known.append(blame)
+        while len(self._blames_by_digest) > DIGESTS_KEPT:
+            self._blames_by_digest.pop(next(iter(self._blames_by_digest)))
+        return True
+
+    def is_barred(self, digest: str, true_ms: int) -> bool:
+        """Tell whether a request has crashed too many targets to be sent."""
+        return self._crashes(digest, true_ms) >= MOST_CRASHES
+
+    def forget_old(self, true_ms: int) -> None:
+        """Drop blames whose life is over."""
+        for digest, blames in list(self._blames_by_digest.items()):
+            if true_ms - blames[-1].true_ms > BLAME_LIFE_MS:
+                self._blames_by_digest.pop(digest)
+
+    def _crashes(self, digest: str, true_ms: int) -> int:
+        blames = self._blames_by_digest.get(digest, ())
+        return sum(true_ms - blame.true_ms <= BLAME_LIFE_MS for blame in blames)
+
+
+def _is_same_crash(blame: Blame, other: Blame) -> bool:
+    apart_ms = abs(blame.true_ms - other.true_ms)
+    return blame.target == other.target and apart_ms < SAME_CRASH_MS
--- a/cicadahoist/policy/engine_board.py
+++ b/cicadahoist/policy/engine_board.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from cicadahoist.policy.answer_watch import AnswerWatch
 from cicadahoist.policy.health import TargetHealth
 
 # Prompt tokens that an engine reads in a ms, until its own speed is known:
@@ -61,9 +62,11 @@
 
     :param slots: requests that it runs at once
     :param cache_tokens: tokens that its memory holds, 0 for unknown
+    :param born_ms: when it started, 0 for unknown
     """
 
     __slots__ = (
+        'born_ms',
         'cache_tokens',
         'health',
         'is_cheap',
@@ -86,7 +89,9 @@
         *,
         cache_tokens: int = 0,
         is_cheap: bool = False,
+        born_ms: int = 0,
     ) -> None:
+        self.born_ms = born_ms
         self.name = name
         self.zone = zone
         self.role = role
@@ -121,17 +126,20 @@
     Engines of one service, with the load of this instance and its peers.
 
     :param zone: availability zone of this instance
+    :param answers: tells which engines are silent
     """
 
     __slots__ = (
+        '_answers',
         '_closed_by_engine',
         '_engines_by_name',
         '_loads_by_peer',
         'zone',
     )
 
-    def __init__(self, zone: str) -> None:
+    def __init__(self, zone: str, answers: AnswerWatch | None = None) -> None:
         self.zone = zone
+        self._answers = answers or AnswerWatch()
         self._engines_by_name: dict[str, EngineState] = {}
         self._loads_by_peer: dict[str, PeerLoad] = {}
         self._closed_by_engine: dict[str, int] = {}
@@ -141,7 +149,8 @@
         kept: dict[str, EngineState] = {}
         for listed in engines:
             known = self._engines_by_name.get(listed.name)
-            if known is None:
+            if known is None or known.born_ms != listed.born_ms:
+                # One that started again holds and runs nothing of before.
                 kept[listed.name] = listed
                 continue
             if known.role != listed.role:
@@ -152,7 +161,7 @@
         self._engines_by_name = kept
 
     def engines(self, role: str, now_ms: int) -> list[EngineState]:
-        """Return the engines of a role, ejected ones only if all are."""
+        """Return the engines of a role, suspect ones only if all are."""
         engines = [
             engine
             for engine in self._engines_by_name.values()
@@ -160,9 +169,14 @@
             and self._closed_by_engine.get(engine.name, 0) <= now_ms
         ]
         return [
-            engine for engine in engines if engine.health.share(now_ms)
+            engine for engine in engines if self._is_sound(engine, now_ms)
         ] or engines
 
+    def _is_sound(self, engine: EngineState, now_ms: int) -> bool:
+        if not engine.health.share(now_ms):
+            return False
+        return not self._answers.is_silent(engine.name, now_ms)
+
     def close(self, engine: str, until_ms: int) -> None:
         """Send no new work to an engine whose role is being changed."""
         self._closed_by_engine[engine] = until_ms
--- a/cicadahoist/policy/patience.py
+++ b/cicadahoist/policy/patience.py
@@ -6,6 +6,20 @@
 # The same where the aim is missed already, as for callers that come back.
 LATE_PATIENCE_SHARE = 0.08
 
+# A prediction is off by less than this factor unless the target hangs.
+SILENCE_FACTOR = 4.0
+# Shortest silence that tells anything: some ten steps of a preempting engine.
+LEAST_SILENCE_MS = 400.0
+
+
+def silence_bound_ms(predicted_ms: float) -> float:
+    """
+    Return how long an engine may say nothing before it counts as silent.
+
+    :param predicted_ms: predicted time to its first answer
+    """
+    return max(LEAST_SILENCE_MS, SILENCE_FACTOR * predicted_ms)
+
 
 def patience_ms(left_ms: int, timeout_ms: int, aim_ms: int) -> float:
     """
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -76,12 +76,14 @@
     :param head: head of the answer, where one came
     :param body: body, unless pieces were passed on as they came
     :param detail: what broke off, for logs
+    :param is_silent: whether its target had stopped giving signs of life
     """
 
     outcome: AttemptOutcome
     head: AnswerHead | None = None
     body: bytes = b''
     detail: str = ''
+    is_silent: bool = False
 
 
 _NOT_RUN = frozenset((AnswerMeaning.not_run, AnswerMeaning.misplaced))
@@ -111,6 +113,7 @@
         '_request',
         'is_sent',
         'listing',
+        'on_heard',
     )
 
     def __init__(
@@ -131,6 +134,13 @@
         self._ended: Deferred[AttemptEnd] | None = Deferred()
         self._head: AnswerHead | None = None
         self.is_sent = False
+        # Called with each sign of life of the target.
+        self.on_heard: Callable[[], None] = _ignore
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the attempt has ended."""
+        return self._ended is None
 
     @property
     def may_run(self) -> bool:
@@ -167,6 +177,12 @@
             self._connection.abandon()
         self._end(AttemptEnd(AttemptOutcome.stopped, self._head))
 
+    def give_up(self) -> None:
+        """Take a silent target for lost, and end its work."""
+        if self._connection is not None:
+            self._connection.abandon()
+        self._finish(AttemptOutcome.lost, 'silent')
+
     def pause(self) -> None:
         """Read no more for now."""
         if self._connection is not None:
@@ -180,6 +196,7 @@
     def head_received(self, status: int, headers: HeaderList) -> bool:
         """Take the head of an answer; false where it answers another one."""
         head = self._dialect.answer_head(self._request, status, headers)
+        self.on_heard()
         if head.meaning is AnswerMeaning.foreign:
             return False
         self._head = head
@@ -190,6 +207,7 @@
 
     def body_received(self, piece: bytes) -> None:
         """Take a piece of the body."""
+        self.on_heard()
         head = self._head
         if (
             self._on_piece is not None
@@ -224,3 +242,7 @@
         self._ended = None
         if ended is not None:
             ended.callback(end)
+
+
+def _ignore() -> None:
+    """Take no note."""
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -1,10 +1,13 @@
 """What the handling of all requests shares."""
 
+from collections.abc import Callable
 from typing import Any
 
 from cicadahoist.clock import Clock, wall_ms
 from cicadahoist.listings import TargetDirectory
 from cicadahoist.metrics import Metrics
+from cicadahoist.policy.answer_watch import AnswerWatch
+from cicadahoist.policy.crash_blame import Blame, CrashBlame
 from cicadahoist.policy.demand_rate import DemandRate
 from cicadahoist.policy.retry_share import RetryShares, RetryTerms
 from cicadahoist.policy.true_time import TrueTime
@@ -16,6 +19,10 @@
 from cicadahoist.serving.plain_targets import PlainTargets
 from cicadahoist.serving.usage_counts import UsageCounts
 
+# A target that is not where it is listed is asked again after this time: its
+# entry lapses after three missed heartbeats of 1.2 s.
+SET_ASIDE_MS = 4000
+
 
 class Fleet:
     """
@@ -24,21 +31,39 @@
     :param zone: availability zone of this instance
     """
 
-    __slots__ = ('boards', 'connections', 'directory', 'is_settled', 'plain')
+    __slots__ = (
+        '_clock',
+        'answers',
+        'boards',
+        'connections',
+        'directory',
+        'is_settled',
+        'plain',
+    )
 
-    def __init__(self, zone: str, connections: TargetConnections) -> None:
+    def __init__(
+        self, zone: str, connections: TargetConnections, clock: Clock
+    ) -> None:
+        self._clock = clock
         self.directory = TargetDirectory()
         self.connections = connections
-        self.boards = EngineBoards(self.directory, zone)
-        self.plain = PlainTargets(self.directory, zone)
+        self.answers = AnswerWatch()
+        self.boards = EngineBoards(self.directory, self.answers, zone)
+        self.plain = PlainTargets(self.directory, self.answers, zone)
         # Whether the list of targets can be relied on for orders.
         self.is_settled = False
         self.directory.on_change(self._sync)
 
+    def set_aside(self, target: str) -> None:
+        """Use a target that is not where it is listed no more for now."""
+        self.directory.set_aside(target)
+        self._clock.call_later(SET_ASIDE_MS, self.directory.take_back, target)
+
     def _sync(self) -> None:
         names = {listing.name for listing in self.directory.everything()}
         self.connections.retain(names)
-        self.plain.retain(names)
+        self.answers.retain(names)
+        self.plain.sync()
         self.boards.sync()
 
 
@@ -52,12 +77,14 @@
     """
 
     __slots__ = (
+        'blames',
         'clock',
         'demand',
         'deployment',
         'dialect',
         'fleet',
         'meters',
+        'on_blame',
         'retries',
         'true_time',
         'usage',
@@ -74,8 +101,11 @@
     ) -> None:
         self.dialect = dialect
         self.clock = clock
-        self.fleet = Fleet(zone, TargetConnections(reactor, clock))
+        self.fleet = Fleet(zone, TargetConnections(reactor, clock), clock)
         self.deployment: Deployment | None = None
+        self.blames = CrashBlame()
+        # Called with each blame that this instance has found.
+        self.on_blame: Callable[[Blame], None] = _ignore
         self.demand = DemandRate()
         self.meters = Meters(metrics)
         self.retries = RetryShares(retry_terms)
@@ -96,3 +126,7 @@
         """Take note of the number of instances."""
         self.demand.instances = count
         self.retries.instances = count
+
+
+def _ignore(blame: Blame) -> None:
+    """Tell nobody."""
--- /dev/null
+++ b/cicadahoist/serving/crash_watch.py
@@ -0,0 +1,66 @@
+"""Blames requests for crashes of their targets, and bars the guilty ones."""
+
+from cicadahoist.ids import body_digest
+from cicadahoist.log import get_logger
+from cicadahoist.policy.crash_blame import Blame
+from cicadahoist.requests import InboundRequest
+from cicadahoist.serving.context import ServingContext
+
+logger = get_logger(__name__)
+
+# A target that crashed is away for seconds; one that answers within this time
+# only broke off a connection.
+CRASH_CHECK_MS = 1000
+
+
+class CrashWatch:
+    """
+    Watches what one request does to its targets.
+
+    :param context: shared parts of the data path
+    """
+
+    __slots__ = ('_context', '_request')
+
+    def __init__(
+        self, context: ServingContext, request: InboundRequest
+    ) -> None:
+        self._context = context
+        self._request = request
+
+    @property
+    def is_barred(self) -> bool:
+        """Whether the request has crashed too many targets to be sent."""
+        blames = self._context.blames
+        if blames.is_empty:
+            return False
+        now_ms = self._context.true_time.now_ms()
+        return blames.is_barred(self._digest(), now_ms)
+
+    def lost(self, target: str) -> None:
+        """Take note that a target broke off while it had the request."""
+        self._context.clock.call_later(
+            CRASH_CHECK_MS, self._check, target, self._context.clock.now_ms()
+        )
+
+    def _check(self, target: str, lost_ms: int) -> None:
+        """Blame the request where the target has been silent since."""
+        if self._context.fleet.answers.was_heard_since(target, lost_ms):
+            return
+        now_ms = self._context.clock.now_ms()
+        lost_true_ms = self._context.true_time.now_ms() - (now_ms - lost_ms)
+        blame = Blame(self._digest(), target, lost_true_ms)
+        if self._context.blames.blame(blame):
+            logger.bind(
+                request=self._request.attempt_id,
+                target=target,
+                digest=blame.digest,
+            ).info('request blamed for a crash')
+            self._context.on_blame(blame)
+
+    def _digest(self) -> str:
+        """Return what the request has in common with its repetitions."""
+        request = self._request
+        return body_digest(
+            b'\0'.join((request.path, request.key.encode(), request.body))
+        )
--- a/cicadahoist/serving/engine_boards.py
+++ b/cicadahoist/serving/engine_boards.py
@@ -1,6 +1,7 @@
 """The engines of all services, with their load."""
 
 from cicadahoist.listings import TargetDirectory
+from cicadahoist.policy.answer_watch import AnswerWatch
 from cicadahoist.policy.engine_board import EngineBoard, EngineState
 from cicadahoist.policy.placement import Placer
 from cicadahoist.rules import Deployment
@@ -11,13 +12,23 @@
     Boards by service, kept in step with the directory.
 
     :param directory: the targets of this moment
+    :param answers: tells which targets are silent
     :param zone: availability zone of this instance
     """
 
-    __slots__ = ('_by_service', '_deployment', '_directory', '_zone')
+    __slots__ = (
+        '_answers',
+        '_by_service',
+        '_deployment',
+        '_directory',
+        '_zone',
+    )
 
-    def __init__(self, directory: TargetDirectory, zone: str) -> None:
+    def __init__(
+        self, directory: TargetDirectory, answers: AnswerWatch, zone: str
+    ) -> None:
         self._directory = directory
+        self._answers = answers
         self._zone = zone
         self._by_service: dict[str, EngineBoard] = {}
         self._deployment: Deployment | None = None
@@ -31,7 +42,7 @@
         """Return the engines of a service."""
         board = self._by_service.get(service)
         if board is None:
-            board = EngineBoard(self._zone)
+            board = EngineBoard(self._zone, self._answers)
             self._by_service[service] = board
             self._sync_board(service, board)
         return board
@@ -59,6 +70,7 @@
                 listing.slots,
                 cache_tokens=cache_tokens,
                 is_cheap=listing.is_cheap,
+                born_ms=listing.born_ms,
             )
             for listing in self._directory.usable(service)
         )
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -9,9 +9,12 @@
 from cicadahoist.requests import AnswerMeaning, InboundRequest, RepeatRule
 from cicadahoist.rules import RouteRule
 from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
+from cicadahoist.serving.attempt_watch import AttemptWatch
 from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.crash_watch import CrashWatch
 from cicadahoist.serving.inbound import Exchange
 from cicadahoist.serving.reply import LEAST_RETURN_MS, Reply
+from cicadahoist.serving.sends import Sends
 
 logger = get_logger(__name__)
 
@@ -22,13 +25,8 @@
 RETURN_TRIP_MS = 15
 # Targets that may be tried without a byte having left.
 MOST_CONNECTS = 3
-# A target that is not where it is listed is asked again after this time: its
-# entry lapses after three missed heartbeats of 1.2 s.
-SET_ASIDE_MS = 4000
-
-_RUN_PERHAPS = frozenset(
-    (AttemptOutcome.lost, AttemptOutcome.answered, AttemptOutcome.stopped)
-)
+# A request that crashes targets is put off until its blames may be forgotten.
+BARRED_RETURN_MS = 10_000
 
 
 class Flow:
@@ -46,16 +44,15 @@
     __slots__ = (
         '_attempt',
         '_context',
+        '_crashes',
         '_due_ms',
         '_has_counted_run',
-        '_may_have_run',
         '_reply',
         '_request',
         '_route',
         '_sends',
         '_service',
         '_tried',
-        '_unreached',
         '_urgency',
         '_workspace',
     )
@@ -70,6 +67,7 @@
         urgency: int,
     ) -> None:
         self._context = context
+        self._crashes = CrashWatch(context, request)
         self._request = request
         self._route = route
         self._service = route.service_for(request.attempt_id)
@@ -78,9 +76,7 @@
         self._reply = Reply(context, request, route, exchange)
         self._attempt: Attempt | None = None
         self._tried: list[str] = []
-        self._sends = 0
-        self._unreached = 0
-        self._may_have_run = False
+        self._sends = Sends(context, route, self._service)
         self._has_counted_run = False
         wait_ms = route.timeout_ms
         if request.patience_ms is not None:
@@ -100,6 +96,9 @@
             service=self._service,
             targets=self._tried,
         )
+        if self._crashes.is_barred:
+            self._refuse(Refusal.quarantined, BARRED_RETURN_MS)
+            return
         running = Deferred.fromCoroutine(self._serve())
         running.addErrback(self._fail)
 
@@ -132,41 +131,35 @@
     def _left_ms(self) -> int:
         return self._due_ms - self._context.clock.now_ms()
 
-    async def _run(self, attempt: Attempt) -> AttemptEnd:
-        """Run an attempt and take note of what it proves."""
+    def _suspend_target(self, target: str) -> None:
+        """Send a target nothing for a while."""
+        raise NotImplementedError
+
+    async def _run(self, attempt: Attempt, silence_ms: float) -> AttemptEnd:
+        """
+        Run an attempt and take note of what it proves.
+
+        :param silence_ms: time after which the target should have been heard
+        """
+        name = attempt.listing.name
         self._attempt = attempt
-        self._tried.append(attempt.listing.name)
-        end = await attempt.run(self._context.fleet.connections)
+        self._tried.append(name)
+        end = await AttemptWatch(self._context).run(
+            attempt, silence_ms, self._sends.leave_rule(attempt)
+        )
         if self._attempt is attempt:
             self._attempt = None
-        if attempt.is_sent and attempt.may_run and end.outcome in _RUN_PERHAPS:
-            self._may_have_run = True
-        if end.outcome is AttemptOutcome.unsent:
-            self._unreached += 1
-        elif attempt.may_run or end.outcome is AttemptOutcome.not_run:
-            self._sends += 1
+        if end.is_silent:
+            self._suspend_target(name)
+        if attempt.is_sent and end.outcome is AttemptOutcome.lost:
+            self._crashes.lost(name)
+        self._sends.ended(attempt, end)
         if end.outcome is not AttemptOutcome.answered:
-            self._log_attempt(attempt.listing.name, end)
+            self._log_attempt(name, end)
         if end.head and end.head.meaning is AnswerMeaning.misplaced:
-            self._set_aside(attempt.listing.name)
+            self._context.fleet.set_aside(name)
         return end
 
-    def _set_aside(self, target: str) -> None:
-        """Use a target that is not where it is listed no more for now."""
-        directory = self._context.fleet.directory
-        directory.set_aside(target)
-        self._context.clock.call_later(
-            SET_ASIDE_MS, directory.take_back, target
-        )
-
-    def _may_repeat(self) -> bool:
-        """Take one repeat, where the route and the shared budget allow it."""
-        if self._sends >= self._route.max_sends:
-            return False
-        return self._context.retries.may_repeat(
-            self._service, self._context.clock.now_ms()
-        )
-
     def _refuse(self, reason: Refusal, retry_after_ms: int) -> None:
         """Refuse as not run, or fail where a target may have begun to run."""
         if self._has_perhaps_run:
@@ -186,7 +179,7 @@
         attempt = self._attempt
         if attempt is not None and attempt.is_sent and attempt.may_run:
             return True
-        return self._may_have_run
+        return self._sends.may_have_run
 
     def _expire(self) -> None:
         if self._has_perhaps_run:
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -10,8 +10,10 @@
 from cicadahoist.errors import WireError
 from cicadahoist.log import get_logger
 from cicadahoist.objects import Change, StoredObject
+from cicadahoist.policy.crash_blame import Blame
 from cicadahoist.policy.engine_board import PeerLoad
 from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.crash_watch import CRASH_CHECK_MS
 
 logger = get_logger(__name__)
 
@@ -22,6 +24,10 @@
 PERIOD_PER_PEER_MS = 4
 # An unchanged load is repeated this often, as datagrams get lost.
 REPEAT_MS = 400
+# A blame is told for this long, some four times.
+BLAME_TOLD_MS = 1600
+# Blames in one datagram: an engine runs at most so many requests.
+MOST_BLAMES = 32
 
 
 class LoadMessage(msgspec.Struct, array_like=True):
@@ -34,6 +40,7 @@
     :param runs_by_engine: requests in flight
     :param held_by_engine: tokens that runs in flight hold
     :param closed_by_engine: for how long engines get no new work, in ms
+    :param blames: requests that were running when a target crashed
     """
 
     sender: str
@@ -42,6 +49,7 @@
     runs_by_engine: dict[str, int]
     held_by_engine: dict[str, int]
     closed_by_engine: dict[str, int] = {}
+    blames: tuple[Blame, ...] = ()
 
 
 class PeerRecord(msgspec.Struct):
@@ -84,6 +92,8 @@
         self._sent_ms = 0
         self._port: Any = None
         self._timer: Timer | None = None
+        self._blames_told: list[Blame] = []
+        context.on_blame = self._tell_blame
 
     async def start(self) -> None:
         """Listen, and begin to tell."""
@@ -123,6 +133,8 @@
             return
         now_ms = self._clock.now_ms()
         self._context.true_time.hear(load.sender, load.true_ms)
+        for blame in load.blames:
+            self._context.blames.blame(blame)
         heard = PeerLoad(
             load.reads_by_engine,
             load.runs_by_engine,
@@ -150,7 +162,9 @@
 
     def _tell(self) -> None:
         now_ms = self._clock.now_ms()
-        message = LoadMessage(self._instance, 0, {}, {}, {})
+        message = LoadMessage(
+            self._instance, 0, {}, {}, {}, {}, self._open_blames()
+        )
         for board in self._context.fleet.boards.everything():
             board.forget_silent(now_ms)
             load = board.own_load()
@@ -167,6 +181,20 @@
         period_ms = max(LOAD_PERIOD_MS, PERIOD_PER_PEER_MS * peers)
         self._timer = self._clock.call_later(period_ms, self._tell)
 
+    def _tell_blame(self, blame: Blame) -> None:
+        self._blames_told.append(blame)
+
+    def _open_blames(self) -> tuple[Blame, ...]:
+        """Return the blames that peers may not have heard of."""
+        true_ms = self._context.true_time.now_ms()
+        self._context.blames.forget_old(true_ms)
+        # A crash is told of only once its target has stayed silent.
+        since_ms = true_ms - CRASH_CHECK_MS - BLAME_TOLD_MS
+        self._blames_told = [
+            blame for blame in self._blames_told if blame.true_ms >= since_ms
+        ][-MOST_BLAMES:]
+        return tuple(self._blames_told)
+
     def _send(self, message: LoadMessage) -> None:
         stamped = msgspec.structs.replace(
             message, true_ms=self._context.true_time.own_ms()
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -9,7 +9,7 @@
 from cicadahoist.listings import Listing
 from cicadahoist.log import get_logger
 from cicadahoist.policy.engine_board import EngineState
-from cicadahoist.policy.patience import patience_ms
+from cicadahoist.policy.patience import patience_ms, silence_bound_ms
 from cicadahoist.policy.placement import (
     Placement,
     engine_ms,
@@ -108,7 +108,7 @@
         started_ms = self._context.clock.now_ms()
         engine.own_reads += placement.reads
         try:
-            end = await self._run(attempt)
+            end = await self._run(attempt, silence_bound_ms(placement.read_ms))
         finally:
             engine.own_reads -= placement.reads
         took_ms = self._context.clock.now_ms() - started_ms
@@ -145,9 +145,9 @@
     def _after_unread(self, end: AttemptEnd) -> None:
         """Go on after a prompt was not read; the request has not run."""
         if end.outcome is AttemptOutcome.unsent:
-            if self._unreached >= MOST_CONNECTS:
+            if self._sends.unreached >= MOST_CONNECTS:
                 self._refuse(Refusal.no_target, NO_ENGINE_RETURN_MS)
-        elif self._may_repeat():
+        elif self._sends.may_repeat():
             self._context.meters.retried(Retry.handoff_failed)
         else:
             self._refuse(Refusal.limit_reached, BUSY_RETURN_MS)
@@ -171,7 +171,9 @@
             self._piece_taker(running),
         )
         try:
-            end = await self._run(attempt)
+            end = await self._run(
+                attempt, silence_bound_ms(placement.first_token_ms)
+            )
         finally:
             running.end()
         if end.outcome is AttemptOutcome.unsent:
@@ -189,16 +191,21 @@
 
         return take
 
+    def _suspend_target(self, target: str) -> None:
+        engine = self._context.fleet.boards.board(self._service).get(target)
+        if engine is not None:
+            engine.health.crashed(self._context.clock.now_ms())
+
     def _judge(self, engine: EngineState, end: AttemptEnd) -> None:
         """Go on, finish or give up after an attempt to generate."""
         now_ms = self._context.clock.now_ms()
         match end.outcome:
             case AttemptOutcome.unsent:
                 engine.health.crashed(now_ms)
-                if self._unreached >= MOST_CONNECTS:
+                if self._sends.unreached >= MOST_CONNECTS:
                     self._refuse(Refusal.no_target, NO_ENGINE_RETURN_MS)
             case AttemptOutcome.not_run:
-                if self._may_repeat():
+                if self._sends.may_repeat():
                     self._context.meters.retried(Retry.target_busy)
                 else:
                     self._refuse(Refusal.limit_reached, BUSY_RETURN_MS)
@@ -230,7 +237,7 @@
     def _after_loss(self) -> None:
         """Go on at another engine behind the last event, where allowed."""
         is_resumable = self._route.repeat is RepeatRule.resumable
-        if is_resumable and self._may_repeat():
+        if is_resumable and self._sends.may_repeat():
             self._relay.begin_again()
             self._context.meters.retried(Retry.stream_broken)
         else:
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -15,8 +15,9 @@
 from cicadahoist.listings import Listing
 from cicadahoist.requests import HeaderList
 
-# Targets stand within a few ms; a lost opening packet is sent again after 1 s.
-CONNECT_TIMEOUT_MS = 600
+# Targets stand within a few ms and take a connection in one more. A dark one
+# is left after this time, with time to begin elsewhere.
+CONNECT_TIMEOUT_MS = 300
 # Unacknowledged bytes and unanswered probes end a connection after this time.
 SILENCE_TIMEOUT_MS = 2000
 PROBE_IDLE_S = 1
@@ -251,6 +252,14 @@
         self.listing = listing
         self._idle: list[TargetConnection] = []
 
+    def belongs_to(self, listing: Listing) -> bool:
+        """Tell whether the connections lead to the process that is listed."""
+        known = self.listing
+        return (known.address, known.born_ms) == (
+            listing.address,
+            listing.born_ms,
+        )
+
     def take(self, now_ms: int) -> TargetConnection | None:
         """Return an idle connection that the target still keeps, or none."""
         while self._idle:
@@ -307,7 +316,7 @@
         :raises NotSentError: no connection could be made
         """
         pool = self._pools_by_name.get(listing.name)
-        if pool is not None and pool.listing.address != listing.address:
+        if pool is not None and not pool.belongs_to(listing):
             pool.close()
             pool = None
         if pool is None:
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -14,6 +14,8 @@
 # Work of some 100 ms each frees a place of a busy service within this time.
 BUSY_RETURN_MS = 150
 NO_TARGET_RETURN_MS = 500
+# Longest usual wait for an answer: the longest work of the sheets, 450 ms.
+PLAIN_SILENCE_MS = 450
 
 
 class PlainFlow(Flow):
@@ -51,10 +53,14 @@
         plain = self._context.fleet.plain
         plain.opened(listing.name)
         try:
-            return await self._run(attempt)
+            return await self._run(attempt, PLAIN_SILENCE_MS)
         finally:
             plain.closed(listing.name)
 
+    def _suspend_target(self, target: str) -> None:
+        health = self._context.fleet.plain.health(target)
+        health.crashed(self._context.clock.now_ms())
+
     def _judge(self, target: str, end: AttemptEnd) -> None:
         """Go on, deliver or give up after an attempt."""
         now_ms = self._context.clock.now_ms()
@@ -62,10 +68,10 @@
         match end.outcome:
             case AttemptOutcome.unsent:
                 health.crashed(now_ms)
-                if self._unreached >= MOST_CONNECTS:
+                if self._sends.unreached >= MOST_CONNECTS:
                     self._refuse(Refusal.no_target, NO_TARGET_RETURN_MS)
             case AttemptOutcome.not_run:
-                if self._may_repeat():
+                if self._sends.may_repeat():
                     self._context.meters.retried(Retry.target_busy)
                 else:
                     self._refuse(Refusal.limit_reached, BUSY_RETURN_MS)
@@ -84,13 +90,13 @@
             head.meaning is AnswerMeaning.failure
             and head.status >= HTTP_SERVER_ERROR
         )
-        if is_failure and self._is_repeatable and self._may_repeat():
+        if is_failure and self._is_repeatable and self._sends.may_repeat():
             self._context.meters.retried(Retry.target_failed)
         else:
             self._reply.deliver(head, end.body)
 
     def _after_loss(self) -> None:
-        if self._is_repeatable and self._may_repeat():
+        if self._is_repeatable and self._sends.may_repeat():
             self._context.meters.retried(Retry.stream_broken)
         else:
             self._reply.fail(HTTP_BAD_GATEWAY, Refusal.target_lost)
--- a/cicadahoist/serving/plain_targets.py
+++ b/cicadahoist/serving/plain_targets.py
@@ -2,6 +2,7 @@
 
 from cicadahoist.ids import fast_hash
 from cicadahoist.listings import Listing, TargetDirectory
+from cicadahoist.policy.answer_watch import AnswerWatch
 from cicadahoist.policy.health import TargetHealth
 
 
@@ -10,18 +11,25 @@
     Targets of plain services: own open requests and health.
 
     :param directory: the targets of this moment
+    :param answers: tells which targets are silent
     :param zone: availability zone of this instance
     """
 
     __slots__ = (
+        '_answers',
+        '_born_by_target',
         '_directory',
         '_health_by_target',
         '_open_by_target',
         '_zone',
     )
 
-    def __init__(self, directory: TargetDirectory, zone: str) -> None:
+    def __init__(
+        self, directory: TargetDirectory, answers: AnswerWatch, zone: str
+    ) -> None:
         self._directory = directory
+        self._answers = answers
+        self._born_by_target: dict[str, int] = {}
         self._zone = zone
         self._open_by_target: dict[str, int] = {}
         self._health_by_target: dict[str, TargetHealth] = {}
@@ -32,7 +40,7 @@
         """
         Return the least used target of a service, or none.
 
-        An ejected target is used only where no other is left.
+        An ejected or silent target is used only where no other is left.
         """
         left = [
             listing
@@ -45,6 +53,7 @@
             left,
             key=lambda listing: (
                 not self.health(listing.name).share(now_ms),
+                self._answers.is_silent(listing.name, now_ms),
                 self._open_by_target.get(listing.name, 0),
                 listing.zone != self._zone,
                 fast_hash(request_id + listing.name),
@@ -71,8 +80,13 @@
         else:
             self._open_by_target.pop(target, None)
 
-    def retain(self, names: set[str]) -> None:
-        """Forget the health of all other targets."""
+    def sync(self) -> None:
+        """Forget the health of targets that are gone or started again."""
+        born = {
+            listing.name: listing.born_ms
+            for listing in self._directory.everything()
+        }
         for target in list(self._health_by_target):
-            if target not in names:
+            if born.get(target) != self._born_by_target.get(target):
                 self._health_by_target.pop(target)
+        self._born_by_target = born
