Call the store less: cheap lists of peers, fewer looks at the lease

Each instance looked at the lease each second, was woken by each change of each other instance, wrote its counts each 1.5 s and confirmed the configuration each second. Now peers are listed each 3 s by lists that may lag; only three standbys look at the lease each second; counts are written as a window closes, and between at a pace that falls with the fleet; a watch that waited in vain confirms the end of its wait, so that it may wait 2 s; changes of targets are gathered for 150 ms. Ruled out: relaying the freshness of keys between instances, as a clock that is off would let a withdrawn key pass. Tests: test_duties, test_following.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Callable
 
-import msgspec
-
 from cicadahoist.application import Application
 from cicadahoist.cmd.front_duties import DutyAssembly
+from cicadahoist.cmd.front_peering import add_peering
 from cicadahoist.ids import new_nonce
 from cicadahoist.objects import Change, StoredObject
 from cicadahoist.platform.clients import (
@@ -27,12 +26,6 @@
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.deployment_source import DeploymentSource
 from cicadahoist.serving.front import Front
-from cicadahoist.serving.instance_records import InstanceRecords
-from cicadahoist.serving.load_exchange import (
-    PEER_KIND,
-    LoadExchange,
-    PeerRecord,
-)
 from cicadahoist.serving.server import FrontServer, ReadyServer
 from cicadahoist.serving.settings_watch import SettingsWatch
 from cicadahoist.serving.store_follower import KindFollower, ListTaker
@@ -46,9 +39,10 @@
 SETTLE_MS = 3500
 # How long the store holds a watch. The configuration's bounds how long ago a
 # key was known to be valid; the others cost a call each.
-CONFIG_WAIT_MS = 1000
-LISTING_WAIT_MS = 1500
-PEER_WAIT_MS = 6000
+CONFIG_WAIT_MS = 2000
+LISTING_WAIT_MS = 2000
+# Targets leave, come and change roles several at a time.
+LISTING_GATHER_MS = 150
 
 
 class FrontAssembly:
@@ -67,6 +61,7 @@
         '_engine_calls',
         '_front',
         '_incarnation',
+        '_peers',
         '_reactor',
         '_read_settings',
         '_settings',
@@ -105,7 +100,13 @@
         self._application.on_reload(watch.reload)
         self._application.add(watch)
         self._add_followers()
-        self._add_peering()
+        self._peers = add_peering(
+            self._application,
+            self._context,
+            self._settings,
+            self._incarnation,
+            self._reactor,
+        )
         self._add_duties()
         self._add_servers()
 
@@ -134,46 +135,22 @@
             LISTING_WAIT_MS,
             self._settling(targets.list_received),
             targets.change_received,
+            gather_ms=LISTING_GATHER_MS,
         )
         self._application.add(self._config_follower)
         self._application.add(listings)
 
-    def _add_peering(self) -> None:
-        """Add what instances of one deployment tell each other."""
-        settings = self._settings
-        peer = PeerRecord(settings.host, settings.peer_ports[0])
-        exchange = LoadExchange(
-            self._context, settings.instance, peer, self._reactor
-        )
-        peers = self._follower(
-            PEER_KIND,
-            PEER_WAIT_MS,
-            exchange.list_received,
-            exchange.change_received,
-        )
-        records = InstanceRecords(
-            new_store(settings.store, self._reactor),
-            self._clock,
-            PEER_KIND,
-            settings.instance,
-            self._incarnation,
-            msgspec.to_builtins(peer),
-            self._context.usage,
-            self._context.true_time.now_ms,
-        )
-        for task in (exchange, peers, records):
-            self._application.add(task)
-
     def _follower(
         self,
         kind: str,
         wait_ms: int,
         on_list: ListTaker,
         on_change: Callable[[Change], None],
+        gather_ms: int = 0,
     ) -> KindFollower:
         store = new_store(self._settings.store, self._reactor)
         return KindFollower(
-            store, kind, wait_ms, self._clock, on_list, on_change
+            store, kind, wait_ms, self._clock, on_list, on_change, gather_ms
         )
 
     def _settling(self, take: ListTaker) -> ListTaker:
@@ -199,7 +176,9 @@
             self._incarnation,
             self._reactor,
         )
-        self._application.add(duties.task(self._engine_calls, self._may_stand))
+        self._application.add(
+            duties.task(self._engine_calls, self._peers, self._may_stand)
+        )
 
     def _add_servers(self) -> None:
         settings = self._settings
--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -23,6 +23,7 @@
 )
 from cicadahoist.serving.fleet_orders import RoleChanges, TargetOrders
 from cicadahoist.serving.load_exchange import PEER_KIND
+from cicadahoist.serving.peers import Peers
 from cicadahoist.serving.usage_report import UsageReport
 
 USAGE_PERIOD_MS = 800
@@ -56,12 +57,16 @@
         self._reactor = reactor
 
     def task(
-        self, engines: EngineCalls, may_stand: Callable[[], bool]
+        self,
+        engines: EngineCalls,
+        peers: Peers,
+        may_stand: Callable[[], bool],
     ) -> 'Unstopped':
         """
         Return the task.
 
         :param engines: sends orders to engines
+        :param peers: tells how close this instance is to standing
         :param may_stand: tells whether this instance should stand
         """
         settings = self._settings
@@ -94,6 +99,7 @@
             TermDeadlines(NoTimer()),
             may_stand=may_stand,
             may_hold=may_stand,
+            standby_looks_s=lambda: peers.standby_looks_s(clock.now_ms()),
         )
         duties.use(task)
         return Unstopped(task)
--- /dev/null
+++ b/cicadahoist/cmd/front_peering.py
@@ -0,0 +1,65 @@
+"""Composes what the instances of a deployment tell each other."""
+
+from typing import Any
+
+import msgspec
+
+from cicadahoist.application import Application
+from cicadahoist.platform.clients import new_store
+from cicadahoist.platform.settings_file import InstanceSettings
+from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.instance_records import (
+    InstanceIdentity,
+    InstanceRecords,
+)
+from cicadahoist.serving.kind_poller import KindPoller
+from cicadahoist.serving.load_exchange import (
+    PEER_KIND,
+    LoadExchange,
+    PeerRecord,
+)
+from cicadahoist.serving.peers import Peers
+
+# New instances matter to shares and loads only: they are found by cheap lists.
+PEER_PERIOD_MS = 3000
+
+
+def add_peering(
+    application: Application,
+    context: ServingContext,
+    settings: InstanceSettings,
+    incarnation: str,
+    reactor: Any,
+) -> Peers:
+    """
+    Add the tasks that tell other instances of this one, and hear of them.
+
+    :param incarnation: name of this process, not used by any other
+    :return: signs of life of the other instances
+    """
+    peers = Peers(settings.instance)
+    record = PeerRecord(settings.host, settings.peer_ports[0], settings.zone)
+    exchange = LoadExchange(context, settings.instance, record, peers, reactor)
+    poller = KindPoller(
+        new_store(settings.store, reactor),
+        PEER_KIND,
+        PEER_PERIOD_MS,
+        application.clock,
+        exchange.list_received,
+    )
+    records = InstanceRecords(
+        new_store(settings.store, reactor),
+        application.clock,
+        InstanceIdentity(
+            kind=PEER_KIND,
+            name=settings.instance,
+            incarnation=incarnation,
+            record=msgspec.to_builtins(record),
+        ),
+        context.usage,
+        context.true_time.now_ms,
+        lambda: context.demand.instances,
+    )
+    for task in (exchange, poller, records):
+        application.add(task)
+    return peers
--- a/cicadahoist/control/lease_task.py
+++ b/cicadahoist/control/lease_task.py
@@ -31,7 +31,7 @@
 logger = get_logger(__name__)
 
 TICK_MS = 100
-STANDBY_TICKS = 10
+TICKS_PER_S = 10
 LEAVE_LIMIT_MS = 3000
 STANDBY = 'standby'
 LEFT = 'left'
@@ -48,6 +48,8 @@
     :param deadlines: the kernel's timer of the process
     :param may_stand: tells whether this process should stand for the lease
     :param may_hold: tells whether it may go on holding it
+    :param standby_looks_s: tells the seconds between two looks of a standby,
+        none for one
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         '_duty_calls',
         '_may_hold',
         '_may_stand',
+        '_standby_looks_s',
         '_store_calls',
         '_ticks',
         '_timer',
@@ -73,7 +76,9 @@
         *,
         may_stand: Callable[[], bool],
         may_hold: Callable[[], bool],
+        standby_looks_s: Callable[[], int] | None = None,
     ) -> None:
+        self._standby_looks_s = standby_looks_s
         self._authority = authority
         self._duty = duty
         self._clock = clock
@@ -136,7 +141,10 @@
     def _is_due(self) -> bool:
         if self._state != STANDBY:
             return True
-        return self._may_stand() and self._ticks % STANDBY_TICKS == 0
+        if not self._may_stand():
+            return False
+        looks_s = self._standby_looks_s() if self._standby_looks_s else 1
+        return self._ticks % (TICKS_PER_S * looks_s) == 0
 
     def _run(self, action: Action) -> None:
         name = self._authority.lease.name
--- /dev/null
+++ b/cicadahoist/policy/part_cache.py
@@ -0,0 +1,50 @@
+"""Which prompt parts an engine keeps, as far as its requests tell."""
+
+from collections import OrderedDict
+
+from cicadahoist.requests import PromptPart
+
+# Share of an engine's memory that cached parts get beside running requests.
+CACHE_SHARE = 0.6
+
+
+class PartCache:
+    """
+    Model of an engine's cache: the least recently used parts yield.
+
+    :param capacity: tokens that it keeps
+    """
+
+    __slots__ = ('_capacity', '_held', '_tokens_by_digest')
+
+    def __init__(self, capacity: float) -> None:
+        self._capacity = capacity
+        self._held = 0
+        self._tokens_by_digest: OrderedDict[str, int] = OrderedDict()
+
+    @classmethod
+    def from_memory(cls, tokens: int) -> 'PartCache':
+        """
+        Return the cache of an engine.
+
+        :param tokens: tokens that its memory holds, 0 for unknown
+        """
+        return cls(CACHE_SHARE * tokens)
+
+    def use(self, parts: tuple[PromptPart, ...]) -> None:
+        """Take note that an engine reads a prompt."""
+        for part in parts:
+            self._held -= self._tokens_by_digest.pop(part.digest, 0)
+            self._tokens_by_digest[part.digest] = part.tokens
+            self._held += part.tokens
+        while self._held > self._capacity and self._tokens_by_digest:
+            self._held -= self._tokens_by_digest.popitem(last=False)[1]
+
+    def kept_tokens(self, parts: tuple[PromptPart, ...]) -> int:
+        """Return the tokens at the beginning of a prompt that are kept."""
+        kept = 0
+        for part in parts:
+            if part.digest not in self._tokens_by_digest:
+                break
+            kept += part.tokens
+        return kept
--- a/cicadahoist/serving/instance_records.py
+++ b/cicadahoist/serving/instance_records.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from twisted.internet.defer import CancelledError, Deferred
 
 from cicadahoist.clock import Clock
@@ -14,32 +15,49 @@
 logger = get_logger(__name__)
 
 COUNT_KIND = 'cicadahoist-usage-counts'
-# A killed process loses the counts of this time.
+# A killed process loses the counts of this time, which is added for each
+# instance, so that all together write at most six times a second.
 COUNT_PERIOD_MS = 1500
+PERIOD_PER_INSTANCE_MS = 165
+# How often to look whether a window has closed, which is always told at once.
+LOOK_MS = 500
 RETRY_MS = 300
 
 
+class InstanceIdentity(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Names under which an instance writes to the store.
+
+    :param kind: kind of the records by which instances find each other
+    :param name: name of the instance
+    :param incarnation: name of its process, not used by any other
+    :param record: how other instances reach it
+    """
+
+    kind: str
+    name: str
+    incarnation: str
+    record: dict[str, Any]
+
+
 class InstanceRecords:
     """
     Keeps the records of this process in the store.
 
     :param objects: the store
-    :param peer_kind: kind of the records by which instances find each other
-    :param instance: name of this instance
-    :param incarnation: name of this process, not used by any other
-    :param record: how other instances reach this one
+    :param identity: names under which this instance writes
     :param usage: counts of this process
     :param true_ms: wall-clock time, corrected for steps
+    :param count_instances: tells how many instances there are
     """
 
     __slots__ = (
+        '_asked_ms',
         '_clock',
-        '_incarnation',
-        '_instance',
+        '_count_instances',
+        '_identity',
         '_is_stopped',
         '_objects',
-        '_peer_kind',
-        '_record',
         '_running',
         '_true_ms',
         '_usage',
@@ -50,19 +68,17 @@
         self,
         objects: Objects,
         clock: Clock,
-        peer_kind: str,
-        instance: str,
-        incarnation: str,
-        record: dict[str, Any],
+        identity: InstanceIdentity,
         usage: UsageCounts,
         true_ms: Callable[[], int],
+        count_instances: Callable[[], int],
     ) -> None:
+        self._count_instances = count_instances
+        # When counts were last written, or tried to be.
+        self._asked_ms = 0
         self._objects = objects
         self._clock = clock
-        self._peer_kind = peer_kind
-        self._instance = instance
-        self._incarnation = incarnation
-        self._record = record
+        self._identity = identity
         self._usage = usage
         self._true_ms = true_ms
         self._written: dict[str, Any] = {}
@@ -81,34 +97,51 @@
             self._running.cancel()
         try:
             await self._write_counts()
-            await self._objects.delete(self._peer_kind, self._instance)
+            await self._objects.delete(self._identity.kind, self._identity.name)
         except StoreError as error:
             logger.warning('last records not written: {0}', error)
 
     async def _run(self) -> None:
         while not self._is_stopped:
             try:
-                await self._put(self._peer_kind, self._instance, self._record)
+                await self._put(
+                    self._identity.kind,
+                    self._identity.name,
+                    self._identity.record,
+                )
                 break
             except StoreError as error:
                 logger.warning('not registered yet: {0}', error)
                 await self._clock.sleep(RETRY_MS)
         while not self._is_stopped:
-            await self._clock.sleep(COUNT_PERIOD_MS)
+            await self._clock.sleep(LOOK_MS)
+            if not self._is_due():
+                continue
             try:
                 await self._write_counts()
             except StoreError as error:
                 logger.warning('counts not written: {0}', error)
 
+    def _is_due(self) -> bool:
+        closed = self._usage.closed_window(self._true_ms())
+        period_ms = LOOK_MS
+        if closed == self._written.get('closed'):
+            period_ms = max(
+                COUNT_PERIOD_MS,
+                PERIOD_PER_INSTANCE_MS * self._count_instances(),
+            )
+        return self._clock.now_ms() - self._asked_ms >= period_ms
+
     async def _write_counts(self) -> None:
+        self._asked_ms = self._clock.now_ms()
         record = {
-            'instance': self._instance,
+            'instance': self._identity.name,
             'windows': self._usage.snapshot(),
             'closed': self._usage.closed_window(self._true_ms()),
         }
         if record == self._written:
             return
-        await self._put(COUNT_KIND, self._incarnation, record)
+        await self._put(COUNT_KIND, self._identity.incarnation, record)
         self._written = record
 
     async def _put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
--- /dev/null
+++ b/cicadahoist/serving/kind_poller.py
@@ -0,0 +1,99 @@
+"""Reads one kind of objects now and then, where seconds do not matter."""
+
+from typing import Any
+
+from twisted.internet.defer import CancelledError, Deferred
+
+from cicadahoist.clock import Clock
+from cicadahoist.errors import StoreError
+from cicadahoist.log import get_logger
+from cicadahoist.objects import Objects
+from cicadahoist.serving.store_follower import ListTaker
+
+logger = get_logger(__name__)
+
+# Pause after a list that failed.
+RETRY_MS = 500
+
+
+class KindPoller:
+    """
+    Lists a kind periodically; lists after the first may be seconds old.
+
+    Such lists cost a tenth of others, and one watch an instance would be woken
+    by each change of each other instance.
+
+    :param objects: the store
+    :param period_ms: time between two lists
+    :param on_list: called with all objects after each list
+    """
+
+    __slots__ = (
+        '_clock',
+        '_is_stopped',
+        '_kind',
+        '_objects',
+        '_on_list',
+        '_period_ms',
+        '_running',
+    )
+
+    def __init__(
+        self,
+        objects: Objects,
+        kind: str,
+        period_ms: int,
+        clock: Clock,
+        on_list: ListTaker,
+    ) -> None:
+        self._objects = objects
+        self._kind = kind
+        self._period_ms = period_ms
+        self._clock = clock
+        self._on_list = on_list
+        self._is_stopped = False
+        self._running: Deferred[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to list."""
+        self._begin()
+
+    async def stop(self) -> None:
+        """Stop listing."""
+        self._is_stopped = True
+        if self._running is not None:
+            self._running.cancel()
+
+    def _begin(self) -> None:
+        self._running = Deferred.fromCoroutine(self._run())
+        self._running.addErrback(self._begin_again)
+
+    def _begin_again(self, failure: Any) -> None:
+        if self._is_stopped or failure.check(CancelledError):
+            return
+        logger.error('listing broke off: {0}', failure.getTraceback())
+        self._clock.call_later(RETRY_MS, self._begin)
+
+    async def _run(self) -> None:
+        has_listed = False
+        while not self._is_stopped:
+            try:
+                await self._list(may_lag=has_listed)
+            except StoreError as error:
+                logger.bind(kind=self._kind).warning(
+                    'store not heard: {0}', error
+                )
+                await self._clock.sleep(RETRY_MS)
+                continue
+            has_listed = True
+            await self._clock.sleep(self._period_ms)
+
+    async def _list(self, *, may_lag: bool) -> None:
+        page = await self._objects.page(self._kind, may_lag=may_lag)
+        found = list(page.found)
+        while page.has_more:
+            page = await self._objects.page(
+                self._kind, after=page.found[-1].name, may_lag=may_lag
+            )
+            found.extend(page.found)
+        self._on_list(found)
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -9,11 +9,12 @@
 from cicadahoist.codec import Codec
 from cicadahoist.errors import WireError
 from cicadahoist.log import get_logger
-from cicadahoist.objects import Change, StoredObject
+from cicadahoist.objects import StoredObject
 from cicadahoist.policy.crash_blame import Blame
 from cicadahoist.policy.engine_board import PeerLoad
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.crash_watch import CRASH_CHECK_MS
+from cicadahoist.serving.peers import Peers
 
 logger = get_logger(__name__)
 
@@ -57,6 +58,7 @@
 
     host: str
     port: int
+    zone: str = ''
 
 
 _codec: Codec[LoadMessage] = Codec.packed('load of a peer', LoadMessage)
@@ -71,6 +73,7 @@
     :param context: shared parts of the data path
     :param instance: name of this instance
     :param record: where this instance takes loads
+    :param peers: takes note of the signs of life of other instances
     """
 
     transport: Any
@@ -80,9 +83,11 @@
         context: ServingContext,
         instance: str,
         record: PeerRecord,
+        peers: Peers,
         reactor: Any,
     ) -> None:
         self._context = context
+        self._peers = peers
         self._clock: Clock = context.clock
         self._instance = instance
         self._record = record
@@ -116,14 +121,6 @@
             self._add(stored)
         self._count()
 
-    def change_received(self, change: Change) -> None:
-        """Take over the change of one instance."""
-        if change.is_removed:
-            self._addresses_by_peer.pop(change.stored.name, None)
-        else:
-            self._add(change.stored)
-        self._count()
-
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
         """Take the load of a peer."""
         try:
@@ -133,6 +130,7 @@
             return
         now_ms = self._clock.now_ms()
         self._context.true_time.hear(load.sender, load.true_ms)
+        self._peers.heard(load.sender, now_ms)
         for blame in load.blames:
             self._context.blames.blame(blame)
         heard = PeerLoad(
--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -31,10 +31,13 @@
         age of what is known stays about below it
     :param on_list: called with all objects after a list
     :param on_change: called with each change after it
+    :param gather_ms: pause after an answer that held changes, as more mostly
+        follow and each answer is a call
     """
 
     __slots__ = (
         '_clock',
+        '_gather_ms',
         '_heard_ms',
         '_is_stopped',
         '_kind',
@@ -56,7 +59,9 @@
         clock: Clock,
         on_list: ListTaker,
         on_change: Callable[[Change], None],
+        gather_ms: int = 0,
     ) -> None:
+        self._gather_ms = gather_ms
         self._objects = objects
         self._kind = kind
         self._wait_ms = wait_ms
@@ -106,11 +111,12 @@
         must_list = True
         while not self._is_stopped:
             asked_ms = self._clock.now_ms()
+            known_until_ms = asked_ms
             try:
                 if must_list:
                     await self._list()
                 else:
-                    await self._watch()
+                    known_until_ms = await self._watch(asked_ms)
             except HistoryGoneError:
                 logger.bind(kind=self._kind, revision=self.revision).info(
                     'history of the store is gone; listing again'
@@ -129,7 +135,7 @@
                 continue
             pause_ms = 0
             must_list = False
-            self.confirmed_ms = asked_ms
+            self.confirmed_ms = known_until_ms
 
     async def _list(self) -> None:
         page = await self._objects.page(self._kind)
@@ -144,7 +150,13 @@
         self.revision = revision
         self._on_list(found)
 
-    async def _watch(self) -> None:
+    async def _watch(self, asked_ms: int) -> int:
+        """
+        Wait for changes.
+
+        :return: until when what is known was complete: a store that waited in
+            vain had nothing new at the end of the wait
+        """
         seen = await self._objects.watch(
             self._kind, self.revision, self._wait_ms
         )
@@ -152,6 +164,13 @@
         for change in seen.changes:
             self._on_change(change)
         self.revision = max(self.revision, seen.as_of)
+        if seen.changes:
+            if self._gather_ms:
+                await self._clock.sleep(self._gather_ms)
+            return asked_ms
+        if self._clock.now_ms() - asked_ms < self._wait_ms:
+            return asked_ms
+        return asked_ms + self._wait_ms
 
     def _note_answer(self) -> None:
         """Take note that the store answers, and whether it was away."""
--- a/tests/test_serving/test_duties.py
+++ b/tests/test_serving/test_duties.py
@@ -4,7 +4,12 @@
 from cicadahoist.errors import StoreUnavailableError
 from cicadahoist.serving.duties import PlatformDuties
 from cicadahoist.serving.duty_calls import OrderReply
-from cicadahoist.serving.instance_records import COUNT_KIND, InstanceRecords
+from cicadahoist.serving.instance_records import (
+    COUNT_KIND,
+    InstanceIdentity,
+    InstanceRecords,
+)
+from cicadahoist.serving.peers import Peers
 from cicadahoist.serving.usage_counts import UsageCounts
 from cicadahoist.serving.usage_report import SEALED_KIND, UsageReport
 from tests.coroutines import Pending, result_of
@@ -12,6 +17,13 @@
 
 WINDOW_MS = 5000
 
+IDENTITY = InstanceIdentity(
+    kind='peers',
+    name='i1',
+    incarnation='i1.n',
+    record={'host': 'h', 'port': 1},
+)
+
 
 class Interface:
     """Takes reports and answers as it is told."""
@@ -215,12 +227,10 @@
     records = InstanceRecords(
         objects,
         clock,
-        'peers',
-        'i1',
-        'i1.n',
-        {'host': 'h', 'port': 1},
+        IDENTITY,
         usage,
         lambda: 505_600,
+        lambda: 1,
     )
     Pending(records.start())
     assert objects.names('peers') == ['i1']
@@ -242,7 +252,7 @@
 def test_counts_are_written_once_the_store_is_back():
     clock, objects, usage = Clock.manual(), FakeObjects(), UsageCounts()
     records = InstanceRecords(
-        objects, clock, 'peers', 'i1', 'n', {}, usage, lambda: 0
+        objects, clock, IDENTITY, usage, lambda: 0, lambda: 1
     )
     objects.failure = 'down'
     Pending(records.start())
@@ -252,4 +262,52 @@
     for _ in range(4):
         clock.advance(1500)
     assert objects.names('peers') == ['i1']
-    assert objects.names(COUNT_KIND) == ['n']
+    assert objects.names(COUNT_KIND) == ['i1.n']
+
+
+def test_a_large_fleet_writes_its_counts_as_often_as_a_small_one():
+    """Pattern: calls to the store that grow with the fleet."""
+    writes = {}
+    for instances in (9, 66, 390):
+        clock, objects, usage = Clock.manual(), FakeObjects(), UsageCounts()
+        records = InstanceRecords(
+            objects,
+            clock,
+            IDENTITY,
+            usage,
+            clock.now_ms,
+            lambda: instances,  # noqa: B023
+        )
+        Pending(records.start())
+        for _ in range(600):
+            usage.began('w1', clock.now_ms())
+            clock.advance(100)
+        written = sum(call[0] == 'replace' for call in objects.calls)
+        writes[instances] = written
+    # Within a minute: each 1.5 s, or once a window of 5 s and a few between.
+    assert 40 <= writes[9] <= 53
+    assert writes[66] <= 20
+    assert 12 <= writes[390] <= 14
+
+
+def test_only_a_few_standbys_look_at_the_lease_each_second():
+    """Pattern: calls to the store that grow with the fleet."""
+    names = [f'i{number}' for number in range(80)]
+    looks_s = []
+    for name in names:
+        peers = Peers(name)
+        for other in names:
+            if other != name:
+                peers.heard(other, 1000)
+        looks_s.append(peers.standby_looks_s(2000))
+    assert sorted(looks_s)[:4] == [1, 1, 1, 2]
+    assert max(looks_s) == 10
+    assert sum(1 / looked for looked in looks_s) < 15
+
+
+def test_standbys_move_up_where_others_fall_silent():
+    peers = Peers('i9')
+    for number in range(40):
+        peers.heard(f'i-{number}', 1000)
+    assert peers.standby_looks_s(1000) > 1
+    assert peers.standby_looks_s(4001) == 1
--- a/tests/test_serving/test_following.py
+++ b/tests/test_serving/test_following.py
@@ -4,6 +4,7 @@
 from cicadahoist.errors import WireError
 from cicadahoist.listings import TargetDirectory
 from cicadahoist.serving.deployment_source import DeploymentSource
+from cicadahoist.serving.kind_poller import KindPoller
 from cicadahoist.serving.store_follower import KindFollower
 from cicadahoist.serving.target_source import TargetSource
 from tests.coroutines import Pending
@@ -204,3 +205,60 @@
     assert followed.source.current.version == 7
     followed.objects.put('config', 'main', 8)
     assert followed.source.current.version == 8
+
+
+def test_a_store_that_waited_in_vain_confirms_the_end_of_the_wait(followed):
+    followed.pass_time(1000)
+    followed.objects.quiet()
+    assert followed.config.age_ms(followed.clock.now_ms()) == 0
+    followed.pass_time(500)
+    # Answered early: nothing is known of the time after the question.
+    followed.objects.quiet()
+    assert followed.config.age_ms(followed.clock.now_ms()) == 500
+
+
+def test_changes_that_come_together_cost_one_more_call(followed):
+    listed = KindFollower(
+        followed.objects,
+        'servers',
+        1000,
+        followed.clock,
+        followed.targets.list_received,
+        followed.targets.change_received,
+        gather_ms=150,
+    )
+    Pending(listed.start())
+    Pending(followed.listings.stop())
+    before = len(followed.objects.calls)
+    for number in range(10):
+        followed.objects.put('servers', f'n{number}', {})
+        followed.pass_time(10)
+    followed.pass_time(500)
+    calls = followed.objects.calls[before:]
+    assert calls.count(('watch', 'servers')) <= 3
+    assert len(followed.names) == 15
+
+
+def test_a_poller_lists_again_and_again(followed):
+    lists = []
+    poller = KindPoller(
+        followed.objects, 'servers', 3000, followed.clock, lists.append
+    )
+    Pending(poller.start())
+    first = len(lists[0])
+    followed.objects.put('servers', 'n1', {})
+    followed.pass_time(3050)
+    assert [len(found) for found in lists] == [first, first + 1]
+
+
+def test_a_poller_goes_on_after_an_outage(followed):
+    lists = []
+    followed.objects.failure = 'down'
+    poller = KindPoller(
+        followed.objects, 'servers', 3000, followed.clock, lists.append
+    )
+    Pending(poller.start())
+    followed.pass_time(2000)
+    followed.objects.failure = None
+    followed.pass_time(600)
+    assert len(lists) == 1
