Report usage windows although instances end, leave or lose the store

A machine that had been removed for good was awaited until 4.5 s before each window was due, so that the outage of the store from second 18 on came first; instances that were stopped during the outage lost their last counts; after it, standbys looked at the lease each three seconds only. Now an instance that has closed no window for two others is not awaited, and for six is no peer any more (it registers again if it lives); counts are copied to two peers twice a second, which store them if their process falls silent; standbys look at the lease as soon as they have not heard its holder for 2 s, and hardly at all while they hear it. Tests: test_duties, test_load_exchange.

--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -102,6 +102,7 @@
             standby_looks_s=lambda: peers.standby_looks_s(clock.now_ms()),
         )
         duties.use(task)
+        self._context.gossip.holds_duties = lambda: task.is_holder
         return Unstopped(task)
 
     def _authority(self) -> Authority:
--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -39,7 +39,9 @@
     """
     peers = Peers(settings.instance)
     record = PeerRecord(settings.host, settings.peer_ports[0], settings.zone)
-    exchange = LoadExchange(context, settings.instance, record, peers, reactor)
+    exchange = LoadExchange(
+        context, settings.instance, incarnation, record, peers, reactor
+    )
     poller = KindPoller(
         new_store(settings.store, reactor),
         PEER_KIND,
@@ -59,7 +61,9 @@
         context.usage,
         context.true_time.now_ms,
         lambda: context.demand.instances,
+        context.gossip.usage_copies,
     )
+    exchange.on_missing = records.register_again
     for task in (exchange, poller, records):
         application.add(task)
     return peers
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -1,20 +1,18 @@
 """What the handling of all requests shares."""
 
-from collections.abc import Callable
 from typing import Any
 
 from cicadahoist.clock import Clock, wall_ms
 from cicadahoist.listings import TargetDirectory
 from cicadahoist.metrics import Metrics
 from cicadahoist.policy.answer_watch import AnswerWatch
-from cicadahoist.policy.crash_blame import Blame, CrashBlame
 from cicadahoist.policy.demand_rate import DemandRate
 from cicadahoist.policy.retry_share import RetryShares, RetryTerms
 from cicadahoist.policy.true_time import TrueTime
-from cicadahoist.requests import PromptPart
 from cicadahoist.rules import Deployment
 from cicadahoist.serving.attempt import Dialect
 from cicadahoist.serving.engine_boards import EngineBoards
+from cicadahoist.serving.gossip import Gossip
 from cicadahoist.serving.meters import Meters
 from cicadahoist.serving.outbound import TargetConnections
 from cicadahoist.serving.plain_targets import PlainTargets
@@ -78,15 +76,13 @@
     """
 
     __slots__ = (
-        'blames',
         'clock',
         'demand',
         'deployment',
         'dialect',
         'fleet',
+        'gossip',
         'meters',
-        'on_blame',
-        'on_read',
         'retries',
         'true_time',
         'usage',
@@ -105,16 +101,12 @@
         self.clock = clock
         self.fleet = Fleet(zone, TargetConnections(reactor, clock), clock)
         self.deployment: Deployment | None = None
-        self.blames = CrashBlame()
-        # Called with each blame that this instance has found.
-        self.on_blame: Callable[[Blame], None] = _ignore
-        # Called with each prompt that an engine begins to read.
-        self.on_read: Callable[[str, tuple[PromptPart, ...]], None] = _ignore
         self.demand = DemandRate()
         self.meters = Meters(metrics)
         self.retries = RetryShares(retry_terms)
         self.true_time = TrueTime(clock.now_ms, wall_ms)
         self.usage = UsageCounts()
+        self.gossip = Gossip()
 
     @property
     def version(self) -> int | None:
@@ -130,7 +122,3 @@
         """Take note of the number of instances."""
         self.demand.instances = count
         self.retries.instances = count
-
-
-def _ignore(*news: Any) -> None:
-    """Tell nobody."""
--- a/cicadahoist/serving/crash_watch.py
+++ b/cicadahoist/serving/crash_watch.py
@@ -31,7 +31,7 @@
     @property
     def is_barred(self) -> bool:
         """Whether the request has crashed too many targets to be sent."""
-        blames = self._context.blames
+        blames = self._context.gossip.blames
         if blames.is_empty:
             return False
         now_ms = self._context.true_time.now_ms()
@@ -50,13 +50,13 @@
         now_ms = self._context.clock.now_ms()
         lost_true_ms = self._context.true_time.now_ms() - (now_ms - lost_ms)
         blame = Blame(self._digest(), target, lost_true_ms)
-        if self._context.blames.blame(blame):
+        if self._context.gossip.blames.blame(blame):
             logger.bind(
                 request=self._request.attempt_id,
                 target=target,
                 digest=blame.digest,
             ).info('request blamed for a crash')
-            self._context.on_blame(blame)
+            self._context.gossip.on_blame(blame)
 
     def _digest(self) -> str:
         """Return what the request has in common with its repetitions."""
--- a/cicadahoist/serving/instance_records.py
+++ b/cicadahoist/serving/instance_records.py
@@ -10,6 +10,7 @@
 from cicadahoist.errors import StoreError, VersionConflictError
 from cicadahoist.log import get_logger
 from cicadahoist.objects import Objects
+from cicadahoist.serving.usage_copies import UsageCopies, UsageCopy, merged
 from cicadahoist.serving.usage_counts import UsageCounts
 
 logger = get_logger(__name__)
@@ -49,11 +50,13 @@
     :param usage: counts of this process
     :param true_ms: wall-clock time, corrected for steps
     :param count_instances: tells how many instances there are
+    :param copies: counts of peers that may not be able to store them
     """
 
     __slots__ = (
         '_asked_ms',
         '_clock',
+        '_copies',
         '_count_instances',
         '_identity',
         '_is_stopped',
@@ -72,7 +75,9 @@
         usage: UsageCounts,
         true_ms: Callable[[], int],
         count_instances: Callable[[], int],
+        copies: UsageCopies,
     ) -> None:
+        self._copies = copies
         self._count_instances = count_instances
         # When counts were last written, or tried to be.
         self._asked_ms = 0
@@ -90,6 +95,12 @@
         self._running = Deferred.fromCoroutine(self._run())
         self._running.addErrback(_log_end)
 
+    def register_again(self) -> None:
+        """Write the own record anew, as it was taken for gone."""
+        logger.info('own record is gone; registering again')
+        registering = Deferred.fromCoroutine(self._register())
+        registering.addErrback(_log_end)
+
     async def stop(self) -> None:
         """Write the last counts and leave."""
         self._is_stopped = True
@@ -102,6 +113,17 @@
             logger.warning('last records not written: {0}', error)
 
     async def _run(self) -> None:
+        await self._register()
+        while not self._is_stopped:
+            await self._clock.sleep(LOOK_MS)
+            try:
+                if self._is_due():
+                    await self._write_counts()
+                await self._adopt()
+            except StoreError as error:
+                logger.warning('counts not written: {0}', error)
+
+    async def _register(self) -> None:
         while not self._is_stopped:
             try:
                 await self._put(
@@ -109,18 +131,31 @@
                     self._identity.name,
                     self._identity.record,
                 )
-                break
+                return
             except StoreError as error:
                 logger.warning('not registered yet: {0}', error)
                 await self._clock.sleep(RETRY_MS)
-        while not self._is_stopped:
-            await self._clock.sleep(LOOK_MS)
-            if not self._is_due():
-                continue
-            try:
-                await self._write_counts()
-            except StoreError as error:
-                logger.warning('counts not written: {0}', error)
+
+    async def _adopt(self) -> None:
+        """Store the counts of processes that have ended or are cut off."""
+        for copy in self._copies.orphans(self._clock.now_ms()):
+            await self._store_copy(copy)
+            self._copies.stored(copy)
+
+    async def _store_copy(self, copy: UsageCopy) -> None:
+        stored = await self._objects.get(COUNT_KIND, copy.incarnation)
+        if stored is None:
+            record = {'instance': '', 'windows': copy.windows, 'closed': 0}
+            await self._objects.create(COUNT_KIND, copy.incarnation, record)
+        else:
+            windows = merged(stored.spec['windows'], copy.windows)
+            if windows == stored.spec['windows']:
+                return
+            record = {**stored.spec, 'windows': windows}
+            await self._objects.replace(
+                COUNT_KIND, copy.incarnation, record, stored.revision
+            )
+        logger.bind(process=copy.incarnation).info('counts of a peer stored')
 
     def _is_due(self) -> bool:
         closed = self._usage.closed_window(self._true_ms())
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -1,6 +1,7 @@
 """Tells other instances over UDP what this one has in flight."""
 
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -12,12 +13,14 @@
 from cicadahoist.log import get_logger
 from cicadahoist.objects import StoredObject
 from cicadahoist.policy.crash_blame import Blame
+from cicadahoist.policy.engine_board import EngineBoard
 from cicadahoist.policy.peer_loads import EngineLoad, PeerLoad
 from cicadahoist.requests import PromptPart
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.crash_watch import CRASH_CHECK_MS
 from cicadahoist.serving.load_group import LoadGroup, ReadBegun
 from cicadahoist.serving.peers import Peers
+from cicadahoist.serving.usage_copies import UsageCopy
 
 logger = get_logger(__name__)
 
@@ -34,6 +37,11 @@
 FAR_REPEAT_MS = 800
 # A blame is told for this long, some four times.
 BLAME_TOLD_MS = 1600
+# Peers that keep copies of the counts, how often they get them, and of how
+# many windows: a window is reported within two others.
+COPIES = 2
+COPY_PERIOD_MS = 500
+COPIED_WINDOWS = 3
 # Blames in one datagram: an engine runs at most so many requests.
 MOST_BLAMES = 32
 
@@ -48,6 +56,8 @@
     :param closed_by_engine: for how long engines get no new work, in ms
     :param blames: requests that were running when a target crashed
     :param begun: prompts that engines have begun to read
+    :param holds_duties: whether it holds the lease of the duties
+    :param usage: its counts, for the peers that keep copies of them
     """
 
     sender: str
@@ -56,6 +66,8 @@
     closed_by_engine: dict[str, int] = {}
     blames: tuple[Blame, ...] = ()
     begun: tuple[ReadBegun, ...] = ()
+    holds_duties: bool = False
+    usage: UsageCopy | None = None
 
 
 class PeerRecord(msgspec.Struct):
@@ -77,6 +89,7 @@
 
     :param context: shared parts of the data path
     :param instance: name of this instance
+    :param incarnation: name of this process, not used by any other
     :param record: where this instance takes loads
     :param peers: takes note of the signs of life of other instances
     """
@@ -87,6 +100,7 @@
         self,
         context: ServingContext,
         instance: str,
+        incarnation: str,
         record: PeerRecord,
         peers: Peers,
         reactor: Any,
@@ -103,8 +117,12 @@
         self._timer: Timer | None = None
         self._look_ms = 0
         self._blames_told: deque[Blame] = deque(maxlen=MOST_BLAMES)
-        context.on_blame = self._blames_told.append
-        context.on_read = self._note_read
+        self._incarnation = incarnation
+        self._copied_ms = 0
+        # Called when a list of instances lacks this one.
+        self.on_missing: Callable[[], None] = _ignore
+        context.gossip.on_blame = self._blames_told.append
+        context.gossip.on_read = self._note_read
 
     async def start(self) -> None:
         """Listen, and begin to tell."""
@@ -114,9 +132,10 @@
         self._look()
 
     async def stop(self) -> None:
-        """Stop telling."""
+        """Tell the last counts, and stop."""
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+        self._send_copies(self._own_load(self._clock.now_ms()))
         if self._port is not None:
             self._port.stopListening()
 
@@ -124,8 +143,11 @@
         """Take over all instances of the deployment."""
         self._near.addresses.clear()
         self._far.addresses.clear()
-        for stored in found:
-            self._add(stored)
+        names = {stored.name for stored in found}
+        if self._instance not in names:
+            self.on_missing()
+        for peer in found:
+            self._add(peer)
         peers = len(self._near.addresses) + len(self._far.addresses)
         self._context.count_instances(peers + 1)
 
@@ -138,17 +160,14 @@
             return
         now_ms = self._clock.now_ms()
         self._context.true_time.hear(load.sender, load.true_ms)
-        self._peers.heard(load.sender, now_ms)
+        self._peers.heard(load.sender, now_ms, holds_duties=load.holds_duties)
+        gossip = self._context.gossip
+        if load.usage is not None:
+            gossip.usage_copies.keep(load.usage, now_ms)
         for blame in load.blames:
-            self._context.blames.blame(blame)
-        heard = PeerLoad(load.by_engine, now_ms)
+            gossip.blames.blame(blame)
         for board in self._context.fleet.boards.everything():
-            board.hear(load.sender, heard)
-            for engine, closed_ms in load.closed_by_engine.items():
-                if board.get(engine) is not None:
-                    board.close(engine, now_ms + closed_ms)
-            for read in load.begun:
-                board.note_read(read.engine, read.parts)
+            _take_load(board, load, now_ms)
 
     def _add(self, stored: StoredObject) -> None:
         if stored.name == self._instance:
@@ -188,8 +207,24 @@
                 self._send(
                     msgspec.structs.replace(load, begun=begun), group.addresses
                 )
+        if now_ms - self._copied_ms >= COPY_PERIOD_MS:
+            self._copied_ms = now_ms
+            self._send_copies(load)
         self._look_in(LOOK_MS)
 
+    def _send_copies(self, load: LoadMessage) -> None:
+        """Send the own counts to the peers that keep copies of them."""
+        addresses = {**self._near.addresses, **self._far.addresses}
+        alive = self._peers.alive(self._clock.now_ms())
+        keepers = [peer for peer in alive if peer in addresses][:COPIES]
+        windows = self._context.usage.snapshot(COPIED_WINDOWS)
+        self._send(
+            msgspec.structs.replace(
+                load, usage=UsageCopy(self._incarnation, windows)
+            ),
+            {peer: addresses[peer] for peer in keepers},
+        )
+
     def _own_load(self, now_ms: int) -> LoadMessage:
         by_engine: dict[str, EngineLoad] = {}
         closed_by_engine: dict[str, int] = {}
@@ -198,13 +233,18 @@
             by_engine.update(board.own_load())
             closed_by_engine.update(board.closed_for(now_ms))
         return LoadMessage(
-            self._instance, 0, by_engine, closed_by_engine, self._open_blames()
+            sender=self._instance,
+            true_ms=0,
+            by_engine=by_engine,
+            closed_by_engine=closed_by_engine,
+            blames=self._open_blames(),
+            holds_duties=self._context.gossip.holds_duties(),
         )
 
     def _open_blames(self) -> tuple[Blame, ...]:
         """Return the blames that peers may not have heard of."""
         true_ms = self._context.true_time.now_ms()
-        self._context.blames.forget_old(true_ms)
+        self._context.gossip.blames.forget_old(true_ms)
         # A crash is told of only once its target has stayed silent.
         since_ms = true_ms - CRASH_CHECK_MS - BLAME_TOLD_MS
         while self._blames_told and self._blames_told[0].true_ms < since_ms:
@@ -223,3 +263,16 @@
                 self.transport.write(datagram, address)
             except OSError as error:
                 logger.debug('load not sent to {0}: {1}', address, error)
+
+
+def _take_load(board: EngineBoard, load: LoadMessage, now_ms: int) -> None:
+    board.hear(load.sender, PeerLoad(load.by_engine, now_ms))
+    for engine, closed_ms in load.closed_by_engine.items():
+        if board.get(engine) is not None:
+            board.close(engine, now_ms + closed_ms)
+    for read in load.begun:
+        board.note_read(read.engine, read.parts)
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -111,7 +111,7 @@
         started_ms = self._context.clock.now_ms()
         engine.own.reads += placement.reads
         engine.parts.use(self._work.parts)
-        self._context.on_read(reader, self._work.parts)
+        self._context.gossip.on_read(reader, self._work.parts)
         try:
             end = await self._run(attempt, silence_bound_ms(placement.read_ms))
         finally:
--- a/cicadahoist/serving/peers.py
+++ b/cicadahoist/serving/peers.py
@@ -4,6 +4,8 @@
 
 # Loads are repeated each 400 ms: a peer that misses this many is not counted.
 ALIVE_MS = 3000
+# A holder of the duties that misses this many loads may have lost them.
+HOLDER_ALIVE_MS = 2000
 # Instances that look after the lease each second; the others look less often.
 CLOSE_STANDBYS = 3
 # Longest time between two looks at the lease: how long duties may rest where
@@ -18,30 +20,47 @@
     :param instance: name of this instance
     """
 
-    __slots__ = ('_heard_by_peer', '_instance')
+    __slots__ = ('_heard_by_peer', '_holder_ms', '_instance')
 
     def __init__(self, instance: str) -> None:
         self._instance = instance
         self._heard_by_peer: dict[str, int] = {}
+        self._holder_ms: int | None = None
 
-    def heard(self, peer: str, now_ms: int) -> None:
-        """Take note that a peer is alive."""
+    def heard(
+        self, peer: str, now_ms: int, *, holds_duties: bool = False
+    ) -> None:
+        """Take note that a peer is alive, and whether it holds the duties."""
         self._heard_by_peer[peer] = now_ms
+        if holds_duties:
+            self._holder_ms = now_ms
 
-    def rank(self, now_ms: int) -> int:
-        """Return the place of this instance among those alive, 0 for first."""
+    def alive(self, now_ms: int) -> list[str]:
+        """Return the peers that are alive, in an order that differs by own."""
         own = fast_hash(self._instance)
-        return sum(
-            fast_hash(peer) < own
+        names = [
+            peer
             for peer, heard_ms in self._heard_by_peer.items()
             if now_ms - heard_ms <= ALIVE_MS
+        ]
+        return sorted(
+            names, key=lambda name: (fast_hash(name) < own, fast_hash(name))
         )
 
+    def rank(self, now_ms: int) -> int:
+        """Return the place of this instance among those alive, 0 for first."""
+        own = fast_hash(self._instance)
+        return sum(fast_hash(peer) < own for peer in self.alive(now_ms))
+
     def standby_looks_s(self, now_ms: int) -> int:
         """
         Return how often a standby looks at the lease.
 
         With each instance looking each second, the calls would grow with the
-        fleet while the duties do not.
+        fleet while the duties do not. While the holder is heard, there is no
+        need to look.
         """
+        holder_ms = self._holder_ms
+        if holder_ms is not None and now_ms - holder_ms <= HOLDER_ALIVE_MS:
+            return LONGEST_LOOK_S
         return min(LONGEST_LOOK_S, 1 + self.rank(now_ms) // CLOSE_STANDBYS)
--- a/cicadahoist/serving/usage_counts.py
+++ b/cicadahoist/serving/usage_counts.py
@@ -33,9 +33,14 @@
         """Return the newest window to which no request is added any more."""
         return (true_ms - LATE_START_MS) // self.window_ms - 1
 
-    def snapshot(self) -> dict[str, dict[str, int]]:
-        """Return the counts by window, as they are stored."""
+    def snapshot(self, most: int = WINDOWS_KEPT) -> dict[str, dict[str, int]]:
+        """
+        Return the counts by window, as they are stored.
+
+        :param most: newest windows that are returned
+        """
+        newest = sorted(self._counts_by_window)[-most:]
         return {
-            str(window): dict(counts)
-            for window, counts in self._counts_by_window.items()
+            str(window): dict(self._counts_by_window[window])
+            for window in newest
         }
--- a/cicadahoist/serving/usage_report.py
+++ b/cicadahoist/serving/usage_report.py
@@ -19,6 +19,11 @@
 HASTE_MS = 4500
 # Windows whose records are kept after they were due.
 WINDOWS_KEPT = 8
+# An instance that has closed no window for so many is not waited for.
+SILENT_WINDOWS = 2
+# One that has closed none for so many is taken out of the list of instances;
+# it registers again if it lives.
+GONE_WINDOWS = 6
 
 
 class _Counts(msgspec.Struct):
@@ -141,11 +146,21 @@
         return summed
 
     async def _have_all(self, window: int, records: list[StoredObject]) -> bool:
-        """Tell whether all instances have closed a window."""
-        counts = [msgspec.convert(stored.spec, _Counts) for stored in records]
-        closed = {entry.instance for entry in counts if entry.closed >= window}
-        peers = await self._all(self._peer_kind)
-        missing = [peer.name for peer in peers if peer.name not in closed]
+        """Tell whether all instances that live have closed a window."""
+        closed: dict[str, int] = {}
+        for stored in records:
+            counts = msgspec.convert(stored.spec, _Counts)
+            newest = max(counts.closed, closed.get(counts.instance, 0))
+            closed[counts.instance] = newest
+        missing = []
+        for peer in await self._all(self._peer_kind):
+            # An instance that has closed none yet has just started.
+            behind = window - closed.get(peer.name, window - 1)
+            if behind > GONE_WINDOWS:
+                logger.bind(peer=peer.name).info('instance taken for gone')
+                await self._objects.delete(self._peer_kind, peer.name)
+            elif 0 < behind <= SILENT_WINDOWS:
+                missing.append(peer.name)
         if missing:
             logger.bind(window=window, missing=missing).info(
                 'counts of instances are awaited'
--- a/tests/test_serving/test_duties.py
+++ b/tests/test_serving/test_duties.py
@@ -10,6 +10,7 @@
     InstanceRecords,
 )
 from cicadahoist.serving.peers import Peers
+from cicadahoist.serving.usage_copies import UsageCopies, UsageCopy
 from cicadahoist.serving.usage_counts import UsageCounts
 from cicadahoist.serving.usage_report import SEALED_KIND, UsageReport
 from tests.coroutines import Pending, result_of
@@ -231,6 +232,7 @@
         usage,
         lambda: 505_600,
         lambda: 1,
+        UsageCopies(),
     )
     Pending(records.start())
     assert objects.names('peers') == ['i1']
@@ -252,7 +254,7 @@
 def test_counts_are_written_once_the_store_is_back():
     clock, objects, usage = Clock.manual(), FakeObjects(), UsageCounts()
     records = InstanceRecords(
-        objects, clock, IDENTITY, usage, lambda: 0, lambda: 1
+        objects, clock, IDENTITY, usage, lambda: 0, lambda: 1, UsageCopies()
     )
     objects.failure = 'down'
     Pending(records.start())
@@ -277,6 +279,7 @@
             usage,
             clock.now_ms,
             lambda: instances,  # noqa: B023
+            UsageCopies(),
         )
         Pending(records.start())
         for _ in range(600):
@@ -311,3 +314,92 @@
         peers.heard(f'i-{number}', 1000)
     assert peers.standby_looks_s(1000) > 1
     assert peers.standby_looks_s(4001) == 1
+
+
+def test_no_standby_looks_while_the_holder_is_heard():
+    peers = Peers('i9')
+    peers.heard('i1', 1000, holds_duties=True)
+    assert peers.standby_looks_s(3000) == 10
+    assert peers.standby_looks_s(3001) == 1
+
+
+def adopter(clock, objects, copies):
+    """Return the records of an instance that keeps copies of others."""
+    records = InstanceRecords(
+        objects,
+        clock,
+        IDENTITY,
+        UsageCounts(),
+        clock.now_ms,
+        lambda: 2,
+        copies,
+    )
+    Pending(records.start())
+    return records
+
+
+def test_the_last_counts_of_a_killed_instance_are_stored_by_a_peer():
+    clock, objects, copies = Clock.manual(), FakeObjects(), UsageCopies()
+    adopter(clock, objects, copies)
+    stored = {'instance': 'i2', 'windows': {'7': {'w1': 4}}, 'closed': 6}
+    objects.put(COUNT_KIND, 'i2.n', stored)
+    copies.keep(UsageCopy('i2.n', {'7': {'w1': 6, 'w2': 1}}), clock.now_ms())
+    for _ in range(3):
+        clock.advance(500)
+    assert objects.kinds[COUNT_KIND]['i2.n'].spec == stored
+    for _ in range(3):
+        clock.advance(500)
+    spec = objects.kinds[COUNT_KIND]['i2.n'].spec
+    assert spec['windows'] == {'7': {'w1': 6, 'w2': 1}}
+    assert (spec['instance'], spec['closed']) == ('i2', 6)
+
+
+def test_a_copy_never_lowers_what_its_process_stored_itself():
+    clock, objects, copies = Clock.manual(), FakeObjects(), UsageCopies()
+    adopter(clock, objects, copies)
+    objects.put(COUNT_KIND, 'i2.n', {'windows': {'7': {'w1': 9}}})
+    copies.keep(UsageCopy('i2.n', {'7': {'w1': 6}}), clock.now_ms())
+    for _ in range(6):
+        clock.advance(500)
+    assert objects.kinds[COUNT_KIND]['i2.n'].spec['windows']['7'] == {'w1': 9}
+
+
+def test_counts_that_could_never_be_stored_are_created_by_a_peer():
+    clock, objects, copies = Clock.manual(), FakeObjects(), UsageCopies()
+    adopter(clock, objects, copies)
+    copies.keep(UsageCopy('i2.n', {'7': {'w1': 6}}), clock.now_ms())
+    objects.failure = 'down'
+    for _ in range(8):
+        clock.advance(500)
+    objects.failure = None
+    for _ in range(3):
+        clock.advance(500)
+    assert objects.kinds[COUNT_KIND]['i2.n'].spec['windows']['7'] == {'w1': 6}
+
+
+def test_copies_of_processes_that_are_heard_are_left_alone():
+    copies = UsageCopies()
+    for at_ms in range(0, 10_000, 500):
+        copies.keep(UsageCopy('i2.n', {'7': {'w1': at_ms}}), at_ms)
+        assert not copies.orphans(at_ms + 400)
+    assert len(copies.orphans(12_000)) == 1
+    assert not copies.orphans(60_000)
+
+
+def test_an_instance_that_is_gone_delays_no_report(objects):
+    """Pattern: a machine is removed for good, then the store goes away."""
+    for name in ('i1', 'i2'):
+        objects.put('peers', name, {})
+    objects.put(COUNT_KIND, 'i2', counted('i2', {'w2': 2}, closed=97))
+    interface = Interface()
+    report_at(objects, interface, 101 * WINDOW_MS + 2300)
+    assert of_window(interface, 100)
+    assert objects.names('peers') == ['i1', 'i2']
+
+
+def test_an_instance_that_is_gone_for_long_is_no_peer_any_more(objects):
+    for name in ('i1', 'i2', 'new'):
+        objects.put('peers', name, {})
+    objects.put(COUNT_KIND, 'i2', counted('i2', {'w2': 2}, closed=93))
+    report_at(objects, Interface(), 101 * WINDOW_MS + 2300)
+    assert objects.names('peers') == ['i1', 'new']
--- /dev/null
+++ b/tests/test_serving/test_load_exchange.py
@@ -0,0 +1,192 @@
+"""Instances that tell each other their loads, over datagrams that may be lost."""
+
+from cicadahoist.objects import StoredObject
+from cicadahoist.policy.crash_blame import Blame
+from cicadahoist.requests import PromptPart
+from cicadahoist.serving.load_exchange import LoadExchange, PeerRecord
+from cicadahoist.serving.peers import Peers
+from tests.test_serving.world import World, target
+
+PARTS = (PromptPart('guide', 2500), PromptPart('site', 3800))
+
+
+class Network:
+    """Passes datagrams on at once, unless told to lose them."""
+
+    def __init__(self):
+        self.by_port = {}
+        self.loses = False
+        self.sent = []
+
+    def listenUDP(self, port, protocol, interface):
+        self.by_port[port] = protocol
+        protocol.transport = self
+        return self
+
+    def stopListening(self):
+        """Do nothing."""
+
+    def write(self, datagram, address):
+        self.sent.append((address[1], len(datagram)))
+        if not self.loses:
+            self.by_port[address[1]].datagramReceived(datagram, address)
+
+
+class Instance:
+    """One instance with an engine that all know."""
+
+    def __init__(self, network, number, zone, clock):
+        self.world = World(clock)
+        self.name = f'i{number}'
+        self.record = PeerRecord('h', number, zone)
+        self.world.add(target('p1', 'llm', 'prefill'))
+        self.board = self.world.context.fleet.boards.board('llm')
+        self.peers = Peers(self.name)
+        self.missing = 0
+        self.exchange = LoadExchange(
+            self.world.context,
+            self.name,
+            f'{self.name}.n',
+            self.record,
+            self.peers,
+            network,
+        )
+        self.exchange.on_missing = self.miss
+        self.start()
+
+    def start(self):
+        try:
+            self.exchange.start().send(None)
+        except StopIteration:
+            return
+
+    def miss(self):
+        self.missing += 1
+
+    @property
+    def gossip(self):
+        return self.world.context.gossip
+
+
+def deployment(zones):
+    network = Network()
+    clock = World().clock
+    instances = [
+        Instance(network, number, zone, clock)
+        for number, zone in enumerate(zones, start=1)
+    ]
+    found = [
+        StoredObject(
+            instance.name,
+            1,
+            {
+                'host': 'h',
+                'port': instance.record.port,
+                'zone': instance.record.zone,
+            },
+        )
+        for instance in instances
+    ]
+    for instance in instances:
+        instance.exchange.list_received(found)
+    return network, clock, instances
+
+
+def test_a_load_reaches_all_peers():
+    _, clock, (first, second, third) = deployment(['a', 'a', 'b'])
+    first.board.get('p1').own.reads = 9000
+    clock.advance(100)
+    for other in (second, third):
+        assert other.board.reads(other.board.get('p1')) == 9000
+
+
+def test_a_reading_is_told_to_the_zone_at_once():
+    _, clock, (first, second, _) = deployment(['a', 'a', 'b'])
+    clock.advance(1000)
+    first.gossip.on_read('p1', PARTS)
+    clock.advance(4)
+    assert second.board.get('p1').parts.kept_tokens(PARTS) == 6300
+
+
+def test_loads_between_zones_keep_their_pace_in_a_large_fleet():
+    """Pattern: traffic that grows with the square of the fleet."""
+    network, clock, instances = deployment(['a', 'b'] + ['b'] * 40)
+    clock.advance(1000)
+    network.sent.clear()
+    first = instances[0]
+    for number in range(100):
+        first.board.get('p1').own.reads = number + 1
+        clock.advance(10)
+    from_first = [port for port, _ in network.sent if port != 1]
+    # The 41 peers of the other zone get at most one each 123 ms from it, and
+    # repeat nothing that has not changed more often than each 400 ms.
+    to_second = from_first.count(2)
+    assert to_second <= 1000 // (3 * 41) + 1 + 40 * 3
+
+
+def test_an_unchanged_load_is_repeated_now_and_then():
+    network, clock, _ = deployment(['a', 'a'])
+    clock.advance(1000)
+    network.sent.clear()
+    for _ in range(100):
+        clock.advance(20)
+    loads_to_second = [port for port, _ in network.sent if port == 2]
+    # Each 400 ms a load, each 500 ms a copy of the counts.
+    assert 7 <= len(loads_to_second) <= 10
+
+
+def test_lost_loads_are_forgotten_in_time():
+    network, clock, (first, second) = deployment(['a', 'a'])
+    first.board.get('p1').own.reads = 9000
+    clock.advance(100)
+    network.loses = True
+    for _ in range(40):
+        clock.advance(50)
+    assert second.board.reads(second.board.get('p1')) == 0
+
+
+def test_blames_reach_all_peers_although_datagrams_are_lost():
+    network, clock, (first, second) = deployment(['a', 'a'])
+    true_ms = first.world.context.true_time.now_ms()
+    network.loses = True
+    first.gossip.on_blame(Blame('d', 't1', true_ms))
+    clock.advance(500)
+    network.loses = False
+    clock.advance(500)
+    assert not second.gossip.blames.is_empty
+
+
+def test_counts_are_copied_to_peers_also_at_the_end():
+    _, clock, (first, second) = deployment(['a', 'a'])
+    usage = first.world.context.usage
+    usage.began('w1', 500_000)
+    clock.advance(600)
+    usage.began('w1', 500_001)
+    try:
+        first.exchange.stop().send(None)
+    except StopIteration:
+        clock.advance(2500)
+    copies = second.gossip.usage_copies.orphans(second.world.clock.now_ms())
+    assert [copy.windows for copy in copies] == [{'100': {'w1': 2}}]
+
+
+def test_the_holder_of_the_duties_is_heard():
+    _, clock, (first, second) = deployment(['a', 'b'])
+    assert second.peers.standby_looks_s(clock.now_ms()) == 1
+    first.gossip.holds_duties = lambda: True
+    clock.advance(400)
+    assert second.peers.standby_looks_s(clock.now_ms()) == 10
+
+
+def test_an_instance_that_is_not_listed_registers_again():
+    _, _, (first, second) = deployment(['a', 'b'])
+    assert first.missing == 0
+    first.exchange.list_received([])
+    assert (first.missing, second.missing) == (1, 0)
+    assert first.world.context.retries.instances == 1
+
+
+def test_a_datagram_that_is_no_load_is_dropped():
+    _, _, (first, _) = deployment(['a', 'b'])
+    first.exchange.datagramReceived(b'\x00', ('h', 9))
+    assert first.board.reads(first.board.get('p1')) == 0
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -299,8 +299,8 @@
 class World:
     """One instance with scripted targets."""
 
-    def __init__(self) -> None:
-        self.clock = Clock.manual()
+    def __init__(self, clock=None) -> None:
+        self.clock = clock or Clock.manual()
         self.context = ServingContext(
             'zone-a',
             Dialect(),
