Keep generators free for streams; learn prediction errors; soak under faults

A generator that reads a long prompt itself slows each of its steps from 1 to 4 ms, and an event holds 52 to 68 steps.

--- a/cicadahoist/policy/engine_board.py
+++ b/cicadahoist/policy/engine_board.py
@@ -8,6 +8,7 @@
 from cicadahoist.policy.health import TargetHealth
 from cicadahoist.policy.part_cache import PartCache
 from cicadahoist.policy.peer_loads import EngineLoad, PeerLoad, PeerLoads
+from cicadahoist.policy.prediction_error import PredictionError
 from cicadahoist.requests import PromptPart
 
 # Prompt tokens that an engine reads in a ms, until its own speed is known:
@@ -113,6 +114,7 @@
         '_closed_by_engine',
         '_engines_by_name',
         '_peers',
+        'error',
         'zone',
     )
 
@@ -121,6 +123,8 @@
         self._answers = answers or AnswerWatch()
         self._engines_by_name: dict[str, EngineState] = {}
         self._peers = PeerLoads()
+        # Of predictions for long prompts.
+        self.error = PredictionError()
         self._closed_by_engine: dict[str, int] = {}
 
     def sync(self, engines: Iterable[EngineState]) -> None:
--- a/cicadahoist/policy/placement.py
+++ b/cicadahoist/policy/placement.py
@@ -24,8 +24,11 @@
 FAR_SAMPLE = 1
 # Engines that keep parts of the prompt are looked at besides.
 KEEPERS = 2
-# Reading a whole prompt slows the running answers of a generator down.
+# Time by which a generator has to be the faster reader to be asked.
 WHOLE_MS = 40.0
+# Share of the generators that are kept free of long prompts: reading one slows
+# each step down, so that streams pause for longer than callers accept.
+STREAM_SHARE = 0.67
 LIKELY_OUTPUT_TOKENS = 100
 # Share of an engine's step that one of some ten running requests takes.
 TOKEN_MS = 0.1
@@ -79,12 +82,39 @@
         generators = self._left(DECODE, now_ms, tried)
         if not generators:
             return None
-        generators = self._sample(generators, draw)
-        whole = self._whole(work, generators)
-        if not readers or work.prompt_tokens < HANDOFF_TOKENS:
-            return whole
+        streaming = stream_engines(generators)
+        others = [engine for engine in generators if engine not in streaming]
+        if work.prompt_tokens < HANDOFF_TOKENS:
+            return self._stream(work, streaming, others, draw)
+        return self._expected(
+            self._long(work, readers, generators, others, draw)
+        )
+
+    def _expected(self, placement: Placement) -> Placement:
+        """Add to a prediction what such predictions are off by."""
+        first_ms = placement.first_token_ms + self._board.error.mean_ms
+        return msgspec.structs.replace(placement, first_token_ms=first_ms)
+
+    def _long(
+        self,
+        work: ModelWork,
+        readers: list[EngineState],
+        generators: list[EngineState],
+        others: list[EngineState],
+        draw: str,
+    ) -> Placement:
+        """
+        Place a long prompt, whose answer is mostly short.
+
+        :param others: generators that run no streams
+        """
+        if not readers:
+            return self._whole(work, self._sample(generators, draw))
         sample = self._with_keepers(work, self._sample(readers, draw), readers)
-        split = self._split(work, sample, generators)
+        split = self._split(work, sample, self._sample(generators, draw))
+        if not others:
+            return split
+        whole = self._whole(work, self._sample(others, draw))
         if split.first_token_ms <= whole.first_token_ms + WHOLE_MS:
             return split
         return whole
@@ -95,6 +125,27 @@
         engines = self._board.engines(role, now_ms)
         return [engine for engine in engines if engine.name not in tried]
 
+    def _stream(
+        self,
+        work: ModelWork,
+        streaming: list[EngineState],
+        others: list[EngineState],
+        draw: str,
+    ) -> Placement:
+        """Place a short prompt, whose answer is mostly a long stream."""
+        roomy = self._with_places(streaming)
+        if not roomy:
+            # Streams run for seconds: one that has to wait is late for sure.
+            roomy = self._with_places(others) or streaming
+        return self._whole(work, self._sample(roomy, draw))
+
+    def _with_places(self, engines: list[EngineState]) -> list[EngineState]:
+        return [
+            engine
+            for engine in engines
+            if self._board.runs(engine) < engine.slots
+        ]
+
     def _sample(
         self, engines: list[EngineState], draw: str
     ) -> list[EngineState]:
@@ -200,6 +251,20 @@
     return reading.read_ms
 
 
+def stream_engines(generators: list[EngineState]) -> list[EngineState]:
+    """
+    Return the generators that are kept free of long prompts.
+
+    All instances choose the same ones. Steady engines come first, as a stream
+    breaks off where a reclaimable engine is taken away.
+    """
+    ranked = sorted(
+        generators,
+        key=lambda engine: (engine.is_cheap, fast_hash(engine.name)),
+    )
+    return ranked[: max(1, round(STREAM_SHARE * len(ranked)))]
+
+
 def held_tokens(work: ModelWork) -> int:
     """Return the tokens that a run holds in its engine's memory."""
     output = work.likely_output_tokens or LIKELY_OUTPUT_TOKENS
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -11,6 +11,7 @@
 from cicadahoist.policy.engine_board import EngineState
 from cicadahoist.policy.patience import patience_ms, silence_bound_ms
 from cicadahoist.policy.placement import (
+    HANDOFF_TOKENS,
     Placement,
     engine_ms,
     engine_urgency,
@@ -173,7 +174,7 @@
             self._request,
             listing,
             self._options(listing.name, handle=handle),
-            self._piece_taker(running),
+            self._piece_taker(running, placement),
         )
         try:
             end = await self._run(
@@ -186,10 +187,19 @@
         self._judge(engine, end)
 
     def _piece_taker(
-        self, running: '_Running'
+        self, running: '_Running', placement: Placement
     ) -> Callable[[AnswerHead, bytes], None]:
+        board = self._context.fleet.boards.board(self._service)
+        # Later tries tell nothing of the time that a placement takes.
+        tells_time = len(self._tried) <= int(placement.reader is not None)
+        is_long = self._work.prompt_tokens >= HANDOFF_TOKENS
+
         def take(head: AnswerHead, piece: bytes) -> None:
-            running.prompt_read()
+            if running.prompt_read() and tells_time and is_long:
+                now_ms = self._context.clock.now_ms()
+                board.error.observe(
+                    placement.first_token_ms, now_ms - self._request.arrived_ms
+                )
             self._count_run(self._context.true_time.now_ms())
             self._reply.begin(head)
             self._reply.send(self._relay.feed(piece))
@@ -290,20 +300,28 @@
     :param held: tokens that the run holds in memory
     """
 
-    __slots__ = ('_engine', '_held', '_reads')
+    __slots__ = ('_engine', '_held', '_is_read', '_reads')
 
     def __init__(self, engine: EngineState, reads: int, held: int) -> None:
         self._engine = engine
+        self._is_read = False
         self._reads = reads
         self._held = held
         engine.own.runs += 1
         engine.own.held += held
         engine.own.reads += reads
 
-    def prompt_read(self) -> None:
-        """Count the prompt as read."""
+    def prompt_read(self) -> bool:
+        """
+        Count the prompt as read.
+
+        :return: whether it was not before
+        """
         self._engine.own.reads -= self._reads
         self._reads = 0
+        was_read = self._is_read
+        self._is_read = True
+        return not was_read
 
     def end(self) -> None:
         """Count the run as ended."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,62 @@
+"""``python -m soak``: runs seeds one after the other."""
+
+import json
+import sys
+import tempfile
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from soak.run import Soak
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def soak(
+    seed: Annotated[int, typer.Option(help='First seed.')] = 1,
+    seeds: Annotated[int, typer.Option(help='How many seeds.')] = 1,
+    seconds: Annotated[float, typer.Option(help='Faults of each, in s.')] = 20,
+    instances: Annotated[int, typer.Option(help='Instances of each.')] = 3,
+    logs: Annotated[
+        Path | None, typer.Option(help='Folder for logs of broken seeds.')
+    ] = None,
+) -> None:
+    """Run the program under faults and judge what callers and targets see."""
+    broken: list[int] = []
+
+    async def run_all() -> None:
+        for number in range(seed, seed + seeds):
+            with tempfile.TemporaryDirectory() as folder:
+                run = Soak(reactor, number, instances, Path(folder))
+                verdict = await run.run(seconds)
+                typer.echo(json.dumps(verdict))
+                if verdict['broken']:
+                    broken.append(number)
+                    _keep(Path(folder), logs, number)
+
+    def begin() -> None:
+        running = Deferred.fromCoroutine(run_all())
+        running.addErrback(lambda failure: typer.echo(failure.getTraceback()))
+        running.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    typer.echo(f'{seeds} seeds, {len(broken)} broken: {broken}')
+    sys.exit(bool(broken))
+
+
+def _keep(folder: Path, logs: Path | None, seed: int) -> None:
+    if logs is None:
+        return
+    kept = logs / str(seed)
+    kept.mkdir(parents=True, exist_ok=True)
+    for log in folder.glob('*.log'):
+        (kept / log.name).write_bytes(log.read_bytes())
+
+
+if __name__ == '__main__':
+    app()
--- /dev/null
+++ b/soak/instances.py
@@ -0,0 +1,147 @@
+"""Instances of the program as processes, each behind links of its own."""
+
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from twisted.internet import protocol
+
+from soak.promises import DRAIN_MS, GRACE_MS, REVOKE_MS
+from soak.proxy import HOST, Link
+
+ROOT = Path(__file__).resolve().parent.parent
+RESTART_S = 0.4
+SETTINGS = """
+node={name}
+zone={zone}
+zones.zone-a=region
+zones.zone-b=region
+ip=127.0.0.1
+listen.front=127.0.0.1:{front}
+listen.ready=127.0.0.1:{ready}
+port-range={peer},{peer}
+platform.address=127.0.0.1:{store}
+cloud.address=127.0.0.1:{cloud}
+bounds.grace-s={grace_s}
+bounds.drain-ms={drain_ms}
+bounds.revoke-ms={revoke_ms}
+bounds.lease-ms=3000
+bounds.report-window-s=3
+bounds.usage-late-s=8
+bounds.retry-ratio=0.2
+bounds.retry-window-s=10
+bounds.retry-slack=60
+"""
+
+
+def free_port(kind=socket.SOCK_STREAM) -> int:
+    with socket.socket(type=kind) as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+class _Process(protocol.ProcessProtocol):
+    def __init__(self, instance) -> None:
+        self._instance = instance
+
+    def outReceived(self, data) -> None:
+        self._instance.log.write(data)
+
+    def errReceived(self, data) -> None:
+        self._instance.log.write(data)
+
+    def processEnded(self, reason) -> None:
+        self._instance.ended()
+
+
+class Instance:
+    """One instance; a process that ends is started again."""
+
+    def __init__(self, world, number: int, zone: str, folder: Path) -> None:
+        self.world = world
+        self.name = f'front-{zone}-{number}'
+        self.zone = zone
+        self.left_ms: int | None = None
+        self.is_stopped = False
+        self._front, self._ready = free_port(), free_port()
+        self.callers = Link(world.reactor, self._front)
+        self.store = Link(world.reactor, world.store_port)
+        self.cloud = Link(world.reactor, world.cloud_port)
+        self.log = (folder / f'{self.name}.log').open('ab')
+        self._settings = folder / f'{self.name}.conf'
+        self._process = None
+        self._write_settings(free_port(socket.SOCK_DGRAM))
+
+    def start(self) -> None:
+        if self.is_stopped:
+            return
+        arguments = [sys.executable, '-m', 'cicadahoist.cmd.front']
+        arguments += ['--config', 'deploy/front.ini']
+        variables = {
+            **os.environ,
+            'CICADAHOIST_CONFIG': str(self._settings),
+            'PYTHONPATH': str(ROOT),
+        }
+        self._process = self.world.reactor.spawnProcess(
+            _Process(self), sys.executable, arguments, variables, str(ROOT)
+        )
+
+    def ended(self) -> None:
+        self.log.flush()
+        self.world.reactor.callLater(RESTART_S, self.start)
+
+    def signal(self, name: str) -> None:
+        """Send a signal to the process that this instance started."""
+        if self._process is None or self._process.pid is None:
+            return
+        try:
+            os.kill(self._process.pid, getattr(signal, f'SIG{name}'))
+        except ProcessLookupError:
+            return
+
+    def leave(self) -> None:
+        """Send SIGTERM, and SIGKILL once the grace is over."""
+        self.left_ms = self.world.now_ms()
+        self.signal('TERM')
+        process = self._process
+        self.world.reactor.callLater(
+            GRACE_MS / 1000, self._kill_if_running, process
+        )
+
+    def hang_up(self) -> None:
+        self._settings.write_text(self._settings.read_text())
+        self.signal('HUP')
+
+    def stop(self) -> None:
+        self.is_stopped = True
+        self.signal('CONT')
+        self.signal('KILL')
+        for link in (self.callers, self.store, self.cloud):
+            link.stop()
+
+    @property
+    def ready_url(self) -> str:
+        return f'http://{HOST}:{self._ready}/cicadahoist/ready'
+
+    def _kill_if_running(self, process) -> None:
+        if process is self._process and process.pid is not None:
+            self.world.promises.disturb(self.name)
+            os.kill(process.pid, signal.SIGKILL)
+
+    def _write_settings(self, peer_port: int) -> None:
+        self._settings.write_text(
+            SETTINGS.format(
+                name=self.name,
+                zone=self.zone,
+                front=self._front,
+                ready=self._ready,
+                peer=peer_port,
+                store=self.store.port,
+                cloud=self.cloud.port,
+                grace_s=GRACE_MS // 1000,
+                drain_ms=DRAIN_MS,
+                revoke_ms=REVOKE_MS,
+            )
+        )
--- a/tests/test_platform/platform_standin.py
+++ b/soak/platform_pages.py
@@ -1,25 +1,32 @@
-"""The platform's published calls, as far as tests of the program need them."""
+"""The platform's store and its interface for orders, with faults."""
 
 import json
-from itertools import count
 
 from klein import Klein
 from twisted.internet.defer import Deferred
 
 JSON = {'Content-Type': 'application/json'}
+SLOW_S = 0.2
 
 
 class StorePages:
-    """Objects with revisions and watches, over HTTP."""
+    """
+    Objects with revisions and watches, over HTTP.
+
+    ``fault`` is empty, ``down`` (503 to everything), ``lost`` (writes are
+    carried out and not answered) or ``slow``.
+    """
 
     app = Klein()
 
     def __init__(self, reactor) -> None:
+        self.fault = ''
         self._reactor = reactor
         self._revision = 1
         self._kinds = {}
         self._log = []
         self._waiting = {}
+        self._oldest = 0
 
     def put(self, kind, name, spec):
         self._revision += 1
@@ -32,6 +39,22 @@
         self._publish(kind, {'deleted': False, 'object': stored})
         return stored
 
+    def remove(self, kind, name):
+        stored = self._kinds.get(kind, {}).pop(name, None)
+        if stored is not None:
+            self._revision += 1
+            self._publish(kind, {'deleted': True, 'object': stored})
+        return stored
+
+    def forget_history(self):
+        """Drop all history; watches that go on from it get 410."""
+        self._oldest = self._revision
+        self._log.clear()
+        self.close()
+
+    def get_spec(self, kind, name):
+        return self._kinds[kind][name]['spec']
+
     def close(self):
         """Answer all waiting watches."""
         for entry in list(self._waiting):
@@ -47,10 +70,12 @@
             found = [
                 self._kinds.get(kind, {})[name] for name in self.names(kind)
             ]
-            return _send(
+            return self._send(
                 request,
                 {'items': found, 'has-more': False, 'as-of': self._revision},
             )
+        if int(watch[0]) < self._oldest:
+            return self._send(request, {}, 410)
         wait_s = int(request.args[b'wait-ms'][0]) / 1000
         seen = [
             event
@@ -58,7 +83,9 @@
             if revision > int(watch[0]) and logged == kind
         ]
         if seen:
-            return _send(request, {'events': seen, 'as-of': self._revision})
+            return self._send(
+                request, {'events': seen, 'as-of': self._revision}
+            )
         answer = Deferred()
         entry = (kind, request, answer)
         timer = self._reactor.callLater(wait_s, self._answer, entry, [])
@@ -67,38 +94,57 @@
 
     @app.route('/cicadahoist/objects/<kind>', methods=['POST'])
     def create(self, request, kind):
+        if self.fault == 'down':
+            return self._send(request, {})
         sent = json.load(request.content)
         name = sent['metadata']['name']
         if name in self._kinds.get(kind, {}):
-            return _send(request, self._kinds[kind][name], 409)
-        return _send(request, self.put(kind, name, sent['spec']))
+            return self._send(request, self._kinds[kind][name], 409)
+        return self._send(request, self.put(kind, name, sent['spec']))
 
     @app.route('/cicadahoist/objects/<kind>/<name>', methods=['GET'])
     def get(self, request, kind, name):
         stored = self._kinds.get(kind, {}).get(name)
         if stored is None:
-            return _send(request, {}, 404)
-        return _send(request, stored)
+            return self._send(request, {}, 404)
+        return self._send(request, stored)
 
     @app.route('/cicadahoist/objects/<kind>/<name>', methods=['PUT'])
     def replace(self, request, kind, name):
+        if self.fault == 'down':
+            return self._send(request, {})
         sent = json.load(request.content)
         stored = self._kinds.get(kind, {}).get(name)
         if stored is None:
-            return _send(request, {}, 404)
+            return self._send(request, {}, 404)
         expected = sent['metadata'].get('revision')
         if expected not in {None, stored['metadata']['revision']}:
-            return _send(request, stored, 409)
-        return _send(request, self.put(kind, name, sent['spec']))
+            return self._send(request, stored, 409)
+        return self._send(request, self.put(kind, name, sent['spec']))
 
     @app.route('/cicadahoist/objects/<kind>/<name>', methods=['DELETE'])
     def delete(self, request, kind, name):
-        stored = self._kinds.get(kind, {}).pop(name, None)
+        if self.fault == 'down':
+            return self._send(request, {})
+        stored = self.remove(kind, name)
         if stored is None:
-            return _send(request, {}, 404)
-        self._revision += 1
-        self._publish(kind, {'deleted': True, 'object': stored})
-        return _send(request, stored)
+            return self._send(request, {}, 404)
+        return self._send(request, stored)
+
+    def _send(self, request, content, status=200):
+        """Answer now, later, otherwise or not at all, as the fault asks."""
+        if self.fault == 'down':
+            return _respond(request, {}, 503)
+        if self.fault == 'lost' and request.method != b'GET':
+            request.transport.abortConnection()
+            return b''
+        if self.fault != 'slow':
+            return _respond(request, content, status)
+        answer = Deferred()
+        self._reactor.callLater(
+            SLOW_S, answer.callback, _respond(request, content, status)
+        )
+        return answer
 
     def _publish(self, kind, event):
         self._log.append((self._revision, kind, event))
@@ -114,47 +160,18 @@
             timer.cancel()
         _, request, answer = entry
         answer.callback(
-            _send(request, {'events': events, 'as-of': self._revision})
+            self._send(request, {'events': events, 'as-of': self._revision})
         )
 
 
-class TargetPages:
-    """A plain service and an engine in one."""
-
-    app = Klein()
-
-    def __init__(self, reactor) -> None:
-        self._reactor = reactor
-        self._handles = count(1)
-        self.seen = []
-        self.delay_s = 0
-
-    @app.route('/', branch=True)
-    def run(self, request):
-        headers = {
-            name.lower(): values[0]
-            for name, values in request.requestHeaders.getAllRawHeaders()
-        }
-        self.seen.append((request.path, headers))
-        attempt = headers.get(b'x-cicadahoist-attempt-id', b'')
-        request.setHeader(b'X-Cicadahoist-Attempt-Id', attempt)
-        if headers.get(b'x-cicadahoist-serving-stage') == b'prefill':
-            name = f'h{next(self._handles)}'
-            return json.dumps({'kv-handle': name, 'tokens': 1, 'version': 1})
-        request.setHeader(b'X-Cicadahoist-Server-Seal', b'seal')
-        answer = Deferred()
-        body = b'id: 1\ndata: t\n\n'
-        self._reactor.callLater(self.delay_s, answer.callback, body)
-        return answer
-
-
 class CloudPages:
     """Takes orders and usage reports."""
 
     app = Klein()
 
-    def __init__(self) -> None:
+    def __init__(self, on_call=lambda *call: None) -> None:
         self.calls = []
+        self.on_call = on_call
 
     @app.route('/usage', methods=['POST'])
     def usage(self, request):
@@ -167,13 +184,14 @@
         return b''
 
     def _note(self, request):
-        fence = request.getHeader(b'X-Cicadahoist-Fence-Token')
-        self.calls.append(
-            (request.path.decode(), int(fence), json.load(request.content))
-        )
+        fence = int(request.getHeader(b'X-Cicadahoist-Fence-Token'))
+        holder = request.getHeader(b'X-Cicadahoist-Duty-Holder').decode()
+        content = json.load(request.content)
+        self.calls.append((request.path.decode(), fence, content))
+        self.on_call(request.path.decode(), holder, fence, content)
 
 
-def _send(request, content, status=200):
+def _respond(request, content, status=200):
     request.setResponseCode(status)
     for name, text in JSON.items():
         request.setHeader(name, text)
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,186 @@
+"""The deployment that a soak runs: platform, targets, instances, callers."""
+
+import random
+from pathlib import Path
+
+import treq
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError, ConnectionLost
+from twisted.web.client import ResponseNeverReceived
+from twisted.web.server import Site
+
+from cicadahoist.clock import Clock, wall_ms
+from soak.callers import Caller
+from soak.instances import Instance
+from soak.platform_pages import CloudPages, StorePages
+from soak.promises import CONTACT_MS, Promises
+from soak.proxy import HOST
+from soak.targets import Target
+
+ZONES = ('zone-a', 'zone-b')
+CALLERS = 8
+READY_LIMIT_MS = 30_000
+# A key is known everywhere so long after it was granted.
+CONFIG_MS = 2000
+ROUTES = (
+    ('submit', 'unsafe', 'app', 1),
+    ('lookup', 'safe', 'app', 2),
+    ('check', 'streaming', 'llm', 1),
+    ('ask', 'streaming', 'llm', 2),
+)
+
+
+class World:
+    """
+    Everything around the instances, in this process.
+
+    :param seed: draws all that happens
+    :param instances: how many instances are started
+    :param folder: takes settings and logs of the instances
+    """
+
+    def __init__(self, reactor, seed: int, instances: int, folder: Path):
+        self.reactor = reactor
+        self.clock = Clock.from_reactor(reactor)
+        self.now_ms = self.clock.now_ms
+        self.wall_ms = wall_ms
+        self.draw = random.Random(seed)
+        self.promises = Promises(self.now_ms)
+        self.store = StorePages(reactor)
+        self.cloud = CloudPages(self.promises.called)
+        self._ports = []
+        self.store_port = self._listen(self.store)
+        self.cloud_port = self._listen(self.cloud)
+        self.keys = {f'k{number}': f'w{number}' for number in range(3)}
+        self._granted_ms = dict.fromkeys(self.keys, self.now_ms())
+        self._version = 0
+        self.configure()
+        self.targets = [
+            Target(self, 'app', zone) for zone in (*ZONES, ZONES[0])
+        ]
+        for zone in ZONES:
+            self.targets.append(Target(self, 'llm', zone, 'prefill'))
+            self.targets.append(Target(self, 'llm', zone, 'decode'))
+        self.instances = [
+            Instance(self, number, ZONES[number % len(ZONES)], folder)
+            for number in range(instances)
+        ]
+        # Callers draw for themselves: what strikes follows from the seed alone.
+        self.callers = [
+            Caller(self, random.Random(f'{seed}/{number}'))
+            for number in range(CALLERS)
+        ]
+
+    async def start(self) -> None:
+        for target in self.targets:
+            target.start()
+        for instance in self.instances:
+            instance.start()
+        end_ms = self.now_ms() + READY_LIMIT_MS
+        for instance in self.instances:
+            while not await self.is_ready(instance):
+                if self.now_ms() > end_ms:
+                    self.promises.breach('READY', f'{instance.name} is not')
+                    return
+                await self.clock.sleep(100)
+        for caller in self.callers:
+            Deferred.fromCoroutine(caller.run()).addErrback(self._defect)
+
+    async def stop(self) -> None:
+        for caller in self.callers:
+            caller.is_stopped = True
+        for instance in self.instances:
+            instance.stop()
+        for target in self.targets:
+            target.stop()
+        self.store.close()
+        for port in self._ports:
+            port.stopListening()
+        await self.clock.sleep(300)
+
+    async def is_ready(self, instance: Instance) -> bool:
+        try:
+            answer = await treq.get(
+                instance.ready_url, persistent=False, timeout=1
+            )
+            await answer.content()
+        except (ConnectError, ConnectionLost, ResponseNeverReceived):
+            return False
+        except Exception:  # noqa: BLE001
+            return False
+        return answer.code == 200
+
+    def configure(self) -> None:
+        """Write a configuration with the keys of this moment."""
+        self._version += self.draw.randint(1, 4)
+        routes = [
+            {
+                'name': name,
+                'host': 'h.example',
+                'path-prefix': f'/{name}/',
+                'kind': kind,
+                'service': service,
+                'timeout-ms': 6000,
+                'target-latency-ms': 500,
+                'max-attempts': attempts,
+                'sticky': service == 'llm',
+                'resumable': name == 'ask',
+            }
+            for name, kind, service, attempts in ROUTES
+        ]
+        engine = {'slots': 16, 'kv-capacity-tokens': 232_000}
+        config = {
+            'version': self._version,
+            'routes': routes,
+            'services': [{'name': 'app'}, {'name': 'llm', 'engine': engine}],
+            'limits': {},
+            'tenants': [
+                {'name': workspace, 'api-keys': [key]}
+                for key, workspace in self.keys.items()
+            ],
+        }
+        self.store.put('config', 'main', config)
+
+    def replace_key(self) -> None:
+        """Withdraw a key and grant another one to its workspace."""
+        key = self.draw.choice(sorted(self.keys))
+        workspace = self.keys.pop(key)
+        self.promises.withdrawn_ms[key] = self.now_ms()
+        granted = f'k{self.draw.getrandbits(32):x}'
+        self.keys[granted] = workspace
+        self._granted_ms[granted] = self.now_ms()
+        self.configure()
+
+    def settled_keys(self) -> set[str]:
+        """Return the keys that every undisturbed instance has to know."""
+        since_ms = self.now_ms() - CONFIG_MS
+        if self.promises.disturbed_ms.get('', 0) > since_ms - CONTACT_MS:
+            return set()
+        if any(
+            not self.promises.is_calm(instance.name, since_ms)
+            for instance in self.instances
+        ):
+            return set()
+        return {key for key in self.keys if self._granted_ms[key] < since_ms}
+
+    def is_calm_but_planned(self, asked) -> bool:
+        """Tell whether only planned work can have cut a request."""
+        return self.promises.is_calm(asked.instance, asked.sent_ms)
+
+    def take_handle(self, source: str) -> str | None:
+        """Return whose cache a handle names, once."""
+        address, _, name = source.rpartition('/')
+        for target in self.targets:
+            if address == f'{HOST}:{target.link.port}':
+                return target.handles.pop(name, None)
+        return None
+
+    def _listen(self, pages) -> int:
+        port = self.reactor.listenTCP(
+            0, Site(pages.app.resource()), interface=HOST
+        )
+        self._ports.append(port)
+        return port.getHost().port
+
+    def _defect(self, failure) -> None:
+        self.promises.breach('SOAK', failure.getTraceback())
--- /dev/null
+++ b/tests/test_platform/target_pages.py
@@ -0,0 +1,37 @@
+"""Targets as far as tests of the program need them."""
+
+import json
+from itertools import count
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+
+class TargetPages:
+    """A plain service and an engine in one."""
+
+    app = Klein()
+
+    def __init__(self, reactor) -> None:
+        self._reactor = reactor
+        self._handles = count(1)
+        self.seen = []
+        self.delay_s = 0
+
+    @app.route('/', branch=True)
+    def run(self, request):
+        headers = {
+            name.lower(): values[0]
+            for name, values in request.requestHeaders.getAllRawHeaders()
+        }
+        self.seen.append((request.path, headers))
+        attempt = headers.get(b'x-cicadahoist-attempt-id', b'')
+        request.setHeader(b'X-Cicadahoist-Attempt-Id', attempt)
+        if headers.get(b'x-cicadahoist-serving-stage') == b'prefill':
+            name = f'h{next(self._handles)}'
+            return json.dumps({'kv-handle': name, 'tokens': 1, 'version': 1})
+        request.setHeader(b'X-Cicadahoist-Server-Seal', b'seal')
+        answer = Deferred()
+        body = b'id: 1\ndata: t\n\n'
+        self._reactor.callLater(self.delay_s, answer.callback, body)
+        return answer
--- a/tests/test_platform/test_front_process.py
+++ b/tests/test_platform/test_front_process.py
@@ -10,12 +10,9 @@
 from twisted.internet.defer import Deferred
 from twisted.web.server import Site
 
+from soak.platform_pages import CloudPages, StorePages
 from tests.loopback import LoopbackCase
-from tests.test_platform.platform_standin import (
-    CloudPages,
-    StorePages,
-    TargetPages,
-)
+from tests.test_platform.target_pages import TargetPages
 
 SETTINGS = """
 node=front-a-1
--- a/tests/test_policy/test_placement.py
+++ b/tests/test_policy/test_placement.py
@@ -12,6 +12,7 @@
     NEAR_SAMPLE,
     Placer,
     engine_urgency,
+    stream_engines,
     uncached_tokens,
 )
 from cicadahoist.requests import ModelWork, PromptPart
@@ -263,3 +264,50 @@
 
 def test_patience_never_exceeds_the_time_left():
     assert patience_ms(50, 60, 150) <= 50
+
+
+def burst_beside_helpline(generators):
+    """Return where ledgers go while all readers are full, and questions."""
+    fleet = board(readers=3, generators=generators)
+    for name in ('p0', 'p1', 'p2'):
+        fleet.get(name).own.reads = 300_000
+    ledgers, questions = set(), set()
+    for number in range(30):
+        placement = place(fleet, long_prompt(), draw=f'r{number}')
+        if placement.reader is None:
+            ledgers.add(placement.generator)
+            fleet.get(placement.generator).own.reads += 500
+        asked = place(fleet, question(), draw=f'q{number}')
+        questions.add(asked.generator)
+    return ledgers, questions
+
+
+def test_streams_are_not_stalled_by_ledgers_when_readers_are_full():
+    """Pattern: a helpline beside a burst of ledgers; pauses make it late."""
+    ledgers, questions = burst_beside_helpline(generators=3)
+    assert len(questions) == 2
+    assert len(ledgers) == 1
+    assert not ledgers & questions
+
+
+def test_a_single_generator_reads_no_ledgers_beside_its_streams():
+    ledgers, questions = burst_beside_helpline(generators=1)
+    assert (ledgers, questions) == (set(), {'d0'})
+
+
+def test_steady_engines_run_the_streams():
+    engines = [engine(f'd{number}', DECODE) for number in range(6)]
+    for cheap in engines[:3]:
+        cheap.is_cheap = True
+    names = {found.name for found in stream_engines(engines)}
+    assert names > {'d3', 'd4', 'd5'}
+
+
+def test_more_streams_than_places_spill_over():
+    fleet = board(generators=3)
+    streaming = stream_engines([fleet.get(f'd{n}') for n in range(3)])
+    names = {engine.name for engine in streaming}
+    assert place(fleet, question()).generator in names
+    for full in streaming:
+        full.own.runs = full.slots
+    assert place(fleet, question()).generator not in names
--- a/tests/test_serving/test_load_exchange.py
+++ b/tests/test_serving/test_load_exchange.py
@@ -1,4 +1,4 @@
-"""Instances that tell each other their loads, over datagrams that may be lost."""
+"""Instances that tell each other their loads by datagrams."""
 
 from cicadahoist.objects import StoredObject
 from cicadahoist.policy.crash_blame import Blame
