Repeat usage reports that a busy platform refused; wait longer at the store

Watches wait for 2.4 s (configuration) and the drain bound (targets), changes of targets are gathered for longer in larger fleets.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -39,10 +39,11 @@
 SETTLE_MS = 3500
 # How long the store holds a watch. The configuration's bounds how long ago a
 # key was known to be valid; the others cost a call each.
-CONFIG_WAIT_MS = 2000
-LISTING_WAIT_MS = 2000
-# Targets leave, come and change roles several at a time.
-LISTING_GATHER_MS = 150
+CONFIG_WAIT_MS = 2400
+# Targets leave, come and change roles several at a time: changes are gathered
+# for so long, and for longer where a change wakes more instances.
+LISTING_GATHER_MS = 120
+GATHER_PER_INSTANCE_MS = 5
 
 
 class FrontAssembly:
@@ -132,10 +133,10 @@
         )
         listings = self._follower(
             LISTING_KIND,
-            LISTING_WAIT_MS,
+            self._settings.drain_ms,
             self._settling(targets.list_received),
             targets.change_received,
-            gather_ms=LISTING_GATHER_MS,
+            self._gather_ms,
         )
         self._application.add(self._config_follower)
         self._application.add(listings)
@@ -146,13 +147,17 @@
         wait_ms: int,
         on_list: ListTaker,
         on_change: Callable[[Change], None],
-        gather_ms: int = 0,
+        gather_ms: Callable[[], int] | None = None,
     ) -> KindFollower:
         store = new_store(self._settings.store, self._reactor)
         return KindFollower(
             store, kind, wait_ms, self._clock, on_list, on_change, gather_ms
         )
 
+    def _gather_ms(self) -> int:
+        instances = self._context.demand.instances
+        return LISTING_GATHER_MS + GATHER_PER_INSTANCE_MS * instances
+
     def _settling(self, take: ListTaker) -> ListTaker:
         """Return a taker of lists that lets orders begin some time later."""
 
--- a/cicadahoist/platform/cloud.py
+++ b/cicadahoist/platform/cloud.py
@@ -7,6 +7,7 @@
     HTTP_BUSY,
     HTTP_CONFLICT,
     HTTP_OK,
+    HTTP_UNAVAILABLE,
     HttpClient,
 )
 from cicadahoist.platform.names import (
@@ -103,6 +104,6 @@
             return OrderReply.accepted
         if response.status == HTTP_CONFLICT:
             return OrderReply.none_available
-        if response.status == HTTP_BUSY:
+        if response.status in {HTTP_BUSY, HTTP_UNAVAILABLE}:
             return OrderReply.busy
         return OrderReply.refused
--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -31,8 +31,8 @@
         age of what is known stays about below it
     :param on_list: called with all objects after a list
     :param on_change: called with each change after it
-    :param gather_ms: pause after an answer that held changes, as more mostly
-        follow and each answer is a call
+    :param gather_ms: tells the pause after an answer that held changes, as
+        more mostly follow and each answer is a call; none for no pause
     """
 
     __slots__ = (
@@ -59,7 +59,7 @@
         clock: Clock,
         on_list: ListTaker,
         on_change: Callable[[Change], None],
-        gather_ms: int = 0,
+        gather_ms: Callable[[], int] | None = None,
     ) -> None:
         self._gather_ms = gather_ms
         self._objects = objects
@@ -165,8 +165,8 @@
             self._on_change(change)
         self.revision = max(self.revision, seen.as_of)
         if seen.changes:
-            if self._gather_ms:
-                await self._clock.sleep(self._gather_ms)
+            if self._gather_ms is not None:
+                await self._clock.sleep(self._gather_ms())
             return asked_ms
         if self._clock.now_ms() - asked_ms < self._wait_ms:
             return asked_ms
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -187,15 +187,8 @@
         if status in PROMISES:
             promises.refused(asked, status)
             return 'refused'
-        if status == 401:
-            if asked.key in self.world.settled_keys():
-                promises.breach('DENIED', f'{asked.attempt_id} gets 401')
-            return 'denied'
-        if status >= 500:
-            return 'failed'
         if status != 200:
-            promises.breach('DENIED', f'{asked.attempt_id} gets {status}')
-            return 'denied'
+            return self._denied(asked, status)
         if b'x-cicadahoist-server-seal' not in headers:
             promises.breach('MIXED', f'{asked.attempt_id}: 200 unsigned')
         if asked.kind in EVENTS:
@@ -204,6 +197,17 @@
             promises.breach('MIXED', f'{asked.attempt_id} gets {body!r}')
         return 'served' if is_whole else 'cut'
 
+    def _denied(self, asked, status) -> str:
+        """Judge a failure, or a refusal of a request that is proper."""
+        if status >= 500:
+            return 'failed'
+        is_known = asked.key in self.world.settled_keys()
+        if status != 401 or is_known:
+            self.world.promises.breach(
+                'DENIED', f'{asked.attempt_id} gets {status}'
+            )
+        return 'denied'
+
     def _judge_stream(self, asked, body, is_whole) -> str:
         numbers = [int(found) for found in re.findall(rb'id: (\d+)\n', body)]
         if numbers != list(range(1, len(numbers) + 1)):
--- a/soak/platform_pages.py
+++ b/soak/platform_pages.py
@@ -171,6 +171,7 @@
 
     def __init__(self, on_call=lambda *call: None) -> None:
         self.calls = []
+        self.status = 200
         self.on_call = on_call
 
     @app.route('/usage', methods=['POST'])
@@ -188,6 +189,7 @@
         holder = request.getHeader(b'X-Cicadahoist-Duty-Holder').decode()
         content = json.load(request.content)
         self.calls.append((request.path.decode(), fence, content))
+        request.setResponseCode(self.status)
         self.on_call(request.path.decode(), holder, fence, content)
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -77,16 +77,24 @@
             self.breach('TWICE', f'{attempt_id} at {asked.runs}')
         if asked.was_refused and asked.kind in {'submit', 'check'}:
             self.breach('REFUSED', f'{attempt_id} runs after its refusal')
+        self._check_times(asked, target)
+
+    def _check_times(self, asked: Asked, target: str) -> None:
+        """Judge withdrawn keys and leaving targets."""
         withdrawn_ms = self.withdrawn_ms.get(asked.key)
         if withdrawn_ms is not None:
             late_ms = asked.sent_ms - withdrawn_ms
             if late_ms > REVOKE_MS:
-                self.breach('CONFIG', f'{attempt_id} runs {late_ms} ms late')
+                self.breach(
+                    'CONFIG', f'{asked.attempt_id} runs {late_ms} ms late'
+                )
         left_ms = self.leaving_ms.get(target)
         if left_ms is None or not self.is_calm(asked.instance, left_ms):
             return
         if self.now_ms() - left_ms > DRAIN_MS:
-            self.breach('DRAIN', f'{target} gets {attempt_id} while it leaves')
+            self.breach(
+                'DRAIN', f'{target} gets {asked.attempt_id} while it leaves'
+            )
 
     def refused(self, asked: Asked, status: int) -> None:
         """Judge an answer that promises that the request has not run."""
--- a/tests/test_serving/test_following.py
+++ b/tests/test_serving/test_following.py
@@ -225,7 +225,7 @@
         followed.clock,
         followed.targets.list_received,
         followed.targets.change_received,
-        gather_ms=150,
+        gather_ms=lambda: 150,
     )
     Pending(listed.start())
     Pending(followed.listings.stop())
