Refuse only behind a queue; learn the median error of predictions

Long prompts were refused on engines that stood idle, too. Now the median error is learnt, and a request that hardly waits behind others is accepted if it can begin before its deadline.

--- a/cicadahoist/policy/engine_board.py
+++ b/cicadahoist/policy/engine_board.py
@@ -229,6 +229,10 @@
             over = max(over, (held + tokens - room) / room)
         return step_ms * (FIRST_STEPS + max(0, over) * SHORT_RUN_STEPS)
 
+    def read_wait_ms(self, engine: EngineState) -> float:
+        """Return the time until an engine has read what it was sent."""
+        return self.reads(engine) / engine.read_rate
+
     def first_token_ms(self, engine: EngineState, tokens: int) -> float:
         """Return the time until an engine has read a prompt sent now."""
         return (self.reads(engine) + tokens) / engine.read_rate + OVERHEAD_MS
--- a/cicadahoist/policy/patience.py
+++ b/cicadahoist/policy/patience.py
@@ -6,6 +6,9 @@
 # The same where the aim is missed already, as for callers that come back.
 LATE_PATIENCE_SHARE = 0.08
 
+# A request that waits behind others for less than this, two prompts' reading,
+# takes a place that nobody else could use, however long it takes itself.
+FREE_WAIT_MS = 60.0
 # A prediction is off by less than this factor unless the target hangs.
 SILENCE_FACTOR = 4.0
 # Shortest silence that tells anything: some ten steps of a preempting engine.
@@ -21,6 +24,22 @@
     return max(LEAST_SILENCE_MS, SILENCE_FACTOR * predicted_ms)
 
 
+def is_worth_its_place(
+    first_ms: float, wait_ms: float, patience: float, left_ms: float
+) -> bool:
+    """
+    Tell whether a request is to be accepted.
+
+    :param first_ms: predicted time to its first token
+    :param wait_ms: part of it that is spent behind other requests
+    :param patience: longest expected wait with which it is accepted under load
+    :param left_ms: how long the caller goes on waiting
+    """
+    if first_ms >= left_ms:
+        return False
+    return first_ms <= patience or wait_ms <= FREE_WAIT_MS
+
+
 def patience_ms(left_ms: int, timeout_ms: int, aim_ms: int) -> float:
     """
     Return the longest expected wait with which a request is accepted.
--- a/cicadahoist/policy/placement.py
+++ b/cicadahoist/policy/placement.py
@@ -41,6 +41,7 @@
     :param reader: engine that reads the prompt, none where the generator does
     :param generator: engine that generates the answer
     :param first_token_ms: predicted time to the first token
+    :param wait_ms: part of it that is spent behind other prompts
     :param read_ms: predicted time until the prompt is read
     :param reads: prompt tokens that are counted as work
     """
@@ -48,6 +49,7 @@
     reader: str | None
     generator: str
     first_token_ms: float
+    wait_ms: float
     read_ms: float
     reads: int
 
@@ -92,7 +94,7 @@
 
     def _expected(self, placement: Placement) -> Placement:
         """Add to a prediction what such predictions are off by."""
-        first_ms = placement.first_token_ms + self._board.error.mean_ms
+        first_ms = placement.first_token_ms + self._board.error.median_ms
         return msgspec.structs.replace(placement, first_token_ms=first_ms)
 
     def _long(
@@ -194,6 +196,7 @@
             reader=None,
             generator=best.name,
             first_token_ms=best_ms,
+            wait_ms=self._board.read_wait_ms(best),
             read_ms=best_ms,
             reads=unread_tokens(work, best),
         )
@@ -217,6 +220,7 @@
             reader=reading.engine,
             generator=generator,
             first_token_ms=reading.read_ms + HANDOFF_MS + wait_ms,
+            wait_ms=reading.wait_ms + wait_ms,
             read_ms=reading.read_ms,
             reads=reading.reads,
         )
@@ -226,7 +230,8 @@
         read_ms = self._board.first_token_ms(engine, reads)
         if engine.zone != self._board.zone:
             read_ms += OTHER_ZONE_MS
-        return _Reading(engine.name, engine.zone, read_ms, reads)
+        wait_ms = self._board.read_wait_ms(engine)
+        return _Reading(engine.name, engine.zone, wait_ms, read_ms, reads)
 
     def _wait_ms(
         self, work: ModelWork, engine: EngineState, zone: str
@@ -243,6 +248,7 @@
 class _Reading(msgspec.Struct, frozen=True):
     engine: str
     zone: str
+    wait_ms: float
     read_ms: float
     reads: int
 
--- a/cicadahoist/policy/prediction_error.py
+++ b/cicadahoist/policy/prediction_error.py
@@ -1,29 +1,29 @@
 """How far predicted times to a first token are off."""
 
-# Share of a new error that is taken over: some ten requests show a change.
-GAIN = 0.1
-# Longer errors stem from single failures, not from load.
+# Change with each request: a dozen requests show a change of 60 ms.
+STEP_MS = 5.0
+# Longer errors stem from failures, not from load.
 MOST_MS = 300.0
 
 
 class PredictionError:
     """
-    Mean time by which first tokens come later than was predicted.
+    Median time by which first tokens come later than was predicted.
 
     What is not modelled adds up in it: slow links of the instance, its
     processor, loads that are known late.
     """
 
-    __slots__ = ('mean_ms',)
+    __slots__ = ('median_ms',)
 
     def __init__(self) -> None:
-        self.mean_ms = 0.0
+        self.median_ms = 0.0
 
     def observe(self, predicted_ms: float, took_ms: float) -> None:
         """
         Learn from one request.
 
-        :param predicted_ms: prediction, the mean error included
+        :param predicted_ms: prediction, the median error included
         """
-        error_ms = max(-MOST_MS, min(MOST_MS, took_ms - predicted_ms))
-        self.mean_ms = max(0.0, min(MOST_MS, self.mean_ms + GAIN * error_ms))
+        step_ms = STEP_MS if took_ms > predicted_ms else -STEP_MS
+        self.median_ms = max(0.0, min(MOST_MS, self.median_ms + step_ms))
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -9,7 +9,11 @@
 from cicadahoist.listings import Listing
 from cicadahoist.log import get_logger
 from cicadahoist.policy.engine_board import EngineState
-from cicadahoist.policy.patience import patience_ms, silence_bound_ms
+from cicadahoist.policy.patience import (
+    is_worth_its_place,
+    patience_ms,
+    silence_bound_ms,
+)
 from cicadahoist.policy.placement import (
     HANDOFF_TOKENS,
     Placement,
@@ -89,9 +93,13 @@
             self._left_ms, self._route.timeout_ms, self._route.first_aim_ms
         )
         self._reply.notes.update(
-            predicted_ms=round(first_ms), patience_ms=round(bound_ms)
+            predicted_ms=round(first_ms),
+            wait_ms=round(placement.wait_ms),
+            patience_ms=round(bound_ms),
         )
-        if first_ms > bound_ms:
+        if not is_worth_its_place(
+            first_ms, placement.wait_ms, bound_ms, self._left_ms
+        ):
             # By then, what waits now has been worked off.
             self._refuse(Refusal.deadline_unreachable, round(first_ms))
             return None
--- a/tests/test_policy/test_placement.py
+++ b/tests/test_policy/test_placement.py
@@ -6,7 +6,7 @@
     EngineBoard,
     EngineState,
 )
-from cicadahoist.policy.patience import patience_ms
+from cicadahoist.policy.patience import is_worth_its_place, patience_ms
 from cicadahoist.policy.peer_loads import EngineLoad, PeerLoad
 from cicadahoist.policy.placement import (
     NEAR_SAMPLE,
@@ -311,3 +311,30 @@
     for full in streaming:
         full.own.runs = full.slots
     assert place(fleet, question()).generator not in names
+
+
+def test_a_very_long_prompt_is_accepted_where_nothing_waits():
+    """Pattern: the largest tenth of the prompts must not be starved."""
+    placement = place(board(), long_prompt(own=60_000))
+    patience = patience_ms(1990, 2000, 150)
+    assert placement.first_token_ms > patience
+    assert accepted(placement, patience)
+
+
+def test_under_load_requests_that_would_be_late_are_refused():
+    fleet = board()
+    for name in ('p0', 'p1', 'p2', 'd0', 'd1'):
+        fleet.get(name).own.reads = 60_000
+    placement = place(fleet, long_prompt())
+    assert not accepted(placement, patience_ms(1990, 2000, 150))
+
+
+def test_what_cannot_begin_before_its_deadline_is_refused_at_once():
+    placement = place(board(), long_prompt(own=60_000))
+    assert not accepted(placement, 150, left_ms=100)
+
+
+def accepted(placement, patience, left_ms=1990):
+    return is_worth_its_place(
+        placement.first_token_ms, placement.wait_ms, patience, left_ms
+    )
