--- a/cicadahoist/policy/engine_board.py
+++ b/cicadahoist/policy/engine_board.py
@@ -7,7 +7,7 @@
 from cicadahoist.policy.answer_watch import AnswerWatch
 from cicadahoist.policy.health import TargetHealth
 from cicadahoist.policy.part_cache import PartCache
-from cicadahoist.policy.peer_loads import EngineLoad, PeerLoad, PeerLoads
+from cicadahoist.policy.peer_loads import EngineLoad, PeerLoads
 from cicadahoist.policy.prediction_error import PredictionError
 from cicadahoist.requests import PromptPart
 
@@ -113,8 +113,8 @@
         '_answers',
         '_closed_by_engine',
         '_engines_by_name',
-        '_peers',
         'error',
+        'peers',
         'zone',
     )
 
@@ -122,7 +122,7 @@
         self.zone = zone
         self._answers = answers or AnswerWatch()
         self._engines_by_name: dict[str, EngineState] = {}
-        self._peers = PeerLoads()
+        self.peers = PeerLoads()
         # Of predictions for long prompts.
         self.error = PredictionError()
         self._closed_by_engine: dict[str, int] = {}
@@ -178,10 +178,6 @@
         """Return an engine, or none."""
         return self._engines_by_name.get(name)
 
-    def hear(self, peer: str, load: PeerLoad) -> None:
-        """Take over the load of a peer."""
-        self._peers.hear(peer, load)
-
     def note_read(self, name: str, parts: tuple[PromptPart, ...]) -> None:
         """Take note that an engine reads a prompt and will keep its parts."""
         engine = self._engines_by_name.get(name)
@@ -196,21 +192,17 @@
             if engine.own.reads or engine.own.runs
         }
 
-    def forget_silent(self, now_ms: int) -> None:
-        """Drop the loads of peers that have not been heard for a while."""
-        self._peers.forget_silent(now_ms)
-
     def reads(self, engine: EngineState) -> int:
         """Return the prompt tokens in flight at an engine."""
-        return engine.own.reads + self._peers.at(engine.name).reads
+        return engine.own.reads + self.peers.at(engine.name).reads
 
     def runs(self, engine: EngineState) -> int:
         """Return the requests in flight at an engine."""
-        return engine.own.runs + self._peers.at(engine.name).runs
+        return engine.own.runs + self.peers.at(engine.name).runs
 
     def held(self, engine: EngineState) -> int:
         """Return the tokens that runs in flight hold at an engine."""
-        return engine.own.held + self._peers.at(engine.name).held
+        return engine.own.held + self.peers.at(engine.name).held
 
     def generate_wait_ms(self, engine: EngineState, tokens: int) -> float:
         """
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -229,7 +229,7 @@
         by_engine: dict[str, EngineLoad] = {}
         closed_by_engine: dict[str, int] = {}
         for board in self._context.fleet.boards.everything():
-            board.forget_silent(now_ms)
+            board.peers.forget_silent(now_ms)
             by_engine.update(board.own_load())
             closed_by_engine.update(board.closed_for(now_ms))
         return LoadMessage(
@@ -266,7 +266,7 @@
 
 
 def _take_load(board: EngineBoard, load: LoadMessage, now_ms: int) -> None:
-    board.hear(load.sender, PeerLoad(load.by_engine, now_ms))
+    board.peers.hear(load.sender, PeerLoad(load.by_engine, now_ms))
     for engine, closed_ms in load.closed_by_engine.items():
         if board.get(engine) is not None:
             board.close(engine, now_ms + closed_ms)
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -90,6 +90,8 @@
 
     def ended(self) -> None:
         self.log.flush()
+        if self.is_stopped:
+            return
         self.world.reactor.callLater(RESTART_S, self.start)
 
     def signal(self, name: str) -> None:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,8 +7,8 @@
 DRAIN_MS = 2000
 GRACE_MS = 8000
 CONTACT_MS = 3000
-# Requests of callers that are on their way while a key is withdrawn.
-TRAVEL_MS = 500
+# Rules that bound times.
+TIMED = frozenset(('CONFIG', 'DENIED', 'DRAIN', 'LOST', 'READY', 'RECOVER'))
 
 
 @dataclass
@@ -30,10 +30,13 @@
     Judges what is seen on the sockets of callers, targets and platform.
 
     :param now_ms: reads the clock of the soak
+    :param checks_times: whether bounds in time are judged too; on a machine
+        that is busy with other work they tell nothing
     """
 
-    def __init__(self, now_ms) -> None:
+    def __init__(self, now_ms, *, checks_times: bool = True) -> None:
         self.now_ms = now_ms
+        self._checks_times = checks_times
         self.broken: list[str] = []
         self.asked: dict[str, Asked] = {}
         self.withdrawn_ms: dict[str, int] = {}
@@ -48,6 +51,8 @@
         self.asked[asked.attempt_id] = asked
 
     def breach(self, rule: str, text: str) -> None:
+        if rule in TIMED and not self._checks_times:
+            return
         self.broken.append(f'{self.now_ms()} {rule}: {text}')
 
     def disturb(self, instance: str) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,11 +23,22 @@
     :param seed: draws all that happens
     :param instances: how many instances are started
     :param folder: takes settings and logs of the instances
+    :param checks_times: whether bounds in time are judged too
     """
 
-    def __init__(self, reactor, seed: int, instances: int, folder: Path):
+    def __init__(
+        self,
+        reactor,
+        seed: int,
+        instances: int,
+        folder: Path,
+        *,
+        checks_times: bool = True,
+    ) -> None:
         self.seed = seed
-        self.world = World(reactor, seed, instances, folder)
+        self.world = World(
+            reactor, seed, instances, folder, checks_times=checks_times
+        )
         self.struck: list[str] = []
         self._heals: list = []
 
