--- a/cicadahoist/policy/placement.py
+++ b/cicadahoist/policy/placement.py
@@ -71,14 +71,14 @@
         work: ModelWork,
         now_ms: int,
         tried: frozenset[str] = NONE_TRIED,
-        draw: str = '',
+        draw: str | None = None,
     ) -> Placement | None:
         """
         Return the engines for a request, or none where no engine is left.
 
         :param tried: engines that are left out
         :param draw: text that differs between requests, draws the sample of
-            engines that are looked at
+            engines that are looked at; none to look at all
         """
         readers = self._left(PREFILL, now_ms, tried)
         generators = self._left(DECODE, now_ms, tried)
@@ -103,7 +103,7 @@
         readers: list[EngineState],
         generators: list[EngineState],
         others: list[EngineState],
-        draw: str,
+        draw: str | None,
     ) -> Placement:
         """
         Place a long prompt, whose answer is mostly short.
@@ -132,7 +132,7 @@
         work: ModelWork,
         streaming: list[EngineState],
         others: list[EngineState],
-        draw: str,
+        draw: str | None,
     ) -> Placement:
         """Place a short prompt, whose answer is mostly a long stream."""
         roomy = self._with_places(streaming)
@@ -149,9 +149,11 @@
         ]
 
     def _sample(
-        self, engines: list[EngineState], draw: str
+        self, engines: list[EngineState], draw: str | None
     ) -> list[EngineState]:
         """Return some engines, most of them of the own zone."""
+        if draw is None:
+            return engines
         ranked = sorted(
             engines, key=lambda engine: fast_hash(draw + engine.name)
         )
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -78,33 +78,48 @@
 
     def _place(self) -> Placement | None:
         """Return where to run, or refuse what cannot begin in time."""
-        placer = self._context.fleet.boards.placer(self._service)
-        placement = placer.place(
-            self._work,
-            self._context.clock.now_ms(),
-            frozenset(self._tried),
-            self._request.attempt_id,
-        )
+        placement = self._placement(self._request.attempt_id)
+        if placement is not None and not self._may_place(placement):
+            # The engines that were not looked at may have room.
+            placement = self._placement(None)
         if placement is None:
             self._refuse(Refusal.no_target, NO_ENGINE_RETURN_MS)
             return None
-        first_ms = placement.first_token_ms
-        bound_ms = patience_ms(
-            self._left_ms, self._route.timeout_ms, self._route.first_aim_ms
-        )
+        first_ms = round(placement.first_token_ms)
         self._reply.notes.update(
-            predicted_ms=round(first_ms),
+            predicted_ms=first_ms,
             wait_ms=round(placement.wait_ms),
-            patience_ms=round(bound_ms),
+            patience_ms=round(self._patience_ms),
         )
-        if not is_worth_its_place(
-            first_ms, placement.wait_ms, bound_ms, self._left_ms
-        ):
+        if not self._may_place(placement):
             # By then, what waits now has been worked off.
-            self._refuse(Refusal.deadline_unreachable, round(first_ms))
+            self._refuse(Refusal.deadline_unreachable, first_ms)
             return None
         return placement
 
+    def _placement(self, draw: str | None) -> Placement | None:
+        placer = self._context.fleet.boards.placer(self._service)
+        return placer.place(
+            self._work,
+            self._context.clock.now_ms(),
+            frozenset(self._tried),
+            draw,
+        )
+
+    def _may_place(self, placement: Placement) -> bool:
+        return is_worth_its_place(
+            placement.first_token_ms,
+            placement.wait_ms,
+            self._patience_ms,
+            self._left_ms,
+        )
+
+    @property
+    def _patience_ms(self) -> float:
+        return patience_ms(
+            self._left_ms, self._route.timeout_ms, self._route.first_aim_ms
+        )
+
     async def _read(self, placement: Placement, reader: str) -> None:
         """Let an engine read the prompt and keep its cache."""
         found = self._engine(reader)
--- a/tests/test_policy/test_placement.py
+++ b/tests/test_policy/test_placement.py
@@ -51,7 +51,7 @@
     return EngineState(name, zone, role, 32, cache_tokens=CACHE)
 
 
-def place(board, work, now_ms=0, tried=frozenset(), draw=''):
+def place(board, work, now_ms=0, tried=frozenset(), draw=None):
     return Placer(board).place(work, now_ms, tried, draw)
 
 
@@ -338,3 +338,15 @@
     return is_worth_its_place(
         placement.first_token_ms, placement.wait_ms, patience, left_ms
     )
+
+
+def test_no_place_is_left_free_because_it_was_not_drawn():
+    fleet = board(readers=12)
+    for number in range(11):
+        fleet.get(f'p{number}').own.reads = 100_000
+    drawn = [
+        place(fleet, long_prompt(), draw=f'r{number}').reader
+        for number in range(40)
+    ]
+    assert drawn.count('p11') < 40
+    assert place(fleet, long_prompt()).reader == 'p11'
--- a/tests/test_serving/test_model_flow.py
+++ b/tests/test_serving/test_model_flow.py
@@ -214,3 +214,16 @@
         world.clock.advance(10)
     extra = len(world.sent) - requests
     assert extra <= 0.2 * requests + 10
+
+
+def test_the_only_engine_with_room_is_found_before_a_refusal():
+    world = World()
+    world.add(
+        target('d1', 'llm', 'decode'),
+        *(target(f'p{number}', 'llm', 'prefill') for number in range(20)),
+    )
+    board = world.context.fleet.boards.board('llm')
+    for number in range(19):
+        board.get(f'p{number}').own.reads = 300_000
+    check(world)
+    assert world.sent[0].target == 'p19'
