--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock | cut -c1-12)
 
 .PHONY: setup test lint format unit demo serve bench-path bench-policy \
-	bench-slopes check-model fault-matrix
+	bench-slopes check-model fault-matrix soak
 
 setup: $(STAMP)
 
@@ -45,6 +45,11 @@
 bench-slopes: setup
 	$(PYTHON) -m bench.slopes
 
+# Seeds and seconds: make soak SOAK="--seed 7 --seeds 3 --logs run/soak"
+SOAK ?= --seed 1 --seeds 10 --seconds 14
+soak: setup
+	$(PYTHON) -m soak $(SOAK)
+
 check-model: setup
 	$(PYTHON) -m proof.check_model $(if $(BROKEN),--broken $(BROKEN))
 
