--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 lint: setup
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
-	$(PYTHON) -m flake8 cicadahoist tests bench proof
+	$(PYTHON) -m flake8 cicadahoist tests bench proof soak
 	$(PYTHON) -m mypy
 	$(VENV)/bin/lint-imports
 
