Measure turns of the event loop, the age of requests and times of sends

Logs could not tell whether an instance was behind with its events, whether bytes were under way for long, or whether a connection opened late.

LoopTimes observes the polls of the reactor: what a turn reads has arrived after the poll before, so that the age of a request has an upper bound when it is read. 'request ended' gains waited_ms, caller_waits_ms, sent_ms and opening_ms; 'event loop was busy' shows turns of over 100 ms. Two histograms, cicadahoist_serving_read_wait_ms and cicadahoist_loop_long_turn_ms.

Nothing decides by these figures yet.

--- a/cicadahoist/application.py
+++ b/cicadahoist/application.py
@@ -10,12 +10,15 @@
 from cicadahoist.clock import Clock
 from cicadahoist.config import Config
 from cicadahoist.log import configure_logging, get_logger
-from cicadahoist.metrics import Metrics
+from cicadahoist.loop_times import LoopTimes
+from cicadahoist.metrics import LONG_TURN, Metrics
 from cicadahoist.settings import LOG_FORMAT, LOG_LEVEL
 
 logger = get_logger(__name__)
 
 EXIT_FAILURE = 1
+# Turns of the event loop that last this long are logged.
+LONG_TURN_MS = 100
 
 
 class Task(Protocol):
@@ -42,11 +45,13 @@
     __slots__ = (
         '_has_failed',
         '_is_stopping',
+        '_long_turns',
         '_on_reload',
         '_reactor',
         '_tasks',
         'clock',
         'config',
+        'loop_times',
         'metrics',
     )
 
@@ -54,6 +59,9 @@
         self.config = config
         self.clock = Clock.from_reactor(reactor)
         self.metrics = Metrics.exposed()
+        self.loop_times = LoopTimes(self.clock)
+        self.loop_times.on_turn = self._report_turn
+        self._long_turns = self.metrics.histogram(LONG_TURN)
         self._reactor = reactor
         self._tasks: list[Task] = []
         self._is_stopping = False
@@ -66,7 +74,9 @@
         from twisted.internet import reactor  # noqa: PLC0415, WPS433
 
         configure_logging(config.read(LOG_FORMAT), config.read(LOG_LEVEL))
-        return cls(config, reactor)
+        application = cls(config, reactor)
+        application.loop_times.attach(reactor)
+        return application
 
     def add(self, task: Task) -> None:
         """Add a task that :meth:`run` starts and stops."""
@@ -87,6 +97,11 @@
         if self._has_failed:
             sys.exit(EXIT_FAILURE)
 
+    def _report_turn(self, took_ms: int) -> None:
+        if took_ms >= LONG_TURN_MS:
+            self._long_turns.record(took_ms)
+            logger.bind(took_ms=took_ms).info('event loop was busy')
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         Deferred.fromCoroutine(work).addErrback(self._stop_on_error)
 
--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -202,6 +202,7 @@
                 settings.caller_address.port,
                 settings.grace_ms,
                 self._clock,
+                self._application.loop_times,
                 self._reactor,
             )
         )
--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -91,6 +91,24 @@
         unit='ms',
     )
 )
+READ_WAIT = METRICS.declare(
+    MetricSpec(
+        'serving_read_wait',
+        'Longest time for which a request can have waited until it was read.',
+        operator_remedy='give the instance more processor time, or add '
+        'instances',
+        unit='ms',
+    )
+)
+LONG_TURN = METRICS.declare(
+    MetricSpec(
+        'loop_long_turn',
+        'Durations of turns of the event loop over 100 ms.',
+        operator_remedy='give the instance more processor time, or add '
+        'instances',
+        unit='ms',
+    )
+)
 ANSWERED = METRICS.declare(
     MetricSpec(
         'serving_answered',
--- a/cicadahoist/requests.py
+++ b/cicadahoist/requests.py
@@ -65,6 +65,7 @@
         for none
     :param work: work for an engine, none for plain services
     :param arrived_ms: time at which the last byte was received
+    :param waited_ms: longest time for which it can have waited to be read
     """
 
     attempt_id: str
@@ -78,6 +79,7 @@
     resume_after: str = ''
     work: ModelWork | None = None
     arrived_ms: int = 0
+    waited_ms: int = 0
 
 
 class Handle(msgspec.Struct, frozen=True):
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -117,6 +117,7 @@
         'is_sent',
         'listing',
         'on_activity',
+        'on_sent',
     )
 
     def __init__(
@@ -139,6 +140,8 @@
         self.is_sent = False
         # Called when the head or a piece of the answer arrives.
         self.on_activity: Callable[[], None] = _ignore
+        # Called when the request is handed to a connection.
+        self.on_sent: Callable[[], None] = _ignore
 
     @property
     def is_over(self) -> bool:
@@ -164,6 +167,7 @@
             return AttemptEnd(AttemptOutcome.stopped)
         self._connection = connection
         self.is_sent = True
+        self.on_sent()
         outgoing = h11.Request(
             method=self._request.method,
             target=self._request.path,
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -1,5 +1,6 @@
 """Handling of one request: its deadline, its attempts and its reply."""
 
+from functools import partial
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -156,6 +157,9 @@
         name = attempt.listing.name
         self._attempt = attempt
         self._tried_targets.append(name)
+        attempt.on_sent = partial(
+            self._reply.record_send, self._context.clock.now_ms()
+        )
         end = await AttemptWatch(self._context).run(
             attempt, silence_ms, self._allowance.get_abandon_check(attempt)
         )
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -9,6 +9,7 @@
 
 from cicadahoist.clock import Clock, Timer
 from cicadahoist.log import get_logger
+from cicadahoist.loop_times import ConnectionInput, LoopTimes
 from cicadahoist.requests import HeaderList
 from cicadahoist.rules import CallerLimits
 from cicadahoist.serving.request_reader import RawRequest, RequestReader
@@ -146,13 +147,19 @@
 
     :param handler: handles the requests
     :param clock: clock of the process
+    :param loop_times: turns of the event loop
     """
 
     transport: Any
 
-    def __init__(self, handler: Handler, clock: Clock) -> None:
+    def __init__(
+        self, handler: Handler, clock: Clock, loop_times: LoopTimes
+    ) -> None:
         self._handler = handler
         self._clock = clock
+        self._input = ConnectionInput(loop_times)
+        # Earliest arrival of the first byte of the request that is being read.
+        self._request_since_ms: int | None = None
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=handler.limits.header_bytes
         )
@@ -179,6 +186,8 @@
         """Parse bytes of requests."""
         if self._is_closed:
             return
+        if self._request_since_ms is None:
+            self._request_since_ms = self._input.since_ms
         if self._exchange is not None:
             self._read_ahead_bytes += len(received)
             if self._read_ahead_bytes > READ_AHEAD_BYTES:
@@ -289,7 +298,12 @@
         if isinstance(event, h11.Data) and self._reader is not None:
             return self._reader.add_body(bytes(event.data))
         if isinstance(event, h11.EndOfMessage) and self._reader is not None:
-            self._dispatch(self._reader.build_request())
+            since_ms = self._request_since_ms
+            if since_ms is None:
+                since_ms = self._clock.now_ms()
+            if not self._http.trailing_data[0]:
+                self._request_since_ms = None
+            self._dispatch(self._reader.build_request(since_ms))
         else:
             self.close()
         return None
@@ -323,19 +337,25 @@
 
     :param handler: handles the requests
     :param clock: clock of the process
+    :param loop_times: turns of the event loop
     """
 
     noisy = False
 
-    def __init__(self, handler: Handler, clock: Clock) -> None:
+    def __init__(
+        self, handler: Handler, clock: Clock, loop_times: LoopTimes
+    ) -> None:
         self._handler = handler
         self._clock = clock
+        self._loop_times = loop_times
         self._connections: set[CallerConnection] = set()
         self._timer: Timer | None = None
 
     def buildProtocol(self, addr: Any) -> CallerConnection:
         """Return the protocol of a new connection."""
-        connection = CallerConnection(self._handler, self._clock)
+        connection = CallerConnection(
+            self._handler, self._clock, self._loop_times
+        )
         self._connections.add(connection)
         connection.on_lost = self._connections.discard
         return connection
--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -1,6 +1,6 @@
 """Metrics of the data path."""
 
-from cicadahoist.metrics import ANSWERED, FIRST_BYTE, Metrics
+from cicadahoist.metrics import ANSWERED, FIRST_BYTE, READ_WAIT, Metrics
 from cicadahoist.reasons import Refusal, Retry
 
 
@@ -11,12 +11,13 @@
     :param metrics: metrics of the process
     """
 
-    __slots__ = ('_answered', '_first_byte', '_metrics')
+    __slots__ = ('_answered', '_first_byte', '_metrics', '_read_wait')
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         self._answered = metrics.counter(ANSWERED)
         self._first_byte = metrics.histogram(FIRST_BYTE)
+        self._read_wait = metrics.histogram(READ_WAIT)
 
     def count_answer(self) -> None:
         """Count a complete answer."""
@@ -26,6 +27,10 @@
         """Record the time from arrival to the first byte of the answer."""
         self._first_byte.record(took_ms)
 
+    def record_read_wait(self, waited_ms: int) -> None:
+        """Record how long a request can have waited until it was read."""
+        self._read_wait.record(waited_ms)
+
     def count_refusal(self, reason: Refusal) -> None:
         """Count a refusal."""
         self._metrics.count_refusal(reason)
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -125,6 +125,19 @@
             )
         self.end('failed', reason=reason.name, status=status)
 
+    def record_send(self, chosen_ms: int) -> None:
+        """
+        Add the times of a send to the last log line.
+
+        :param chosen_ms: when the target was chosen; the request then waited
+            for a connection
+        """
+        now_ms = self._context.clock.now_ms()
+        sent_ms = self.log_fields.setdefault('sent_ms', [])
+        sent_ms.append(now_ms - self._request.arrived_ms)
+        opening_ms = self.log_fields.setdefault('opening_ms', [])
+        opening_ms.append(now_ms - chosen_ms)
+
     def end(self, outcome: str, **extra_fields: Any) -> None:
         """Record the end of the request and cancel its deadline."""
         if self.is_over:
@@ -140,6 +153,8 @@
             version=self._context.version,
             first_ms=self._first_byte_ms and self._first_byte_ms - arrived_ms,
             took_ms=self._context.clock.now_ms() - arrived_ms,
+            waited_ms=self._request.waited_ms,
+            caller_waits_ms=self._request.patience_ms,
             **self.log_fields,
             **extra_fields,
         ).info('request ended')
--- a/cicadahoist/serving/request_reader.py
+++ b/cicadahoist/serving/request_reader.py
@@ -18,17 +18,24 @@
     :param path: request target as sent
     :param headers: header fields, their names in lower case
     :param body: the complete body
+    :param since_ms: earliest time at which its first byte can have arrived
     """
 
-    __slots__ = ('body', 'headers', 'method', 'path')
+    __slots__ = ('body', 'headers', 'method', 'path', 'since_ms')
 
     def __init__(
-        self, method: bytes, path: bytes, headers: HeaderList, body: bytes
+        self,
+        method: bytes,
+        path: bytes,
+        headers: HeaderList,
+        body: bytes,
+        since_ms: int,
     ) -> None:
         self.method = method
         self.path = path
         self.headers = headers
         self.body = body
+        self.since_ms = since_ms
 
 
 class RequestReader:
@@ -73,12 +80,17 @@
             return HTTP_TOO_LARGE
         return None
 
-    def build_request(self) -> RawRequest:
-        """Return the complete request."""
+    def build_request(self, since_ms: int) -> RawRequest:
+        """
+        Return the complete request.
+
+        :param since_ms: earliest time at which its first byte can have arrived
+        """
         request = self._request
         return RawRequest(
             bytes(request.method),
             bytes(request.target),
             [(bytes(name), bytes(text)) for name, text in request.headers],
             bytes(self._body),
+            since_ms,
         )
--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -7,6 +7,7 @@
 
 from cicadahoist.clock import Clock
 from cicadahoist.log import get_logger
+from cicadahoist.loop_times import LoopTimes
 from cicadahoist.metrics import render_metrics
 from cicadahoist.outside.http import HTTP_OK, HTTP_UNAVAILABLE
 from cicadahoist.serving.front import Front
@@ -32,6 +33,7 @@
     :param port: port for callers
     :param grace_ms: time from SIGTERM to SIGKILL
     :param clock: clock of the process
+    :param loop_times: turns of the event loop
     :param reactor: the twisted reactor
     """
 
@@ -53,6 +55,7 @@
         port: int,
         grace_ms: int,
         clock: Clock,
+        loop_times: LoopTimes,
         reactor: Any,
     ) -> None:
         self._front = front
@@ -61,7 +64,7 @@
         self._grace_ms = grace_ms
         self._clock = clock
         self._reactor = reactor
-        self._connections = CallerConnections(front, clock)
+        self._connections = CallerConnections(front, clock, loop_times)
         self._listening_port: Any = None
 
     async def start(self) -> None:
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -15,6 +15,7 @@
 from cicadahoist.clock import Clock
 from cicadahoist.errors import NotSentError
 from cicadahoist.listings import Listing
+from cicadahoist.loop_times import LoopTimes
 from cicadahoist.metrics import Metrics
 from cicadahoist.platform.dialect import Dialect
 from cicadahoist.policy.retry_share import RetryTerms
@@ -185,7 +186,9 @@
     """One connection of a caller, and what it has received."""
 
     def __init__(self, world) -> None:
-        self.connection = CallerConnection(world.front, world.clock)
+        self.connection = CallerConnection(
+            world.front, world.clock, world.loop_times
+        )
         self.transport = connect(self.connection)
 
     def send(self, path, headers=(), body=b'', method=b'POST'):
@@ -310,6 +313,7 @@
 
     def __init__(self, clock=None) -> None:
         self.clock = clock or Clock.manual()
+        self.loop_times = LoopTimes(self.clock)
         self.context = ServingContext(
             'zone-a',
             Dialect(),
@@ -325,7 +329,9 @@
         self.front = Front(
             self.context, lambda: self.are_keys_fresh, self._free
         )
-        self.caller_connections = CallerConnections(self.front, self.clock)
+        self.caller_connections = CallerConnections(
+            self.front, self.clock, self.loop_times
+        )
         self.context.apply_deployment(deployment())
 
     async def _free(self, handle):
