--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -4,6 +4,7 @@
 Time is a manual clock; callers and targets are connected in memory.
 """
 
+import socket
 from itertools import count
 
 from opentelemetry.sdk.metrics import MeterProvider
@@ -38,6 +39,23 @@
 ATTEMPT_NUMBERS = count(1)
 
 
+class Socket:
+    """Socket of an in-memory transport, for calls that do not read from it."""
+
+    def __init__(self) -> None:
+        self.unread = b''
+        self.is_closed_by_peer = False
+
+    def recv(self, size, flags):
+        assert flags & socket.MSG_PEEK
+        if not self.unread and not self.is_closed_by_peer:
+            raise BlockingIOError
+        return self.unread[:size]
+
+    def setsockopt(self, level, option, bound):
+        """Do nothing."""
+
+
 class Transport(StringTransport):
     """In-memory transport that records whether and how it was closed."""
 
@@ -45,6 +63,7 @@
         super().__init__()
         self.is_aborted = False
         self.protocol = None
+        self._socket = Socket()
 
     def setTcpNoDelay(self, enabled):
         """Do nothing."""
@@ -53,7 +72,15 @@
         """Do nothing."""
 
     def getHandle(self):
-        return None
+        return self._socket
+
+    def close_by_peer(self):
+        """Let the peer close; the protocol is not told yet."""
+        self._socket.is_closed_by_peer = True
+
+    def receive_unread(self, received):
+        """Receive bytes that the protocol does not read yet."""
+        self._socket.unread += received
 
     def abortConnection(self):
         self.is_aborted = True
