Send nothing after the deadline, although its timer is late

Cause: the deadline acted by its timer alone. An instance that is behind handles an answer, a rejection or an opened connection before the timer that is already due, and the next send followed with 1 ms of deadline.

A request whose time is over ends as its timer would have ended it. The KV cache of a decode that was not sent is freed, also where its connection opened too late.

--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -116,6 +116,7 @@
         '_request',
         'is_sent',
         'listing',
+        'may_send',
         'on_activity',
         'on_sent',
     )
@@ -140,6 +141,8 @@
         self.is_sent = False
         # Called when the head or a piece of the answer arrives.
         self.on_activity: Callable[[], None] = _ignore
+        # Called when a connection is open: returns whether to send.
+        self.may_send: Callable[[], bool] = _allow
         # Called when the request is handed to a connection.
         self.on_sent: Callable[[], None] = _ignore
 
@@ -162,7 +165,7 @@
             connection, pool = await connections.open(self.listing)
         except NotSentError as error:
             return AttemptEnd(AttemptOutcome.unsent, detail=str(error))
-        if self._end_deferred is None:
+        if self._end_deferred is None or not self.may_send():
             pool.release(connection)
             return AttemptEnd(AttemptOutcome.stopped)
         self._connection = connection
@@ -262,5 +265,10 @@
             end_deferred.callback(end)
 
 
+def _allow() -> bool:
+    """Let each request be sent."""
+    return True
+
+
 def _ignore() -> None:
     """Do nothing."""
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -13,6 +13,7 @@
 from cicadahoist.serving.attempt_watch import AttemptWatch
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.crash_watch import CrashWatch
+from cicadahoist.serving.deadline import Deadline
 from cicadahoist.serving.inbound import Exchange
 from cicadahoist.serving.reply import MIN_RETRY_AFTER_MS, Reply
 from cicadahoist.serving.retry_allowance import RetryAllowance
@@ -22,9 +23,6 @@
 HTTP_SERVER_ERROR = 500
 HTTP_BAD_GATEWAY = 502
 HTTP_GATEWAY_TIMEOUT = 504
-# Subtracted from the caller's deadline, because the answer has to reach the
-# caller before it.
-ANSWER_MARGIN_MS = 15
 # Attempts of a request that may fail before a byte is sent.
 MAX_CONNECT_FAILURES = 3
 # Blames of a quarantined request may have expired after this time.
@@ -50,7 +48,7 @@
         '_attempt',
         '_context',
         '_crash_watch',
-        '_deadline_ms',
+        '_deadline',
         '_has_counted_run',
         '_reply',
         '_request',
@@ -77,18 +75,15 @@
         self._service = route.choose_service(request.attempt_id)
         self._workspace = workspace
         self._urgency = urgency
-        self._reply = Reply(context, request, route, exchange)
+        self._deadline = Deadline.from_request(request, route, context.clock)
+        self._reply = Reply(context, request, route, exchange, self._deadline)
         self._attempt: Attempt | None = None
         self._tried_targets: list[str] = []
-        self._allowance = RetryAllowance(context, route, self._service)
-        self._has_counted_run = False
-        wait_ms = route.timeout_ms
-        if request.patience_ms is not None:
-            wait_ms = min(wait_ms, request.patience_ms - ANSWER_MARGIN_MS)
-        self._deadline_ms = request.arrived_ms + wait_ms
-        self._reply.deadline_timer = context.clock.call_later(
-            max(0, self._deadline_ms - context.clock.now_ms()), self._expire
+        self._allowance = RetryAllowance(
+            context, route, self._service, self._deadline
         )
+        self._has_counted_run = False
+        self._deadline.start(self._expire)
 
     def start(self) -> None:
         """Start to handle the request, or refuse it if quarantined."""
@@ -135,9 +130,11 @@
         """Send attempts until the request is over."""
         raise NotImplementedError
 
-    @property
-    def _remaining_ms(self) -> int:
-        return self._deadline_ms - self._context.clock.now_ms()
+    def _is_awaited(self) -> bool:
+        """Return whether to go on; end the request if its time is over."""
+        if not self._reply.is_over and self._deadline.has_passed:
+            self._expire()
+        return not self._reply.is_over
 
     def _suspend_target(self, target: str) -> None:
         """Exclude a silent target from selection for a while."""
@@ -157,6 +154,7 @@
         name = attempt.listing.name
         self._attempt = attempt
         self._tried_targets.append(name)
+        attempt.may_send = self._is_awaited
         attempt.on_sent = partial(
             self._reply.record_send, self._context.clock.now_ms()
         )
@@ -186,7 +184,7 @@
         if self._may_have_run:
             self._reply.fail(HTTP_BAD_GATEWAY, reason)
         else:
-            self._reply.refuse(reason, retry_after_ms, self._remaining_ms)
+            self._reply.refuse(reason, retry_after_ms)
 
     def _count_run(self, true_ms: int) -> None:
         """
@@ -226,7 +224,7 @@
             outcome=end.outcome.value,
             status=end.head.status if end.head else None,
             detail=end.detail,
-            left_ms=self._remaining_ms,
+            left_ms=self._deadline.remaining_ms,
         ).info('attempt ended')
 
     def _fail_on_defect(self, failure: Any) -> None:
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -25,7 +25,7 @@
     __slots__ = ()
 
     async def _serve(self) -> None:
-        while not self._reply.is_over:
+        while self._is_awaited():
             listing = self._context.fleet.plain_targets.choose(
                 self._service,
                 self._request.attempt_id,
@@ -45,7 +45,7 @@
         options = SendOptions(
             target=listing.name,
             workspace=self._workspace,
-            remaining_ms=self._remaining_ms,
+            remaining_ms=self._deadline.remaining_ms,
             resume_after=self._request.resume_after,
         )
         attempt = Attempt(
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -2,12 +2,12 @@
 
 from typing import Any
 
-from cicadahoist.clock import Timer
 from cicadahoist.log import get_logger
 from cicadahoist.reasons import Refusal
 from cicadahoist.requests import AnswerHead, InboundRequest
 from cicadahoist.rules import RouteRule
 from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.deadline import Deadline
 from cicadahoist.serving.inbound import Exchange
 
 logger = get_logger(__name__)
@@ -26,15 +26,16 @@
     :param request: the caller's request
     :param route: the route of the request
     :param exchange: writes the answer
+    :param deadline: when the request ends, cancelled by its end
     """
 
     __slots__ = (
         '_context',
+        '_deadline',
         '_exchange',
         '_first_byte_ms',
         '_request',
         '_route',
-        'deadline_timer',
         'is_over',
         'log_fields',
     )
@@ -45,15 +46,15 @@
         request: InboundRequest,
         route: RouteRule,
         exchange: Exchange,
+        deadline: Deadline,
     ) -> None:
         self._context = context
         self._request = request
         self._route = route
         self._exchange = exchange
+        self._deadline = deadline
         self._first_byte_ms: int | None = None
         self.is_over = False
-        # Ends the request at its deadline.
-        self.deadline_timer: Timer | None = None
         # Grounds of the decisions on the request, for its last log line.
         self.log_fields: dict[str, Any] = {}
 
@@ -89,20 +90,18 @@
             self._context.meters.count_answer()
             self.end('answered', status=status)
 
-    def refuse(
-        self, reason: Refusal, retry_after_ms: int, remaining_ms: int
-    ) -> None:
+    def refuse(self, reason: Refusal, retry_after_ms: int) -> None:
         """
         Answer that the request has not run and will not run.
 
         :param reason: reason for the log and the metrics
         :param retry_after_ms: time after which a retry can succeed
-        :param remaining_ms: time until the deadline of the request
         """
         if self.is_over:
             return
         limit_ms = max(
-            MIN_RETRY_AFTER_MS, round(MAX_RETRY_AFTER_SHARE * remaining_ms)
+            MIN_RETRY_AFTER_MS,
+            round(MAX_RETRY_AFTER_SHARE * self._deadline.remaining_ms),
         )
         delay_ms = min(max(MIN_RETRY_AFTER_MS, retry_after_ms), limit_ms)
         self._context.meters.count_refusal(reason)
@@ -143,8 +142,7 @@
         if self.is_over:
             return
         self.is_over = True
-        if self.deadline_timer is not None and self.deadline_timer.active():
-            self.deadline_timer.cancel()
+        self._deadline.cancel()
         arrived_ms = self._request.arrived_ms
         logger.bind(
             request=self._request.attempt_id,
--- a/cicadahoist/serving/retry_allowance.py
+++ b/cicadahoist/serving/retry_allowance.py
@@ -6,6 +6,7 @@
 from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
 from cicadahoist.serving.attempt_watch import MayAbandon
 from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.deadline import Deadline
 
 _MAY_HAVE_RUN = frozenset(
     (AttemptOutcome.lost, AttemptOutcome.answered, AttemptOutcome.stopped)
@@ -19,10 +20,12 @@
     :param context: shared parts of the data path
     :param route: the route of the request
     :param service: the service that serves it, whose retry budget is used
+    :param deadline: after it the request may not be sent again
     """
 
     __slots__ = (
         '_context',
+        '_deadline',
         '_has_reserved_retry',
         '_route',
         '_sent_count',
@@ -32,9 +35,14 @@
     )
 
     def __init__(
-        self, context: ServingContext, route: RouteRule, service: str
+        self,
+        context: ServingContext,
+        route: RouteRule,
+        service: str,
+        deadline: Deadline,
     ) -> None:
         self._context = context
+        self._deadline = deadline
         self._route = route
         self._service = service
         self._sent_count = 0
@@ -55,10 +63,12 @@
 
     def try_spend_retry(self) -> bool:
         """
-        Spend one retry, where the route and the shared budget allow it.
+        Spend one retry, where deadline, route and shared budget allow it.
 
         :return: whether the request may be sent again
         """
+        if self._deadline.has_passed:
+            return False
         if self._has_reserved_retry:
             self._has_reserved_retry = False
             return True
--- a/tests/test_serving/test_late_process.py
+++ b/tests/test_serving/test_late_process.py
@@ -121,6 +121,17 @@
     assert [caller.status for caller in callers] == [503] * 3
 
 
+def test_a_cache_is_freed_whose_decode_was_not_sent_in_time(world):
+    """Guard against KV caches that stay at their engines unused."""
+    hold_connections(world, 'd1', 'd2')
+    send_check(world)
+    world.sent[0].answer(body=HANDLE_BODY)
+    world.clock.be_busy(2000)
+    open_connections(world)
+    assert len(world.requests_sent) == 1
+    assert [handle.name for handle in world.freed_handles] == ['h7']
+
+
 def test_the_deadline_handed_over_shrinks_while_a_connection_opens(world):
     """Guard against targets that work past the deadlines of callers."""
     hold_connections(world, 'p1', 't1', 't2')
