Hand targets the time that is left when a request is sent

Cause: the time left was computed when the target was chosen. Where a connection opened in between, the target got that time again.

Attempt asks the flow just before it writes; the flow then decides whether the request is still sent and states the time left at that moment. 'attempt ended' is logged by serving.reply now.

--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -91,6 +91,7 @@
 _NOT_RUN = frozenset((AnswerMeaning.not_run, AnswerMeaning.misplaced))
 
 OnPiece = Callable[[AnswerHead, bytes], None]
+PrepareSend = Callable[[SendOptions], SendOptions | None]
 
 
 class Attempt:
@@ -116,9 +117,8 @@
         '_request',
         'is_sent',
         'listing',
-        'may_send',
         'on_activity',
-        'on_sent',
+        'prepare_send',
     )
 
     def __init__(
@@ -141,10 +141,9 @@
         self.is_sent = False
         # Called when the head or a piece of the answer arrives.
         self.on_activity: Callable[[], None] = _ignore
-        # Called when a connection is open: returns whether to send.
-        self.may_send: Callable[[], bool] = _allow
-        # Called when the request is handed to a connection.
-        self.on_sent: Callable[[], None] = _ignore
+        # Called when a connection is open: returns what to send along now, or
+        # none if the request is not to be sent any more.
+        self.prepare_send: PrepareSend = _keep_options
 
     @property
     def is_over(self) -> bool:
@@ -165,17 +164,17 @@
             connection, pool = await connections.open(self.listing)
         except NotSentError as error:
             return AttemptEnd(AttemptOutcome.unsent, detail=str(error))
-        if self._end_deferred is None or not self.may_send():
+        options = None if self.is_over else self.prepare_send(self._options)
+        if options is None:
             pool.release(connection)
             return AttemptEnd(AttemptOutcome.stopped)
         self._connection = connection
         self.is_sent = True
-        self.on_sent()
         outgoing = h11.Request(
             method=self._request.method,
             target=self._request.path,
             headers=self._dialect.target_headers(
-                self._request, self._options, self.listing.address
+                self._request, options, self.listing.address
             ),
         )
         connection.send(outgoing, self._request.body, self, pool)
@@ -265,9 +264,9 @@
             end_deferred.callback(end)
 
 
-def _allow() -> bool:
-    """Let each request be sent."""
-    return True
+def _keep_options(options: SendOptions) -> SendOptions:
+    """Let the request be sent as it is."""
+    return options
 
 
 def _ignore() -> None:
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -3,11 +3,17 @@
 from functools import partial
 from typing import Any
 
+import msgspec
 from twisted.internet.defer import Deferred
 
 from cicadahoist.log import get_logger
 from cicadahoist.reasons import Refusal
-from cicadahoist.requests import AnswerMeaning, InboundRequest, RepeatRule
+from cicadahoist.requests import (
+    AnswerMeaning,
+    InboundRequest,
+    RepeatRule,
+    SendOptions,
+)
 from cicadahoist.rules import RouteRule
 from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
 from cicadahoist.serving.attempt_watch import AttemptWatch
@@ -130,6 +136,22 @@
         """Send attempts until the request is over."""
         raise NotImplementedError
 
+    def _prepare_send(
+        self, chosen_ms: int, options: SendOptions
+    ) -> SendOptions | None:
+        """
+        Return what to send along now, none if the request has ended.
+
+        :param chosen_ms: when the target was chosen; a connection was opened
+            since then
+        """
+        if not self._is_awaited():
+            return None
+        self._reply.record_send(chosen_ms)
+        return msgspec.structs.replace(
+            options, remaining_ms=self._deadline.remaining_ms
+        )
+
     def _is_awaited(self) -> bool:
         """Return whether to go on; end the request if its time is over."""
         if not self._reply.is_over and self._deadline.has_passed:
@@ -154,9 +176,8 @@
         name = attempt.listing.name
         self._attempt = attempt
         self._tried_targets.append(name)
-        attempt.may_send = self._is_awaited
-        attempt.on_sent = partial(
-            self._reply.record_send, self._context.clock.now_ms()
+        attempt.prepare_send = partial(
+            self._prepare_send, self._context.clock.now_ms()
         )
         end = await AttemptWatch(self._context).run(
             attempt, silence_ms, self._allowance.get_abandon_check(attempt)
@@ -169,7 +190,7 @@
             self._crash_watch.record_loss(name)
         self._allowance.record_end(attempt, end)
         if end.outcome is not AttemptOutcome.answered:
-            self._log_attempt(name, end)
+            self._reply.log_attempt(name, end)
         if end.head and end.head.meaning is AnswerMeaning.misplaced:
             self._context.fleet.exclude(name)
         return end
@@ -217,16 +238,6 @@
         if attempt is not None:
             attempt.stop()
 
-    def _log_attempt(self, target: str, end: AttemptEnd) -> None:
-        logger.bind(
-            request=self._request.attempt_id,
-            target=target,
-            outcome=end.outcome.value,
-            status=end.head.status if end.head else None,
-            detail=end.detail,
-            left_ms=self._deadline.remaining_ms,
-        ).info('attempt ended')
-
     def _fail_on_defect(self, failure: Any) -> None:
         logger.bind(request=self._request.attempt_id).error(
             'request handling raised an unexpected error: {0}',
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -289,7 +289,6 @@
         return SendOptions(
             target=target,
             workspace=self._workspace,
-            remaining_ms=self._deadline.remaining_ms,
             prefill_only=prefill_only,
             handle=handle,
             resume_after='' if last_event_id is None else str(last_event_id),
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -45,7 +45,6 @@
         options = SendOptions(
             target=listing.name,
             workspace=self._workspace,
-            remaining_ms=self._deadline.remaining_ms,
             resume_after=self._request.resume_after,
         )
         attempt = Attempt(
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -6,6 +6,7 @@
 from cicadahoist.reasons import Refusal
 from cicadahoist.requests import AnswerHead, InboundRequest
 from cicadahoist.rules import RouteRule
+from cicadahoist.serving.attempt import AttemptEnd
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.deadline import Deadline
 from cicadahoist.serving.inbound import Exchange
@@ -137,6 +138,17 @@
         opening_ms = self.log_fields.setdefault('opening_ms', [])
         opening_ms.append(now_ms - chosen_ms)
 
+    def log_attempt(self, target: str, end: AttemptEnd) -> None:
+        """Log the end of an attempt without an answer."""
+        logger.bind(
+            request=self._request.attempt_id,
+            target=target,
+            outcome=end.outcome.value,
+            status=end.head.status if end.head else None,
+            detail=end.detail,
+            left_ms=self._deadline.remaining_ms,
+        ).info('attempt ended')
+
     def end(self, outcome: str, **extra_fields: Any) -> None:
         """Record the end of the request and cancel its deadline."""
         if self.is_over:
