Count the deadline of a request from its arrival, not from its read

Cause: a request was stamped when its handler ran. What it had waited before, in the listen queue, in its socket or behind the request before it on the same connection, was given away a second time: to the deadline of this instance, to the decision where to run it and to the deadline that targets get.

A request now counts from the earliest time at which its first byte can have arrived, which LoopTimes knows from the polls of the event loop. An idle instance loses nothing by the bound; a busy one states less time, never more. How long placements take is still learned from the read, as before.

--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -86,7 +86,7 @@
 FIRST_BYTE = METRICS.declare(
     MetricSpec(
         'serving_first_byte',
-        'Time from a whole request to the first byte of its answer.',
+        'Time from the arrival of a request to the first byte of its answer.',
         operator_remedy='look at the load of the engines, then at the network',
         unit='ms',
     )
--- a/cicadahoist/requests.py
+++ b/cicadahoist/requests.py
@@ -64,8 +64,8 @@
     :param resume_after: id of the last event that the caller received, empty
         for none
     :param work: work for an engine, none for plain services
-    :param arrived_ms: time at which the last byte was received
-    :param waited_ms: longest time for which it can have waited to be read
+    :param arrived_ms: earliest time at which the first byte can have arrived
+    :param read_ms: time at which the last byte was read
     """
 
     attempt_id: str
@@ -79,7 +79,7 @@
     resume_after: str = ''
     work: ModelWork | None = None
     arrived_ms: int = 0
-    waited_ms: int = 0
+    read_ms: int = 0
 
 
 class Handle(msgspec.Struct, frozen=True):
--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -85,9 +85,11 @@
             logger.info('malformed request: {0}', error)
             self._answer(exchange, None, HTTP_BAD_REQUEST, Refusal.bad_request)
             return ANSWERED_REQUEST
-        request.arrived_ms = self._context.clock.now_ms()
-        request.waited_ms = request.arrived_ms - raw.since_ms
-        self._context.meters.record_read_wait(request.waited_ms)
+        request.arrived_ms = raw.since_ms
+        request.read_ms = self._context.clock.now_ms()
+        self._context.meters.record_read_wait(
+            request.read_ms - request.arrived_ms
+        )
         deployment = self._context.deployment
         if deployment is None:
             self._refuse(
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -218,7 +218,7 @@
             ):
                 now_ms = self._context.clock.now_ms()
                 board.prediction_bias.observe(
-                    placement.first_token_ms, now_ms - self._request.arrived_ms
+                    placement.first_token_ms, now_ms - self._request.read_ms
                 )
             self._count_run(self._context.true_time.now_ms())
             self._reply.begin(head)
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -163,7 +163,7 @@
             version=self._context.version,
             first_ms=self._first_byte_ms and self._first_byte_ms - arrived_ms,
             took_ms=self._context.clock.now_ms() - arrived_ms,
-            waited_ms=self._request.waited_ms,
+            waited_ms=self._request.read_ms - arrived_ms,
             caller_waits_ms=self._request.patience_ms,
             **self.log_fields,
             **extra_fields,
