Send nothing for callers whose close waits to be read

Cause: the close of a caller is an event like any other. Behind the answers that a busy instance handles first, the next send went out although the close was in the socket already; the same for requests that callers abandoned before they were read.

Where the deadline is asked, the socket of the caller is now asked too, by a recv that leaves the bytes unread. The request then ends as if the close had been read.

--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -153,9 +153,11 @@
         )
 
     def _is_awaited(self) -> bool:
-        """Return whether to go on; end the request if its time is over."""
+        """Return whether to go on; if not, end the request."""
         if not self._reply.is_over and self._deadline.has_passed:
             self._expire()
+        if not self._reply.is_over and not self._reply.is_awaited:
+            self.caller_left()
         return not self._reply.is_over
 
     def _suspend_target(self, target: str) -> None:
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -12,6 +12,7 @@
 from cicadahoist.loop_times import ConnectionInput, LoopTimes
 from cicadahoist.requests import HeaderList
 from cicadahoist.rules import CallerLimits
+from cicadahoist.serving.peer_close import is_closed_by_peer
 from cicadahoist.serving.request_reader import RawRequest, RequestReader
 
 logger = get_logger(__name__)
@@ -73,6 +74,17 @@
         self.is_begun = False
         self.is_over = False
 
+    @property
+    def is_awaited(self) -> bool:
+        """
+        Whether the caller still waits for the end of the answer.
+
+        A close that has reached this instance counts before it is read.
+        """
+        return not (
+            self.is_over or is_closed_by_peer(self._connection.transport)
+        )
+
     def answer(
         self,
         status: int,
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -64,6 +64,11 @@
         """Whether the head of an answer was sent to the caller."""
         return self._exchange.is_begun
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the caller still waits for the end of the answer."""
+        return self._exchange.is_awaited
+
     def deliver(self, head: AnswerHead, body: bytes) -> None:
         """Pass on a complete answer of a target."""
         if self.is_over:
