End unsent requests of routes that run once when their caller leaves

Cause: caller_left did nothing on routes that run once and are not streamed, so that an attempt is never cut off with an unknown outcome. That holds only for attempts that were sent: waits for a connection, and sends after a rejection, went on as well.

Such a request now ends unless an attempt of it was sent; one that was sent runs to its end, and nothing is sent after it.

--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -111,14 +111,13 @@
         """Stop work whose answer no caller awaits, where that is safe."""
         if self._reply.is_over:
             return
-        if (
-            self._route.repeat is RepeatRule.once
-            and not self._route.is_streamed
-        ):
-            # The attempt runs to its end: cutting it off would leave unknown
-            # whether the request took effect.
-            self._reply.log_fields['caller_left'] = True
-            return
+        runs_once = self._route.repeat is RepeatRule.once
+        attempt = self._attempt
+        if runs_once and not self._route.is_streamed and attempt is not None:
+            if attempt.is_sent:
+                # Cutting it off would leave unknown whether it took effect.
+                self._reply.log_fields['caller_left'] = True
+                return
         self._reply.end('caller-left')
         self._stop_attempt()
 
