Bound the bandwidth of load reports

Cause: an instance reported each prefill and each change of its load to every peer of its zone at once. Reports grew with requests times peers and had no bound. On an instance with 21 peers in its zone and 58 in others, 250 prefills a second cost 623 kB/s, all of a 5 Mbit/s link; requests, answers and closes waited behind them, attempts counted as silent and were sent again, and each further attempt was one more change to report.

Reports to the own zone and to other zones now get 40 kB/s each: the next one waits until the last one is paid for. What changed meanwhile goes into that one, so that the load is later, not lost. Small deployments report as before.

test_loads_of_a_busy_instance_stay_within_their_bandwidth failed before: 1,245,212 bytes in two seconds, where 278,500 are allowed.

--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -31,9 +31,14 @@
 # The start of a prefill is reported after this delay, so that several share a
 # datagram.
 PREFILL_DELAY_MS = 4
-# Peers of the own zone get each change at once. Peers of other zones cost
-# traffic between zones: an instance receives some 300 loads a second from them.
+# Peers of the own zone get each change at once where their bandwidth allows it.
+# Peers of other zones cost traffic between zones: an instance receives some 300
+# loads a second from them.
 FAR_PERIOD_PER_PEER_MS = 3
+# Bandwidth of the loads to peers of the own zone, and to those of other zones.
+# Loads share the link of the instance with requests, which come first.
+NEAR_BYTES_PER_S = 40_000
+FAR_BYTES_PER_S = 40_000
 # An unchanged load is repeated this often, as datagrams may be lost.
 NEAR_REPEAT_MS = 400
 FAR_REPEAT_MS = 800
@@ -116,8 +121,10 @@
         self._instance = instance
         self._record = record
         self._reactor = reactor
-        self._near = LoadGroup(0, NEAR_REPEAT_MS)
-        self._far = LoadGroup(FAR_PERIOD_PER_PEER_MS, FAR_REPEAT_MS)
+        self._near = LoadGroup(0, NEAR_REPEAT_MS, NEAR_BYTES_PER_S)
+        self._far = LoadGroup(
+            FAR_PERIOD_PER_PEER_MS, FAR_REPEAT_MS, FAR_BYTES_PER_S
+        )
         self._port: Any = None
         self._timer: Timer | None = None
         self._check_due_ms = 0
@@ -214,11 +221,12 @@
         load = self._collect_load(now_ms)
         for group in (self._near, self._far):
             if group.is_due(load, now_ms):
-                prefills = group.mark_sent(load, now_ms)
-                self._send(
+                prefills = group.take_prefills()
+                datagram_bytes = self._send(
                     msgspec.structs.replace(load, prefills=prefills),
                     group.addresses,
                 )
+                group.record_sent(load, datagram_bytes, now_ms)
         if now_ms - self._copies_sent_ms >= COPY_PERIOD_MS:
             self._copies_sent_ms = now_ms
             self._send_copies(load)
@@ -265,19 +273,20 @@
 
     def _send(
         self, load: LoadMessage, addresses: dict[str, tuple[str, int]]
-    ) -> None:
+    ) -> int:
+        """Send a load to peers; return the size of one datagram."""
         stamped = msgspec.structs.replace(
             load, true_ms=self._context.true_time.read_own_ms()
         )
         datagram = _codec.encode(stamped)
-        self._context.meters.count_load_bytes(
-            (len(datagram) + DATAGRAM_HEADER_BYTES) * len(addresses)
-        )
+        datagram_bytes = len(datagram) + DATAGRAM_HEADER_BYTES
+        self._context.meters.count_load_bytes(datagram_bytes * len(addresses))
         for address in addresses.values():
             try:
                 self.transport.write(datagram, address)
             except OSError as error:
                 logger.debug('load report not sent to {0}: {1}', address, error)
+        return datagram_bytes
 
 
 def _apply_load(board: EngineBoard, load: LoadMessage, now_ms: int) -> None:
--- a/cicadahoist/serving/load_group.py
+++ b/cicadahoist/serving/load_group.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from cicadahoist.clock import MS_PER_S
 from cicadahoist.requests import PromptPart
 
 # Older ones are dropped: the cache soon evicts the parts of their prompts.
@@ -27,13 +28,16 @@
     """
     Peers to which loads are sent at the same pace.
 
-    :param period_per_peer_ms: time between two loads, multiplied by the
-        number of peers
+    :param period_per_peer_ms: shortest time between two loads, multiplied by
+        the number of peers
     :param repeat_ms: time after which an unchanged load is repeated
+    :param bytes_per_s: bandwidth that loads to all peers may use together
     """
 
     __slots__ = (
+        '_bytes_per_s',
         '_last_load',
+        '_next_ms',
         '_period_per_peer_ms',
         '_repeat_ms',
         '_sent_ms',
@@ -41,10 +45,15 @@
         'prefills',
     )
 
-    def __init__(self, period_per_peer_ms: int, repeat_ms: int) -> None:
+    def __init__(
+        self, period_per_peer_ms: int, repeat_ms: int, bytes_per_s: int
+    ) -> None:
+        self._bytes_per_s = bytes_per_s
         self._period_per_peer_ms = period_per_peer_ms
         self._repeat_ms = repeat_ms
         self._last_load: Any = None
+        # Earliest time of the next load.
+        self._next_ms = 0.0
         self._sent_ms = 0
         self.addresses: dict[str, tuple[str, int]] = {}
         self.prefills: deque[PrefillStart] = deque(
@@ -53,17 +62,22 @@
 
     def is_due(self, load: Any, now_ms: int) -> bool:
         """Return whether a load is to be sent now."""
-        waited_ms = now_ms - self._sent_ms
-        if waited_ms >= self._repeat_ms:
-            return True
-        if not self.prefills and load == self._last_load:
+        if now_ms < self._next_ms:
             return False
-        return waited_ms >= self._period_per_peer_ms * len(self.addresses)
+        if self.prefills or load != self._last_load:
+            return True
+        return now_ms - self._sent_ms >= self._repeat_ms
 
-    def mark_sent(self, load: Any, now_ms: int) -> tuple[PrefillStart, ...]:
-        """Record that a load is sent; return the prefills to send with it."""
-        self._last_load = load
-        self._sent_ms = now_ms
+    def take_prefills(self) -> tuple[PrefillStart, ...]:
+        """Return the prefills to send with the next load."""
         prefills = tuple(self.prefills)
         self.prefills.clear()
         return prefills
+
+    def record_sent(self, load: Any, datagram_bytes: int, now_ms: int) -> None:
+        """Record that a load was sent to each peer."""
+        self._last_load = load
+        self._sent_ms = now_ms
+        peers = len(self.addresses)
+        paced_ms = datagram_bytes * peers * MS_PER_S / self._bytes_per_s
+        self._next_ms = now_ms + max(self._period_per_peer_ms * peers, paced_ms)
--- a/tests/test_serving/test_load_exchange.py
+++ b/tests/test_serving/test_load_exchange.py
@@ -54,6 +54,12 @@
         self.exchange.on_unregistered = self.count_unregistered
         self.start()
 
+    def stop(self):
+        try:
+            self.exchange.stop().send(None)
+        except StopIteration:
+            return
+
     def start(self):
         try:
             self.exchange.start().send(None)
@@ -126,6 +132,25 @@
     assert to_second <= 1000 // (3 * 41) + 1 + 40 * 3
 
 
+def test_loads_of_a_busy_instance_stay_within_their_bandwidth():
+    """Guard against loads that take the link away from requests (GONE)."""
+    network, clock, instances = create_deployment(['a'] * 22 + ['b'] * 58)
+    clock.advance(1000)
+    first = instances[0]
+    network.sent.clear()
+    network.drops_all = True
+    for instance in instances[1:]:
+        instance.stop()
+    for number in range(500):
+        first.gossip.on_prefill_started('p1', PARTS)
+        first.board.get('p1').own_load.prefill_tokens = number + 1
+        clock.advance(4)
+    sent_bytes = sum(size + 28 for _, size in network.sent)
+    # Two seconds, and one load to each peer beyond them; the copies of the
+    # usage counts are included.
+    assert sent_bytes <= 2 * 80_000 + 79 * 1500
+
+
 def test_an_unchanged_load_is_repeated_periodically():
     network, clock, _ = create_deployment(['a', 'a'])
     clock.advance(1000)
