Send nothing after the deadline at the public interface either

An entry that is behind chose another target, or repeated a lost call, before the timer that was due had run.

An open request now compares the clock before a target is used and before it is sent again. test_no_call_is_repeated_after_the_deadline_when_its_timer_is_late failed before: the call was repeated and ended as target-failed.

--- a/cicadahoist/entry/attempts.py
+++ b/cicadahoist/entry/attempts.py
@@ -108,6 +108,7 @@
         target = await self._reserve_target(roles)
         if target is None:
             return None
+        self._request.expire_if_due()
         if self._request.is_over:
             self._record_end(0, is_failed=False)
             self._context.isolation.release(self._request, is_complete=False)
@@ -150,6 +151,7 @@
         :raises RequestRefusedError: the route or its retry budget allows no
             further attempt
         """
+        self._request.expire_if_due()
         if self._request.is_over:
             return
         delay_ms = self._context.dispatcher.budgets.plan_retry_ms(
--- a/cicadahoist/entry/handling.py
+++ b/cicadahoist/entry/handling.py
@@ -1,7 +1,9 @@
 """Common handling of all requests: deadline, refusals, log."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
+from cicadahoist.clock import Clock
 from cicadahoist.entry.auth import check_table_age
 from cicadahoist.entry.caller import CallerRequest
 from cicadahoist.entry.context import EntryContext
@@ -67,7 +69,10 @@
     if context.is_leaving:
         raise RequestRefusedError(Refusal.leaving, 'this instance leaves')
     check_table_age(request.grant, context.table_age_ms())
-    deadline = context.clock.call_later(
+    clock = context.clock
+    due_ms = clock.now_ms() + request.grant.rule.deadline_ms
+    request.expire_if_due = partial(_expire_if_due, request, clock, due_ms)
+    deadline = clock.call_later(
         request.grant.rule.deadline_ms, _time_out, request
     )
     context.open_requests.add(request)
@@ -81,6 +86,11 @@
         raise request.refused
 
 
+def _expire_if_due(request: OpenRequest, clock: Clock, due_ms: int) -> None:
+    if clock.now_ms() >= due_ms:
+        _time_out(request)
+
+
 def _time_out(request: OpenRequest) -> None:
     outcome = Outcome.unknown if request.may_have_run else Outcome.not_run
     request.abort(
--- a/cicadahoist/entry/open_requests.py
+++ b/cicadahoist/entry/open_requests.py
@@ -32,6 +32,7 @@
         'billing_id',
         'caller',
         'digest',
+        'expire_if_due',
         'grant',
         'has_target_claim',
         'may_have_run',
@@ -54,6 +55,8 @@
         self.has_target_claim = False
         self.refused: RequestRefusedError | None = None
         self._cancel: Callable[[], None] | None = None
+        # Ends the request if its deadline has passed; the timer may be late.
+        self.expire_if_due: Callable[[], None] = _ignore
         caller.on_gone(self._handle_caller_gone)
 
     @property
@@ -114,6 +117,10 @@
             self._cancel()
 
 
+def _ignore() -> None:
+    """Do nothing: the request has no deadline yet."""
+
+
 class OpenRequests:
     """All open requests of this entry."""
 
--- a/tests/memory_net.py
+++ b/tests/memory_net.py
@@ -116,12 +116,19 @@
 
     def __init__(self) -> None:
         self.time = ManualTime()
-        self.clock = Clock(self.time, lambda: round(self.time.seconds() * 1000))
+        self.busy_ms = 0
+        self.clock = Clock(
+            self.time, lambda: round(self.time.seconds() * 1000) + self.busy_ms
+        )
         self.hosts = {}
         self.reactor = MemoryReactorClock()
         self.reactor.callLater = self.time.callLater
         self.reactor.seconds = self.time.seconds
 
+    def be_busy(self, duration_ms) -> None:
+        """Let time pass without running timers."""
+        self.busy_ms += duration_ms
+
     def add(self, name, resource) -> Host:
         return self.add_site(name, Site(resource, reactor=self.reactor))
 
--- a/tests/test_entry/test_failures.py
+++ b/tests/test_entry/test_failures.py
@@ -153,6 +153,19 @@
     assert decode_error(answer)['outcome'] == 'unknown'
 
 
+def test_no_call_is_repeated_after_the_deadline_when_its_timer_is_late():
+    """Guard against work that goes on after callers have left (GONE)."""
+    world = World()
+    world.apply(world.rows(deadline_ms=3000))
+    for service in world.services.values():
+        service.set_fault(Fault(kind='die-after'))
+    answer = world.send('GET', '/services/lookup/1')
+    world.net.be_busy(3000)
+    world.finish(answer)
+    assert decode_error(answer)['code'] == 'timed-out'
+    assert count_runs(world) == 1
+
+
 def test_repeatable_calls_are_retried_on_another_target():
     world = World()
     world.services['service-0'].set_fault(Fault(kind='lose-answer'))
