Take the queue at the own link into account before sending

Cause: a prompt goes out twice, so that the link of an instance with many callers is full while it still takes requests in easily. Nothing knew of the queue there: prompts were accepted, the deadline handed over included the wait, targets counted as silent meanwhile, and each further attempt sent the prompt once more into the same queue.

LinkQueue models the queue by the bandwidth that the platform states for the instance. Its wait is part of predicted times, so that prompts are refused at once while the link is full; it is taken off the deadline handed over, and added to the silence that targets may keep. What would leave the link after the deadline is not sent.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -22,6 +22,7 @@
 from cicadahoist.platform.engines import EngineCalls
 from cicadahoist.platform.names import READY_PATH
 from cicadahoist.platform.settings_file import InstanceSettings
+from cicadahoist.policy.link_queue import LinkQueue
 from cicadahoist.policy.retry_share import RetryTerms
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.deployment_source import DeploymentSource
@@ -92,6 +93,7 @@
             new_http_client(self._reactor), settings.instance, ORDER_TIMEOUT_MS
         )
         self._context.usage.window_ms = settings.usage_window_ms
+        self._context.link = LinkQueue.from_mbps(settings.link_mbps)
 
     def build(self) -> None:
         """Add all tasks; those that accept callers come last."""
--- a/cicadahoist/platform/settings_file.py
+++ b/cicadahoist/platform/settings_file.py
@@ -51,6 +51,7 @@
     :param retry_share: retry budget as a share of the requests
     :param retry_window_ms: sliding window over which retries are counted
     :param retry_slack: retries allowed beyond the share, over all instances
+    :param link_mbps: bandwidth of the instance in Mbit/s, none if not stated
     :param term_ms: lease term: shortest time between two changes of a duty's
         holder
     :param usage_window_ms: length of a billing window
@@ -73,6 +74,7 @@
     retry_share: float = 0.2
     retry_window_ms: int = 10_000
     retry_slack: float = 0
+    link_mbps: float | None = None
     term_ms: int = 3000
     usage_window_ms: int = 5000
     usage_due_ms: int = 10_000
@@ -142,6 +144,7 @@
             peer_ports=(int(first), int(last)),
             store_address=Address.from_text(fields['platform.address']),
             order_address=Address.from_text(orders) if orders else None,
+            link_mbps=float(fields.get('limits.link-mbps', '') or 0) or None,
         ).with_bounds(_parse_bounds(fields))
 
 
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -7,6 +7,7 @@
 from cicadahoist.metrics import Metrics
 from cicadahoist.policy.answer_watch import AnswerWatch
 from cicadahoist.policy.demand_rate import DemandRate
+from cicadahoist.policy.link_queue import LinkQueue
 from cicadahoist.policy.retry_share import RetryShares, RetryTerms
 from cicadahoist.policy.true_time import TrueTime
 from cicadahoist.rules import Deployment
@@ -89,6 +90,7 @@
         'dialect',
         'fleet',
         'gossip',
+        'link',
         'meters',
         'retries',
         'true_time',
@@ -114,6 +116,7 @@
         self.true_time = TrueTime(clock.now_ms, wall_ms)
         self.usage = UsageCounts()
         self.gossip = Gossip()
+        self.link = LinkQueue()
 
     @property
     def version(self) -> int | None:
--- a/cicadahoist/serving/engine_choice.py
+++ b/cicadahoist/serving/engine_choice.py
@@ -78,6 +78,7 @@
             self._route.timeout_ms,
             self._route.latency_objective_ms,
         )
+        placement = self._add_link_wait(placement)
         is_accepted = is_worth_accepting(
             placement.first_token_ms,
             placement.wait_ms,
@@ -85,3 +86,16 @@
             remaining_ms,
         )
         return Choice(placement, max_wait_ms, is_accepted)
+
+    def _add_link_wait(self, placement: Placement) -> Placement:
+        """Add the time for which its sends wait at the link to a placement."""
+        wait_ms = self._context.link.compute_wait_ms(
+            self._context.clock.now_ms()
+        )
+        if placement.prefill_engine is not None:
+            wait_ms *= 2
+        return msgspec.structs.replace(
+            placement,
+            first_token_ms=placement.first_token_ms + wait_ms,
+            wait_ms=placement.wait_ms + wait_ms,
+        )
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -29,6 +29,8 @@
 HTTP_SERVER_ERROR = 500
 HTTP_BAD_GATEWAY = 502
 HTTP_GATEWAY_TIMEOUT = 504
+# Usual length of the head of a request to a target.
+HEAD_BYTES = 600
 # Attempts of a request that may fail before a byte is sent.
 MAX_CONNECT_FAILURES = 3
 # Blames of a quarantined request may have expired after this time.
@@ -144,12 +146,18 @@
         :param chosen_ms: when the target was chosen; a connection was opened
             since then
         """
+        now_ms = self._context.clock.now_ms()
+        link_wait_ms = round(self._context.link.compute_wait_ms(now_ms))
+        remaining_ms = self._deadline.remaining_ms - link_wait_ms
+        if remaining_ms <= 0 and not self._reply.is_over:
+            self._expire()
         if not self._is_awaited():
             return None
         self._reply.record_send(chosen_ms)
-        return msgspec.structs.replace(
-            options, remaining_ms=self._deadline.remaining_ms
+        self._context.link.record_sent(
+            len(self._request.body) + HEAD_BYTES, now_ms
         )
+        return msgspec.structs.replace(options, remaining_ms=remaining_ms)
 
     def _is_awaited(self) -> bool:
         """Return whether to go on; if not, end the request."""
@@ -177,11 +185,12 @@
         name = attempt.listing.name
         self._attempt = attempt
         self._tried_targets.append(name)
-        attempt.prepare_send = partial(
-            self._prepare_send, self._context.clock.now_ms()
-        )
+        chosen_ms = self._context.clock.now_ms()
+        attempt.prepare_send = partial(self._prepare_send, chosen_ms)
         end = await AttemptWatch(self._context).run(
-            attempt, silence_ms, self._allowance.get_abandon_check(attempt)
+            attempt,
+            silence_ms + self._context.link.compute_wait_ms(chosen_ms),
+            self._allowance.get_abandon_check(attempt),
         )
         if self._attempt is attempt:
             self._attempt = None
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -280,7 +280,9 @@
         )
         datagram = _codec.encode(stamped)
         datagram_bytes = len(datagram) + DATAGRAM_HEADER_BYTES
-        self._context.meters.count_load_bytes(datagram_bytes * len(addresses))
+        sent_bytes = datagram_bytes * len(addresses)
+        self._context.meters.count_load_bytes(sent_bytes)
+        self._context.link.record_sent(sent_bytes, self._clock.now_ms())
         for address in addresses.values():
             try:
                 self.transport.write(datagram, address)
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -73,6 +73,7 @@
         """Pass on a complete answer of a target."""
         if self.is_over:
             return
+        self._record_bytes(len(body))
         self._record_first_byte()
         self._exchange.answer(head.status, head.headers, body)
         self._context.meters.count_answer()
@@ -87,6 +88,7 @@
     def send(self, piece: bytes) -> None:
         """Pass on a piece of a streamed answer."""
         if not self.is_over:
+            self._record_bytes(len(piece))
             self._exchange.send(piece)
 
     def finish(self, status: int) -> None:
@@ -174,6 +176,9 @@
             **extra_fields,
         ).info('request ended')
 
+    def _record_bytes(self, count: int) -> None:
+        self._context.link.record_sent(count, self._context.clock.now_ms())
+
     def _record_first_byte(self) -> None:
         if self._first_byte_ms is None:
             self._first_byte_ms = self._context.clock.now_ms()
