Let the lease of the duties lapse, also when its holder may not act

Cause: a holder that may not act for a while, because it leaves or its configuration is old, stepped down and released the lease. A standby wins a released lease at its next check, one second later; where that one had to step down as well, the first could win again within the term. Only the end of the process was kept from releasing.

LeaseKeeper now knows whether it may release. On the platform it may not: the lease lapses with its term, as after the death of a holder.

--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -119,7 +119,9 @@
             margin_ms=LEASE_MARGIN_MS,
             order_bound_ms=ORDER_TIMEOUT_MS,
         )
-        lease = LeaseKeeper(LEASE_NAME, self._incarnation, timing)
+        lease = LeaseKeeper(
+            LEASE_NAME, self._incarnation, timing, may_release=False
+        )
         return Authority(lease, OrderBook(lease))
 
 
--- a/cicadahoist/protocol/lease.py
+++ b/cicadahoist/protocol/lease.py
@@ -50,6 +50,9 @@
     :param timing: durations that the lease uses
     :param kit: chart and functions to run
     :param draw_nonce: returns a globally unique value
+    :param may_release: whether a holder that stops early frees the lease at
+        once; if not, the lease lapses with its term, so that holders never take
+        turns within one
     """
 
     __slots__ = (
@@ -58,6 +61,7 @@
         'term_end_ms',
         'holder',
         'is_leaving',
+        'may_release',
         'name',
         'pending_record',
         'record',
@@ -72,11 +76,14 @@
         timing: LeaseTiming,
         kit: ChartKit | None = None,
         draw_nonce: Callable[[], str] = new_nonce,
+        *,
+        may_release: bool = True,
     ) -> None:
         self.name = name
         self.holder = holder
         self.timing = timing
         self._draw_nonce = draw_nonce
+        self.may_release = may_release
         self.record = LeaseRecord()
         self.pending_record = LeaseRecord()
         self.seen_version = SeenVersion()
--- a/cicadahoist/protocol/lease_outputs.py
+++ b/cicadahoist/protocol/lease_outputs.py
@@ -99,8 +99,9 @@
 
 @OUTPUTS.register('write_release')
 def _write_release(lease: 'LeaseKeeper', event: Any, now_ms: int) -> None:
-    released = msgspec.structs.replace(lease.record, released=True)
-    lease.write(released, now_ms)
+    if lease.may_release:
+        released = msgspec.structs.replace(lease.record, released=True)
+        lease.write(released, now_ms)
     lease.write_ms_by_nonce.clear()
 
 
--- a/tests/test_control/holders.py
+++ b/tests/test_control/holders.py
@@ -78,7 +78,8 @@
 class Holders:
     """Lease tasks of several processes."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, *, may_release: bool = True) -> None:
+        self._may_release = may_release
         self.clock = Clock.manual()
         self.model = ObjectModel()
         self.target = Target()
@@ -93,7 +94,12 @@
             run(task.start())
 
     def _task(self, number: int) -> LeaseTask:
-        lease = LeaseKeeper('leases/a/engines', f'control-{number}', TIMING)
+        lease = LeaseKeeper(
+            'leases/a/engines',
+            f'control-{number}',
+            TIMING,
+            may_release=self._may_release,
+        )
         return LeaseTask(
             Authority(lease, OrderBook(lease)),
             self.duties[number],
--- a/tests/test_control/test_lease_task.py
+++ b/tests/test_control/test_lease_task.py
@@ -1,5 +1,7 @@
 """Tests of lease tasks in several processes that share a store."""
 
+from itertools import pairwise
+
 import pytest
 from twisted.internet.defer import Deferred
 
@@ -71,6 +73,23 @@
     assert holders.holders() not in ([], [holder])
 
 
+def test_holders_that_may_not_release_never_take_turns_within_a_term():
+    """Guard against ONE: holders A, B, A that act within one lease term."""
+    holders = Holders(3, may_release=False)
+    held_ms_by_holder = []
+    for _ in range(8):
+        while not holders.holders():
+            holders.advance(100)
+        holder = holders.holders()[0]
+        held_ms_by_holder.append((holder, holders.clock.now_ms()))
+        holders.links_up[holder] = False
+        holders.advance(100)
+        assert not holders.holders()
+        holders.links_up[holder] = True
+    for (_, before_ms), (_, after_ms) in pairwise(held_ms_by_holder):
+        assert after_ms - before_ms >= TIMING.term_ms
+
+
 def test_stopping_holder_releases_the_lease(holders):
     holder = holders.holders()[0]
     stopping = Deferred.fromCoroutine(holders.tasks[holder].stop())
