--- a/tests/test_serving/test_full_link.py
+++ b/tests/test_serving/test_full_link.py
@@ -9,20 +9,14 @@
 
 from cicadahoist.policy.link_queue import OVERHEAD_FACTOR, LinkQueue
 from tests.test_serving.test_model_flow import HANDLE_BODY, send_check
-from tests.test_serving.world import World, target
+from tests.test_serving.world import TARGETS, World
 
 
 @pytest.fixture
 def world():
     world = World()
     world.context.link = LinkQueue.from_mbps(8)
-    world.add(
-        target('t1'),
-        target('t2'),
-        target('p1', 'llm', 'prefill'),
-        target('d1', 'llm', 'decode'),
-        target('d2', 'llm', 'decode'),
-    )
+    world.add(*TARGETS)
     return world
 
 
--- a/tests/test_serving/test_late_process.py
+++ b/tests/test_serving/test_late_process.py
@@ -16,7 +16,18 @@
     send_check,
     send_stream,
 )
-from tests.test_serving.world import ROUTES, World, deployment, route, target
+from tests.test_serving.world import (
+    ROUTES,
+    TARGETS,
+    World,
+    deployment,
+    route,
+)
+
+LOOKUP_HEADERS = [
+    b'Authorization: Token k1',
+    b'X-Cicadahoist-Deadline-Ms: 1500',
+]
 
 
 class BusyClock(Clock):
@@ -58,13 +69,7 @@
 @pytest.fixture
 def world():
     world = BusyWorld()
-    world.add(
-        target('t1'),
-        target('t2'),
-        target('p1', 'llm', 'prefill'),
-        target('d1', 'llm', 'decode'),
-        target('d2', 'llm', 'decode'),
-    )
+    world.add(*TARGETS)
     return world
 
 
@@ -150,13 +155,7 @@
     caller = world.caller()
     world.clock.be_busy(700)
     world.poll()
-    caller.send(
-        b'/lookup/x',
-        [
-            b'Authorization: Token k1',
-            b'X-Cicadahoist-Deadline-Ms: 1500',
-        ],
-    )
+    caller.send(b'/lookup/x', LOOKUP_HEADERS)
     handed_over = world.sent[0].header(b'X-Cicadahoist-Deadline-Ms')
     assert int(handed_over) == 1500 - 15 - 700
     world.clock.advance(1500 - 15 - 700)
@@ -168,13 +167,7 @@
     caller = world.caller()
     world.clock.be_busy(1600)
     world.poll()
-    caller.send(
-        b'/lookup/x',
-        [
-            b'Authorization: Token k1',
-            b'X-Cicadahoist-Deadline-Ms: 1500',
-        ],
-    )
+    caller.send(b'/lookup/x', LOOKUP_HEADERS)
     assert not world.requests_sent
     assert caller.status == 503
 
@@ -182,12 +175,11 @@
 def test_read_ahead_input_waits_while_the_request_before_is_answered(world):
     """Guard against deadlines of pipelined requests that are counted anew."""
     caller = world.caller()
-    headers = [b'Authorization: Token k1', b'X-Cicadahoist-Deadline-Ms: 1500']
-    caller.send(b'/lookup/x', headers)
+    caller.send(b'/lookup/x', LOOKUP_HEADERS)
     world.clock.advance(100)
     world.poll()
     world.poll()
-    caller.send(b'/lookup/y', headers)
+    caller.send(b'/lookup/y', LOOKUP_HEADERS)
     world.clock.advance(300)
     world.sent[0].answer()
     world.clock.advance(0)
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -330,6 +330,16 @@
     )
 
 
+# Two plain targets, a prefill engine and two decode engines.
+TARGETS = [
+    target('t1'),
+    target('t2'),
+    target('p1', 'llm', 'prefill'),
+    target('d1', 'llm', 'decode'),
+    target('d2', 'llm', 'decode'),
+]
+
+
 class World:
     """
     One instance with scripted targets.
