Log how answers of targets ended, and the bytes after their last event

It now has, for each answer, whether its end was stated by its framing or was only the close of its connection, and for streams how many bytes were left over after the last event. A counter shows answers that ended with their connection. No decision changes.

--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -123,6 +123,15 @@
         operator_remedy='none',
     )
 )
+ENDED_BY_CLOSE = METRICS.declare(
+    MetricSpec(
+        'serving_ended_by_close',
+        'Answers of targets with neither a length nor chunks, which ended with '
+        'their connection.',
+        operator_remedy='let the targets send answers with a length or in '
+        'chunks',
+    )
+)
 
 
 class Metrics:
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -20,6 +20,7 @@
 )
 from cicadahoist.serving.outbound import (
     IDLE_MARGIN_MS,
+    AnswerEnding,
     AnswerLoss,
     TargetConnection,
     TargetConnections,
@@ -79,6 +80,7 @@
     :param body: body of the answer, empty if its pieces were passed on
     :param detail: cause of a failure, for the log
     :param is_silent: whether the target counted as silent at the end
+    :param ending: how the end of a complete answer is known
     """
 
     outcome: AttemptOutcome
@@ -86,6 +88,7 @@
     body: bytes = b''
     detail: str = ''
     is_silent: bool = False
+    ending: AnswerEnding | None = None
 
 
 _NOT_RUN = frozenset((AnswerMeaning.not_run, AnswerMeaning.misplaced))
@@ -233,15 +236,20 @@
         else:
             self._body += piece
 
-    def answer_ended(self) -> None:
+    def answer_ended(self, ending: AnswerEnding) -> None:
         """End the attempt with a complete answer."""
-        self._finish(AttemptOutcome.answered)
+        self._finish(AttemptOutcome.answered, ending=ending)
 
     def answer_lost(self, cause: AnswerLoss) -> None:
         """End the attempt without a complete answer."""
         self._finish(AttemptOutcome.lost, cause.value)
 
-    def _finish(self, outcome: AttemptOutcome, detail: str = '') -> None:
+    def _finish(
+        self,
+        outcome: AttemptOutcome,
+        detail: str = '',
+        ending: AnswerEnding | None = None,
+    ) -> None:
         """
         End the attempt.
 
@@ -255,7 +263,8 @@
             if not self._options.prefill_only:
                 outcome = AttemptOutcome.lost
                 detail = 'unsigned'
-        self._end(AttemptEnd(outcome, head, bytes(self._body), detail))
+        body = bytes(self._body)
+        self._end(AttemptEnd(outcome, head, body, detail, ending=ending))
 
     def _end(self, end: AttemptEnd) -> None:
         end_deferred = self._end_deferred
--- a/cicadahoist/serving/event_relay.py
+++ b/cicadahoist/serving/event_relay.py
@@ -24,6 +24,11 @@
             int(resume_after) if resume_after.isdigit() else None
         )
 
+    @property
+    def partial_bytes(self) -> int:
+        """Count of received bytes after the last whole event."""
+        return len(self._partial_event)
+
     def feed(self, piece: bytes) -> bytes:
         """Return the events that the piece completes and the caller lacks."""
         events = self._partial_event + piece
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -201,6 +201,8 @@
         self._allowance.record_end(attempt, end)
         if end.outcome is not AttemptOutcome.answered:
             self._reply.log_attempt(name, end)
+        elif end.ending is not None:
+            self._reply.record_ending(end.ending)
         if end.head and end.head.meaning is AnswerMeaning.misplaced:
             self._context.fleet.exclude(name)
         return end
--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -2,6 +2,7 @@
 
 from cicadahoist.metrics import (
     ANSWERED,
+    ENDED_BY_CLOSE,
     FIRST_BYTE,
     LOAD_BYTES,
     READ_WAIT,
@@ -19,6 +20,7 @@
 
     __slots__ = (
         '_answered',
+        '_ended_by_close',
         '_first_byte',
         '_load_bytes',
         '_metrics',
@@ -28,6 +30,7 @@
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         self._answered = metrics.counter(ANSWERED)
+        self._ended_by_close = metrics.counter(ENDED_BY_CLOSE)
         self._first_byte = metrics.histogram(FIRST_BYTE)
         self._load_bytes = metrics.counter(LOAD_BYTES)
         self._read_wait = metrics.histogram(READ_WAIT)
@@ -36,6 +39,10 @@
         """Count a complete answer."""
         self._answered.add(1)
 
+    def count_ended_by_close(self) -> None:
+        """Count an answer whose only end was that of its connection."""
+        self._ended_by_close.add(1)
+
     def record_first_byte(self, took_ms: int) -> None:
         """Record the time from arrival to the first byte of the answer."""
         self._first_byte.record(took_ms)
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -259,6 +259,7 @@
             self._finish_failure(head, end.body)
             return
         self._count_run(self._context.true_time.now_ms())
+        self._reply.log_fields['partial_bytes'] = self._relay.partial_bytes
         self._reply.begin(head)
         self._reply.send(self._relay.flush())
         self._reply.finish(head.status)
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -31,6 +31,18 @@
 MAX_IDLE_CONNECTIONS = 64
 
 
+class AnswerEnding(Enum):
+    """
+    How the end of an answer is known.
+
+    ``stated``: by its length or its last chunk. ``closed``: only by the clean
+    close of its connection.
+    """
+
+    stated = 'stated'
+    closed = 'closed'
+
+
 class AnswerLoss(Enum):
     """Why an answer is incomplete."""
 
@@ -52,8 +64,8 @@
     def body_received(self, piece: bytes) -> None:
         """Process a piece of the body."""
 
-    def answer_ended(self) -> None:
-        """Process the end of a complete answer."""
+    def answer_ended(self, ending: AnswerEnding) -> None:
+        """Process the end of an answer."""
 
     def answer_lost(self, cause: AnswerLoss) -> None:
         """Process the loss of the rest of the answer."""
@@ -74,6 +86,7 @@
         self._sent_request: h11.Request | None = None
         self._receiver: Receiver | None = None
         self._pool: TargetPool | None = None
+        self._ending = AnswerEnding.stated
         self._is_skipping = False
         self._has_skipped = False
         self.idle_timeout_ms = DEFAULT_IDLE_MS
@@ -166,6 +179,7 @@
         if not is_clean:
             self._report_loss(AnswerLoss.reset)
             return
+        self._ending = AnswerEnding.closed
         try:
             self._http.receive_data(b'')
             self._read_events()
@@ -209,7 +223,7 @@
         self._receiver = None
         self._release_or_close()
         if receiver is not None:
-            receiver.answer_ended()
+            receiver.answer_ended(self._ending)
 
     def _read_next_answer(self) -> None:
         """Continue after the skipped late answer to an earlier request."""
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -10,6 +10,7 @@
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.deadline import Deadline
 from cicadahoist.serving.inbound import Exchange
+from cicadahoist.serving.outbound import AnswerEnding
 
 logger = get_logger(__name__)
 
@@ -145,6 +146,13 @@
         opening_ms = self.log_fields.setdefault('opening_ms', [])
         opening_ms.append(now_ms - chosen_ms)
 
+    def record_ending(self, ending: AnswerEnding) -> None:
+        """Add how an answer of a target ended to the last log line."""
+        endings = self.log_fields.setdefault('endings', [])
+        endings.append(ending.value)
+        if ending is AnswerEnding.closed:
+            self._context.meters.count_ended_by_close()
+
     def log_attempt(self, target: str, end: AttemptEnd) -> None:
         """Log the end of an attempt without an answer."""
         logger.bind(
