Let the events of a stream decide whether it ended whole

Cause: the end of an answer's framing was taken for the end of the stream. A clean close of an answer with neither a length nor chunks, or a last chunk after half an event, ended the attempt as answered; the half event was passed on, and the answer to the caller got its last chunk.

Change: an attempt splits a stream into events and asks these when the framing ends. A stream that ends inside an event is lost, and so is one that was closed before its first event, unless it resumes an earlier one. Lost attempts already go to resumption, health of the target, crash blame and the retry budget. Only whole events reach callers. The close of a connection remains a valid end between two events, as the protocol states; a reset is a loss everywhere.

--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -18,6 +18,7 @@
     InboundRequest,
     SendOptions,
 )
+from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.outbound import (
     IDLE_MARGIN_MS,
     AnswerEnding,
@@ -93,7 +94,7 @@
 
 _NOT_RUN = frozenset((AnswerMeaning.not_run, AnswerMeaning.misplaced))
 
-OnPiece = Callable[[AnswerHead, bytes], None]
+OnPieces = Callable[[AnswerHead, list[bytes]], None]
 PrepareSend = Callable[[SendOptions], SendOptions | None]
 
 
@@ -105,8 +106,11 @@
     :param request: the caller's request
     :param listing: the target
     :param options: what is sent along with the request
-    :param on_piece: receives the pieces of a successful answer as they arrive;
-        without it the body is collected
+    :param on_pieces: receives the pieces of a successful answer as they arrive,
+        which are whole events if it is a stream; without it the body is
+        collected
+    :param stream: splits a successful answer into events and shows whether it
+        ended whole; none for an answer that is no stream
     """
 
     __slots__ = (
@@ -115,9 +119,10 @@
         '_dialect',
         '_end_deferred',
         '_head',
-        '_on_piece',
+        '_on_pieces',
         '_options',
         '_request',
+        '_stream',
         'is_sent',
         'listing',
         'on_activity',
@@ -130,13 +135,15 @@
         request: InboundRequest,
         listing: Listing,
         options: SendOptions,
-        on_piece: OnPiece | None = None,
+        on_pieces: OnPieces | None = None,
+        stream: EventStream | None = None,
     ) -> None:
         self._dialect = dialect
         self._request = request
         self.listing = listing
         self._options = options
-        self._on_piece = on_piece
+        self._on_pieces = on_pieces
+        self._stream = stream
         self._body = bytearray()
         self._connection: TargetConnection | None = None
         self._end_deferred: Deferred[AttemptEnd] | None = Deferred()
@@ -226,24 +233,56 @@
     def body_received(self, piece: bytes) -> None:
         """Pass on or collect a piece of the body."""
         self.on_activity()
-        head = self._head
-        if (
-            self._on_piece is not None
-            and head is not None
-            and head.meaning is AnswerMeaning.whole
-        ):
-            self._on_piece(head, piece)
-        else:
+        if self._head is None or self._head.meaning is not AnswerMeaning.whole:
             self._body += piece
+            return
+        pieces = [piece] if self._stream is None else self._stream.feed(piece)
+        if self._on_pieces is None:
+            self._body += piece
+        else:
+            self._on_pieces(self._head, pieces)
 
     def answer_ended(self, ending: AnswerEnding) -> None:
-        """End the attempt with a complete answer."""
+        """End the attempt; a stream may have broken off nevertheless."""
+        head = self._head
+        if (
+            self._stream is None
+            or head is None
+            or head.meaning is not AnswerMeaning.whole
+        ):
+            self._finish(AttemptOutcome.answered, ending=ending)
+            return
+        loss = self._find_loss(self._stream, ending)
+        if loss is not None:
+            self._finish(AttemptOutcome.lost, loss.value)
+            return
+        rest = self._stream.take_rest()
+        if rest and self._on_pieces is not None:
+            self._on_pieces(head, [rest])
         self._finish(AttemptOutcome.answered, ending=ending)
 
     def answer_lost(self, cause: AnswerLoss) -> None:
         """End the attempt without a complete answer."""
         self._finish(AttemptOutcome.lost, cause.value)
 
+    def _find_loss(
+        self, stream: EventStream, ending: AnswerEnding
+    ) -> AnswerLoss | None:
+        """
+        Return why a stream is incomplete although its framing has ended.
+
+        A resumed stream may have no events left; another one that was only
+        closed has not begun.
+
+        :return: none for a complete stream
+        """
+        if stream.is_inside_event:
+            return AnswerLoss.inside_event
+        is_empty = not stream.has_events and not self._options.resume_after
+        if is_empty and ending is AnswerEnding.closed:
+            return AnswerLoss.no_event
+        return None
+
     def _finish(
         self,
         outcome: AttemptOutcome,
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -26,9 +26,15 @@
     RepeatRule,
     SendOptions,
 )
-from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
+from cicadahoist.serving.attempt import (
+    Attempt,
+    AttemptEnd,
+    AttemptOutcome,
+    OnPieces,
+)
 from cicadahoist.serving.engine_choice import EngineChoice
 from cicadahoist.serving.event_relay import EventRelay
+from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.flow import (
     HTTP_BAD_GATEWAY,
     MAX_CONNECT_FAILURES,
@@ -187,6 +193,7 @@
             listing,
             self._make_options(listing.name, handle=handle),
             self._make_piece_handler(run_load, placement),
+            EventStream.from_route(self._route),
         )
         try:
             end = await self._run_attempt(
@@ -200,7 +207,7 @@
 
     def _make_piece_handler(
         self, run_load: '_RunLoad', placement: Placement
-    ) -> Callable[[AnswerHead, bytes], None]:
+    ) -> OnPieces:
         """Return the function that passes pieces on to the caller."""
         board = self._context.fleet.boards.get_board(self._service)
         # The time since arrival includes earlier attempts, so that later ones
@@ -210,7 +217,7 @@
         )
         is_long_prompt = self._work.prompt_tokens >= MIN_HANDOFF_TOKENS
 
-        def pass_on(head: AnswerHead, piece: bytes) -> None:
+        def pass_on(head: AnswerHead, pieces: list[bytes]) -> None:
             if (
                 run_load.record_prompt_read()
                 and is_first_try
@@ -221,8 +228,11 @@
                     placement.first_token_ms, now_ms - self._request.read_ms
                 )
             self._count_run(self._context.true_time.now_ms())
-            self._reply.begin(head)
-            self._reply.send(self._relay.feed(piece))
+            if self._route.is_streamed:
+                pieces = self._relay.select_new(pieces)
+            if pieces:
+                self._reply.begin(head)
+                self._reply.send(b''.join(pieces))
 
         return pass_on
 
@@ -259,9 +269,7 @@
             self._finish_failure(head, end.body)
             return
         self._count_run(self._context.true_time.now_ms())
-        self._reply.log_fields['partial_bytes'] = self._relay.partial_bytes
         self._reply.begin(head)
-        self._reply.send(self._relay.flush())
         self._reply.finish(head.status)
 
     def _finish_failure(self, head: AnswerHead, body: bytes) -> None:
@@ -274,7 +282,6 @@
         """Resume at another engine after the last event, where allowed."""
         is_resumable = self._route.repeat is RepeatRule.resumable
         if is_resumable and self._allowance.try_spend_retry():
-            self._relay.discard_partial_event()
             self._context.meters.count_retry(Retry.stream_broken)
         else:
             self._reply.fail(HTTP_BAD_GATEWAY, Refusal.target_lost)
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -44,11 +44,18 @@
 
 
 class AnswerLoss(Enum):
-    """Why an answer is incomplete."""
+    """
+    Why an answer is incomplete.
+
+    ``inside_event`` and ``no_event`` apply to streams whose framing ended, but
+    inside an event, or by a close before the first one.
+    """
 
     closed = 'closed'
     reset = 'reset'
     malformed = 'malformed'
+    inside_event = 'inside-event'
+    no_event = 'no-event'
 
 
 class Receiver(Protocol):
@@ -65,7 +72,7 @@
         """Process a piece of the body."""
 
     def answer_ended(self, ending: AnswerEnding) -> None:
-        """Process the end of an answer."""
+        """Process the end of an answer, as its framing shows it."""
 
     def answer_lost(self, cause: AnswerLoss) -> None:
         """Process the loss of the rest of the answer."""
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -4,6 +4,7 @@
 from cicadahoist.reasons import Refusal, Retry
 from cicadahoist.requests import AnswerMeaning, RepeatRule, SendOptions
 from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
+from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.flow import (
     HTTP_BAD_GATEWAY,
     HTTP_SERVER_ERROR,
@@ -48,7 +49,11 @@
             resume_after=self._request.resume_after,
         )
         attempt = Attempt(
-            self._context.dialect, self._request, listing, options
+            self._context.dialect,
+            self._request,
+            listing,
+            options,
+            stream=EventStream.from_route(self._route),
         )
         plain_targets = self._context.fleet.plain_targets
         plain_targets.record_start(listing.name)
