--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,7 +5,7 @@
 FAULTS: dict[str, Callable] = {}
 PLANS: dict[str, Callable] = {}
 LINK_FAULTS = ('delay', 'reset', 'silent', 'to', 'back')
-TARGET_FAULTS = ('hang', 'lost', 'busy', 'cut', 'extra')
+TARGET_FAULTS = ('hang', 'lost', 'busy', 'cut', 'torn', 'extra')
 STORE_FAULTS = ('down', 'lost', 'slow')
 
 
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -30,8 +30,9 @@
     Target that starts as a new incarnation behind the same proxy each time.
 
     ``fault`` is empty, ``hang``, ``lost`` (requests run but get no answer),
-    ``busy``, ``cut`` (answers are truncated) or ``extra`` (a second answer
-    follows each one).
+    ``busy``, ``cut`` (answers are truncated), ``torn`` (streams have neither a
+    length nor chunks, and are closed inside an event) or ``extra`` (a second
+    answer follows each one).
 
     :param world: the deployment
     :param service: service that the target belongs to
@@ -158,6 +159,11 @@
         first = int(headers.get(b'last-event-id', b'0') or 0) + 1
         counts = headers[b'x-cicadahoist-token-count'].decode()
         last = int(counts.partition(',')[2])
+        if self.fault == 'torn':
+            self._continue_later(
+                EVENT_S, request, self._tear_stream, request, attempt_id, first
+            )
+            return NOT_DONE_YET
         self._continue_later(
             EVENT_S, request, self._send_event, request, attempt_id, first, last
         )
@@ -198,6 +204,18 @@
             last,
         )
 
+    def _tear_stream(self, request, attempt_id, number) -> None:
+        head = [
+            b'HTTP/1.1 200 OK',
+            b'X-Cicadahoist-Attempt-Id: ' + attempt_id.encode(),
+            b'X-Cicadahoist-Server-Seal: ' + self.name.encode(),
+        ]
+        next_event = build_event(attempt_id, number + 1)
+        request.transport.write(b'\r\n'.join(head) + b'\r\n\r\n')
+        request.transport.write(build_event(attempt_id, number))
+        request.transport.write(next_event[: len(next_event) // 2])
+        request.transport.loseConnection()
+
     def _run_prefill(self, request, attempt_id):
         if self.role != 'prefill':
             return self._reject(request, 421)
