--- a/cicadahoist/standin/engine_completions.py
+++ b/cicadahoist/standin/engine_completions.py
@@ -89,6 +89,7 @@
             AnswerEncoder(attempt, body, chat=chat),
             streamed=body.stream,
             cut_after=self._faults.cut_after,
+            is_torn=self._faults.is_torn,
             frame_fault=self._faults.frame_fault,
         )
         self._answers[attempt] = opened
--- a/cicadahoist/standin/engine_faults.py
+++ b/cicadahoist/standin/engine_faults.py
@@ -27,6 +27,7 @@
         'engine',
         'frame_fault',
         'freeze',
+        'is_torn',
     )
 
     def __init__(self, engine: Engine, clock: Clock) -> None:
@@ -34,6 +35,7 @@
         self.clock = clock
         self.crash_mark = ''
         self.cut_after = 0
+        self.is_torn = False
         self.frame_fault: FrameFault | None = None
         self.crash: Callable[[], None] = crash
         self.freeze: Callable[[int], None] = freeze
@@ -69,6 +71,7 @@
     faults.engine.is_stalled = False
     faults.crash_mark = ''
     faults.cut_after = 0
+    faults.is_torn = False
     faults.frame_fault = None
 
 
@@ -95,6 +98,14 @@
 def cut_streams(faults: EngineFaults, fault: Fault) -> None:
     """Abort the connection of each new answer after ``count`` tokens."""
     faults.cut_after = fault.count
+    faults.is_torn = False
+
+
+@ENGINE_FAULTS.register('tear')
+def tear_streams(faults: EngineFaults, fault: Fault) -> None:
+    """End each new answer inside an event after ``count`` tokens."""
+    faults.cut_after = fault.count
+    faults.is_torn = True
 
 
 @ENGINE_FAULTS.register('crash-on-mark')
--- a/cicadahoist/standin/engine_stream.py
+++ b/cicadahoist/standin/engine_stream.py
@@ -17,8 +17,10 @@
     :param request: the HTTP request
     :param encoder: encodes tokens as JSON
     :param streamed: whether each token is written immediately
-    :param cut_after: number of tokens after which the connection is aborted,
-        0 for never
+    :param cut_after: number of tokens after which the answer breaks off, 0 for
+        never
+    :param is_torn: whether it then ends in due form inside an event instead of
+        with an aborted connection
     :param frame_fault: fault applied to each event of a stream
     """
 
@@ -26,6 +28,7 @@
         '_encoder',
         '_event_count',
         '_frame_fault',
+        '_is_torn',
         '_previous_event',
         '_request',
         '_streamed',
@@ -40,6 +43,7 @@
         *,
         streamed: bool,
         cut_after: int = 0,
+        is_torn: bool = False,
         frame_fault: FrameFault | None = None,
     ) -> None:
         self._previous_event = b''
@@ -49,6 +53,7 @@
         self._encoder = encoder
         self._streamed = streamed
         self._tokens_until_cut = cut_after
+        self._is_torn = is_torn
         self.done: Deferred[bytes] = Deferred(lambda _: None)
         kind = 'text/event-stream' if streamed else 'application/json'
         request.setHeader('Content-Type', kind)
@@ -69,7 +74,7 @@
         elif self._tokens_until_cut:
             self._tokens_until_cut -= 1
             if not self._tokens_until_cut:
-                self.cut()
+                self._break_off(job)
 
     def finish_without_tokens(self, job: Job) -> None:
         """Finish an answer whose tokens the caller already has."""
@@ -96,6 +101,14 @@
         self._previous_event = event
         return written
 
+    def _break_off(self, job: Job) -> None:
+        if self._is_torn:
+            event = self._encoder.encode_chunk(job)
+            self._request.write(event[: len(event) // 2])
+            self._request.finish()
+        else:
+            self.cut()
+
     def cut(self) -> None:
         """Abort the connection without the end of the answer."""
         abort(self._request)
--- a/tests/test_entry/test_failures.py
+++ b/tests/test_entry/test_failures.py
@@ -142,6 +142,25 @@
     assert not world.entries[0].usage
 
 
+# Issue 21: the end of an answer's framing was taken for that of the stream.
+def test_a_stream_that_ends_inside_an_event_is_resumed():
+    world = World()
+    world.engines['engine-0'].faults.apply(Fault(kind='tear', count=7))
+    answers = [world.finish(world.chat(tokens=60)) for _ in range(4)]
+    for answer in answers:
+        assert join_text(answer) == make_expected_text(60)
+        assert decode_events(answer)[-1] == '[DONE]'
+    assert Retry.stream_broken in world.entries[0].metrics.counted_reasons
+
+
+def test_a_stream_that_ends_inside_an_event_is_not_billed():
+    world = World(engines=1)
+    world.engines['engine-0'].faults.apply(Fault(kind='tear', count=7))
+    answer = world.finish(world.chat(tokens=60))
+    assert '[DONE]' not in decode_events(answer)
+    assert not world.entries[0].usage
+
+
 def test_the_deadline_gives_the_final_answer_at_once():
     world = World(engines=1)
     world.apply(world.rows(deadline_ms=3000))
