Decode and log the software version of targets

The line of a listed target now has its version, and the line of a request the versions of the targets that it was sent to. A registration whose version is no text names no target, as with its other fields; one without a version has an empty one. No decision changes.

--- a/cicadahoist/listings.py
+++ b/cicadahoist/listings.py
@@ -17,6 +17,7 @@
     :param is_cheap: whether the platform may reclaim it on short notice
     :param remaining_warmup_ms: how much longer it runs slowly after its start
     :param started_ms: wall-clock time of its start, 0 for unknown
+    :param version: version of its software, empty for unknown
     """
 
     name: str
@@ -29,6 +30,7 @@
     is_cheap: bool = False
     remaining_warmup_ms: int = 0
     started_ms: int = 0
+    version: str = ''
 
     @property
     def location(self) -> tuple[str, str, int]:
--- a/cicadahoist/platform/discovery.py
+++ b/cicadahoist/platform/discovery.py
@@ -15,6 +15,8 @@
     service: str
     address: str
     zone: str = ''
+    # Of the software; the models state the versions of their weights.
+    version: str = ''
     slots: int = 1
     state: str
     stage: str = ''
@@ -47,6 +49,7 @@
             is_cheap=wire.spot,
             remaining_warmup_ms=round(wire.cold_left_ms),
             started_ms=wire.born,
+            version=wire.version,
         )
         is_known = wire.state in _STATES and wire.stage in _STAGES
         return listing if is_known and listing.endpoint[1] else None
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -138,13 +138,14 @@
         raise NotImplementedError
 
     def _prepare_send(
-        self, chosen_ms: int, options: SendOptions
+        self, chosen_ms: int, version: str, options: SendOptions
     ) -> SendOptions | None:
         """
         Return what to send along now, none if the request has ended.
 
         :param chosen_ms: when the target was chosen; a connection was opened
             since then
+        :param version: version of the software of the target
         """
         now_ms = self._context.clock.now_ms()
         link_wait_ms = round(self._context.link.compute_wait_ms(now_ms))
@@ -153,7 +154,7 @@
             self._expire()
         if not self._is_awaited():
             return None
-        self._reply.record_send(chosen_ms)
+        self._reply.record_send(chosen_ms, version)
         self._context.link.record_sent(
             len(self._request.body) + HEAD_BYTES, now_ms
         )
@@ -186,7 +187,9 @@
         self._attempt = attempt
         self._tried_targets.append(name)
         chosen_ms = self._context.clock.now_ms()
-        attempt.prepare_send = partial(self._prepare_send, chosen_ms)
+        attempt.prepare_send = partial(
+            self._prepare_send, chosen_ms, attempt.listing.version
+        )
         end = await AttemptWatch(self._context).run(
             attempt,
             silence_ms + self._context.link.compute_wait_ms(chosen_ms),
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -133,18 +133,21 @@
             )
         self.end('failed', reason=reason.name, status=status)
 
-    def record_send(self, chosen_ms: int) -> None:
+    def record_send(self, chosen_ms: int, version: str) -> None:
         """
-        Add the times of a send to the last log line.
+        Add the times of a send, and its target's version, to the last log line.
 
         :param chosen_ms: when the target was chosen; the request then waited
             for a connection
+        :param version: version of the software of the target
         """
         now_ms = self._context.clock.now_ms()
         sent_ms = self.log_fields.setdefault('sent_ms', [])
         sent_ms.append(now_ms - self._request.arrived_ms)
         opening_ms = self.log_fields.setdefault('opening_ms', [])
         opening_ms.append(now_ms - chosen_ms)
+        versions = self.log_fields.setdefault('target_versions', [])
+        versions.append(version)
 
     def record_ending(self, ending: AnswerEnding) -> None:
         """Add how an answer of a target ended to the last log line."""
--- a/cicadahoist/serving/target_source.py
+++ b/cicadahoist/serving/target_source.py
@@ -92,6 +92,7 @@
             logger.bind(
                 target=name,
                 is_leaving=listing.is_leaving,
+                version=listing.version,
                 revision=change.stored.revision,
             ).info('target listed')
 
--- a/tests/test_platform/test_formats.py
+++ b/tests/test_platform/test_formats.py
@@ -183,6 +183,7 @@
         {'slots': 'many'},
         {'stage': 'sleep'},
         {'service': None},
+        {'version': 2},
     ],
 )
 def test_malformed_entries_are_skipped(change):
