Soak: targets of two versions, and callers that take streams up

The soak's targets had no software version, and its callers never took a broken stream up. Each incarnation of a target now has one of two, a caller takes up half-received streams at any instance, and the events that a caller holds must have come from one version.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -119,8 +119,14 @@
             await self.send_request(kind)
             await self.world.clock.sleep(1000 * MAX_PAUSE_S * self.rng.random())
 
-    async def send_request(self, kind: str) -> str:
-        """Send one request, check its answer and return the outcome."""
+    async def send_request(
+        self, kind: str, broken_off: Attempt | None = None
+    ) -> str:
+        """
+        Send one request, check its answer and return the outcome.
+
+        :param broken_off: attempt whose stream this request takes up
+        """
         world = self.world
         key, workspace = self.rng.choice(sorted(world.keys.items()))
         connection = await self._connect()
@@ -133,6 +139,7 @@
             workspace=workspace,
             instance=self._instance.name,
             sent_ms=world.now_ms(),
+            began=broken_off,
         )
         world.promises.record_attempt(attempt)
         answer = connection.send_request(
@@ -149,6 +156,12 @@
             timer.cancel()
         outcome = self._judge(attempt, status, headers, body, is_whole)
         world.promises.count_outcome(attempt, outcome)
+        may_take_up = (
+            kind == 'ask' and broken_off is None and not self.is_stopped
+        )
+        if may_take_up and outcome == 'cut' and attempt.events:
+            taken_up = await self.send_request(kind, attempt)
+            world.promises.count_outcome(attempt, f'taken up {taken_up}')
         return outcome
 
     async def _connect(self) -> ClientConnection | None:
@@ -191,6 +204,11 @@
                 (b'X-Cicadahoist-Token-Count', counts.encode()),
                 (b'X-Cicadahoist-Prompt-Prefix', parts.encode()),
             ]
+        if attempt.began is not None:
+            headers += [
+                (b'Resumes', attempt.began.attempt_id.encode()),
+                (b'Last-Event-Id', b'%d' % len(attempt.began.events)),
+            ]
         return headers
 
     def _judge(self, attempt, status, headers, body, is_whole) -> str:
@@ -232,13 +250,17 @@
 
     def _judge_stream(self, attempt, body, is_whole) -> str:
         numbers = [int(found) for found in re.findall(rb'id: (\d+)\n', body)]
-        if numbers != list(range(1, len(numbers) + 1)):
+        began = attempt.began.events if attempt.began else []
+        first = len(began) + 1
+        attempt.events = [(attempt.attempt_id, number) for number in numbers]
+        self.world.promises.check_versions(attempt)
+        if numbers != list(range(first, len(numbers) + first)):
             self.world.promises.report_breach(
                 'ORDER', f'{attempt.attempt_id} gets events {numbers}'
             )
         whole = b''.join(
             build_event(attempt.attempt_id, number)
-            for number in range(1, EVENT_COUNT_BY_KIND[attempt.kind] + 1)
+            for number in range(first, EVENT_COUNT_BY_KIND[attempt.kind] + 1)
         )
         if not whole.startswith(body):
             self.world.promises.report_breach(
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -25,6 +25,9 @@
     :param instance: instance that received the attempt
     :param runs: targets that ran the attempt
     :param was_refused: whether an answer promised that it had not run
+    :param began: attempt that brought the first event of a stream that this one
+        takes up, none for a new stream
+    :param events: attempt and number of the events that the caller has received
     """
 
     attempt_id: str
@@ -35,6 +38,8 @@
     sent_ms: int
     runs: list[str] = field(default_factory=list)
     was_refused: bool = False
+    began: 'Attempt | None' = None
+    events: list[tuple[str, int]] = field(default_factory=list)
 
 
 class PromiseChecker:
@@ -56,6 +61,9 @@
         # Time of the last disturbance by instance; an empty name means all.
         self.disturbed_ms_by_instance: dict[str, int] = {}
         self.count_by_outcome: dict[str, int] = {}
+        # Software versions of the targets that sent an event, by attempt and
+        # number: an event that is lost on its way may be sent again.
+        self.versions_by_event: dict[tuple[str, int], set[str]] = {}
         self._counts_by_window: dict[int, dict] = {}
         self._fence_by_subject: dict[str, tuple[int, str]] = {}
 
@@ -67,6 +75,15 @@
             return
         self.breaches.append(f'{self.now_ms()} {rule}: {text}')
 
+    def check_versions(self, attempt: Attempt) -> None:
+        """Check that one version can have sent all events of a stream."""
+        began = attempt.began.events if attempt.began else []
+        versions = [
+            self.versions_by_event[key] for key in began + attempt.events
+        ]
+        if versions and not set.intersection(*versions):
+            self.report_breach('ORDER', f'{attempt.attempt_id}: {versions}')
+
     def record_disturbance(self, instance: str) -> None:
         """Excuse bounds in time at an instance for ``CONTACT_MS`` from now."""
         self.disturbed_ms_by_instance[instance] = self.now_ms()
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -13,6 +13,7 @@
 EVENT_S = 0.015
 PREFILL_S = 0.02
 SLOTS = 16
+VERSIONS = ('v1', 'v2')
 DRAIN_S = 3.0
 _numbers = count(1)
 
@@ -50,6 +51,7 @@
         self.role = role
         self.fault = ''
         self.name = ''
+        self.version = ''
         self.running_count = 0
         self.attempt_by_handle: dict[str, str] = {}
         self.accepted_order_count = 0
@@ -60,6 +62,7 @@
     def start(self) -> None:
         """Start a new incarnation and register it in the store."""
         self.name = f't{next(_numbers)}'
+        self.version = self.world.rng.choice(VERSIONS)
         self.running_count, self.accepted_order_count = 0, 0
         self.attempt_by_handle.clear()
         self._port = self.world.reactor.listenTCP(0, Site(self), interface=HOST)
@@ -74,6 +77,7 @@
             'stage': self.role,
             'state': state,
             'zone': self.zone,
+            'version': self.version,
             'slots': SLOTS,
             'born': self.world.wall_ms(),
         }
@@ -184,8 +188,14 @@
             )
         request.finish()
 
+    def _record_event(self, attempt_id, number) -> None:
+        versions_by_event = self.world.promises.versions_by_event
+        versions = versions_by_event.setdefault((attempt_id, number), set())
+        versions.add(self.version)
+
     def _send_event(self, request, attempt_id, number, last) -> None:
         event = build_event(attempt_id, number)
+        self._record_event(attempt_id, number)
         if self.fault == 'cut':
             request.write(event[: len(event) // 2])
             request.transport.abortConnection()
@@ -210,6 +220,7 @@
             b'X-Cicadahoist-Attempt-Id: ' + attempt_id.encode(),
             b'X-Cicadahoist-Server-Seal: ' + self.name.encode(),
         ]
+        self._record_event(attempt_id, number)
         next_event = build_event(attempt_id, number + 1)
         request.transport.write(b'\r\n'.join(head) + b'\r\n\r\n')
         request.transport.write(build_event(attempt_id, number))
