Bound what an answer, an event and a skipped answer may hold

Targets in trouble may send bytes without end until their caller closes. Bodies that are collected were held in memory until the deadline, a late answer of another request was skipped for as long as it went on, and an event without end was appended to a copy and searched anew at each piece.

A collected body ends its attempt beyond max-body-bytes of the configuration, an event beyond 256 KiB, a skipped answer beyond 128 KiB: the connection is closed and the attempt lost (too-long), so that the target is set aside and what may be repeated or resumed goes elsewhere. A head was bounded before.

--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -18,6 +18,7 @@
     InboundRequest,
     SendOptions,
 )
+from cicadahoist.rules import CallerLimits
 from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.outbound import (
     IDLE_MARGIN_MS,
@@ -125,6 +126,7 @@
         '_stream',
         'is_sent',
         'listing',
+        'max_body_bytes',
         'on_activity',
         'prepare_send',
     )
@@ -149,6 +151,8 @@
         self._end_deferred: Deferred[AttemptEnd] | None = Deferred()
         self._head: AnswerHead | None = None
         self.is_sent = False
+        # Longest body that is collected.
+        self.max_body_bytes = CallerLimits().body_bytes
         # Called when the head or a piece of the answer arrives.
         self.on_activity: Callable[[], None] = _ignore
         # Called when a connection is open: returns what to send along now, or
@@ -196,11 +200,15 @@
             self._connection.abandon()
         self._end(AttemptEnd(AttemptOutcome.stopped, self._head))
 
-    def fail_as_silent(self) -> None:
-        """End the attempt as lost because its target is silent."""
+    def abandon(self, detail: str) -> None:
+        """
+        Close the connection, and end the attempt as lost.
+
+        :param detail: what is wrong with the target, for the log
+        """
         if self._connection is not None:
             self._connection.abandon()
-        self._finish(AttemptOutcome.lost, 'silent')
+        self._finish(AttemptOutcome.lost, detail)
 
     def pause(self) -> None:
         """Stop reading the answer until `resume` is called."""
@@ -233,14 +241,23 @@
     def body_received(self, piece: bytes) -> None:
         """Pass on or collect a piece of the body."""
         self.on_activity()
-        if self._head is None or self._head.meaning is not AnswerMeaning.whole:
-            self._body += piece
+        head = self._head
+        if head is None or head.meaning is not AnswerMeaning.whole:
+            self._collect(piece)
             return
         pieces = [piece] if self._stream is None else self._stream.feed(piece)
         if self._on_pieces is None:
-            self._body += piece
+            self._collect(piece)
         else:
-            self._on_pieces(self._head, pieces)
+            self._on_pieces(head, pieces)
+        if self._stream is not None and self._stream.is_too_long:
+            self.abandon(AnswerLoss.too_long.value)
+
+    def _collect(self, piece: bytes) -> None:
+        self._body += piece
+        if len(self._body) > self.max_body_bytes:
+            self._body.clear()
+            self.abandon(AnswerLoss.too_long.value)
 
     def answer_ended(self, ending: AnswerEnding) -> None:
         """End the attempt; a stream may have broken off nevertheless."""
--- a/cicadahoist/serving/attempt_watch.py
+++ b/cicadahoist/serving/attempt_watch.py
@@ -83,6 +83,6 @@
         was_paused = now_ms - due_ms > PROCESS_PAUSE_MS
         is_silent = self._answer_watch.is_silent(attempt.listing.name, now_ms)
         if is_silent and not was_paused and may_abandon():
-            attempt.fail_as_silent()
+            attempt.abandon('silent')
         else:
             self._schedule_check(attempt, wait_ms, may_abandon)
--- a/cicadahoist/serving/event_stream.py
+++ b/cicadahoist/serving/event_stream.py
@@ -8,6 +8,8 @@
 _EVENT_END = re.compile(rb'\n\r?\n')
 _MAX_END_BYTES = 3
 _LINE_END_BYTES = b'\r\n'
+# An event holds a few tokens.
+MAX_EVENT_BYTES = 262_144
 
 
 class EventStream:
@@ -34,6 +36,11 @@
         """Whether the stream would be broken off if it ended here."""
         return bool(self._partial_event.strip(_LINE_END_BYTES))
 
+    @property
+    def is_too_long(self) -> bool:
+        """Whether the unfinished event is longer than any event may be."""
+        return len(self._partial_event) > MAX_EVENT_BYTES
+
     def feed(self, piece: bytes) -> list[bytes]:
         """Return the events that the piece completes."""
         buffer = self._partial_event
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -199,6 +199,9 @@
         attempt.prepare_send = partial(
             self._prepare_send, chosen_ms, attempt.listing.version
         )
+        if self._context.deployment is not None:
+            limits = self._context.deployment.limits
+            attempt.max_body_bytes = limits.body_bytes
         end = await AttemptWatch(self._context).run(
             attempt,
             silence_ms + self._context.link.compute_wait_ms(chosen_ms),
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -29,6 +29,8 @@
 # A target closes idle connections by its own clock, so reuse stops earlier.
 IDLE_MARGIN_MS = 400
 MAX_IDLE_CONNECTIONS = 64
+# A late answer is skipped to keep the attempt, up to this size.
+MAX_SKIPPED_BYTES = 131_072
 
 
 class AnswerEnding(Enum):
@@ -48,7 +50,8 @@
     Why an answer is incomplete.
 
     ``inside_event`` and ``no_event`` apply to streams whose framing ended, but
-    inside an event, or by a close before the first one.
+    inside an event, or by a close before the first one. ``too_long``: more than
+    an answer or an event may hold.
     """
 
     closed = 'closed'
@@ -56,6 +59,7 @@
     malformed = 'malformed'
     inside_event = 'inside-event'
     no_event = 'no-event'
+    too_long = 'too-long'
 
 
 class Receiver(Protocol):
@@ -96,6 +100,7 @@
         self._ending = AnswerEnding.stated
         self._is_skipping = False
         self._has_skipped = False
+        self._skipped_bytes = 0
         self.idle_timeout_ms = DEFAULT_IDLE_MS
         self.idle_since_ms = 0
         self.is_open = True
@@ -173,6 +178,10 @@
             self._read_events()
         except h11.RemoteProtocolError:
             self._report_loss(AnswerLoss.malformed)
+        if self._is_skipping:
+            self._skipped_bytes += len(received)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                self._report_loss(AnswerLoss.too_long)
 
     def connectionLost(self, reason: Any = None) -> None:
         """Complete an answer without a stated length, or report its loss."""
