Bound answers and events at the entry and at the clients of the store

A body of more than 16 MiB is lost, an event of more than 256 KiB breaks its stream off. The splitter searches each byte about once.

The two new tests state bounds that the code before did not have (they do not import there).

--- a/cicadahoist/entry/events.py
+++ b/cicadahoist/entry/events.py
@@ -5,6 +5,8 @@
 EVENT_END = b'\n\n'
 DATA_PREFIX = b'data:'
 DONE = b'[DONE]'
+# An event holds a few tokens.
+MAX_EVENT_BYTES = 262_144
 
 
 class Delta(msgspec.Struct):
@@ -62,13 +64,21 @@
     __slots__ = ('_incomplete',)
 
     def __init__(self) -> None:
-        self._incomplete = b''
+        self._incomplete = bytearray()
+
+    @property
+    def is_event_too_long(self) -> bool:
+        """Whether the unfinished event is longer than any event may be."""
+        return len(self._incomplete) > MAX_EVENT_BYTES
 
     def feed(self, received: bytes) -> list[bytes]:
         """Add received bytes; return the payloads of the completed events."""
-        buffered = self._incomplete + received if self._incomplete else received
-        events = buffered.split(EVENT_END)
-        self._incomplete = events.pop()
+        search_start = max(0, len(self._incomplete) - len(EVENT_END) + 1)
+        self._incomplete += received
+        if self._incomplete.find(EVENT_END, search_start) < 0:
+            return []
+        events = bytes(self._incomplete).split(EVENT_END)
+        self._incomplete = bytearray(events.pop())
         return [
             event.removeprefix(DATA_PREFIX).strip()
             for event in events
--- a/cicadahoist/entry/stream_attempt.py
+++ b/cicadahoist/entry/stream_attempt.py
@@ -83,7 +83,7 @@
             self._forward(out)
         if progress is Progress.complete:
             self.end(AttemptEnd.complete)
-        elif progress is Progress.broken:
+        elif progress is Progress.broken or self._splitter.is_event_too_long:
             self.end(AttemptEnd.broken)
 
     def _forward(self, out: list[bytes]) -> None:
--- a/cicadahoist/outside/bodies.py
+++ b/cicadahoist/outside/bodies.py
@@ -8,6 +8,11 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
+from cicadahoist.errors import LostAfterSendError
+
+# Lists of the store, the longest answers, have about 1 MB.
+MAX_BODY_BYTES = 16_777_216
+
 
 @implementer(IBodyProducer)
 class BytesProducer:
@@ -41,15 +46,33 @@
 
 
 class BodyCollector(Protocol):
-    """Collects a body; ``complete_body`` fires at its end."""
+    """
+    Collects a body; ``complete_body`` fires at its end.
+
+    A body of more than ``MAX_BODY_BYTES`` ends with an error at once.
+    """
 
     def __init__(self) -> None:
         self.complete_body: Deferred[bytes] = Deferred(self._close)
         self._chunks: list[bytes] = []
+        self._size_bytes = 0
 
     def dataReceived(self, chunk: bytes) -> None:  # noqa: N802
         """Store a chunk of the body."""
-        self._chunks.append(chunk)
+        if self.complete_body.called:
+            return
+        self._size_bytes += len(chunk)
+        if self._size_bytes <= MAX_BODY_BYTES:
+            self._chunks.append(chunk)
+            return
+        self._chunks.clear()
+        self.complete_body.errback(
+            LostAfterSendError(
+                f'answer of more than {MAX_BODY_BYTES} bytes',
+                remedy='see why the target sends bytes without end',
+            )
+        )
+        self._close(self.complete_body)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Fire ``complete_body``, with an error if the body ended early."""
--- a/tests/test_entry/test_answer_stream.py
+++ b/tests/test_entry/test_answer_stream.py
@@ -12,7 +12,12 @@
 from hypothesis import strategies as st
 
 from cicadahoist.entry.answer_stream import AnswerStream, Progress
-from cicadahoist.entry.events import DONE, EventSplitter, encode_event
+from cicadahoist.entry.events import (
+    DONE,
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    encode_event,
+)
 
 
 def make_token_chunk(offset, answer_id='a1', text=None):
@@ -173,3 +178,14 @@
         wire = wire[size:]
     received.extend(splitter.feed(wire))
     assert received == payloads
+
+
+# An event without end was kept, and searched anew at each of its pieces.
+def test_an_event_without_end_is_recognised_at_its_limit():
+    splitter = EventSplitter()
+    splitter.feed(b'data: x\n\n')
+    for _ in range(MAX_EVENT_BYTES // 1024):
+        assert not splitter.is_event_too_long
+        assert not splitter.feed(bytes(1024))
+    splitter.feed(b'x')
+    assert splitter.is_event_too_long
--- a/tests/test_outside/test_http.py
+++ b/tests/test_outside/test_http.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from cicadahoist.errors import LostAfterSendError, NotSentError
+from cicadahoist.outside.bodies import MAX_BODY_BYTES
 from cicadahoist.outside.http import HttpClient
 from tests.loopback import LoopbackCase
 
@@ -108,6 +109,14 @@
             await self.raises(LostAfterSendError, reading)
             await self.until(lambda: not self.factory.connections)
 
+    # A body without end was held in memory for as long as it went on.
+    async def test_a_body_without_end_raises_lost_after_send(self):
+        unbounded = ANSWER.replace(b'Content-Length: 2', b'A: b')
+        url = self.listen(unbounded + bytes(MAX_BODY_BYTES))
+        response = await self.client().call('GET', url)
+        await self.raises(LostAfterSendError, response.read_body(20_000))
+        await self.until(lambda: not self.factory.connections)
+
     async def test_stalled_body_ends_at_its_timeout(self):
         url = self.listen(ANSWER.replace(b'2', b'3'))
         response = await self.client().call('GET', url)
