Confirm one version by the first answer; bind streams only

Found by reading the diff: where a service has one version, a stream that its caller takes up waited for the answers of dead peers, up to 100 ms, although one answer that confirms the version is enough; and a lookup that failed was repeated at its version only. Both have tests. Origins, replicas and replication replace words of our own.

--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -86,13 +86,12 @@
                     self._refuse(Refusal.limit_reached, BUSY_RETRY_AFTER_MS)
             case AttemptOutcome.answered:
                 health.record_success()
-                self._binding.bind(listing.version)
-                self._deliver_or_retry(end)
+                self._deliver_or_retry(listing, end)
             case AttemptOutcome.lost:
                 health.record_failure(now_ms)
                 self._retry_or_fail()
 
-    def _deliver_or_retry(self, end: AttemptEnd) -> None:
+    def _deliver_or_retry(self, listing: Listing, end: AttemptEnd) -> None:
         head = end.head
         if head is None:
             return
@@ -107,6 +106,7 @@
         ):
             self._context.meters.count_retry(Retry.target_failed)
         else:
+            self._binding.bind(listing.version)
             self._reply.deliver(head, end.body)
 
     def _retry_or_fail(self) -> None:
--- a/cicadahoist/serving/stream_binding.py
+++ b/cicadahoist/serving/stream_binding.py
@@ -21,6 +21,7 @@
     __slots__ = (
         '_exchange',
         '_is_resumable',
+        '_is_streamed',
         '_is_taken_up',
         '_request',
         '_service',
@@ -36,6 +37,7 @@
     ) -> None:
         self._exchange = exchange
         self._is_resumable = route.repeat is RepeatRule.resumable
+        self._is_streamed = route.is_streamed
         self._is_taken_up = route.is_streamed and bool(request.resume_after)
         self._request = request
         self._service = service
@@ -58,7 +60,7 @@
 
     def bind(self, version: str) -> None:
         """Record that an event of a version is passed on to the caller."""
-        if self.version is not None:
+        if self.version is not None or not self._is_streamed:
             return
         self.version = version
         if self._is_resumable:
--- a/cicadahoist/serving/stream_exchange.py
+++ b/cicadahoist/serving/stream_exchange.py
@@ -1,4 +1,4 @@
-"""Tells and asks other instances which software version began a stream."""
+"""Shares with other instances which software version began a stream."""
 
 from collections.abc import Callable
 from typing import Any
@@ -18,15 +18,15 @@
 
 # First byte of these datagrams; no load report begins with it.
 STREAM_MARK = b'S'
-# Instances that are told of a stream, in different zones where there are any.
-KEEPER_COUNT = 3
-# Instances that are asked, the keepers first: some may have restarted, and in a
-# small fleet the instance at which the stream began is among them.
+# Instances that hold the origin of a stream besides the one at which it began,
+# in different zones where there are any.
+REPLICA_COUNT = 3
+# Instances that are asked, the replicas first: some may have restarted, and in
+# a small fleet the instance at which the stream began is among them.
 ASKED_COUNT = 12
 # Peers are a few ms away; one that has ended does not answer at all.
 ANSWER_TIMEOUT_MS = 100
-# Origins in one datagram.
-MAX_TOLD = 20
+MAX_ORIGINS_PER_DATAGRAM = 20
 
 Address = tuple[str, int]
 
@@ -42,7 +42,7 @@
     """
     What an instance knows of the version that began a stream.
 
-    :param version: the version, none if this instance was not told
+    :param version: the version, none if this instance does not know it
     :param only_version: version of all open streams of the service, none if
         they may differ or it is not known
     :param is_mixed: whether open streams of the service may differ
@@ -69,7 +69,7 @@
     """
     Knows, or asks its peers, which version began a stream.
 
-    Peers are told of a stream only while its service has several versions.
+    Origins are replicated only while their service has several versions.
 
     :param clock: clock of the process
     """
@@ -115,15 +115,15 @@
         """Record the services and versions of all listed targets."""
         for service in self._versions.observe(listed, self._clock.now_ms()):
             own = self._origins.list_own(service)
-            for start in range(0, len(own), MAX_TOLD):
-                self._tell(own[start : start + MAX_TOLD])
+            for start in range(0, len(own), MAX_ORIGINS_PER_DATAGRAM):
+                self._replicate(own[start : start + MAX_ORIGINS_PER_DATAGRAM])
 
     def record_begin(self, origin: Origin) -> None:
         """Record that the first event of a stream is passed on."""
         now_ms = self._clock.now_ms()
         self._origins.record(origin, now_ms, is_own=True)
         if self._versions.is_mixed(origin.service, now_ms):
-            self._tell([origin])
+            self._replicate([origin])
 
     async def find_version(self, attempt_id: str, service: str) -> str | None:
         """
@@ -201,7 +201,10 @@
         attempt_id = question.attempt_id
         inquiry = self._inquiry_by_attempt.get(attempt_id)
         if inquiry is None:
-            inquiry = _Inquiry(len(asked))
+            own = self._versions.find_only(
+                question.service, self._clock.now_ms()
+            )
+            inquiry = _Inquiry(len(asked), own)
             self._inquiry_by_attempt[attempt_id] = inquiry
             self._clock.call_later(ANSWER_TIMEOUT_MS, self._close, attempt_id)
             message = StreamMessage(questions=(question,))
@@ -223,15 +226,16 @@
             self._versions.is_mixed(question.service, now_ms),
         )
 
-    def _tell(self, origins: list[Origin]) -> None:
-        """Tell the keepers of each stream."""
+    def _replicate(self, origins: list[Origin]) -> None:
+        """Send each origin to its replicas."""
         origins_by_peer: dict[str, list[Origin]] = {}
         for origin in origins:
-            for peer in self._list_peers(origin.attempt_id, KEEPER_COUNT):
+            for peer in self._list_peers(origin.attempt_id, REPLICA_COUNT):
                 origins_by_peer.setdefault(peer, []).append(origin)
-        for peer, told in origins_by_peer.items():
+        for peer, replicated in origins_by_peer.items():
             self._send(
-                StreamMessage(origins=tuple(told)), self._address_by_peer[peer]
+                StreamMessage(origins=tuple(replicated)),
+                self._address_by_peer[peer],
             )
 
     def _list_peers(self, attempt_id: str, count: int) -> list[str]:
@@ -246,7 +250,7 @@
         for instance in ranked:
             zone = self._zone_by_instance[instance]
             best_by_zone.setdefault(zone, instance)
-        first = list(best_by_zone.values())[:KEEPER_COUNT]
+        first = list(best_by_zone.values())[:REPLICA_COUNT]
         rest = [name for name in ranked if name not in first]
         return [
             name
@@ -263,19 +267,31 @@
     Collects the answers to one question.
 
     :param asked_count: number of peers that were asked
+    :param only_version: version of all open streams of the service as this
+        instance sees it, none if they may differ or it is not known
     """
 
-    __slots__ = ('_answers', '_asked_count', '_waiting')
+    __slots__ = ('_answers', '_asked_count', '_only_version', '_waiting')
 
-    def __init__(self, asked_count: int) -> None:
+    def __init__(self, asked_count: int, only_version: str | None) -> None:
         self._asked_count = asked_count
+        self._only_version = only_version
         self._answers: list[Answer] = []
         self._waiting: list[Deferred[None]] = []
 
     def add(self, answer: Answer) -> None:
-        """Add an answer; the first that names the version ends the wait."""
+        """
+        Add an answer.
+
+        The first that names the version ends the wait, or that confirms that
+        there is only one.
+        """
         self._answers.append(answer)
-        is_found = answer.version is not None
+        is_confirmed = (
+            self._only_version is not None
+            and answer.only_version == self._only_version
+        )
+        is_found = answer.version is not None or is_confirmed
         if is_found or len(self._answers) >= self._asked_count:
             self.close()
 
--- a/tests/test_serving/test_stream_exchange.py
+++ b/tests/test_serving/test_stream_exchange.py
@@ -13,7 +13,7 @@
 from cicadahoist.policy.service_versions import STREAM_LIFETIME_MS
 from cicadahoist.serving.stream_exchange import (
     ANSWER_TIMEOUT_MS,
-    KEEPER_COUNT,
+    REPLICA_COUNT,
     STREAM_MARK,
 )
 from tests.test_serving.test_load_exchange import create_deployment
@@ -145,8 +145,8 @@
     assert len(sent) == 1
 
 
-# Streams that began before a second version came are told when it comes.
-def test_streams_that_began_before_a_version_came_are_known_to_keepers():
+# Such streams were not replicated while there was one version.
+def test_streams_that_began_before_a_version_came_are_replicated():
     fleet = Fleet(engines=ENGINES[:2])
     fleet.clock.advance(STREAM_LIFETIME_MS)
     first = fleet.begin_stream(0)
@@ -161,12 +161,22 @@
 
 
 @pytest.mark.parametrize('count_of_instances', [6, 60])
-def test_a_stream_is_told_to_few_instances(count_of_instances):
+def test_a_stream_is_replicated_to_few_instances(count_of_instances):
     zones = [ZONES[number % len(ZONES)] for number in range(count_of_instances)]
     fleet = Fleet(zones)
     for _ in range(STREAM_COUNT):
         fleet.begin_stream(0)
-    assert len(list_stream_datagrams(fleet)) <= KEEPER_COUNT * STREAM_COUNT
+    assert len(list_stream_datagrams(fleet)) <= REPLICA_COUNT * STREAM_COUNT
+
+
+# Dead peers do not answer, and would delay each stream by the whole wait.
+def test_one_version_is_confirmed_by_the_first_answer():
+    fleet = Fleet(engines=ENGINES[:2])
+    fleet.clock.advance(STREAM_LIFETIME_MS)
+    for number in (0, 2, 3, 4):
+        fleet.kill(number)
+    _, sent = fleet.take_up(1, b'elsewhere')
+    assert len(sent) == 1
 
 
 def test_unreadable_stream_messages_are_dropped():
--- a/tests/test_serving/test_stream_versions.py
+++ b/tests/test_serving/test_stream_versions.py
@@ -168,6 +168,16 @@
     assert caller.status == 503
 
 
+# Versions bind streams only: a lookup may be repeated at any of them.
+def test_a_failed_lookup_is_repeated_at_another_version():
+    world = World()
+    world.add(target('t1', version='v1'), target('t2', version='v2'))
+    caller = world.send_request(b'/lookup/x', patience=2000)
+    world.sent[0].answer(500)
+    world.sent[1].answer()
+    assert caller.status == 200
+
+
 # A KV cache of one version was handed to an engine of another.
 def test_prefill_and_decode_run_at_one_version(world):
     world.add(prefill('ap', 'v1'), prefill('bp', 'v2'))
