Give started processes ports that no other socket can get

The port was found free, closed, and then given by the kernel to a socket that asked for any; the soak's proxies are opened right after.

Free ports now come from below the range from which the kernel gives them.

--- a/bench/launch.py
+++ b/bench/launch.py
@@ -1,6 +1,7 @@
 """Starts and ends processes of the system and stand-ins on loopback."""
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -9,19 +10,30 @@
 import time
 import urllib.error
 import urllib.request
+from contextlib import suppress
 from pathlib import Path
 
 START_TIMEOUT_S = 30
 STOP_TIMEOUT_S = 20
 POLL_S = 0.05
 ROOT = Path(__file__).resolve().parent.parent
-
-
-def find_free_port() -> int:
-    """Return a TCP port that is free at the time of the call."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+# Below the range from which Linux chooses ports by default.
+PORTS = (15_000, 32_000)
+
+
+def find_free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """
+    Return a port that is free at the time of the call.
+
+    It is none of those that the kernel gives to sockets without a port of their
+    own: such a socket could take it before the process that is to listen on it.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        with socket.socket(type=kind) as probe:
+            with suppress(OSError):
+                probe.bind(('127.0.0.1', port))
+                return port
 
 
 class Fleet:
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -8,6 +8,7 @@
 
 from twisted.internet import protocol
 
+from bench.launch import find_free_port
 from soak.promises import DRAIN_MS, GRACE_MS, REVOKE_MS
 from soak.proxy import HOST, Link
 
@@ -36,12 +37,6 @@
 """
 
 
-def find_free_port(kind=socket.SOCK_STREAM) -> int:
-    with socket.socket(type=kind) as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 class _Process(protocol.ProcessProtocol):
     def __init__(self, instance) -> None:
         self._instance = instance
--- a/tests/test_mesh/test_transport.py
+++ b/tests/test_mesh/test_transport.py
@@ -1,10 +1,9 @@
 """Delivery, full queues, cuts and seeded losses of the transports."""
 
-import socket
-
 import pytest
 from twisted.internet.epollreactor import EPollReactor
 
+from bench.launch import find_free_port
 from cicadahoist.clock import Clock
 from cicadahoist.mesh.memory_transport import MemoryNetwork
 from cicadahoist.mesh.transport import NngTransport
@@ -12,12 +11,6 @@
 LIMIT_S = 5
 
 
-def find_free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def test_nng_transport_delivers_on_the_reactor():
     reactor = EPollReactor()
     port = find_free_port()
