--- a/cicadahoist/serving/stream_exchange.py
+++ b/cicadahoist/serving/stream_exchange.py
@@ -284,8 +284,10 @@
         Add an answer.
 
         The first that names the version ends the wait, or that confirms that
-        there is only one.
+        there is only one. Answers after the end of the wait are dropped.
         """
+        if not self._asked_count:
+            return
         self._answers.append(answer)
         is_confirmed = (
             self._only_version is not None
