Use no target whose registration lacks its software version

Found by reading the change: registrations without a version were taken for targets of one version, the empty one, so that a stream could go on between two of them. The new test failed before.

--- a/cicadahoist/platform/discovery.py
+++ b/cicadahoist/platform/discovery.py
@@ -15,8 +15,9 @@
     service: str
     address: str
     zone: str = ''
-    # Of the software; the models state the versions of their weights.
-    version: str = ''
+    # Of the software; the models state the versions of their weights. Targets
+    # that do not state it may differ in it.
+    version: str
     slots: int = 1
     state: str
     stage: str = ''
--- a/tests/test_platform/test_formats.py
+++ b/tests/test_platform/test_formats.py
@@ -190,6 +190,12 @@
     assert decode_listing('i-1', {**ENTRY, **change}) is None
 
 
+# Two targets without a version were taken for ones of the same version.
+def test_an_entry_without_a_version_names_no_target():
+    entry = {key: ENTRY[key] for key in ENTRY if key != 'version'}
+    assert decode_listing('i-1', entry) is None
+
+
 @pytest.mark.parametrize('entry', [None, 'x', 4, []])
 def test_entries_that_are_no_objects_are_skipped(entry):
     assert decode_listing('i-1', entry) is None
--- a/tests/test_platform/test_front_process.py
+++ b/tests/test_platform/test_front_process.py
@@ -115,6 +115,7 @@
             ('d1', 'llm', 'decode'),
         ):
             entry = {'service': service, 'address': address, 'stage': stage}
+            entry['version'] = 'v1'
             entry |= {'state': 'ready', 'zone': 'zone-a', 'slots': 8}
             self.store.put('servers', name, entry)
         self.store.put('config', 'main', config(1, [KEY]))
