Count a new stream without any event as lost, also if it ends in due form

Found by reading the change: where a new stream had no event, the end of its framing was still taken for its completeness if it came in chunks or with a length. The events decide there, too; only a resumed stream may have none left. The new test failed before (200, complete and empty).

--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -269,7 +269,7 @@
         ):
             self._finish(AttemptOutcome.answered, ending=ending)
             return
-        loss = self._find_loss(self._stream, ending)
+        loss = self._find_loss(self._stream)
         if loss is not None:
             self._finish(AttemptOutcome.lost, loss.value)
             return
@@ -282,21 +282,18 @@
         """End the attempt without a complete answer."""
         self._finish(AttemptOutcome.lost, cause.value)
 
-    def _find_loss(
-        self, stream: EventStream, ending: AnswerEnding
-    ) -> AnswerLoss | None:
+    def _find_loss(self, stream: EventStream) -> AnswerLoss | None:
         """
         Return why a stream is incomplete although its framing has ended.
 
-        A resumed stream may have no events left; another one that was only
-        closed has not begun.
+        A resumed stream may have no events left; another one without events has
+        not begun.
 
         :return: none for a complete stream
         """
         if stream.is_inside_event:
             return AnswerLoss.inside_event
-        is_empty = not stream.has_events and not self._options.resume_after
-        if is_empty and ending is AnswerEnding.closed:
+        if not stream.has_events and not self._options.resume_after:
             return AnswerLoss.no_event
         return None
 
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -50,7 +50,7 @@
     Why an answer is incomplete.
 
     ``inside_event`` and ``no_event`` apply to streams whose framing ended, but
-    inside an event, or by a close before the first one. ``too_long``: more than
+    inside an event, or before the first one. ``too_long``: more than
     an answer or an event may hold.
     """
 
--- a/tests/test_serving/test_broken_streams.py
+++ b/tests/test_serving/test_broken_streams.py
@@ -99,6 +99,14 @@
     assert caller.status == 502
 
 
+# Its last chunk alone reached callers as a whole, empty answer.
+def test_a_stream_that_ends_in_due_form_without_events_is_lost(world):
+    caller = send_once(world)
+    world.sent[0].begin_stream()
+    world.sent[0].end_stream()
+    assert caller.status == 502
+
+
 def test_a_resumable_stream_closed_before_its_first_event_runs_again(world):
     caller = send_resumable(world)
     begin_unframed(world.sent[0])
