Keep the recent versions of services in the store instead of guessing one

Found by reading the change: after all instances had started again, a stream of unknown origin went on at the only version that was listed, although another one may have left within the 30 s before.

The holder of the duties now writes each change of the recent versions to the store, and an instance that starts reads them once; without any, no instance has served before. Where they are not known, or are several, the stream is refused as not run.

Before, test_an_unknown_stream_goes_on_while_there_is_one_version passed at an instance that knew of no earlier version, which shows the guess. It now runs at the first start of a deployment; new tests refuse the stream without a history and with one of another version, and let it go on with one of the same.

--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -29,6 +29,7 @@
 from cicadahoist.serving.load_exchange import PEER_KIND
 from cicadahoist.serving.peers import Peers
 from cicadahoist.serving.usage_report import UsageReportJob
+from cicadahoist.serving.version_history import VersionHistoryJob
 
 USAGE_PERIOD_MS = 800
 ORDER_PERIOD_MS = 500
@@ -97,6 +98,9 @@
             ORDER_PERIOD_MS,
         )
         duties.add(RoleChangeJob(self._context, engines), ORDER_PERIOD_MS)
+        duties.add(
+            VersionHistoryJob(store, self._context.streams), ORDER_PERIOD_MS
+        )
         task = LeaseTask(
             self._build_authority(),
             duties,
--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -1,5 +1,6 @@
 """Assembles the exchange between the instances of a deployment."""
 
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -19,10 +20,14 @@
     PeerRecord,
 )
 from cicadahoist.serving.peers import Peers
+from cicadahoist.serving.version_history import HISTORY_KIND, apply_history
 
 # New instances affect only shares and loads, so cheap lists that may be seconds
 # old are enough to find them.
 PEER_PERIOD_MS = 3000
+# The first read is the one that matters: later versions are in the list of
+# targets.
+HISTORY_PERIOD_MS = 60_000
 
 
 def add_peering(
@@ -65,6 +70,13 @@
         context.gossip.usage_copies,
     )
     exchange.on_unregistered = records.register_again
-    for task in (exchange, poller, records):
+    history = KindPoller(
+        new_store_client(settings.store_address, reactor),
+        HISTORY_KIND,
+        HISTORY_PERIOD_MS,
+        application.clock,
+        partial(apply_history, context.streams),
+    )
+    for task in (exchange, poller, records, history):
         application.add(task)
     return peers
--- a/cicadahoist/serving/stream_exchange.py
+++ b/cicadahoist/serving/stream_exchange.py
@@ -118,6 +118,14 @@
             for start in range(0, len(own), MAX_ORIGINS_PER_DATAGRAM):
                 self._replicate(own[start : start + MAX_ORIGINS_PER_DATAGRAM])
 
+    def list_recent_versions(self) -> dict[str, list[str]]:
+        """Return the versions of open streams, by service, where known."""
+        return self._versions.list_recent(self._clock.now_ms())
+
+    def apply_history(self, versions_by_service: dict[str, list[str]]) -> None:
+        """Apply what was known of versions before this instance started."""
+        self._versions.apply_earlier(versions_by_service)
+
     def record_begin(self, origin: Origin) -> None:
         """Record that the first event of a stream is passed on."""
         now_ms = self._clock.now_ms()
@@ -189,9 +197,6 @@
         own = self._versions.find_only(service, now_ms)
         if own is not None:
             candidates.add(own)
-        if not candidates:
-            # All instances have just started: no other version is known.
-            return self._versions.find_listed(service)
         return candidates.pop() if len(candidates) == 1 else None
 
     async def _ask(self, question: Question) -> list[Answer]:
--- a/tests/test_serving/test_stream_versions.py
+++ b/tests/test_serving/test_stream_versions.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from cicadahoist.policy.service_versions import STREAM_LIFETIME_MS
 from cicadahoist.rules import EngineSizes, ServiceRule, ServiceShare
 from tests.test_serving.world import (
     ROUTES,
@@ -144,6 +145,36 @@
     assert len(sent) == 1
 
 
+# After a restart of all instances, the only listed version was guessed.
+def test_an_unknown_stream_is_refused_where_earlier_versions_are_unknown():
+    world = World(is_first_start=False)
+    world.add(decode('a0', 'v1'))
+    caller, sent = take_up(world, b'elsewhere')
+    assert not sent
+    assert caller.status == 503
+
+
+@pytest.mark.parametrize(
+    ('earlier', 'goes_on'),
+    [(['v1'], True), (['v2'], False), (['v1', 'v2'], False)],
+)
+def test_earlier_versions_decide_after_a_restart(earlier, goes_on):
+    world = World(is_first_start=False)
+    world.context.streams.apply_history({'llm': earlier})
+    world.add(decode('a0', 'v1'))
+    _, sent = take_up(world, b'elsewhere')
+    assert bool(sent) == goes_on
+
+
+def test_earlier_versions_are_forgotten_once_their_streams_have_ended():
+    world = World(is_first_start=False)
+    world.context.streams.apply_history({'llm': ['v2']})
+    world.add(decode('a0', 'v1'))
+    world.clock.advance(STREAM_LIFETIME_MS)
+    _, sent = take_up(world, b'elsewhere')
+    assert len(sent) == 1
+
+
 # A version that left seconds ago may have begun a stream that is still open.
 def test_an_unknown_stream_is_refused_shortly_after_a_version_left():
     world = World()
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -346,9 +346,11 @@
 
     Routes are `/submit/` (once), `/lookup/` (repeatable) and `/open/` of a
     plain service, `/check/` (once) and `/ask/` (resumable) of engines.
+
+    :param is_first_start: whether no instance has served before this one
     """
 
-    def __init__(self, clock=None) -> None:
+    def __init__(self, clock=None, *, is_first_start=True) -> None:
         self.clock = clock or Clock.manual()
         self.loop_times = LoopTimes(self.clock)
         self.context = ServingContext(
@@ -361,6 +363,8 @@
         )
         self.connections = FakeConnections(self.clock)
         self.context.fleet.connections = self.connections
+        if is_first_start:
+            self.context.streams.apply_history({})
         self.are_keys_fresh = True
         self.freed_handles = []
         self.front = Front(
