--- a/cicadahoist/entry/events.py
+++ b/cicadahoist/entry/events.py
@@ -2,11 +2,11 @@
 
 import msgspec
 
+from cicadahoist.outside.bodies import MAX_EVENT_BYTES
+
 EVENT_END = b'\n\n'
 DATA_PREFIX = b'data:'
 DONE = b'[DONE]'
-# An event holds a few tokens.
-MAX_EVENT_BYTES = 262_144
 
 
 class Delta(msgspec.Struct):
--- a/cicadahoist/outside/bodies.py
+++ b/cicadahoist/outside/bodies.py
@@ -12,6 +12,8 @@
 
 # Lists of the store, the longest answers, have about 1 MB.
 MAX_BODY_BYTES = 16_777_216
+# An event holds a few tokens.
+MAX_EVENT_BYTES = 262_144
 
 
 @implementer(IBodyProducer)
--- a/cicadahoist/serving/event_stream.py
+++ b/cicadahoist/serving/event_stream.py
@@ -2,14 +2,13 @@
 
 import re
 
+from cicadahoist.outside.bodies import MAX_EVENT_BYTES
 from cicadahoist.rules import RouteRule
 
 # The line end before the blank line may be LF or CRLF; both end in LF.
 _EVENT_END = re.compile(rb'\n\r?\n')
 _MAX_END_BYTES = 3
 _LINE_END_BYTES = b'\r\n'
-# An event holds a few tokens.
-MAX_EVENT_BYTES = 262_144
 
 
 class EventStream:
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -49,9 +49,9 @@
     """
     Why an answer is incomplete.
 
-    ``inside_event`` and ``no_event`` apply to streams whose framing ended, but
-    inside an event, or before the first one. ``too_long``: more than
-    an answer or an event may hold.
+    ``inside_event`` and ``no_event``: the framing of a stream ended inside an
+    event, or before the first one. ``too_long``: more than an answer or an
+    event may hold.
     """
 
     closed = 'closed'
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -139,7 +139,7 @@
             workspace=workspace,
             instance=self._instance.name,
             sent_ms=world.now_ms(),
-            began=broken_off,
+            origin=broken_off,
         )
         world.promises.record_attempt(attempt)
         answer = connection.send_request(
@@ -204,10 +204,10 @@
                 (b'X-Cicadahoist-Token-Count', counts.encode()),
                 (b'X-Cicadahoist-Prompt-Prefix', parts.encode()),
             ]
-        if attempt.began is not None:
+        if attempt.origin is not None:
             headers += [
-                (b'Resumes', attempt.began.attempt_id.encode()),
-                (b'Last-Event-Id', b'%d' % len(attempt.began.events)),
+                (b'Resumes', attempt.origin.attempt_id.encode()),
+                (b'Last-Event-Id', b'%d' % len(attempt.origin.events)),
             ]
         return headers
 
@@ -250,8 +250,8 @@
 
     def _judge_stream(self, attempt, body, is_whole) -> str:
         numbers = [int(found) for found in re.findall(rb'id: (\d+)\n', body)]
-        began = attempt.began.events if attempt.began else []
-        first = len(began) + 1
+        received = attempt.origin.events if attempt.origin else []
+        first = len(received) + 1
         attempt.events = [(attempt.attempt_id, number) for number in numbers]
         self.world.promises.check_versions(attempt)
         if numbers != list(range(first, len(numbers) + first)):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -25,8 +25,8 @@
     :param instance: instance that received the attempt
     :param runs: targets that ran the attempt
     :param was_refused: whether an answer promised that it had not run
-    :param began: attempt that brought the first event of a stream that this one
-        takes up, none for a new stream
+    :param origin: attempt that brought the first event of a stream which this
+        one takes up, none for a new stream
     :param events: attempt and number of the events that the caller has received
     """
 
@@ -38,7 +38,7 @@
     sent_ms: int
     runs: list[str] = field(default_factory=list)
     was_refused: bool = False
-    began: 'Attempt | None' = None
+    origin: 'Attempt | None' = None
     events: list[tuple[str, int]] = field(default_factory=list)
 
 
@@ -77,9 +77,9 @@
 
     def check_versions(self, attempt: Attempt) -> None:
         """Check that one version can have sent all events of a stream."""
-        began = attempt.began.events if attempt.began else []
+        received = attempt.origin.events if attempt.origin else []
         versions = [
-            self.versions_by_event[key] for key in began + attempt.events
+            self.versions_by_event[key] for key in received + attempt.events
         ]
         if versions and not set.intersection(*versions):
             self.report_breach('ORDER', f'{attempt.attempt_id}: {versions}')
--- a/tests/test_entry/test_answer_stream.py
+++ b/tests/test_entry/test_answer_stream.py
@@ -14,10 +14,10 @@
 from cicadahoist.entry.answer_stream import AnswerStream, Progress
 from cicadahoist.entry.events import (
     DONE,
-    MAX_EVENT_BYTES,
     EventSplitter,
     encode_event,
 )
+from cicadahoist.outside.bodies import MAX_EVENT_BYTES
 
 
 def make_token_chunk(offset, answer_id='a1', text=None):
--- a/tests/test_serving/test_endless_answers.py
+++ b/tests/test_serving/test_endless_answers.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from cicadahoist.outside.bodies import MAX_EVENT_BYTES
 from cicadahoist.rules import CallerLimits
-from cicadahoist.serving.event_stream import MAX_EVENT_BYTES
 from tests.test_serving.world import (
     SHORT_PROMPT_HEADERS,
     World,
--- a/tests/test_serving/test_stream_exchange.py
+++ b/tests/test_serving/test_stream_exchange.py
@@ -6,8 +6,6 @@
 streams that are refused although another instance knows it (LOST).
 """
 
-from itertools import count
-
 import pytest
 
 from cicadahoist.policy.service_versions import STREAM_LIFETIME_MS
@@ -16,12 +14,12 @@
     REPLICA_COUNT,
     STREAM_MARK,
 )
+from tests.test_serving.streams import send_ask, take_up
 from tests.test_serving.test_load_exchange import create_deployment
-from tests.test_serving.world import SHORT_PROMPT_HEADERS, target
+from tests.test_serving.world import target
 
 ZONES = ['a', 'a', 'b', 'b', 'c', 'c']
 STREAM_COUNT = 12
-BODY_NUMBERS = count(1)
 ENGINES = [
     *(
         target(f'a{number}', 'llm', 'decode', version='v1')
@@ -43,29 +41,16 @@
             instance.world.context.fleet.directory.replace(engines)
         self.network.datagrams.clear()
 
-    def ask(self, number, *headers):
-        """Send a request to an instance; return caller and attempts."""
-        world = self.instances[number].world
-        sent_count = len(world.sent)
-        caller = world.send_request(
-            b'/ask/x',
-            *SHORT_PROMPT_HEADERS,
-            *headers,
-            patience=15_000,
-            body=b'%d' % next(BODY_NUMBERS),
-        )
-        return caller, world.sent[sent_count:]
-
     def begin_stream(self, number):
         """Begin a stream at an instance, and break its connection."""
-        caller, (sent,) = self.ask(number)
+        caller, (sent,) = send_ask(self.instances[number].world)
         sent.begin_stream()
         sent.send_events(1)
         caller.disconnect()
         return sent
 
     def take_up(self, number, attempt_id):
-        return self.ask(number, b'Resumes: ' + attempt_id, b'Last-Event-Id: 1')
+        return take_up(self.instances[number].world, attempt_id)
 
     def kill(self, number):
         self.network.by_port.pop(self.instances[number].record.port)
--- a/tests/test_serving/test_stream_versions.py
+++ b/tests/test_serving/test_stream_versions.py
@@ -4,16 +4,14 @@
 They guard against streams that hold events of two versions: issue 21, ORDER.
 """
 
-from itertools import count
-
 import msgspec
 import pytest
 
 from cicadahoist.policy.service_versions import STREAM_LIFETIME_MS
 from cicadahoist.rules import EngineSizes, ServiceRule, ServiceShare
+from tests.test_serving.streams import send_ask, take_up
 from tests.test_serving.world import (
     ROUTES,
-    SHORT_PROMPT_HEADERS,
     World,
     deployment,
     prompt_headers,
@@ -22,7 +20,6 @@
 
 HANDLE_BODY = b'{"kv-handle":"h7","tokens":9000,"version":1}'
 STREAM_COUNT = 24
-BODY_NUMBERS = count(1)
 
 
 def decode(name, version, **fields):
@@ -50,28 +47,6 @@
     return {'a': 'v1', 'b': 'v2'}[sent.target[0]]
 
 
-def send_ask(world, *headers):
-    """Send a resumable request; return its caller and its first attempt."""
-    sent_count = len(world.sent)
-    caller = world.send_request(
-        b'/ask/x',
-        *SHORT_PROMPT_HEADERS,
-        *headers,
-        patience=15_000,
-        # Equal bodies would be blamed for the crashes of several targets.
-        body=b'%d' % next(BODY_NUMBERS),
-    )
-    return caller, world.sent[sent_count:]
-
-
-def take_up(world, attempt_id, last_event=1):
-    return send_ask(
-        world,
-        b'Resumes: ' + attempt_id,
-        b'Last-Event-Id: %d' % last_event,
-    )
-
-
 def begin(sent, *numbers):
     sent.begin_stream()
     sent.send_events(*numbers)
