Log and count answers that are cut off, beside new configurations and apart

Attempts log silent_ms, requests is_cut and config_age_ms; four counters give the shares of cuts within 3 s of a change and at other times.

A failure now ends the reply before it aborts the connection, because an abort that reports the close at once was logged as a caller that had left.

--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -132,6 +132,35 @@
         'chunks',
     )
 )
+ENDED_BESIDE_CHANGE = METRICS.declare(
+    MetricSpec(
+        'serving_ended_beside_change',
+        'Requests that ended within 3 s of a new configuration.',
+        operator_remedy='none',
+    )
+)
+CUT_BESIDE_CHANGE = METRICS.declare(
+    MetricSpec(
+        'serving_cut_beside_change',
+        'Answers cut off within 3 s of a new configuration.',
+        operator_remedy='compare their share with that of other times; if it '
+        'is higher, see what the configuration changed',
+    )
+)
+ENDED_OTHERWISE = METRICS.declare(
+    MetricSpec(
+        'serving_ended_otherwise',
+        'Requests that ended at other times.',
+        operator_remedy='none',
+    )
+)
+CUT_OTHERWISE = METRICS.declare(
+    MetricSpec(
+        'serving_cut_otherwise',
+        'Answers cut off at other times.',
+        operator_remedy='see the last attempts of these requests in the log',
+    )
+)
 
 
 class Metrics:
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -83,6 +83,8 @@
     :param detail: cause of a failure, for the log
     :param is_silent: whether the target counted as silent at the end
     :param ending: how the end of a complete answer is known
+    :param silent_ms: time since the target last sent a byte to this attempt, or
+        since its start
     """
 
     outcome: AttemptOutcome
@@ -91,6 +93,7 @@
     detail: str = ''
     is_silent: bool = False
     ending: AnswerEnding | None = None
+    silent_ms: int = 0
 
 
 _NOT_RUN = frozenset((AnswerMeaning.not_run, AnswerMeaning.misplaced))
--- a/cicadahoist/serving/attempt_watch.py
+++ b/cicadahoist/serving/attempt_watch.py
@@ -49,7 +49,8 @@
         attempt_number = self._answer_watch.record_start(
             name, silence_ms, self._clock.now_ms()
         )
-        attempt.on_activity = partial(self._record_activity, name)
+        activity = _Activity(self._clock.now_ms())
+        attempt.on_activity = partial(self._record_activity, name, activity)
         if may_abandon is not None:
             self._schedule_check(attempt, round(silence_ms), may_abandon)
         try:
@@ -57,10 +58,14 @@
         finally:
             is_silent = self._answer_watch.is_silent(name, self._clock.now_ms())
             self._answer_watch.record_end(name, attempt_number)
-        return msgspec.structs.replace(end, is_silent=is_silent)
+        silent_ms = self._clock.now_ms() - activity.last_ms
+        return msgspec.structs.replace(
+            end, is_silent=is_silent, silent_ms=silent_ms
+        )
 
-    def _record_activity(self, target: str) -> None:
-        self._answer_watch.record_activity(target, self._clock.now_ms())
+    def _record_activity(self, target: str, activity: '_Activity') -> None:
+        activity.last_ms = self._clock.now_ms()
+        self._answer_watch.record_activity(target, activity.last_ms)
 
     def _schedule_check(
         self, attempt: Attempt, wait_ms: int, may_abandon: MayAbandon
@@ -86,3 +91,16 @@
             attempt.abandon('silent')
         else:
             self._schedule_check(attempt, wait_ms, may_abandon)
+
+
+class _Activity:
+    """
+    The latest activity of one attempt.
+
+    :param last_ms: when the target last sent bytes, at first the start
+    """
+
+    __slots__ = ('last_ms',)
+
+    def __init__(self, last_ms: int) -> None:
+        self.last_ms = last_ms
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -23,6 +23,9 @@
 # A target that is not at its listed address is used again after this time: its
 # entry expires after three missed heartbeats of 1.2 s.
 EXCLUSION_MS = 4000
+# A change of the configuration may affect what ends up to this time later: it
+# has to be in force at all instances within 2 s, and open requests follow.
+CHANGE_WINDOW_MS = 3000
 
 
 class Fleet:
@@ -85,6 +88,7 @@
     """
 
     __slots__ = (
+        '_deployed_ms',
         'clock',
         'demand',
         'deployment',
@@ -112,6 +116,7 @@
         self.clock = clock
         self.fleet = Fleet(zone, TargetConnections(reactor, clock), clock)
         self.deployment: Deployment | None = None
+        self._deployed_ms: int | None = None
         self.demand = DemandRate()
         self.meters = Meters(metrics)
         self.retries = RetryShares(retry_terms)
@@ -127,8 +132,23 @@
         """Version of the configuration in force, none before the first."""
         return self.deployment.version if self.deployment else None
 
+    @property
+    def config_age_ms(self) -> int | None:
+        """Time since the latest new configuration, none before the first."""
+        if self._deployed_ms is None:
+            return None
+        return self.clock.now_ms() - self._deployed_ms
+
+    @property
+    def is_beside_change(self) -> bool:
+        """Whether the configuration has just changed."""
+        age_ms = self.config_age_ms
+        return age_ms is not None and age_ms <= CHANGE_WINDOW_MS
+
     def apply_deployment(self, deployment: Deployment) -> None:
         """Apply a configuration to all further requests."""
+        if self.version != deployment.version:
+            self._deployed_ms = self.clock.now_ms()
         self.deployment = deployment
         self.fleet.boards.apply_deployment(deployment)
 
--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -2,7 +2,11 @@
 
 from cicadahoist.metrics import (
     ANSWERED,
+    CUT_BESIDE_CHANGE,
+    CUT_OTHERWISE,
+    ENDED_BESIDE_CHANGE,
     ENDED_BY_CLOSE,
+    ENDED_OTHERWISE,
     FIRST_BYTE,
     LOAD_BYTES,
     READ_WAIT,
@@ -20,7 +24,11 @@
 
     __slots__ = (
         '_answered',
+        '_cut_beside_change',
+        '_cut_otherwise',
+        '_ended_beside_change',
         '_ended_by_close',
+        '_ended_otherwise',
         '_first_byte',
         '_load_bytes',
         '_metrics',
@@ -30,7 +38,11 @@
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         self._answered = metrics.counter(ANSWERED)
+        self._cut_beside_change = metrics.counter(CUT_BESIDE_CHANGE)
+        self._cut_otherwise = metrics.counter(CUT_OTHERWISE)
+        self._ended_beside_change = metrics.counter(ENDED_BESIDE_CHANGE)
         self._ended_by_close = metrics.counter(ENDED_BY_CLOSE)
+        self._ended_otherwise = metrics.counter(ENDED_OTHERWISE)
         self._first_byte = metrics.histogram(FIRST_BYTE)
         self._load_bytes = metrics.counter(LOAD_BYTES)
         self._read_wait = metrics.histogram(READ_WAIT)
@@ -43,6 +55,22 @@
         """Count an answer whose only end was that of its connection."""
         self._ended_by_close.add(1)
 
+    def count_end(self, *, is_cut: bool, is_beside_change: bool) -> None:
+        """
+        Count the end of a request.
+
+        :param is_cut: whether its answer was begun and not completed
+        :param is_beside_change: whether the configuration has just changed
+        """
+        ended = self._ended_otherwise
+        cut = self._cut_otherwise
+        if is_beside_change:
+            ended = self._ended_beside_change
+            cut = self._cut_beside_change
+        ended.add(1)
+        if is_cut:
+            cut.add(1)
+
     def record_first_byte(self, took_ms: int) -> None:
         """Record the time from arrival to the first byte of the answer."""
         self._first_byte.record(took_ms)
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -125,13 +125,15 @@
         if self.is_over:
             return
         self._context.meters.count_refusal(reason)
-        if self._exchange.is_begun:
+        is_cut = self.is_begun
+        # Ends first: a connection that is aborted reports a caller that left.
+        self.end('failed', is_cut=is_cut, reason=reason.name, status=status)
+        if is_cut:
             self._exchange.abort()
         else:
             self._exchange.answer(
                 status, self._context.dialect.own_headers(self._request, None)
             )
-        self.end('failed', reason=reason.name, status=status)
 
     def record_send(self, chosen_ms: int, version: str) -> None:
         """
@@ -157,28 +159,41 @@
             self._context.meters.count_ended_by_close()
 
     def log_attempt(self, target: str, end: AttemptEnd) -> None:
-        """Log the end of an attempt without an answer."""
+        """Log the end of an attempt without an answer, and its silence."""
         logger.bind(
             request=self._request.attempt_id,
             target=target,
             outcome=end.outcome.value,
             status=end.head.status if end.head else None,
             detail=end.detail,
+            silent_ms=end.silent_ms,
             left_ms=self._deadline.remaining_ms,
         ).info('attempt ended')
 
-    def end(self, outcome: str, **extra_fields: Any) -> None:
-        """Record the end of the request and cancel its deadline."""
+    def end(
+        self, outcome: str, *, is_cut: bool = False, **extra_fields: Any
+    ) -> None:
+        """
+        Record the end of the request and cancel its deadline.
+
+        :param outcome: how it ended, for the log
+        :param is_cut: whether its answer was begun and is not completed
+        """
         if self.is_over:
             return
         self.is_over = True
         self._deadline.cancel()
+        self._context.meters.count_end(
+            is_cut=is_cut, is_beside_change=self._context.is_beside_change
+        )
         arrived_ms = self._request.arrived_ms
         logger.bind(
             request=self._request.attempt_id,
             route=self._route.name,
             outcome=outcome,
+            is_cut=is_cut,
             version=self._context.version,
+            config_age_ms=self._context.config_age_ms,
             first_ms=self._first_byte_ms and self._first_byte_ms - arrived_ms,
             took_ms=self._context.clock.now_ms() - arrived_ms,
             waited_ms=self._request.read_ms - arrived_ms,
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -8,6 +8,7 @@
 from itertools import count
 
 from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import StringTransport
@@ -17,7 +18,7 @@
 from cicadahoist.errors import NotSentError
 from cicadahoist.listings import Listing
 from cicadahoist.loop_times import LoopTimes
-from cicadahoist.metrics import Metrics
+from cicadahoist.metrics import PREFIX, Metrics
 from cicadahoist.platform.dialect import Dialect
 from cicadahoist.policy.retry_share import RetryTerms
 from cicadahoist.requests import RepeatRule
@@ -353,11 +354,12 @@
     def __init__(self, clock=None, *, is_first_start=True) -> None:
         self.clock = clock or Clock.manual()
         self.loop_times = LoopTimes(self.clock)
+        self._metric_reader = InMemoryMetricReader()
         self.context = ServingContext(
             'zone-a',
             Dialect(),
             self.clock,
-            Metrics(MeterProvider()),
+            Metrics(MeterProvider([self._metric_reader])),
             RetryTerms(0.2, 100, 10_000),
             None,
         )
@@ -405,6 +407,18 @@
     def sent(self):
         return self.connections.sent
 
+    def count(self, spec):
+        """Return the value of a counter, summed over its labels."""
+        data = self._metric_reader.get_metrics_data()
+        return sum(
+            point.value
+            for resource in data.resource_metrics
+            for scope in resource.scope_metrics
+            for metric in scope.metrics
+            if metric.name == f'{PREFIX}_{spec.name}'
+            for point in metric.data.data_points
+        )
+
 
 def prompt_headers(tokens=9000, first_tokens=2500, middle_tokens=3800):
     """
