--- a/cicadahoist/requests.py
+++ b/cicadahoist/requests.py
@@ -50,6 +50,11 @@
     parts: tuple[PromptPart, ...] = ()
     estimated_output_tokens: int = 0
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests may share: all but the last one."""
+        return self.parts[:-1]
+
 
 class InboundRequest(msgspec.Struct, kw_only=True):
     """
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -85,6 +85,7 @@
         self._reply.log_fields.update(
             prompt_tokens=work.prompt_tokens,
             estimate=work.estimated_output_tokens,
+            parts=[part.digest for part in work.shared_parts],
         )
         return self
 
--- a/tests/test_serving/test_model_flow.py
+++ b/tests/test_serving/test_model_flow.py
@@ -7,6 +7,7 @@
 """
 
 import pytest
+from loguru import logger
 
 from cicadahoist.policy.retry_share import RetryTerms
 from tests.test_serving.world import (
@@ -250,3 +251,15 @@
         board.get(f'p{number}').own_load.prefill_tokens = 300_000
     send_check(world)
     assert world.sent[0].target == 'p19'
+
+
+def test_the_log_names_the_parts_that_other_requests_share(world):
+    """Without them, no log shows which part is common to crashes."""
+    lines = []
+    handler = logger.add(
+        lambda message: lines.append(message.record['extra']), level='INFO'
+    )
+    send_check(world)
+    world.sent[0].reject()
+    logger.remove(handler)
+    assert lines[-1]['parts'] == ['aa', 'bb']
