Let a silent target go only once another one has brought a part of the answer

Cause: an attempt was given up as soon as its target counted as silent and a retry could be spent. Only then another target was looked for; where there was none, none of the version, only silent ones, or one that rejected or could not be reached, the answer ended there. An attempt was ended before its replacement was known to work.

Why it works: a silent attempt stays open. A second one is opened beside it where a sound target that accepts the request is found and a retry can be spent. The first part of an answer decides which of the two is kept; a second attempt that rejects, breaks off or is away changes nothing, and one beside a target that has woken up is stopped within 200 ms. A request that may run once never has two runs; prefills may be doubled, and only one of them is used.

Two tests of test_silent_targets asserted that the silent target is let go before the other has answered, which is the fault. They assert now that it is let go at the first part of the other's answer.

--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -161,6 +161,14 @@
         operator_remedy='see the last attempts of these requests in the log',
     )
 )
+SILENT_KEPT = METRICS.declare(
+    MetricSpec(
+        'serving_silent_kept',
+        'Attempts at silent targets from which no other could take over.',
+        operator_remedy='see why the target is silent; add targets if it is '
+        'often the only one',
+    )
+)
 
 
 class Metrics:
--- a/cicadahoist/policy/engine_board.py
+++ b/cicadahoist/policy/engine_board.py
@@ -198,7 +198,7 @@
             and not self._is_closed(engine, now_ms)
         ]
         return [
-            engine for engine in engines if self._is_healthy(engine, now_ms)
+            engine for engine in engines if self.is_healthy(engine, now_ms)
         ] or engines
 
     def _is_closed(self, engine: EngineState, now_ms: int) -> bool:
@@ -207,7 +207,8 @@
             return False
         return closure.role == engine.role and closure.expires_ms > now_ms
 
-    def _is_healthy(self, engine: EngineState, now_ms: int) -> bool:
+    def is_healthy(self, engine: EngineState, now_ms: int) -> bool:
+        """Return whether an engine is neither ejected nor silent."""
         if not engine.health.compute_usable_share(now_ms):
             return False
         return not self._answers.is_silent(engine.name, now_ms)
--- a/cicadahoist/serving/attempt_watch.py
+++ b/cicadahoist/serving/attempt_watch.py
@@ -1,4 +1,4 @@
-"""Runs attempts, and abandons targets that fall silent during them."""
+"""Runs attempts, and reports targets that fall silent during them."""
 
 from collections.abc import Callable
 from functools import partial
@@ -12,7 +12,7 @@
 # have arrived meanwhile that are not read yet.
 PROCESS_PAUSE_MS = 100
 
-MayAbandon = Callable[[], bool]
+OnSilence = Callable[[], None]
 
 
 class AttemptWatch:
@@ -33,7 +33,7 @@
         self,
         attempt: Attempt,
         silence_ms: float,
-        may_abandon: MayAbandon | None = None,
+        on_silence: OnSilence | None = None,
     ) -> AttemptEnd:
         """
         Run an attempt to its end.
@@ -41,8 +41,8 @@
         :param attempt: the attempt, not yet sent
         :param silence_ms: time without a sign of life after which the target
             counts as silent
-        :param may_abandon: called when the target is silent, returns whether to
-            abandon it; none if the attempt must stay with the target
+        :param on_silence: called repeatedly while the target is silent; none if
+            the attempt must stay with the target
         :return: the end of the attempt
         """
         name = attempt.listing.name
@@ -51,8 +51,8 @@
         )
         activity = _Activity(self._clock.now_ms())
         attempt.on_activity = partial(self._record_activity, name, activity)
-        if may_abandon is not None:
-            self._schedule_check(attempt, round(silence_ms), may_abandon)
+        if on_silence is not None:
+            self._schedule_check(attempt, round(silence_ms), on_silence)
         try:
             end = await attempt.run(self._connections)
         finally:
@@ -68,18 +68,18 @@
         self._answer_watch.record_activity(target, activity.last_ms)
 
     def _schedule_check(
-        self, attempt: Attempt, wait_ms: int, may_abandon: MayAbandon
+        self, attempt: Attempt, wait_ms: int, on_silence: OnSilence
     ) -> None:
         due_ms = self._clock.now_ms() + wait_ms
         self._clock.call_later(
-            wait_ms, self._check, attempt, wait_ms, may_abandon, due_ms
+            wait_ms, self._check, attempt, wait_ms, on_silence, due_ms
         )
 
     def _check(
         self,
         attempt: Attempt,
         wait_ms: int,
-        may_abandon: MayAbandon,
+        on_silence: OnSilence,
         due_ms: int,
     ) -> None:
         if attempt.is_over:
@@ -87,10 +87,10 @@
         now_ms = self._clock.now_ms()
         was_paused = now_ms - due_ms > PROCESS_PAUSE_MS
         is_silent = self._answer_watch.is_silent(attempt.listing.name, now_ms)
-        if is_silent and not was_paused and may_abandon():
-            attempt.abandon('silent')
-        else:
-            self._schedule_check(attempt, wait_ms, may_abandon)
+        if is_silent and not was_paused:
+            on_silence()
+        if not attempt.is_over:
+            self._schedule_check(attempt, wait_ms, on_silence)
 
 
 class _Activity:
--- a/cicadahoist/serving/engine_choice.py
+++ b/cicadahoist/serving/engine_choice.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from cicadahoist.listings import Listing
+from cicadahoist.policy.engine_board import EngineState
 from cicadahoist.policy.patience import compute_patience_ms, is_worth_accepting
 from cicadahoist.policy.placement import Placement
 from cicadahoist.requests import InboundRequest, ModelWork
@@ -71,6 +73,25 @@
         # Engines outside of the sample may have capacity.
         return self._choose_among(None, tried, remaining_ms, version)
 
+    def find_engine(self, name: str) -> tuple[EngineState, Listing] | None:
+        """Return an engine and its listing, none if it was just removed."""
+        engine = self._context.fleet.boards.get_board(self._service).get(name)
+        listing = self._context.fleet.directory.get(name)
+        if engine is None or listing is None:
+            return None
+        return engine, listing
+
+    def is_sound(self, placement: Placement) -> bool:
+        """Return whether the engines are neither ejected nor silent."""
+        board = self._context.fleet.boards.get_board(self._service)
+        now_ms = self._context.clock.now_ms()
+        names = (placement.prefill_engine, placement.decode_engine)
+        engines = [board.get(name) for name in names if name is not None]
+        return all(
+            engine is not None and board.is_healthy(engine, now_ms)
+            for engine in engines
+        )
+
     def _choose_among(
         self,
         sample_key: str | None,
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -1,5 +1,6 @@
 """Handling of one request: its deadline, its attempts and its reply."""
 
+from collections.abc import Callable, Coroutine
 from functools import partial
 from typing import Any
 
@@ -21,9 +22,11 @@
 from cicadahoist.serving.crash_watch import CrashWatch
 from cicadahoist.serving.deadline import Deadline
 from cicadahoist.serving.inbound import Exchange
+from cicadahoist.serving.open_attempts import OpenAttempts
 from cicadahoist.serving.reply import MIN_RETRY_AFTER_MS, Reply
 from cicadahoist.serving.retry_allowance import RetryAllowance
 from cicadahoist.serving.stream_binding import StreamBinding
+from cicadahoist.serving.takeover import Takeover
 
 logger = get_logger(__name__)
 
@@ -56,16 +59,17 @@
 
     __slots__ = (
         '_allowance',
-        '_attempt',
         '_binding',
         '_context',
         '_crash_watch',
         '_deadline',
         '_has_counted_run',
+        '_open_attempts',
         '_reply',
         '_request',
         '_route',
         '_service',
+        '_takeover',
         '_tried_targets',
         '_urgency',
         '_workspace',
@@ -94,11 +98,18 @@
         self._urgency = urgency
         self._deadline = Deadline.from_request(request, route, context.clock)
         self._reply = Reply(context, request, route, exchange, self._deadline)
-        self._attempt: Attempt | None = None
+        self._open_attempts = OpenAttempts()
         self._tried_targets: list[str] = []
         self._allowance = RetryAllowance(
             context, route, self._service, self._deadline
         )
+        self._takeover = Takeover(
+            context,
+            self._open_attempts,
+            self._allowance,
+            self._reply,
+            self._try_take_over,
+        )
         self._has_counted_run = False
         self._deadline.start(self._expire)
 
@@ -115,46 +126,49 @@
         if self._crash_watch.is_quarantined:
             self._refuse(Refusal.quarantined, QUARANTINE_RETRY_AFTER_MS)
             return
-        serving = Deferred.fromCoroutine(self._serve())
-        serving.addErrback(self._fail_on_defect)
+        launch(self._serve(), self._fail_on_defect)
 
     def caller_left(self) -> None:
         """Stop work whose answer no caller awaits, where that is safe."""
         if self._reply.is_over:
             return
         is_run_once = self._route.repeat is RepeatRule.once
-        attempt = self._attempt
-        if is_run_once and not self._route.is_streamed and attempt is not None:
-            if attempt.is_sent:
+        if is_run_once and not self._route.is_streamed:
+            if self._open_attempts.has_sent_run:
                 # Cutting it off would leave unknown whether it took effect.
                 self._reply.log_fields['caller_left'] = True
                 return
         self._reply.end('caller-left')
-        self._stop_attempt()
+        self._open_attempts.stop_all()
 
     def pause(self) -> None:
         """Stop reading from the target until `resume` is called."""
-        if self._attempt is not None:
-            self._attempt.pause()
+        self._open_attempts.pause()
 
     def resume(self) -> None:
         """Continue to read from the target."""
-        if self._attempt is not None:
-            self._attempt.resume()
+        self._open_attempts.resume()
 
     async def _serve(self) -> None:
         """Send attempts until the request is over."""
         raise NotImplementedError
 
+    def _try_take_over(self) -> bool:
+        """
+        Send the request to another target beside a silent one.
+
+        :return: whether there is a target that can take over, and a retry
+        """
+        raise NotImplementedError
+
     def _prepare_send(
-        self, chosen_ms: int, version: str, options: SendOptions
+        self, attempt: Attempt, chosen_ms: int, options: SendOptions
     ) -> SendOptions | None:
         """
         Return what to send along now, none if the request has ended.
 
         :param chosen_ms: when the target was chosen; a connection was opened
             since then
-        :param version: version of the software of the target
         """
         now_ms = self._context.clock.now_ms()
         link_wait_ms = round(self._context.link.compute_wait_ms(now_ms))
@@ -163,7 +177,8 @@
             self._expire()
         if not self._is_awaited():
             return None
-        self._reply.record_send(chosen_ms, version)
+        self._reply.record_send(chosen_ms, attempt.listing.version)
+        self._takeover.schedule_review(attempt)
         self._context.link.record_sent(
             len(self._request.body) + HEAD_BYTES, now_ms
         )
@@ -193,22 +208,19 @@
         :return: the end of the attempt
         """
         name = attempt.listing.name
-        self._attempt = attempt
+        self._open_attempts.add(attempt)
         self._tried_targets.append(name)
         chosen_ms = self._context.clock.now_ms()
-        attempt.prepare_send = partial(
-            self._prepare_send, chosen_ms, attempt.listing.version
-        )
+        attempt.prepare_send = partial(self._prepare_send, attempt, chosen_ms)
         if self._context.deployment is not None:
             limits = self._context.deployment.limits
             attempt.max_body_bytes = limits.body_bytes
         end = await AttemptWatch(self._context).run(
             attempt,
             silence_ms + self._context.link.compute_wait_ms(chosen_ms),
-            self._allowance.get_abandon_check(attempt),
+            partial(self._takeover.react_to_silence, attempt),
         )
-        if self._attempt is attempt:
-            self._attempt = None
+        self._open_attempts.remove(attempt)
         if end.is_silent:
             self._suspend_target(name)
         if attempt.is_sent and end.outcome is AttemptOutcome.lost:
@@ -247,28 +259,41 @@
     @property
     def _may_have_run(self) -> bool:
         """Whether a target may have begun to run the request."""
-        attempt = self._attempt
-        if attempt is not None and attempt.is_sent and attempt.may_run:
-            return True
-        return self._allowance.may_have_run
+        return self._open_attempts.has_sent_run or self._allowance.may_have_run
 
     def _expire(self) -> None:
         if self._may_have_run:
             self._reply.fail(HTTP_GATEWAY_TIMEOUT, Refusal.timed_out)
         else:
             self._refuse(Refusal.deadline_unreachable, MIN_RETRY_AFTER_MS)
-        self._stop_attempt()
-
-    def _stop_attempt(self) -> None:
-        attempt = self._attempt
-        self._attempt = None
-        if attempt is not None:
-            attempt.stop()
+        self._open_attempts.stop_all()
 
     def _fail_on_defect(self, failure: Any) -> None:
         logger.bind(request=self._request.attempt_id).error(
             'request handling raised an unexpected error: {0}',
             failure.getTraceback(),
         )
-        self._stop_attempt()
+        self._open_attempts.stop_all()
         self._reply.fail(HTTP_BAD_GATEWAY, Refusal.internal_error)
+
+
+def launch(
+    serving: Coroutine[Any, Any, None], on_defect: Callable[[Any], None]
+) -> None:
+    """
+    Start a coroutine.
+
+    :param on_defect: called with the failure if it raises an error
+    """
+    Deferred.fromCoroutine(serving).addErrback(on_defect)
+
+
+def is_final(end: AttemptEnd) -> bool:
+    """Return whether an attempt brought an answer that no retry can improve."""
+    head = end.head
+    if end.outcome is not AttemptOutcome.answered or head is None:
+        return False
+    return (
+        head.meaning is not AnswerMeaning.failure
+        or head.status < HTTP_SERVER_ERROR
+    )
--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -10,6 +10,7 @@
     FIRST_BYTE,
     LOAD_BYTES,
     READ_WAIT,
+    SILENT_KEPT,
     Metrics,
 )
 from cicadahoist.reasons import Refusal, Retry
@@ -33,6 +34,7 @@
         '_load_bytes',
         '_metrics',
         '_read_wait',
+        '_silent_kept',
     )
 
     def __init__(self, metrics: Metrics) -> None:
@@ -46,6 +48,7 @@
         self._first_byte = metrics.histogram(FIRST_BYTE)
         self._load_bytes = metrics.counter(LOAD_BYTES)
         self._read_wait = metrics.histogram(READ_WAIT)
+        self._silent_kept = metrics.counter(SILENT_KEPT)
 
     def count_answer(self) -> None:
         """Count a complete answer."""
@@ -71,6 +74,10 @@
         if is_cut:
             cut.add(1)
 
+    def count_kept_silent(self) -> None:
+        """Count an attempt that stays with a silent target."""
+        self._silent_kept.add(1)
+
     def record_first_byte(self, took_ms: int) -> None:
         """Record the time from arrival to the first byte of the answer."""
         self._first_byte.record(took_ms)
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -6,7 +6,6 @@
 from twisted.internet.defer import Deferred
 
 from cicadahoist.errors import TargetError, WireError
-from cicadahoist.listings import Listing
 from cicadahoist.log import get_logger
 from cicadahoist.policy.engine_board import EngineState
 from cicadahoist.policy.patience import compute_silence_bound_ms
@@ -32,7 +31,7 @@
     AttemptOutcome,
     OnPieces,
 )
-from cicadahoist.serving.engine_choice import EngineChoice
+from cicadahoist.serving.engine_choice import Choice, EngineChoice
 from cicadahoist.serving.event_relay import EventRelay
 from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.flow import (
@@ -40,6 +39,8 @@
     MAX_CONNECT_FAILURES,
     STREAM_RETRY_AFTER_MS,
     Flow,
+    is_final,
+    launch,
 )
 
 logger = get_logger(__name__)
@@ -92,26 +93,51 @@
     async def _serve(self) -> None:
         if not await self._binding.resolve():
             self._refuse(Refusal.stream_unknown, STREAM_RETRY_AFTER_MS)
-        placement = self._place()
+        await self._serve_at(self._place())
+
+    async def _serve_at(self, placement: Placement | None) -> None:
+        """Send attempts, the first ones to chosen engines."""
         while placement is not None:
+            goes_on = True
             if placement.prefill_engine is not None and self._handle is None:
-                await self._prefill(placement, placement.prefill_engine)
+                goes_on = await self._prefill(
+                    placement, placement.prefill_engine
+                )
             is_ready = placement.prefill_engine is None or self._handle
-            if is_ready and self._is_awaited():
-                await self._generate(placement)
-            placement = self._place()
-        self._free_unused_cache()
+            if goes_on and is_ready and self._is_awaited():
+                goes_on = await self._generate(placement)
+            placement = self._place() if goes_on else None
+        if self._reply.is_over:
+            self._free_unused_cache()
 
-    def _place(self) -> Placement | None:
-        """Return where to run, none if the request is over or is refused."""
-        if not self._is_awaited():
-            return None
+    def _try_take_over(self) -> bool:
+        choice = self._choose()
+        can_take_over = (
+            choice is not None
+            and choice.is_accepted
+            and self._choice.is_sound(choice.placement)
+        )
+        if choice is None or not can_take_over:
+            return False
+        if not self._allowance.try_spend_retry():
+            return False
+        launch(self._serve_at(choice.placement), self._fail_on_defect)
+        return True
+
+    def _choose(self) -> Choice | None:
+        """Return engines that were not tried, none if there are none left."""
         version = self._binding.version
         if version is None and self._handle is not None:
             version = self._handle_version
-        choice = self._choice.choose(
+        return self._choice.choose(
             frozenset(self._tried_targets), self._deadline.remaining_ms, version
         )
+
+    def _place(self) -> Placement | None:
+        """Return where to run, none if the request is over or is refused."""
+        if not self._is_awaited():
+            return None
+        choice = self._choose()
         if choice is None and self._handle is not None:
             # Another version may serve the request, but without the KV cache.
             self._free_unused_cache()
@@ -132,11 +158,16 @@
             return None
         return placement
 
-    async def _prefill(self, placement: Placement, engine_name: str) -> None:
-        """Prefill the prompt at an engine, which keeps the KV cache."""
-        engine_and_listing = self._find_engine(engine_name)
+    async def _prefill(self, placement: Placement, engine_name: str) -> bool:
+        """
+        Prefill the prompt at an engine, which keeps the KV cache.
+
+        :return: false if another attempt decides how the request goes on
+        """
+        engine_and_listing = self._choice.find_engine(engine_name)
         if engine_and_listing is None:
-            return
+            return True
+        has_older_run = self._open_attempts.has_sent_run
         engine, listing = engine_and_listing
         attempt = Attempt(
             self._context.dialect,
@@ -156,12 +187,22 @@
             engine.own_load.prefill_tokens -= placement.prefill_tokens
         took_ms = self._context.clock.now_ms() - started_ms
         self._handle = self._parse_handle(engine, end, listing.address)
-        if self._handle is not None:
-            self._handle_version = engine.version
-            self._reply.log_fields['read_ms'] = took_ms
-            engine.observe_prefill(placement.prefill_ms, took_ms)
-        elif not self._reply.is_over:
-            self._retry_or_refuse_prefill(end)
+        if self._handle is None:
+            if self._takeover.is_left_to_other(end):
+                return False
+            if not self._reply.is_over:
+                self._retry_or_refuse(end, Retry.handoff_failed)
+            return True
+        self._handle_version = engine.version
+        self._reply.log_fields['read_ms'] = took_ms
+        engine.observe_prefill(placement.prefill_ms, took_ms)
+        if not self._open_attempts.has_sent_run:
+            self._open_attempts.stop_all()
+        elif not has_older_run:
+            # The run that took over has no use for the KV cache.
+            self._free_unused_cache()
+            return False
+        return True
 
     def _parse_handle(
         self, engine: EngineState, end: AttemptEnd, address: str
@@ -186,21 +227,25 @@
         engine.health.record_success()
         return handle
 
-    def _retry_or_refuse_prefill(self, end: AttemptEnd) -> None:
-        """Retry or refuse after a failed prefill; the request has not run."""
+    def _retry_or_refuse(self, end: AttemptEnd, reason: Retry) -> None:
+        """Retry or refuse after an attempt in which the request has not run."""
         if end.outcome is AttemptOutcome.unsent:
             if self._allowance.unreached_count >= MAX_CONNECT_FAILURES:
                 self._refuse(Refusal.no_target, NO_ENGINE_RETRY_AFTER_MS)
         elif self._allowance.try_spend_retry():
-            self._context.meters.count_retry(Retry.handoff_failed)
+            self._context.meters.count_retry(reason)
         else:
             self._refuse(Refusal.limit_reached, BUSY_RETRY_AFTER_MS)
 
-    async def _generate(self, placement: Placement) -> None:
-        """Run the request at an engine, from the KV cache if there is one."""
-        engine_and_listing = self._find_engine(placement.decode_engine)
+    async def _generate(self, placement: Placement) -> bool:
+        """
+        Run the request at an engine, from the KV cache if there is one.
+
+        :return: false if another attempt decides how the request goes on
+        """
+        engine_and_listing = self._choice.find_engine(placement.decode_engine)
         if engine_and_listing is None:
-            return
+            return True
         engine, listing = engine_and_listing
         handle = self._handle
         self._handle = None
@@ -214,7 +259,7 @@
             self._request,
             listing,
             self._make_options(listing.name, handle=handle),
-            self._make_piece_handler(run_load, placement, engine.version),
+            self._make_piece_handler(run_load, placement, engine),
             EventStream.from_route(self._route),
         )
         try:
@@ -225,10 +270,10 @@
             run_load.end()
         if not attempt.is_sent:
             self._handle = handle
-        self._process_end(engine, end)
+        return self._process_end(engine, end)
 
     def _make_piece_handler(
-        self, run_load: '_RunLoad', placement: Placement, version: str
+        self, run_load: '_RunLoad', placement: Placement, engine: EngineState
     ) -> OnPieces:
         """Return the function that passes pieces on to the caller."""
         board = self._context.fleet.boards.get_board(self._service)
@@ -253,7 +298,8 @@
             if self._route.is_streamed:
                 pieces = self._relay.select_new(pieces)
             if pieces:
-                self._binding.bind(version)
+                self._open_attempts.keep_only(engine.name)
+                self._binding.bind(engine.version)
                 self._reply.begin(head)
                 self._reply.send(b''.join(pieces))
 
@@ -264,50 +310,46 @@
         if engine is not None:
             engine.health.record_crash(self._context.clock.now_ms())
 
-    def _process_end(self, engine: EngineState, end: AttemptEnd) -> None:
-        """Finish, retry or fail after an attempt to run the request."""
-        now_ms = self._context.clock.now_ms()
+    def _process_end(self, engine: EngineState, end: AttemptEnd) -> bool:
+        """
+        Finish, retry or fail after an attempt to run the request.
+
+        :return: false if another attempt decides how the request goes on
+        """
+        if end.outcome in {AttemptOutcome.lost, AttemptOutcome.unsent}:
+            engine.health.record_crash(self._context.clock.now_ms())
+        if is_final(end):
+            self._open_attempts.stop_all()
+        elif self._takeover.is_left_to_other(end):
+            return False
         match end.outcome:
-            case AttemptOutcome.unsent:
-                engine.health.record_crash(now_ms)
-                if self._allowance.unreached_count >= MAX_CONNECT_FAILURES:
-                    self._refuse(Refusal.no_target, NO_ENGINE_RETRY_AFTER_MS)
-            case AttemptOutcome.not_run:
-                if self._allowance.try_spend_retry():
-                    self._context.meters.count_retry(Retry.target_busy)
-                else:
-                    self._refuse(Refusal.limit_reached, BUSY_RETRY_AFTER_MS)
+            case AttemptOutcome.unsent | AttemptOutcome.not_run:
+                self._retry_or_refuse(end, Retry.target_busy)
             case AttemptOutcome.answered:
                 engine.health.record_success()
                 self._finish_answer(end)
             case AttemptOutcome.lost:
-                engine.health.record_crash(now_ms)
-                self._resume_or_fail()
+                # Another engine may resume after the last event.
+                is_resumable = self._route.repeat is RepeatRule.resumable
+                if is_resumable and self._allowance.try_spend_retry():
+                    self._context.meters.count_retry(Retry.stream_broken)
+                else:
+                    self._reply.fail(HTTP_BAD_GATEWAY, Refusal.target_lost)
+        return True
 
     def _finish_answer(self, end: AttemptEnd) -> None:
         head = end.head
         if head is None or self._reply.is_over:
             return
-        if head.meaning is AnswerMeaning.failure:
-            self._finish_failure(head, end.body)
-            return
-        self._count_run(self._context.true_time.now_ms())
-        self._reply.begin(head)
-        self._reply.finish(head.status)
-
-    def _finish_failure(self, head: AnswerHead, body: bytes) -> None:
-        if self._reply.is_begun:
+        is_failure = head.meaning is AnswerMeaning.failure
+        if is_failure and self._reply.is_begun:
             self._reply.fail(HTTP_BAD_GATEWAY, Refusal.target_failed)
+        elif is_failure:
+            self._reply.deliver(head, end.body)
         else:
-            self._reply.deliver(head, body)
-
-    def _resume_or_fail(self) -> None:
-        """Resume at another engine after the last event, where allowed."""
-        is_resumable = self._route.repeat is RepeatRule.resumable
-        if is_resumable and self._allowance.try_spend_retry():
-            self._context.meters.count_retry(Retry.stream_broken)
-        else:
-            self._reply.fail(HTTP_BAD_GATEWAY, Refusal.target_lost)
+            self._count_run(self._context.true_time.now_ms())
+            self._reply.begin(head)
+            self._reply.finish(head.status)
 
     def _make_options(
         self,
@@ -326,14 +368,6 @@
             urgency=compute_engine_urgency(self._work, self._urgency),
         )
 
-    def _find_engine(self, name: str) -> tuple[EngineState, Listing] | None:
-        """Return an engine and its listing, none if it was just removed."""
-        engine = self._context.fleet.boards.get_board(self._service).get(name)
-        listing = self._context.fleet.directory.get(name)
-        if engine is None or listing is None:
-            return None
-        return engine, listing
-
     def _free_unused_cache(self) -> None:
         handle = self._handle
         self._handle = None
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -2,15 +2,16 @@
 
 from cicadahoist.listings import Listing
 from cicadahoist.reasons import Refusal, Retry
-from cicadahoist.requests import AnswerMeaning, RepeatRule, SendOptions
+from cicadahoist.requests import RepeatRule, SendOptions
 from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
 from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.flow import (
     HTTP_BAD_GATEWAY,
-    HTTP_SERVER_ERROR,
     MAX_CONNECT_FAILURES,
     STREAM_RETRY_AFTER_MS,
     Flow,
+    is_final,
+    launch,
 )
 
 # A request takes some 100 ms, so that a busy service has a free slot again
@@ -29,22 +30,46 @@
     async def _serve(self) -> None:
         if not await self._binding.resolve():
             self._refuse(Refusal.stream_unknown, STREAM_RETRY_AFTER_MS)
-        while self._is_awaited():
-            listing = self._context.fleet.plain_targets.choose(
-                self._service,
-                self._request.attempt_id,
-                set(self._tried_targets),
-                self._context.clock.now_ms(),
-                self._binding.version,
-            )
-            if listing is None:
-                self._refuse(Refusal.no_target, NO_TARGET_RETRY_AFTER_MS)
-                return
+        await self._serve_at(self._place())
+
+    async def _serve_at(self, listing: Listing | None) -> None:
+        """Send attempts, the first one to a chosen target."""
+        while listing is not None:
             sent_ms = self._context.true_time.now_ms()
             end = await self._send_to(listing)
             if end.outcome in {AttemptOutcome.answered, AttemptOutcome.lost}:
                 self._count_run(sent_ms)
-            self._process_end(listing, end)
+            goes_on = self._process_end(listing, end)
+            listing = self._place() if goes_on else None
+
+    def _place(self) -> Listing | None:
+        """Return where to run, none if the request is over or is refused."""
+        if not self._is_awaited():
+            return None
+        listing = self._choose()
+        if listing is None:
+            self._refuse(Refusal.no_target, NO_TARGET_RETRY_AFTER_MS)
+        return listing
+
+    def _choose(self) -> Listing | None:
+        return self._context.fleet.plain_targets.choose(
+            self._service,
+            self._request.attempt_id,
+            set(self._tried_targets),
+            self._context.clock.now_ms(),
+            self._binding.version,
+        )
+
+    def _try_take_over(self) -> bool:
+        listing = self._choose()
+        if listing is None or not self._context.fleet.plain_targets.is_sound(
+            listing.name, self._context.clock.now_ms()
+        ):
+            return False
+        if not self._allowance.try_spend_retry():
+            return False
+        launch(self._serve_at(listing), self._fail_on_defect)
+        return True
 
     async def _send_to(self, listing: Listing) -> AttemptEnd:
         options = SendOptions(
@@ -70,13 +95,24 @@
         health = self._context.fleet.plain_targets.get_health(target)
         health.record_crash(self._context.clock.now_ms())
 
-    def _process_end(self, listing: Listing, end: AttemptEnd) -> None:
-        """Deliver, retry or fail after an attempt."""
+    def _process_end(self, listing: Listing, end: AttemptEnd) -> bool:
+        """
+        Deliver, retry or fail after an attempt.
+
+        :return: false if another attempt decides how the request goes on
+        """
         now_ms = self._context.clock.now_ms()
         health = self._context.fleet.plain_targets.get_health(listing.name)
+        if end.outcome is AttemptOutcome.unsent:
+            health.record_crash(now_ms)
+        elif end.outcome is AttemptOutcome.lost:
+            health.record_failure(now_ms)
+        if is_final(end):
+            self._open_attempts.stop_all()
+        elif self._takeover.is_left_to_other(end):
+            return False
         match end.outcome:
             case AttemptOutcome.unsent:
-                health.record_crash(now_ms)
                 if self._allowance.unreached_count >= MAX_CONNECT_FAILURES:
                     self._refuse(Refusal.no_target, NO_TARGET_RETRY_AFTER_MS)
             case AttemptOutcome.not_run:
@@ -88,19 +124,15 @@
                 health.record_success()
                 self._deliver_or_retry(listing, end)
             case AttemptOutcome.lost:
-                health.record_failure(now_ms)
                 self._retry_or_fail()
+        return True
 
     def _deliver_or_retry(self, listing: Listing, end: AttemptEnd) -> None:
         head = end.head
         if head is None:
             return
-        is_failure = (
-            head.meaning is AnswerMeaning.failure
-            and head.status >= HTTP_SERVER_ERROR
-        )
         if (
-            is_failure
+            not is_final(end)
             and self._is_repeatable
             and self._allowance.try_spend_retry()
         ):
--- a/cicadahoist/serving/plain_targets.py
+++ b/cicadahoist/serving/plain_targets.py
@@ -72,6 +72,12 @@
             ),
         )
 
+    def is_sound(self, target: str, now_ms: int) -> bool:
+        """Return whether a target is neither ejected nor silent."""
+        if not self.get_health(target).compute_usable_share(now_ms):
+            return False
+        return not self._answer_watch.is_silent(target, now_ms)
+
     def get_health(self, target: str) -> TargetHealth:
         """Return the health of a target, new ones being healthy."""
         health = self._health_by_target.get(target)
--- a/cicadahoist/serving/retry_allowance.py
+++ b/cicadahoist/serving/retry_allowance.py
@@ -1,10 +1,8 @@
 """Decides whether one request may be sent again."""
 
-from cicadahoist.reasons import Retry
 from cicadahoist.requests import RepeatRule
 from cicadahoist.rules import RouteRule
 from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
-from cicadahoist.serving.attempt_watch import MayAbandon
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.deadline import Deadline
 
@@ -78,24 +76,19 @@
             self._service, self._context.clock.now_ms()
         )
 
-    def get_abandon_check(self, attempt: Attempt) -> MayAbandon | None:
+    def may_send_beside(self, attempt: Attempt, open_run_count: int) -> bool:
         """
-        Return the check before an attempt abandons a silent target.
+        Return whether another attempt may be sent while one is open.
 
-        :return: spends a retry and returns whether there was one; none if the
-            attempt must stay with its target
+        :param attempt: the open attempt, whose target is silent
+        :param open_run_count: open attempts that are more than a prefill
         """
         if self._route.repeat is RepeatRule.once and attempt.may_run:
-            return None
-        sent_count = self._sent_count + attempt.may_run
-        if self._route.max_sends == 1 or sent_count >= self._route.max_sends:
-            return None
-        return self._try_spend_abandon_retry
-
-    def _try_spend_abandon_retry(self) -> bool:
-        """Spend a retry on abandoning a silent target, where there is one."""
-        if not self.try_spend_retry():
             return False
+        if self._route.max_sends == 1:
+            return False
+        return self._sent_count + open_run_count < self._route.max_sends
+
+    def return_retry(self) -> None:
+        """Take back a retry whose attempt was not sent."""
         self._has_reserved_retry = True
-        self._context.meters.count_retry(Retry.target_frozen)
-        return True
--- /dev/null
+++ b/cicadahoist/serving/takeover.py
@@ -0,0 +1,99 @@
+"""Lets another target take over a request from a silent one."""
+
+from collections.abc import Callable
+
+from cicadahoist.reasons import Retry
+from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
+from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.open_attempts import OpenAttempts
+from cicadahoist.serving.reply import Reply
+from cicadahoist.serving.retry_allowance import RetryAllowance
+
+# Two targets may be at work on one answer for 400 ms, so that one of them is
+# stopped this soon after the silent one has woken up.
+REVIEW_PERIOD_MS = 200
+
+
+class Takeover:
+    """
+    Opens a second attempt beside one whose target is silent.
+
+    A silent target may go on. It is let go only when another one has brought a
+    part of the answer; if it gives a sign of life before, the other one is.
+
+    :param context: shared parts of the data path
+    :param open_attempts: open attempts of the request
+    :param allowance: retries of the request
+    :param reply: the reply to the request
+    :param try_start: sends the request to a target that can take over; returns
+        whether there is one, and a retry
+    """
+
+    __slots__ = (
+        '_allowance',
+        '_context',
+        '_open_attempts',
+        '_reply',
+        '_try_start',
+    )
+
+    def __init__(
+        self,
+        context: ServingContext,
+        open_attempts: OpenAttempts,
+        allowance: RetryAllowance,
+        reply: Reply,
+        try_start: Callable[[], bool],
+    ) -> None:
+        self._context = context
+        self._open_attempts = open_attempts
+        self._allowance = allowance
+        self._reply = reply
+        self._try_start = try_start
+
+    def react_to_silence(self, attempt: Attempt) -> None:
+        """Let another target take over from a silent one, where one can."""
+        if len(self._open_attempts) > 1:
+            return
+        may_send = self._allowance.may_send_beside(
+            attempt, self._open_attempts.count_runs()
+        )
+        if may_send and self._try_start():
+            self._context.meters.count_retry(Retry.target_frozen)
+        else:
+            self._record_kept(attempt.listing.name)
+
+    def schedule_review(self, attempt: Attempt) -> None:
+        """Stop an attempt beside a silent one if that gives a sign of life."""
+        if attempt.may_run and len(self._open_attempts) > 1:
+            self._context.clock.call_later(
+                REVIEW_PERIOD_MS, self._review, attempt
+            )
+
+    def is_left_to_other(self, end: AttemptEnd) -> bool:
+        """Return whether another attempt decides how the request goes on."""
+        if end.outcome is AttemptOutcome.stopped:
+            return True
+        if not self._open_attempts:
+            return False
+        if end.outcome is AttemptOutcome.unsent:
+            self._allowance.return_retry()
+        return True
+
+    def _review(self, attempt: Attempt) -> None:
+        oldest = self._open_attempts.get_oldest()
+        is_open = self._open_attempts.contains(attempt)
+        if oldest is None or oldest is attempt or not is_open:
+            return
+        target = oldest.listing.name
+        now_ms = self._context.clock.now_ms()
+        if self._context.fleet.answer_watch.is_silent(target, now_ms):
+            self.schedule_review(attempt)
+        else:
+            self._open_attempts.keep_only(target)
+
+    def _record_kept(self, target: str) -> None:
+        kept_targets = self._reply.log_fields.setdefault('kept_targets', [])
+        if target not in kept_targets:
+            kept_targets.append(target)
+            self._context.meters.count_kept_silent()
--- a/tests/test_serving/test_silent_targets.py
+++ b/tests/test_serving/test_silent_targets.py
@@ -38,9 +38,9 @@
 def test_a_lookup_leaves_a_target_that_says_nothing(world):
     caller = world.send_request(b'/lookup/x')
     advance_in_steps(world, PLAIN_SILENCE_MS + STEP_MS)
-    assert world.sent[0].is_closed
     assert world.sent[1].target != world.sent[0].target
     world.sent[1].answer(body=b'found')
+    assert world.sent[0].is_closed
     assert (caller.status, caller.body) == (200, b'found')
 
 
@@ -103,10 +103,10 @@
     world.sent[0].begin_stream()
     world.sent[0].send_events(1, 2)
     advance_in_steps(world, 500)
-    assert world.sent[0].is_closed
     assert world.sent[1].header(b'Last-Event-Id') == b'2'
     world.sent[1].begin_stream()
     world.sent[1].send_events(3)
+    assert world.sent[0].is_closed
     world.sent[1].end_stream()
     assert caller.body.count(b'data: t') == 3
 
