--- a/tests/test_serving/test_load_exchange.py
+++ b/tests/test_serving/test_load_exchange.py
@@ -87,9 +87,9 @@
         return self.world.context.gossip
 
 
-def create_deployment(zones):
+def create_deployment(zones, clock=None):
     network = Network()
-    clock = World().clock
+    clock = clock or World().clock
     instances = [
         Instance(network, number, zone, clock)
         for number, zone in enumerate(zones, start=1)
