--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -127,6 +127,7 @@
         '_options',
         '_request',
         '_stream',
+        'is_paused',
         'is_sent',
         'listing',
         'max_body_bytes',
@@ -154,6 +155,8 @@
         self._end_deferred: Deferred[AttemptEnd] | None = Deferred()
         self._head: AnswerHead | None = None
         self.is_sent = False
+        # Whether the answer is not read, as its caller reads slowly.
+        self.is_paused = False
         # Longest body that is collected.
         self.max_body_bytes = CallerLimits().body_bytes
         # Called when the head or a piece of the answer arrives.
@@ -215,11 +218,13 @@
 
     def pause(self) -> None:
         """Stop reading the answer until `resume` is called."""
+        self.is_paused = True
         if self._connection is not None:
             self._connection.pause()
 
     def resume(self) -> None:
         """Continue to read the answer."""
+        self.is_paused = False
         if self._connection is not None:
             self._connection.resume()
 
--- a/cicadahoist/serving/attempt_watch.py
+++ b/cicadahoist/serving/attempt_watch.py
@@ -85,6 +85,9 @@
         if attempt.is_over:
             return
         now_ms = self._clock.now_ms()
+        if attempt.is_paused:
+            # What has arrived is not read.
+            attempt.on_activity()
         was_paused = now_ms - due_ms > PROCESS_PAUSE_MS
         is_silent = self._answer_watch.is_silent(attempt.listing.name, now_ms)
         if is_silent and not was_paused:
