Spend a retry on each prefill after the first one

Cause: a stream that is resumed after a prefill is prefilled again at another engine and then run; only the run took a retry, while the platform counts each prefill after the first accepted one as a repeat as well.

Now the second prefill takes a retry of its own. Where there is none left, the engine that resumes the stream prefills the prompt itself.

--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -183,11 +183,13 @@
         try:
             connection, pool = await connections.open(self.listing)
         except NotSentError as error:
-            return self._end_unsent(AttemptOutcome.unsent, str(error))
+            self._end_deferred = None
+            return AttemptEnd(AttemptOutcome.unsent, detail=str(error))
         options = None if self.is_over else self.prepare_send(self._options)
         if options is None:
             pool.release(connection)
-            return self._end_unsent(AttemptOutcome.stopped)
+            self._end_deferred = None
+            return AttemptEnd(AttemptOutcome.stopped)
         self._connection = connection
         self.is_sent = True
         outgoing = h11.Request(
@@ -327,12 +329,6 @@
         body = bytes(self._body)
         self._end(AttemptEnd(outcome, head, body, detail, ending=ending))
 
-    def _end_unsent(
-        self, outcome: AttemptOutcome, detail: str = ''
-    ) -> AttemptEnd:
-        self._end_deferred = None
-        return AttemptEnd(outcome, detail=detail)
-
     def _end(self, end: AttemptEnd) -> None:
         end_deferred = self._end_deferred
         self._end_deferred = None
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -31,7 +31,7 @@
     AttemptOutcome,
     OnPieces,
 )
-from cicadahoist.serving.engine_choice import Choice, EngineChoice
+from cicadahoist.serving.engine_choice import EngineChoice
 from cicadahoist.serving.event_relay import EventRelay
 from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.flow import (
@@ -59,6 +59,7 @@
         '_free_cache',
         '_handle',
         '_handle_version',
+        '_has_prefilled',
         '_relay',
         '_work',
     )
@@ -79,6 +80,8 @@
         self._handle: Handle | None = None
         # Only a decode engine of this version can use the handle.
         self._handle_version = ''
+        # Any further prefill is an arrival that takes a retry.
+        self._has_prefilled = False
         self._relay = EventRelay(self._request.resume_after)
         self._context.demand.record_arrival(
             estimate_engine_ms(work), self._context.clock.now_ms()
@@ -99,19 +102,30 @@
         """Send attempts, the first ones to chosen engines."""
         while placement is not None:
             goes_on = True
-            if placement.prefill_engine is not None and self._handle is None:
-                goes_on = await self._prefill(
-                    placement, placement.prefill_engine
-                )
-            is_ready = placement.prefill_engine is None or self._handle
+            prefill_engine = self._choose_prefill_engine(placement)
+            if prefill_engine is not None:
+                goes_on = await self._prefill(placement, prefill_engine)
+            is_ready = prefill_engine is None or self._handle
             if goes_on and is_ready and self._is_awaited():
                 goes_on = await self._generate(placement)
             placement = self._place() if goes_on else None
         if self._reply.is_over:
             self._free_unused_cache()
 
+    def _choose_prefill_engine(self, placement: Placement) -> str | None:
+        """Return where to prefill apart, none to leave it to the run."""
+        if placement.prefill_engine is None or self._handle is not None:
+            return None
+        if self._has_prefilled and not self._allowance.try_spend_retry():
+            return None
+        return placement.prefill_engine
+
     def _try_take_over(self) -> bool:
-        choice = self._choose()
+        choice = self._choice.choose(
+            frozenset(self._tried_targets),
+            self._deadline.remaining_ms,
+            self._binding.version,
+        )
         can_take_over = (
             choice is not None
             and choice.is_accepted
@@ -124,20 +138,16 @@
         launch(self._serve_at(choice.placement), self._fail_on_defect)
         return True
 
-    def _choose(self) -> Choice | None:
-        """Return engines that were not tried, none if there are none left."""
+    def _place(self) -> Placement | None:
+        """Return where to run, none if the request is over or is refused."""
+        if not self._is_awaited():
+            return None
         version = self._binding.version
         if version is None and self._handle is not None:
             version = self._handle_version
-        return self._choice.choose(
+        choice = self._choice.choose(
             frozenset(self._tried_targets), self._deadline.remaining_ms, version
         )
-
-    def _place(self) -> Placement | None:
-        """Return where to run, none if the request is over or is refused."""
-        if not self._is_awaited():
-            return None
-        choice = self._choose()
         if choice is None and self._handle is not None:
             # Another version may serve the request, but without the KV cache.
             self._free_unused_cache()
@@ -194,6 +204,7 @@
                 self._retry_or_refuse(end, Retry.handoff_failed)
             return True
         self._handle_version = engine.version
+        self._has_prefilled = True
         self._reply.log_fields['read_ms'] = took_ms
         engine.observe_prefill(placement.prefill_ms, took_ms)
         if not self._open_attempts.has_sent_run:
--- a/tests/test_serving/test_model_flow.py
+++ b/tests/test_serving/test_model_flow.py
@@ -18,6 +18,8 @@
 )
 
 HANDLE_BODY = b'{"kv-handle":"h7","tokens":9000,"version":1}'
+# With one instance, of which two more may start: one retry, and not two.
+ONE_RETRY_SLACK = 5.5
 
 
 @pytest.fixture
@@ -263,3 +265,51 @@
     world.sent[0].reject()
     logger.remove(handler)
     assert lines[-1]['parts'] == ['aa', 'bb']
+
+
+def make_split_world(slack):
+    """Return a world with two engines of each role and some retries."""
+    world = World()
+    world.add(
+        target('p1', 'llm', 'prefill'),
+        target('p2', 'llm', 'prefill'),
+        target('d1', 'llm', 'decode'),
+        target('d2', 'llm', 'decode'),
+    )
+    world.context.retries.update_terms(RetryTerms(0, slack, 10_000))
+    return world
+
+
+def break_split_stream(world):
+    """Begin a stream after a prefill, and let its engine break it off."""
+    caller = world.send_request(b'/ask/x', *prompt_headers(), patience=15_000)
+    world.sent[0].answer(body=HANDLE_BODY)
+    send_stream(world.sent[1], 1)
+    world.sent[1].reset()
+    return caller
+
+
+def test_a_resumed_stream_with_one_retry_left_is_not_prefilled_apart():
+    """The second prefill and the run after it both count as repeats."""
+    world = make_split_world(slack=ONE_RETRY_SLACK)
+    caller = break_split_stream(world)
+    resumed = world.sent[2]
+    assert resumed.target in {'d1', 'd2'}
+    assert resumed.header(b'Last-Event-Id') == b'1'
+    send_stream(resumed, 2)
+    resumed.end_stream()
+    assert caller.body.endswith(b'0\r\n\r\n')
+    assert len(world.sent) == 3
+
+
+def test_a_resumed_stream_with_two_retries_left_is_prefilled_apart():
+    world = make_split_world(slack=2 * ONE_RETRY_SLACK)
+    caller = break_split_stream(world)
+    world.sent[2].answer(body=HANDLE_BODY)
+    assert world.sent[3].header(b'Last-Event-Id') == b'1'
+    send_stream(world.sent[3], 2)
+    world.sent[3].end_stream()
+    assert caller.body.endswith(b'0\r\n\r\n')
+    assert not world.context.retries.try_spend_retry(
+        'llm', world.clock.now_ms()
+    )
