Give the last bytes of an answer ten seconds to leave, as a full link needs

A whole answer after which the connection is to be closed was cut off where its bytes had not left after 1 s: the timer of the close aborted the connection, also while bytes made their way through a full or cut link.

The abort comes after 10 s now, and its timer ends with the connection.

--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -23,8 +23,8 @@
 # Period of the check of header and idle timeouts, which are given in seconds.
 SWEEP_PERIOD_MS = 250
 # Time for the last bytes of an answer to be sent before the connection is
-# aborted.
-LINGER_MS = 1000
+# aborted: longer than packets wait at a link that is full, or cut for seconds.
+LINGER_MS = 10_000
 
 
 _CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
@@ -179,6 +179,7 @@
         self._exchange: Exchange | None = None
         self._active_request: ActiveRequest | None = None
         self._is_closed = False
+        self._linger: Timer | None = None
         self._closes_after = False
         self._read_ahead_bytes = 0
         self._wait_started_ms = clock.now_ms()
@@ -214,6 +215,8 @@
     def connectionLost(self, reason: Any = None) -> None:
         """Notify the active request that its caller has disconnected."""
         self._is_closed = True
+        if self._linger is not None and self._linger.active():
+            self._linger.cancel()
         if self._exchange is not None:
             self._exchange.is_over = True
         active_request = self._active_request
@@ -264,10 +267,13 @@
 
     def close(self) -> None:
         """Close after all bytes are sent, or when LINGER_MS have passed."""
-        if not self._is_closed:
-            self._is_closed = True
-            self.transport.loseConnection()
-            self._clock.call_later(LINGER_MS, self.transport.abortConnection)
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._linger = self._clock.call_later(
+            LINGER_MS, self.transport.abortConnection
+        )
+        self.transport.loseConnection()
 
     def sweep(self, now_ms: int) -> None:
         """Close the connection if it is idle or sends a request too slowly."""
