--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -127,6 +127,7 @@
         '_options',
         '_request',
         '_stream',
+        'is_paused',
         'is_sent',
         'listing',
         'max_body_bytes',
@@ -154,6 +155,8 @@
         self._end_deferred: Deferred[AttemptEnd] | None = Deferred()
         self._head: AnswerHead | None = None
         self.is_sent = False
+        # Whether the answer is not read, as its caller reads slowly.
+        self.is_paused = False
         # Longest body that is collected.
         self.max_body_bytes = CallerLimits().body_bytes
         # Called when the head or a piece of the answer arrives.
@@ -180,11 +183,13 @@
         try:
             connection, pool = await connections.open(self.listing)
         except NotSentError as error:
-            return self._end_unsent(AttemptOutcome.unsent, str(error))
+            self._end_deferred = None
+            return AttemptEnd(AttemptOutcome.unsent, detail=str(error))
         options = None if self.is_over else self.prepare_send(self._options)
         if options is None:
             pool.release(connection)
-            return self._end_unsent(AttemptOutcome.stopped)
+            self._end_deferred = None
+            return AttemptEnd(AttemptOutcome.stopped)
         self._connection = connection
         self.is_sent = True
         outgoing = h11.Request(
@@ -215,11 +220,13 @@
 
     def pause(self) -> None:
         """Stop reading the answer until `resume` is called."""
+        self.is_paused = True
         if self._connection is not None:
             self._connection.pause()
 
     def resume(self) -> None:
         """Continue to read the answer."""
+        self.is_paused = False
         if self._connection is not None:
             self._connection.resume()
 
@@ -322,12 +329,6 @@
         body = bytes(self._body)
         self._end(AttemptEnd(outcome, head, body, detail, ending=ending))
 
-    def _end_unsent(
-        self, outcome: AttemptOutcome, detail: str = ''
-    ) -> AttemptEnd:
-        self._end_deferred = None
-        return AttemptEnd(outcome, detail=detail)
-
     def _end(self, end: AttemptEnd) -> None:
         end_deferred = self._end_deferred
         self._end_deferred = None
