End attempts that were not sent, so that they are watched no longer

Cause: an attempt whose target refused the connection, or whose request ended before it was sent, returned its end but never counted as over. Its silence check was scheduled again for ever; when the same target later fell silent for another request, the check spent a retry of the shared budget for a request that was over.

Now such an attempt is over.

--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -180,10 +180,12 @@
         try:
             connection, pool = await connections.open(self.listing)
         except NotSentError as error:
+            self._end_deferred = None
             return AttemptEnd(AttemptOutcome.unsent, detail=str(error))
         options = None if self.is_over else self.prepare_send(self._options)
         if options is None:
             pool.release(connection)
+            self._end_deferred = None
             return AttemptEnd(AttemptOutcome.stopped)
         self._connection = connection
         self.is_sent = True
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -187,10 +187,12 @@
         self._pools = {}
         self.sent = []
         self.refusing_targets = set()
+        self.refused_names = []
         self.pending_opens_by_target = {}
 
     def open(self, listing):
         if listing.name in self.refusing_targets:
+            self.refused_names.append(listing.name)
             return fail(NotSentError('refused', remedy='try another'))
         pool = self._pools.setdefault(listing.name, TargetPool(listing))
         connection = pool.acquire(self._clock.now_ms())
