Blame no request for the silence of a target that was left

Cause: an attempt that this instance ended because its target was silent counts as lost, and a target that goes on to be silent for a second was taken as crashed. Sound targets may be silent for a second or so: three such silences under equal requests barred the request as quarantined.

Now only attempts that the target broke off can lead to a blame. The new test failed before (the fourth request was refused with 503) and passes.

--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -96,6 +96,9 @@
     silent_ms: int = 0
 
 
+# Detail of an attempt that this instance ended because its target was silent.
+SILENT = 'silent'
+
 _NOT_RUN = frozenset((AnswerMeaning.not_run, AnswerMeaning.misplaced))
 
 OnPieces = Callable[[AnswerHead, list[bytes]], None]
--- a/cicadahoist/serving/attempt_watch.py
+++ b/cicadahoist/serving/attempt_watch.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cicadahoist.serving.attempt import Attempt, AttemptEnd
+from cicadahoist.serving.attempt import SILENT, Attempt, AttemptEnd
 from cicadahoist.serving.context import ServingContext
 
 # A timer that fires this late shows that this process was paused: answers may
@@ -88,7 +88,7 @@
         was_paused = now_ms - due_ms > PROCESS_PAUSE_MS
         is_silent = self._answer_watch.is_silent(attempt.listing.name, now_ms)
         if is_silent and not was_paused and may_abandon():
-            attempt.abandon('silent')
+            attempt.abandon(SILENT)
         else:
             self._schedule_check(attempt, wait_ms, may_abandon)
 
--- a/cicadahoist/serving/crash_watch.py
+++ b/cicadahoist/serving/crash_watch.py
@@ -4,6 +4,7 @@
 from cicadahoist.log import get_logger
 from cicadahoist.policy.crash_blame import Blame
 from cicadahoist.requests import InboundRequest
+from cicadahoist.serving.attempt import SILENT, AttemptEnd
 from cicadahoist.serving.context import ServingContext
 
 logger = get_logger(__name__)
@@ -38,8 +39,10 @@
         now_ms = self._context.true_time.now_ms()
         return blames.is_quarantined(self._compute_digest(), now_ms)
 
-    def record_loss(self, target: str) -> None:
+    def record_loss(self, target: str, end: AttemptEnd) -> None:
         """Schedule the check of a target that broke off the request."""
+        if end.detail == SILENT:
+            return
         self._context.clock.call_later(
             CRASH_CHECK_MS, self._check, target, self._context.clock.now_ms()
         )
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -212,7 +212,7 @@
         if end.is_silent:
             self._suspend_target(name)
         if attempt.is_sent and end.outcome is AttemptOutcome.lost:
-            self._crash_watch.record_loss(name)
+            self._crash_watch.record_loss(name, end)
         self._allowance.record_end(attempt, end)
         if end.outcome is not AttemptOutcome.answered:
             self._reply.log_attempt(name, end)
--- a/tests/test_serving/test_silent_targets.py
+++ b/tests/test_serving/test_silent_targets.py
@@ -152,6 +152,21 @@
     assert world.send_request(b'/submit/x', body=b'same').status is None
 
 
+def test_a_request_that_left_silent_targets_is_not_blamed_for_crashes():
+    world = World()
+    world.add(*(target(f't{number}') for number in range(8)))
+    for _ in range(3):
+        world.send_request(b'/lookup/x', body=b'same')
+        advance_in_steps(world, PLAIN_SILENCE_MS + STEP_MS)
+        world.sent[-1].answer()
+        # A sound target may be silent for a second or so.
+        advance_in_steps(world, CRASH_CHECK_MS + STEP_MS)
+    assert len(world.sent) == 6
+    caller = world.send_request(b'/lookup/x', body=b'same')
+    assert caller.status is None
+    assert len(world.sent) == 7
+
+
 def test_an_engine_that_started_again_under_its_id_is_taken_as_new():
     world = World()
     world.add(target('d1', 'llm', 'decode', started_ms=1000))
