Hold prompt parts that crash engines, and tell peers

Cause: only digests of path, key and body were counted, and only a second of silence was taken for a crash. Requests that share a part of a prompt are all different, so that none came to three crashes, and a resumable one was sent on to the next engine at once.

Now an instance that loses runs connects to their engine: a refusal is a crash, an accepted connection is only an answer that broke off, and no answer tells nothing. A crash accuses the parts of the runs that had begun less than 500 ms before; longer runs and whole answers clear theirs. Requests with a held part are refused with part_held before each send.

Why it works: all that the requests have in common is what is counted, over all instances, and what sound runs also have is cleared.

--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -161,6 +161,22 @@
         operator_remedy='see the last attempts of these requests in the log',
     )
 )
+TARGET_CRASHES = METRICS.declare(
+    MetricSpec(
+        'serving_target_crashes',
+        'Engines that broke off requests and refused connections afterwards.',
+        operator_remedy='see the logs of these engines, and the prompt parts '
+        'that the instances have logged',
+    )
+)
+PART_HOLDS = METRICS.declare(
+    MetricSpec(
+        'serving_part_holds',
+        'Prompt parts that this instance has found to crash engines.',
+        operator_remedy='find the part in the log, and ask its workspace for '
+        'the prompt',
+    )
+)
 
 
 class Metrics:
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -126,6 +126,13 @@
         'this body crashed targets; change it or ask your operator',
         'ask the workspace for the body; the quarantine ends by itself',
     )
+    part_held = RefusalSpec(
+        503,
+        Outcome.not_run,
+        'change the prompt, or ask your operator; see Retry-After',
+        'find the held part in the log of the request, and the crashes in that '
+        'of the instances; let the part go once its engines are mended',
+    )
     no_target = RefusalSpec(
         503,
         Outcome.not_run,
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -16,8 +16,10 @@
 from cicadahoist.serving.gossip import Gossip
 from cicadahoist.serving.meters import Meters
 from cicadahoist.serving.outbound import TargetConnections
+from cicadahoist.serving.part_watch import PartWatch
 from cicadahoist.serving.plain_targets import PlainTargets
 from cicadahoist.serving.stream_exchange import StreamExchange
+from cicadahoist.serving.target_crashes import TargetCrashes
 from cicadahoist.serving.usage_counts import UsageCounts
 
 # A target that is not at its listed address is used again after this time: its
@@ -35,6 +37,8 @@
     :param zone: availability zone of this instance
     :param connections: connections to the targets
     :param clock: clock of the process
+    :param part_watch: finds the prompt parts that crash engines
+    :param target_crashes: finds the targets that crash
     """
 
     __slots__ = (
@@ -44,13 +48,22 @@
         'connections',
         'directory',
         'is_settled',
+        'part_watch',
         'plain_targets',
+        'target_crashes',
     )
 
     def __init__(
-        self, zone: str, connections: TargetConnections, clock: Clock
+        self,
+        zone: str,
+        connections: TargetConnections,
+        clock: Clock,
+        part_watch: PartWatch,
+        target_crashes: TargetCrashes,
     ) -> None:
         self._clock = clock
+        self.part_watch = part_watch
+        self.target_crashes = target_crashes
         self.directory = TargetDirectory()
         self.connections = connections
         self.answer_watch = AnswerWatch()
@@ -114,15 +127,22 @@
     ) -> None:
         self.dialect = dialect
         self.clock = clock
-        self.fleet = Fleet(zone, TargetConnections(reactor, clock), clock)
+        self.true_time = TrueTime(clock.now_ms, wall_ms)
+        self.gossip = Gossip()
+        part_watch = PartWatch(self.gossip, clock, self._read_true_ms, metrics)
+        self.fleet = Fleet(
+            zone,
+            TargetConnections(reactor, clock),
+            clock,
+            part_watch,
+            TargetCrashes(clock, self._read_true_ms, part_watch, metrics),
+        )
         self.deployment: Deployment | None = None
         self._deployed_ms: int | None = None
         self.demand = DemandRate()
         self.meters = Meters(metrics)
         self.retries = RetryShares(retry_terms)
-        self.true_time = TrueTime(clock.now_ms, wall_ms)
         self.usage = UsageCounts()
-        self.gossip = Gossip()
         self.link = LinkQueue()
         self.streams = StreamExchange(clock)
         self.fleet.directory.on_change(self._observe_versions)
@@ -152,6 +172,9 @@
         self.deployment = deployment
         self.fleet.boards.apply_deployment(deployment)
 
+    def _read_true_ms(self) -> int:
+        return self.true_time.now_ms()
+
     def _observe_versions(self) -> None:
         self.streams.observe(
             [
--- a/cicadahoist/serving/engine_choice.py
+++ b/cicadahoist/serving/engine_choice.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from cicadahoist.listings import Listing
+from cicadahoist.policy.engine_board import EngineState
 from cicadahoist.policy.patience import compute_patience_ms, is_worth_accepting
 from cicadahoist.policy.placement import Placement
 from cicadahoist.requests import InboundRequest, ModelWork
@@ -71,6 +73,15 @@
         # Engines outside of the sample may have capacity.
         return self._choose_among(None, tried, remaining_ms, version)
 
+    def find_engine(self, name: str) -> tuple[EngineState, Listing] | None:
+        """Return an engine and its listing, none if it was just removed."""
+        fleet = self._context.fleet
+        engine = fleet.boards.get_board(self._service).get(name)
+        listing = fleet.directory.get(name)
+        if engine is None or listing is None:
+            return None
+        return engine, listing
+
     def _choose_among(
         self,
         sample_key: str | None,
--- a/cicadahoist/serving/gossip.py
+++ b/cicadahoist/serving/gossip.py
@@ -4,6 +4,10 @@
 from typing import Any
 
 from cicadahoist.policy.crash_blame import Blame, CrashBlame
+from cicadahoist.policy.crash_evidence import CrashEvidence
+from cicadahoist.policy.crash_log import CrashReport
+from cicadahoist.policy.held_parts import HeldParts, PartHold
+from cicadahoist.policy.sound_parts import SoundPart
 from cicadahoist.requests import PromptPart
 from cicadahoist.serving.usage_copies import UsageCopies
 
@@ -18,17 +22,30 @@
 
     __slots__ = (
         'blames',
+        'crash_evidence',
+        'held_parts',
         'holds_duties',
         'on_blame',
+        'on_crash',
+        'on_hold',
         'on_prefill_started',
+        'on_sound_part',
         'usage_copies',
     )
 
     def __init__(self) -> None:
         self.blames = CrashBlame()
+        self.crash_evidence = CrashEvidence()
+        self.held_parts = HeldParts()
         self.usage_copies = UsageCopies()
         # Called with each blame that this instance has found.
         self.on_blame: Callable[[Blame], None] = _ignore
+        # Called with each hold that this instance has decided.
+        self.on_hold: Callable[[PartHold], None] = _ignore
+        # Called with each crash of an engine that this instance has seen.
+        self.on_crash: Callable[[CrashReport], None] = _ignore
+        # Called with each part that runs here have cleared of a suspicion.
+        self.on_sound_part: Callable[[SoundPart], None] = _ignore
         # Called with the engine and the prompt of each prefill that starts.
         self.on_prefill_started: Callable[
             [str, tuple[PromptPart, ...]], None
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -19,6 +19,7 @@
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.crash_watch import CRASH_CHECK_MS
 from cicadahoist.serving.load_group import LoadGroup, PrefillStart
+from cicadahoist.serving.part_news import PartNews, PartNewsQueue
 from cicadahoist.serving.peers import Peers
 from cicadahoist.serving.stream_exchange import STREAM_MARK, Address
 from cicadahoist.serving.usage_copies import UsageCopy
@@ -69,6 +70,7 @@
     :param prefills: prompts whose prefill has started since the last report
     :param holds_duties: whether the sender holds the lease of the duties
     :param usage: usage counts of the sender, for peers that keep copies of them
+    :param part_news: news on prompt parts that crash engines
     """
 
     sender: str
@@ -79,6 +81,7 @@
     prefills: tuple[PrefillStart, ...] = ()
     holds_duties: bool = False
     usage: UsageCopy | None = None
+    part_news: PartNews | None = None
 
 
 class PeerRecord(msgspec.Struct):
@@ -131,6 +134,7 @@
         self._timer: Timer | None = None
         self._check_due_ms = 0
         self._recent_blames: deque[Blame] = deque(maxlen=MAX_BLAMES)
+        self._part_news = PartNewsQueue(context.gossip)
         self._incarnation = incarnation
         self._copies_sent_ms = 0
         # Called when a list of all instances lacks this one.
@@ -195,6 +199,8 @@
             gossip.usage_copies.keep(load.usage, now_ms)
         for blame in load.blames:
             gossip.blames.add(blame)
+        if load.part_news is not None:
+            self._context.fleet.part_watch.apply_news(load.part_news)
         for board in self._context.fleet.boards.list_boards():
             _apply_load(board, load, now_ms)
 
@@ -264,6 +270,7 @@
             board.peer_loads.drop_expired(now_ms)
             by_engine.update(board.snapshot_own_load())
             closed_by_engine.update(board.list_closures(now_ms))
+        self._context.fleet.part_watch.drop_expired()
         return LoadMessage(
             sender=self._instance,
             true_ms=0,
@@ -271,6 +278,7 @@
             closed_by_engine=closed_by_engine,
             blames=self._collect_blames(),
             holds_duties=self._context.gossip.holds_duties(),
+            part_news=self._part_news.collect(self._context.true_time.now_ms()),
         )
 
     def _collect_blames(self) -> tuple[Blame, ...]:
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -6,7 +6,6 @@
 from twisted.internet.defer import Deferred
 
 from cicadahoist.errors import TargetError, WireError
-from cicadahoist.listings import Listing
 from cicadahoist.log import get_logger
 from cicadahoist.policy.engine_board import EngineState
 from cicadahoist.policy.patience import compute_silence_bound_ms
@@ -41,10 +40,13 @@
     STREAM_RETRY_AFTER_MS,
     Flow,
 )
+from cicadahoist.serving.prompt_watch import PromptWatch
 
 logger = get_logger(__name__)
 
 NO_ENGINE_RETRY_AFTER_MS = 500
+# A held part stays held for minutes.
+PART_HELD_RETRY_AFTER_MS = 10_000
 BUSY_RETRY_AFTER_MS = 100
 
 FreeHandle = Callable[[Handle], Any]
@@ -58,6 +60,7 @@
         '_free_cache',
         '_handle',
         '_handle_version',
+        '_prompt_watch',
         '_relay',
         '_work',
     )
@@ -71,6 +74,7 @@
         :return: this flow
         """
         self._work = work
+        self._prompt_watch = PromptWatch(self._context, self._workspace, work)
         self._choice = EngineChoice(
             self._context, self._request, self._route, self._service, work
         )
@@ -102,6 +106,17 @@
             placement = self._place()
         self._free_unused_cache()
 
+    def _is_awaited(self) -> bool:
+        if not super()._is_awaited():
+            return False
+        held_part = self._prompt_watch.held_part
+        if held_part is None:
+            return True
+        self._reply.log_fields['held_part'] = held_part
+        self._refuse(Refusal.part_held, PART_HELD_RETRY_AFTER_MS)
+        self._stop_attempt()
+        return False
+
     def _place(self) -> Placement | None:
         """Return where to run, none if the request is over or is refused."""
         if not self._is_awaited():
@@ -134,7 +149,7 @@
 
     async def _prefill(self, placement: Placement, engine_name: str) -> None:
         """Prefill the prompt at an engine, which keeps the KV cache."""
-        engine_and_listing = self._find_engine(engine_name)
+        engine_and_listing = self._choice.find_engine(engine_name)
         if engine_and_listing is None:
             return
         engine, listing = engine_and_listing
@@ -198,7 +213,7 @@
 
     async def _generate(self, placement: Placement) -> None:
         """Run the request at an engine, from the KV cache if there is one."""
-        engine_and_listing = self._find_engine(placement.decode_engine)
+        engine_and_listing = self._choice.find_engine(placement.decode_engine)
         if engine_and_listing is None:
             return
         engine, listing = engine_and_listing
@@ -209,12 +224,15 @@
             0 if handle else placement.prefill_tokens,
             estimate_kv_tokens(self._work),
         )
+        run_watch = self._prompt_watch.start_run(listing)
         attempt = Attempt(
             self._context.dialect,
             self._request,
             listing,
             self._make_options(listing.name, handle=handle),
-            self._make_piece_handler(run_load, placement, engine.version),
+            run_watch.watch(
+                self._make_piece_handler(run_load, placement, engine.version)
+            ),
             EventStream.from_route(self._route),
         )
         try:
@@ -225,6 +243,7 @@
             run_load.end()
         if not attempt.is_sent:
             self._handle = handle
+        self._prompt_watch.record_end(run_watch, end)
         self._process_end(engine, end)
 
     def _make_piece_handler(
@@ -303,7 +322,10 @@
 
     def _resume_or_fail(self) -> None:
         """Resume at another engine after the last event, where allowed."""
-        is_resumable = self._route.repeat is RepeatRule.resumable
+        is_resumable = (
+            self._route.repeat is RepeatRule.resumable
+            and self._prompt_watch.may_send_on
+        )
         if is_resumable and self._allowance.try_spend_retry():
             self._context.meters.count_retry(Retry.stream_broken)
         else:
@@ -326,14 +348,6 @@
             urgency=compute_engine_urgency(self._work, self._urgency),
         )
 
-    def _find_engine(self, name: str) -> tuple[EngineState, Listing] | None:
-        """Return an engine and its listing, none if it was just removed."""
-        engine = self._context.fleet.boards.get_board(self._service).get(name)
-        listing = self._context.fleet.directory.get(name)
-        if engine is None or listing is None:
-            return None
-        return engine, listing
-
     def _free_unused_cache(self) -> None:
         handle = self._handle
         self._handle = None
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -6,7 +6,7 @@
 
 import h11
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
 from twisted.internet.protocol import Factory
 from twisted.internet.protocol import Protocol as TwistedProtocol
 
@@ -62,6 +62,18 @@
     too_long = 'too-long'
 
 
+class Reachability(Enum):
+    """
+    What a target does with a new connection.
+
+    ``no_answer``: it is frozen or cannot be reached.
+    """
+
+    accepted = 'accepted'
+    refused = 'refused'
+    no_answer = 'no-answer'
+
+
 class Receiver(Protocol):
     """Receives the answer to one attempt."""
 
@@ -369,6 +381,17 @@
             connection = await self._connect(listing)
         return connection, pool
 
+    async def check(self, listing: Listing) -> Reachability:
+        """Open and close a new connection to a target."""
+        try:
+            connection = await self._connect(listing)
+        except NotSentError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return Reachability.refused
+            return Reachability.no_answer
+        connection.close()
+        return Reachability.accepted
+
     def retain(self, names: set[str]) -> None:
         """Close the idle connections to all targets that are not named."""
         for name in list(self._pools_by_name):
--- a/tests/test_serving/crashing_engines.py
+++ b/tests/test_serving/crashing_engines.py
@@ -118,12 +118,12 @@
         self.name = name
         self.role = role
         self.runs = []
-        self.transports = set()
+        self.transports = {}
 
     def crash(self):
         """Close all connections."""
         self.runs = []
-        for transport in list(self.transports):
+        for transport in self.transports:
             if transport.protocol is not None:
                 transport.protocol.transport.loseConnection()
 
@@ -283,7 +283,7 @@
         if engine is None or request is None:
             return
         request.sent_ms.append(self.clock.now_ms())
-        engine.transports.add(sent.transport)
+        engine.transports[sent.transport] = sent
         event_count = self.random.choice(EVENT_COUNTS)
         engine.runs.append(Run(sent, request, event_count, self.clock.now_ms()))
 
--- a/tests/test_serving/test_crashing_parts.py
+++ b/tests/test_serving/test_crashing_parts.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from cicadahoist.metrics import MetricSpec
-from tests.test_serving.crashing_engines import CrashPlay
+from cicadahoist.metrics import PART_HOLDS, MetricSpec
+from cicadahoist.reasons import Refusal
+from tests.test_serving.crashing_engines import CRASHING_PART, CrashPlay
 
 CONTACT_MS = 3000
 # Bounds of the users' rules.
@@ -28,6 +29,16 @@
     return play
 
 
+def list_held_parts(play):
+    return {
+        held.part
+        for world in play.worlds
+        for held in world.context.gossip.held_parts.list_holds(
+            world.context.true_time.now_ms()
+        )
+    }
+
+
 def assert_contained(play):
     assert len(play.list_late_sends(CONTACT_MS)) <= MAX_LATE_SENDS
     since_ms = play.crashes_ms[:5][-1] + 2 * CONTACT_MS
@@ -36,6 +47,7 @@
     # Requests of the last moments have had no time to begin.
     begun_share = play.compute_begun_share(since_ms, END_MS - 200)
     assert begun_share >= MIN_BEGUN_OF_NORMAL * normal_share
+    assert list_held_parts(play) == {CRASHING_PART}
 
 
 @pytest.mark.parametrize('place', PLACES)
@@ -55,5 +67,5 @@
     play = CrashPlay(seed)
     play.run(12_000, own_crashes_per_s=0.8)
     assert len(play.crashes_ms) >= 5
-    refused = MetricSpec('refusal_part_held', '', operator_remedy='')
-    assert play.count(refused) == 0
+    assert play.count(PART_HOLDS) == 0
+    assert play.count(MetricSpec.of_refusal(Refusal.part_held)) == 0
--- a/tests/test_serving/test_outbound.py
+++ b/tests/test_serving/test_outbound.py
@@ -1,12 +1,25 @@
 """
 Tests of pooled connections to targets.
 
-They guard against reuse of a connection to a target that has moved, and
-against connections that stay open after their target was removed.
+They guard against reuse of a connection to a target that has moved, against
+connections that stay open after their target was removed, and against targets
+that are taken for crashed.
 """
 
+import pytest
+from twisted.internet.error import (
+    ConnectionRefusedError,
+    NoRouteError,
+    TimeoutError,
+)
+from twisted.python.failure import Failure
+
 from cicadahoist.clock import Clock
-from cicadahoist.serving.outbound import TargetConnection, TargetConnections
+from cicadahoist.serving.outbound import (
+    Reachability,
+    TargetConnection,
+    TargetConnections,
+)
 from tests.coroutines import Pending
 from tests.test_serving.world import connect, target
 
@@ -23,6 +36,17 @@
         return self
 
 
+class FailingReactor:
+    """Opens no connection."""
+
+    def __init__(self, error):
+        self.error = error
+
+    def connectTCP(self, host, port, factory, timeout, bindAddress):
+        factory.clientConnectionFailed(self, Failure(self.error))
+        return self
+
+
 def open_connection(connections, listing):
     connection, pool = Pending(connections.open(listing)).result()
     assert isinstance(connection, TargetConnection)
@@ -51,3 +75,25 @@
     pool.release(first)
     connections.retain({'t2'})
     assert not first.is_open
+
+
+@pytest.mark.parametrize(
+    ('error', 'expected'),
+    [
+        (ConnectionRefusedError(), Reachability.refused),
+        (TimeoutError(), Reachability.no_answer),
+        (NoRouteError(), Reachability.no_answer),
+    ],
+)
+def test_only_a_refused_connection_shows_a_crash(error, expected):
+    """Guard against targets behind a cut that are taken for crashed."""
+    connections = TargetConnections(FailingReactor(error), Clock.manual())
+    assert Pending(connections.check(target('t1'))).result() is expected
+
+
+def test_a_check_closes_its_connection():
+    reactor = Reactor()
+    connections = TargetConnections(reactor, Clock.manual())
+    checked = Pending(connections.check(target('t1'))).result()
+    assert checked is Reachability.accepted
+    assert reactor.transports[0].is_aborted
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -34,7 +34,11 @@
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.front import Front
 from cicadahoist.serving.inbound import CallerConnection, CallerConnections
-from cicadahoist.serving.outbound import TargetConnection, TargetPool
+from cicadahoist.serving.outbound import (
+    Reachability,
+    TargetConnection,
+    TargetPool,
+)
 
 HOST = 'h.example'
 ATTEMPT_NUMBERS = count(1)
@@ -188,6 +192,7 @@
         self.sent = []
         self.refusing_targets = set()
         self.refused_names = []
+        self.frozen_targets = set()
         self.pending_opens_by_target = {}
 
     def open(self, listing):
@@ -208,6 +213,13 @@
             return waiting
         return succeed((connection, pool))
 
+    async def check(self, listing):
+        if listing.name in self.refusing_targets:
+            return Reachability.refused
+        if listing.name in self.frozen_targets:
+            return Reachability.no_answer
+        return Reachability.accepted
+
     def retain(self, names):
         """Do nothing: the pools of all targets are kept."""
 
