--- a/cicadahoist/serving/engine_choice.py
+++ b/cicadahoist/serving/engine_choice.py
@@ -75,8 +75,9 @@
 
     def find_engine(self, name: str) -> tuple[EngineState, Listing] | None:
         """Return an engine and its listing, none if it was just removed."""
-        engine = self._context.fleet.boards.get_board(self._service).get(name)
-        listing = self._context.fleet.directory.get(name)
+        fleet = self._context.fleet
+        engine = fleet.boards.get_board(self._service).get(name)
+        listing = fleet.directory.get(name)
         if engine is None or listing is None:
             return None
         return engine, listing
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -42,10 +42,13 @@
     is_final,
     launch,
 )
+from cicadahoist.serving.prompt_watch import PromptWatch
 
 logger = get_logger(__name__)
 
 NO_ENGINE_RETRY_AFTER_MS = 500
+# A held part stays held for minutes.
+PART_HELD_RETRY_AFTER_MS = 10_000
 BUSY_RETRY_AFTER_MS = 100
 
 FreeHandle = Callable[[Handle], Any]
@@ -60,6 +63,7 @@
         '_handle',
         '_handle_version',
         '_has_prefilled',
+        '_prompt_watch',
         '_relay',
         '_work',
     )
@@ -73,6 +77,7 @@
         :return: this flow
         """
         self._work = work
+        self._prompt_watch = PromptWatch(self._context, self._workspace, work)
         self._choice = EngineChoice(
             self._context, self._request, self._route, self._service, work
         )
@@ -102,7 +107,12 @@
         """Send attempts, the first ones to chosen engines."""
         while placement is not None:
             goes_on = True
-            prefill_engine = self._choose_prefill_engine(placement)
+            prefill_engine = placement.prefill_engine
+            if self._handle is not None:
+                prefill_engine = None
+            elif prefill_engine is not None and self._has_prefilled:
+                if not self._allowance.try_spend_retry():
+                    prefill_engine = None
             if prefill_engine is not None:
                 goes_on = await self._prefill(placement, prefill_engine)
             is_ready = prefill_engine is None or self._handle
@@ -112,14 +122,6 @@
         if self._reply.is_over:
             self._free_unused_cache()
 
-    def _choose_prefill_engine(self, placement: Placement) -> str | None:
-        """Return where to prefill apart, none to leave it to the run."""
-        if placement.prefill_engine is None or self._handle is not None:
-            return None
-        if self._has_prefilled and not self._allowance.try_spend_retry():
-            return None
-        return placement.prefill_engine
-
     def _try_take_over(self) -> bool:
         choice = self._choice.choose(
             frozenset(self._tried_targets),
@@ -138,6 +140,17 @@
         launch(self._serve_at(choice.placement), self._fail_on_defect)
         return True
 
+    def _is_awaited(self) -> bool:
+        if not super()._is_awaited():
+            return False
+        held_part = self._prompt_watch.held_part
+        if held_part is None:
+            return True
+        self._reply.log_fields['held_part'] = held_part
+        self._refuse(Refusal.part_held, PART_HELD_RETRY_AFTER_MS)
+        self._open_attempts.stop_all()
+        return False
+
     def _place(self) -> Placement | None:
         """Return where to run, none if the request is over or is refused."""
         if not self._is_awaited():
@@ -265,12 +278,15 @@
             0 if handle else placement.prefill_tokens,
             estimate_kv_tokens(self._work),
         )
+        run_watch = self._prompt_watch.start_run(listing)
         attempt = Attempt(
             self._context.dialect,
             self._request,
             listing,
             self._make_options(listing.name, handle=handle),
-            self._make_piece_handler(run_load, placement, engine),
+            run_watch.watch(
+                self._make_piece_handler(run_load, placement, engine)
+            ),
             EventStream.from_route(self._route),
         )
         try:
@@ -281,6 +297,7 @@
             run_load.end()
         if not attempt.is_sent:
             self._handle = handle
+        self._prompt_watch.record_end(run_watch, end)
         return self._process_end(engine, end)
 
     def _make_piece_handler(
@@ -341,7 +358,10 @@
                 self._finish_answer(end)
             case AttemptOutcome.lost:
                 # Another engine may resume after the last event.
-                is_resumable = self._route.repeat is RepeatRule.resumable
+                is_resumable = (
+                    self._route.repeat is RepeatRule.resumable
+                    and self._prompt_watch.may_send_on
+                )
                 if is_resumable and self._allowance.try_spend_retry():
                     self._context.meters.count_retry(Retry.stream_broken)
                 else:
--- a/cicadahoist/serving/open_attempts.py
+++ b/cicadahoist/serving/open_attempts.py
@@ -1,8 +1,6 @@
 """The open attempts of one request."""
 
-from cicadahoist.serving.attempt import Attempt
-
-SILENT = 'silent'
+from cicadahoist.serving.attempt import SILENT, Attempt
 
 
 class OpenAttempts:
