Let a start wait for the first list of a kind

Tasks that start later, such as those that accept callers, may need what a poller lists. KindPoller takes the longest time for which its start waits for the first list; without it, as in all present uses, it does not wait.

A signal may now come while a start waits. Application then stopped tasks that had never begun to start, which ReadyServer answers with an AttributeError; it stops only those that have begun, and starts no others.

The loop over the pages of a kind stood in two modules, and is one function now.

--- a/cicadahoist/application.py
+++ b/cicadahoist/application.py
@@ -35,8 +35,8 @@
     """
     Runs tasks until SIGTERM or SIGINT, then stops them.
 
-    Tasks start in the order in which they were added and stop in reverse
-    order.
+    Tasks start in the order in which they were added, one after the other.
+    Those that have begun to start stop in reverse order.
 
     :param config: validated settings
     :param reactor: the twisted reactor
@@ -48,6 +48,7 @@
         '_long_turns',
         '_on_reload',
         '_reactor',
+        '_running_tasks',
         '_tasks',
         'clock',
         'config',
@@ -64,6 +65,7 @@
         self._long_turns = self.metrics.histogram(LONG_TURN)
         self._reactor = reactor
         self._tasks: list[Task] = []
+        self._running_tasks: list[Task] = []
         self._is_stopping = False
         self._on_reload: list[Callable[[], None]] = []
         self._has_failed = False
@@ -111,6 +113,9 @@
         signal.signal(signal.SIGHUP, self._on_hangup)
         logger.info('starting')
         for task in self._tasks:
+            if self._is_stopping:
+                return
+            self._running_tasks.append(task)
             await task.start()
 
     def _on_signal(self, signum: int, frame: Any) -> None:
@@ -131,7 +136,7 @@
             self._spawn(self._stop_tasks())
 
     async def _stop_tasks(self) -> None:
-        for task in reversed(self._tasks):
+        for task in reversed(self._running_tasks):
             await task.stop()
         logger.info('stopped')
         self._reactor.stop()
--- a/cicadahoist/objects.py
+++ b/cicadahoist/objects.py
@@ -100,3 +100,21 @@
 
         :param expected: revision that is deleted, 0 for any
         """
+
+
+async def list_all(
+    objects: ObjectStoreClient, kind: str, *, may_lag: bool = False
+) -> list[StoredObject]:
+    """
+    Return all objects of a kind, ordered by name.
+
+    :param may_lag: as in :meth:`ObjectStoreClient.read_page`
+    """
+    page = await objects.read_page(kind, may_lag=may_lag)
+    found = list(page.objects)
+    while page.has_more:
+        page = await objects.read_page(
+            kind, after=page.objects[-1].name, may_lag=may_lag
+        )
+        found.extend(page.objects)
+    return found
--- a/cicadahoist/serving/kind_poller.py
+++ b/cicadahoist/serving/kind_poller.py
@@ -7,7 +7,7 @@
 from cicadahoist.clock import Clock
 from cicadahoist.errors import StoreError
 from cicadahoist.log import get_logger
-from cicadahoist.objects import ObjectStoreClient
+from cicadahoist.objects import ObjectStoreClient, list_all
 from cicadahoist.serving.store_follower import ListHandler
 
 logger = get_logger(__name__)
@@ -26,16 +26,21 @@
     :param objects: the store
     :param period_ms: time between two lists
     :param on_list: called with all objects after each list
+    :param start_wait_ms: longest time for which the start waits for the first
+        list, so that tasks that start later have it
     """
 
     __slots__ = (
         '_clock',
+        '_has_listed',
         '_is_stopped',
         '_kind',
         '_objects',
         '_on_list',
         '_period_ms',
         '_running',
+        '_start_wait_ms',
+        '_started',
     )
 
     def __init__(
@@ -45,18 +50,29 @@
         period_ms: int,
         clock: Clock,
         on_list: ListHandler,
+        start_wait_ms: int = 0,
     ) -> None:
         self._objects = objects
         self._kind = kind
         self._period_ms = period_ms
         self._clock = clock
         self._on_list = on_list
+        self._start_wait_ms = start_wait_ms
+        self._has_listed = False
         self._is_stopped = False
         self._running: Deferred[None] | None = None
+        # Fires with the first list, or once the start has waited for it.
+        self._started: Deferred[None] = Deferred()
 
     async def start(self) -> None:
         """Begin to poll."""
         self._launch()
+        if self._has_listed or not self._start_wait_ms:
+            return
+        timer = self._clock.call_later(self._start_wait_ms, self._end_start)
+        await self._started
+        if timer.active():
+            timer.cancel()
 
     async def stop(self) -> None:
         """Stop polling."""
@@ -77,26 +93,27 @@
         )
         self._clock.call_later(RETRY_MS, self._launch)
 
+    def _end_start(self) -> None:
+        if not self._has_listed:
+            logger.bind(kind=self._kind).warning(
+                'starting without a list: the store does not answer'
+            )
+        if not self._started.called:
+            self._started.callback(None)
+
     async def _run(self) -> None:
-        has_listed = False
         while not self._is_stopped:
             try:
-                await self._list(may_lag=has_listed)
+                found = await list_all(
+                    self._objects, self._kind, may_lag=self._has_listed
+                )
             except StoreError as error:
                 logger.bind(kind=self._kind).warning(
                     'store not heard: {0}', error
                 )
                 await self._clock.sleep(RETRY_MS)
                 continue
-            has_listed = True
+            self._on_list(found)
+            self._has_listed = True
+            self._end_start()
             await self._clock.sleep(self._period_ms)
-
-    async def _list(self, *, may_lag: bool) -> None:
-        page = await self._objects.read_page(self._kind, may_lag=may_lag)
-        found = list(page.objects)
-        while page.has_more:
-            page = await self._objects.read_page(
-                self._kind, after=page.objects[-1].name, may_lag=may_lag
-            )
-            found.extend(page.objects)
-        self._on_list(found)
--- a/cicadahoist/serving/usage_report.py
+++ b/cicadahoist/serving/usage_report.py
@@ -6,7 +6,7 @@
 
 from cicadahoist.errors import StoreError, VersionConflictError
 from cicadahoist.log import get_logger
-from cicadahoist.objects import ObjectStoreClient, StoredObject
+from cicadahoist.objects import ObjectStoreClient, StoredObject, list_all
 from cicadahoist.serving.duty_calls import DutyInterface, OrderReply
 from cicadahoist.serving.instance_records import COUNT_KIND
 
@@ -149,7 +149,7 @@
     async def _sum_counts(
         self, window: int, *, must_seal: bool
     ) -> dict[str, int] | None:
-        records = await self._list_all(COUNT_KIND)
+        records = await list_all(self._objects, COUNT_KIND)
         if not must_seal and not await self._has_all_counts(window, records):
             return None
         summed: dict[str, int] = {}
@@ -173,7 +173,7 @@
             )
             newest_by_instance[counts.instance] = newest
         missing = []
-        for peer in await self._list_all(self._peer_kind):
+        for peer in await list_all(self._objects, self._peer_kind):
             # An instance without records has just started.
             missed_count = window - newest_by_instance.get(
                 peer.name, window - 1
@@ -189,15 +189,5 @@
             )
         return not missing
 
-    async def _list_all(self, kind: str) -> list[StoredObject]:
-        page = await self._objects.read_page(kind)
-        found = list(page.objects)
-        while page.has_more:
-            page = await self._objects.read_page(
-                kind, after=page.objects[-1].name
-            )
-            found.extend(page.objects)
-        return found
-
     async def _delete_sealed(self, window: int) -> None:
         await self._objects.delete(SEALED_KIND, str(window))
--- a/tests/test_core/test_application.py
+++ b/tests/test_core/test_application.py
@@ -1,4 +1,5 @@
 import pytest
+from twisted.internet.defer import Deferred
 
 from cicadahoist.application import EXIT_FAILURE, Application
 from cicadahoist.config import Config
@@ -30,6 +31,37 @@
         """Release nothing, as the task never started."""
 
 
+class SlowTask:
+    """Starts once a test lets it, and notes its start and stop."""
+
+    def __init__(self, events, name) -> None:
+        self.start_ended = Deferred()
+        self._events = events
+        self._name = name
+
+    async def start(self) -> None:
+        self._events.append(f'start {self._name}')
+        await self.start_ended
+
+    async def stop(self) -> None:
+        self._events.append(f'stop {self._name}')
+
+
+def test_tasks_that_have_not_begun_to_start_are_not_stopped():
+    """Guard against errors on a signal that comes while a start waits."""
+    reactor = SingleRunReactor()
+    application = Application(Config({}), reactor)
+    events = []
+    slow = SlowTask(events, 'a')
+    application.add(slow)
+    application.add(SlowTask(events, 'b'))
+    application.run()
+    application._request_stop()
+    slow.start_ended.callback(None)
+    assert events == ['start a', 'stop a']
+    assert reactor.stop_count == 1
+
+
 def test_a_task_that_fails_to_start_ends_the_process_with_an_error():
     """Guard against a process that runs on, or exits with 0, without a task."""
     reactor = SingleRunReactor()
--- a/tests/test_serving/test_following.py
+++ b/tests/test_serving/test_following.py
@@ -264,6 +264,36 @@
     assert len(lists) == 1
 
 
+def test_a_start_that_waits_ends_with_the_first_list(followed):
+    """Guards against tasks that accept callers before the list is known."""
+    lists = []
+    followed.objects.failure = 'down'
+    poller = KindPoller(
+        followed.objects, 'servers', 3000, followed.clock, lists.append, 1000
+    )
+    started = Pending(poller.start())
+    followed.advance(400)
+    assert not started.is_done
+    followed.objects.failure = None
+    followed.advance(200)
+    assert started.is_done
+    assert len(lists) == 1
+
+
+def test_a_store_that_is_away_holds_up_a_start_for_a_bounded_time(followed):
+    lists = []
+    followed.objects.failure = 'down'
+    poller = KindPoller(
+        followed.objects, 'servers', 3000, followed.clock, lists.append, 1000
+    )
+    started = Pending(poller.start())
+    followed.advance(1050)
+    assert started.is_done
+    followed.objects.failure = None
+    followed.advance(600)
+    assert len(lists) == 1
+
+
 # Revisions are given out again: a watch from an old one misses changes.
 def test_a_store_that_comes_back_from_a_copy_is_listed_again(followed):
     copied_revision = followed.objects.revision
