Keep the holds on prompt parts in the store

Cause: a hold lives in the memory of running instances.

Change: the instance that decides a hold writes it, one object a part, under the condition of the revision that it read; every instance lists the kind each 3 s, with lists that may lag; the holder of the duties writes what the store lacks, after it came back from an older copy or where a write was given up, and deletes what has expired or is beyond 256, eight objects each 3 s at most. Instances that decide at once wait for random times, so that few of them write.

A released hold stays stored until it would have ended: an instance that has not heard of the release would write the hold again otherwise.

Start: the first list is awaited before the ports for callers open, for at most 1 s. A gate at each request, or in the readiness check, would have to tell a store that is away from one that has not been asked yet. An instance without the store has no configuration and serves nothing, so that the wait costs nothing there; with the store it is one call, beside the list of the configuration. Remaining: if the store comes back within this start, the configuration may be read up to 0.5 s before the holds; load reports of peers cover this.

--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -26,6 +26,7 @@
     PlatformDuties,
 )
 from cicadahoist.serving.fleet_orders import RoleChangeJob, TargetScalingJob
+from cicadahoist.serving.held_parts_job import HeldPartsJob
 from cicadahoist.serving.load_exchange import PEER_KIND
 from cicadahoist.serving.peers import Peers
 from cicadahoist.serving.usage_report import UsageReportJob
@@ -33,6 +34,7 @@
 
 USAGE_PERIOD_MS = 800
 ORDER_PERIOD_MS = 500
+HELD_PARTS_PERIOD_MS = 3000
 # A holder stops using the lease twice this time before its term ends.
 LEASE_MARGIN_MS = 200
 
@@ -101,6 +103,10 @@
         duties.add(
             VersionHistoryJob(store, self._context.streams), ORDER_PERIOD_MS
         )
+        duties.add(
+            HeldPartsJob(store, self._context.gossip.held_parts),
+            HELD_PARTS_PERIOD_MS,
+        )
         task = LeaseTask(
             self._build_authority(),
             duties,
--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -1,6 +1,7 @@
 """Assembles the exchange between the instances of a deployment."""
 
 from functools import partial
+from random import Random
 from typing import Any
 
 import msgspec
@@ -8,7 +9,11 @@
 from cicadahoist.application import Application
 from cicadahoist.platform.clients import new_store_client
 from cicadahoist.platform.settings_file import InstanceSettings
+from cicadahoist.policy.held_parts import PartHold
 from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.held_part_records import HELD_PARTS_KIND
+from cicadahoist.serving.held_parts_reader import HeldPartsReader
+from cicadahoist.serving.held_parts_writer import HeldPartsWriter
 from cicadahoist.serving.instance_records import (
     InstanceIdentity,
     InstanceRecords,
@@ -28,6 +33,12 @@
 # The first read is the one that matters: later versions are in the list of
 # targets.
 HISTORY_PERIOD_MS = 60_000
+# Instances tell each other new holds; the store has them for those that start
+# or were cut off, and brings releases by operators.
+HELD_PARTS_PERIOD_MS = 3000
+# The tasks that accept callers start after the first list of the holds. A store
+# that is away has no configuration either, without which nothing is served.
+HELD_PARTS_START_MS = 1000
 
 
 def add_peering(
@@ -79,4 +90,41 @@
     )
     for task in (exchange, poller, records, history):
         application.add(task)
+    _add_held_parts(application, context, settings, reactor)
     return peers
+
+
+def _add_held_parts(
+    application: Application,
+    context: ServingContext,
+    settings: InstanceSettings,
+    reactor: Any,
+) -> None:
+    """Add the tasks that store and read the holds on prompt parts."""
+    gossip = context.gossip
+    store = new_store_client(settings.store_address, reactor)
+    writer = HeldPartsWriter(
+        store,
+        application.clock,
+        Random(),
+        lambda: context.demand.instance_count,
+    )
+    tell_peers = gossip.on_hold
+
+    def tell_and_store(hold: PartHold) -> None:
+        tell_peers(hold)
+        writer.add(hold)
+
+    gossip.on_hold = tell_and_store
+    reader = HeldPartsReader(gossip.held_parts, context.true_time.now_ms)
+    application.add(writer)
+    application.add(
+        KindPoller(
+            store,
+            HELD_PARTS_KIND,
+            HELD_PARTS_PERIOD_MS,
+            application.clock,
+            reader.apply_list,
+            start_wait_ms=HELD_PARTS_START_MS,
+        )
+    )
--- a/cicadahoist/policy/held_parts.py
+++ b/cicadahoist/policy/held_parts.py
@@ -26,10 +26,18 @@
     targets: tuple[str, ...]
     released_ms: int = 0
 
+    @property
+    def is_released(self) -> bool:
+        """Whether an operator has let the part go since the decision."""
+        return self.released_ms >= self.since_ms
+
+    def has_expired(self, true_ms: int) -> bool:
+        """Return whether the time of the hold is over, released or not."""
+        return true_ms - self.since_ms >= HOLD_MS
+
     def is_in_force(self, true_ms: int) -> bool:
         """Return whether requests with the part are held at a time."""
-        is_released = self.released_ms >= self.since_ms
-        return not is_released and true_ms - self.since_ms < HOLD_MS
+        return not self.is_released and not self.has_expired(true_ms)
 
     def covers(self, workspace: str) -> bool:
         """Return whether the requests of a workspace are held."""
@@ -62,7 +70,7 @@
         :return: whether anything changed
         """
         known = self._hold_by_part.get(hold.part)
-        joined = hold if known is None else _join(known, hold)
+        joined = hold if known is None else join_holds(known, hold)
         if joined == known:
             return False
         self._hold_by_part[hold.part] = joined
@@ -112,14 +120,20 @@
         holds = sorted(self._hold_by_part.values(), key=_get_age_key)
         return [hold for hold in holds if hold.is_in_force(true_ms)]
 
+    def list_known(self, true_ms: int) -> list[PartHold]:
+        """Return the holds that have not expired, released ones as well."""
+        holds = sorted(self._hold_by_part.values(), key=_get_age_key)
+        return [hold for hold in holds if not hold.has_expired(true_ms)]
+
     def drop_expired(self, true_ms: int) -> None:
         """Drop the holds whose time is over, released ones as well."""
         for part, hold in list(self._hold_by_part.items()):
-            if true_ms - hold.since_ms >= HOLD_MS:
+            if hold.has_expired(true_ms):
                 self._hold_by_part.pop(part)
 
 
-def _join(known: PartHold, other: PartHold) -> PartHold:
+def join_holds(known: PartHold, other: PartHold) -> PartHold:
+    """Return the hold that two decisions on one part amount to."""
     holds_all = not known.workspaces or not other.workspaces
     workspaces = set(known.workspaces).union(other.workspaces)
     return PartHold(
--- a/tests/test_cmd/test_front_duties.py
+++ b/tests/test_cmd/test_front_duties.py
@@ -1,7 +1,8 @@
 """
 Tests of the lease under which instances on the platform run their duties.
 
-They guard against holders that take turns within a lease term.
+They guard against holders that take turns within a lease term, and against
+duties that nobody runs.
 """
 
 from itertools import pairwise
@@ -15,8 +16,10 @@
 from cicadahoist.metrics import Metrics
 from cicadahoist.platform.dialect import Dialect
 from cicadahoist.platform.settings_file import Address, InstanceSettings
+from cicadahoist.policy.held_parts import PartHold
 from cicadahoist.policy.retry_share import RetryTerms
 from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.held_part_records import HELD_PARTS_KIND
 from cicadahoist.serving.peers import Peers
 from tests.coroutines import result_of
 from tests.test_serving.fake_objects import FakeObjects
@@ -39,7 +42,8 @@
             RetryTerms(0.2, 100, 10_000),
             reactor,
         )
-        self._gossip = context.gossip
+        self.gossip = context.gossip
+        self.true_ms = context.true_time.now_ms
         settings = InstanceSettings(
             instance=name,
             zone='zone-a',
@@ -58,7 +62,7 @@
 
     @property
     def is_holder(self):
-        return self._gossip.holds_duties()
+        return self.gossip.holds_duties()
 
 
 def test_holders_of_duties_never_take_turns_within_a_term(monkeypatch):
@@ -82,3 +86,27 @@
         assert not any(instance.is_holder for instance in instances)
         holder.may_hold = True
     assert all(after - before >= TERM_MS for before, after in pairwise(won_ms))
+
+
+def test_the_holder_of_the_duties_stores_holds_that_the_store_lacks(
+    monkeypatch,
+):
+    """Guard against BUDGET: a hold lost with the instance that decided it."""
+    objects = FakeObjects()
+    monkeypatch.setattr(
+        front_duties, 'new_store_client', lambda address, reactor: objects
+    )
+    reactor = MemoryReactorClock()
+    clock = Clock(reactor, lambda: round(reactor.seconds() * MS_PER_S))
+    instance = Instance('i1', reactor, clock)
+    hold = PartHold(
+        part='aa',
+        workspaces=(),
+        since_ms=instance.true_ms(),
+        crash_count=3,
+        targets=(),
+    )
+    instance.gossip.held_parts.merge(hold)
+    for _ in range(100):
+        clock.advance(STEP_MS)
+    assert len(objects.names(HELD_PARTS_KIND)) == 1
--- a/tests/test_policy/test_held_parts.py
+++ b/tests/test_policy/test_held_parts.py
@@ -112,3 +112,12 @@
     assert not held.merge(make_hold(part='late', since_ms=10))
     assert held.find('w1', ('p0',), 5000) is None
     assert len(held.list_holds(5000)) == MAX_HOLDS
+
+
+def test_released_holds_are_known_until_they_would_have_ended():
+    """Guards against releases that an older copy of the store undoes."""
+    held = hold_parts(make_hold('p'), make_hold('q', since_ms=2000))
+    released = held.release('p', 3000)
+    assert released.is_released
+    assert held.list_known(3000) == [released, make_hold('q', since_ms=2000)]
+    assert held.list_known(1000 + HOLD_MS) == [make_hold('q', since_ms=2000)]
--- a/tests/test_serving/fake_objects.py
+++ b/tests/test_serving/fake_objects.py
@@ -114,8 +114,12 @@
 
     async def delete(self, kind, name, expected=0):
         self._call('delete', kind)
-        if name in self.kinds.get(kind, {}):
-            self.drop(kind, name)
+        stored = self.kinds.get(kind, {}).get(name)
+        if stored is None:
+            return
+        if expected not in {0, stored.revision}:
+            raise VersionConflictError('other', remedy='read')
+        self.drop(kind, name)
 
     def _written(self, revision):
         if self.drops_write_answers:
