Show held prompt parts, and let one go

Cause: a hold on a sound part refuses its requests for ten minutes, and operators could neither see it nor end it.

Change: `cicadahoist part list` shows the stored holds with crashes, engines, workspaces and times; `part release` marks one as released, under the condition of its revision, and may be repeated. Instances drop the hold with their next list. Both commands take the address of the platform's store; a store that refuses connections or is busy gives exit code 4, as one that does not answer.

--- a/cicadahoist/cmd/operator/app.py
+++ b/cicadahoist/cmd/operator/app.py
@@ -13,6 +13,7 @@
 )
 from cicadahoist.cmd.operator.keys import keys
 from cicadahoist.cmd.operator.leases import leases
+from cicadahoist.cmd.operator.parts import parts
 from cicadahoist.cmd.operator.reference import print_reference
 from cicadahoist.cmd.operator.routes import models, routes
 from cicadahoist.cmd.operator.session import Session
@@ -36,6 +37,7 @@
 app.add_typer(routes, name='route')
 app.add_typer(targets, name='target')
 app.add_typer(leases, name='lease')
+app.add_typer(parts, name='part')
 app.add_typer(configuration, name='config')
 add_command(app, 'status')(show_status)
 add_command(app, 'usage')(show_usage)
--- a/cicadahoist/cmd/operator/exit_codes.py
+++ b/cicadahoist/cmd/operator/exit_codes.py
@@ -61,6 +61,7 @@
 
 _CODE_BY_ERROR_KIND = {
     'config': ExitCode.config,
+    'store-busy': ExitCode.store_unavailable,
     'store-unavailable': ExitCode.store_unavailable,
     'table-conflict': ExitCode.conflict,
     'version-conflict': ExitCode.conflict,
--- a/cicadahoist/cmd/operator/session.py
+++ b/cicadahoist/cmd/operator/session.py
@@ -1,6 +1,6 @@
 """Context of one command: settings, store and the reactor run."""
 
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any, Generic, TypeVar
 
@@ -11,9 +11,13 @@
 from cicadahoist.cmd.operator.exit_codes import InterruptedCommandError
 from cicadahoist.cmd.operator.output import OutputFormat, print_rows
 from cicadahoist.config import Config
+from cicadahoist.errors import ConfigError
 from cicadahoist.log import configure_logging
+from cicadahoist.objects import ObjectStoreClient
 from cicadahoist.outside.store import STORES, Store
 from cicadahoist.outside.tablestore import TableStore
+from cicadahoist.platform.clients import new_store_client
+from cicadahoist.platform.settings_file import Address
 from cicadahoist.settings import (
     LOG_FORMAT,
     LOG_LEVEL,
@@ -34,13 +38,23 @@
     :param config: validated settings
     """
 
-    __slots__ = ('config', 'output_format', 'store', 'table_store')
+    __slots__ = (
+        'config',
+        'open_objects',
+        'output_format',
+        'store',
+        'table_store',
+    )
 
     def __init__(self, store: Store, config: Config) -> None:
         self.config = config
         self.store = store
         self.table_store = TableStore(store)
         self.output_format = OutputFormat.table
+        # Returns a client for the platform's store at HOST:PORT.
+        self.open_objects: Callable[[str], ObjectStoreClient] = (
+            open_platform_store
+        )
 
     @classmethod
     def from_options(
@@ -74,6 +88,25 @@
         print_rows(rows, self.output_format)
 
 
+def open_platform_store(address: str) -> ObjectStoreClient:
+    """
+    Return a client for the platform's store.
+
+    :param address: ``HOST:PORT``
+    :raises ConfigError: the address has another form
+    """
+    from twisted.internet import reactor  # noqa: PLC0415, WPS433
+
+    try:
+        parsed = Address.from_text(address)
+    except ValueError as error:
+        raise ConfigError(
+            f"invalid address of the platform's store: {error}",
+            remedy='give HOST:PORT, as in the settings of an instance',
+        ) from error
+    return new_store_client(parsed, reactor)
+
+
 class CoroutineResult(Generic[Result]):
     """Result of a coroutine that runs in the reactor."""
 
--- a/tests/test_cmd/conftest.py
+++ b/tests/test_cmd/conftest.py
@@ -8,6 +8,7 @@
 from cicadahoist.config import Config
 from cicadahoist.errors import StoreUnavailableError, VersionConflictError
 from cicadahoist.outside.store import Stored
+from tests.test_serving.fake_objects import FakeObjects
 
 
 class MemoryStore:
@@ -56,19 +57,30 @@
 
 
 class Operator:
-    """Runs commands of the operators' command line on one store."""
+    """
+    Runs commands of the operators' command line on one store.
 
-    def __init__(self, store):
+    :param objects: replaces the platform's store, none for the client itself
+    """
+
+    def __init__(self, store, objects=None):
         self.store = store
+        self.objects = objects
 
     def run(self, line, **options):
         return CliRunner().invoke(
             app,
             line if isinstance(line, list) else line.split(),
-            obj=lambda: Session(self.store, Config.from_values()),
+            obj=self._open_session,
             **options,
         )
 
+    def _open_session(self):
+        session = Session(self.store, Config.from_values())
+        if self.objects is not None:
+            session.open_objects = lambda address: self.objects
+        return session
+
     def run_checked(self, line, **options):
         result = self.run(line, **options)
         assert result.exit_code == 0, result.output
@@ -85,6 +97,11 @@
 
 @pytest.fixture
 def operator(store):
+    return Operator(store, FakeObjects())
+
+
+@pytest.fixture
+def bare_operator(store):
     return Operator(store)
 
 
--- a/tests/test_platform/test_front_process.py
+++ b/tests/test_platform/test_front_process.py
@@ -1,8 +1,8 @@
 """
 Test ``cicadahoist-front`` as a process against the platform's interface.
 
-Guards against faults in assembly, configuration reload and shutdown, which the
-tests of single modules do not cover.
+Guards against faults in assembly, configuration reload, shutdown and operators'
+commands, which the tests of single modules do not cover.
 """
 
 import os
@@ -10,11 +10,19 @@
 import sys
 import tempfile
 
+import msgspec
 import treq
 from twisted.internet import error, protocol, reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.utils import getProcessOutputAndValue
 from twisted.web.server import Site
 
+from cicadahoist.clock import wall_ms
+from cicadahoist.policy.held_parts import PartHold
+from cicadahoist.serving.held_part_records import (
+    HELD_PARTS_KIND,
+    get_object_name,
+)
 from soak.platform_pages import CloudStandIn, StoreStandIn
 from tests.loopback import LoopbackCase
 from tests.test_platform.target_pages import TargetPages
@@ -106,6 +114,7 @@
             'ready': free_port(),
             'peer': free_port(),
         }
+        self.store_address = f'127.0.0.1:{ports["store"]}'
         self.front = f'http://127.0.0.1:{ports["front"]}'
         self.ready = f'http://127.0.0.1:{ports["ready"]}'
         address = f'127.0.0.1:{self.listen(self.targets)}'
@@ -213,3 +222,35 @@
         assert ended.exitCode == 0, self.program.output[-2000:]
         for message in (b'"starting"', b'SIGHUP', b'"asked to stop"'):
             assert message in self.program.output
+
+    async def run_operator(self, *arguments):
+        """Run a command of the operators' program, and return its output."""
+        environment = dict(os.environ)
+        environment.pop('CICADAHOIST_CONFIG', None)
+        output, errors, code = await getProcessOutputAndValue(
+            sys.executable,
+            ['-m', 'cicadahoist.cmd.operator', *arguments],
+            env=environment,
+            path=os.getcwd(),
+        )
+        assert code == 0, errors
+        return output
+
+    async def test_a_release_by_an_operator_reaches_a_running_instance(self):
+        hold = PartHold(
+            part='aa',
+            workspaces=('w1',),
+            since_ms=wall_ms(),
+            crash_count=3,
+            targets=('d1',),
+        )
+        self.store.put(
+            HELD_PARTS_KIND, get_object_name('aa'), msgspec.to_builtins(hold)
+        )
+        await self.until(lambda: b'prompt part held' in self.program.output)
+        option = f'--platform-store={self.store_address}'
+        listed = await self.run_operator('part', 'list', option)
+        assert b'held' in listed
+        released = await self.run_operator('part', 'release', 'aa', option)
+        assert b'released' in released
+        await self.until(lambda: b'prompt part released' in self.program.output)
