--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -62,7 +62,6 @@
         '_free_cache',
         '_handle',
         '_handle_version',
-        '_has_prefilled',
         '_prompt_watch',
         '_relay',
         '_work',
@@ -85,8 +84,6 @@
         self._handle: Handle | None = None
         # Only a decode engine of this version can use the handle.
         self._handle_version = ''
-        # Any further prefill is an arrival that takes a retry.
-        self._has_prefilled = False
         self._relay = EventRelay(self._request.resume_after)
         self._context.demand.record_arrival(
             estimate_engine_ms(work), self._context.clock.now_ms()
@@ -107,15 +104,11 @@
         """Send attempts, the first ones to chosen engines."""
         while placement is not None:
             goes_on = True
-            prefill_engine = placement.prefill_engine
-            if self._handle is not None:
-                prefill_engine = None
-            elif prefill_engine is not None and self._has_prefilled:
-                if not self._allowance.try_spend_retry():
-                    prefill_engine = None
-            if prefill_engine is not None:
-                goes_on = await self._prefill(placement, prefill_engine)
-            is_ready = prefill_engine is None or self._handle
+            is_ready = True
+            engine = placement.prefill_engine if not self._handle else None
+            if engine and self._allowance.try_spend_prefill():
+                goes_on = await self._prefill(placement, engine)
+                is_ready = self._handle is not None
             if goes_on and is_ready and self._is_awaited():
                 goes_on = await self._generate(placement)
             placement = self._place() if goes_on else None
@@ -217,7 +210,7 @@
                 self._retry_or_refuse(end, Retry.handoff_failed)
             return True
         self._handle_version = engine.version
-        self._has_prefilled = True
+        self._allowance.record_prefill()
         self._reply.log_fields['read_ms'] = took_ms
         engine.observe_prefill(placement.prefill_ms, took_ms)
         if not self._open_attempts.has_sent_run:
--- a/cicadahoist/serving/retry_allowance.py
+++ b/cicadahoist/serving/retry_allowance.py
@@ -24,6 +24,7 @@
     __slots__ = (
         '_context',
         '_deadline',
+        '_has_prefilled',
         '_has_reserved_retry',
         '_route',
         '_sent_count',
@@ -44,6 +45,7 @@
         self._route = route
         self._service = service
         self._sent_count = 0
+        self._has_prefilled = False
         # Whether a retry was spent from the budget and is not used yet.
         self._has_reserved_retry = False
         self.may_have_run = False
@@ -76,6 +78,18 @@
             self._service, self._context.clock.now_ms()
         )
 
+    def record_prefill(self) -> None:
+        """Record that an engine has prefilled the prompt."""
+        self._has_prefilled = True
+
+    def try_spend_prefill(self) -> bool:
+        """
+        Return whether the prompt may be prefilled apart from its run.
+
+        Each prefill after the first one takes a retry.
+        """
+        return not self._has_prefilled or self.try_spend_retry()
+
     def may_send_beside(self, attempt: Attempt, open_run_count: int) -> bool:
         """
         Return whether another attempt may be sent while one is open.
