--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -105,7 +105,7 @@
         while placement is not None:
             goes_on = True
             is_ready = True
-            engine = placement.prefill_engine if not self._handle else None
+            engine = None if self._handle else placement.prefill_engine
             if engine and self._allowance.try_spend_prefill():
                 goes_on = await self._prefill(placement, engine)
                 is_ready = self._handle is not None
