Keep news on crashes within the size of a datagram

Callers name the parts of prompts, so that their lengths are not known. A crash with many runs, or with one long name, was left out of the load reports, and peers did not learn it. Now a report has the newest runs that fit in 4,000 bytes, and one that does not fit leaves the others in.

test_a_crash_with_many_runs_is_told failed before (nothing was told) and passes.

--- a/cicadahoist/serving/part_news.py
+++ b/cicadahoist/serving/part_news.py
@@ -16,6 +16,7 @@
 MAX_SOUNDS = 64
 MAX_HOLDS = 32
 # Parts of a prompt are named by callers, so that their lengths are not known.
+MAX_REPORT_BYTES = 4000
 MAX_CRASH_BYTES = 8000
 MAX_SOUND_BYTES = 4000
 MAX_HOLD_BYTES = 6000
@@ -52,7 +53,7 @@
         self._gossip = gossip
         self._crashes: deque[CrashReport] = deque(maxlen=MAX_HOLDS)
         self._sounds: deque[SoundPart] = deque(maxlen=MAX_SOUNDS)
-        gossip.on_crash = self._crashes.append
+        gossip.on_crash = self._add_crash
         gossip.on_sound_part = self._sounds.append
 
     def collect(self, true_ms: int) -> PartNews | None:
@@ -70,6 +71,10 @@
         )
         return None if news == PartNews() else news
 
+    def _add_crash(self, report: CrashReport) -> None:
+        runs = _limit_bytes(list(report.runs), MAX_REPORT_BYTES)
+        self._crashes.append(msgspec.structs.replace(report, runs=runs))
+
 
 def _select(
     queued: list[_Timed], since_ms: int, max_bytes: int
@@ -82,8 +87,8 @@
     """Return the newest entries that fit, in order."""
     selected: list[_Entry] = []
     for entry in reversed(entries):
-        max_bytes -= len(msgspec.msgpack.encode(entry))
-        if max_bytes < 0:
-            break
-        selected.append(entry)
+        entry_bytes = len(msgspec.msgpack.encode(entry))
+        if entry_bytes <= max_bytes:
+            max_bytes -= entry_bytes
+            selected.append(entry)
     return tuple(reversed(selected))
