Let stored holds explain crashes, as those of peers do

An instance that learned a hold from the store only went on to suspect the parts beside the held one: the reader merged holds and left the evidence alone. It now explains the crashes of each hold in force. The new test failed before, as the reader had no evidence to explain (it took the holds alone).

--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -116,7 +116,7 @@
         writer.add(hold)
 
     gossip.on_hold = tell_and_store
-    reader = HeldPartsReader(gossip.held_parts, context.true_time.now_ms)
+    reader = HeldPartsReader(gossip, context.true_time.now_ms)
     application.add(writer)
     application.add(
         KindPoller(
--- a/cicadahoist/serving/held_parts_reader.py
+++ b/cicadahoist/serving/held_parts_reader.py
@@ -5,7 +5,8 @@
 from cicadahoist.errors import WireError
 from cicadahoist.log import get_logger
 from cicadahoist.objects import StoredObject
-from cicadahoist.policy.held_parts import HeldParts, PartHold
+from cicadahoist.policy.held_parts import PartHold
+from cicadahoist.serving.gossip import Gossip
 from cicadahoist.serving.held_part_records import decode_record
 
 logger = get_logger(__name__)
@@ -15,16 +16,15 @@
     """
     Merges each list of stored holds into those that this instance knows.
 
-    :param held_parts: the holds that this instance knows
+    :param gossip: the holds that this instance knows, and its evidence
     :param true_ms: wall-clock time, corrected for steps
     """
 
-    __slots__ = ('_held_parts', '_invalid_objects', '_true_ms')
+    __slots__ = ('_evidence', '_held_parts', '_invalid_objects', '_true_ms')
 
-    def __init__(
-        self, held_parts: HeldParts, true_ms: Callable[[], int]
-    ) -> None:
-        self._held_parts = held_parts
+    def __init__(self, gossip: Gossip, true_ms: Callable[[], int]) -> None:
+        self._evidence = gossip.crash_evidence
+        self._held_parts = gossip.held_parts
         self._true_ms = true_ms
         # Objects that were found invalid and logged.
         self._invalid_objects: set[tuple[str, int]] = set()
@@ -41,6 +41,8 @@
                 invalid_objects.add((stored.name, stored.revision))
                 self._report_invalid(stored, error)
                 continue
+            if hold.is_in_force(true_ms):
+                self._evidence.explain(hold.part, hold.workspaces)
             if not hold.has_expired(true_ms):
                 self._held_parts.merge(hold)
         self._invalid_objects = invalid_objects
--- a/tests/test_cmd/test_operator_parts.py
+++ b/tests/test_cmd/test_operator_parts.py
@@ -12,6 +12,7 @@
 from cicadahoist.cmd.operator import parts
 from cicadahoist.cmd.operator.exit_codes import ExitCode
 from cicadahoist.policy.held_parts import HOLD_MS, HeldParts, PartHold
+from cicadahoist.serving.gossip import Gossip
 from cicadahoist.serving.held_part_records import (
     HELD_PARTS_KIND,
     get_object_name,
@@ -86,8 +87,9 @@
 
 def test_a_release_reaches_running_and_starting_instances(operator):
     put_hold(operator, make_hold('aa'))
-    clock, held_parts = Clock.manual(), HeldParts()
-    reader = HeldPartsReader(held_parts, lambda: SINCE_MS + clock.now_ms())
+    clock, gossip = Clock.manual(), Gossip()
+    held_parts = gossip.held_parts
+    reader = HeldPartsReader(gossip, lambda: SINCE_MS + clock.now_ms())
     poller = KindPoller(
         operator.objects, HELD_PARTS_KIND, 3000, clock, reader.apply_list
     )
@@ -96,10 +98,10 @@
     operator.run_checked(f'part release aa {PLATFORM}')
     clock.advance(3000)
     assert not held_parts.find('w1', ('aa',), SINCE_MS + 3000)
-    started = HeldParts()
+    started = Gossip()
     objects = list(operator.objects.kinds[HELD_PARTS_KIND].values())
     HeldPartsReader(started, lambda: SINCE_MS).apply_list(objects)
-    assert not started.list_holds(SINCE_MS)
+    assert not started.held_parts.list_holds(SINCE_MS)
 
 
 @pytest.mark.parametrize('clock_error_ms', [-3_600_000, 3_600_000])
--- a/tests/test_serving/test_held_parts_store.py
+++ b/tests/test_serving/test_held_parts_store.py
@@ -12,7 +12,9 @@
 import pytest
 
 from cicadahoist.clock import Clock
-from cicadahoist.policy.held_parts import HOLD_MS, HeldParts, PartHold
+from cicadahoist.policy.crash_log import BegunRun, CrashReport
+from cicadahoist.policy.held_parts import HOLD_MS, PartHold
+from cicadahoist.serving.gossip import Gossip
 from cicadahoist.serving.held_part_records import (
     HELD_PARTS_KIND,
     MAX_STORED_PARTS,
@@ -67,10 +69,11 @@
     """The tasks of one instance that keep the holds."""
 
     def __init__(self, deployment, number=0):
-        self.held_parts = HeldParts()
+        self.gossip = Gossip()
+        self.held_parts = self.gossip.held_parts
         self._true_ms = deployment.true_ms
         objects, clock = deployment.objects, deployment.clock
-        self._reader = HeldPartsReader(self.held_parts, self._true_ms)
+        self._reader = HeldPartsReader(self.gossip, self._true_ms)
         self._poller = KindPoller(
             objects, HELD_PARTS_KIND, PERIOD_MS, clock, self._reader.apply_list
         )
@@ -395,3 +398,14 @@
     store.put(make_hold('aa', since_ms=START_MS - HOLD_MS))
     instance.run_job(may_act=False)
     assert store.names == [get_object_name('aa')]
+
+
+def test_a_stored_hold_explains_the_crashes_of_its_part(store):
+    """Guards against by-standers that are suspected beside a stored hold."""
+    store.put(make_hold('bb'))
+    evidence = Instance(store).gossip.crash_evidence
+    run = BegunRun('w1', ('sound', 'bb'))
+    for number in range(3):
+        true_ms = store.true_ms() + 1500 * number
+        evidence.add_crash(CrashReport(f'd{number}', true_ms, (run,)))
+    assert not evidence.is_suspect(('sound',))
