Run a request once also where its prefill is still open beside the run

Where a run took over from a silent prefill of a request that may run once, the prefill stayed open beside it. If the run then broke off or failed, the prefill decided how the request goes on: its KV cache was run, a second time (TWICE). If the prefill engine sent a byte to another request, the review stopped the run for the prefill, with the same end.

Now a run of such a request decides alone once it has ended, and the prefill is stopped; the review stops no run for a prefill.

test_a_late_prefill_does_not_repeat_a_run_that_failed (2 cases) and test_a_prefill_engine_that_wakes_up_does_not_repeat_a_run failed before (3 attempts instead of 2; 2 runs instead of 1) and pass.

--- a/cicadahoist/serving/retry_allowance.py
+++ b/cicadahoist/serving/retry_allowance.py
@@ -59,6 +59,11 @@
         elif attempt.may_run or end.outcome is AttemptOutcome.not_run:
             self._sent_count += 1
 
+    @property
+    def is_run_used_up(self) -> bool:
+        """Whether a request that may run once may have run."""
+        return self.may_have_run and self._route.repeat is RepeatRule.once
+
     def try_spend_retry(self) -> bool:
         """
         Spend one retry, where deadline, route and shared budget allow it.
--- a/cicadahoist/serving/takeover.py
+++ b/cicadahoist/serving/takeover.py
@@ -76,6 +76,9 @@
             return True
         if not self._open_attempts:
             return False
+        if self._allowance.is_run_used_up:
+            self._open_attempts.stop_all()
+            return False
         if end.outcome is AttemptOutcome.unsent:
             self._allowance.return_retry()
         return True
@@ -85,6 +88,9 @@
         is_open = self._open_attempts.contains(attempt)
         if oldest is None or oldest is attempt or not is_open:
             return
+        if not oldest.may_run:
+            # Only one run is at work, and it may be the only one allowed.
+            return
         target = oldest.listing.name
         now_ms = self._context.clock.now_ms()
         if self._context.fleet.answer_watch.is_silent(target, now_ms):
