Keep the KV cache of the first of two prefills when the other one is stopped

Where a second prefill had been opened beside a silent one, the first to answer stopped the other; the end of the stopped one then cleared the KV cache that had just arrived. The request ran without it, had its prompt read a third time, and the cache was never freed.

Now an attempt without a KV cache leaves the one that is known as it is.

test_the_run_uses_the_kv_cache_of_the_first_of_two_prefills (2 cases) failed before (the run bore no handle) and passes. tests/test_serving without test_crashing_parts and tests/test_policy: 592 passed.

--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -196,13 +196,14 @@
         finally:
             engine.own_load.prefill_tokens -= placement.prefill_tokens
         took_ms = self._context.clock.now_ms() - started_ms
-        self._handle = self._parse_handle(engine, end, listing.address)
-        if self._handle is None:
+        handle = self._parse_handle(engine, end, listing.address)
+        if handle is None:
             if self._takeover.is_left_to_other(end):
                 return False
             if not self._reply.is_over:
                 self._retry_or_refuse(end, Retry.handoff_failed)
             return True
+        self._handle = handle
         self._handle_version = engine.version
         self._has_prefilled = True
         self._reply.log_fields['read_ms'] = took_ms
@@ -279,7 +280,7 @@
             )
         finally:
             run_load.end()
-        if not attempt.is_sent:
+        if handle is not None and not attempt.is_sent:
             self._handle = handle
         return self._process_end(engine, end)
 
--- a/tests/test_serving/test_takeover_ends.py
+++ b/tests/test_serving/test_takeover_ends.py
@@ -70,3 +70,20 @@
         if sent.attempt_id == attempt_id and sent.target != 'p1'
     ]
     assert len(runs) == 1
+
+
+# Guards against a KV cache that is lost when the other prefill is stopped.
+@pytest.mark.parametrize('first', [0, 1])
+def test_the_run_uses_the_kv_cache_of_the_first_of_two_prefills(first):
+    world, _ = send_check(
+        target('p1', 'llm', 'prefill'),
+        target('d1', 'llm', 'decode'),
+        target('p2', 'llm', 'prefill', version='v2'),
+        target('d2', 'llm', 'decode', version='v2'),
+    )
+    assert world.sent[1].target == 'p2'
+    world.sent[first].answer(body=HANDLE_BODY)
+    assert len(world.sent) == 3
+    run = world.sent[2]
+    assert run.target == ('d1', 'd2')[first]
+    assert b'h7' in run.request
