Forget a stopped attempt at once, also while its connection is being opened

An attempt that was stopped before its connection was open counted as open until then. Where the other attempt ended in between, the request was left to the stopped one, and nothing continued it until its deadline. Where the target was chosen again in between, the end of the stopped attempt removed the new one from the open attempts: at the deadline the request was refused as not run (503) although its run was under way, and the run went on (REFUSED).

Now attempts are removed when they are stopped, and only they themselves.

--- a/cicadahoist/serving/open_attempts.py
+++ b/cicadahoist/serving/open_attempts.py
@@ -37,8 +37,9 @@
         self._by_target[attempt.listing.name] = attempt
 
     def remove(self, attempt: Attempt) -> None:
-        """Remove an attempt that has ended."""
-        self._by_target.pop(attempt.listing.name, None)
+        """Remove an attempt that has ended, unless it was removed before."""
+        if self.contains(attempt):
+            self._by_target.pop(attempt.listing.name)
 
     def get_oldest(self) -> Attempt | None:
         """Return the attempt that was added first, if any is open."""
@@ -46,7 +47,7 @@
 
     def contains(self, attempt: Attempt) -> bool:
         """Return whether an attempt has not ended."""
-        return attempt.listing.name in self._by_target
+        return self._by_target.get(attempt.listing.name) is attempt
 
     def count_runs(self) -> int:
         """Return the number of attempts that are more than a prefill."""
@@ -61,7 +62,12 @@
         :param target: target of the attempt to keep
         """
         is_older = True
-        for name, attempt in list(self._by_target.items()):
+        attempts = list(self._by_target.items())
+        # One whose connection is still being opened reports its end later.
+        self._by_target = {
+            name: attempt for name, attempt in attempts if name == target
+        }
+        for name, attempt in attempts:
             if name == target:
                 is_older = False
             elif is_older:
@@ -71,7 +77,9 @@
 
     def stop_all(self) -> None:
         """End all attempts, so that their targets stop work."""
-        for attempt in list(self._by_target.values()):
+        attempts = list(self._by_target.values())
+        self._by_target = {}
+        for attempt in attempts:
             attempt.stop()
 
     def pause(self) -> None:
--- a/tests/test_serving/test_takeover_ends.py
+++ b/tests/test_serving/test_takeover_ends.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from cicadahoist.requests import RepeatRule
 from tests.test_serving.test_takeover import (
     HANDLE_BODY,
     ONCE,
@@ -17,7 +18,9 @@
     send_check,
 )
 from tests.test_serving.world import (
+    SHORT_PROMPT_HEADERS,
     prompt_headers,
+    route,
     target,
 )
 
@@ -87,3 +90,64 @@
     run = world.sent[2]
     assert run.target == ('d1', 'd2')[first]
     assert b'h7' in run.request
+
+
+# Guards against a request that is left to an attempt that was stopped.
+def test_a_stream_goes_on_when_its_engine_ends_while_another_one_connects():
+    world = make_world(
+        target('d1', 'llm', 'decode'),
+        target('d2', 'llm', 'decode'),
+        target('d3', 'llm', 'decode'),
+        routes=[
+            route(
+                'ask',
+                '/ask/',
+                'llm',
+                repeat=RepeatRule.resumable,
+                is_streamed=True,
+                uses_engines=True,
+                max_sends=4,
+                timeout_ms=15_000,
+            )
+        ],
+    )
+    world.send_request(b'/ask/x', *SHORT_PROMPT_HEADERS, patience=15_000)
+    first = world.sent[0]
+    first.begin_stream()
+    first.send_events(1)
+    opens = {name: [] for name in ('d1', 'd2', 'd3') if name != first.target}
+    world.connections.pending_opens_by_target.update(opens)
+    advance_in_steps(world, SILENCE_MS)
+    assert len(world.sent) == 2
+    first.send_events(2)
+    first.reset()
+    for pending in opens.values():
+        for finish in list(pending):
+            finish()
+    world.connections.pending_opens_by_target.clear()
+    advance_in_steps(world, 500)
+    running = [
+        sent for sent in world.sent if sent.request and not sent.is_closed
+    ]
+    assert any(sent.header(b'Last-Event-Id') == b'2' for sent in running)
+
+
+# Guards against an open attempt that is forgotten beside a stopped one.
+def test_an_engine_that_is_chosen_again_stays_an_open_attempt():
+    world = make_world(
+        target('p1', 'llm', 'prefill'),
+        target('d1', 'llm', 'decode'),
+        routes=[ONCE],
+    )
+    opens = world.connections.pending_opens_by_target
+    opens['d1'] = []
+    caller = world.send_request(b'/check/x', *prompt_headers(), patience=2000)
+    advance_in_steps(world, SILENCE_MS)
+    assert [sent.target for sent in world.sent] == ['p1', 'd1']
+    stopped_open = opens.pop('d1')[0]
+    world.sent[0].answer(body=HANDLE_BODY)
+    assert [sent.target for sent in world.sent] == ['p1', 'd1', 'd1']
+    stopped_open()
+    advance_in_steps(world, 2000)
+    assert caller.status == 504
+    assert world.sent[2].is_closed
