Open no second attempt beside a begun answer that cannot be resumed

Beside a silent engine of a route that may be repeated and is no stream, a second engine was asked also after a part of the answer had been passed on. Its answer begins at the start, so that the caller would have got the bytes of two runs in one answer (MIXED).

Now the silent engine is kept.

--- a/cicadahoist/serving/retry_allowance.py
+++ b/cicadahoist/serving/retry_allowance.py
@@ -81,13 +81,18 @@
             self._service, self._context.clock.now_ms()
         )
 
-    def may_send_beside(self, attempt: Attempt, open_run_count: int) -> bool:
+    def may_send_beside(
+        self, attempt: Attempt, open_run_count: int, *, is_begun: bool
+    ) -> bool:
         """
         Return whether another attempt may be sent while one is open.
 
         :param attempt: the open attempt, whose target is silent
         :param open_run_count: open attempts that are more than a prefill
+        :param is_begun: whether the caller has a part of an answer
         """
+        if is_begun and self._route.repeat is not RepeatRule.resumable:
+            return False
         if self._route.repeat is RepeatRule.once and attempt.may_run:
             return False
         if self._route.max_sends == 1:
--- a/cicadahoist/serving/takeover.py
+++ b/cicadahoist/serving/takeover.py
@@ -56,7 +56,9 @@
         if len(self._open_attempts) > 1:
             return
         may_send = self._allowance.may_send_beside(
-            attempt, self._open_attempts.count_runs()
+            attempt,
+            self._open_attempts.count_runs(),
+            is_begun=self._reply.is_begun,
         )
         if may_send and self._try_start():
             self._context.meters.count_retry(Retry.target_frozen)
--- a/tests/test_serving/test_takeover_ends.py
+++ b/tests/test_serving/test_takeover_ends.py
@@ -8,12 +8,14 @@
 
 import pytest
 
+from cicadahoist.metrics import SILENT_KEPT
 from cicadahoist.requests import RepeatRule
 from tests.test_serving.test_takeover import (
     HANDLE_BODY,
     ONCE,
     SILENCE_MS,
     advance_in_steps,
+    begin_ask,
     make_world,
     send_check,
 )
@@ -151,3 +153,25 @@
     advance_in_steps(world, 2000)
     assert caller.status == 504
     assert world.sent[2].is_closed
+
+
+# Guards against the bytes of two runs in one answer that is no stream.
+def test_a_begun_answer_that_cannot_be_resumed_has_one_run():
+    world = make_world(
+        target('d1', 'llm', 'decode'),
+        target('d2', 'llm', 'decode'),
+        routes=[
+            route(
+                'ask',
+                '/ask/',
+                'llm',
+                repeat=RepeatRule.repeatable,
+                uses_engines=True,
+                max_sends=3,
+                timeout_ms=15_000,
+            )
+        ],
+    )
+    begin_ask(world)
+    assert len(world.sent) == 1
+    assert world.count(SILENT_KEPT) == 1
