Keep a silent engine when the other one answers a begun stream with an error

An answer with a 4xx status counted as final also where a part of a stream had been passed on: the silent engine was stopped and the stream cut off, although it could have gone on.

Now such an answer decides only where no other attempt is open.

--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -330,7 +330,7 @@
         """
         if end.outcome in {AttemptOutcome.lost, AttemptOutcome.unsent}:
             engine.health.record_crash(self._context.clock.now_ms())
-        if is_final(end):
+        if is_final(end) and not self._takeover.fails_midway(end):
             self._open_attempts.stop_all()
         elif self._takeover.is_left_to_other(end):
             return False
@@ -354,7 +354,7 @@
         if head is None or self._reply.is_over:
             return
         is_failure = head.meaning is AnswerMeaning.failure
-        if is_failure and self._reply.is_begun:
+        if self._takeover.fails_midway(end):
             self._reply.fail(HTTP_BAD_GATEWAY, Refusal.target_failed)
         elif is_failure:
             self._reply.deliver(head, end.body)
--- a/cicadahoist/serving/takeover.py
+++ b/cicadahoist/serving/takeover.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from cicadahoist.reasons import Retry
+from cicadahoist.requests import AnswerMeaning
 from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.open_attempts import OpenAttempts
@@ -85,6 +86,12 @@
             self._allowance.return_retry()
         return True
 
+    def fails_midway(self, end: AttemptEnd) -> bool:
+        """Return whether an answer cannot complete the one that is begun."""
+        head = end.head
+        is_failure = head is not None and head.meaning is AnswerMeaning.failure
+        return is_failure and self._reply.is_begun
+
     def _review(self, attempt: Attempt) -> None:
         oldest = self._open_attempts.get_oldest()
         is_open = self._open_attempts.contains(attempt)
--- a/tests/test_serving/test_takeover_ends.py
+++ b/tests/test_serving/test_takeover_ends.py
@@ -134,6 +134,19 @@
     assert any(sent.header(b'Last-Event-Id') == b'2' for sent in running)
 
 
+# Guards against an answer that is cut off by a refusal of the other engine.
+def test_the_stream_stays_when_the_other_engine_answers_with_an_error():
+    world = make_world(
+        target('d1', 'llm', 'decode'), target('d2', 'llm', 'decode')
+    )
+    caller = begin_ask(world)
+    world.sent[1].answer(400, b'bad')
+    assert not world.sent[0].is_closed
+    world.sent[0].send_events(3)
+    world.sent[0].end_stream()
+    assert caller.body.endswith(b'0\r\n\r\n')
+
+
 # Guards against an open attempt that is forgotten beside a stopped one.
 def test_an_engine_that_is_chosen_again_stays_an_open_attempt():
     world = make_world(
