Keep a silent engine when the one that was to take over has left meanwhile

A second attempt that begins with a prefill chooses its decode engine again if that one leaves during the prefill. Where none was left, or none accepted the request, the request was refused or failed, so that a stream was cut off beside the silent engine, which could have gone on. It can come with any new list of targets.

Now the request is left to the open attempt, and the retry is returned.

test_the_stream_stays_when_the_other_engine_leaves_during_its_prefill failed before (stream cut off after its first event) and passes. tests/test_serving without test_crashing_parts and tests/test_policy: 597 passed.

--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -31,7 +31,7 @@
     AttemptOutcome,
     OnPieces,
 )
-from cicadahoist.serving.engine_choice import EngineChoice
+from cicadahoist.serving.engine_choice import Choice, EngineChoice
 from cicadahoist.serving.event_relay import EventRelay
 from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.flow import (
@@ -152,6 +152,8 @@
             # Another version may serve the request, but without the KV cache.
             self._free_unused_cache()
             return self._place()
+        if self._takeover.is_given_up(is_possible=_is_accepted(choice)):
+            return None
         if choice is None:
             self._refuse(Refusal.no_target, NO_ENGINE_RETRY_AFTER_MS)
             return None
@@ -434,6 +436,10 @@
         self._engine.own_load.kv_tokens -= self._cache_tokens
 
 
+def _is_accepted(choice: Choice | None) -> bool:
+    return choice is not None and choice.is_accepted
+
+
 def _log_cache_not_freed(failure: Any) -> None:
     failure.trap(TargetError)
     logger.info(
--- a/cicadahoist/serving/takeover.py
+++ b/cicadahoist/serving/takeover.py
@@ -86,6 +86,17 @@
             self._allowance.return_retry()
         return True
 
+    def is_given_up(self, *, is_possible: bool) -> bool:
+        """
+        Return whether another attempt decides, as no target can take over.
+
+        :param is_possible: whether there is a target that accepts the request
+        """
+        if is_possible or not self._open_attempts:
+            return False
+        self._allowance.return_retry()
+        return True
+
     def fails_midway(self, end: AttemptEnd) -> bool:
         """Return whether an answer cannot complete the one that is begun."""
         head = end.head
--- a/tests/test_serving/test_takeover_ends.py
+++ b/tests/test_serving/test_takeover_ends.py
@@ -188,3 +188,23 @@
     begin_ask(world)
     assert len(world.sent) == 1
     assert world.count(SILENT_KEPT) == 1
+
+
+# Guards against an answer that is cut off as the engine that was to take over
+# has left meanwhile.
+def test_the_stream_stays_when_the_other_engine_leaves_during_its_prefill():
+    world = make_world(target('d1', 'llm', 'decode'))
+    caller = world.send_request(b'/ask/x', *prompt_headers(), patience=15_000)
+    first = world.sent[0]
+    first.begin_stream()
+    first.send_events(1)
+    world.add(target('p2', 'llm', 'prefill'), target('d2', 'llm', 'decode'))
+    advance_in_steps(world, 2 * SILENCE_MS)
+    assert [sent.target for sent in world.sent] == ['d1', 'p2']
+    world.context.fleet.directory.remove('d2')
+    world.sent[1].answer(body=HANDLE_BODY)
+    assert not first.is_closed
+    first.send_events(2)
+    first.end_stream()
+    assert caller.body.endswith(b'0\r\n\r\n')
+    assert [handle.name for handle in world.freed_handles] == ['h7']
