--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -31,7 +31,7 @@
     AttemptOutcome,
     OnPieces,
 )
-from cicadahoist.serving.engine_choice import EngineChoice
+from cicadahoist.serving.engine_choice import Choice, EngineChoice
 from cicadahoist.serving.event_relay import EventRelay
 from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.flow import (
@@ -158,6 +158,8 @@
             # Another version may serve the request, but without the KV cache.
             self._free_unused_cache()
             return self._place()
+        if self._takeover.is_given_up(is_possible=_is_accepted(choice)):
+            return None
         if choice is None:
             self._refuse(Refusal.no_target, NO_ENGINE_RETRY_AFTER_MS)
             return None
@@ -202,13 +204,14 @@
         finally:
             engine.own_load.prefill_tokens -= placement.prefill_tokens
         took_ms = self._context.clock.now_ms() - started_ms
-        self._handle = self._parse_handle(engine, end, listing.address)
-        if self._handle is None:
+        handle = self._parse_handle(engine, end, listing.address)
+        if handle is None:
             if self._takeover.is_left_to_other(end):
                 return False
             if not self._reply.is_over:
                 self._retry_or_refuse(end, Retry.handoff_failed)
             return True
+        self._handle = handle
         self._handle_version = engine.version
         self._allowance.record_prefill()
         self._reply.log_fields['read_ms'] = took_ms
@@ -288,7 +291,7 @@
             )
         finally:
             run_load.end()
-        if not attempt.is_sent:
+        if handle is not None and not attempt.is_sent:
             self._handle = handle
         self._prompt_watch.record_end(run_watch, end)
         return self._process_end(engine, end)
@@ -339,7 +342,7 @@
         """
         if end.outcome in {AttemptOutcome.lost, AttemptOutcome.unsent}:
             engine.health.record_crash(self._context.clock.now_ms())
-        if is_final(end):
+        if is_final(end) and not self._takeover.fails_midway(end):
             self._open_attempts.stop_all()
         elif self._takeover.is_left_to_other(end):
             return False
@@ -366,7 +369,7 @@
         if head is None or self._reply.is_over:
             return
         is_failure = head.meaning is AnswerMeaning.failure
-        if is_failure and self._reply.is_begun:
+        if self._takeover.fails_midway(end):
             self._reply.fail(HTTP_BAD_GATEWAY, Refusal.target_failed)
         elif is_failure:
             self._reply.deliver(head, end.body)
@@ -446,6 +449,10 @@
         self._engine.own_load.kv_tokens -= self._cache_tokens
 
 
+def _is_accepted(choice: Choice | None) -> bool:
+    return choice is not None and choice.is_accepted
+
+
 def _log_cache_not_freed(failure: Any) -> None:
     failure.trap(TargetError)
     logger.info(
