Judge crashes only after all reports, and against rival parts

In trials of the load test, parts of sound requests were held that had been sent on from one crashed engine to the next, and crashes were judged while the reports of other instances were still on their way.

A crash is now judged 300 ms after it became known, so find_guilty is to be called periodically. A run equal to one of an earlier crash counts little, as it may be the same request. A part must lead the other parts that may explain its crashes, crashes of several targets at the same moment count as one, and other crashes raise the ratio that is asked for. explain learns the workspaces from the evidence.

The unit test calls find_guilty twice now, as the decision waits for reports; what it asserts is the same.

--- a/cicadahoist/policy/crash_evidence.py
+++ b/cicadahoist/policy/crash_evidence.py
@@ -4,29 +4,22 @@
 See :mod:`cicadahoist.policy.part_score` for the statistic and its sources.
 """
 
-import math
 from collections.abc import Iterable
 
-from cicadahoist.policy.crash_log import Crash, CrashLog, CrashReport
-from cicadahoist.policy.guilty_parts import Guilt, GuiltyParts
+from cicadahoist.policy.accusations import Accusations
+from cicadahoist.policy.crash_log import BegunRun, Crash, CrashReport
+from cicadahoist.policy.guilty_parts import Guilt
 from cicadahoist.policy.held_parts import PartHold
+from cicadahoist.policy.part_judge import is_guilty
 from cicadahoist.policy.part_score import PartScore
 from cicadahoist.policy.part_shares import PartShares
-from cicadahoist.policy.sound_parts import SoundPart, SoundParts
+from cicadahoist.policy.sound_parts import SoundPart
+
+__all__ = ('BegunRun', 'CrashEvidence', 'CrashReport', 'SoundPart')
 
 # A run that goes on for this long after its begin did not crash its engine.
 SOUND_RUN_MS = 150
 SUSPECT_CRASHES = 2
-# A part is held at this many crashes if chance is excluded at the error rate,
-MIN_CRASHES = 3
-ERROR_RATE = 0.01
-# and at these counts if it explains the crashes far better than other parts.
-LIKELY_CRASHES = 4
-CERTAIN_CRASHES = 5
-MIN_LEAD = math.log(10)
-# Lead in crashes that no sound run has cleared.
-MIN_CRASH_LEAD = 2
-MAX_CERTAIN_SHARE = 0.5
 
 
 class CrashEvidence:
@@ -38,21 +31,11 @@
     clear too much or too little, which the next run or crash makes good.
     """
 
-    __slots__ = (
-        '_crash_ms_by_part',
-        '_crashes',
-        '_guilty',
-        '_latest_ms',
-        '_shares',
-        '_sounds',
-    )
+    __slots__ = ('_accusations', '_latest_ms', '_shares')
 
     def __init__(self) -> None:
+        self._accusations = Accusations()
         self._shares = PartShares()
-        self._crashes = CrashLog()
-        self._sounds = SoundParts()
-        self._crash_ms_by_part: dict[str, int] = {}
-        self._guilty = GuiltyParts()
         self._latest_ms = 0
 
     def record_request(self, parts: tuple[str, ...]) -> None:
@@ -74,20 +57,12 @@
             begin to crash engines while older answers on it still go on
         :return: proofs that peers must hear, as they clear a suspicion
         """
-        told = []
-        for part in parts:
-            self._sounds.record(part, true_ms)
-            crash_ms = self._crash_ms_by_part.get(part)
-            if crash_ms is not None:
-                sound = SoundPart(part, true_ms)
-                if self._sounds.try_tell(sound, crash_ms):
-                    told.append(sound)
-        return tuple(told)
+        sounds = [SoundPart(part, true_ms) for part in dict.fromkeys(parts)]
+        return tuple(filter(self._accusations.record_sound, sounds))
 
     def apply_sound(self, sound: SoundPart) -> None:
         """Record the proof of a peer; it may be late or come twice."""
-        self._sounds.record(sound.part, sound.true_ms)
-        self._sounds.mark_told(sound)
+        self._accusations.apply_sound(sound)
 
     def add_crash(self, report: CrashReport) -> bool:
         """
@@ -95,11 +70,7 @@
 
         :return: whether it told anything new
         """
-        crash = self._crashes.add(report)
-        if crash is None:
-            return False
-        self._index_crashes()
-        return True
+        return self._accusations.add(report)
 
     def is_suspect(self, parts: tuple[str, ...]) -> bool:
         """
@@ -110,140 +81,90 @@
             a sound run nor explained by another part
         """
         return any(
-            len(self._find_crashes(part)) >= SUSPECT_CRASHES
+            len(self._accusations.find_crashes(part)) >= SUSPECT_CRASHES
             for part in parts
-            if part in self._crash_ms_by_part
         )
 
     def find_guilty(self, true_ms: int) -> tuple[PartHold, ...]:
         """
         Return the parts to hold from now on, and count their crashes as theirs.
 
+        It is to be called some 30 times a second: a crash is judged only once
+        the reports of all instances have had time to arrive.
+
         :param true_ms: present time
+        :return: holds decided now, which peers must learn
         """
         self._latest_ms = max(self._latest_ms, true_ms)
-        found = []
-        guilty = self._find_guiltiest()
-        while guilty is not None:
-            hold = self._hold(guilty, true_ms)
-            found.append(hold)
-            self._guilty.mark(hold.part, Guilt(true_ms, hold.workspaces))
-            guilty = self._find_guiltiest()
+        self._accusations.wait_for_reports(true_ms)
+        found: list[PartHold] = []
+        while self._accusations.is_changed:
+            self._accusations.is_changed = False
+            score = self._find_guiltiest()
+            if score is not None:
+                found.append(self._hold(score, true_ms))
         return tuple(found)
 
-    def explain(self, part: str, workspaces: tuple[str, ...] = ()) -> None:
+    def explain(self, part: str) -> None:
         """
-        Count the crashes of a held part as its own, for all other parts.
+        Count the crashes of a part as its own, for all other parts.
 
-        :param part: part whose hold was decided here or learned from a peer
-        :param workspaces: workspaces of the hold, all if empty
+        :param part: part whose hold was learned from a peer or the store
         """
-        known = self._guilty.get(part)
-        if known is None or known.workspaces != workspaces:
-            self._guilty.mark(part, Guilt(self._latest_ms, workspaces))
+        if self._accusations.guilty.get(part) is None:
+            workspaces = _find_workspaces(
+                part, self._accusations.find_crashes(part)
+            )
+            self._mark_guilty(part, workspaces, self._latest_ms)
 
     def drop_expired(self, true_ms: int) -> None:
         """Drop the evidence that is too old to tell."""
         self._latest_ms = max(self._latest_ms, true_ms)
-        self._crashes.drop_expired(true_ms)
-        self._index_crashes()
-        self._guilty.drop_expired(true_ms)
-
-    def _index_crashes(self) -> None:
-        self._crash_ms_by_part = {
-            part: crash.true_ms
-            for crash in self._crashes
-            for part in crash.list_parts()
-        }
-        self._sounds.accuse(self._crash_ms_by_part)
-
-    def _find_crashes(self, part: str) -> list[Crash]:
-        """Return the crashes that a part may have caused."""
-        sound_ms = self._sounds.get_latest_ms(part)
-        return [
-            crash
-            for crash in self._crashes
-            if crash.true_ms > sound_ms
-            and crash.list_runs(part)
-            and not self._guilty.accounts_for(part, crash)
-            and not self._is_explained(crash, part)
-        ]
-
-    def _is_explained(self, crash: Crash, part: str) -> bool:
-        """Return whether a part other than the given one caused a crash."""
-        return any(
-            crash.true_ms > self._sounds.get_latest_ms(other)
-            for other in crash.list_parts()
-            if other != part and other in self._guilty
-        )
+        self._accusations.drop_expired(true_ms)
 
     def _find_guiltiest(self) -> PartScore | None:
         """Return the part with the highest score among those to hold now."""
-        scores = [
-            PartScore(part, crashes, self._shares.compute_share(part))
-            for part in self._crash_ms_by_part
-            if (crashes := self._find_crashes(part))
-        ]
-        scores.sort(key=_get_order)
+        scores = self._accusations.list_scores(self._shares)
         for score in scores:
-            if self._is_guilty(score, scores):
+            if self._extends_hold(score) or is_guilty(score, scores):
                 return score
         return None
 
-    def _is_guilty(self, score: PartScore, scores: list[PartScore]) -> bool:
-        if self._extends_hold(score):
-            return True
-        if score.crash_count < MIN_CRASHES:
-            return False
-        lead = score.total - max(
-            (
-                other.total
-                for other in scores
-                if other is not score and other.competes_with(score)
-            ),
-            default=0,
-        )
-        return lead > 0 and _is_proven(score, lead, len(scores))
-
     def _extends_hold(self, score: PartScore) -> bool:
         """Return whether a part held for one workspace crashed in another."""
-        guilt = self._guilty.get(score.part)
+        guilt = self._accusations.guilty.get(score.part)
         if guilt is None or not guilt.workspaces:
             return False
-        if self._sounds.get_latest_ms(score.part) > guilt.since_ms:
+        if self._accusations.was_sound_since(score.part, guilt.since_ms):
             return False
         workspaces = _find_workspaces(score.part, score.crashes)
         return not workspaces.issubset(guilt.workspaces)
 
     def _hold(self, score: PartScore, true_ms: int) -> PartHold:
         workspaces = _find_workspaces(score.part, score.crashes)
-        guilt = self._guilty.get(score.part)
-        holds_all = False
-        if guilt is not None:
-            workspaces.update(guilt.workspaces)
-            holds_all = not guilt.workspaces
-        holds_all = holds_all or len(workspaces) > 1
+        guilt = self._mark_guilty(score.part, workspaces, true_ms)
         return PartHold(
             part=score.part,
-            workspaces=() if holds_all else tuple(workspaces),
+            workspaces=guilt.workspaces,
             since_ms=true_ms,
-            crash_count=score.crash_count,
+            crash_count=len(score.crashes),
             targets=tuple(sorted({crash.target for crash in score.crashes})),
         )
 
-
-def _is_proven(score: PartScore, lead: float, candidate_count: int) -> bool:
-    """
-    Return whether the leading part of its crashes is to be held.
-
-    :param lead: distance to the next part that may explain the crashes
-    :param candidate_count: number of parts tested
-    """
-    if score.ratio >= math.log(candidate_count / ERROR_RATE):
-        return True
-    if score.crash_count >= LIKELY_CRASHES and lead >= MIN_LEAD:
-        return score.ratio >= MIN_LEAD
-    return False
+    def _mark_guilty(
+        self, part: str, workspaces: set[str], true_ms: int
+    ) -> Guilt:
+        """Record a decision, for all workspaces once there are two."""
+        known = self._accusations.guilty.get(part)
+        if known is not None:
+            workspaces = workspaces.union(known.workspaces)
+        holds_all = len(workspaces) > 1 or (
+            known is not None and not known.workspaces
+        )
+        guilt = Guilt(true_ms, () if holds_all else tuple(workspaces))
+        self._accusations.guilty.mark(part, guilt)
+        self._accusations.is_changed = True
+        return guilt
 
 
 def _find_workspaces(part: str, crashes: Iterable[Crash]) -> set[str]:
@@ -256,7 +177,3 @@
         if len(workspaces) == 1:
             found.update(workspaces)
     return found or joint
-
-
-def _get_order(score: PartScore) -> tuple[float, str]:
-    return -score.total, score.part
--- a/cicadahoist/policy/crash_log.py
+++ b/cicadahoist/policy/crash_log.py
@@ -1,17 +1,21 @@
 """Crashes of engines, and the runs that had just begun there."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Collection, Iterable, Iterator, Set
 
 import msgspec
 
 # Reports on one target within this time are of one crash: an engine takes
 # seconds to start again.
 SAME_CRASH_WINDOW_MS = 1000
+# Targets that crash within this time have a common cause, such as a power loss.
+SAME_MOMENT_MS = 5
+# Time for the reports of all instances on a crash to arrive.
+REPORT_WAIT_MS = 300
 CRASH_MEMORY_MS = 120_000
 MAX_CRASHES = 64
 # An engine rarely begins more runs within the time in which it would crash.
-MAX_RUNS = 32
+MAX_RUNS = 64
 MAX_PARTS = 16
 
 
@@ -49,12 +53,27 @@
     :param report: first report on it
     """
 
-    __slots__ = ('_count_by_run', 'target', 'true_ms')
+    __slots__ = (
+        '_count_by_run',
+        '_known_ms',
+        '_runs_by_part',
+        'is_ready',
+        'target',
+        'true_ms',
+    )
 
     def __init__(self, report: CrashReport) -> None:
         self.target = report.target
         self.true_ms = report.true_ms
+        self.is_ready = False
+        self._known_ms: int | None = None
         self._count_by_run: Counter[BegunRun] = Counter()
+        self._runs_by_part: dict[str, set[BegunRun]] = {}
+
+    @property
+    def parts(self) -> Collection[str]:
+        """Parts of all runs."""
+        return self._runs_by_part
 
     @property
     def run_count(self) -> int:
@@ -78,15 +97,27 @@
         if joined == self._count_by_run or self.run_count >= MAX_RUNS:
             return False
         self._count_by_run = Counter(list(joined.elements())[:MAX_RUNS])
+        for run in self._count_by_run:
+            for part in run.parts:
+                self._runs_by_part.setdefault(part, set()).add(run)
         return True
 
-    def list_parts(self) -> set[str]:
-        """Return the parts of all runs."""
-        return {part for run in self._count_by_run for part in run.parts}
+    def make_ready(self, true_ms: int) -> bool:
+        """
+        Make the crash ready once its reports have had time to arrive.
+
+        :return: whether it became ready now
+        """
+        if self._known_ms is None:
+            self._known_ms = true_ms
+        if self.is_ready or true_ms - self._known_ms < REPORT_WAIT_MS:
+            return False
+        self.is_ready = True
+        return True
 
-    def list_runs(self, part: str) -> frozenset[BegunRun]:
+    def list_runs(self, part: str) -> Set[BegunRun]:
         """Return the runs on a part."""
-        return frozenset(run for run in self._count_by_run if part in run.parts)
+        return self._runs_by_part.get(part, set())
 
 
 class CrashLog:
@@ -114,11 +145,15 @@
             crash = Crash(report)
             self._crashes.append(crash)
         is_new = crash.merge(report)
-        self._crashes.sort(key=_get_time)
+        self._crashes.sort(key=get_crash_ms)
         while len(self._crashes) > MAX_CRASHES:
             self._crashes.pop(0)
         return crash if is_new and crash in self._crashes else None
 
+    def make_ready(self, true_ms: int) -> bool:
+        """Make old enough crashes ready; return whether there were any."""
+        return any([crash.make_ready(true_ms) for crash in self._crashes])
+
     def drop_expired(self, true_ms: int) -> None:
         """Drop crashes too old to tell, and ones of a clock far off."""
         self._crashes = [
@@ -138,5 +173,15 @@
     return BegunRun(run.workspace, run.parts[:MAX_PARTS])
 
 
-def _get_time(crash: Crash) -> int:
+def get_crash_ms(crash: Crash) -> int:
+    """Return the time of a crash, as a key to sort by."""
     return crash.true_ms
+
+
+def list_moments(crashes: Iterable[Crash]) -> list[Crash]:
+    """Return the first of all crashes that have a common cause."""
+    moments: list[Crash] = []
+    for crash in crashes:
+        if not moments or crash.true_ms - moments[-1].true_ms > SAME_MOMENT_MS:
+            moments.append(crash)
+    return moments
--- a/cicadahoist/policy/guilty_parts.py
+++ b/cicadahoist/policy/guilty_parts.py
@@ -34,14 +34,16 @@
     def __init__(self) -> None:
         self._guilt_by_part: dict[str, Guilt] = {}
 
-    def __contains__(self, part: object) -> bool:
-        """Return whether a part was found to crash engines."""
-        return part in self._guilt_by_part
-
     def get(self, part: str) -> Guilt | None:
         """Return the decision on a part."""
         return self._guilt_by_part.get(part)
 
+    def list_in(self, crash: Crash) -> list[str]:
+        """Return the parts of a crash that were found to crash engines."""
+        if not self._guilt_by_part:
+            return []
+        return [part for part in crash.parts if part in self._guilt_by_part]
+
     def mark(self, part: str, guilt: Guilt) -> None:
         """Record a decision; the oldest gives way when there are too many."""
         self._guilt_by_part.pop(part, None)
--- /dev/null
+++ b/cicadahoist/policy/part_judge.py
@@ -0,0 +1,54 @@
+"""Decides whether a part of prompts is to be held for crashes of engines."""
+
+import math
+
+from cicadahoist.policy.part_score import EXPLAINED_GAIN, PartScore
+
+# A part is held at this many crashes if chance is excluded at the error rate,
+MIN_CRASHES = 3
+ERROR_RATE = 0.0001
+SURE_RATIO = -math.log(ERROR_RATE)
+# and at these counts if it explains the crashes far better than other parts.
+LIKELY_CRASHES = 4
+CERTAIN_CRASHES = 5
+MIN_LEAD = math.log(10)
+SURE_LEAD = 2 * EXPLAINED_GAIN
+# A part that most requests share is in any crash, so it is not held.
+MIN_RATIO = 0.4
+
+
+def is_guilty(score: PartScore, scores: list[PartScore]) -> bool:
+    """
+    Return whether a part is to be held.
+
+    :param score: score of the part
+    :param scores: scores of all accused parts
+    """
+    if score.moment_count < MIN_CRASHES:
+        return False
+    rivals = [
+        other
+        for other in scores
+        if other is not score and other.competes_with(score)
+    ]
+    return _is_proven(score, rivals)
+
+
+def _is_proven(score: PartScore, rivals: list[PartScore]) -> bool:
+    """
+    Return whether a part is to be held.
+
+    :param rivals: other parts that may explain the crashes
+    """
+    ratio = score.ratio - math.log(1 + score.other_count)
+    if ratio < MIN_RATIO:
+        return False
+    lead = min(map(score.compute_new_lead, rivals), default=score.total)
+    if len(score.crashes) >= CERTAIN_CRASHES:
+        return lead >= MIN_LEAD
+    lead = min(map(score.compute_lead, rivals), default=lead)
+    if lead < MIN_LEAD:
+        return False
+    if score.moment_count < LIKELY_CRASHES:
+        return ratio >= SURE_RATIO
+    return lead >= SURE_LEAD or ratio >= MIN_LEAD
--- a/cicadahoist/policy/sound_parts.py
+++ b/cicadahoist/policy/sound_parts.py
@@ -78,10 +78,10 @@
         """
         Return whether peers must hear of a sound run, and count it as told.
 
-        :param crash_ms: time of the latest crash that the part is accused of
+        :param crash_ms: time of the latest crash that it clears
         """
         told_ms = self._told_ms_by_part.get(sound.part, NEVER_MS)
-        if not told_ms < crash_ms <= sound.true_ms:
+        if crash_ms <= told_ms:
             return False
         if told_ms != NEVER_MS and sound.true_ms - told_ms < TELL_PERIOD_MS:
             return False
--- a/tests/test_policy/test_crash_evidence.py
+++ b/tests/test_policy/test_crash_evidence.py
@@ -7,7 +7,11 @@
 """
 
 from cicadahoist.policy.crash_evidence import CrashEvidence
-from cicadahoist.policy.crash_log import BegunRun, CrashReport
+from cicadahoist.policy.crash_log import (
+    REPORT_WAIT_MS,
+    BegunRun,
+    CrashReport,
+)
 
 
 def make_evidence(sound_count=100):
@@ -39,19 +43,25 @@
     return start_ms + 4000 * count
 
 
+def judge(evidence, now_ms):
+    """Return the decisions once reports have had time to arrive."""
+    assert not evidence.find_guilty(now_ms - REPORT_WAIT_MS)
+    return evidence.find_guilty(now_ms)
+
+
 def test_a_part_that_is_in_each_crash_is_held_and_others_are_not():
     evidence = make_evidence()
     now_ms = crash_engines(evidence, 4)
-    (hold,) = evidence.find_guilty(now_ms)
+    (hold,) = judge(evidence, now_ms)
     assert hold.part == 'p'
     assert hold.workspaces == ('w1',)
     assert hold.since_ms == now_ms
     assert hold.crash_count == 4
     assert hold.targets == ('e0', 'e1', 'e2', 'e3')
-    assert not evidence.find_guilty(now_ms)
+    assert not evidence.find_guilty(now_ms + 1000)
 
 
 def test_two_crashes_hold_no_part():
     evidence = make_evidence()
     now_ms = crash_engines(evidence, 2)
-    assert not evidence.find_guilty(now_ms)
+    assert not judge(evidence, now_ms)
