Engine stand-in: pause its steps for a while

The fault pause generates no tokens for delay_ms and then goes on, for answers that have begun and for those that have not. A stall and a pause share one time of the engine until which it generates nothing. crash-on-mark already crashes on a part of the prompt at the first token; the platform stand-in has no target that gets prompts.

tests/test_standin and tests/test_outside/test_engine.py pass.

--- a/cicadahoist/standin/engine.py
+++ b/cicadahoist/standin/engine.py
@@ -74,10 +74,10 @@
         'cut_job_count',
         'fetch_weights',
         'handles',
-        'is_stalled',
         'options',
         'orders',
         'request_count_by_attempt',
+        'stalled_until_ms',
     )
 
     def __init__(self, options: EngineOptions, clock: Clock) -> None:
@@ -92,7 +92,7 @@
         self.handles = KvHandles()
         self.request_count_by_attempt: Counter[str] = Counter()
         self.cut_job_count = 0
-        self.is_stalled = False
+        self.stalled_until_ms: float = 0
         self._clock = clock
         self._batch = Batch(options.limits)
         self._jobs_by_attempt: OrderedDict[str, Job] = OrderedDict()
@@ -246,7 +246,7 @@
 
     def _step(self, started_ms: int) -> None:
         self._timer = None
-        if not self.is_stalled:
+        if self._clock.now_ms() >= self.stalled_until_ms:
             self._batch.step()
         if not self._batch.is_empty():
             late_ms = self._clock.now_ms() - started_ms
--- a/cicadahoist/standin/engine_faults.py
+++ b/cicadahoist/standin/engine_faults.py
@@ -1,5 +1,6 @@
 """Faults that can be injected into the engine stand-in."""
 
+import math
 from collections.abc import Callable
 
 from cicadahoist.clock import Clock
@@ -68,7 +69,7 @@
 @ENGINE_FAULTS.register('none')
 def end_faults(faults: EngineFaults, fault: Fault) -> None:
     """End all faults."""
-    faults.engine.is_stalled = False
+    faults.engine.stalled_until_ms = 0
     faults.crash_mark = ''
     faults.cut_after = 0
     faults.is_torn = False
@@ -91,7 +92,13 @@
 @ENGINE_FAULTS.register('stall')
 def stall_steps(faults: EngineFaults, fault: Fault) -> None:
     """Accept requests but generate no tokens."""
-    faults.engine.is_stalled = True
+    faults.engine.stalled_until_ms = math.inf
+
+
+@ENGINE_FAULTS.register('pause')
+def pause_steps(faults: EngineFaults, fault: Fault) -> None:
+    """Accept requests but generate no tokens for ``delay_ms``."""
+    faults.engine.stalled_until_ms = faults.clock.now_ms() + fault.delay_ms
 
 
 @ENGINE_FAULTS.register('cut')
--- a/tests/test_standin/test_engine.py
+++ b/tests/test_standin/test_engine.py
@@ -15,8 +15,10 @@
 from cicadahoist.standin.engine_answers import CompletionBody
 from cicadahoist.standin.engine_batch import EngineLimits
 from cicadahoist.standin.engine_cache import PrefixCache
+from cicadahoist.standin.engine_faults import EngineFaults
 from cicadahoist.standin.engine_orders import OrderBook
 from cicadahoist.standin.engine_weights import WeightLoader
+from cicadahoist.standin.faults import NO_FAULT, Fault
 
 STEP_MS = 10
 TOKEN_BYTES = 4
@@ -117,6 +119,37 @@
     assert caller.engine.read_state('b').state == 'running'
 
 
+@pytest.mark.parametrize('steps_before', [0, 4])
+def test_paused_engine_goes_on_where_it_stopped(clock, steps_before):
+    caller = Caller(clock)
+    faults = EngineFaults(caller.engine, clock)
+    caller.start('a', max_tokens=6)
+    caller.run_steps(steps_before)
+    tokens_before = list(caller.token_log)
+    faults.apply(Fault(kind='pause', delay_ms=100 * STEP_MS))
+    caller.start('b', max_tokens=6)
+    caller.run_steps(99)
+    assert caller.token_log == tokens_before
+    assert caller.engine.read_state('b').state == 'queued'
+    caller.run_steps(2)
+    assert len(caller.token_log) > len(tokens_before)
+    caller.run_steps(10)
+    assert sorted(caller.token_log) == ['a'] * 6 + ['b'] * 6
+
+
+def test_pause_ends_with_all_faults_and_a_stall_never_ends_by_itself(clock):
+    caller = Caller(clock)
+    faults = EngineFaults(caller.engine, clock)
+    caller.start('a')
+    faults.apply(Fault(kind='stall'))
+    caller.run_steps(1000)
+    assert not caller.token_log
+    faults.apply(Fault(kind='pause', delay_ms=100 * STEP_MS))
+    faults.apply(NO_FAULT)
+    caller.run_steps(4)
+    assert caller.token_log == ['a', 'a']
+
+
 def test_load_report_lags_behind_the_load(clock):
     caller = Caller(clock)
     caller.start('a', max_tokens=200)
