Soak: silent targets and parts of prompts that crash engines

The soak had no target that falls silent and goes on while nothing else is wrong, judged no answer that breaks off then, and sent prompts of one body, so that a part of them could not crash engines.

pause, among the planned work, holds back all bytes of a target, or of all targets of a service, for 0.5 to 1.9 s, at times beside a configuration. send_crashing_part puts a part into 0.15 of the prompts; an engine that begins an answer on it closes its connections after 50 ms, refuses others, and is back under another name 3.5 s later. Prompts now differ in their bodies, as their parts do, and a zone has two decode engines, not one.

New rules: CUT (an answer of sound targets ends before seven tenths of its deadline), BUDGET (more than three requests with a part reach targets from 3 s after its fifth crash) and HELD (less than half of the sound prompts begin from 6 s after it).

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,9 @@
 }
 EVENT_COUNT_BY_KIND = {'ask': 20, 'check': 2}
 MAX_PAUSE_S = 0.05
+CRASHING_SHARE = 0.15
+# An answer that has used this share of its deadline may be given up.
+DEADLINE_SHARE = 0.7
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _attempt_numbers = count(1)
 
@@ -141,12 +144,14 @@
             sent_ms=world.now_ms(),
             origin=broken_off,
         )
+        self._choose_part(attempt)
         world.promises.record_attempt(attempt)
+        body = self._build_body(attempt)
         answer = connection.send_request(
             b'POST',
             f'/{kind}/x'.encode(),
-            self._build_headers(attempt),
-            b'body',
+            self._build_headers(attempt, body),
+            body,
         )
         timer = world.reactor.callLater(
             TIMEOUT_MS_BY_KIND[kind] / 1000, connection.abort
@@ -155,6 +160,8 @@
         if timer.active():
             timer.cancel()
         outcome = self._judge(attempt, status, headers, body, is_whole)
+        if outcome in {'cut', 'unanswered'}:
+            self._check_cut(attempt)
         world.promises.count_outcome(attempt, outcome)
         may_take_up = (
             kind == 'ask' and broken_off is None and not self.is_stopped
@@ -164,6 +171,18 @@
             world.promises.count_outcome(attempt, f'taken up {taken_up}')
         return outcome
 
+    def _choose_part(self, attempt: Attempt) -> None:
+        """Choose whether a prompt has the part that crashes engines."""
+        part = self.world.crashing_part
+        if attempt.kind not in EVENT_COUNT_BY_KIND or not part:
+            return
+        if attempt.origin is not None:
+            attempt.crashing_part = attempt.origin.crashing_part
+        elif self.rng.random() < CRASHING_SHARE:
+            attempt.crashing_part = part
+        if not attempt.crashing_part:
+            self.world.promises.record_sound_prompt(attempt, part)
+
     async def _connect(self) -> ClientConnection | None:
         if self._connection is not None and self._connection.is_open:
             if self.rng.random() < 0.8:
@@ -182,10 +201,16 @@
             return None
         return self._connection
 
-    def _build_headers(self, attempt: Attempt):
+    def _build_body(self, attempt: Attempt) -> bytes:
+        """Return a body that differs between prompts, as their texts do."""
+        if attempt.kind in EVENT_COUNT_BY_KIND:
+            return (attempt.origin or attempt).attempt_id.encode()
+        return b'body'
+
+    def _build_headers(self, attempt: Attempt, body: bytes):
         headers = [
             (b'Host', b'h.example'),
-            (b'Content-Length', b'4'),
+            (b'Content-Length', b'%d' % len(body)),
             (b'X-Cicadahoist-Attempt-Id', attempt.attempt_id.encode()),
             (
                 b'X-Cicadahoist-Deadline-Ms',
@@ -198,7 +223,13 @@
         if attempt.kind in EVENT_COUNT_BY_KIND:
             tokens = 9000 if attempt.kind == 'check' else 200
             counts = f'{tokens},{EVENT_COUNT_BY_KIND[attempt.kind]}'
-            parts = f'aa:100,{attempt.attempt_id.encode().hex()}:{tokens - 100}'
+            shared = ['aa:100']
+            if attempt.crashing_part:
+                shared.append(f'{attempt.crashing_part}:100')
+                self.rng.shuffle(shared)
+            own_tokens = tokens - 100 * len(shared)
+            own = f'{attempt.attempt_id.encode().hex()}:{own_tokens}'
+            parts = ','.join((*shared, own))
             headers += [
                 (b'X-Cicadahoist-Model', b'm'),
                 (b'X-Cicadahoist-Token-Count', counts.encode()),
@@ -272,15 +303,26 @@
             )
         return 'served' if is_whole else 'cut'
 
+    def _check_cut(self, attempt) -> None:
+        """Check an answer that broke off, unless its instance ends."""
+        waited_ms = self.world.now_ms() - attempt.sent_ms
+        if waited_ms > DEADLINE_SHARE * TIMEOUT_MS_BY_KIND[attempt.kind]:
+            return
+        if not self.is_stopped and not self._is_instance_ending(attempt):
+            self.world.promises.check_cut(attempt)
+
+    def _is_instance_ending(self, attempt) -> bool:
+        terminated_ms = self._instance.terminated_ms
+        return (
+            terminated_ms is not None and terminated_ms > attempt.sent_ms - 9000
+        )
+
     def _judge_missing_answer(self, attempt) -> str:
         """Check a connection that closed or timed out without an answer."""
         waited_ms = self.world.now_ms() - attempt.sent_ms
         if waited_ms >= TIMEOUT_MS_BY_KIND[attempt.kind]:
             return 'timed out'
-        terminated_ms = self._instance.terminated_ms
-        is_planned = (
-            terminated_ms is not None and terminated_ms > attempt.sent_ms - 9000
-        )
+        is_planned = self._is_instance_ending(attempt)
         if is_planned and self.world.may_only_planned_work_have_cut(attempt):
             self.world.promises.report_breach(
                 'LOST', f'{attempt.attempt_id} at {attempt.instance}'
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,8 @@
 
 FAULTS: dict[str, Callable] = {}
 PLANS: dict[str, Callable] = {}
+MIN_PAUSE_MS = 500
+MAX_PAUSE_MS = 1900
 LINK_FAULTS = ('delay', 'reset', 'silent', 'to', 'back')
 TARGET_FAULTS = ('hang', 'lost', 'busy', 'cut', 'torn', 'extra')
 STORE_FAULTS = ('down', 'lost', 'slow')
@@ -110,6 +112,11 @@
     return lambda: world.store.remove('servers', name)
 
 
+@register_fault
+def send_crashing_part(world):
+    world.crashing_part = f'{world.rng.getrandbits(32):08x}'
+
+
 @register_plan
 def roll(world):
     world.rng.choice(world.instances).terminate()
@@ -137,6 +144,22 @@
         target.drain()
 
 
+@register_plan
+def pause(world):
+    paused = [world.rng.choice(world.targets)]
+    if world.rng.random() < 0.6:
+        service = paused[0].service
+        paused = [one for one in world.targets if one.service == service]
+    pause_ms = world.rng.uniform(MIN_PAUSE_MS, MAX_PAUSE_MS)
+    if world.rng.random() < 0.5:
+        world.write_config()
+    for target in paused:
+        # Requests that a pause holds back must not count as sent too late.
+        if target.name not in world.promises.leaving_ms_by_target:
+            target.link.set_fault('silent')
+            world.clock.call_later(pause_ms, target.link.set_fault, '')
+
+
 def _disturb_link(world, instance, name):
     link = getattr(instance, name)
     world.promises.record_disturbance(instance.name)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -8,9 +8,23 @@
 GRACE_MS = 8000
 # A disturbance excuses late reactions for this time.
 CONTACT_MS = 3000
+# A part of a prompt is known to crash engines after so many crashes.
+PART_CRASH_COUNT = 5
+MAX_LATE_PART_COUNT = 3
+MIN_SOUND_COUNT = 20
+MIN_BEGUN_SHARE = 0.5
 # Rules that check a bound in time.
 TIMED_RULES = frozenset(
-    ('CONFIG', 'DENIED', 'DRAIN', 'LOST', 'READY', 'RECOVER')
+    (
+        'BUDGET',
+        'CONFIG',
+        'DENIED',
+        'DRAIN',
+        'HELD',
+        'LOST',
+        'READY',
+        'RECOVER',
+    )
 )
 
 
@@ -28,6 +42,7 @@
     :param origin: attempt that brought the first event of a stream which this
         one takes up, none for a new stream
     :param events: attempt and number of the events that the caller has received
+    :param crashing_part: part of the prompt that crashes engines, if any
     """
 
     attempt_id: str
@@ -40,6 +55,7 @@
     was_refused: bool = False
     origin: 'Attempt | None' = None
     events: list[tuple[str, int]] = field(default_factory=list)
+    crashing_part: str = ''
 
 
 class PromiseChecker:
@@ -64,6 +80,10 @@
         # Software versions of the targets that sent an event, by attempt and
         # number: an event that is lost on its way may be sent again.
         self.versions_by_event: dict[tuple[str, int], set[str]] = {}
+        self.crashed_targets: set[str] = set()
+        self._crash_times_by_part: dict[str, list[int]] = {}
+        self._late_count_by_part: dict[str, int] = {}
+        self._sound_prompts: list[Attempt] = []
         self._counts_by_window: dict[int, dict] = {}
         self._fence_by_subject: dict[str, tuple[int, str]] = {}
 
@@ -149,6 +169,61 @@
                 'REFUSED', f'{attempt.attempt_id}: {status} after a run'
             )
 
+    def check_cut(self, attempt: Attempt) -> None:
+        """Check an answer that broke off long before its deadline."""
+        ended = self.crashed_targets | self.leaving_ms_by_target.keys()
+        if attempt.runs and ended.isdisjoint(attempt.runs):
+            if self.is_undisturbed(attempt.instance, attempt.sent_ms):
+                waited_ms = self.now_ms() - attempt.sent_ms
+                self.report_breach(
+                    'CUT',
+                    f'{attempt.attempt_id} ({attempt.kind}) after {waited_ms}'
+                    f' ms at {attempt.instance}, run by {attempt.runs}',
+                )
+
+    def record_part_crash(self, part: str) -> None:
+        """Record the crash of an engine under a part of a prompt."""
+        self._crash_times_by_part.setdefault(part, []).append(self.now_ms())
+
+    def check_crashing_part(self, attempt_id: str) -> str:
+        """Check a request that reaches a target; return its crashing part."""
+        attempt = self.attempt_by_id.get(attempt_id)
+        if attempt is None or not attempt.crashing_part:
+            return ''
+        part = attempt.crashing_part
+        if self._is_part_known(part, attempt, CONTACT_MS):
+            count = self._late_count_by_part.get(part, 0) + 1
+            self._late_count_by_part[part] = count
+            if count == MAX_LATE_PART_COUNT + 1:
+                self.report_breach(
+                    'BUDGET', f'{attempt_id} reaches a target with {part}'
+                )
+        return part
+
+    def record_sound_prompt(self, attempt: Attempt, part: str) -> None:
+        """Record a prompt without the part that crashes engines."""
+        if self._is_part_known(part, attempt, 2 * CONTACT_MS):
+            self._sound_prompts.append(attempt)
+
+    def check_sound_prompts(self) -> None:
+        """Check that prompts are served although others crash engines."""
+        begun = [attempt for attempt in self._sound_prompts if attempt.runs]
+        count = len(self._sound_prompts)
+        if count >= MIN_SOUND_COUNT and len(begun) < MIN_BEGUN_SHARE * count:
+            self.report_breach('HELD', f'{len(begun)} of {count} prompts run')
+
+    def _is_part_known(
+        self, part: str, attempt: Attempt, after_ms: int
+    ) -> bool:
+        """Return whether a part was known when an attempt was sent."""
+        crash_times = self._crash_times_by_part.get(part, [])
+        if len(crash_times) < PART_CRASH_COUNT:
+            return False
+        known_ms = crash_times[PART_CRASH_COUNT - 1] + after_ms
+        return attempt.sent_ms > known_ms and self.is_undisturbed(
+            attempt.instance, attempt.sent_ms
+        )
+
     def count_outcome(self, attempt: Attempt, outcome: str) -> None:
         """Count the outcome of an attempt by its kind."""
         name = f'{attempt.kind} {outcome}'
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,6 +3,8 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 
+from bench.launch import find_free_port
+
 HOST = '127.0.0.1'
 
 
@@ -56,13 +58,25 @@
         self.delay_s = 0.05
         self._sides: set[ProxySide] = set()
         self._held: list[tuple[ProxySide, bytes]] = []
-        factory = Factory.forProtocol(lambda: ProxySide(self, True))
-        factory.noisy = False
-        self._listening = reactor.listenTCP(0, factory, interface=HOST)
+        self._factory = Factory.forProtocol(lambda: ProxySide(self, True))
+        self._factory.noisy = False
+        self._listening = None
+        self.port = find_free_port()
+        self.listen()
+
+    def listen(self) -> None:
+        if self._listening is None:
+            self._listening = self._reactor.listenTCP(
+                self.port, self._factory, interface=HOST
+            )
 
-    @property
-    def port(self) -> int:
-        return self._listening.getHost().port
+    def refuse_connections(self) -> None:
+        """Close all connections in due form; refuse others until `listen`."""
+        if self._listening is not None:
+            self._listening.stopListening()
+            self._listening = None
+        for side in list(self._sides):
+            side.transport.loseConnection()
 
     def set_fault(self, fault: str) -> None:
         self.fault = fault
@@ -112,10 +126,10 @@
             else:
                 self._reactor.callLater(0.001, self._close, side.other)
 
-    def stop(self):
+    def stop(self) -> None:
+        self.refuse_connections()
         for side in list(self._sides):
             side.transport.abortConnection()
-        return self._listening.stopListening()
 
     def _connected(self, server: ProxySide, caller: ProxySide) -> None:
         self._sides.add(server)
--- a/soak/run.py
+++ b/soak/run.py
@@ -93,6 +93,8 @@
 
     async def _check_recovery(self) -> None:
         world = self.world
+        world.crashing_part = ''
+        world.promises.check_sound_prompts()
         self._heal_all()
         await world.clock.sleep(RECOVERY_LIMIT_MS)
         caller = Caller(world, world.rng)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -13,6 +13,8 @@
 EVENT_S = 0.015
 PREFILL_S = 0.02
 SLOTS = 16
+PART_CRASH_S = 0.05
+PART_DOWN_S = 3.5
 VERSIONS = ('v1', 'v2')
 DRAIN_S = 3.0
 _numbers = count(1)
@@ -61,6 +63,9 @@
 
     def start(self) -> None:
         """Start a new incarnation and register it in the store."""
+        if self._port is not None:
+            return
+        self.link.listen()
         self.name = f't{next(_numbers)}'
         self.version = self.world.rng.choice(VERSIONS)
         self.running_count, self.accepted_order_count = 0, 0
@@ -83,10 +88,17 @@
         }
         self.world.store.put('servers', self.name, entry)
 
-    def crash(self, down_s: float) -> None:
-        """Abort all connections; remove the entry and start anew later."""
+    def crash(self, down_s: float, *, is_clean: bool = False) -> None:
+        """
+        Close all connections; remove the entry and start anew later.
+
+        :param down_s: time until the next incarnation, in s
+        :param is_clean: whether connections are closed in due form and others
+            refused, instead of aborted
+        """
         old_name = self.name
-        self._close()
+        self.world.promises.crashed_targets.add(old_name)
+        self._close(is_clean=is_clean)
         later = self.world.reactor.callLater
         later(3.6, self.world.store.remove, 'servers', old_name)
         later(down_s, self.start)
@@ -127,15 +139,19 @@
             return self._reject(request, 421)
         if path == '/cicadahoist/order':
             return self._accept_order(request)
+        return self._render_attempt(request, headers)
+
+    def _render_attempt(self, request, headers):
         attempt_id = headers.get(b'x-cicadahoist-attempt-id', b'').decode()
         request.setHeader(b'X-Cicadahoist-Attempt-Id', attempt_id)
+        part = self.world.promises.check_crashing_part(attempt_id)
         if self.fault == 'busy' or self.running_count >= 2 * SLOTS:
             return self._reject(request, 503)
         if headers.get(b'x-cicadahoist-serving-stage') == b'prefill':
             return self._run_prefill(request, attempt_id)
-        return self._run(request, attempt_id, headers)
+        return self._run(request, attempt_id, headers, part)
 
-    def _run(self, request, attempt_id, headers):
+    def _run(self, request, attempt_id, headers, part):
         source = headers.get(b'x-cicadahoist-kv-source', b'').decode()
         if source:
             owner = self.world.pop_handle_owner(source)
@@ -148,6 +164,11 @@
         self.running_count += 1
         request.notifyFinish().addBoth(self._count_run_end)
         self.world.promises.check_run(attempt_id, self.name, headers)
+        if part:
+            self.world.reactor.callLater(
+                PART_CRASH_S, self._crash_on_part, self.name, part
+            )
+            return NOT_DONE_YET
         if self.fault == 'lost':
             self._continue_later(
                 WORK_S, request, request.transport.abortConnection
@@ -275,14 +296,22 @@
     def _count_run_end(self, ended) -> None:
         self.running_count -= 1
 
-    def _close(self) -> None:
+    def _close(self, *, is_clean: bool = False) -> None:
         if self._port is not None:
             self._port.stopListening()
             self._port = None
         for request in list(self._requests):
             request.transport.abortConnection()
-        self.link.set_fault('reset')
-        self.link.set_fault('')
+        if is_clean:
+            self.link.refuse_connections()
+        else:
+            self.link.set_fault('reset')
+            self.link.set_fault('')
+
+    def _crash_on_part(self, old_name: str, part: str) -> None:
+        if self.name == old_name and self._port is not None:
+            self.world.promises.record_part_crash(part)
+            self.crash(PART_DOWN_S, is_clean=True)
 
     def _restart(self, old_name: str) -> None:
         if self.name == old_name:
--- a/soak/world.py
+++ b/soak/world.py
@@ -19,6 +19,8 @@
 
 ZONES = ('zone-a', 'zone-b')
 CALLER_COUNT = 8
+# Decode engines of each zone.
+DECODE_COUNT = 2
 READY_LIMIT_MS = 30_000
 # Time after which every instance accepts a new key.
 KEY_PROPAGATION_MS = 2000
@@ -63,6 +65,7 @@
         self.cloud_port = self._listen(self.cloud)
         self.keys = {f'k{number}': f'w{number}' for number in range(3)}
         self._granted_ms_by_key = dict.fromkeys(self.keys, self.now_ms())
+        self.crashing_part = ''
         self._config_version = 0
         self.write_config()
         self.targets = [
@@ -70,7 +73,8 @@
         ]
         for zone in ZONES:
             self.targets.append(Target(self, 'llm', zone, 'prefill'))
-            self.targets.append(Target(self, 'llm', zone, 'decode'))
+            for _ in range(DECODE_COUNT):
+                self.targets.append(Target(self, 'llm', zone, 'decode'))
         self.instances = [
             Instance(self, number, ZONES[number % len(ZONES)], folder)
             for number in range(instances)
--- a/tests/test_soak/test_promises.py
+++ b/tests/test_soak/test_promises.py
@@ -7,7 +7,18 @@
 
 import pytest
 
-from soak.promises import DRAIN_MS, REVOKE_MS, Attempt, PromiseChecker
+from soak.promises import (
+    CONTACT_MS,
+    DRAIN_MS,
+    MAX_LATE_PART_COUNT,
+    MIN_SOUND_COUNT,
+    PART_CRASH_COUNT,
+    REVOKE_MS,
+    Attempt,
+    PromiseChecker,
+)
+
+PART = 'beef'
 
 
 class CheckedRun:
@@ -26,6 +37,26 @@
         headers_seen |= {name.encode(): b'x' for name in headers}
         self.promises.check_run(attempt, target, headers_seen)
 
+    def send_part(self, later_ms, part=PART):
+        """Send a prompt with a part some time after the first attempt."""
+        sent_ms = self.now_ms + later_ms
+        attempt = Attempt('a2', 'ask', 'k1', 'w1', 'i1', sent_ms)
+        attempt.crashing_part = part
+        self.promises.record_attempt(attempt)
+        self.promises.check_crashing_part('a2')
+
+    def crash_engines(self, count=PART_CRASH_COUNT):
+        for _ in range(count):
+            self.promises.record_part_crash(PART)
+
+    def send_sound(self, count, later_ms, runs=()):
+        """Send prompts without the part."""
+        sent_ms = self.now_ms + later_ms
+        for _ in range(count):
+            attempt = Attempt('a3', 'ask', 'k1', 'w1', 'i1', sent_ms)
+            attempt.runs.extend(runs)
+            self.promises.record_sound_prompt(attempt, PART)
+
     @property
     def rules(self):
         return [
@@ -108,3 +139,71 @@
     check_call('/usage', 'i2', 3, {'window': 8, 'counts': {}})
     check_call('/usage', 'i2', 2, {'window': 9, 'counts': {}})
     assert checked.rules == ['ONE', 'ONE', 'ONE']
+
+
+def test_cut_answer_of_a_sound_target_is_a_breach():
+    checked = CheckedRun('ask')
+    checked.promises.check_cut(checked.attempt)
+    assert checked.rules == []
+    checked.run()
+    checked.promises.check_cut(checked.attempt)
+    assert checked.rules == ['CUT']
+
+
+@pytest.mark.parametrize('cause', ['crash', 'drain', 'disturbance'])
+def test_cut_answer_with_a_cause_outside_the_instance_is_no_breach(cause):
+    checked = CheckedRun('ask')
+    checked.run('t1')
+    checked.run('t2')
+    if cause == 'crash':
+        checked.promises.crashed_targets.add('t1')
+    elif cause == 'drain':
+        checked.promises.leaving_ms_by_target['t2'] = checked.now_ms
+    else:
+        checked.promises.record_disturbance('')
+    checked.promises.check_cut(checked.attempt)
+    assert checked.rules == []
+
+
+def test_many_requests_with_a_known_crashing_part_are_a_breach():
+    checked = CheckedRun()
+    checked.crash_engines()
+    for _ in range(MAX_LATE_PART_COUNT):
+        checked.send_part(CONTACT_MS + 1)
+    assert checked.rules == []
+    checked.send_part(CONTACT_MS + 1)
+    assert checked.rules == ['BUDGET']
+
+
+@pytest.mark.parametrize(
+    'excuse', ['fresh', 'few crashes', 'other part', 'sound', 'disturbed']
+)
+def test_requests_with_a_part_not_yet_known_are_no_breach(excuse):
+    checked = CheckedRun()
+    checked.crash_engines(PART_CRASH_COUNT - (excuse == 'few crashes'))
+    if excuse == 'disturbed':
+        disturbed_ms = checked.now_ms + 1
+        checked.promises.disturbed_ms_by_instance['i1'] = disturbed_ms
+    part = {'other part': 'cafe', 'sound': ''}.get(excuse, PART)
+    for _ in range(MAX_LATE_PART_COUNT + 1):
+        checked.send_part(CONTACT_MS + (excuse != 'fresh'), part)
+    assert checked.rules == []
+
+
+@pytest.mark.parametrize(
+    ('begun_count', 'later_ms', 'rules'),
+    [
+        (MIN_SOUND_COUNT // 2, 2 * CONTACT_MS + 1, []),
+        (MIN_SOUND_COUNT // 2 - 1, 2 * CONTACT_MS + 1, ['HELD']),
+        (0, 2 * CONTACT_MS, []),
+    ],
+)
+def test_sound_prompts_held_beside_a_crashing_part_are_a_breach(
+    begun_count, later_ms, rules
+):
+    checked = CheckedRun()
+    checked.crash_engines()
+    checked.send_sound(begun_count, later_ms, ['t1'])
+    checked.send_sound(MIN_SOUND_COUNT - begun_count, later_ms)
+    checked.promises.check_sound_prompts()
+    assert checked.rules == rules
