--- a/tests/test_entry/test_failures.py
+++ b/tests/test_entry/test_failures.py
@@ -10,7 +10,13 @@
 
 from cicadahoist.reasons import Refusal, Retry
 from cicadahoist.standin.faults import Fault
-from tests.test_entry.world import World, decode_error, decode_events, join_text
+from tests.test_entry.world import (
+    FixedEngine,
+    World,
+    decode_error,
+    decode_events,
+    join_text,
+)
 
 
 def find_busy_engine(world):
@@ -135,6 +141,21 @@
     assert decode_error(answer)['outcome'] == 'unknown'
 
 
+# Guards against a stream that ends with the refusal of its second engine, and
+# so with neither an end nor an error.
+def test_a_stream_whose_resumption_is_refused_ends_with_an_error():
+    world = World()
+    answer = world.chat(tokens=60)
+    world.net.until(lambda: len(answer.body) > 3000)
+    engine = find_busy_engine(world)
+    for other in world.engines:
+        if other != engine:
+            world.net.add(f'{other}:80', FixedEngine(400))
+    world.kill(engine)
+    world.finish(answer)
+    assert decode_events(answer)[-1]['error']['code'] == 'target-failed'
+
+
 def test_answer_broken_off_by_a_failure_is_not_billed():
     world = World(engines=1)
     world.engines['engine-0'].faults.apply(Fault(kind='cut', count=7))
--- a/tests/test_entry/world.py
+++ b/tests/test_entry/world.py
@@ -5,6 +5,8 @@
 import msgspec
 from twisted.web.client import FileBodyProducer
 from twisted.web.http_headers import Headers
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
 
 from cicadahoist.config import Config
 from cicadahoist.entry.connection import BoundedSite
@@ -15,6 +17,7 @@
 from cicadahoist.outside.engine import OpenAiHttpEngine
 from cicadahoist.outside.http import HttpClient
 from cicadahoist.outside.service import HttpService
+from cicadahoist.settings import TARGET_TIMEOUT
 from cicadahoist.standin.engine import Engine, EngineOptions
 from cicadahoist.standin.engine_batch import EngineLimits
 from cicadahoist.standin.engine_server import EngineServer
@@ -71,7 +74,9 @@
             config,
             world.net.clock,
             self.metrics,
-            OpenAiHttpEngine(client, client, CREDENTIAL, 1000, 1000),
+            OpenAiHttpEngine(
+                client, client, CREDENTIAL, config.read(TARGET_TIMEOUT), 1000
+            ),
             HttpService(client, client),
             self.store,
         )
@@ -248,6 +253,24 @@
         )
 
 
+class FixedEngine(Resource):
+    """An engine that answers all requests with one status, or none with 0."""
+
+    isLeaf = True
+
+    def __init__(self, status) -> None:
+        super().__init__()
+        self._status = status
+        self.seen_paths = []
+
+    def render(self, request):
+        self.seen_paths.append(request.path)
+        if not self._status:
+            return NOT_DONE_YET
+        request.setResponseCode(self._status)
+        return b''
+
+
 class ImmediateCooperator:
     """Copies a body immediately."""
 
