Judge a silent attempt by its data before its probe

Callers of cicadahoist-entry saw answers cut off although their target was sending again. Cause: an attempt was given up at one probe that failed, even if data had arrived while the probe was under way, and at one probe that did not find it, even if the target had read the probe before the request itself, as a process that thaws may do.

Data that arrive after a probe was sent now count for more than its result, and a target has lost an attempt only if two probes in a row say so. A probe that fails leaves a line in the log.

--- a/cicadahoist/entry/stall_watch.py
+++ b/cicadahoist/entry/stall_watch.py
@@ -3,6 +3,9 @@
 
 A silent target may be frozen or busy with a long prompt. The watch therefore
 queries the state of the attempt on the target before it abandons the attempt.
+Data that arrive meanwhile count for more than the result of the query, and the
+query may overtake the request itself, so that one negative result proves
+nothing.
 """
 
 from collections.abc import Callable
@@ -12,9 +15,14 @@
 from cicadahoist.clock import Timer
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.errors import CicadahoistError
+from cicadahoist.log import get_logger
 from cicadahoist.table import Target
 
+logger = get_logger(__name__)
+
 WORKING_STATES = frozenset(('queued', 'running'))
+# Negative results in a row after which the target has lost the attempt.
+LOST_AFTER_PROBES = 2
 
 
 class StallWatch:
@@ -35,6 +43,7 @@
         '_context',
         '_get_last_activity_ms',
         '_is_open',
+        '_negative_count',
         '_on_stalled',
         '_target',
         '_timer',
@@ -54,6 +63,7 @@
         self._get_last_activity_ms = get_last_activity_ms
         self._on_stalled = on_stalled
         self._is_open = True
+        self._negative_count = 0
         self._timer = self._schedule_check(context.stall_timeout_ms)
 
     def stop(self) -> None:
@@ -69,23 +79,36 @@
         timeout_ms = self._context.stall_timeout_ms
         silent_ms = self._context.clock.now_ms() - self._get_last_activity_ms()
         if silent_ms < timeout_ms:
+            self._negative_count = 0
             self._timer = self._schedule_check(timeout_ms - silent_ms)
         else:
             Deferred.fromCoroutine(self._probe())
 
     async def _probe(self) -> None:
+        asked_ms = self._context.clock.now_ms()
         try:
             found = await self._context.engines.fetch_attempt_state(
                 self._target, self._attempt
             )
-        except CicadahoistError:
-            is_working = False
+        except CicadahoistError as error:
+            logger.bind(target=self._target.name).info(
+                'state of a silent attempt not known: {0}', error
+            )
+            is_stalled = True
         else:
-            is_working = found.state in WORKING_STATES
+            is_stalled = self._is_lost(found.state)
         if not self._is_open:
             return
-        if is_working:
-            self._timer = self._schedule_check(self._context.stall_timeout_ms)
-        else:
+        if is_stalled and self._get_last_activity_ms() <= asked_ms:
             self._is_open = False
             self._on_stalled()
+        else:
+            self._timer = self._schedule_check(self._context.stall_timeout_ms)
+
+    def _is_lost(self, state: str) -> bool:
+        """Record a state; return whether the target has lost the attempt."""
+        if state in WORKING_STATES:
+            self._negative_count = 0
+        else:
+            self._negative_count += 1
+        return self._negative_count >= LOST_AFTER_PROBES
