Stay with a silent target until another one has accepted the request

Callers of cicadahoist-entry saw streams cut off with target-failed or target-lost, and requests refused with 502, although their target went on after a silence of a second or so; requests that may not be repeated were given up as well. Cause: the stall watch ended the attempt as soon as a probe failed, before it was known that another target could take over. Where the pool had no other target, or all were silent, drained, rejected or refused connections, or the retry budget was spent, nothing was left to go on with.

Silence now only starts another attempt, if the route may be repeated, the budget has a retry and a target can be found (Takeover). The open attempts go on; the first target that accepts the request wins, and the others are dropped and cancelled on their targets. Data from the target whose answer is being relayed drop the others, so that pieces of two runs are never mixed. Where nothing can take over, the attempt stays until its deadline, and the next probe tries again. A suspect body still runs on one target at a time.

An attempt is a SentAttempt with its own id and target, as several may be open, and a request counts its attempts in place of the flag may_have_run, which an attempt that was never sent would have reset for all.

--- a/cicadahoist/entry/attempts.py
+++ b/cicadahoist/entry/attempts.py
@@ -2,12 +2,13 @@
 
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.open_requests import OpenRequest
+from cicadahoist.entry.sent_attempt import SentAttempt
 from cicadahoist.entry.target_choice import TargetChoice
+from cicadahoist.ids import new_nonce
 from cicadahoist.policy.cost import Cost
 from cicadahoist.policy.handoff import ANY_ROLE
 from cicadahoist.policy.tickets import Ticket
 from cicadahoist.reasons import Retry
-from cicadahoist.table import Target
 
 TARGET_RECHECK_MS = 250
 
@@ -30,9 +31,7 @@
         '_choice',
         '_context',
         '_is_admitted',
-        '_may_have_run_before',
         '_request',
-        '_target',
         '_ticket',
     )
 
@@ -47,8 +46,6 @@
         self._request = request
         self._choice = TargetChoice(context, request, cost, blocks)
         self._is_admitted = False
-        self._may_have_run_before = False
-        self._target: Target | None = None
         self._ticket = Ticket.from_rule(
             request.billing_id,
             request.grant.route.pool,
@@ -96,53 +93,75 @@
 
     async def begin_attempt(
         self, roles: frozenset[str] = ANY_ROLE
-    ) -> Target | None:
+    ) -> SentAttempt | None:
         """
         Choose the target of the next attempt and record it as sent.
 
         :param roles: engine roles that may run the attempt
-        :return: the target, none if the request ended during the wait
+        :return: the attempt, none if the request ended during the wait
         :raises RequestRefusedError: no target is available
         """
         self._choice.cheap_only = self._ticket.cheap_only
-        target = await self._reserve_target(roles)
-        if target is None:
+        sent = await self._reserve_target(roles)
+        if sent is None:
             return None
         self._request.expire_if_due()
         if self._request.is_over:
-            self._record_end(0, is_failed=False)
+            sent.record_end(0, is_failed=False)
             self._context.isolation.release(self._request, is_complete=False)
             return None
-        self._choice.tried_targets.add(target.name)
-        self._target = target
-        self._request.target = target.name
-        self._may_have_run_before = self._request.may_have_run
-        self._request.may_have_run = True
-        return target
-
-    def record_first_token(self) -> None:
-        """Record that the attempt has finished its prefill."""
-        self._context.dispatcher.loads.record_first_token(
-            self._request.attempt, self._context.clock.now_ms()
-        )
+        self._record_sent(sent)
+        return sent
+
+    def begin_takeover(self) -> SentAttempt | None:
+        """
+        Begin another attempt beside those that are open on silent targets.
 
-    def end_attempt(self, output_tokens: int, retry: Retry | None) -> None:
+        A suspect body runs on one target at a time.
+
+        :return: the attempt, none if no target can take over or if the route
+            or its retry budget allows no further attempt
+        """
+        self._request.expire_if_due()
+        if self._request.is_over or self._context.isolation.is_suspect(
+            self._request.digest
+        ):
+            return None
+        if not self._choice.has_target(ANY_ROLE):
+            return None
+        if self._plan_retry_ms(Retry.target_frozen) is None:
+            return None
+        self._context.metrics.count_retry(Retry.target_frozen)
+        sent = self._choose(ANY_ROLE)
+        if sent is not None:
+            self._record_sent(sent)
+        return sent
+
+    def end_attempt(
+        self, sent: SentAttempt, output_tokens: int, retry: Retry | None
+    ) -> None:
         """
-        Record the end of the attempt and release its target.
+        Record the end of an attempt and release its target.
 
         :param retry: why another attempt is needed, none after a complete
             answer
         """
         is_failed = retry is not None and not self._request.is_over
-        self._record_end(output_tokens, is_failed=is_failed)
+        sent.record_end(output_tokens, is_failed=is_failed)
         if is_failed and retry in _CRASH_RETRIES:
-            self._report_crash()
+            sent.report_crash()
         if retry in _NOT_RUN_RETRIES:
-            self._request.may_have_run = self._may_have_run_before
+            self._request.sent_count -= 1
         self._context.isolation.release(
             self._request, is_complete=retry is None
         )
-        self._request.end_attempt()
+        self._request.end_attempt(sent.target.name)
+
+    def drop_attempt(self, sent: SentAttempt) -> None:
+        """Record the end of an attempt that another one has made needless."""
+        sent.record_end(0, is_failed=False)
+        self._context.isolation.release(self._request, is_complete=False)
+        self._request.end_attempt(sent.target.name)
 
     async def pause_before_retry(self, retry: Retry) -> None:
         """
@@ -154,46 +173,47 @@
         self._request.expire_if_due()
         if self._request.is_over:
             return
-        delay_ms = self._context.dispatcher.budgets.plan_retry_ms(
+        delay_ms = self._plan_retry_ms(retry)
+        if delay_ms is None:
+            raise self._choice.make_failure_refusal()
+        self._context.metrics.count_retry(retry)
+        await self._request.pause(self._context.clock, delay_ms)
+
+    def _plan_retry_ms(self, retry: Retry) -> int | None:
+        """Spend a retry; return the backoff, none if there is no retry."""
+        return self._context.dispatcher.budgets.plan_retry_ms(
             self._request.grant.route,
             len(self._choice.tried_targets),
             self._context.clock.now_ms(),
             not_run=retry in _NOT_RUN_RETRIES,
         )
-        if delay_ms is None:
-            raise self._choice.make_failure_refusal()
-        self._context.metrics.count_retry(retry)
-        await self._request.pause(self._context.clock, delay_ms)
 
-    async def _reserve_target(self, roles: frozenset[str]) -> Target | None:
+    def _record_sent(self, sent: SentAttempt) -> None:
+        self._choice.tried_targets.add(sent.target.name)
+        self._request.targets.add(sent.target.name)
+        self._request.sent_count += 1
+
+    def _choose(self, roles: frozenset[str]) -> SentAttempt | None:
+        attempt_id = new_nonce()
+        target = self._choice.choose(roles, attempt_id)
+        if target is None:
+            return None
+        return SentAttempt(self._context, attempt_id, target)
+
+    async def _reserve_target(
+        self, roles: frozenset[str]
+    ) -> SentAttempt | None:
         """Wait for a target on which the request may start, and return it."""
         while not self._request.is_over:
-            target = self._choice.choose(roles)
-            if target is None:
+            sent = self._choose(roles)
+            if sent is None:
                 await self._request.pause(
                     self._context.clock, TARGET_RECHECK_MS
                 )
             elif await self._context.isolation.reserve(
-                self._request, target.name
+                self._request, sent.target.name
             ):
-                return target
+                return sent
             else:
-                self._record_end(0, is_failed=False)
+                sent.record_end(0, is_failed=False)
         return None
-
-    def _record_end(self, output_tokens: int, *, is_failed: bool) -> None:
-        self._context.dispatcher.loads.record_end(
-            self._request.attempt,
-            self._context.clock.now_ms(),
-            output_tokens=output_tokens,
-            failed=is_failed,
-        )
-
-    def _report_crash(self) -> None:
-        target = self._target
-        if target is None:
-            return
-        self._context.dispatcher.loads.record_crash(
-            target.name, self._context.clock.now_ms()
-        )
-        self._context.isolation.investigate_crash(target, self._request.attempt)
--- a/cicadahoist/entry/handoff.py
+++ b/cicadahoist/entry/handoff.py
@@ -11,6 +11,7 @@
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.model_request import ModelRequest
 from cicadahoist.entry.open_requests import OpenRequest
+from cicadahoist.entry.sent_attempt import SentAttempt
 from cicadahoist.entry.stall_watch import StallWatch
 from cicadahoist.errors import (
     LostAfterSendError,
@@ -72,13 +73,13 @@
             return
         if not self._attempts.can_begin_attempt(PREFILL_ROLES):
             return
-        target = await self._attempts.begin_attempt(PREFILL_ROLES)
-        if target is None:
+        sent = await self._attempts.begin_attempt(PREFILL_ROLES)
+        if sent is None:
             return
-        retry = await self._prefill(target)
-        self._attempts.end_attempt(0, retry)
+        retry = await self._prefill(sent)
+        self._attempts.end_attempt(sent, 0, retry)
         if retry is None:
-            self._source = target
+            self._source = sent.target
             self._attempts.skip_prefill()
         elif not self._attempts.is_over:
             self._context.metrics.count_retry(Retry.handoff_failed)
@@ -103,17 +104,18 @@
             self._attempts.cost, self._request.grant.route
         )
 
-    async def _prefill(self, target: Target) -> Retry | None:
+    async def _prefill(self, sent: SentAttempt) -> Retry | None:
         """Export the KV cache; return why that failed, or none."""
-        running = Deferred.fromCoroutine(self._run_prefill(target))
+        running = Deferred.fromCoroutine(self._run_prefill(sent))
         started_ms = self._context.clock.now_ms()
         self._request.set_canceller(running.cancel)
         watch = StallWatch(
             self._context,
-            target,
-            self._request.attempt,
+            sent.target,
+            sent.attempt_id,
             lambda: started_ms,
-            running.cancel,
+            on_silent=running.cancel,
+            on_lost=running.cancel,
         )
         try:
             self._handle = await running
@@ -127,11 +129,10 @@
             watch.stop()
         return None
 
-    async def _run_prefill(self, target: Target) -> str:
-        attempt = self._request.attempt
+    async def _run_prefill(self, sent: SentAttempt) -> str:
         response = await self._context.engines.open_stream(
-            target,
-            attempt,
+            sent.target,
+            sent.attempt_id,
             self._path,
             self._model_request.encode_for_prefill(),
             self._request.grant.rule.priority,
@@ -142,5 +143,7 @@
                 f'prefill: HTTP {response.status} {body[:MAX_ERROR_BYTES]!r}',
                 remedy='read what the engine reports',
             )
-        self._attempts.record_first_token()
-        return await self._context.engines.export_kv(target, attempt)
+        sent.record_first_token()
+        return await self._context.engines.export_kv(
+            sent.target, sent.attempt_id
+        )
--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -20,21 +20,17 @@
 from cicadahoist.entry.handoff import Handoff
 from cicadahoist.entry.model_request import ModelRequest
 from cicadahoist.entry.open_requests import OpenRequest
+from cicadahoist.entry.sent_attempt import SentAttempt
 from cicadahoist.entry.stall_watch import StallWatch
 from cicadahoist.entry.stream_attempt import AttemptEnd, StreamAttempt
-from cicadahoist.errors import LostAfterSendError, NotSentError
+from cicadahoist.entry.takeover import OpenedAttempt, Takeover
+from cicadahoist.errors import LostAfterSendError
 from cicadahoist.ids import body_digest
 from cicadahoist.outside.engine import JSON_TYPE
-from cicadahoist.outside.http import (
-    HTTP_BUSY,
-    HTTP_OK,
-    HTTP_UNAVAILABLE,
-    TargetResponse,
-)
+from cicadahoist.outside.http import HTTP_OK, TargetResponse
 from cicadahoist.reasons import Retry
-from cicadahoist.table import RouteKind, Target
+from cicadahoist.table import RouteKind
 
-HTTP_SERVER_ERROR = 500
 CHAT_PATH = '/v1/chat/completions'
 COMPLETION_PATH = '/v1/completions'
 
@@ -173,96 +169,109 @@
     async def _run_attempts(self) -> None:
         await self._handoff.prepare()
         while not self._attempts.is_over:
-            target = await self._attempts.begin_attempt()
-            if target is None:
+            sent = await self._attempts.begin_attempt()
+            if sent is None:
                 break
-            retry = await self._make_attempt(target)
-            self._attempts.end_attempt(self._stream.next_offset, retry)
+            retry = await self._make_attempt(sent)
             if retry is None:
                 return
             await self._attempts.pause_before_retry(retry)
         if self._request.was_ended_by_caller:
             await self._bill()
 
-    async def _make_attempt(self, target: Target) -> Retry | None:
-        """Run one attempt; return why another is needed, or none."""
-        opening = Deferred.fromCoroutine(self._open(target))
-        started_ms = self._context.clock.now_ms()
-        self._request.set_canceller(opening.cancel)
-        watch = StallWatch(
+    async def _make_attempt(self, sent: SentAttempt) -> Retry | None:
+        """
+        Run an attempt, and those that take over from it.
+
+        :return: why another is needed, none after a complete answer
+        """
+        result: OpenedAttempt | Retry | None
+        result = await self._make_takeover().open(sent)
+        while isinstance(result, OpenedAttempt):
+            result = await self._relay(result)
+        return result
+
+    def _make_takeover(self) -> Takeover:
+        return Takeover(
             self._context,
-            target,
-            self._request.attempt,
-            lambda: started_ms,
-            opening.cancel,
+            self._request,
+            self._attempts,
+            self._encode_body,
+            self._send,
         )
-        try:
-            response = await opening
-        except NotSentError:
-            return Retry.connect_failed
-        except LostAfterSendError:
-            return Retry.stream_broken
-        finally:
-            watch.stop()
-        return await self._relay(target, response)
 
-    async def _open(self, target: Target) -> TargetResponse:
-        handle = await self._handoff.import_cache(target)
+    async def _encode_body(self, sent: SentAttempt) -> bytes:
+        handle = await self._handoff.import_cache(sent.target)
+        return self._model_request.encode_for_target(
+            self._stream.next_offset, handle
+        )
+
+    async def _send(self, sent: SentAttempt, body: bytes) -> TargetResponse:
         return await self._context.engines.open_stream(
-            target,
-            self._request.attempt,
+            sent.target,
+            sent.attempt_id,
             self._path,
-            self._model_request.encode_for_target(
-                self._stream.next_offset, handle
-            ),
+            body,
             self._request.grant.rule.priority,
         )
 
     async def _relay(
-        self, target: Target, response: TargetResponse
-    ) -> Retry | None:
-        if response.status in {HTTP_BUSY, HTTP_UNAVAILABLE}:
-            response.abort()
-            return Retry.target_busy
-        if response.status >= HTTP_SERVER_ERROR:
-            response.abort()
-            return Retry.stream_broken
-        if response.status == HTTP_OK and self._model_request.is_stream:
-            return await self._relay_stream(target, response)
-        return await self._relay_whole(response)
+        self, opened: OpenedAttempt
+    ) -> OpenedAttempt | Retry | None:
+        """Relay an answer; return the attempt that takes over, if any."""
+        if opened.response.status == HTTP_OK and self._model_request.is_stream:
+            return await self._relay_stream(opened)
+        retry = await self._relay_whole(opened)
+        self._attempts.end_attempt(opened.sent, self._stream.next_offset, retry)
+        return retry
 
     async def _relay_stream(
-        self, target: Target, response: TargetResponse
-    ) -> Retry | None:
+        self, opened: OpenedAttempt
+    ) -> OpenedAttempt | Retry | None:
+        sent = opened.sent
         caller = self._request.caller
         caller.start_stream()
-        self._stream.begin_attempt(self._format_answer_id())
+        self._stream.begin_attempt(self._format_answer_id(sent))
+        takeover = self._make_takeover()
         attempt = StreamAttempt(
             self._stream,
             caller,
             self._context.clock,
-            self._attempts.record_first_token,
+            sent.record_first_token,
+            takeover.withdraw,
         )
-        response.deliver(attempt)
-        self._request.set_canceller(lambda: attempt.end(AttemptEnd.stopped))
         watch = StallWatch(
             self._context,
-            target,
-            self._request.attempt,
+            sent.target,
+            sent.attempt_id,
             attempt.get_last_activity_ms,
-            lambda: attempt.end(AttemptEnd.stalled),
+            on_silent=takeover.add_attempt,
+            on_lost=lambda: attempt.end(AttemptEnd.stalled),
         )
-        end = await attempt.ended
-        watch.stop()
-        if end is not AttemptEnd.complete:
-            self._cancel(target)
-            return _RETRY_BY_END.get(end, Retry.stream_broken)
+        takeover.guard(watch, lambda: attempt.end(AttemptEnd.stalled))
+        opened.response.deliver(attempt)
+        self._request.set_canceller(lambda: attempt.end(AttemptEnd.stopped))
+        try:
+            end = await attempt.ended
+        finally:
+            watch.stop()
+        if end is AttemptEnd.complete:
+            takeover.close()
+            await self._end_stream()
+            self._attempts.end_attempt(sent, self._stream.next_offset, None)
+            return None
+        sent.cancel_on_target()
+        retry = _RETRY_BY_END.get(end, Retry.stream_broken)
+        self._attempts.end_attempt(sent, self._stream.next_offset, retry)
+        return await takeover.finish(retry)
+
+    async def _end_stream(self) -> None:
         await self._bill()
-        if not caller.is_gone:
-            caller.http.write(encode_event(DONE))
-        return None
+        if not self._request.caller.is_gone:
+            self._request.caller.http.write(encode_event(DONE))
 
-    async def _relay_whole(self, response: TargetResponse) -> Retry | None:
+    async def _relay_whole(self, opened: OpenedAttempt) -> Retry | None:
+        response = opened.response
         reading = Deferred.fromCoroutine(response.read_body())
         self._request.set_canceller(reading.cancel)
         try:
@@ -274,9 +283,9 @@
                 decoded = _decode_whole_answer(body)
             except msgspec.MsgspecError:
                 return Retry.stream_broken
-            if self._format_answer_id() not in {'', decoded.id}:
+            if self._format_answer_id(opened.sent) not in {'', decoded.id}:
                 return Retry.stream_broken
-            self._attempts.record_first_token()
+            opened.sent.record_first_token()
             self._stream.usage = decoded.usage
             self._stream.next_offset = decoded.usage.completion_tokens
             await self._bill()
@@ -287,17 +296,10 @@
         self._request.caller.send_whole(whole.status, whole.headers, body)
         return None
 
-    def _format_answer_id(self) -> str:
-        """Return the expected id of the attempt's answer, empty if unknown."""
+    def _format_answer_id(self, sent: SentAttempt) -> str:
+        """Return the expected id of an attempt's answer, empty if unknown."""
         form = self._context.answer_id_form
-        return form.format(attempt=self._request.attempt)
-
-    def _cancel(self, target: Target) -> None:
-        """Cancel an abandoned attempt on its target, without waiting."""
-        cancelling = Deferred.fromCoroutine(
-            self._context.engines.cancel(target, self._request.attempt)
-        )
-        cancelling.addErrback(lambda _: None)
+        return form.format(attempt=sent.attempt_id)
 
     async def _bill(self) -> None:
         """Record the usage before the caller receives the end of the answer."""
--- a/cicadahoist/entry/open_requests.py
+++ b/cicadahoist/entry/open_requests.py
@@ -16,8 +16,8 @@
     """
     One open request.
 
-    ``may_have_run`` is set once a byte of the request may have reached a
-    target. ``outlives_caller`` keeps the request running after its caller has
+    ``sent_count`` counts its attempts, except those that never reached their
+    targets. ``outlives_caller`` keeps the request running after its caller has
     disconnected, so that its outcome is recorded. ``has_target_claim`` is set
     while a target is reserved for the request, as its body is a suspect.
 
@@ -28,17 +28,16 @@
 
     __slots__ = (
         '_cancel',
-        'attempt',
         'billing_id',
         'caller',
         'digest',
         'expire_if_due',
         'grant',
         'has_target_claim',
-        'may_have_run',
         'outlives_caller',
         'refused',
-        'target',
+        'sent_count',
+        'targets',
     )
 
     def __init__(
@@ -48,9 +47,9 @@
         self.grant = grant
         self.digest = digest
         self.billing_id = new_nonce()
-        self.attempt = ''
-        self.target = ''
-        self.may_have_run = False
+        # Targets of the attempts that are open.
+        self.targets: set[str] = set()
+        self.sent_count = 0
         self.outlives_caller = False
         self.has_target_claim = False
         self.refused: RequestRefusedError | None = None
@@ -59,24 +58,25 @@
         self.expire_if_due: Callable[[], None] = _ignore
         caller.on_gone(self._handle_caller_gone)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a byte of the request may have reached a target."""
+        return self.sent_count > 0
+
     @property
     def is_over(self) -> bool:
         """Whether no further attempt is wanted."""
         return self.refused is not None or self._is_abandoned
 
-    def new_attempt(self) -> str:
-        """Start a new attempt and return its id."""
-        self.attempt = new_nonce()
-        return self.attempt
-
-    def end_attempt(self) -> None:
-        """Clear the target and the canceller of the attempt."""
-        self.target = ''
-        self._cancel = None
+    def end_attempt(self, target: str) -> None:
+        """Remove the target of an attempt, with the last the canceller."""
+        self.targets.discard(target)
+        if not self.targets:
+            self._cancel = None
 
     def set_canceller(self, cancel: Callable[[], None]) -> None:
         """
-        Set the function that cancels the current attempt or wait.
+        Set the function that cancels the current attempts or wait.
 
         It is called at once if the request is over already.
         """
@@ -148,14 +148,14 @@
 
     def count_on(self, target: str) -> int:
         """Return the count of requests that run on a target."""
-        return sum(request.target == target for request in self._requests)
+        return sum(target in request.targets for request in self._requests)
 
     def list_digests_on(self, target: str) -> list[str]:
         """Return the digests of all bodies that run on a target."""
         digests = {
             request.digest
             for request in self._requests
-            if request.target == target
+            if target in request.targets
         }
         return sorted(digests)
 
--- a/cicadahoist/entry/service_handler.py
+++ b/cicadahoist/entry/service_handler.py
@@ -15,11 +15,12 @@
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.handling import answer_or_refuse, run_within_deadline
 from cicadahoist.entry.open_requests import OpenRequest
+from cicadahoist.entry.sent_attempt import SentAttempt
 from cicadahoist.errors import LostAfterSendError, NotSentError
 from cicadahoist.ids import body_digest
 from cicadahoist.policy.cost import Cost
 from cicadahoist.reasons import Retry
-from cicadahoist.table import RouteKind, Target
+from cicadahoist.table import RouteKind
 
 SERVICES_PATH = '/services/'
 CALL_COST = Cost(prefill_tokens=1, decode_tokens=1)
@@ -108,36 +109,36 @@
 
     async def _produce_answer(self) -> RecordedAnswer | None:
         while not self._attempts.is_over:
-            target = await self._attempts.begin_attempt()
-            if target is None:
+            sent = await self._attempts.begin_attempt()
+            if sent is None:
                 break
-            calling = Deferred.fromCoroutine(self._call(target))
+            calling = Deferred.fromCoroutine(self._call(sent))
             self._request.set_canceller(calling.cancel)
             retry = Retry.connect_failed
             try:
                 return await calling
             except NotSentError:
-                self._attempts.end_attempt(0, retry)
+                self._attempts.end_attempt(sent, 0, retry)
             except LostAfterSendError:
                 retry = Retry.stream_broken
-                self._attempts.end_attempt(0, retry)
+                self._attempts.end_attempt(sent, 0, retry)
             await self._attempts.pause_before_retry(retry)
         return None
 
-    async def _call(self, target: Target) -> RecordedAnswer:
+    async def _call(self, sent: SentAttempt) -> RecordedAnswer:
         caller = self._request.caller
         response = await self._context.plain_services.call(
-            target,
-            self._request.attempt,
+            sent.target,
+            sent.attempt_id,
             caller.method,
             self._path,
             _select_forwarded_headers(caller),
             caller.body,
             repeatable=self._request.grant.route.repeatable,
         )
-        self._attempts.record_first_token()
+        sent.record_first_token()
         body = await response.read_body()
-        self._attempts.end_attempt(0, None)
+        self._attempts.end_attempt(sent, 0, None)
         headers = {
             name: response.header(name)
             for name in RETURNED_HEADERS
--- a/cicadahoist/entry/stall_watch.py
+++ b/cicadahoist/entry/stall_watch.py
@@ -2,7 +2,7 @@
 Detects attempts whose target has stopped making progress.
 
 A silent target may be frozen or busy with a long prompt. The watch therefore
-queries the state of the attempt on the target before it abandons the attempt.
+queries the state of the attempt on the target before it reports silence.
 Data that arrive meanwhile count for more than the result of the query, and the
 query may overtake the request itself, so that one negative result proves
 nothing.
@@ -34,17 +34,19 @@
     :param attempt: id of the attempt
     :param get_last_activity_ms: returns the time at which the attempt last
         received data
-    :param on_stalled: called once, when the target no longer works on the
-        attempt
+    :param on_silent: called each time the target is found silent
+    :param on_lost: called once, when the target no longer works on the attempt
     """
 
     __slots__ = (
         '_attempt',
         '_context',
+        '_found_silent_ms',
         '_get_last_activity_ms',
         '_is_open',
         '_negative_count',
-        '_on_stalled',
+        '_on_lost',
+        '_on_silent',
         '_target',
         '_timer',
     )
@@ -55,17 +57,28 @@
         target: Target,
         attempt: str,
         get_last_activity_ms: Callable[[], int],
-        on_stalled: Callable[[], None],
+        *,
+        on_silent: Callable[[], None],
+        on_lost: Callable[[], None],
     ) -> None:
         self._context = context
         self._target = target
         self._attempt = attempt
         self._get_last_activity_ms = get_last_activity_ms
-        self._on_stalled = on_stalled
+        self._on_silent = on_silent
+        self._on_lost = on_lost
         self._is_open = True
         self._negative_count = 0
+        self._found_silent_ms: int | None = None
         self._timer = self._schedule_check(context.stall_timeout_ms)
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether the target was found silent and has sent nothing since."""
+        if self._found_silent_ms is None:
+            return False
+        return self._get_last_activity_ms() <= self._found_silent_ms
+
     def stop(self) -> None:
         """Stop watching."""
         self._is_open = False
@@ -94,21 +107,24 @@
             logger.bind(target=self._target.name).info(
                 'state of a silent attempt not known: {0}', error
             )
-            is_stalled = True
+            self._found_silent_ms = asked_ms
         else:
-            is_stalled = self._is_lost(found.state)
+            self._record_state(found.state, asked_ms)
         if not self._is_open:
             return
-        if is_stalled and self._get_last_activity_ms() <= asked_ms:
+        is_silent = self.is_silent
+        if is_silent and self._negative_count >= LOST_AFTER_PROBES:
             self._is_open = False
-            self._on_stalled()
-        else:
-            self._timer = self._schedule_check(self._context.stall_timeout_ms)
+            self._on_lost()
+            return
+        self._timer = self._schedule_check(self._context.stall_timeout_ms)
+        if is_silent:
+            self._on_silent()
 
-    def _is_lost(self, state: str) -> bool:
-        """Record a state; return whether the target has lost the attempt."""
+    def _record_state(self, state: str, asked_ms: int) -> None:
         if state in WORKING_STATES:
             self._negative_count = 0
+            self._found_silent_ms = None
         else:
             self._negative_count += 1
-        return self._negative_count >= LOST_AFTER_PROBES
+            self._found_silent_ms = asked_ms
--- a/cicadahoist/entry/stream_attempt.py
+++ b/cicadahoist/entry/stream_attempt.py
@@ -32,6 +32,7 @@
     :param caller: receives the events
     :param clock: clock of the process
     :param on_first_token: called once, at the first output
+    :param on_data: called whenever the target sends data
     """
 
     transport: Any
@@ -42,12 +43,14 @@
         caller: CallerRequest,
         clock: Clock,
         on_first_token: Callable[[], None],
+        on_data: Callable[[], None],
     ) -> None:
         self.ended: Deferred[AttemptEnd] = Deferred()
         self._answer = answer
         self._caller = caller
         self._clock = clock
         self._on_first_token: Callable[[], None] | None = on_first_token
+        self._on_data = on_data
         self._splitter = EventSplitter()
         self._is_open = True
         self._is_paused = False
@@ -73,6 +76,7 @@
         if not self._is_open:
             return
         self._last_activity_ms = self._clock.now_ms()
+        self._on_data()
         out: list[bytes] = []
         progress = Progress.going_on
         for payload in self._splitter.feed(received):
--- a/cicadahoist/entry/target_choice.py
+++ b/cicadahoist/entry/target_choice.py
@@ -51,7 +51,7 @@
         )
         return self._can_route(excluded_targets, roles)
 
-    def choose(self, roles: frozenset[str]) -> Target | None:
+    def choose(self, roles: frozenset[str], attempt: str) -> Target | None:
         """
         Return a target, or none if a suspect body has to wait for one.
 
@@ -59,11 +59,13 @@
         pool has no other target.
 
         :param roles: engine roles that may run the attempt
+        :param attempt: id of the attempt
         :raises RequestRefusedError: no target is available
         """
         digest = self._request.digest
         isolation = self._context.isolation
-        target = self._route(isolation.find_excluded_targets(digest), roles)
+        excluded_targets = isolation.find_excluded_targets(digest)
+        target = self._route(excluded_targets, roles, attempt)
         if target is not None:
             return target
         if not isolation.is_suspect(digest):
@@ -71,7 +73,7 @@
         if self._can_route(isolation.find_blamed_targets(digest), roles):
             return None
         if self._can_route(frozenset(), roles):
-            return self._route(isolation.find_claimed_targets(), roles)
+            return self._route(isolation.find_claimed_targets(), roles, attempt)
         raise self.make_no_target_refusal()
 
     def make_no_target_refusal(self) -> RequestRefusedError:
@@ -103,10 +105,13 @@
         return self._request.grant.route.pool
 
     def _route(
-        self, excluded_targets: frozenset[str], roles: frozenset[str]
+        self,
+        excluded_targets: frozenset[str],
+        roles: frozenset[str],
+        attempt: str,
     ) -> Target | None:
         route_request = self._make_route_request(
-            excluded_targets, roles, self._request.new_attempt()
+            excluded_targets, roles, attempt
         )
         return self._context.dispatcher.choose_target(self._pool, route_request)
 
--- a/tests/test_entry/test_isolation.py
+++ b/tests/test_entry/test_isolation.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cicadahoist.ids import body_digest
+from cicadahoist.messages import Blame
 from cicadahoist.standin.faults import Fault
 from tests.test_entry.world import (
     World,
@@ -84,6 +85,25 @@
     assert bool(excluded_targets) is is_blamed
 
 
+# Guards against a target that stays reserved for a request which is over.
+def test_a_suspect_that_passes_its_deadline_releases_its_target():
+    world = World(engines=3)
+    world.apply(world.rows(deadline_ms=3000))
+    for server in world.engines.values():
+        server.faults.apply(Fault(kind='stall'))
+    isolation = world.entries[0].context.isolation
+    digest = body_digest(encode_chat_body('demo-model', 20, False, 'hello'))
+    isolation.apply_message(
+        Blame(digest=digest, target='engine-9', alone=False)
+    )
+    answer = world.chat(stream=False)
+    world.net.advance(2000)
+    assert isolation.find_claimed_targets()
+    world.net.advance(1100)
+    assert decode_error(answer)['code'] == 'timed-out'
+    assert not isolation.find_claimed_targets()
+
+
 def test_equal_innocent_requests_on_a_killed_target_are_all_answered():
     world = World(engines=2)
     answers = [world.chat(tokens=300) for _ in range(4)]
--- a/tests/test_entry/test_silence_without_takeover.py
+++ b/tests/test_entry/test_silence_without_takeover.py
@@ -10,6 +10,7 @@
 from cicadahoist.errors import RefusedError
 from cicadahoist.outside.engine_messages import AttemptState
 from cicadahoist.policy.load import ReportedLoad
+from cicadahoist.policy.retries import MAX_ATTEMPTS
 from cicadahoist.reasons import Retry
 from cicadahoist.standin.faults import Fault
 from tests.test_entry.test_claims import count_attempts
@@ -123,6 +124,7 @@
     be_silent_for(world, SILENT_MS, *world.engines)
     world.finish(answer)
     assert_whole(answer)
+    assert len(world.entries[0].metrics.counted_reasons) <= MAX_ATTEMPTS - 1
     assert_no_watcher_is_left(world)
 
 
