Guard the deadline of a request whose KV cache is being imported

A request whose deadline passed while a decode engine imported its cache got no answer at its deadline: the import turned the cancellation into a failed import, and the request was sent to the engine although it was over.

--- a/tests/test_entry/test_handoff.py
+++ b/tests/test_entry/test_handoff.py
@@ -10,7 +10,12 @@
 from cicadahoist.policy.load import ReportedLoad
 from cicadahoist.reasons import Retry
 from cicadahoist.standin.faults import Fault
-from tests.test_entry.world import World, decode_events, join_text
+from tests.test_entry.world import (
+    World,
+    decode_error,
+    decode_events,
+    join_text,
+)
 
 LONG_PROMPT = 'site 7;inert;12 t ' * 600
 PREFILL, DECODE, SPARE = 'engine-0', 'engine-1', 'engine-2'
@@ -115,6 +120,18 @@
     assert Retry.handoff_failed in world.entries[0].metrics.counted_reasons
 
 
+# Guards against a deadline that is overlooked during a handoff.
+def test_the_deadline_ends_a_request_whose_cache_is_being_imported():
+    world = make_split_world(targets__timeout=5000)
+    world.apply(world.rows(deadline_ms=2000))
+    for name in (DECODE, SPARE):
+        world.net.hosts[f'{name}:80'].is_frozen = True
+    answer = world.chat(text=LONG_PROMPT)
+    world.net.advance(2010)
+    assert read_prefilled_tokens(world)[PREFILL] > 2000
+    assert decode_error(answer)['code'] == 'timed-out'
+
+
 def test_handoff_is_disabled_by_a_zero_threshold():
     world = make_split_world(policy__handoff_tokens=0)
     world.finish(world.chat(text=LONG_PROMPT, tokens=5))
