Skip a silent prefill only if another engine can run the prompt

Callers of cicadahoist-entry got target-failed for a long prompt whose prefill engine fell silent while the decode engines drained, although both went on soon after. Cause: the prefill was given up before it was known that another engine could take the request. It now goes on until an engine is found.

--- a/cicadahoist/entry/handoff.py
+++ b/cicadahoist/entry/handoff.py
@@ -21,7 +21,7 @@
 )
 from cicadahoist.log import get_logger
 from cicadahoist.outside.http import HTTP_OK
-from cicadahoist.policy.handoff import PREFILL_ROLES
+from cicadahoist.policy.handoff import ANY_ROLE, PREFILL_ROLES
 from cicadahoist.reasons import Retry
 from cicadahoist.table import Target
 
@@ -114,7 +114,7 @@
             sent.target,
             sent.attempt_id,
             lambda: started_ms,
-            on_silent=running.cancel,
+            on_silent=lambda: self._skip_prefill(running),
             on_lost=running.cancel,
         )
         try:
@@ -129,6 +129,11 @@
             watch.stop()
         return None
 
+    def _skip_prefill(self, running: 'Deferred[str]') -> None:
+        """Give a silent prefill up if another engine can run the prompt."""
+        if self._attempts.can_begin_attempt(ANY_ROLE):
+            running.cancel()
+
     async def _run_prefill(self, sent: SentAttempt) -> str:
         response = await self._context.engines.open_stream(
             sent.target,
