End a stream whose resumption is refused with an error

Callers of cicadahoist-entry saw streams that ended with neither [DONE] nor an error event. Cause: where the engine that was to resume a broken stream answered with 4xx, its body was relayed as the whole answer into the stream, and the request counted as answered. Once a stream has begun, any other status than 200 now is a rejection, so that another engine is tried, and otherwise the stream ends with target-failed. A takeover that is refused leaves the stream to the target that runs it.

The rejections depend on the request, so that Takeover gets a sender that knows them.

--- a/cicadahoist/entry/answer_stream.py
+++ b/cicadahoist/entry/answer_stream.py
@@ -58,6 +58,11 @@
         self._expected_id = ''
         self._must_rewrite = False
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a chunk of any attempt was accepted."""
+        return bool(self._answer_id or self.next_offset)
+
     @property
     def is_complete(self) -> bool:
         """Whether the chunk with the finish reason was accepted."""
--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -27,10 +27,16 @@
 from cicadahoist.errors import LostAfterSendError
 from cicadahoist.ids import body_digest
 from cicadahoist.outside.engine import JSON_TYPE
-from cicadahoist.outside.http import HTTP_OK, TargetResponse
+from cicadahoist.outside.http import (
+    HTTP_BUSY,
+    HTTP_OK,
+    HTTP_UNAVAILABLE,
+    TargetResponse,
+)
 from cicadahoist.reasons import Retry
 from cicadahoist.table import RouteKind
 
+HTTP_SERVER_ERROR = 500
 CHAT_PATH = '/v1/chat/completions'
 COMPLETION_PATH = '/v1/completions'
 
@@ -145,6 +151,37 @@
                 usage.prompt_tokens + usage.completion_tokens
             )
 
+    async def encode_body(self, sent: SentAttempt) -> bytes:
+        """Return the body for a target, which resumes a broken stream."""
+        handle = await self._handoff.import_cache(sent.target)
+        return self._model_request.encode_for_target(
+            self._stream.next_offset, handle
+        )
+
+    async def send(self, sent: SentAttempt, body: bytes) -> TargetResponse:
+        """Send a body to a target and return its answer."""
+        return await self._context.engines.open_stream(
+            sent.target,
+            sent.attempt_id,
+            self._path,
+            body,
+            self._request.grant.rule.priority,
+        )
+
+    def find_rejection(self, response: TargetResponse) -> Retry | None:
+        """
+        Return why a target did not accept the request, or none if it did.
+
+        Once a stream has begun, only its continuation can be relayed.
+        """
+        if response.status in {HTTP_BUSY, HTTP_UNAVAILABLE}:
+            return Retry.target_busy
+        if response.status >= HTTP_SERVER_ERROR:
+            return Retry.stream_broken
+        if self._stream.has_begun and response.status != HTTP_OK:
+            return Retry.target_failed
+        return None
+
     async def _run_once(self) -> None:
         if not needs_claim(self._request):
             await self._run_attempts()
@@ -192,28 +229,7 @@
         return result
 
     def _make_takeover(self) -> Takeover:
-        return Takeover(
-            self._context,
-            self._request,
-            self._attempts,
-            self._encode_body,
-            self._send,
-        )
-
-    async def _encode_body(self, sent: SentAttempt) -> bytes:
-        handle = await self._handoff.import_cache(sent.target)
-        return self._model_request.encode_for_target(
-            self._stream.next_offset, handle
-        )
-
-    async def _send(self, sent: SentAttempt, body: bytes) -> TargetResponse:
-        return await self._context.engines.open_stream(
-            sent.target,
-            sent.attempt_id,
-            self._path,
-            body,
-            self._request.grant.rule.priority,
-        )
+        return Takeover(self._context, self._request, self._attempts, self)
 
     async def _relay(
         self, opened: OpenedAttempt
--- a/cicadahoist/entry/opening.py
+++ b/cicadahoist/entry/opening.py
@@ -1,7 +1,6 @@
 """One attempt from its sending until its target accepts or rejects it."""
 
-from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any, Protocol
+from typing import Protocol
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
@@ -11,21 +10,23 @@
 from cicadahoist.entry.stall_watch import StallWatch
 from cicadahoist.errors import LostAfterSendError, NotSentError
 from cicadahoist.log import get_logger
-from cicadahoist.outside.http import (
-    HTTP_BUSY,
-    HTTP_UNAVAILABLE,
-    TargetResponse,
-)
+from cicadahoist.outside.http import TargetResponse
 from cicadahoist.reasons import Retry
 
 logger = get_logger(__name__)
 
-HTTP_SERVER_ERROR = 500
 
-EncodeBody = Callable[[SentAttempt], Awaitable[bytes]]
-Send = Callable[
-    [SentAttempt, bytes], Coroutine[Deferred[Any], Any, TargetResponse]
-]
+class AttemptSender(Protocol):
+    """Sends the attempts of one request."""
+
+    async def encode_body(self, sent: SentAttempt) -> bytes:
+        """Return the body for a target; it has a time limit of its own."""
+
+    async def send(self, sent: SentAttempt, body: bytes) -> TargetResponse:
+        """Send a body to a target and return its answer."""
+
+    def find_rejection(self, response: TargetResponse) -> Retry | None:
+        """Return why a target did not accept the request, or none if so."""
 
 
 class OpeningObserver(Protocol):
@@ -82,15 +83,9 @@
         """Whether the target was found silent."""
         return self._watch is not None and self._watch.is_silent
 
-    def start(self, encode_body: EncodeBody, send: Send) -> None:
-        """
-        Send the attempt.
-
-        :param encode_body: returns the body for the target; it has a time
-            limit of its own
-        :param send: sends the body and returns the answer
-        """
-        running = Deferred.fromCoroutine(self._run(encode_body, send))
+    def start(self, sender: AttemptSender) -> None:
+        """Send the attempt."""
+        running = Deferred.fromCoroutine(self._run(sender))
         running.addErrback(self._handle_error)
         self._running = running
 
@@ -101,19 +96,19 @@
             self._running.cancel()
         self.sent.cancel_on_target()
 
-    async def _run(self, encode_body: EncodeBody, send: Send) -> None:
-        body = await encode_body(self.sent)
+    async def _run(self, sender: AttemptSender) -> None:
+        body = await sender.encode_body(self.sent)
         if self._is_dropped:
             return
         try:
-            response = await self._send_watched(send, body)
+            response = await self._send_watched(sender, body)
         except NotSentError:
             self._fail(Retry.connect_failed)
             return
         except LostAfterSendError:
             self._fail(Retry.stream_broken)
             return
-        retry = _find_rejection(response)
+        retry = sender.find_rejection(response)
         if self._is_dropped or retry is not None:
             response.abort()
         if retry is not None:
@@ -121,9 +116,11 @@
         elif not self._is_dropped:
             self._observer.handle_accepted(self, response)
 
-    async def _send_watched(self, send: Send, body: bytes) -> TargetResponse:
+    async def _send_watched(
+        self, sender: AttemptSender, body: bytes
+    ) -> TargetResponse:
         started_ms = self._context.clock.now_ms()
-        sending = Deferred.fromCoroutine(send(self.sent, body))
+        sending = Deferred.fromCoroutine(sender.send(self.sent, body))
         self._watch = StallWatch(
             self._context,
             self.sent.target,
@@ -146,12 +143,3 @@
             logger.debug('dropped attempt failed: {0}', failure.value)
         else:
             self._observer.handle_error(self, failure)
-
-
-def _find_rejection(response: TargetResponse) -> Retry | None:
-    """Return why a target did not accept a request, or none if it did."""
-    if response.status in {HTTP_BUSY, HTTP_UNAVAILABLE}:
-        return Retry.target_busy
-    if response.status >= HTTP_SERVER_ERROR:
-        return Retry.stream_broken
-    return None
--- a/cicadahoist/entry/takeover.py
+++ b/cicadahoist/entry/takeover.py
@@ -13,7 +13,7 @@
 from cicadahoist.entry.attempts import Attempts
 from cicadahoist.entry.context import EntryContext
 from cicadahoist.entry.open_requests import OpenRequest
-from cicadahoist.entry.opening import EncodeBody, Opening, Send
+from cicadahoist.entry.opening import AttemptSender, Opening
 from cicadahoist.entry.sent_attempt import SentAttempt
 from cicadahoist.entry.stall_watch import StallWatch
 from cicadahoist.log import get_logger
@@ -49,20 +49,18 @@
     :param context: shared objects of the entry
     :param request: the open request
     :param attempts: attempts of the request
-    :param encode_body: returns the body of the request for a target
-    :param send: sends the body to a target and returns its answer
+    :param sender: sends the attempts
     """
 
     __slots__ = (
         '_attempts',
         '_context',
-        '_encode_body',
         '_is_closed',
         '_on_accepted',
         '_openings',
         '_request',
         '_result',
-        '_send',
+        '_sender',
         '_streaming_watch',
     )
 
@@ -71,14 +69,12 @@
         context: EntryContext,
         request: OpenRequest,
         attempts: Attempts,
-        encode_body: EncodeBody,
-        send: Send,
+        sender: AttemptSender,
     ) -> None:
         self._context = context
         self._request = request
         self._attempts = attempts
-        self._encode_body = encode_body
-        self._send = send
+        self._sender = sender
         self._openings: list[Opening] = []
         self._result: Deferred[OpenedAttempt | Retry] = Deferred()
         self._is_closed = False
@@ -192,7 +188,7 @@
     def _start(self, sent: SentAttempt) -> None:
         opening = Opening(self._context, sent, self)
         self._openings.append(opening)
-        opening.start(self._encode_body, self._send)
+        opening.start(self._sender)
 
     def _finish(self, result: OpenedAttempt | Retry) -> None:
         self.close()
--- a/tests/test_entry/test_silence_without_takeover.py
+++ b/tests/test_entry/test_silence_without_takeover.py
@@ -139,7 +139,7 @@
     assert_no_watcher_is_left(world)
 
 
-@pytest.mark.parametrize('status', [429, 503, 500])
+@pytest.mark.parametrize('status', [404, 429, 503, 500])
 def test_a_stream_goes_on_where_the_target_that_takes_over_rejects(status):
     world = make_world()
     answer, engine = begin_stream(world)
