Keep watching a stalled attempt after a probe that cannot be decoded

Callers of cicadahoist-entry waited until their deadline for a silent target, although another one could take over. Cause: an answer to the state probe that cannot be decoded raised an error that ended the watch of the attempt for good. Such an answer is now taken for no answer. The test failed before with the DecodeError and passes; test_entry: no failure.

--- a/cicadahoist/entry/stall_watch.py
+++ b/cicadahoist/entry/stall_watch.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 
+import msgspec
 from twisted.internet.defer import Deferred
 
 from cicadahoist.clock import Timer
@@ -89,10 +90,11 @@
         return self._context.clock.call_later(delay_ms, self._check)
 
     def _check(self) -> None:
+        if not self.is_silent:
+            self._negative_count = 0
         timeout_ms = self._context.stall_timeout_ms
         silent_ms = self._context.clock.now_ms() - self._get_last_activity_ms()
         if silent_ms < timeout_ms:
-            self._negative_count = 0
             self._timer = self._schedule_check(timeout_ms - silent_ms)
         else:
             Deferred.fromCoroutine(self._probe())
@@ -103,7 +105,7 @@
             found = await self._context.engines.fetch_attempt_state(
                 self._target, self._attempt
             )
-        except CicadahoistError as error:
+        except (CicadahoistError, msgspec.MsgspecError) as error:
             logger.bind(target=self._target.name).info(
                 'state of a silent attempt not known: {0}', error
             )
--- a/tests/test_entry/test_silence_without_takeover.py
+++ b/tests/test_entry/test_silence_without_takeover.py
@@ -5,6 +5,7 @@
 target was given up before another one had accepted the request in its place.
 """
 
+import msgspec
 import pytest
 
 from cicadahoist.errors import RefusedError
@@ -272,6 +273,28 @@
     assert count_attempts(world) == 1
 
 
+# Guards against a stalled stream that nobody watches any longer.
+def test_a_stream_is_taken_over_after_a_probe_that_cannot_be_decoded():
+    world = make_world()
+    answer, engine = begin_stream(world)
+    engines = world.entries[0].context.engines
+    errors = [msgspec.DecodeError('not JSON')]
+
+    class Garbled:
+        def __getattr__(self, name):
+            return getattr(engines, name)
+
+        async def fetch_attempt_state(self, target, attempt):
+            if errors:
+                raise errors.pop()
+            return await engines.fetch_attempt_state(target, attempt)
+
+    world.entries[0].context.engines = Garbled()
+    set_silent(world, engine)
+    world.finish(answer)
+    assert_whole(answer)
+
+
 # Guards against a failed probe that counts for more than arriving data.
 def test_a_stream_goes_on_when_only_its_probes_fail():
     world = make_world(engines=1)
