Accept unframed answers of engines

Callers of cicadahoist-entry got 502 for an unstreamed answer that the engine ended with its connection, with neither a length nor chunks. Such an answer now counts if it is complete JSON; one that ends early is refused as before.

--- a/cicadahoist/entry/model_handler.py
+++ b/cicadahoist/entry/model_handler.py
@@ -288,7 +288,9 @@
 
     async def _relay_whole(self, opened: OpenedAttempt) -> Retry | None:
         response = opened.response
-        reading = Deferred.fromCoroutine(response.read_body())
+        reading = Deferred.fromCoroutine(
+            response.read_body(accepts_unframed=response.status == HTTP_OK)
+        )
         self._request.set_canceller(reading.cancel)
         try:
             body = await reading
--- a/cicadahoist/outside/bodies.py
+++ b/cicadahoist/outside/bodies.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.protocol import Protocol
 from twisted.web.client import ResponseDone
+from twisted.web.http import PotentialDataLoss
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
@@ -14,6 +15,8 @@
 MAX_BODY_BYTES = 16_777_216
 # An event holds a few tokens.
 MAX_EVENT_BYTES = 262_144
+FRAMED_ENDS = (ResponseDone,)
+UNFRAMED_ENDS = (ResponseDone, PotentialDataLoss)
 
 
 @implementer(IBodyProducer)
@@ -52,9 +55,13 @@
     Collects a body; ``complete_body`` fires at its end.
 
     A body of more than ``MAX_BODY_BYTES`` ends with an error at once.
+
+    :param accepts_unframed: whether a body with neither a length nor chunks
+        ends with its connection; only the content shows whether it is whole
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, accepts_unframed: bool = False) -> None:
+        self._end_kinds = UNFRAMED_ENDS if accepts_unframed else FRAMED_ENDS
         self.complete_body: Deferred[bytes] = Deferred(self._close)
         self._chunks: list[bytes] = []
         self._size_bytes = 0
@@ -80,7 +87,7 @@
         """Fire ``complete_body``, with an error if the body ended early."""
         if self.complete_body.called:
             return
-        if reason.check(ResponseDone):
+        if reason.check(*self._end_kinds):
             self.complete_body.callback(b''.join(self._chunks))
         else:
             self.complete_body.errback(reason)
--- a/cicadahoist/outside/http.py
+++ b/cicadahoist/outside/http.py
@@ -96,14 +96,18 @@
         """Close the connection; valid only if nothing receives the body."""
         self._response.deliverBody(ClosingReceiver())
 
-    async def read_body(self, timeout_ms: int = 0) -> bytes:
+    async def read_body(
+        self, timeout_ms: int = 0, *, accepts_unframed: bool = False
+    ) -> bytes:
         """
         Return the complete body.
 
         :param timeout_ms: time limit for its end, 0 for none
+        :param accepts_unframed: whether a body with neither a length nor chunks
+            ends with its connection; the caller has to check that it is whole
         :raises LostAfterSendError: the body ended early or the limit passed
         """
-        collector = BodyCollector()
+        collector = BodyCollector(accepts_unframed=accepts_unframed)
         if timeout_ms:
             collector.complete_body.addTimeout(
                 timeout_ms / MS_PER_S, self._reactor
