Blame no body for a target that was silent before it read the attempt

Isolation took a sound body for a suspect, which then waits for a target of its own, or is refused as quarantined after a second time. Cause: a silent target that is left before it has read the attempt does not know it when it goes on, and an unknown attempt was taken for the proof of a restart. That proof now needs an attempt that the target had accepted, or that it broke off itself.

--- a/cicadahoist/entry/attempts.py
+++ b/cicadahoist/entry/attempts.py
@@ -149,7 +149,7 @@
         is_failed = retry is not None and not self._request.is_over
         sent.record_end(output_tokens, is_failed=is_failed)
         if is_failed and retry in _CRASH_RETRIES:
-            sent.report_crash()
+            sent.report_crash(is_silent=retry is Retry.target_frozen)
         if retry in _NOT_RUN_RETRIES:
             self._request.sent_count -= 1
         self._context.isolation.release(
--- a/cicadahoist/entry/isolation.py
+++ b/cicadahoist/entry/isolation.py
@@ -155,16 +155,27 @@
         if ended is not None:
             self._send(ended)
 
-    def investigate_crash(self, target: Target, attempt: str) -> None:
-        """Probe a target that broke off an attempt, once at a time."""
+    def investigate_crash(
+        self, target: Target, attempt: str, *, is_known: bool
+    ) -> None:
+        """
+        Probe a target that broke off an attempt, once at a time.
+
+        :param is_known: whether the target had read the attempt, so that it has
+            restarted if it does not know it any more
+        """
         if target.name in self._probed_targets:
             return
         self._probed_targets.add(target.name)
         digests = self._open_requests.list_digests_on(target.name)
-        probing = Deferred.fromCoroutine(self._probe(target, attempt))
+        probing = Deferred.fromCoroutine(
+            self._probe(target, attempt, is_known=is_known)
+        )
         probing.addCallback(self._handle_probe_result, target.name, digests)
 
-    async def _probe(self, target: Target, attempt: str) -> bool:
+    async def _probe(
+        self, target: Target, attempt: str, *, is_known: bool
+    ) -> bool:
         """Return whether a target crashed, even if it has restarted since."""
         try:
             if target.kind is RouteKind.service:
@@ -177,7 +188,7 @@
             return True
         except TargetError:
             return False
-        return attempt_state.state == ABSENT_STATE
+        return is_known and attempt_state.state == ABSENT_STATE
 
     def _handle_probe_result(
         self, has_crashed: bool, target: str, digests: list[str]
--- a/cicadahoist/entry/sent_attempt.py
+++ b/cicadahoist/entry/sent_attempt.py
@@ -13,12 +13,14 @@
     """
     One attempt that is open on a target.
 
+    ``is_accepted`` is set once the target has answered.
+
     :param context: shared objects of the entry
     :param attempt_id: id of the attempt
     :param target: its target
     """
 
-    __slots__ = ('_context', 'attempt_id', 'target')
+    __slots__ = ('_context', 'attempt_id', 'is_accepted', 'target')
 
     def __init__(
         self, context: EntryContext, attempt_id: str, target: Target
@@ -26,6 +28,7 @@
         self._context = context
         self.attempt_id = attempt_id
         self.target = target
+        self.is_accepted = False
 
     def record_first_token(self) -> None:
         """Record that the attempt has finished its prefill."""
@@ -47,12 +50,21 @@
             failed=is_failed,
         )
 
-    def report_crash(self) -> None:
-        """Eject the target and find out whether it crashed."""
+    def report_crash(self, *, is_silent: bool) -> None:
+        """
+        Eject the target and find out whether it crashed.
+
+        :param is_silent: whether the target was left because it was silent; it
+            may then never have read an attempt that it has not accepted
+        """
         self._context.dispatcher.loads.record_crash(
             self.target.name, self._context.clock.now_ms()
         )
-        self._context.isolation.investigate_crash(self.target, self.attempt_id)
+        self._context.isolation.investigate_crash(
+            self.target,
+            self.attempt_id,
+            is_known=self.is_accepted or not is_silent,
+        )
 
     def cancel_on_target(self) -> None:
         """Cancel the abandoned attempt on its target, without waiting."""
--- a/cicadahoist/entry/takeover.py
+++ b/cicadahoist/entry/takeover.py
@@ -144,6 +144,7 @@
     ) -> None:
         """Let the attempt win."""
         self._openings.remove(opening)
+        opening.sent.is_accepted = True
         self._finish(OpenedAttempt(opening.sent, response))
         if self._on_accepted is not None:
             self._on_accepted()
--- a/tests/test_entry/test_isolation.py
+++ b/tests/test_entry/test_isolation.py
@@ -85,6 +85,31 @@
     assert bool(excluded_targets) is is_blamed
 
 
+# Guards against the blame of a target that only was silent: it does not know
+# the attempt, as it had not read it when another target took over.
+def test_no_body_is_blamed_for_a_target_that_was_silent_before_its_attempt():
+    world = World(engines=2, entry__stall_timeout=200, targets__timeout=100)
+    hosts = {name: world.net.hosts[f'{name}:80'] for name in world.engines}
+    for host in hosts.values():
+        host.is_frozen = True
+    answer = world.chat()
+    context = world.entries[0].context
+    (first,) = context.dispatcher.loads.build_view().by_target
+    for name, host in hosts.items():
+        host.is_frozen = name == first
+    world.net.until(lambda: answer.body)
+    # The target reads nothing of a connection that was reset meanwhile.
+    hosts[first].pumps = [
+        pump for pump in hosts[first].pumps if not pump.clientIO.disconnecting
+    ]
+    hosts[first].is_frozen = False
+    world.finish(answer)
+    world.net.advance(2000)
+    digest = body_digest(encode_chat_body('demo-model', 20, True, 'hello'))
+    assert decode_events(answer)[-1] == '[DONE]'
+    assert not context.isolation.is_suspect(digest)
+
+
 # Guards against a target that stays reserved for a request which is over.
 def test_a_suspect_that_passes_its_deadline_releases_its_target():
     world = World(engines=3)
