Let no error of an attempt hide another one

An unexpected error that is raised after an attempt has ended would have raised another one in the takeover, and the request would have waited until its deadline.

--- a/cicadahoist/entry/takeover.py
+++ b/cicadahoist/entry/takeover.py
@@ -160,10 +160,11 @@
 
     def handle_error(self, opening: Opening, failure: Failure) -> None:
         """End the takeover; an answer that is being relayed goes on."""
-        self._openings.remove(opening)
-        self._attempts.end_attempt(opening.sent, 0, Retry.target_failed)
+        if opening in self._openings:
+            self._openings.remove(opening)
+            self._attempts.end_attempt(opening.sent, 0, Retry.target_failed)
         self.close()
-        if self._streaming_watch is None:
+        if self._streaming_watch is None and not self._result.called:
             self._result.errback(failure)
         else:
             logger.error('takeover failed: {0}', failure)
