Reproduce an entry that stops before its last refusal is written

EntryServer.stop waits until no request is open, and a request counts as ended before answer_or_refuse writes its refusal. The tasks that stop next end the process.

--- a/tests/test_entry/test_server.py
+++ b/tests/test_entry/test_server.py
@@ -10,8 +10,10 @@
 from twisted.internet.defer import Deferred
 
 from cicadahoist.config import Config
+from cicadahoist.entry.caller import CallerRequest
 from cicadahoist.entry.server import EntryServer
 from cicadahoist.reasons import Refusal
+from cicadahoist.standin.faults import Fault
 from cicadahoist.table import StalePolicy, Table
 from tests.test_entry.world import World, decode_error, decode_events
 
@@ -72,6 +74,25 @@
     return ServedWorld()
 
 
+# Guards against a process that ends before its last answer is written.
+def test_leaving_waits_for_the_refusal_of_the_last_request(served, monkeypatch):
+    for server in served.world.engines.values():
+        server.faults.apply(Fault(kind='stall'))
+    written = []
+    monkeypatch.setattr(
+        CallerRequest,
+        'send_refusal',
+        lambda caller, refused: written.append(refused),
+    )
+    served.world.chat()
+    seen = []
+    stopping = Deferred.fromCoroutine(served.server.stop())
+    stopping.addCallback(lambda _: seen.extend(written))
+    served.world.net.advance(GRACE_MS + LIMIT_MS + 100)
+    assert written
+    assert seen == written
+
+
 def test_leaving_cuts_no_stream(served):
     answer = served.world.chat(tokens=200)
     served.world.net.until(lambda: len(answer.body) > 500)
