Take no answer that ends with its connection as proof that its parts are sound

An engine that crashes between two events of an answer without a length or chunks closes its connection as after a whole answer. The run then cleared the part that had crashed the engine, so that the evidence began anew with each such crash.

Now only an answer whose end is stated clears its parts. One that ends with its connection is checked like a run that was broken off: if its engine refuses connections, it accuses its parts.

No logs come with it; whether this fault was the reason is not known.

test_an_answer_that_ends_with_its_crashed_engine_clears_no_part failed before (no crash seen, two expected) and passes.

--- a/cicadahoist/serving/prompt_watch.py
+++ b/cicadahoist/serving/prompt_watch.py
@@ -5,7 +5,7 @@
 from cicadahoist.requests import AnswerHead, AnswerMeaning, ModelWork
 from cicadahoist.serving.attempt import AttemptEnd, AttemptOutcome, OnPieces
 from cicadahoist.serving.context import ServingContext
-from cicadahoist.serving.outbound import AnswerLoss
+from cicadahoist.serving.outbound import AnswerEnding, AnswerLoss
 from cicadahoist.serving.target_crashes import BEGUN_MS, LostRun
 
 # How a target ends an answer that it does not complete.
@@ -105,12 +105,20 @@
         """
         head = end.head
         if end.outcome is AttemptOutcome.answered:
-            if head is not None and head.meaning is AnswerMeaning.whole:
+            if head is None or head.meaning is not AnswerMeaning.whole:
+                return False
+            if end.ending is AnswerEnding.stated:
                 self._record_sound()
+            else:
+                # The engine may have crashed between two events.
+                self._report_loss()
             return False
         is_broken_off = end.detail in _BROKEN_OFF
         if end.outcome is not AttemptOutcome.lost or not is_broken_off:
             return False
+        return self._report_loss()
+
+    def _report_loss(self) -> bool:
         lost = LostRun(self._run, self._begun_ms, self._context.clock.now_ms())
         fleet = self._context.fleet
         fleet.target_crashes.record_loss(fleet.connections, self._listing, lost)
--- a/tests/test_serving/test_held_requests.py
+++ b/tests/test_serving/test_held_requests.py
@@ -244,3 +244,45 @@
     for _ in range(50):
         clock.advance(20)
     assert second.gossip.crash_evidence.is_suspect(('aa',))
+
+
+def end_by_close(world):
+    """Let an engine answer without a length, and close after an event."""
+    world.send_request(
+        b'/check/x',
+        *SHORT_PROMPT_HEADERS,
+        patience=2000,
+        body=b'%d' % len(world.sent),
+    )
+    run = world.sent[-1]
+    run.write(
+        b'HTTP/1.1 200 OK\r\nX-Cicadahoist-Attempt-Id: '
+        + run.attempt_id
+        + b'\r\nX-Cicadahoist-Server-Seal: seal-of-target\r\n\r\n'
+        b'id: 1\ndata: t1\n\n'
+    )
+    run.close()
+    return run.target
+
+
+# Guards against a crash between two events that passes for a whole answer, and
+# clears the part that caused it.
+def test_an_answer_that_ends_with_its_crashed_engine_clears_no_part(world):
+    for _ in range(2):
+        target_name = end_by_close(world)
+        world.connections.refusing_targets.add(target_name)
+        world.clock.advance(GATHER_MS)
+        world.clock.advance(1000)
+    assert count_crashes(world) == 2
+    assert world.context.gossip.crash_evidence.is_suspect(('aa',))
+
+
+def test_an_answer_that_ends_with_its_connection_accuses_no_living_engine(
+    world,
+):
+    for _ in range(2):
+        end_by_close(world)
+        world.clock.advance(GATHER_MS)
+        world.clock.advance(1000)
+    assert count_crashes(world) == 0
+    assert not world.context.gossip.crash_evidence.is_suspect(('aa',))
