--- a/cicadahoist/serving/part_watch.py
+++ b/cicadahoist/serving/part_watch.py
@@ -13,10 +13,10 @@
 logger = get_logger(__name__)
 
 EXPIRY_PERIOD_MS = 1000
-# All instances report their runs of one crash within the first time, unless
-# further crashes follow; a decision waits for them up to the second one.
-SETTLE_MS = 200
-MAX_SETTLE_MS = 800
+# Evidence is judged this often, for some time after the latest: a crash is
+# judged once the reports of all instances have had time to arrive.
+DECISION_PERIOD_MS = 30
+DECISION_SPAN_MS = 900
 
 
 class PartWatch:
@@ -32,7 +32,7 @@
     __slots__ = (
         '_clock',
         '_decision',
-        '_decision_limit_ms',
+        '_decide_until_ms',
         '_expired_ms',
         '_gossip',
         '_holds',
@@ -49,8 +49,7 @@
         self._gossip = gossip
         self._clock = clock
         self._decision: Timer | None = None
-        # Latest time of the decision that is scheduled.
-        self._decision_limit_ms = 0
+        self._decide_until_ms = 0
         self._true_ms = true_ms
         self._holds = metrics.counter(PART_HOLDS)
         self._expired_ms = 0
@@ -117,14 +116,12 @@
             _log_hold(hold, 'prompt part held, as a peer decided')
 
     def _schedule_decision(self) -> None:
-        """Decide once the evidence on the latest crash is complete."""
-        now_ms = self._clock.now_ms()
-        if self._decision is not None and self._decision.active():
-            self._decision.cancel()
-        else:
-            self._decision_limit_ms = now_ms + MAX_SETTLE_MS
-        wait_ms = min(SETTLE_MS, self._decision_limit_ms - now_ms)
-        self._decision = self._clock.call_later(wait_ms, self._decide)
+        """Decide until the evidence on the latest crash is complete."""
+        self._decide_until_ms = self._clock.now_ms() + DECISION_SPAN_MS
+        if self._decision is None or not self._decision.active():
+            self._decision = self._clock.call_later(
+                DECISION_PERIOD_MS, self._decide
+            )
 
     def _decide(self) -> None:
         """Hold the parts that the evidence proves to crash engines."""
@@ -134,6 +131,10 @@
             self._holds.add(1)
             _log_hold(hold, 'prompt part held: engines crash that answer on it')
             self._gossip.on_hold(hold)
+        if self._clock.now_ms() < self._decide_until_ms:
+            self._decision = self._clock.call_later(
+                DECISION_PERIOD_MS, self._decide
+            )
 
 
 def _log_hold(hold: PartHold, text: str) -> None:
--- a/cicadahoist/serving/retry_allowance.py
+++ b/cicadahoist/serving/retry_allowance.py
@@ -61,6 +61,11 @@
         elif attempt.may_run or end.outcome is AttemptOutcome.not_run:
             self._sent_count += 1
 
+    @property
+    def is_run_used_up(self) -> bool:
+        """Whether a request that may run once may have run."""
+        return self.may_have_run and self._route.repeat is RepeatRule.once
+
     def try_spend_retry(self) -> bool:
         """
         Spend one retry, where deadline, route and shared budget allow it.
@@ -90,13 +95,18 @@
         """
         return not self._has_prefilled or self.try_spend_retry()
 
-    def may_send_beside(self, attempt: Attempt, open_run_count: int) -> bool:
+    def may_send_beside(
+        self, attempt: Attempt, open_run_count: int, *, is_begun: bool
+    ) -> bool:
         """
         Return whether another attempt may be sent while one is open.
 
         :param attempt: the open attempt, whose target is silent
         :param open_run_count: open attempts that are more than a prefill
+        :param is_begun: whether the caller has a part of an answer
         """
+        if is_begun and self._route.repeat is not RepeatRule.resumable:
+            return False
         if self._route.repeat is RepeatRule.once and attempt.may_run:
             return False
         if self._route.max_sends == 1:
