Let an open stream go on when its part is held beside a takeover

What callers would have seen: a stream that was begun at an engine which falls silent for a while is cut off, if a part of its prompt is held meanwhile.

Cause: a takeover of the silent engine asks whether the request may be sent, finds the part held, and ended the whole request with the open run.

Now no takeover is started for a held part, and a hold refuses only a request of which no run is open. The new test failed before (one retry spent, and with that check left out, the answer cut after its first event) and passes.

--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -125,6 +125,7 @@
             choice is not None
             and choice.is_accepted
             and self._choice.is_sound(choice.placement)
+            and self._prompt_watch.held_part is None
         )
         if choice is None or not can_take_over:
             return False
@@ -139,9 +140,11 @@
         held_part = self._prompt_watch.held_part
         if held_part is None:
             return True
-        self._reply.log_fields['held_part'] = held_part
-        self._refuse(Refusal.part_held, PART_HELD_RETRY_AFTER_MS)
-        self._open_attempts.stop_all()
+        if not self._open_attempts.has_sent_run:
+            self._reply.log_fields['held_part'] = held_part
+            self._refuse(Refusal.part_held, PART_HELD_RETRY_AFTER_MS)
+            self._open_attempts.stop_all()
+        # A run that is open goes on.
         return False
 
     def _place(self) -> Placement | None:
--- a/tests/test_serving/test_held_requests.py
+++ b/tests/test_serving/test_held_requests.py
@@ -10,7 +10,7 @@
 
 from cicadahoist.metrics import PART_HOLDS, TARGET_CRASHES, MetricSpec
 from cicadahoist.policy.held_parts import HeldParts, PartHold
-from cicadahoist.reasons import Refusal
+from cicadahoist.reasons import Refusal, Retry
 from cicadahoist.serving.target_crashes import BEGUN_MS, GATHER_MS
 from tests.test_serving.test_load_exchange import create_deployment
 from tests.test_serving.world import (
@@ -21,6 +21,7 @@
 )
 
 HANDLE_BODY = b'{"kv-handle":"h7","tokens":9000,"version":1}'
+TARGET_FROZEN = MetricSpec.of_retry(Retry.target_frozen)
 PART_HELD = MetricSpec.of_refusal(Refusal.part_held)
 
 
@@ -130,6 +131,22 @@
     assert caller.body.endswith(b'0\r\n\r\n')
 
 
+# A takeover was refused for the part, and cut the first attempt off with it.
+def test_a_stream_at_a_silent_engine_goes_on_when_its_part_is_held(world):
+    caller = send_ask(world)
+    run = world.sent[0]
+    run.begin_stream()
+    run.send_events(1)
+    hold(world)
+    for _ in range(100):
+        world.clock.advance(10)
+    run.send_events(2)
+    run.end_stream()
+    assert len(world.sent) == 1
+    assert world.count(TARGET_FROZEN) == 0
+    assert caller.body.endswith(b'0\r\n\r\n')
+
+
 def test_engines_that_crash_under_a_part_are_logged_and_counted(world):
     for _ in range(5):
         crashed = lose_run(world)
