Judge the silence of an engine by the answers that are read

While one slow caller's answer was not read, its engine counted as active, for all its requests: an engine that hung was never left by any of them, and no crash was blamed.

Now an attempt that is not read is passed over: it counts as begun at each check, and the oldest of the other attempts shows whether the engine is silent.

test_a_slow_caller_does_not_hide_the_silence_of_its_engine failed before (no second engine in 1500 ms) and passes. tests/test_serving without test_crashing_parts and tests/test_policy: 598 passed.

--- a/cicadahoist/policy/answer_watch.py
+++ b/cicadahoist/policy/answer_watch.py
@@ -57,6 +57,18 @@
         if activity is not None:
             activity.last_activity_ms = now_ms
 
+    def record_unread(self, target: str, number: int, now_ms: int) -> None:
+        """Record that this instance does not read the answer to an attempt."""
+        activity = self._activity_by_target.get(target)
+        if activity is None:
+            return
+        attempt = activity.open_attempts_by_number.pop(number, None)
+        if attempt is not None:
+            # Oldest first: its silence can be judged from now on.
+            activity.open_attempts_by_number[number] = msgspec.structs.replace(
+                attempt, sent_ms=now_ms
+            )
+
     def record_end(self, target: str, number: int) -> None:
         """Record the end of an attempt."""
         activity = self._activity_by_target.get(target)
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -132,6 +132,7 @@
         'listing',
         'max_body_bytes',
         'on_activity',
+        'on_unread',
         'prepare_send',
     )
 
@@ -161,6 +162,8 @@
         self.max_body_bytes = CallerLimits().body_bytes
         # Called when the head or a piece of the answer arrives.
         self.on_activity: Callable[[], None] = _ignore
+        # Called while the answer is not read, with the time in ms.
+        self.on_unread: Callable[[int], None] = _ignore_unread
         # Called when a connection is open: returns what to send along now, or
         # none if the request is not to be sent any more.
         self.prepare_send: PrepareSend = _keep_options
@@ -343,3 +346,7 @@
 
 def _ignore() -> None:
     """Do nothing."""
+
+
+def _ignore_unread(now_ms: int) -> None:
+    """Do nothing."""
--- a/cicadahoist/serving/attempt_watch.py
+++ b/cicadahoist/serving/attempt_watch.py
@@ -51,6 +51,9 @@
         )
         activity = _Activity(self._clock.now_ms())
         attempt.on_activity = partial(self._record_activity, name, activity)
+        attempt.on_unread = partial(
+            self._answer_watch.record_unread, name, attempt_number
+        )
         if on_silence is not None:
             self._schedule_check(attempt, round(silence_ms), on_silence)
         try:
@@ -86,11 +89,11 @@
             return
         now_ms = self._clock.now_ms()
         if attempt.is_paused:
-            # What has arrived is not read.
-            attempt.on_activity()
+            # Other attempts show whether the target is silent.
+            attempt.on_unread(now_ms)
         was_paused = now_ms - due_ms > PROCESS_PAUSE_MS
         is_silent = self._answer_watch.is_silent(attempt.listing.name, now_ms)
-        if is_silent and not was_paused:
+        if is_silent and not was_paused and not attempt.is_paused:
             on_silence()
         if not attempt.is_over:
             self._schedule_check(attempt, wait_ms, on_silence)
--- a/tests/test_serving/test_slow_callers.py
+++ b/tests/test_serving/test_slow_callers.py
@@ -48,3 +48,15 @@
     caller.transport.producer.resumeProducing()
     advance_in_steps(world, 1000)
     assert len(world.sent) == 2
+
+
+# Guards against a hung engine that counts as active for one slow caller.
+def test_a_slow_caller_does_not_hide_the_silence_of_its_engine():
+    world = World()
+    world.add(target('d1', 'llm', 'decode'))
+    slow = begin_ask(world)
+    world.send_request(b'/ask/x', *SHORT_PROMPT_HEADERS, patience=15_000)
+    world.add(target('d2', 'llm', 'decode'))
+    slow.transport.producer.pauseProducing()
+    advance_in_steps(world, 1500)
+    assert [sent.target for sent in world.sent] == ['d1', 'd1', 'd2']
