Wait at a stop until the last answers have left

A connection whose answer was written, but had not left the process, no longer counted as busy; a process that was told to end did not wait for it, and the rest of the answer was lost with the process, however much of the grace period was left.

Now a connection that is being closed counts until it is lost, within the grace period.

--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -188,8 +188,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being handled."""
-        return self._exchange is not None
+        """Whether a request is being handled, or an answer is leaving."""
+        return self._exchange is not None or self._linger is not None
 
     def connectionMade(self) -> None:
         """Disable Nagle's algorithm, which delays small answers."""
@@ -215,8 +215,10 @@
     def connectionLost(self, reason: Any = None) -> None:
         """Notify the active request that its caller has disconnected."""
         self._is_closed = True
-        if self._linger is not None and self._linger.active():
-            self._linger.cancel()
+        linger = self._linger
+        self._linger = None
+        if linger is not None and linger.active():
+            linger.cancel()
         if self._exchange is not None:
             self._exchange.is_over = True
         active_request = self._active_request
@@ -383,7 +385,7 @@
         self._sweep()
 
     def count_busy(self) -> int:
-        """Return the number of requests that are being handled."""
+        """Return the number of requests whose answers have not left."""
         return sum(connection.is_busy for connection in self._connections)
 
     def close_idle(self) -> None:
