--- a/tests/test_serving/test_takeover_play.py
+++ b/tests/test_serving/test_takeover_play.py
@@ -58,7 +58,6 @@
         self.next_by_number = {}
         self.answered_handles = []
         self.callers = []
-        self.leavers = set()
         self.silent_until_ms = {}
         self.run_attempt_ids = []
 
@@ -103,19 +102,20 @@
             self.world.context.fleet.directory.remove(name)
         elif draw < 0.09:
             self.world.add(next(e for e in ENGINES if e.name == name))
-        elif draw < 0.092:
-            caller = rng.choice(self.callers)
-            self.leavers.add(caller)
-            if not caller.is_closed:
-                caller.disconnect()
         elif draw < 0.11:
-            caller = rng.choice(self.callers)
-            producer = caller.transport.producer
-            if producer is not None and not caller.is_closed:
-                producer.pauseProducing()
-                self.world.clock.call_later(
-                    rng.randrange(300, 900), producer.resumeProducing
-                )
+            self.disturb_caller(rng.choice(self.callers), draw)
+
+    def disturb_caller(self, caller, draw):
+        producer = caller.transport.producer
+        if caller.is_closed:
+            return
+        if draw < 0.092:
+            caller.disconnect()
+        elif producer is not None:
+            producer.pauseProducing()
+            self.world.clock.call_later(
+                self.rng.randrange(300, 900), producer.resumeProducing
+            )
 
     def finish_opens(self):
         pending = self.world.connections.pending_opens_by_target
