Keep an open attempt where a second send would come too late

Where the wait at the link of this instance was longer than the time left, a second send ended the whole request at once, although the first attempt was open and could still answer in time.

Now only an attempt that is alone ends the request; another one is not sent.

--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -173,9 +173,12 @@
         now_ms = self._context.clock.now_ms()
         link_wait_ms = round(self._context.link.compute_wait_ms(now_ms))
         remaining_ms = self._deadline.remaining_ms - link_wait_ms
-        if remaining_ms <= 0 and not self._reply.is_over:
+        is_too_late = remaining_ms <= 0
+        # Another open attempt may still answer in time.
+        is_alone = len(self._open_attempts) == 1
+        if is_too_late and is_alone and not self._reply.is_over:
             self._expire()
-        if not self._is_awaited():
+        if not self._is_awaited() or is_too_late:
             return None
         self._reply.record_send(chosen_ms, attempt.listing.version)
         self._takeover.schedule_review(attempt)
--- a/tests/test_serving/test_takeover_ends.py
+++ b/tests/test_serving/test_takeover_ends.py
@@ -9,11 +9,14 @@
 import pytest
 
 from cicadahoist.metrics import SILENT_KEPT
+from cicadahoist.policy.link_queue import LinkQueue
 from cicadahoist.requests import RepeatRule
+from cicadahoist.serving.plain_flow import PLAIN_SILENCE_MS
 from tests.test_serving.test_takeover import (
     HANDLE_BODY,
     ONCE,
     SILENCE_MS,
+    STEP_MS,
     advance_in_steps,
     begin_ask,
     make_world,
@@ -208,3 +211,17 @@
     first.end_stream()
     assert caller.body.endswith(b'0\r\n\r\n')
     assert [handle.name for handle in world.freed_handles] == ['h7']
+
+
+# Guards against an answer that is given up as a second send would be too late.
+def test_a_lookup_waits_where_a_second_send_would_come_too_late():
+    world = make_world(target('t1'), target('t2'))
+    link = LinkQueue(bytes_per_ms=10)
+    world.context.link = link
+    caller = world.send_request(b'/lookup/x', patience=PLAIN_SILENCE_MS + 65)
+    advance_in_steps(world, PLAIN_SILENCE_MS - STEP_MS)
+    link.record_sent(1000, world.clock.now_ms())
+    advance_in_steps(world, 2 * STEP_MS)
+    assert not caller.received
+    world.sent[0].answer(body=b'found')
+    assert caller.body == b'found'
