--- a/cicadahoist/policy/accusations.py
+++ b/cicadahoist/policy/accusations.py
@@ -91,11 +91,14 @@
             if crash.is_ready and not self._is_explained(crash)
         ]
         scores = []
-        for part in self._crashes_by_part:
+        for part, accused in self._crashes_by_part.items():
+            is_held = self.guilty.get(part) is not None
+            if len(accused) < 2 and not is_held:
+                continue
             crashes = [
                 crash for crash in self.find_crashes(part) if crash.is_ready
             ]
-            if len(crashes) > 1 or (crashes and self.guilty.get(part)):
+            if len(crashes) > 1 or (crashes and is_held):
                 share = shares.compute_share(part)
                 scores.append(self._score(part, crashes, unexplained, share))
         scores.sort(key=_get_order)
@@ -108,8 +111,10 @@
         self.guilty.drop_expired(true_ms)
 
     def _apply_sound(self, sound: SoundPart) -> None:
-        if self._crashes_by_part.get(sound.part):
-            self.is_changed = True
+        known_ms = self._sounds.get_latest_ms(sound.part)
+        for crash in self._crashes_by_part.get(sound.part, ()):
+            if known_ms < crash.true_ms <= sound.true_ms:
+                self.is_changed = True
         self._sounds.record(sound.part, sound.true_ms)
 
     def _index(self) -> None:
--- a/cicadahoist/policy/part_judge.py
+++ b/cicadahoist/policy/part_judge.py
@@ -11,10 +11,11 @@
 # and at these counts if it explains the crashes far better than other parts.
 LIKELY_CRASHES = 4
 CERTAIN_CRASHES = 5
-MIN_LEAD = math.log(10)
+RIVAL_CHANCE = 0.05
+MIN_LEAD = -math.log(RIVAL_CHANCE)
 SURE_LEAD = 2 * EXPLAINED_GAIN
 # A part that most requests share is in any crash, so it is not held.
-MIN_RATIO = 0.4
+MIN_RATIO = 0.2
 
 
 def is_guilty(score: PartScore, scores: list[PartScore]) -> bool:
