Hold parts together that eight crashes do not tell apart

A part that is always with the crashing one has the same crashes, so that neither led the other and none was ever held: engines went on to crash under both.

From eight crashes on that no sound run has cleared, the parts that no other one leads are held together.

test_parts_that_are_always_together_are_both_held failed before (none held) and passes.

--- a/cicadahoist/policy/crash_evidence.py
+++ b/cicadahoist/policy/crash_evidence.py
@@ -10,7 +10,7 @@
 from cicadahoist.policy.crash_log import BegunRun, Crash, CrashReport
 from cicadahoist.policy.guilty_parts import Guilt
 from cicadahoist.policy.held_parts import PartHold
-from cicadahoist.policy.part_judge import is_guilty
+from cicadahoist.policy.part_judge import find_tied, is_guilty
 from cicadahoist.policy.part_score import PartScore
 from cicadahoist.policy.part_shares import PartShares
 from cicadahoist.policy.sound_parts import SoundPart
@@ -100,8 +100,7 @@
         found: list[PartHold] = []
         while self._accusations.is_changed:
             self._accusations.is_changed = False
-            score = self._find_guiltiest()
-            if score is not None:
+            for score in self._find_guiltiest():
                 found.append(self._hold(score, true_ms))
         return tuple(found)
 
@@ -123,13 +122,13 @@
         self._latest_ms = max(self._latest_ms, true_ms)
         self._accusations.drop_expired(true_ms)
 
-    def _find_guiltiest(self) -> PartScore | None:
-        """Return the part with the highest score among those to hold now."""
+    def _find_guiltiest(self) -> list[PartScore]:
+        """Return the part to hold now, or several that are always together."""
         scores = self._accusations.list_scores(self._shares)
         for score in scores:
             if self._extends_hold(score) or is_guilty(score, scores):
-                return score
-        return None
+                return [score]
+        return find_tied(scores)
 
     def _extends_hold(self, score: PartScore) -> bool:
         """Return whether a part held for one workspace crashed in another."""
--- a/cicadahoist/policy/part_judge.py
+++ b/cicadahoist/policy/part_judge.py
@@ -14,6 +14,9 @@
 RIVAL_CHANCE = 0.05
 MIN_LEAD = -math.log(RIVAL_CHANCE)
 SURE_LEAD = 2 * EXPLAINED_GAIN
+# Parts that are always together cannot be told apart: at this many crashes all
+# of them are held, rather than none.
+TIED_CRASHES = 8
 # A part that most requests share is in any crash, so it is not held.
 MIN_RATIO = 0.2
 
@@ -35,13 +38,38 @@
     return _is_proven(score, rivals)
 
 
+def find_tied(scores: list[PartScore]) -> list[PartScore]:
+    """
+    Return the parts to hold together, none of which leads the others.
+
+    :param scores: scores of all accused parts
+    """
+    candidates = [
+        score
+        for score in scores
+        if len(score.crashes) >= TIED_CRASHES
+        and score.moment_count >= MIN_CRASHES
+        and _compute_net_ratio(score) >= MIN_RATIO
+    ]
+    return [
+        score
+        for score in candidates
+        if all(rival.compute_new_lead(score) < MIN_LEAD for rival in candidates)
+    ]
+
+
+def _compute_net_ratio(score: PartScore) -> float:
+    """Return the ratio, less what chance gives among several suspicions."""
+    return score.ratio - math.log(1 + score.other_count)
+
+
 def _is_proven(score: PartScore, rivals: list[PartScore]) -> bool:
     """
     Return whether a part is to be held.
 
     :param rivals: other parts that may explain the crashes
     """
-    ratio = score.ratio - math.log(1 + score.other_count)
+    ratio = _compute_net_ratio(score)
     if ratio < MIN_RATIO:
         return False
     lead = min(map(score.compute_new_lead, rivals), default=score.total)
--- a/tests/test_policy/test_crash_evidence.py
+++ b/tests/test_policy/test_crash_evidence.py
@@ -296,3 +296,19 @@
     assert shares.compute_share('p') > 0.99
     assert shares.compute_share('old') < 0.01
     assert 'old' not in shares._count_by_part
+
+
+# Guards against crashes without end under two parts that are always together.
+def test_parts_that_are_always_together_are_both_held():
+    evidence = CrashEvidence()
+    for number in range(200):
+        evidence.record_request((f'guide{number % 4}', f'doc{number % 40}'))
+    held = set()
+    for number in range(9):
+        true_ms = 10_000 + 1500 * number
+        run = BegunRun('w1', ('rare', 'crashing'))
+        evidence.add_crash(CrashReport(f'd{number}', true_ms, (run,)))
+        for late_ms in (0, 400):
+            holds = evidence.find_guilty(true_ms + late_ms)
+            held.update(hold.part for hold in holds)
+    assert held == {'rare', 'crashing'}
