--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -31,7 +31,7 @@
     AttemptOutcome,
     OnPieces,
 )
-from cicadahoist.serving.engine_choice import EngineChoice
+from cicadahoist.serving.engine_choice import Choice, EngineChoice
 from cicadahoist.serving.event_relay import EventRelay
 from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.flow import (
@@ -42,10 +42,13 @@
     is_final,
     launch,
 )
+from cicadahoist.serving.prompt_watch import PromptWatch
 
 logger = get_logger(__name__)
 
 NO_ENGINE_RETRY_AFTER_MS = 500
+# A held part stays held for minutes.
+PART_HELD_RETRY_AFTER_MS = 10_000
 BUSY_RETRY_AFTER_MS = 100
 
 FreeHandle = Callable[[Handle], Any]
@@ -59,7 +62,7 @@
         '_free_cache',
         '_handle',
         '_handle_version',
-        '_has_prefilled',
+        '_prompt_watch',
         '_relay',
         '_work',
     )
@@ -73,6 +76,7 @@
         :return: this flow
         """
         self._work = work
+        self._prompt_watch = PromptWatch(self._context, self._workspace, work)
         self._choice = EngineChoice(
             self._context, self._request, self._route, self._service, work
         )
@@ -80,8 +84,6 @@
         self._handle: Handle | None = None
         # Only a decode engine of this version can use the handle.
         self._handle_version = ''
-        # Any further prefill is an arrival that takes a retry.
-        self._has_prefilled = False
         self._relay = EventRelay(self._request.resume_after)
         self._context.demand.record_arrival(
             estimate_engine_ms(work), self._context.clock.now_ms()
@@ -102,24 +104,17 @@
         """Send attempts, the first ones to chosen engines."""
         while placement is not None:
             goes_on = True
-            prefill_engine = self._choose_prefill_engine(placement)
-            if prefill_engine is not None:
-                goes_on = await self._prefill(placement, prefill_engine)
-            is_ready = prefill_engine is None or self._handle
+            is_ready = True
+            engine = None if self._handle else placement.prefill_engine
+            if engine and self._allowance.try_spend_prefill():
+                goes_on = await self._prefill(placement, engine)
+                is_ready = self._handle is not None
             if goes_on and is_ready and self._is_awaited():
                 goes_on = await self._generate(placement)
             placement = self._place() if goes_on else None
         if self._reply.is_over:
             self._free_unused_cache()
 
-    def _choose_prefill_engine(self, placement: Placement) -> str | None:
-        """Return where to prefill apart, none to leave it to the run."""
-        if placement.prefill_engine is None or self._handle is not None:
-            return None
-        if self._has_prefilled and not self._allowance.try_spend_retry():
-            return None
-        return placement.prefill_engine
-
     def _try_take_over(self) -> bool:
         choice = self._choice.choose(
             frozenset(self._tried_targets),
@@ -130,6 +125,7 @@
             choice is not None
             and choice.is_accepted
             and self._choice.is_sound(choice.placement)
+            and self._prompt_watch.held_part is None
         )
         if choice is None or not can_take_over:
             return False
@@ -138,6 +134,19 @@
         launch(self._serve_at(choice.placement), self._fail_on_defect)
         return True
 
+    def _is_awaited(self) -> bool:
+        if not super()._is_awaited():
+            return False
+        held_part = self._prompt_watch.held_part
+        if held_part is None:
+            return True
+        if not self._open_attempts.has_sent_run:
+            self._reply.log_fields['held_part'] = held_part
+            self._refuse(Refusal.part_held, PART_HELD_RETRY_AFTER_MS)
+            self._open_attempts.stop_all()
+        # A run that is open goes on.
+        return False
+
     def _place(self) -> Placement | None:
         """Return where to run, none if the request is over or is refused."""
         if not self._is_awaited():
@@ -152,6 +161,8 @@
             # Another version may serve the request, but without the KV cache.
             self._free_unused_cache()
             return self._place()
+        if self._takeover.is_given_up(is_possible=_is_accepted(choice)):
+            return None
         if choice is None:
             self._refuse(Refusal.no_target, NO_ENGINE_RETRY_AFTER_MS)
             return None
@@ -196,15 +207,16 @@
         finally:
             engine.own_load.prefill_tokens -= placement.prefill_tokens
         took_ms = self._context.clock.now_ms() - started_ms
-        self._handle = self._parse_handle(engine, end, listing.address)
-        if self._handle is None:
+        handle = self._parse_handle(engine, end, listing.address)
+        if handle is None:
             if self._takeover.is_left_to_other(end):
                 return False
             if not self._reply.is_over:
                 self._retry_or_refuse(end, Retry.handoff_failed)
             return True
+        self._handle = handle
         self._handle_version = engine.version
-        self._has_prefilled = True
+        self._allowance.record_prefill()
         self._reply.log_fields['read_ms'] = took_ms
         engine.observe_prefill(placement.prefill_ms, took_ms)
         if not self._open_attempts.has_sent_run:
@@ -265,12 +277,15 @@
             0 if handle else placement.prefill_tokens,
             estimate_kv_tokens(self._work),
         )
+        run_watch = self._prompt_watch.start_run(listing)
         attempt = Attempt(
             self._context.dialect,
             self._request,
             listing,
             self._make_options(listing.name, handle=handle),
-            self._make_piece_handler(run_load, placement, engine),
+            run_watch.watch(
+                self._make_piece_handler(run_load, placement, engine)
+            ),
             EventStream.from_route(self._route),
         )
         try:
@@ -279,8 +294,9 @@
             )
         finally:
             run_load.end()
-        if not attempt.is_sent:
+        if handle is not None and not attempt.is_sent:
             self._handle = handle
+        self._prompt_watch.record_end(run_watch, end)
         return self._process_end(engine, end)
 
     def _make_piece_handler(
@@ -329,7 +345,7 @@
         """
         if end.outcome in {AttemptOutcome.lost, AttemptOutcome.unsent}:
             engine.health.record_crash(self._context.clock.now_ms())
-        if is_final(end):
+        if is_final(end) and not self._takeover.fails_midway(end):
             self._open_attempts.stop_all()
         elif self._takeover.is_left_to_other(end):
             return False
@@ -341,7 +357,10 @@
                 self._finish_answer(end)
             case AttemptOutcome.lost:
                 # Another engine may resume after the last event.
-                is_resumable = self._route.repeat is RepeatRule.resumable
+                is_resumable = (
+                    self._route.repeat is RepeatRule.resumable
+                    and self._prompt_watch.may_send_on
+                )
                 if is_resumable and self._allowance.try_spend_retry():
                     self._context.meters.count_retry(Retry.stream_broken)
                 else:
@@ -353,7 +372,7 @@
         if head is None or self._reply.is_over:
             return
         is_failure = head.meaning is AnswerMeaning.failure
-        if is_failure and self._reply.is_begun:
+        if self._takeover.fails_midway(end):
             self._reply.fail(HTTP_BAD_GATEWAY, Refusal.target_failed)
         elif is_failure:
             self._reply.deliver(head, end.body)
@@ -433,6 +452,10 @@
         self._engine.own_load.kv_tokens -= self._cache_tokens
 
 
+def _is_accepted(choice: Choice | None) -> bool:
+    return choice is not None and choice.is_accepted
+
+
 def _log_cache_not_freed(failure: Any) -> None:
     failure.trap(TargetError)
     logger.info(
--- a/cicadahoist/serving/retry_allowance.py
+++ b/cicadahoist/serving/retry_allowance.py
@@ -24,6 +24,7 @@
     __slots__ = (
         '_context',
         '_deadline',
+        '_has_prefilled',
         '_has_reserved_retry',
         '_route',
         '_sent_count',
@@ -44,6 +45,7 @@
         self._route = route
         self._service = service
         self._sent_count = 0
+        self._has_prefilled = False
         # Whether a retry was spent from the budget and is not used yet.
         self._has_reserved_retry = False
         self.may_have_run = False
@@ -59,6 +61,11 @@
         elif attempt.may_run or end.outcome is AttemptOutcome.not_run:
             self._sent_count += 1
 
+    @property
+    def is_run_used_up(self) -> bool:
+        """Whether a request that may run once may have run."""
+        return self.may_have_run and self._route.repeat is RepeatRule.once
+
     def try_spend_retry(self) -> bool:
         """
         Spend one retry, where deadline, route and shared budget allow it.
@@ -76,13 +83,30 @@
             self._service, self._context.clock.now_ms()
         )
 
-    def may_send_beside(self, attempt: Attempt, open_run_count: int) -> bool:
+    def record_prefill(self) -> None:
+        """Record that an engine has prefilled the prompt."""
+        self._has_prefilled = True
+
+    def try_spend_prefill(self) -> bool:
+        """
+        Return whether the prompt may be prefilled apart from its run.
+
+        Each prefill after the first one takes a retry.
+        """
+        return not self._has_prefilled or self.try_spend_retry()
+
+    def may_send_beside(
+        self, attempt: Attempt, open_run_count: int, *, is_begun: bool
+    ) -> bool:
         """
         Return whether another attempt may be sent while one is open.
 
         :param attempt: the open attempt, whose target is silent
         :param open_run_count: open attempts that are more than a prefill
+        :param is_begun: whether the caller has a part of an answer
         """
+        if is_begun and self._route.repeat is not RepeatRule.resumable:
+            return False
         if self._route.repeat is RepeatRule.once and attempt.may_run:
             return False
         if self._route.max_sends == 1:
--- a/cicadahoist/serving/takeover.py
+++ b/cicadahoist/serving/takeover.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from cicadahoist.reasons import Retry
+from cicadahoist.requests import AnswerMeaning
 from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.open_attempts import OpenAttempts
@@ -56,7 +57,9 @@
         if len(self._open_attempts) > 1:
             return
         may_send = self._allowance.may_send_beside(
-            attempt, self._open_attempts.count_runs()
+            attempt,
+            self._open_attempts.count_runs(),
+            is_begun=self._reply.is_begun,
         )
         if may_send and self._try_start():
             self._context.meters.count_retry(Retry.target_frozen)
@@ -76,15 +79,38 @@
             return True
         if not self._open_attempts:
             return False
+        if self._allowance.is_run_used_up:
+            self._open_attempts.stop_all()
+            return False
         if end.outcome is AttemptOutcome.unsent:
             self._allowance.return_retry()
         return True
 
+    def is_given_up(self, *, is_possible: bool) -> bool:
+        """
+        Return whether another attempt decides, as no target can take over.
+
+        :param is_possible: whether there is a target that accepts the request
+        """
+        if is_possible or not self._open_attempts:
+            return False
+        self._allowance.return_retry()
+        return True
+
+    def fails_midway(self, end: AttemptEnd) -> bool:
+        """Return whether an answer cannot complete the one that is begun."""
+        head = end.head
+        is_failure = head is not None and head.meaning is AnswerMeaning.failure
+        return is_failure and self._reply.is_begun
+
     def _review(self, attempt: Attempt) -> None:
         oldest = self._open_attempts.get_oldest()
         is_open = self._open_attempts.contains(attempt)
         if oldest is None or oldest is attempt or not is_open:
             return
+        if not oldest.may_run:
+            # Only one run is at work, and it may be the only one allowed.
+            return
         target = oldest.listing.name
         now_ms = self._context.clock.now_ms()
         if self._context.fleet.answer_watch.is_silent(target, now_ms):
