Log and count connections that are closed under a request

Nothing told a connection that is closed while a request waits in its socket, or is read in part, from one on which no request had arrived: neither leaves a line.

Closes without an answer look at the socket and log the cause, and whether bytes were unread or read in part; serving_closed_under_request counts them. No logic changes.

--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -132,6 +132,15 @@
         'chunks',
     )
 )
+CLOSED_UNDER_REQUEST = METRICS.declare(
+    MetricSpec(
+        'serving_closed_under_request',
+        'Connections of callers closed although a request, or a part of one, '
+        'had arrived that got no answer.',
+        operator_remedy='look at the log lines; callers have to send these '
+        'requests again',
+    )
+)
 ENDED_BESIDE_CHANGE = METRICS.declare(
     MetricSpec(
         'serving_ended_beside_change',
--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -10,6 +10,7 @@
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.flow import Flow
 from cicadahoist.serving.inbound import Exchange
+from cicadahoist.serving.meters import Meters
 from cicadahoist.serving.model_flow import FreeHandle, ModelFlow
 from cicadahoist.serving.plain_flow import PlainFlow
 from cicadahoist.serving.request_reader import RawRequest
@@ -73,6 +74,11 @@
         deployment = self._context.deployment
         return deployment.limits if deployment else CallerLimits()
 
+    @property
+    def meters(self) -> Meters:
+        """Metrics of the data path."""
+        return self._context.meters
+
     def handle(
         self, raw: RawRequest, exchange: Exchange
     ) -> 'Flow | AnsweredRequest':
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -1,6 +1,7 @@
 """HTTP connections of callers, parsed by h11."""
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Any, Protocol
 
 import h11
@@ -12,7 +13,12 @@
 from cicadahoist.loop_times import ConnectionInput, LoopTimes
 from cicadahoist.requests import HeaderList
 from cicadahoist.rules import CallerLimits
-from cicadahoist.serving.peer_close import is_closed_by_peer
+from cicadahoist.serving.meters import Meters
+from cicadahoist.serving.peer_close import (
+    SocketInput,
+    is_closed_by_peer,
+    peek_input,
+)
 from cicadahoist.serving.request_reader import RawRequest, RequestReader
 
 logger = get_logger(__name__)
@@ -30,6 +36,13 @@
 _CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
 
+class CloseCause(Enum):
+    """Why a connection is closed although no answer announced it."""
+
+    idle = 'idle'
+    leaving = 'leaving'
+
+
 class ActiveRequest(Protocol):
     """A request that is being handled."""
 
@@ -54,6 +67,10 @@
     def is_leaving(self) -> bool:
         """Whether connections are to be closed after their answers."""
 
+    @property
+    def meters(self) -> Meters:
+        """Metrics of the data path."""
+
     def handle(self, raw: RawRequest, exchange: 'Exchange') -> ActiveRequest:
         """Start to handle a request."""
 
@@ -277,6 +294,22 @@
         )
         self.transport.loseConnection()
 
+    def close_unused(self, cause: CloseCause) -> None:
+        """Close a connection on which no request is being handled."""
+        if self._is_closed:
+            return
+        is_unread = peek_input(self.transport) is SocketInput.unread
+        is_partly_read = self._has_partial_request
+        if is_unread or is_partly_read:
+            self._handler.meters.count_closed_under_request()
+            logger.bind(
+                cause=cause.value,
+                is_unread=is_unread,
+                is_partly_read=is_partly_read,
+                waited_ms=self._clock.now_ms() - self._wait_started_ms,
+            ).info('caller connection closed under a request')
+        self.close()
+
     def sweep(self, now_ms: int) -> None:
         """Close the connection if it is idle or sends a request too slowly."""
         if self._exchange is not None or self._is_closed:
@@ -286,22 +319,19 @@
         if self._has_partial_request and waited_ms > limits.header_timeout_ms:
             self._refuse(HTTP_TIMEOUT)
         elif waited_ms > limits.idle_timeout_ms:
-            self.close()
+            self.close_unused(CloseCause.idle)
 
     def _read(self) -> None:
         try:
-            self._read_events()
-        except h11.RemoteProtocolError as error:
-            self._refuse(error.error_status_hint)
-
-    def _read_events(self) -> None:
-        while self._exchange is None and not self._is_closed:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            error = self._process_event(event)
-            if error is not None:
-                self._refuse(error)
+            while self._exchange is None and not self._is_closed:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                error = self._process_event(event)
+                if error is not None:
+                    self._refuse(error)
+        except h11.RemoteProtocolError as broken:
+            self._refuse(broken.error_status_hint)
 
     def _process_event(self, event: Any) -> int | None:
         """
@@ -392,7 +422,7 @@
         """Close connections on which no request is being handled."""
         for connection in list(self._connections):
             if not connection.is_busy:
-                connection.close()
+                connection.close_unused(CloseCause.leaving)
 
     def stop_sweeping(self) -> None:
         """Stop checking header and idle timeouts."""
--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -2,6 +2,7 @@
 
 from cicadahoist.metrics import (
     ANSWERED,
+    CLOSED_UNDER_REQUEST,
     CUT_BESIDE_CHANGE,
     CUT_OTHERWISE,
     ENDED_BESIDE_CHANGE,
@@ -25,6 +26,7 @@
 
     __slots__ = (
         '_answered',
+        '_closed_under_request',
         '_cut_beside_change',
         '_cut_otherwise',
         '_ended_beside_change',
@@ -40,6 +42,7 @@
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         self._answered = metrics.counter(ANSWERED)
+        self._closed_under_request = metrics.counter(CLOSED_UNDER_REQUEST)
         self._cut_beside_change = metrics.counter(CUT_BESIDE_CHANGE)
         self._cut_otherwise = metrics.counter(CUT_OTHERWISE)
         self._ended_beside_change = metrics.counter(ENDED_BESIDE_CHANGE)
@@ -74,6 +77,10 @@
         if is_cut:
             cut.add(1)
 
+    def count_closed_under_request(self) -> None:
+        """Count a connection closed with a request that got no answer."""
+        self._closed_under_request.add(1)
+
     def count_kept_silent(self) -> None:
         """Count an attempt that stays with a silent target."""
         self._silent_kept.add(1)
--- a/tests/test_serving/test_cut_answers.py
+++ b/tests/test_serving/test_cut_answers.py
@@ -9,15 +9,18 @@
 from loguru import logger
 
 from cicadahoist.metrics import (
+    CLOSED_UNDER_REQUEST,
     CUT_BESIDE_CHANGE,
     CUT_OTHERWISE,
     ENDED_BESIDE_CHANGE,
     ENDED_OTHERWISE,
 )
 from cicadahoist.serving.context import CHANGE_WINDOW_MS
+from cicadahoist.serving.inbound import CloseCause
 from tests.test_serving.world import (
     SHORT_PROMPT_HEADERS,
     World,
+    connect,
     deployment,
     target,
 )
@@ -105,3 +108,24 @@
     ended = by_message['request ended']
     assert ended['is_cut']
     assert ended['config_age_ms'] == 5300
+
+
+# Guards against connections that are closed under a request without a trace.
+@pytest.mark.parametrize('is_read', [True, False])
+def test_a_close_under_a_request_is_counted_and_logged(
+    world, log_lines, is_read
+):
+    connection = world.caller_connections.buildProtocol(None)
+    transport = connect(connection)
+    if is_read:
+        connection.dataReceived(b'POST /check/x HT')
+    else:
+        transport.receive_unread(b'POST /check/x HT')
+    connection.close_unused(CloseCause.leaving)
+    assert world.count(CLOSED_UNDER_REQUEST) == 1
+    line = next(
+        line for line in log_lines if line['message'].endswith('a request')
+    )
+    assert line['cause'] == 'leaving'
+    assert line['is_partly_read'] == is_read
+    assert line['is_unread'] != is_read
