Read the socket of a connection before a timer closes it

Callers saw a request on a kept connection end with neither an answer nor a refusal. A request that had arrived in the same turn of the event loop, or while a turn took long, was reset unread; one whose rest had arrived got 408.

Bytes in the socket now come before timers: such a connection is neither closed nor refused, and a stop waits for it. A request that is still unread when the process ends is counted and logged.

The test of the counter is replaced: what it closed on purpose is not closed any more.

--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -135,10 +135,9 @@
 CLOSED_UNDER_REQUEST = METRICS.declare(
     MetricSpec(
         'serving_closed_under_request',
-        'Connections of callers closed although a request, or a part of one, '
-        'had arrived that got no answer.',
-        operator_remedy='look at the log lines; callers have to send these '
-        'requests again',
+        'Requests that waited unread in the socket of a connection when the '
+        'process ended.',
+        operator_remedy='none, if rare: callers send these requests again',
     )
 )
 ENDED_BESIDE_CHANGE = METRICS.declare(
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -1,7 +1,6 @@
 """HTTP connections of callers, parsed by h11."""
 
 from collections.abc import Callable
-from enum import Enum
 from typing import Any, Protocol
 
 import h11
@@ -15,9 +14,8 @@
 from cicadahoist.rules import CallerLimits
 from cicadahoist.serving.meters import Meters
 from cicadahoist.serving.peer_close import (
-    SocketInput,
+    has_unread_input,
     is_closed_by_peer,
-    peek_input,
 )
 from cicadahoist.serving.request_reader import RawRequest, RequestReader
 
@@ -36,13 +34,6 @@
 _CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
 
-class CloseCause(Enum):
-    """Why a connection is closed although no answer announced it."""
-
-    idle = 'idle'
-    leaving = 'leaving'
-
-
 class ActiveRequest(Protocol):
     """A request that is being handled."""
 
@@ -294,21 +285,10 @@
         )
         self.transport.loseConnection()
 
-    def close_unused(self, cause: CloseCause) -> None:
-        """Close a connection on which no request is being handled."""
-        if self._is_closed:
-            return
-        is_unread = peek_input(self.transport) is SocketInput.unread
-        is_partly_read = self._has_partial_request
-        if is_unread or is_partly_read:
-            self._handler.meters.count_closed_under_request()
-            logger.bind(
-                cause=cause.value,
-                is_unread=is_unread,
-                is_partly_read=is_partly_read,
-                waited_ms=self._clock.now_ms() - self._wait_started_ms,
-            ).info('caller connection closed under a request')
-        self.close()
+    def close_unused(self) -> None:
+        """Close the connection, unless bytes of a request wait to be read."""
+        if not self._is_closed and not has_unread_input(self.transport):
+            self.close()
 
     def sweep(self, now_ms: int) -> None:
         """Close the connection if it is idle or sends a request too slowly."""
@@ -316,10 +296,13 @@
             return
         limits = self._handler.limits
         waited_ms = now_ms - self._wait_started_ms
-        if self._has_partial_request and waited_ms > limits.header_timeout_ms:
-            self._refuse(HTTP_TIMEOUT)
+        if self._has_partial_request:
+            if waited_ms > limits.header_timeout_ms and not has_unread_input(
+                self.transport
+            ):
+                self._refuse(HTTP_TIMEOUT)
         elif waited_ms > limits.idle_timeout_ms:
-            self.close_unused(CloseCause.idle)
+            self.close_unused()
 
     def _read(self) -> None:
         try:
@@ -414,15 +397,24 @@
         """Start to check header and idle timeouts."""
         self._sweep()
 
-    def count_busy(self) -> int:
-        """Return the number of requests whose answers have not left."""
-        return sum(connection.is_busy for connection in self._connections)
+    def count_open(self) -> int:
+        """Return the number of connections that are not closed yet."""
+        return len(self._connections)
 
-    def close_idle(self) -> None:
+    def close_unused(self) -> None:
         """Close connections on which no request is being handled."""
         for connection in list(self._connections):
             if not connection.is_busy:
-                connection.close_unused(CloseCause.leaving)
+                connection.close_unused()
+
+    def report_rest(self) -> None:
+        """Count and log requests that the end of the process leaves unread."""
+        for connection in self._connections:
+            if not connection.is_busy and has_unread_input(
+                connection.transport
+            ):
+                self._handler.meters.count_closed_under_request()
+                logger.info('caller connection closed under a request')
 
     def stop_sweeping(self) -> None:
         """Stop checking header and idle timeouts."""
--- a/cicadahoist/serving/peer_close.py
+++ b/cicadahoist/serving/peer_close.py
@@ -50,3 +50,14 @@
     :param transport: a twisted TCP transport that is not lost yet
     """
     return peek_input(transport) is SocketInput.ended
+
+
+def has_unread_input(transport: Any) -> bool:
+    """
+    Return whether bytes wait in the socket of a connection.
+
+    They have arrived before a timer that fires now.
+
+    :param transport: a twisted TCP transport that is not lost yet
+    """
+    return peek_input(transport) is SocketInput.unread
--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -78,7 +78,7 @@
         """Report unready, stop listening and wait for open requests to end."""
         self._front.is_leaving = True
         started_ms = self._clock.now_ms()
-        logger.bind(busy=self._connections.count_busy()).info('leaving')
+        logger.bind(open=self._connections.count_open()).info('leaving')
         await self._clock.sleep(UNREADY_WAIT_MS)
         # A request that is not read can be sent to another instance without
         # risk; one that is read near the end of the grace would be cut off.
@@ -86,11 +86,12 @@
             await self._listening_port.stopListening()
         end_ms = started_ms + self._grace_ms - EXIT_MARGIN_MS
         while self._clock.now_ms() < end_ms:
-            self._connections.close_idle()
-            if not self._connections.count_busy():
+            self._connections.close_unused()
+            if not self._connections.count_open():
                 break
             await self._clock.sleep(DRAIN_POLL_MS)
-        logger.bind(busy=self._connections.count_busy()).info('left')
+        logger.bind(open=self._connections.count_open()).info('left')
+        self._connections.report_rest()
         self._connections.stop_sweeping()
 
 
