Keep the limits that callers were promised while they hear of new ones

Callers saw kept connections closed, and requests refused, beside a new configuration. Cause: an instance applied shorter timeouts and smaller sizes from the moment at which it heard of them, to waits and requests that had begun under the old ones. Callers hear of a configuration up to config-ms (2 s) later, and may reuse a connection for four fifths of the idle timeout that they know. A raised header limit in turn did not reach connections that were open, as their parser kept the limit of its time.

A wait or a request is now judged by the widest limits in force since config-ms before it began; the head is checked against them while it arrives.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -94,6 +94,7 @@
             new_http_client(self._reactor), settings.instance, ORDER_TIMEOUT_MS
         )
         self._context.usage.window_ms = settings.usage_window_ms
+        self._context.set_notice(settings.config_ms)
         self._context.link = LinkQueue.from_mbps(settings.link_mbps)
 
     def build(self) -> None:
@@ -121,6 +122,7 @@
         """Apply settings that may change while the process runs."""
         self._settings = settings
         self._context.retries.update_terms(_build_retry_terms(settings))
+        self._context.set_notice(settings.config_ms)
 
     def _add_followers(self) -> None:
         source = DeploymentSource(CONFIG_NAME, decode_deployment)
--- a/cicadahoist/platform/settings_file.py
+++ b/cicadahoist/platform/settings_file.py
@@ -46,6 +46,7 @@
     :param order_address: address for orders and usage reports, none if the
         platform has no such interface
     :param revoke_ms: time by which a withdrawn key must stop working
+    :param config_ms: time in which callers hear of a new configuration
     :param drain_ms: time by which a leaving target must get no new work
     :param grace_ms: time from SIGTERM to SIGKILL
     :param retry_share: retry budget as a share of the requests
@@ -69,6 +70,7 @@
     store_address: Address
     order_address: Address | None
     revoke_ms: int = 5000
+    config_ms: int = 2000
     drain_ms: int = 2000
     grace_ms: int = 8000
     retry_share: float = 0.2
@@ -162,6 +164,7 @@
 # Field name and scale of each bound; some are written in seconds.
 _BOUNDS_BY_FIELD = {
     'revoke-ms': ('revoke_ms', 1),
+    'config-ms': ('config_ms', 1),
     'drain-ms': ('drain_ms', 1),
     'grace-s': ('grace_ms', MS_PER_S),
     'retry-ratio': ('retry_share', 1),
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -6,11 +6,12 @@
 from cicadahoist.listings import TargetDirectory
 from cicadahoist.metrics import Metrics
 from cicadahoist.policy.answer_watch import AnswerWatch
+from cicadahoist.policy.caller_limits import CallerLimitHistory
 from cicadahoist.policy.demand_rate import DemandRate
 from cicadahoist.policy.link_queue import LinkQueue
 from cicadahoist.policy.retry_share import RetryShares, RetryTerms
 from cicadahoist.policy.true_time import TrueTime
-from cicadahoist.rules import Deployment
+from cicadahoist.rules import CallerLimits, Deployment
 from cicadahoist.serving.attempt import Dialect
 from cicadahoist.serving.engine_boards import EngineBoards
 from cicadahoist.serving.gossip import Gossip
@@ -101,6 +102,7 @@
     """
 
     __slots__ = (
+        '_caller_limits',
         '_deployed_ms',
         'clock',
         'demand',
@@ -138,6 +140,7 @@
             TargetCrashes(clock, self._read_true_ms, part_watch, metrics),
         )
         self.deployment: Deployment | None = None
+        self._caller_limits = CallerLimitHistory()
         self._deployed_ms: int | None = None
         self.demand = DemandRate()
         self.meters = Meters(metrics)
@@ -170,8 +173,17 @@
         if self.version != deployment.version:
             self._deployed_ms = self.clock.now_ms()
         self.deployment = deployment
+        self._caller_limits.apply(deployment.limits, self.clock.now_ms())
         self.fleet.boards.apply_deployment(deployment)
 
+    def get_caller_limits(self, since_ms: int) -> CallerLimits:
+        """Return the limits for what a caller began at a time."""
+        return self._caller_limits.get_since(since_ms)
+
+    def set_notice(self, notice_ms: int) -> None:
+        """Set the time in which callers hear of a new configuration."""
+        self._caller_limits.notice_ms = notice_ms
+
     def _read_true_ms(self) -> int:
         return self.true_time.now_ms()
 
--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -68,11 +68,9 @@
         self._free_cache = free_cache
         self.is_leaving = False
 
-    @property
-    def limits(self) -> CallerLimits:
-        """Limits on the sizes and times of callers' requests."""
-        deployment = self._context.deployment
-        return deployment.limits if deployment else CallerLimits()
+    def get_limits(self, since_ms: int) -> CallerLimits:
+        """Return the limits for what a caller began at a time."""
+        return self._context.get_caller_limits(since_ms)
 
     @property
     def meters(self) -> Meters:
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -17,13 +17,19 @@
     has_unread_input,
     is_closed_by_peer,
 )
-from cicadahoist.serving.request_reader import RawRequest, RequestReader
+from cicadahoist.serving.request_reader import (
+    RawRequest,
+    RequestReader,
+    check_incomplete_head,
+)
 
 logger = get_logger(__name__)
 
 HTTP_TIMEOUT = 408
 # Bytes of further requests that a connection may send during an answer.
 READ_AHEAD_BYTES = 262_144
+# Longest head of a request that any configuration can allow.
+MAX_HEAD_BYTES = 1_048_576
 # Period of the check of header and idle timeouts, which are given in seconds.
 SWEEP_PERIOD_MS = 250
 # Time for the last bytes of an answer to be sent before the connection is
@@ -50,9 +56,12 @@
 class Handler(Protocol):
     """Handles complete requests."""
 
-    @property
-    def limits(self) -> CallerLimits:
-        """Limits on the sizes and times of callers' requests."""
+    def get_limits(self, since_ms: int) -> CallerLimits:
+        """
+        Return the limits on sizes and times for what a caller began.
+
+        :param since_ms: begin of its wait, or of its request
+        """
 
     @property
     def is_leaving(self) -> bool:
@@ -180,8 +189,9 @@
         self._input = ConnectionInput(loop_times)
         # Earliest arrival of the first byte of the request that is being read.
         self._request_since_ms: int | None = None
+        # The configured limit may change while the connection is open.
         self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=handler.limits.header_bytes
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._reader: RequestReader | None = None
         self._exchange: Exchange | None = None
@@ -219,6 +229,11 @@
             self._wait_started_ms = self._clock.now_ms()
         self._http.receive_data(received)
         self._read()
+        if self._exchange is None and not self._is_closed:
+            limits = self._handler.get_limits(self._wait_started_ms)
+            error = check_incomplete_head(self._http, limits)
+            if error is not None:
+                self._refuse(error)
 
     def connectionLost(self, reason: Any = None) -> None:
         """Notify the active request that its caller has disconnected."""
@@ -294,7 +309,7 @@
         """Close the connection if it is idle or sends a request too slowly."""
         if self._exchange is not None or self._is_closed:
             return
-        limits = self._handler.limits
+        limits = self._handler.get_limits(self._wait_started_ms)
         waited_ms = now_ms - self._wait_started_ms
         if self._has_partial_request:
             if waited_ms > limits.header_timeout_ms and not has_unread_input(
@@ -323,7 +338,8 @@
         :return: status of the refusal, none if the part is accepted
         """
         if isinstance(event, h11.Request):
-            self._reader = RequestReader(self._handler.limits, event)
+            limits = self._handler.get_limits(self._wait_started_ms)
+            self._reader = RequestReader(limits, event)
             error = self._reader.check_head()
             if error is None and self._http.they_are_waiting_for_100_continue:
                 self.write(_CONTINUE)
--- a/cicadahoist/serving/request_reader.py
+++ b/cicadahoist/serving/request_reader.py
@@ -94,3 +94,19 @@
             bytes(self._body),
             since_ms,
         )
+
+
+def check_incomplete_head(
+    http: h11.Connection, limits: CallerLimits
+) -> int | None:
+    """
+    Check the part of a head that has arrived.
+
+    :return: status of the refusal, none if the head may go on
+    """
+    if http.their_state is not h11.IDLE:
+        return None
+    received, _ = http.trailing_data
+    return (
+        HTTP_HEADER_TOO_LARGE if len(received) > limits.header_bytes else None
+    )
--- a/tests/test_serving/test_front.py
+++ b/tests/test_serving/test_front.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from cicadahoist.policy.caller_limits import DEFAULT_NOTICE_MS
 from cicadahoist.rules import CallerLimits
 from tests.test_serving.world import (
     HOST,
@@ -98,6 +99,8 @@
     world = World()
     limits = CallerLimits(header_bytes=300, body_bytes=10)
     world.context.apply_deployment(deployment(limits=limits))
+    # Until then callers may rely on the wider limits of before.
+    world.clock.advance(DEFAULT_NOTICE_MS + 1)
     world.add(target('t1'))
     assert (
         world.send_request(b'/submit/x', b'X-Long: ' + b'a' * 400).status == 431
