Answer requests that a leaving instance has read, whole or in part

Callers of an instance that was told to stop lost requests that it had read: a request of which the last bytes were still on their way was closed without a word, and of two requests that arrived in one read the second got nothing, as the answer to the first announced the close.

Cause: only a request that was being handled kept a connection open. A connection on which a request is being read now counts as busy. What was read ahead is answered before the close is announced, and what is incomplete at the end of the grace is refused as not run (503).

The harness on real sockets now waits until bytes have arrived, which under load takes longer than a call.

--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -26,6 +26,7 @@
 logger = get_logger(__name__)
 
 HTTP_TIMEOUT = 408
+HTTP_UNAVAILABLE = 503
 # Bytes of further requests that a connection may send during an answer.
 READ_AHEAD_BYTES = 262_144
 # Longest head of a request that any configuration can allow.
@@ -198,16 +199,20 @@
         self._active_request: ActiveRequest | None = None
         self._is_closed = False
         self._linger: Timer | None = None
-        self._closes_after = False
         self._read_ahead_bytes = 0
         self._wait_started_ms = clock.now_ms()
-        self._has_partial_request = False
+        # Whether a part of a request has been read, and no more than that.
+        self.is_reading = False
         self.on_lost: Callable[[CallerConnection], None] | None = None
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being handled, or an answer is leaving."""
-        return self._exchange is not None or self._linger is not None
+        """Whether a request is read or handled, or an answer is leaving."""
+        return (
+            self.is_reading
+            or self._exchange is not None
+            or self._linger is not None
+        )
 
     def connectionMade(self) -> None:
         """Disable Nagle's algorithm, which delays small answers."""
@@ -224,8 +229,8 @@
             if self._read_ahead_bytes > READ_AHEAD_BYTES:
                 self.abort()
                 return
-        if not self._has_partial_request:
-            self._has_partial_request = True
+        elif not self.is_reading:
+            self.is_reading = True
             self._wait_started_ms = self._clock.now_ms()
         self._http.receive_data(received)
         self._read()
@@ -233,7 +238,7 @@
             limits = self._handler.get_limits(self._wait_started_ms)
             error = check_incomplete_head(self._http, limits)
             if error is not None:
-                self._refuse(error)
+                self.refuse_incomplete(error)
 
     def connectionLost(self, reason: Any = None) -> None:
         """Notify the active request that its caller has disconnected."""
@@ -256,7 +261,8 @@
         self, status: int, headers: HeaderList, *, closes: bool
     ) -> None:
         """Write the head of an answer."""
-        if closes or self._closes_after or self._handler.is_leaving:
+        has_read_ahead = bool(self._http.trailing_data[0])
+        if closes or (self._handler.is_leaving and not has_read_ahead):
             headers = [*headers, (b'Connection', b'close')]
         self.write(h11.Response(status_code=status, headers=headers))
 
@@ -273,7 +279,7 @@
             self.transport.unregisterProducer()
         self._read_ahead_bytes = 0
         self._wait_started_ms = self._clock.now_ms()
-        self._has_partial_request = False
+        self.is_reading = bool(self._http.trailing_data[0])
         if self._is_closed:
             return
         states = (self._http.our_state, self._http.their_state)
@@ -281,7 +287,7 @@
             self.close()
             return
         self._http.start_next_cycle()
-        if self._http.trailing_data[0]:
+        if self.is_reading:
             self._clock.call_later(0, self._read)
 
     def abort(self) -> None:
@@ -295,6 +301,7 @@
         if self._is_closed:
             return
         self._is_closed = True
+        self.is_reading = False
         self._linger = self._clock.call_later(
             LINGER_MS, self.transport.abortConnection
         )
@@ -311,11 +318,11 @@
             return
         limits = self._handler.get_limits(self._wait_started_ms)
         waited_ms = now_ms - self._wait_started_ms
-        if self._has_partial_request:
+        if self.is_reading:
             if waited_ms > limits.header_timeout_ms and not has_unread_input(
                 self.transport
             ):
-                self._refuse(HTTP_TIMEOUT)
+                self.refuse_incomplete(HTTP_TIMEOUT)
         elif waited_ms > limits.idle_timeout_ms:
             self.close_unused()
 
@@ -327,9 +334,9 @@
                     return
                 error = self._process_event(event)
                 if error is not None:
-                    self._refuse(error)
+                    self.refuse_incomplete(error)
         except h11.RemoteProtocolError as broken:
-            self._refuse(broken.error_status_hint)
+            self.refuse_incomplete(broken.error_status_hint)
 
     def _process_event(self, event: Any) -> int | None:
         """
@@ -360,6 +367,7 @@
     def _dispatch(self, raw: RawRequest) -> None:
         exchange = Exchange(self)
         self._exchange = exchange
+        self.is_reading = False
         active_request = self._handler.handle(raw, exchange)
         if self._exchange is exchange:
             self._active_request = active_request
@@ -367,7 +375,7 @@
                 BackpressureProducer(active_request), True
             )
 
-    def _refuse(self, status: int) -> None:
+    def refuse_incomplete(self, status: int) -> None:
         """Refuse a request that was not read completely, and close."""
         logger.bind(status=status).info(
             'caller request rejected before it was complete'
@@ -423,14 +431,23 @@
             if not connection.is_busy:
                 connection.close_unused()
 
-    def report_rest(self) -> None:
-        """Count and log requests that the end of the process leaves unread."""
-        for connection in self._connections:
-            if not connection.is_busy and has_unread_input(
+    def end_incomplete(self) -> int:
+        """
+        Refuse requests that are read in part, and report those not read.
+
+        :return: number of refusals, which have yet to leave
+        """
+        refusal_count = 0
+        for connection in list(self._connections):
+            if connection.is_reading:
+                connection.refuse_incomplete(HTTP_UNAVAILABLE)
+                refusal_count += 1
+            elif not connection.is_busy and has_unread_input(
                 connection.transport
             ):
                 self._handler.meters.count_closed_under_request()
                 logger.info('caller connection closed under a request')
+        return refusal_count
 
     def stop_sweeping(self) -> None:
         """Stop checking header and idle timeouts."""
--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -91,7 +91,8 @@
                 break
             await self._clock.sleep(DRAIN_POLL_MS)
         logger.bind(open=self._connections.count_open()).info('left')
-        self._connections.report_rest()
+        if self._connections.end_incomplete():
+            await self._clock.sleep(DRAIN_POLL_MS)
         self._connections.stop_sweeping()
 
 
--- a/tests/test_serving/test_closed_connections.py
+++ b/tests/test_serving/test_closed_connections.py
@@ -9,11 +9,13 @@
 from twisted.internet.defer import Deferred, succeed
 
 from cicadahoist.rules import CallerLimits
+from cicadahoist.serving.inbound import LINGER_MS
 from cicadahoist.serving.server import UNREADY_WAIT_MS, FrontServer
 from tests.test_serving.turned_reactor import (
     SocketCaller,
     TurnedReactor,
     make_request,
+    wait_until,
 )
 from tests.test_serving.world import World, deployment, target
 
@@ -144,7 +146,8 @@
     sockets.sweep()
     caller.send(b'/submit/x')
     assert not caller.receive()
-    assert is_reset(caller)
+    assert caller.is_closed_by_instance
+    assert caller.is_unread
 
 
 # Guards against a close by a shorter idle timeout, of which the caller that
@@ -277,12 +280,14 @@
 
 
 # Guards against the loss of a request that arrived in one read with the one
-# before it, when the instance begins to leave between the two.
+# before it, when the instance leaves.
 def test_a_leaving_instance_answers_requests_that_it_has_read(sockets):
     caller = sockets.serve()
+    stopped = Deferred.fromCoroutine(sockets.server.stop())
+    sockets.world.clock.advance(UNREADY_WAIT_MS - 1000)
     caller.write(make_request(b'/submit/x') * 2)
     sockets.reactor.turn_until_idle()
-    stopped = sockets.stop()
+    sockets.world.clock.advance(1000 - STEP_MS)
     sockets.answer()
     for _ in range(20):
         sockets.world.clock.advance(STEP_MS)
@@ -299,25 +304,32 @@
 def test_a_refusal_survives_the_rest_of_its_request(sockets):
     limits = CallerLimits(body_bytes=1000)
     sockets.world.context.apply_deployment(deployment(9, limits=limits))
+    sockets.world.clock.advance(NOTICE_MS + 1)
     caller = sockets.connect()
     caller.write(make_request(b'/submit/x', b'b' * 2000, length=90_000))
     sockets.reactor.turn()
     caller.write(b'b' * 30_000)
     assert caller.receive().startswith(b'HTTP/1.1 413 ')
-    assert not is_reset(caller)
-
-
-def is_reset(caller):
-    """Return whether the connection of a caller was reset."""
-    try:
-        caller.socket.send(b'b')
-    except ConnectionError:
-        return True
-    caller.protocol.transport.reactor.turn_until_idle()
-    try:
-        caller.socket.recv(1)
-    except BlockingIOError:
-        return False
-    except ConnectionError:
-        return True
-    return False
+    assert not caller.is_closed_by_instance
+    caller.write(b'b' * 30_000)
+    caller.close()
+    wait_until(lambda: is_ended(sockets, caller))
+
+
+# Guards against a caller that never closes after its refusal.
+def test_a_connection_with_a_refused_request_is_ended_in_time(sockets):
+    limits = CallerLimits(body_bytes=1000)
+    sockets.world.context.apply_deployment(deployment(9, limits=limits))
+    sockets.world.clock.advance(NOTICE_MS + 1)
+    caller = sockets.connect()
+    caller.write(make_request(b'/submit/x', b'b' * 2000, length=90_000))
+    assert caller.receive().startswith(b'HTTP/1.1 413 ')
+    sockets.world.clock.advance(LINGER_MS)
+    sockets.reactor.turn_until_idle()
+    assert caller.is_closed_by_instance
+
+
+def is_ended(sockets, caller):
+    """Return whether the instance has seen the end of a connection."""
+    sockets.reactor.turn()
+    return caller.is_closed_by_instance
--- a/tests/test_serving/turned_reactor.py
+++ b/tests/test_serving/turned_reactor.py
@@ -1,19 +1,27 @@
 """
 Test harness: callers' connections on real sockets, with a reactor by hand.
 
-Bytes on the loopback interface have arrived when `send` returns, so that what
-is ready in a turn of the event loop does not depend on the time.
+What is ready in a turn of the event loop does not depend on the time: a test
+goes on once the bytes that it sends have arrived.
 """
 
+import fcntl
 import select
 import socket
+import struct
+import termios
+from time import sleep
 
+import h11
 from twisted.internet.main import CONNECTION_DONE
 from twisted.internet.tcp import Server
 from twisted.python.failure import Failure
 
 HOST = '127.0.0.1'
 TIMEOUT_S = 10
+POLL_S = 0.001
+# Bytes that were sent and are not acknowledged yet; Linux.
+SIOCOUTQ = 0x5411
 
 
 class TurnedReactor:
@@ -90,12 +98,24 @@
         self.write(make_request(path, body, length))
 
     def write(self, piece):
+        """Send bytes, and wait until they have arrived."""
+        arrived = count_queued(self.transport.socket, termios.FIONREAD)
         self.socket.sendall(piece)
+        wait_until(
+            lambda: (
+                count_queued(self.transport.socket, termios.FIONREAD)
+                == arrived + len(piece)
+            )
+        )
 
     def receive(self):
-        """Return what arrives until the next turns change nothing."""
+        """Return what the instance sends until its turns change nothing."""
         self._reactor.turn_until_idle()
-        self.socket.setblocking(False)
+        if self.transport.connected:
+            wait_until(
+                lambda: not count_queued(self.transport.socket, SIOCOUTQ)
+            )
+            self.socket.setblocking(False)
         received = b''
         try:
             while piece := self.socket.recv(65_536):
@@ -104,6 +124,12 @@
             return received
         return received
 
+    @property
+    def is_unread(self):
+        """Whether the instance has read nothing of what was sent last."""
+        http = self.protocol._http
+        return http.their_state is h11.IDLE and not http.trailing_data[0]
+
     @property
     def is_closed_by_instance(self):
         """Whether the instance has ended the connection."""
@@ -121,3 +147,18 @@
         b'Authorization: Token k1\r\nX-Cicadahoist-Attempt-Id: s1\r\n'
         b'Content-Length: %d\r\n\r\n' % stated + body
     )
+
+
+def count_queued(one_socket, request):
+    """Return the bytes in a queue of a socket, by an ioctl request."""
+    answer = fcntl.ioctl(one_socket, request, struct.pack('i', 0))
+    return struct.unpack('i', answer)[0]
+
+
+def wait_until(condition):
+    """Wait for the kernel, which delivers on the loopback interface soon."""
+    for _ in range(round(TIMEOUT_S / POLL_S)):
+        if condition():
+            return
+        sleep(POLL_S)
+    raise TimeoutError('bytes on the loopback interface did not arrive')
