Do not reset a connection whose refusal has not arrived

A caller whose request was refused before it was complete (408, 413, 431, 503) could see a reset instead of the refusal. Cause: the connection was closed at once, with the rest of the request unread; a close with unread bytes sends a reset, and what is still under way to the caller is lost with it.

--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -297,15 +297,24 @@
             self.transport.abortConnection()
 
     def close(self) -> None:
-        """Close after all bytes are sent, or when LINGER_MS have passed."""
+        """
+        Close after all bytes are sent, or when LINGER_MS have passed.
+
+        While the caller still sends, the connection is only half closed, and
+        what arrives is discarded until the caller closes: a close with bytes
+        unread resets the connection, and the answer may be lost with it.
+        """
         if self._is_closed:
             return
         self._is_closed = True
-        self.is_reading = False
         self._linger = self._clock.call_later(
             LINGER_MS, self.transport.abortConnection
         )
-        self.transport.loseConnection()
+        if self.is_reading or has_unread_input(self.transport):
+            self.transport.loseWriteConnection()
+        else:
+            self.transport.loseConnection()
+        self.is_reading = False
 
     def close_unused(self) -> None:
         """Close the connection, unless bytes of a request wait to be read."""
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -95,6 +95,10 @@
         super().loseConnection()
         self.lose(ConnectionDone())
 
+    def loseWriteConnection(self):
+        """Close as a caller does that sees the end of the answers."""
+        self.loseConnection()
+
     def lose(self, error):
         protocol, self.protocol = self.protocol, None
         if protocol is not None:
