--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -132,6 +132,14 @@
         'chunks',
     )
 )
+CLOSED_UNDER_REQUEST = METRICS.declare(
+    MetricSpec(
+        'serving_closed_under_request',
+        'Requests that waited unread in the socket of a connection when the '
+        'process ended.',
+        operator_remedy='none, if rare: callers send these requests again',
+    )
+)
 ENDED_BESIDE_CHANGE = METRICS.declare(
     MetricSpec(
         'serving_ended_beside_change',
--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -10,6 +10,7 @@
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.flow import Flow
 from cicadahoist.serving.inbound import Exchange
+from cicadahoist.serving.meters import Meters
 from cicadahoist.serving.model_flow import FreeHandle, ModelFlow
 from cicadahoist.serving.plain_flow import PlainFlow
 from cicadahoist.serving.request_reader import RawRequest
@@ -67,11 +68,14 @@
         self._free_cache = free_cache
         self.is_leaving = False
 
+    def get_limits(self, since_ms: int) -> CallerLimits:
+        """Return the limits for what a caller began at a time."""
+        return self._context.get_caller_limits(since_ms)
+
     @property
-    def limits(self) -> CallerLimits:
-        """Limits on the sizes and times of callers' requests."""
-        deployment = self._context.deployment
-        return deployment.limits if deployment else CallerLimits()
+    def meters(self) -> Meters:
+        """Metrics of the data path."""
+        return self._context.meters
 
     def handle(
         self, raw: RawRequest, exchange: Exchange
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -12,14 +12,25 @@
 from cicadahoist.loop_times import ConnectionInput, LoopTimes
 from cicadahoist.requests import HeaderList
 from cicadahoist.rules import CallerLimits
-from cicadahoist.serving.peer_close import is_closed_by_peer
-from cicadahoist.serving.request_reader import RawRequest, RequestReader
+from cicadahoist.serving.meters import Meters
+from cicadahoist.serving.peer_close import (
+    has_unread_input,
+    is_closed_by_peer,
+)
+from cicadahoist.serving.request_reader import (
+    RawRequest,
+    RequestReader,
+    check_incomplete_head,
+)
 
 logger = get_logger(__name__)
 
 HTTP_TIMEOUT = 408
+HTTP_UNAVAILABLE = 503
 # Bytes of further requests that a connection may send during an answer.
 READ_AHEAD_BYTES = 262_144
+# Longest head of a request that any configuration can allow.
+MAX_HEAD_BYTES = 1_048_576
 # Period of the check of header and idle timeouts, which are given in seconds.
 SWEEP_PERIOD_MS = 250
 # Time for the last bytes of an answer to be sent before the connection is
@@ -46,14 +57,21 @@
 class Handler(Protocol):
     """Handles complete requests."""
 
-    @property
-    def limits(self) -> CallerLimits:
-        """Limits on the sizes and times of callers' requests."""
+    def get_limits(self, since_ms: int) -> CallerLimits:
+        """
+        Return the limits on sizes and times for what a caller began.
+
+        :param since_ms: begin of its wait, or of its request
+        """
 
     @property
     def is_leaving(self) -> bool:
         """Whether connections are to be closed after their answers."""
 
+    @property
+    def meters(self) -> Meters:
+        """Metrics of the data path."""
+
     def handle(self, raw: RawRequest, exchange: 'Exchange') -> ActiveRequest:
         """Start to handle a request."""
 
@@ -172,24 +190,29 @@
         self._input = ConnectionInput(loop_times)
         # Earliest arrival of the first byte of the request that is being read.
         self._request_since_ms: int | None = None
+        # The configured limit may change while the connection is open.
         self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=handler.limits.header_bytes
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._reader: RequestReader | None = None
         self._exchange: Exchange | None = None
         self._active_request: ActiveRequest | None = None
         self._is_closed = False
         self._linger: Timer | None = None
-        self._closes_after = False
         self._read_ahead_bytes = 0
         self._wait_started_ms = clock.now_ms()
-        self._has_partial_request = False
+        # Whether a part of a request has been read, and no more than that.
+        self.is_reading = False
         self.on_lost: Callable[[CallerConnection], None] | None = None
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being handled, or an answer is leaving."""
-        return self._exchange is not None or self._linger is not None
+        """Whether a request is read or handled, or an answer is leaving."""
+        return (
+            self.is_reading
+            or self._exchange is not None
+            or self._linger is not None
+        )
 
     def connectionMade(self) -> None:
         """Disable Nagle's algorithm, which delays small answers."""
@@ -206,11 +229,16 @@
             if self._read_ahead_bytes > READ_AHEAD_BYTES:
                 self.abort()
                 return
-        if not self._has_partial_request:
-            self._has_partial_request = True
+        elif not self.is_reading:
+            self.is_reading = True
             self._wait_started_ms = self._clock.now_ms()
         self._http.receive_data(received)
         self._read()
+        if self._exchange is None and not self._is_closed:
+            limits = self._handler.get_limits(self._wait_started_ms)
+            error = check_incomplete_head(self._http, limits)
+            if error is not None:
+                self.refuse_incomplete(error)
 
     def connectionLost(self, reason: Any = None) -> None:
         """Notify the active request that its caller has disconnected."""
@@ -233,7 +261,8 @@
         self, status: int, headers: HeaderList, *, closes: bool
     ) -> None:
         """Write the head of an answer."""
-        if closes or self._closes_after or self._handler.is_leaving:
+        has_read_ahead = bool(self._http.trailing_data[0])
+        if closes or (self._handler.is_leaving and not has_read_ahead):
             headers = [*headers, (b'Connection', b'close')]
         self.write(h11.Response(status_code=status, headers=headers))
 
@@ -250,7 +279,7 @@
             self.transport.unregisterProducer()
         self._read_ahead_bytes = 0
         self._wait_started_ms = self._clock.now_ms()
-        self._has_partial_request = False
+        self.is_reading = bool(self._http.trailing_data[0])
         if self._is_closed:
             return
         states = (self._http.our_state, self._http.their_state)
@@ -258,7 +287,7 @@
             self.close()
             return
         self._http.start_next_cycle()
-        if self._http.trailing_data[0]:
+        if self.is_reading:
             self._clock.call_later(0, self._read)
 
     def abort(self) -> None:
@@ -268,40 +297,55 @@
             self.transport.abortConnection()
 
     def close(self) -> None:
-        """Close after all bytes are sent, or when LINGER_MS have passed."""
+        """
+        Close after all bytes are sent, or when LINGER_MS have passed.
+
+        While the caller still sends, the connection is only half closed, and
+        what arrives is discarded until the caller closes: a close with bytes
+        unread resets the connection, and the answer may be lost with it.
+        """
         if self._is_closed:
             return
         self._is_closed = True
         self._linger = self._clock.call_later(
             LINGER_MS, self.transport.abortConnection
         )
-        self.transport.loseConnection()
+        if self.is_reading or has_unread_input(self.transport):
+            self.transport.loseWriteConnection()
+        else:
+            self.transport.loseConnection()
+        self.is_reading = False
+
+    def close_unused(self) -> None:
+        """Close the connection, unless bytes of a request wait to be read."""
+        if not self._is_closed and not has_unread_input(self.transport):
+            self.close()
 
     def sweep(self, now_ms: int) -> None:
         """Close the connection if it is idle or sends a request too slowly."""
         if self._exchange is not None or self._is_closed:
             return
-        limits = self._handler.limits
+        limits = self._handler.get_limits(self._wait_started_ms)
         waited_ms = now_ms - self._wait_started_ms
-        if self._has_partial_request and waited_ms > limits.header_timeout_ms:
-            self._refuse(HTTP_TIMEOUT)
+        if self.is_reading:
+            if waited_ms > limits.header_timeout_ms and not has_unread_input(
+                self.transport
+            ):
+                self.refuse_incomplete(HTTP_TIMEOUT)
         elif waited_ms > limits.idle_timeout_ms:
-            self.close()
+            self.close_unused()
 
     def _read(self) -> None:
         try:
-            self._read_events()
-        except h11.RemoteProtocolError as error:
-            self._refuse(error.error_status_hint)
-
-    def _read_events(self) -> None:
-        while self._exchange is None and not self._is_closed:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            error = self._process_event(event)
-            if error is not None:
-                self._refuse(error)
+            while self._exchange is None and not self._is_closed:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                error = self._process_event(event)
+                if error is not None:
+                    self.refuse_incomplete(error)
+        except h11.RemoteProtocolError as broken:
+            self.refuse_incomplete(broken.error_status_hint)
 
     def _process_event(self, event: Any) -> int | None:
         """
@@ -310,7 +354,8 @@
         :return: status of the refusal, none if the part is accepted
         """
         if isinstance(event, h11.Request):
-            self._reader = RequestReader(self._handler.limits, event)
+            limits = self._handler.get_limits(self._wait_started_ms)
+            self._reader = RequestReader(limits, event)
             error = self._reader.check_head()
             if error is None and self._http.they_are_waiting_for_100_continue:
                 self.write(_CONTINUE)
@@ -331,6 +376,7 @@
     def _dispatch(self, raw: RawRequest) -> None:
         exchange = Exchange(self)
         self._exchange = exchange
+        self.is_reading = False
         active_request = self._handler.handle(raw, exchange)
         if self._exchange is exchange:
             self._active_request = active_request
@@ -338,7 +384,7 @@
                 BackpressureProducer(active_request), True
             )
 
-    def _refuse(self, status: int) -> None:
+    def refuse_incomplete(self, status: int) -> None:
         """Refuse a request that was not read completely, and close."""
         logger.bind(status=status).info(
             'caller request rejected before it was complete'
@@ -384,15 +430,33 @@
         """Start to check header and idle timeouts."""
         self._sweep()
 
-    def count_busy(self) -> int:
-        """Return the number of requests whose answers have not left."""
-        return sum(connection.is_busy for connection in self._connections)
+    def count_open(self) -> int:
+        """Return the number of connections that are not closed yet."""
+        return len(self._connections)
 
-    def close_idle(self) -> None:
+    def close_unused(self) -> None:
         """Close connections on which no request is being handled."""
         for connection in list(self._connections):
             if not connection.is_busy:
-                connection.close()
+                connection.close_unused()
+
+    def end_incomplete(self) -> int:
+        """
+        Refuse requests that are read in part, and report those not read.
+
+        :return: number of refusals, which have yet to leave
+        """
+        refusal_count = 0
+        for connection in list(self._connections):
+            if connection.is_reading:
+                connection.refuse_incomplete(HTTP_UNAVAILABLE)
+                refusal_count += 1
+            elif not connection.is_busy and has_unread_input(
+                connection.transport
+            ):
+                self._handler.meters.count_closed_under_request()
+                logger.info('caller connection closed under a request')
+        return refusal_count
 
     def stop_sweeping(self) -> None:
         """Stop checking header and idle timeouts."""
--- a/tests/test_serving/test_cut_answers.py
+++ b/tests/test_serving/test_cut_answers.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from cicadahoist.metrics import (
+    CLOSED_UNDER_REQUEST,
     CUT_BESIDE_CHANGE,
     CUT_OTHERWISE,
     ENDED_BESIDE_CHANGE,
@@ -18,6 +19,7 @@
 from tests.test_serving.world import (
     SHORT_PROMPT_HEADERS,
     World,
+    connect,
     deployment,
     target,
 )
@@ -105,3 +107,14 @@
     ended = by_message['request ended']
     assert ended['is_cut']
     assert ended['config_age_ms'] == 5300
+
+
+# Guards against requests that the end of a process leaves without a trace.
+def test_a_request_left_unread_at_the_end_is_counted_and_logged(
+    world, log_lines
+):
+    transport = connect(world.caller_connections.buildProtocol(None))
+    transport.receive_unread(b'POST /check/x HT')
+    world.caller_connections.end_incomplete()
+    assert world.count(CLOSED_UNDER_REQUEST) == 1
+    assert any(line['message'].endswith('a request') for line in log_lines)
