--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -5,7 +5,7 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import REGISTRY, generate_latest
 
-from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.reasons import Refusal, RelayRefusal, Retry
 
 PREFIX = 'cicadahoist'
 
@@ -53,6 +53,16 @@
             operator_remedy=reason.operator_remedy,
         )
 
+    @classmethod
+    def of_relay_refusal(cls, reason: RelayRefusal) -> 'MetricSpec':
+        """Return the counter of a refusal between instances."""
+        return cls(
+            f'relay_{reason.name}',
+            f'Connections through a peer not opened: {reason.meaning}. Counted '
+            'at both instances.',
+            operator_remedy=reason.operator_remedy,
+        )
+
     @property
     def exposed_name(self) -> str:
         """Name of the metric in ``/metrics``."""
@@ -69,6 +79,7 @@
         reasons = [
             *map(MetricSpec.of_refusal, Refusal),
             *map(MetricSpec.of_retry, Retry),
+            *map(MetricSpec.of_relay_refusal, RelayRefusal),
         ]
         self._by_name = {spec.name: spec for spec in reasons}
 
@@ -194,6 +205,27 @@
         'the prompt',
     )
 )
+RELAYS_USED = METRICS.declare(
+    MetricSpec(
+        'relay_used',
+        'Connections to targets that this instance opened through a peer.',
+        operator_remedy='see why the instance does not reach these targets',
+    )
+)
+RELAYS_OPENED = METRICS.declare(
+    MetricSpec(
+        'relay_opened',
+        'Connections to targets that this instance opened for its peers.',
+        operator_remedy='see which peers have lost their links to targets',
+    )
+)
+RELAYED_BYTES = METRICS.declare(
+    MetricSpec(
+        'relay_bytes',
+        'Bytes that this instance passed on between peers and targets.',
+        operator_remedy='compare with the bandwidth of the instance',
+    )
+)
 
 
 class Metrics:
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -37,9 +37,9 @@
 
 class RetrySpec:
     """
-    Meaning and remedy of a retry reason.
+    Meaning and remedy of a retry reason, or of a refusal between instances.
 
-    :param meaning: event that causes the retry
+    :param meaning: event that causes the retry or the refusal
     :param operator_remedy: what an operator can do when the counter rises
     """
 
@@ -293,3 +293,45 @@
     def code(self) -> str:
         """Reason code as shown to operators."""
         return self.name.replace('_', '-')
+
+
+class RelayRefusal(Enum):
+    """Reason for which no connection was opened through another instance."""
+
+    peer_unreachable = RetrySpec(
+        'the peer took no connection, or gave no answer in time',
+        'see whether instances reach each other on the relay port',
+    )
+    target_refused = RetrySpec(
+        'the target refuses connections from the peer as well',
+        'see whether the target runs',
+    )
+    target_silent = RetrySpec(
+        'the target does not answer the peer either',
+        'see whether the target runs, and which instances reach it',
+    )
+    denied = RetrySpec(
+        'the peer does not know the token, or lists no such target',
+        'none for some seconds after a start; later, see whether the lists of '
+        'targets of both instances are current',
+    )
+    busy = RetrySpec(
+        'the peer relays as many connections as it may',
+        'see which instances have lost their links to targets',
+    )
+    leaving = RetrySpec('the peer is leaving', 'none')
+
+    @property
+    def meaning(self) -> str:
+        """Event that causes the refusal."""
+        return self.value.meaning
+
+    @property
+    def operator_remedy(self) -> str:
+        """What an operator can do when the counter rises."""
+        return self.value.operator_remedy
+
+    @property
+    def code(self) -> str:
+        """Reason code as shown to operators."""
+        return self.name.replace('_', '-')
