Relay connections to targets for other instances

An instance now listens for peers on the first port of its range, over TCP, and opens connections to listed targets for those that show its token, which it tells them through its record in the store. Load reports say whether it does so, and whether it is cut off itself. The client is not used yet.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -28,6 +28,7 @@
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.deployment_source import DeploymentSource
 from cicadahoist.serving.front import Front
+from cicadahoist.serving.relay_server import RelayLeave
 from cicadahoist.serving.server import FrontServer, ReadyServer
 from cicadahoist.serving.settings_watch import SettingsWatch
 from cicadahoist.serving.store_follower import KindFollower, ListHandler
@@ -64,7 +65,7 @@
         '_engine_calls',
         '_front',
         '_incarnation',
-        '_peers',
+        '_peering',
         '_reactor',
         '_read_settings',
         '_settings',
@@ -97,7 +98,11 @@
         self._context.link = LinkQueue.from_mbps(settings.link_mbps)
 
     def build(self) -> None:
-        """Add all tasks; those that accept callers come last."""
+        """
+        Add all tasks; those that accept callers come last.
+
+        They stop first, after peers are told that the relay is leaving.
+        """
         watch = SettingsWatch(
             self._read_settings,
             self._settings,
@@ -107,7 +112,7 @@
         self._application.on_reload(watch.reload)
         self._application.add(watch)
         self._add_followers()
-        self._peers = add_peering(
+        self._peering = add_peering(
             self._application,
             self._context,
             self._settings,
@@ -193,7 +198,7 @@
         )
         self._application.add(
             duties.build_task(
-                self._engine_calls, self._peers, self._may_hold_duties
+                self._engine_calls, self._peering.peers, self._may_hold_duties
             )
         )
 
@@ -222,6 +227,7 @@
                 self._reactor,
             )
         )
+        self._application.add(RelayLeave(self._peering.relay))
 
     def _compute_config_age_share(self) -> float | None:
         """Return the age of the configuration as a share of ``revoke_ms``."""
--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -2,11 +2,12 @@
 
 from functools import partial
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
 from cicadahoist.application import Application
+from cicadahoist.ids import new_nonce
 from cicadahoist.platform.clients import new_store_client
 from cicadahoist.platform.settings_file import InstanceSettings
 from cicadahoist.policy.held_parts import PartHold
@@ -25,6 +26,10 @@
     PeerRecord,
 )
 from cicadahoist.serving.peers import Peers
+from cicadahoist.serving.relay_admission import RelayAdmission
+from cicadahoist.serving.relay_client import RelayClient
+from cicadahoist.serving.relay_server import RelayServer
+from cicadahoist.serving.server import EXIT_MARGIN_MS
 from cicadahoist.serving.version_history import HISTORY_KIND, apply_history
 
 # New instances affect only shares and loads, so cheap lists that may be seconds
@@ -41,21 +46,43 @@
 HELD_PARTS_START_MS = 1000
 
 
+class Peering(NamedTuple):
+    """
+    Parts of the exchange between instances that other tasks use.
+
+    :param peers: the liveness of the other instances
+    :param relay: opens connections to targets for other instances
+    """
+
+    peers: Peers
+    relay: RelayServer
+
+
 def add_peering(
     application: Application,
     context: ServingContext,
     settings: InstanceSettings,
     incarnation: str,
     reactor: Any,
-) -> Peers:
+) -> Peering:
     """
     Add the tasks that register this instance and exchange load with others.
 
+    The relay starts first and stops last: connections that it relays may go on
+    until the end of the grace.
+
     :param incarnation: unique name of this process
-    :return: the liveness of the other instances
+    :return: what other tasks need of them
     """
     peers = Peers(settings.instance)
-    record = PeerRecord(settings.host, settings.peer_ports[0], settings.zone)
+    record = PeerRecord(
+        settings.host,
+        settings.peer_ports[0],
+        settings.zone,
+        relay_port=settings.peer_ports[0],
+        relay_token=new_nonce(),
+    )
+    relay = _build_relay(application, context, settings, record, reactor)
     exchange = LoadExchange(
         context, settings.instance, incarnation, record, peers, reactor
     )
@@ -88,10 +115,50 @@
         application.clock,
         partial(apply_history, context.streams),
     )
-    for task in (exchange, poller, records, history):
+    for task in (relay, exchange, poller, records, history):
         application.add(task)
     _add_held_parts(application, context, settings, reactor)
-    return peers
+    return Peering(peers, relay)
+
+
+def build_relay_client(
+    application: Application,
+    context: ServingContext,
+    settings: InstanceSettings,
+    peers: Peers,
+    reactor: Any,
+) -> RelayClient:
+    """Return what opens connections to targets through other instances."""
+    return RelayClient(
+        settings.instance,
+        settings.zone,
+        peers,
+        context.gossip.relays,
+        context.meters.relays,
+        application.clock,
+        reactor,
+    )
+
+
+def _build_relay(
+    application: Application,
+    context: ServingContext,
+    settings: InstanceSettings,
+    record: PeerRecord,
+    reactor: Any,
+) -> RelayServer:
+    relay = RelayServer(
+        RelayAdmission(record.relay_token, context.fleet.directory),
+        record.host,
+        record.relay_port,
+        settings.grace_ms - EXIT_MARGIN_MS,
+        context.meters.relays,
+        context.link,
+        application.clock,
+        reactor,
+    )
+    context.gossip.relays.is_accepting = lambda: relay.is_accepting
+    return relay
 
 
 def _add_held_parts(
--- a/cicadahoist/serving/gossip.py
+++ b/cicadahoist/serving/gossip.py
@@ -9,6 +9,7 @@
 from cicadahoist.policy.held_parts import HeldParts, PartHold
 from cicadahoist.policy.sound_parts import SoundPart
 from cicadahoist.requests import PromptPart
+from cicadahoist.serving.relay_peers import RelayPeers
 from cicadahoist.serving.usage_copies import UsageCopies
 
 
@@ -25,11 +26,13 @@
         'crash_evidence',
         'held_parts',
         'holds_duties',
+        'is_cut_off',
         'on_blame',
         'on_crash',
         'on_hold',
         'on_prefill_started',
         'on_sound_part',
+        'relays',
         'usage_copies',
     )
 
@@ -38,6 +41,7 @@
         self.crash_evidence = CrashEvidence()
         self.held_parts = HeldParts()
         self.usage_copies = UsageCopies()
+        self.relays = RelayPeers()
         # Called with each blame that this instance has found.
         self.on_blame: Callable[[Blame], None] = _ignore
         # Called with each hold that this instance has decided.
@@ -52,6 +56,8 @@
         ] = _ignore
         # Returns whether this instance holds the lease of the duties.
         self.holds_duties: Callable[[], bool] = bool
+        # Returns whether this instance reaches no target itself.
+        self.is_cut_off: Callable[[], bool] = bool
 
 
 def _ignore(*news: Any) -> None:
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -21,6 +21,7 @@
 from cicadahoist.serving.load_group import LoadGroup, PrefillStart
 from cicadahoist.serving.part_news import PartNews, PartNewsQueue
 from cicadahoist.serving.peers import Peers
+from cicadahoist.serving.relay_peers import RelayAddress, RelayState
 from cicadahoist.serving.stream_exchange import STREAM_MARK, Address
 from cicadahoist.serving.usage_copies import UsageCopy
 
@@ -71,6 +72,7 @@
     :param holds_duties: whether the sender holds the lease of the duties
     :param usage: usage counts of the sender, for peers that keep copies of them
     :param part_news: news on prompt parts that crash engines
+    :param relay: the sender as a relay to targets
     """
 
     sender: str
@@ -82,14 +84,22 @@
     holds_duties: bool = False
     usage: UsageCopy | None = None
     part_news: PartNews | None = None
+    relay: RelayState = RelayState()
 
 
 class PeerRecord(msgspec.Struct):
-    """Address at which an instance receives load reports."""
+    """
+    Addresses at which an instance receives load reports and relays.
+
+    :param relay_port: TCP port of the relay, 0 for none
+    :param relay_token: token that the relay asks for
+    """
 
     host: str
     port: int
     zone: str = ''
+    relay_port: int = 0
+    relay_token: str = ''
 
 
 _codec: Codec[LoadMessage] = Codec.packed('load of a peer', LoadMessage)
@@ -166,6 +176,7 @@
         if self._instance not in names:
             self.on_unregistered()
         zone_by_instance = {self._instance: self._record.zone}
+        relays: dict[str, RelayAddress] = {}
         for stored in found:
             peer = self._decode_peer(stored)
             if peer is not None:
@@ -174,6 +185,9 @@
                 )
                 group.addresses[stored.name] = (peer.host, peer.port)
                 zone_by_instance[stored.name] = peer.zone
+                if peer.relay_port:
+                    relays[stored.name] = _get_relay_address(peer)
+        self._context.gossip.relays.set_addresses(relays)
         self._context.set_instance_count(len(zone_by_instance))
         self._context.streams.set_peers(
             {**self._near.addresses, **self._far.addresses}, zone_by_instance
@@ -195,6 +209,7 @@
             load.sender, now_ms, holds_duties=load.holds_duties
         )
         gossip = self._context.gossip
+        gossip.relays.record_state(load.sender, load.relay)
         if load.usage is not None:
             gossip.usage_copies.keep(load.usage, now_ms)
         for blame in load.blames:
@@ -271,14 +286,16 @@
             by_engine.update(board.snapshot_own_load())
             closed_by_engine.update(board.list_closures(now_ms))
         self._context.fleet.part_watch.drop_expired()
+        gossip = self._context.gossip
         return LoadMessage(
             sender=self._instance,
             true_ms=0,
             by_engine=by_engine,
             closed_by_engine=closed_by_engine,
             blames=self._collect_blames(),
-            holds_duties=self._context.gossip.holds_duties(),
+            holds_duties=gossip.holds_duties(),
             part_news=self._part_news.collect(self._context.true_time.now_ms()),
+            relay=RelayState(gossip.relays.is_accepting(), gossip.is_cut_off()),
         )
 
     def _collect_blames(self) -> tuple[Blame, ...]:
@@ -313,6 +330,10 @@
             logger.debug('datagram not sent to {0}: {1}', address, error)
 
 
+def _get_relay_address(peer: PeerRecord) -> RelayAddress:
+    return RelayAddress(peer.host, peer.relay_port, peer.relay_token, peer.zone)
+
+
 def _apply_load(board: EngineBoard, load: LoadMessage, now_ms: int) -> None:
     board.peer_loads.apply(load.sender, PeerLoad(load.by_engine, now_ms))
     for engine, closure in load.closed_by_engine.items():
--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -15,6 +15,7 @@
     Metrics,
 )
 from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.serving.relay_meters import RelayMeters
 
 
 class Meters:
@@ -37,6 +38,7 @@
         '_metrics',
         '_read_wait',
         '_silent_kept',
+        'relays',
     )
 
     def __init__(self, metrics: Metrics) -> None:
@@ -52,6 +54,7 @@
         self._load_bytes = metrics.counter(LOAD_BYTES)
         self._read_wait = metrics.histogram(READ_WAIT)
         self._silent_kept = metrics.counter(SILENT_KEPT)
+        self.relays = RelayMeters(metrics)
 
     def count_answer(self) -> None:
         """Count a complete answer."""
--- a/cicadahoist/serving/relay_client.py
+++ b/cicadahoist/serving/relay_client.py
@@ -231,8 +231,10 @@
         )
         try:
             return await self._dial(address, encode_request(request), build)
-        except (_RefusedByPeerError, CancelledError, ConnectingCancelledError):
+        except (_RefusedByPeerError, CancelledError):
             raise
+        except ConnectingCancelledError as error:
+            raise CancelledError from error
         except Exception as error:
             raise _RefusedByPeerError(RelayRefusal.peer_unreachable) from error
 
