--- a/tests/test_cmd/test_front_peering.py
+++ b/tests/test_cmd/test_front_peering.py
@@ -3,7 +3,7 @@
 
 It guards against holds on prompt parts that are decided and never stored, and
 against instances that accept requests before they know those that are stored
-(issue 24, BUDGET).
+(issue 24, BUDGET). It also guards against relays that no peer can use.
 """
 
 import msgspec
@@ -23,7 +23,11 @@
     HELD_PARTS_KIND,
     get_object_name,
 )
-from cicadahoist.serving.load_exchange import LoadExchange
+from cicadahoist.serving.load_exchange import (
+    PEER_KIND,
+    LoadExchange,
+    PeerRecord,
+)
 from tests.coroutines import Pending
 from tests.test_serving.fake_objects import FakeObjects
 
@@ -77,7 +81,8 @@
             store_address=ADDRESS,
             order_address=ADDRESS,
         )
-        front_peering.add_peering(
+        self.reactor = reactor
+        self.peering = front_peering.add_peering(
             self.tasks, context, settings, f'{name}.n', reactor
         )
         self.gossip = context.gossip
@@ -131,3 +136,31 @@
     instance = Instance('i1')
     instance.tasks.advance(front_peering.HELD_PARTS_START_MS + STEP_MS)
     assert instance.started.is_done
+
+
+def test_the_record_of_an_instance_names_its_relay(objects):
+    """Guard against relays that no peer can use."""
+    instance = Instance('i1')
+    instance.tasks.advance(1000)
+    relay = instance.peering.relay
+    assert relay.is_accepting
+    assert instance.gossip.relays.is_accepting()
+    stored = objects.kinds[PEER_KIND]['i1']
+    record = msgspec.convert(stored.spec, PeerRecord)
+    assert instance.reactor.tcpServers[0][0] == record.relay_port
+    assert instance.reactor.tcpServers[0][3] == record.host
+    assert len(record.relay_token) >= 24
+
+
+def test_each_process_has_a_token_of_its_own(objects):
+    tokens = set()
+    for _ in range(2):
+        Instance('i1').tasks.advance(1000)
+        tokens.add(objects.kinds[PEER_KIND]['i1'].spec['relay_token'])
+    assert len(tokens) == 2
+
+
+def test_a_relay_stops_after_all_other_tasks(objects):
+    """Guard against counts that are not stored while connections go on."""
+    instance = Instance('i1')
+    assert instance.tasks.added[0] is instance.peering.relay
--- a/tests/test_core/test_reasons.py
+++ b/tests/test_core/test_reasons.py
@@ -1,10 +1,11 @@
-from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.reasons import Refusal, RelayRefusal, Retry
 
 
 def test_no_reason_is_an_alias_of_another():
     """Guard against reasons with equal texts, which Enum would merge."""
     assert len(set(Refusal)) == len(Refusal.__members__)
     assert len(set(Retry)) == len(Retry.__members__)
+    assert len(set(RelayRefusal)) == len(RelayRefusal.__members__)
     assert Refusal.no_target is not Refusal.not_ready
 
 
