Open connections through a peer where a target has no direct path

An instance that was cut off from its targets refused all requests although its peers reached the targets, and held each for up to 0.9 s. It knew no way to a target but its own connections.

A connection that is not open within 100 ms, or that fails, is now also opened through a peer; everything above the connection stays where it was. Per target the paths record what the attempts showed: while the direct path is down, connections are opened through a peer at once, and the direct path is tried once a second. Where neither works, attempts fail at once but for one a second. Kept connections to other targets are not used after one hung, unless these have sent bytes since.

--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -25,8 +25,8 @@
     AnswerEnding,
     AnswerLoss,
     TargetConnection,
-    TargetConnections,
 )
+from cicadahoist.serving.target_connections import TargetConnections
 
 
 class Dialect(Protocol):
--- /dev/null
+++ b/cicadahoist/serving/connector.py
@@ -0,0 +1,236 @@
+"""Opens connections to targets, directly or through peers."""
+
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import Any, Protocol
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.protocol import Factory
+
+from cicadahoist.clock import MS_PER_S, Clock
+from cicadahoist.errors import NotSentError
+from cicadahoist.listings import Listing
+from cicadahoist.log import get_logger
+from cicadahoist.policy.relay_ranking import RankedPeer, RelayRanking
+from cicadahoist.policy.target_path import PathFailure
+from cicadahoist.policy.target_paths import Opening, TargetPaths
+from cicadahoist.serving.outbound import TargetConnection
+from cicadahoist.serving.path_race import PathRace
+from cicadahoist.serving.shared_calls import SharedCalls
+
+logger = get_logger(__name__)
+
+# Targets are a few ms away and accept a connection within one more. An
+# unreachable one is abandoned while there is time to use another.
+CONNECT_TIMEOUT_MS = 300
+# Peers that are asked for one connection while there is reason to believe that
+# another one can open it.
+MAX_PEERS = 3
+
+
+class Relays(Protocol):
+    """Opens connections to targets through peers."""
+
+    def list_peers(self, now_ms: int) -> Iterable[RankedPeer]:
+        """Return the peers that open connections for others."""
+
+    async def connect(
+        self,
+        peer: str,
+        listing: Listing,
+        build: Callable[[], TargetConnection],
+    ) -> TargetConnection:
+        """
+        Open a connection to a target through a peer.
+
+        :raises NotSentError: the peer opened no connection
+        """
+
+
+class Connector:
+    """
+    Opens new connections to targets over the paths that work.
+
+    :param reactor: the twisted reactor
+    :param clock: clock of the process
+    :param paths: what is known of the paths
+    """
+
+    __slots__ = (
+        '_clock',
+        '_paths',
+        '_ranking',
+        '_reactor',
+        '_relay_trials',
+        'on_spare',
+        'relays',
+    )
+
+    def __init__(self, reactor: Any, clock: Clock, paths: TargetPaths) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._paths = paths
+        self._ranking = RelayRanking()
+        self._relay_trials: SharedCalls[TargetConnection] = SharedCalls()
+        # Called with a direct connection that was opened too late for its use.
+        self.on_spare: Callable[[Listing, TargetConnection], None] = _close
+        # Without it, connections are direct only.
+        self.relays: Relays | None = None
+
+    async def connect(self, listing: Listing) -> TargetConnection:
+        """
+        Open a connection over the path that is known or found to work.
+
+        :raises NotSentError: no path to the target works
+        """
+        now_ms = self._clock.now_ms()
+        opening = self._paths.choose_opening(listing.name, now_ms)
+        if opening is Opening.direct:
+            return await self.race(listing)
+        if opening is Opening.none:
+            raise NotSentError(
+                f'{listing.name} at {listing.address}: no path a moment ago',
+                remedy='send it to another target',
+            )
+        if self._paths.get(listing.name).is_probe_due(now_ms):
+            probe = Deferred.fromCoroutine(self.connect_directly(listing))
+            probe.addCallbacks(
+                partial(self.on_spare, listing), _ignore_unreached
+            )
+        return await self._connect_relayed(listing)
+
+    async def race(self, listing: Listing) -> TargetConnection:
+        """
+        Open a connection directly, and through a peer if that takes long.
+
+        :raises NotSentError: neither path works
+        """
+        began_ms = self._clock.now_ms()
+        race = PathRace(
+            self._clock,
+            lambda: Deferred.fromCoroutine(self.connect_directly(listing)),
+            lambda: Deferred.fromCoroutine(self._connect_relayed(listing)),
+        )
+        race.on_late = partial(self.on_spare, listing)
+        race.on_overtaken = partial(
+            self._paths.record_direct_failure,
+            listing.name,
+            PathFailure.hanging,
+            began_ms,
+        )
+        return await race.run()
+
+    async def connect_directly(self, listing: Listing) -> TargetConnection:
+        """
+        Open a direct connection.
+
+        :raises NotSentError: the target accepted no connection
+        """
+        began_ms = self._clock.now_ms()
+        self._paths.record_direct_start(listing.name, began_ms)
+        host, port = listing.endpoint
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, host, port, timeout=CONNECT_TIMEOUT_MS / MS_PER_S
+        )
+        factory: Any = Factory.forProtocol(
+            lambda: TargetConnection(self._clock)
+        )
+        factory.noisy = False
+        try:
+            connection: TargetConnection = await endpoint.connect(factory)
+        except Exception as error:
+            is_refused = isinstance(error, ConnectionRefusedError)
+            self._paths.record_direct_failure(
+                listing.name,
+                PathFailure.refused if is_refused else PathFailure.hanging,
+                began_ms,
+            )
+            raise NotSentError(
+                f'{listing.name} at {listing.address}: {error!r}',
+                remedy='send it to another target',
+            ) from error
+        self._paths.record_heard(
+            listing.name, self._clock.now_ms(), is_new=True
+        )
+        return connection
+
+    async def _connect_relayed(self, listing: Listing) -> TargetConnection:
+        """
+        Open a connection through a peer.
+
+        While it is not known whether a peer reaches the target, there is one
+        attempt at a time.
+        """
+        if self._paths.get(listing.name).is_relayable:
+            return await self._try_peers(listing)
+        connection = await self._relay_trials.run(
+            listing.name, partial(self._try_relay, listing)
+        )
+        if connection is not None:
+            return connection
+        if self._paths.get(listing.name).is_relayable:
+            return await self._try_peers(listing)
+        raise _make_unreached_error(listing)
+
+    async def _try_relay(self, listing: Listing) -> TargetConnection:
+        if self._paths.may_try_relay(listing.name, self._clock.now_ms()):
+            return await self._try_peers(listing)
+        raise _make_unreached_error(listing)
+
+    async def _try_peers(self, listing: Listing) -> TargetConnection:
+        relays = self.relays
+        now_ms = self._clock.now_ms()
+        peers: list[str] = []
+        if relays is not None:
+            peers = self._ranking.rank(relays.list_peers(now_ms), now_ms)
+        was_relayable = self._paths.get(listing.name).is_relayable
+        for number, peer in enumerate(peers[:MAX_PEERS]):
+            is_likely = was_relayable or self._paths.is_cut_off(
+                self._clock.now_ms()
+            )
+            if number and not is_likely:
+                break
+            connection = await self._try_peer(listing, peer)
+            if connection is not None:
+                return connection
+        if peers:
+            self._paths.record_relay_failure(listing.name, self._clock.now_ms())
+        raise _make_unreached_error(listing)
+
+    async def _try_peer(
+        self, listing: Listing, peer: str
+    ) -> TargetConnection | None:
+        """Return a connection through a peer, none if it opened none."""
+        if self.relays is None:
+            return None
+        try:
+            connection = await self.relays.connect(
+                peer,
+                listing,
+                partial(TargetConnection, self._clock, is_relayed=True),
+            )
+        except NotSentError as error:
+            logger.bind(target=listing.name, peer=peer).debug('{0}', error)
+            self._ranking.record_failure(peer, self._clock.now_ms())
+            return None
+        self._ranking.record_success(peer)
+        self._paths.record_relay_open(listing.name)
+        return connection
+
+
+def _make_unreached_error(listing: Listing) -> NotSentError:
+    return NotSentError(
+        f'{listing.name} at {listing.address}: no peer reaches it',
+        remedy='send it to another target',
+    )
+
+
+def _ignore_unreached(failure: Any) -> None:
+    """Let the paths, which have recorded it, decide about a failed probe."""
+    failure.trap(NotSentError)
+
+
+def _close(listing: Listing, connection: TargetConnection) -> None:
+    connection.close()
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -15,10 +15,10 @@
 from cicadahoist.serving.engine_boards import EngineBoards
 from cicadahoist.serving.gossip import Gossip
 from cicadahoist.serving.meters import Meters
-from cicadahoist.serving.outbound import TargetConnections
 from cicadahoist.serving.part_watch import PartWatch
 from cicadahoist.serving.plain_targets import PlainTargets
 from cicadahoist.serving.stream_exchange import StreamExchange
+from cicadahoist.serving.target_connections import TargetConnections
 from cicadahoist.serving.target_crashes import TargetCrashes
 from cicadahoist.serving.usage_counts import UsageCounts
 
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -5,19 +5,12 @@
 from typing import Any, Protocol
 
 import h11
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError
-from twisted.internet.protocol import Factory
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol as TwistedProtocol
 
-from cicadahoist.clock import MS_PER_S, Clock
-from cicadahoist.errors import NotSentError
-from cicadahoist.listings import Listing
+from cicadahoist.clock import Clock
 from cicadahoist.requests import HeaderList
 
-# Targets are a few ms away and accept a connection within one more. An
-# unreachable one is abandoned while there is time to use another.
-CONNECT_TIMEOUT_MS = 300
 # TCP closes a connection whose bytes or keepalive probes stay unacknowledged
 # for this time.
 SILENCE_TIMEOUT_MS = 2000
@@ -28,7 +21,6 @@
 DEFAULT_IDLE_MS = 900
 # A target closes idle connections by its own clock, so reuse stops earlier.
 IDLE_MARGIN_MS = 400
-MAX_IDLE_CONNECTIONS = 64
 # A late answer is skipped to keep the attempt, up to this size.
 MAX_SKIPPED_BYTES = 131_072
 
@@ -62,18 +54,6 @@
     too_long = 'too-long'
 
 
-class Reachability(Enum):
-    """
-    What a target does with a new connection.
-
-    ``no_answer``: it is frozen or cannot be reached.
-    """
-
-    accepted = 'accepted'
-    refused = 'refused'
-    no_answer = 'no-answer'
-
-
 class Receiver(Protocol):
     """Receives the answer to one attempt."""
 
@@ -94,21 +74,36 @@
         """Process the loss of the rest of the answer."""
 
 
+class Pool(Protocol):
+    """Keeps the connections to a target between attempts."""
+
+    def release(self, connection: 'TargetConnection') -> None:
+        """Keep a connection for later attempts."""
+
+    def discard(self, connection: 'TargetConnection') -> None:
+        """Remove a connection that was closed."""
+
+    def record_heard(self, connection: 'TargetConnection') -> None:
+        """Record that bytes of the target have arrived."""
+
+
 class TargetConnection(TwistedProtocol):
     """
     One connection to a target, for one attempt at a time.
 
     :param clock: clock of the process
+    :param is_relayed: whether a peer passes its bytes on
     """
 
     transport: Any
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, *, is_relayed: bool = False) -> None:
         self._clock = clock
+        self.is_relayed = is_relayed
         self._http = h11.Connection(h11.CLIENT)
         self._sent_request: h11.Request | None = None
         self._receiver: Receiver | None = None
-        self._pool: TargetPool | None = None
+        self._pool: Pool | None = None
         self._ending = AnswerEnding.stated
         self._is_skipping = False
         self._has_skipped = False
@@ -139,7 +134,7 @@
         request: h11.Request,
         body: bytes,
         receiver: Receiver,
-        pool: 'TargetPool',
+        pool: Pool,
     ) -> None:
         """
         Send a complete request.
@@ -185,6 +180,8 @@
             # Bytes after a complete answer belong to no request.
             self.close()
             return
+        if self._pool is not None:
+            self._pool.record_heard(self)
         try:
             self._http.receive_data(received)
             self._read_events()
@@ -291,126 +288,3 @@
         self.close()
         if receiver is not None:
             receiver.answer_lost(cause)
-
-
-class TargetPool:
-    """
-    Idle connections to one target.
-
-    :param listing: the target
-    """
-
-    __slots__ = ('_idle', 'listing')
-
-    def __init__(self, listing: Listing) -> None:
-        self.listing = listing
-        self._idle: list[TargetConnection] = []
-
-    def belongs_to(self, listing: Listing) -> bool:
-        """Return whether the connections lead to the listed process."""
-        known = self.listing
-        return (known.address, known.started_ms) == (
-            listing.address,
-            listing.started_ms,
-        )
-
-    def acquire(self, now_ms: int) -> TargetConnection | None:
-        """Return an idle connection that the target keeps open, or none."""
-        while self._idle:
-            connection = self._idle.pop()
-            max_idle_ms = connection.idle_timeout_ms - IDLE_MARGIN_MS
-            if not connection.is_open:
-                continue
-            if now_ms - connection.idle_since_ms <= max_idle_ms:
-                return connection
-            connection.close()
-        return None
-
-    def release(self, connection: TargetConnection) -> None:
-        """Keep a connection for later attempts; close it beyond the limit."""
-        if len(self._idle) < MAX_IDLE_CONNECTIONS:
-            self._idle.append(connection)
-        else:
-            connection.close()
-
-    def discard(self, connection: TargetConnection) -> None:
-        """Remove a connection that was closed."""
-        if connection in self._idle:
-            self._idle.remove(connection)
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        idle = self._idle
-        self._idle = []
-        for connection in idle:
-            connection.close()
-
-
-class TargetConnections:
-    """
-    Connections to all targets.
-
-    :param reactor: the twisted reactor
-    :param clock: clock of the process
-    """
-
-    __slots__ = ('_clock', '_pools_by_name', '_reactor')
-
-    def __init__(self, reactor: Any, clock: Clock) -> None:
-        self._reactor = reactor
-        self._clock = clock
-        self._pools_by_name: dict[str, TargetPool] = {}
-
-    async def open(
-        self, listing: Listing
-    ) -> tuple[TargetConnection, TargetPool]:
-        """
-        Return an idle or new connection to a target, and its pool.
-
-        :raises NotSentError: the target accepted no connection
-        """
-        pool = self._pools_by_name.get(listing.name)
-        if pool is not None and not pool.belongs_to(listing):
-            pool.close()
-            pool = None
-        if pool is None:
-            pool = TargetPool(listing)
-            self._pools_by_name[listing.name] = pool
-        connection = pool.acquire(self._clock.now_ms())
-        if connection is None:
-            connection = await self._connect(listing)
-        return connection, pool
-
-    async def check(self, listing: Listing) -> Reachability:
-        """Open and close a new connection to a target."""
-        try:
-            connection = await self._connect(listing)
-        except NotSentError as error:
-            if isinstance(error.__cause__, ConnectionRefusedError):
-                return Reachability.refused
-            return Reachability.no_answer
-        connection.close()
-        return Reachability.accepted
-
-    def retain(self, names: set[str]) -> None:
-        """Close the idle connections to all targets that are not named."""
-        for name in list(self._pools_by_name):
-            if name not in names:
-                self._pools_by_name.pop(name).close()
-
-    async def _connect(self, listing: Listing) -> TargetConnection:
-        host, port = listing.endpoint
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, host, port, timeout=CONNECT_TIMEOUT_MS / MS_PER_S
-        )
-        factory: Any = Factory.forProtocol(
-            lambda: TargetConnection(self._clock)
-        )
-        factory.noisy = False
-        try:
-            return await endpoint.connect(factory)
-        except Exception as error:
-            raise NotSentError(
-                f'{listing.name} at {listing.address}: {error!r}',
-                remedy='send it to another target',
-            ) from error
--- /dev/null
+++ b/cicadahoist/serving/target_connections.py
@@ -0,0 +1,150 @@
+"""Connections to all targets."""
+
+from enum import Enum
+from typing import Any
+
+from twisted.internet.error import ConnectionRefusedError
+
+from cicadahoist.clock import Clock
+from cicadahoist.errors import NotSentError
+from cicadahoist.listings import Listing
+from cicadahoist.policy.target_paths import TargetPaths
+from cicadahoist.serving.connector import Connector, Relays
+from cicadahoist.serving.outbound import TargetConnection
+from cicadahoist.serving.shared_calls import SharedCalls
+from cicadahoist.serving.target_pool import TargetPool
+
+# A direct path that has worked within this time is not tested.
+TEST_PERIOD_MS = 300
+
+
+class Reachability(Enum):
+    """
+    What a target does with a new connection.
+
+    ``no_answer``: it is frozen or cannot be reached.
+    """
+
+    accepted = 'accepted'
+    refused = 'refused'
+    no_answer = 'no-answer'
+
+
+class TargetConnections:
+    """
+    Connections to all targets.
+
+    :param reactor: the twisted reactor
+    :param clock: clock of the process
+    :param paths: what is known of the paths to the targets
+    """
+
+    __slots__ = ('_clock', '_connector', '_pools_by_name', '_tests', 'paths')
+
+    def __init__(
+        self, reactor: Any, clock: Clock, paths: TargetPaths | None = None
+    ) -> None:
+        self._clock = clock
+        self.paths = paths or TargetPaths()
+        self._connector = Connector(reactor, clock, self.paths)
+        self._connector.on_spare = self._keep
+        self._pools_by_name: dict[str, TargetPool] = {}
+        self._tests: SharedCalls[None] = SharedCalls()
+
+    @property
+    def relays(self) -> Relays | None:
+        """Opens connections through peers, none for direct ones only."""
+        return self._connector.relays
+
+    @relays.setter
+    def relays(self, relays: Relays | None) -> None:
+        self._connector.relays = relays
+
+    async def open(
+        self, listing: Listing
+    ) -> tuple[TargetConnection, TargetPool]:
+        """
+        Return an idle or new connection to a target, and its pool.
+
+        :raises NotSentError: no path to the target works
+        """
+        pool = self._get_pool(listing)
+        connection = self._acquire(pool)
+        if connection is None:
+            connection = await self._connector.connect(listing)
+        return connection, pool
+
+    async def check(self, listing: Listing) -> Reachability:
+        """
+        Find out whether a target accepts connections.
+
+        A target that only peers reach counts as accepting.
+        """
+        try:
+            connection = await self._connector.race(listing)
+        except NotSentError as error:
+            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            is_cut_off = self.paths.is_cut_off(self._clock.now_ms())
+            if is_refused and not is_cut_off:
+                return Reachability.refused
+            return Reachability.no_answer
+        connection.close()
+        return Reachability.accepted
+
+    async def test_path(self, listing: Listing) -> None:
+        """Find out whether the direct path to a target works."""
+        await self._tests.run(listing.name, lambda: self._test_path(listing))
+
+    def retain(self, names: set[str]) -> None:
+        """Close the idle connections to all targets that are not named."""
+        for name in list(self._pools_by_name):
+            if name not in names:
+                self._pools_by_name.pop(name).close()
+                self.paths.forget(name)
+
+    async def _test_path(self, listing: Listing) -> None:
+        since_ms = self._clock.now_ms() - TEST_PERIOD_MS
+        if self.paths.get(listing.name).is_bypassed or self.paths.get(
+            listing.name
+        ).has_heard(since_ms):
+            return
+        try:
+            connection = await self._connector.race(listing)
+        except NotSentError:
+            # The paths have recorded it.
+            return
+        self._keep(listing, connection)
+
+    def _get_pool(self, listing: Listing) -> TargetPool:
+        pool = self._pools_by_name.get(listing.name)
+        if pool is not None and not pool.belongs_to(listing):
+            pool.close()
+            self.paths.forget(listing.name)
+            pool = None
+        if pool is None:
+            pool = TargetPool(listing, self._record_heard)
+            self._pools_by_name[listing.name] = pool
+        return pool
+
+    def _acquire(self, pool: TargetPool) -> TargetConnection | None:
+        now_ms = self._clock.now_ms()
+        name = pool.listing.name
+        if self.paths.may_reuse_direct(name, now_ms):
+            connection = pool.acquire(now_ms)
+            if connection is not None:
+                return connection
+        if self.paths.get(name).is_bypassed:
+            return pool.acquire(now_ms, is_relayed=True)
+        return None
+
+    def _keep(self, listing: Listing, connection: TargetConnection) -> None:
+        """Keep a connection that nobody waits for any more."""
+        pool = self._pools_by_name.get(listing.name)
+        if pool is None or not pool.belongs_to(listing):
+            connection.close()
+            return
+        connection.idle_since_ms = self._clock.now_ms()
+        pool.release(connection)
+
+    def _record_heard(self, target: str) -> None:
+        self.paths.record_heard(target, self._clock.now_ms())
--- a/cicadahoist/serving/target_crashes.py
+++ b/cicadahoist/serving/target_crashes.py
@@ -12,8 +12,11 @@
 from cicadahoist.log import get_logger
 from cicadahoist.metrics import TARGET_CRASHES, Metrics
 from cicadahoist.policy.crash_log import BegunRun, CrashReport
-from cicadahoist.serving.outbound import Reachability, TargetConnections
 from cicadahoist.serving.part_watch import PartWatch
+from cicadahoist.serving.target_connections import (
+    Reachability,
+    TargetConnections,
+)
 
 logger = get_logger(__name__)
 
--- /dev/null
+++ b/cicadahoist/serving/target_pool.py
@@ -0,0 +1,83 @@
+"""Idle connections to one target."""
+
+from collections.abc import Callable
+from typing import Any
+
+from cicadahoist.listings import Listing
+from cicadahoist.serving.outbound import IDLE_MARGIN_MS, TargetConnection
+
+MAX_IDLE_CONNECTIONS = 64
+
+
+class TargetPool:
+    """
+    Idle connections to one target.
+
+    :param listing: the target
+    :param on_heard: called when bytes arrive on a direct connection
+    """
+
+    __slots__ = ('_idle', '_on_heard', 'listing')
+
+    def __init__(
+        self, listing: Listing, on_heard: Callable[[str], Any] = str
+    ) -> None:
+        self.listing = listing
+        self._idle: list[TargetConnection] = []
+        self._on_heard = on_heard
+
+    def belongs_to(self, listing: Listing) -> bool:
+        """Return whether the connections lead to the listed process."""
+        known = self.listing
+        return (known.address, known.started_ms) == (
+            listing.address,
+            listing.started_ms,
+        )
+
+    def acquire(
+        self, now_ms: int, *, is_relayed: bool = False
+    ) -> TargetConnection | None:
+        """
+        Return an idle connection that the target keeps open, or none.
+
+        :param is_relayed: whether a peer passes its bytes on
+        """
+        idle = [
+            connection
+            for connection in self._idle
+            if connection.is_relayed is is_relayed
+        ]
+        while idle:
+            connection = idle.pop()
+            self._idle.remove(connection)
+            max_idle_ms = connection.idle_timeout_ms - IDLE_MARGIN_MS
+            if not connection.is_open:
+                continue
+            if now_ms - connection.idle_since_ms <= max_idle_ms:
+                return connection
+            connection.close()
+        return None
+
+    def release(self, connection: TargetConnection) -> None:
+        """Keep a connection for later attempts; close it beyond the limit."""
+        if len(self._idle) < MAX_IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def discard(self, connection: TargetConnection) -> None:
+        """Remove a connection that was closed."""
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def record_heard(self, connection: TargetConnection) -> None:
+        """Record that bytes of the target have arrived."""
+        if not connection.is_relayed:
+            self._on_heard(self.listing.name)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        idle = self._idle
+        self._idle = []
+        for connection in idle:
+            connection.close()
--- a/tests/test_serving/test_cut_paths.py
+++ b/tests/test_serving/test_cut_paths.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cicadahoist.serving.outbound import TargetConnections
+from cicadahoist.serving.target_connections import TargetConnections
 from tests.test_serving.network import Cut, Network, Peer, Relays, plain_targets
 from tests.test_serving.world import World
 
@@ -28,7 +28,9 @@
         super().__init__()
         self.network = Network(self.clock, *listings)
         self.relays = Relays(self.network, *peers)
-        self.connections = Connections(self.network, self.clock)
+        self.connections = Connections(
+            self.network, self.clock, self.connections.paths
+        )
         self.connections.relays = self.relays
         self.context.fleet.connections = self.connections
         self.add(*self.network.listings)
--- a/tests/test_serving/test_outbound.py
+++ b/tests/test_serving/test_outbound.py
@@ -15,9 +15,9 @@
 from twisted.python.failure import Failure
 
 from cicadahoist.clock import Clock
-from cicadahoist.serving.outbound import (
+from cicadahoist.serving.outbound import TargetConnection
+from cicadahoist.serving.target_connections import (
     Reachability,
-    TargetConnection,
     TargetConnections,
 )
 from tests.coroutines import Pending
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -34,11 +34,9 @@
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.front import Front
 from cicadahoist.serving.inbound import CallerConnection, CallerConnections
-from cicadahoist.serving.outbound import (
-    Reachability,
-    TargetConnection,
-    TargetPool,
-)
+from cicadahoist.serving.outbound import TargetConnection
+from cicadahoist.serving.target_connections import Reachability
+from cicadahoist.serving.target_pool import TargetPool
 
 HOST = 'h.example'
 ATTEMPT_NUMBERS = count(1)
@@ -186,8 +184,9 @@
 class FakeConnections:
     """Replaces `TargetConnections`; records the attempts instead of sending."""
 
-    def __init__(self, clock) -> None:
+    def __init__(self, clock, paths) -> None:
         self._clock = clock
+        self.paths = paths
         self._pools = {}
         self.sent = []
         self.refusing_targets = set()
@@ -220,6 +219,9 @@
             return Reachability.no_answer
         return Reachability.accepted
 
+    async def test_path(self, listing):
+        """Do nothing: all paths are direct."""
+
     def retain(self, names):
         """Do nothing: the pools of all targets are kept."""
 
@@ -377,7 +379,9 @@
             RetryTerms(0.2, 100, 10_000),
             None,
         )
-        self.connections = FakeConnections(self.clock)
+        self.connections = FakeConnections(
+            self.clock, self.context.fleet.connections.paths
+        )
         self.context.fleet.connections = self.connections
         if is_first_start:
             self.context.streams.apply_history({})
