Take requests under way off a direct path that is down

A request on a kept connection whose path is cut waited until its target counted as silent, and was then sent to the next target on a kept connection of the same cut; the targets were ejected, and requests were blamed for crashes that were none.

When a target is silent or breaks off a request, its direct path is tested by a new connection, which a frozen target accepts. If only a peer reaches the target, its open attempts show nothing about it any more, its ejection ends, and the attempts that may be repeated are taken over, also by the same target over the new path. A request that may run once is not sent again. Losses on such a path count neither as crashes nor against the health of the target.

--- a/cicadahoist/policy/answer_watch.py
+++ b/cicadahoist/policy/answer_watch.py
@@ -75,6 +75,16 @@
         if activity is not None:
             activity.open_attempts_by_number.pop(number, None)
 
+    def release(self, target: str) -> None:
+        """
+        Judge a target by later attempts only.
+
+        The open ones use a path that is down, and show nothing about it.
+        """
+        activity = self._activity_by_target.get(target)
+        if activity is not None:
+            activity.open_attempts_by_number.clear()
+
     def is_silent(self, target: str, now_ms: int) -> bool:
         """Return whether a target with open attempts is silent."""
         activity = self._activity_by_target.get(target)
--- a/cicadahoist/policy/health.py
+++ b/cicadahoist/policy/health.py
@@ -76,6 +76,13 @@
             self.ejected_until_ms = now_ms
             self._slow_start_ms = now_ms
 
+    def end_ejection(self) -> None:
+        """Forget the failures, as the target has not caused them."""
+        if self.ejected_until_ms:
+            self._slow_start_ms = None
+        self._failure_count = 0
+        self.ejected_until_ms = 0
+
     def compute_usable_share(self, now_ms: int) -> float:
         """Return the share of its slots, from 0 to 1, that may be used now."""
         if now_ms < self.ejected_until_ms:
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -83,6 +83,7 @@
     :param detail: cause of a failure, for the log
     :param is_silent: whether the target counted as silent at the end
     :param ending: how the end of a complete answer is known
+    :param is_stranded: whether its path is down while a peer reaches the target
     :param silent_ms: time since the target last sent a byte to this attempt, or
         since its start
     """
@@ -92,12 +93,15 @@
     body: bytes = b''
     detail: str = ''
     is_silent: bool = False
+    is_stranded: bool = False
     ending: AnswerEnding | None = None
     silent_ms: int = 0
 
 
 # Detail of an attempt that this instance ended because its target was silent.
 SILENT = 'silent'
+# The same because its path is down while a peer reaches the target.
+STRANDED = 'stranded'
 
 _NOT_RUN = frozenset((AnswerMeaning.not_run, AnswerMeaning.misplaced))
 
@@ -130,8 +134,10 @@
         '_options',
         '_request',
         '_stream',
+        'is_direct',
         'is_paused',
         'is_sent',
+        'is_stranded',
         'listing',
         'max_body_bytes',
         'on_activity',
@@ -159,6 +165,10 @@
         self._end_deferred: Deferred[AttemptEnd] | None = Deferred()
         self._head: AnswerHead | None = None
         self.is_sent = False
+        # Whether it was sent without a peer.
+        self.is_direct = False
+        # Whether nothing arrives as its path is down.
+        self.is_stranded = False
         # Whether the answer is not read, as its caller reads slowly.
         self.is_paused = False
         # Longest body that is collected.
@@ -198,6 +208,7 @@
             return AttemptEnd(AttemptOutcome.stopped)
         self._connection = connection
         self.is_sent = True
+        self.is_direct = not connection.is_relayed
         outgoing = h11.Request(
             method=self._request.method,
             target=self._request.path,
--- a/cicadahoist/serving/attempt_watch.py
+++ b/cicadahoist/serving/attempt_watch.py
@@ -1,16 +1,24 @@
 """Runs attempts, and reports targets that fall silent during them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from functools import partial
+from typing import Any
 
 import msgspec
+from twisted.internet.defer import Deferred
 
-from cicadahoist.serving.attempt import Attempt, AttemptEnd
+from cicadahoist.log import get_logger
+from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
 from cicadahoist.serving.context import ServingContext
 
+logger = get_logger(__name__)
+
 # A timer that fires this late shows that this process was paused: answers may
 # have arrived meanwhile that are not read yet.
 PROCESS_PAUSE_MS = 100
+# The reaction to a silent target waits this long for the test of its path, in
+# which a peer gets time to reach the target.
+PATH_TEST_MS = 150
 
 OnSilence = Callable[[], None]
 
@@ -22,12 +30,13 @@
     :param context: shared parts of the data path
     """
 
-    __slots__ = ('_answer_watch', '_clock', '_connections')
+    __slots__ = ('_answer_watch', '_clock', '_connections', '_paths')
 
     def __init__(self, context: ServingContext) -> None:
         self._answer_watch = context.fleet.answer_watch
         self._clock = context.clock
         self._connections = context.fleet.connections
+        self._paths = context.fleet.paths
 
     async def run(
         self,
@@ -50,7 +59,7 @@
             name, silence_ms, self._clock.now_ms()
         )
         activity = _Activity(self._clock.now_ms())
-        attempt.on_activity = partial(self._record_activity, name, activity)
+        attempt.on_activity = partial(self._record_activity, attempt, activity)
         attempt.on_unread = partial(
             self._answer_watch.record_unread, name, attempt_number
         )
@@ -61,14 +70,22 @@
         finally:
             is_silent = self._answer_watch.is_silent(name, self._clock.now_ms())
             self._answer_watch.record_end(name, attempt_number)
-        silent_ms = self._clock.now_ms() - activity.last_ms
+        is_lost = end.outcome is AttemptOutcome.lost
+        if is_lost and attempt.is_direct:
+            self._launch(self._connections.test_path(attempt.listing))
         return msgspec.structs.replace(
-            end, is_silent=is_silent, silent_ms=silent_ms
+            end,
+            is_silent=is_silent,
+            is_stranded=attempt.is_direct and self._paths.get(name).is_bypassed,
+            silent_ms=self._clock.now_ms() - activity.last_ms,
         )
 
-    def _record_activity(self, target: str, activity: '_Activity') -> None:
+    def _record_activity(self, attempt: Attempt, activity: '_Activity') -> None:
         activity.last_ms = self._clock.now_ms()
-        self._answer_watch.record_activity(target, activity.last_ms)
+        attempt.is_stranded = False
+        self._answer_watch.record_activity(
+            attempt.listing.name, activity.last_ms
+        )
 
     def _schedule_check(
         self, attempt: Attempt, wait_ms: int, on_silence: OnSilence
@@ -92,12 +109,48 @@
             # Other attempts show whether the target is silent.
             attempt.on_unread(now_ms)
         was_paused = now_ms - due_ms > PROCESS_PAUSE_MS
-        is_silent = self._answer_watch.is_silent(attempt.listing.name, now_ms)
-        if is_silent and not was_paused and not attempt.is_paused:
-            on_silence()
+        may_react = not was_paused and not attempt.is_paused
+        if may_react and self._is_silent(attempt):
+            self._launch(self._react(attempt, on_silence))
         if not attempt.is_over:
             self._schedule_check(attempt, wait_ms, on_silence)
 
+    def _is_silent(self, attempt: Attempt) -> bool:
+        """Return whether nothing arrives from the target of an attempt."""
+        name = attempt.listing.name
+        if attempt.is_direct and self._paths.get(name).is_hanging:
+            attempt.is_stranded = True
+        return attempt.is_stranded or self._answer_watch.is_silent(
+            name, self._clock.now_ms()
+        )
+
+    async def _react(self, attempt: Attempt, on_silence: OnSilence) -> None:
+        """Test the path to a silent target, then react if it still is."""
+        tested: Deferred[None] = Deferred()
+        testing = self._launch(self._connections.test_path(attempt.listing))
+        testing.addBoth(_fire_once, tested)
+        timer = self._clock.call_later(PATH_TEST_MS, _fire_once, None, tested)
+        await tested
+        if timer.active():
+            timer.cancel()
+        if not attempt.is_over and self._is_silent(attempt):
+            on_silence()
+
+    def _launch(self, work: Coroutine[Any, Any, None]) -> 'Deferred[None]':
+        return Deferred.fromCoroutine(work).addErrback(_log_defect)
+
+
+def _fire_once(outcome: Any, tested: 'Deferred[None]') -> None:
+    if not tested.called:
+        tested.callback(None)
+
+
+def _log_defect(failure: Any) -> None:
+    logger.error(
+        'watching an attempt raised an unexpected error: {0}',
+        failure.getTraceback(),
+    )
+
 
 class _Activity:
     """
--- a/cicadahoist/serving/connector.py
+++ b/cicadahoist/serving/connector.py
@@ -94,13 +94,13 @@
                 f'{listing.name} at {listing.address}: no path a moment ago',
                 remedy='send it to another target',
             )
-        if self._paths.get(listing.name).is_probe_due(now_ms):
-            probe = Deferred.fromCoroutine(self.connect_directly(listing))
-            probe.addCallbacks(
-                partial(self.on_spare, listing), _ignore_unreached
-            )
         return await self._connect_relayed(listing)
 
+    def probe(self, listing: Listing) -> None:
+        """Try a direct path through which no connection is awaited."""
+        probe = Deferred.fromCoroutine(self.connect_directly(listing))
+        probe.addCallbacks(partial(self.on_spare, listing), _ignore_unreached)
+
     async def race(self, listing: Listing) -> TargetConnection:
         """
         Open a connection directly, and through a peer if that takes long.
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -49,6 +49,7 @@
         'directory',
         'is_settled',
         'part_watch',
+        'paths',
         'plain_targets',
         'target_crashes',
     )
@@ -66,6 +67,7 @@
         self.target_crashes = target_crashes
         self.directory = TargetDirectory()
         self.connections = connections
+        self.paths = connections.paths
         self.answer_watch = AnswerWatch()
         self.boards = EngineBoards(self.directory, self.answer_watch, zone)
         self.plain_targets = PlainTargets(
@@ -74,12 +76,24 @@
         # Whether orders to targets may be based on the list of targets.
         self.is_settled = False
         self.directory.on_change(self._sync)
+        self.paths.on_change(self._follow_path)
 
     def exclude(self, target: str) -> None:
         """Exclude a target for a while: it is not at its listed address."""
         self.directory.exclude(target)
         self._clock.call_later(EXCLUSION_MS, self.directory.restore, target)
 
+    def is_cut_off(self) -> bool:
+        """Return whether this instance reaches most targets only by peers."""
+        return self.paths.is_cut_off(self._clock.now_ms())
+
+    def _follow_path(self, target: str) -> None:
+        """Judge a target afresh whose path has changed."""
+        if self.paths.get(target).is_bypassed:
+            self.answer_watch.release(target)
+        self.plain_targets.end_ejection(target)
+        self.boards.end_ejection(target)
+
     def _sync(self) -> None:
         names = {listing.name for listing in self.directory.list_all()}
         self.connections.retain(names)
@@ -137,6 +151,7 @@
             part_watch,
             TargetCrashes(clock, self._read_true_ms, part_watch, metrics),
         )
+        self.gossip.is_cut_off = self.fleet.is_cut_off
         self.deployment: Deployment | None = None
         self._deployed_ms: int | None = None
         self.demand = DemandRate()
--- a/cicadahoist/serving/crash_watch.py
+++ b/cicadahoist/serving/crash_watch.py
@@ -41,7 +41,7 @@
 
     def record_loss(self, target: str, end: AttemptEnd) -> None:
         """Schedule the check of a target that broke off the request."""
-        if end.detail == SILENT:
+        if end.detail == SILENT or end.is_stranded:
             return
         self._context.clock.call_later(
             CRASH_CHECK_MS, self._check, target, self._context.clock.now_ms()
@@ -49,7 +49,11 @@
 
     def _check(self, target: str, lost_ms: int) -> None:
         """Blame the request if the target has been silent since the loss."""
-        if self._context.fleet.answer_watch.has_answered_since(target, lost_ms):
+        fleet = self._context.fleet
+        if fleet.paths.get(target).is_bypassed or fleet.is_cut_off():
+            # Not the target was lost, but the way to it.
+            return
+        if fleet.answer_watch.has_answered_since(target, lost_ms):
             return
         now_ms = self._context.clock.now_ms()
         lost_true_ms = self._context.true_time.now_ms() - (now_ms - lost_ms)
--- a/cicadahoist/serving/engine_boards.py
+++ b/cicadahoist/serving/engine_boards.py
@@ -55,6 +55,13 @@
         """Return the boards of all services in use."""
         return list(self._board_by_service.values())
 
+    def end_ejection(self, target: str) -> None:
+        """End the ejection of an engine that has not failed itself."""
+        for board in self._board_by_service.values():
+            engine = board.get(target)
+            if engine is not None:
+                engine.health.end_ejection()
+
     def sync(self) -> None:
         """Update all boards from the directory."""
         for service, board in self._board_by_service.items():
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -63,6 +63,7 @@
         '_context',
         '_crash_watch',
         '_deadline',
+        '_excluded_targets',
         '_has_counted_run',
         '_open_attempts',
         '_reply',
@@ -100,6 +101,8 @@
         self._reply = Reply(context, request, route, exchange, self._deadline)
         self._open_attempts = OpenAttempts()
         self._tried_targets: list[str] = []
+        # Tried targets, without those that another path leads to.
+        self._excluded_targets: set[str] = set()
         self._allowance = RetryAllowance(
             context, route, self._service, self._deadline
         )
@@ -213,6 +216,7 @@
         name = attempt.listing.name
         self._open_attempts.add(attempt)
         self._tried_targets.append(name)
+        self._excluded_targets.add(name)
         chosen_ms = self._context.clock.now_ms()
         attempt.prepare_send = partial(self._prepare_send, attempt, chosen_ms)
         if self._context.deployment is not None:
@@ -224,7 +228,9 @@
             partial(self._takeover.react_to_silence, attempt),
         )
         self._open_attempts.remove(attempt)
-        if end.is_silent:
+        if end.is_stranded:
+            self._excluded_targets.discard(name)
+        elif end.is_silent:
             self._suspend_target(name)
         if attempt.is_sent and end.outcome is AttemptOutcome.lost:
             self._crash_watch.record_loss(name, end)
@@ -300,3 +306,8 @@
         head.meaning is not AnswerMeaning.failure
         or head.status < HTTP_SERVER_ERROR
     )
+
+
+def has_failed(end: AttemptEnd) -> bool:
+    """Return whether a target, not the path to it, has lost an attempt."""
+    return end.outcome is AttemptOutcome.lost and not end.is_stranded
--- a/cicadahoist/serving/gossip.py
+++ b/cicadahoist/serving/gossip.py
@@ -25,6 +25,7 @@
         'crash_evidence',
         'held_parts',
         'holds_duties',
+        'is_cut_off',
         'on_blame',
         'on_crash',
         'on_hold',
@@ -52,6 +53,8 @@
         ] = _ignore
         # Returns whether this instance holds the lease of the duties.
         self.holds_duties: Callable[[], bool] = bool
+        # Returns whether this instance reaches no target itself.
+        self.is_cut_off: Callable[[], bool] = bool
 
 
 def _ignore(*news: Any) -> None:
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -39,6 +39,7 @@
     MAX_CONNECT_FAILURES,
     STREAM_RETRY_AFTER_MS,
     Flow,
+    has_failed,
     is_final,
     launch,
 )
@@ -117,7 +118,7 @@
 
     def _try_take_over(self) -> bool:
         choice = self._choice.choose(
-            frozenset(self._tried_targets),
+            frozenset(self._excluded_targets),
             self._deadline.remaining_ms,
             self._binding.version,
         )
@@ -155,7 +156,9 @@
         if version is None and self._handle is not None:
             version = self._handle_version
         choice = self._choice.choose(
-            frozenset(self._tried_targets), self._deadline.remaining_ms, version
+            frozenset(self._excluded_targets),
+            self._deadline.remaining_ms,
+            version,
         )
         if choice is None and self._handle is not None:
             # Another version may serve the request, but without the KV cache.
@@ -232,7 +235,7 @@
     ) -> Handle | None:
         """Return the handle of the KV cache, none if the prefill failed."""
         now_ms = self._context.clock.now_ms()
-        if end.outcome in {AttemptOutcome.lost, AttemptOutcome.unsent}:
+        if end.outcome is AttemptOutcome.unsent or has_failed(end):
             engine.health.record_crash(now_ms)
         if end.outcome is not AttemptOutcome.answered or end.head is None:
             return None
@@ -343,7 +346,7 @@
 
         :return: false if another attempt decides how the request goes on
         """
-        if end.outcome in {AttemptOutcome.lost, AttemptOutcome.unsent}:
+        if end.outcome is AttemptOutcome.unsent or has_failed(end):
             engine.health.record_crash(self._context.clock.now_ms())
         if is_final(end) and not self._takeover.fails_midway(end):
             self._open_attempts.stop_all()
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -10,6 +10,7 @@
     MAX_CONNECT_FAILURES,
     STREAM_RETRY_AFTER_MS,
     Flow,
+    has_failed,
     is_final,
     launch,
 )
@@ -55,7 +56,7 @@
         return self._context.fleet.plain_targets.choose(
             self._service,
             self._request.attempt_id,
-            set(self._tried_targets),
+            frozenset(self._excluded_targets),
             self._context.clock.now_ms(),
             self._binding.version,
         )
@@ -105,7 +106,7 @@
         health = self._context.fleet.plain_targets.get_health(listing.name)
         if end.outcome is AttemptOutcome.unsent:
             health.record_crash(now_ms)
-        elif end.outcome is AttemptOutcome.lost:
+        elif has_failed(end):
             health.record_failure(now_ms)
         if is_final(end):
             self._open_attempts.stop_all()
--- a/cicadahoist/serving/plain_targets.py
+++ b/cicadahoist/serving/plain_targets.py
@@ -38,7 +38,7 @@
         self,
         service: str,
         request_id: str,
-        tried: set[str],
+        tried: frozenset[str],
         now_ms: int,
         version: str | None = None,
     ) -> Listing | None:
@@ -86,6 +86,12 @@
             self._health_by_target[target] = health
         return health
 
+    def end_ejection(self, target: str) -> None:
+        """End the ejection of a target that has not failed itself."""
+        health = self._health_by_target.get(target)
+        if health is not None:
+            health.end_ejection()
+
     def record_start(self, target: str) -> None:
         """Count an attempt as open."""
         self._open_count_by_target[target] = (
--- a/cicadahoist/serving/retry_allowance.py
+++ b/cicadahoist/serving/retry_allowance.py
@@ -113,6 +113,15 @@
             return False
         return self._sent_count + open_run_count < self._route.max_sends
 
+    def reserve(self) -> bool:
+        """
+        Spend one retry for an attempt that is sent later.
+
+        :return: whether the request may be sent again
+        """
+        self._has_reserved_retry = self.try_spend_retry()
+        return self._has_reserved_retry
+
     def return_retry(self) -> None:
         """Take back a retry whose attempt was not sent."""
         self._has_reserved_retry = True
--- a/cicadahoist/serving/takeover.py
+++ b/cicadahoist/serving/takeover.py
@@ -4,7 +4,12 @@
 
 from cicadahoist.reasons import Retry
 from cicadahoist.requests import AnswerMeaning
-from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
+from cicadahoist.serving.attempt import (
+    STRANDED,
+    Attempt,
+    AttemptEnd,
+    AttemptOutcome,
+)
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.open_attempts import OpenAttempts
 from cicadahoist.serving.reply import Reply
@@ -63,6 +68,9 @@
         )
         if may_send and self._try_start():
             self._context.meters.count_retry(Retry.target_frozen)
+        elif may_send and attempt.is_stranded and self._allowance.reserve():
+            # A target that was tried can be reached again, through a peer.
+            attempt.abandon(STRANDED)
         else:
             self._record_kept(attempt.listing.name)
 
@@ -113,7 +121,8 @@
             return
         target = oldest.listing.name
         now_ms = self._context.clock.now_ms()
-        if self._context.fleet.answer_watch.is_silent(target, now_ms):
+        is_silent = self._context.fleet.answer_watch.is_silent(target, now_ms)
+        if is_silent or oldest.is_stranded:
             self.schedule_review(attempt)
         else:
             self._open_attempts.keep_only(target)
--- a/cicadahoist/serving/target_connections.py
+++ b/cicadahoist/serving/target_connections.py
@@ -69,6 +69,9 @@
         :raises NotSentError: no path to the target works
         """
         pool = self._get_pool(listing)
+        path = self.paths.get(listing.name)
+        if path.is_bypassed and path.is_probe_due(self._clock.now_ms()):
+            self._connector.probe(listing)
         connection = self._acquire(pool)
         if connection is None:
             connection = await self._connector.connect(listing)
--- a/tests/test_policy/test_answer_watch.py
+++ b/tests/test_policy/test_answer_watch.py
@@ -51,3 +51,13 @@
     watch.record_end('t1', number)
     watch.retain(set())
     assert not watch.has_answered_since('t1', 5)
+
+
+def test_attempts_on_a_path_that_is_down_show_nothing_about_the_target():
+    watch = AnswerWatch()
+    number = watch.record_start('t1', BOUND_MS, 1000)
+    watch.release('t1')
+    assert not watch.is_silent('t1', 5000)
+    watch.record_start('t1', BOUND_MS, 5000)
+    watch.record_end('t1', number)
+    assert watch.is_silent('t1', 5400)
--- a/tests/test_serving/test_cut_paths.py
+++ b/tests/test_serving/test_cut_paths.py
@@ -8,8 +8,15 @@
 import pytest
 
 from cicadahoist.serving.target_connections import TargetConnections
-from tests.test_serving.network import Cut, Network, Peer, Relays, plain_targets
-from tests.test_serving.world import World
+from tests.test_serving.network import (
+    Cut,
+    Network,
+    Peer,
+    Relays,
+    engines,
+    plain_targets,
+)
+from tests.test_serving.world import SHORT_PROMPT_HEADERS, World
 
 STEP_MS = 5
 PERIOD_MS = 50
@@ -54,6 +61,18 @@
             self._observe(waits)
         return waits
 
+    def start_load(self, path=b'/lookup/x', *headers, **request):
+        """Send requests at a steady rate from now on; return them."""
+        waits = []
+
+        def send():
+            caller = self.send_request(path, *headers, **request)
+            waits.append(Wait(caller, self.clock.now_ms()))
+            self.clock.call_later(PERIOD_MS, send)
+
+        send()
+        return waits
+
     def _observe(self, waits):
         for wait in waits:
             if wait.took_ms is None and wait.caller.received:
@@ -100,3 +119,177 @@
     held = [wait for wait in waits if wait.took_ms > 100]
     # One request a second may find out whether a target can be reached again.
     assert len(held) <= 3 * 3
+
+
+def hold_requests(world, count, path=b'/lookup/x', **request):
+    """Send requests that their targets keep, on connections kept before."""
+    world.play(100)
+    names = {listing.name for listing in world.network.listings}
+    world.network.frozen.update(names)
+    callers = [world.send_request(path, **request) for _ in range(count)]
+    world.advance(10)
+    world.network.frozen.clear()
+    return callers
+
+
+# Guards against requests on kept connections that wait for a dead path.
+@pytest.mark.parametrize('target_count', [1, 2, 4])
+def test_requests_under_way_are_repeated_through_a_peer(target_count):
+    world = CutWorld(*plain_targets(target_count))
+    callers = hold_requests(world, 4)
+    world.network.cut(Cut.silent)
+    world.advance(1000)
+    assert [caller.status for caller in callers] == [200] * 4
+
+
+# Guards against requests that run twice as their first path hung.
+def test_a_submission_under_way_is_not_sent_again():
+    world = CutWorld(*plain_targets())
+    callers = hold_requests(world, 4, b'/submit/x')
+    arrived = len(world.network.arrivals)
+    world.network.cut(Cut.silent)
+    world.advance(3000)
+    assert len(world.network.arrivals) == arrived
+    assert {caller.status for caller in callers} <= {502, 504}
+
+
+# Guards against streams that end with the direct path to their engine.
+def test_a_stream_under_way_goes_on_through_a_peer():
+    world = CutWorld(*engines())
+    world.network.frozen.update({'d1', 'd2'})
+    caller = world.send_request(
+        b'/ask/x', *SHORT_PROMPT_HEADERS, patience=15_000
+    )
+    world.advance(10)
+    first = world.network.arrivals[0]
+    first.begin_stream()
+    first.send_events(1)
+    world.network.cut(Cut.silent)
+    world.network.frozen.clear()
+    world.advance(1500)
+    again = world.network.arrivals[1]
+    assert again.is_relayed
+    assert again.header(b'Last-Event-Id') == b'1'
+    assert caller.body.count(b'data: t') == 2
+    assert caller.body.endswith(b'0\r\n\r\n')
+
+
+# Guards against sound targets that stay out of use as their path was cut.
+@pytest.mark.parametrize('kind', list(Cut))
+def test_a_cut_under_load_is_over_within_a_second(kind):
+    world = CutWorld(*plain_targets())
+    world.start_load()
+    world.advance(500)
+    world.network.cut(kind)
+    world.advance(1000)
+    waits = world.start_load()
+    world.advance(3000)
+    assert all(wait.is_served for wait in waits[:40])
+
+
+# Guards against relays that stay in use after the cut.
+@pytest.mark.parametrize('kind', [Cut.silent, Cut.reset])
+def test_targets_are_reached_directly_after_the_cut(kind):
+    world = CutWorld(*plain_targets())
+    waits = world.start_load()
+    world.advance(500)
+    world.network.cut(kind)
+    world.advance(3000)
+    assert world.context.gossip.is_cut_off()
+    world.network.heal()
+    world.advance(1500)
+    arrived = len(world.network.arrivals)
+    world.advance(1000)
+    assert not any(
+        arrival.is_relayed for arrival in world.network.arrivals[arrived:]
+    )
+    assert not world.context.gossip.is_cut_off()
+    assert all(wait.is_served for wait in waits[-40:-2])
+
+
+@pytest.mark.parametrize('kind', [Cut.silent, Cut.reset])
+def test_only_the_targets_that_are_cut_are_reached_through_peers(kind):
+    world = CutWorld(*plain_targets(3))
+    world.start_load()
+    world.advance(500)
+    world.network.cut(kind, 't1')
+    world.advance(1000)
+    arrived = len(world.network.arrivals)
+    waits = world.start_load()
+    world.advance(2000)
+    relayed = {
+        arrival.target
+        for arrival in world.network.arrivals[arrived:]
+        if arrival.is_relayed
+    }
+    assert relayed == {'t1'}
+    assert all(wait.is_served for wait in waits[:30])
+    assert not world.context.gossip.is_cut_off()
+
+
+# Guards against relays beside connections that live on.
+def test_kept_connections_are_used_while_new_ones_are_refused():
+    world = CutWorld(*plain_targets())
+    waits = world.start_load()
+    world.advance(500)
+    world.network.cut(Cut.refused)
+    world.advance(3000)
+    assert not world.relays.attempts
+    assert all(wait.is_served for wait in waits[:-1])
+
+
+# Guards against a cut that is taken for crashes, at this instance or its peers.
+@pytest.mark.parametrize('kind', list(Cut))
+def test_an_instance_without_direct_paths_blames_no_request(kind):
+    world = CutWorld(*plain_targets(), *engines())
+    gossip = world.context.gossip
+    news = []
+    gossip.on_blame = gossip.on_crash = gossip.on_hold = news.append
+    world.start_load()
+    world.start_load(b'/submit/x')
+    world.start_load(b'/ask/x', *SHORT_PROMPT_HEADERS, patience=15_000)
+    world.advance(500)
+    world.network.cut(kind)
+    world.advance(6000)
+    assert not news
+
+
+# Guards against a frozen target that is taken for one behind a cut.
+def test_a_frozen_target_is_not_reached_through_a_peer():
+    world = CutWorld(*plain_targets())
+    waits = world.start_load()
+    world.advance(500)
+    world.network.frozen.add('t1')
+    world.advance(2000)
+    assert not world.relays.attempts
+    assert not world.context.gossip.is_cut_off()
+    assert all(wait.is_served for wait in waits[:30])
+
+
+# Guards against peers flooded with questions about a target that is gone.
+def test_a_crashed_target_costs_one_question_a_second():
+    world = CutWorld(*plain_targets(), peers=(Peer('p1'), Peer('p2')))
+    waits = world.start_load()
+    world.advance(500)
+    world.network.crash('t1')
+    world.advance(5000)
+    assert len(world.relays.attempts) <= 6
+    assert len([w for w in waits[12:90] if not w.is_served]) == 0
+
+
+# Guards against relays at peers that are cut off as well.
+def test_a_peer_that_reaches_targets_is_found():
+    peers = (
+        Peer('a'),
+        Peer('b'),
+        Peer('c', zone='zone-b', is_near=False),
+    )
+    world = CutWorld(*plain_targets(), peers=peers)
+    world.relays.cut_off_peers.update({'a', 'b'})
+    world.start_load()
+    world.advance(500)
+    world.network.cut(Cut.silent)
+    world.advance(2000)
+    waits = world.start_load()
+    world.advance(3000)
+    assert all(wait.is_served for wait in waits[:50])
