--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -120,6 +120,13 @@
             self._incarnation,
             self._reactor,
         )
+        self._context.fleet.connections.relays = build_relay_client(
+            self._application,
+            self._context,
+            self._settings,
+            self._peering.peers,
+            self._reactor,
+        )
         self._add_duties()
         self._add_servers()
 
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -16,10 +16,10 @@
 from cicadahoist.serving.engine_boards import EngineBoards
 from cicadahoist.serving.gossip import Gossip
 from cicadahoist.serving.meters import Meters
-from cicadahoist.serving.outbound import TargetConnections
 from cicadahoist.serving.part_watch import PartWatch
 from cicadahoist.serving.plain_targets import PlainTargets
 from cicadahoist.serving.stream_exchange import StreamExchange
+from cicadahoist.serving.target_connections import TargetConnections
 from cicadahoist.serving.target_crashes import TargetCrashes
 from cicadahoist.serving.usage_counts import UsageCounts
 
@@ -50,6 +50,7 @@
         'directory',
         'is_settled',
         'part_watch',
+        'paths',
         'plain_targets',
         'target_crashes',
     )
@@ -67,6 +68,7 @@
         self.target_crashes = target_crashes
         self.directory = TargetDirectory()
         self.connections = connections
+        self.paths = connections.paths
         self.answer_watch = AnswerWatch()
         self.boards = EngineBoards(self.directory, self.answer_watch, zone)
         self.plain_targets = PlainTargets(
@@ -75,12 +77,24 @@
         # Whether orders to targets may be based on the list of targets.
         self.is_settled = False
         self.directory.on_change(self._sync)
+        self.paths.on_change(self._follow_path)
 
     def exclude(self, target: str) -> None:
         """Exclude a target for a while: it is not at its listed address."""
         self.directory.exclude(target)
         self._clock.call_later(EXCLUSION_MS, self.directory.restore, target)
 
+    def is_cut_off(self) -> bool:
+        """Return whether this instance reaches most targets only by peers."""
+        return self.paths.is_cut_off(self._clock.now_ms())
+
+    def _follow_path(self, target: str) -> None:
+        """Judge a target afresh whose path has changed."""
+        if self.paths.get(target).is_bypassed:
+            self.answer_watch.release(target)
+        self.plain_targets.end_ejection(target)
+        self.boards.end_ejection(target)
+
     def _sync(self) -> None:
         names = {listing.name for listing in self.directory.list_all()}
         self.connections.retain(names)
@@ -139,6 +153,7 @@
             part_watch,
             TargetCrashes(clock, self._read_true_ms, part_watch, metrics),
         )
+        self.gossip.is_cut_off = self.fleet.is_cut_off
         self.deployment: Deployment | None = None
         self._caller_limits = CallerLimitHistory()
         self._deployed_ms: int | None = None
--- a/cicadahoist/serving/relay_splice.py
+++ b/cicadahoist/serving/relay_splice.py
@@ -10,7 +10,6 @@
 from zope.interface import implementer
 
 from cicadahoist.serving.outbound import (
-    PROBE_COUNT,
     PROBE_IDLE_S,
     PROBE_PERIOD_S,
     SILENCE_TIMEOUT_MS,
@@ -70,7 +69,6 @@
         for option, bound in (
             (socket.TCP_KEEPIDLE, PROBE_IDLE_S),
             (socket.TCP_KEEPINTVL, PROBE_PERIOD_S),
-            (socket.TCP_KEEPCNT, PROBE_COUNT),
             (socket.TCP_USER_TIMEOUT, SILENCE_TIMEOUT_MS),
         ):
             handle.setsockopt(socket.IPPROTO_TCP, option, bound)
