--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -5,7 +5,7 @@
 
 from cicadahoist.application import Application
 from cicadahoist.cmd.front_duties import DutyAssembly
-from cicadahoist.cmd.front_peering import add_peering
+from cicadahoist.cmd.front_peering import add_peering, build_relay_client
 from cicadahoist.ids import new_nonce
 from cicadahoist.objects import Change, StoredObject
 from cicadahoist.platform.clients import (
