Keep off peers that lost their own paths, and blame no target for a peer

Kept connections through a peer that is cut off itself in the meantime were used, and the loss of a peer counted as a crash of the targets behind it. Connections now know their peer: those through peers that report to be cut off are not used, and an attempt that was lost with a peer ejects no target and may go to the same target again. An instance that is cut off asks a peer at once instead of after 100 ms.

--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -83,7 +83,9 @@
     :param detail: cause of a failure, for the log
     :param is_silent: whether the target counted as silent at the end
     :param ending: how the end of a complete answer is known
-    :param is_stranded: whether its path is down while a peer reaches the target
+    :param is_stranded: whether it may have been lost to its path: to a direct
+        one that is down while a peer reaches the target, or to a peer
+    :param is_relayed: whether it was sent through a peer
     :param silent_ms: time since the target last sent a byte to this attempt, or
         since its start
     """
@@ -94,6 +96,7 @@
     detail: str = ''
     is_silent: bool = False
     is_stranded: bool = False
+    is_relayed: bool = False
     ending: AnswerEnding | None = None
     silent_ms: int = 0
 
@@ -208,7 +211,7 @@
             return AttemptEnd(AttemptOutcome.stopped)
         self._connection = connection
         self.is_sent = True
-        self.is_direct = not connection.is_relayed
+        self.is_direct = not connection.peer
         outgoing = h11.Request(
             method=self._request.method,
             target=self._request.path,
--- a/cicadahoist/serving/attempt_watch.py
+++ b/cicadahoist/serving/attempt_watch.py
@@ -71,12 +71,15 @@
             is_silent = self._answer_watch.is_silent(name, self._clock.now_ms())
             self._answer_watch.record_end(name, attempt_number)
         is_lost = end.outcome is AttemptOutcome.lost
+        is_relayed = attempt.is_sent and not attempt.is_direct
         if is_lost and attempt.is_direct:
             self._launch(self._connections.test_path(attempt.listing))
+        is_bypassed = self._paths.get(name).is_bypassed
         return msgspec.structs.replace(
             end,
             is_silent=is_silent,
-            is_stranded=attempt.is_direct and self._paths.get(name).is_bypassed,
+            is_stranded=is_lost if is_relayed else is_bypassed,
+            is_relayed=is_relayed,
             silent_ms=self._clock.now_ms() - activity.last_ms,
         )
 
--- a/cicadahoist/serving/connector.py
+++ b/cicadahoist/serving/connector.py
@@ -15,7 +15,11 @@
 from cicadahoist.log import get_logger
 from cicadahoist.policy.relay_ranking import RankedPeer, RelayRanking
 from cicadahoist.policy.target_path import PathFailure
-from cicadahoist.policy.target_paths import Opening, TargetPaths
+from cicadahoist.policy.target_paths import (
+    RELAY_DELAY_MS,
+    Opening,
+    TargetPaths,
+)
 from cicadahoist.serving.outbound import TargetConnection
 from cicadahoist.serving.path_race import PathRace
 from cicadahoist.serving.shared_calls import SharedCalls
@@ -108,17 +112,17 @@
         :raises NotSentError: neither path works
         """
         began_ms = self._clock.now_ms()
+        # An instance that is cut off is likely to need the peer.
+        is_cut_off = self._paths.is_cut_off(began_ms)
         race = PathRace(
             self._clock,
+            0 if is_cut_off else RELAY_DELAY_MS,
             lambda: Deferred.fromCoroutine(self.connect_directly(listing)),
             lambda: Deferred.fromCoroutine(self._connect_relayed(listing)),
         )
         race.on_late = partial(self.on_spare, listing)
         race.on_overtaken = partial(
-            self._paths.record_direct_failure,
-            listing.name,
-            PathFailure.hanging,
-            began_ms,
+            self._record_overtaken, listing.name, began_ms
         )
         return await race.run()
 
@@ -156,6 +160,23 @@
         )
         return connection
 
+    def list_sound_peers(self) -> set[str]:
+        """Return the peers that reach targets, as far as is known."""
+        if self.relays is None:
+            return set()
+        return {
+            peer.name
+            for peer in self.relays.list_peers(self._clock.now_ms())
+            if not peer.is_cut_off
+        }
+
+    def _record_overtaken(self, target: str, began_ms: int) -> None:
+        """Record a direct attempt that a relayed one has overtaken."""
+        if self._clock.now_ms() - began_ms >= RELAY_DELAY_MS:
+            self._paths.record_direct_failure(
+                target, PathFailure.hanging, began_ms
+            )
+
     async def _connect_relayed(self, listing: Listing) -> TargetConnection:
         """
         Open a connection through a peer.
@@ -209,7 +230,7 @@
             connection = await self.relays.connect(
                 peer,
                 listing,
-                partial(TargetConnection, self._clock, is_relayed=True),
+                partial(TargetConnection, self._clock, peer),
             )
         except NotSentError as error:
             logger.bind(target=listing.name, peer=peer).debug('{0}', error)
--- a/cicadahoist/serving/crash_watch.py
+++ b/cicadahoist/serving/crash_watch.py
@@ -41,18 +41,23 @@
 
     def record_loss(self, target: str, end: AttemptEnd) -> None:
         """Schedule the check of a target that broke off the request."""
-        if end.detail == SILENT or end.is_stranded:
+        if end.detail == SILENT:
             return
+        check = self._check if end.is_relayed else self._check_direct
         self._context.clock.call_later(
-            CRASH_CHECK_MS, self._check, target, self._context.clock.now_ms()
+            CRASH_CHECK_MS, check, target, self._context.clock.now_ms()
         )
 
+    def _check_direct(self, target: str, lost_ms: int) -> None:
+        """Blame the request unless only the path to the target was lost."""
+        fleet = self._context.fleet
+        is_bypassed = fleet.paths.get(target).is_bypassed
+        if not is_bypassed and not fleet.is_cut_off():
+            self._check(target, lost_ms)
+
     def _check(self, target: str, lost_ms: int) -> None:
         """Blame the request if the target has been silent since the loss."""
         fleet = self._context.fleet
-        if fleet.paths.get(target).is_bypassed or fleet.is_cut_off():
-            # Not the target was lost, but the way to it.
-            return
         if fleet.answer_watch.has_answered_since(target, lost_ms):
             return
         now_ms = self._context.clock.now_ms()
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -92,14 +92,14 @@
     One connection to a target, for one attempt at a time.
 
     :param clock: clock of the process
-    :param is_relayed: whether a peer passes its bytes on
+    :param peer: name of the instance that passes its bytes on, empty for none
     """
 
     transport: Any
 
-    def __init__(self, clock: Clock, *, is_relayed: bool = False) -> None:
+    def __init__(self, clock: Clock, peer: str = '') -> None:
         self._clock = clock
-        self.is_relayed = is_relayed
+        self.peer = peer
         self._http = h11.Connection(h11.CLIENT)
         self._sent_request: h11.Request | None = None
         self._receiver: Receiver | None = None
--- a/cicadahoist/serving/path_race.py
+++ b/cicadahoist/serving/path_race.py
@@ -6,7 +6,6 @@
 from twisted.internet.defer import Deferred
 
 from cicadahoist.clock import Clock
-from cicadahoist.policy.target_paths import RELAY_DELAY_MS
 from cicadahoist.serving.outbound import TargetConnection
 
 Open = Callable[[], 'Deferred[TargetConnection]']
@@ -20,6 +19,8 @@
     direct path is usable.
 
     :param clock: clock of the process
+    :param relay_delay_ms: time until a peer is asked unless the direct attempt
+        fails before
     :param open_direct: opens a connection directly
     :param open_relayed: opens a connection through a peer
     """
@@ -32,15 +33,21 @@
         '_open_relayed',
         '_opened',
         '_relay',
+        '_relay_delay_ms',
         '_timer',
         'on_late',
         'on_overtaken',
     )
 
     def __init__(
-        self, clock: Clock, open_direct: Open, open_relayed: Open
+        self,
+        clock: Clock,
+        relay_delay_ms: int,
+        open_direct: Open,
+        open_relayed: Open,
     ) -> None:
         self._clock = clock
+        self._relay_delay_ms = relay_delay_ms
         self._open_direct = open_direct
         self._open_relayed = open_relayed
         self._opened: Deferred[TargetConnection] = Deferred()
@@ -59,7 +66,9 @@
 
         It fails as the direct attempt did if the other one fails as well.
         """
-        self._timer = self._clock.call_later(RELAY_DELAY_MS, self._start_relay)
+        self._timer = self._clock.call_later(
+            self._relay_delay_ms, self._start_relay
+        )
         self._open_direct().addCallbacks(self._end_direct, self._fail_direct)
         return self._opened
 
--- a/cicadahoist/serving/target_connections.py
+++ b/cicadahoist/serving/target_connections.py
@@ -137,7 +137,7 @@
             if connection is not None:
                 return connection
         if self.paths.get(name).is_bypassed:
-            return pool.acquire(now_ms, is_relayed=True)
+            return pool.acquire(now_ms, self._connector.list_sound_peers())
         return None
 
     def _keep(self, listing: Listing, connection: TargetConnection) -> None:
--- a/cicadahoist/serving/target_pool.py
+++ b/cicadahoist/serving/target_pool.py
@@ -1,12 +1,13 @@
 """Idle connections to one target."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from cicadahoist.listings import Listing
 from cicadahoist.serving.outbound import IDLE_MARGIN_MS, TargetConnection
 
 MAX_IDLE_CONNECTIONS = 64
+_DIRECT = ('',)
 
 
 class TargetPool:
@@ -35,17 +36,16 @@
         )
 
     def acquire(
-        self, now_ms: int, *, is_relayed: bool = False
+        self, now_ms: int, peers: Collection[str] = _DIRECT
     ) -> TargetConnection | None:
         """
         Return an idle connection that the target keeps open, or none.
 
-        :param is_relayed: whether a peer passes its bytes on
+        :param peers: the instances that may pass its bytes on; an empty name
+            stands for none
         """
         idle = [
-            connection
-            for connection in self._idle
-            if connection.is_relayed is is_relayed
+            connection for connection in self._idle if connection.peer in peers
         ]
         while idle:
             connection = idle.pop()
@@ -72,7 +72,7 @@
 
     def record_heard(self, connection: TargetConnection) -> None:
         """Record that bytes of the target have arrived."""
-        if not connection.is_relayed:
+        if not connection.peer:
             self._on_heard(self.listing.name)
 
     def close(self) -> None:
--- a/tests/test_serving/network.py
+++ b/tests/test_serving/network.py
@@ -90,7 +90,9 @@
     @property
     def is_cut(self):
         cut = self.network.cut_by_target.get(self.listing.name)
-        return not self.is_relayed and cut is Cut.silent
+        if self.is_relayed:
+            return self.protocol.peer in self.network.cut_off_peers
+        return cut is Cut.silent
 
     def carry(self, sent):
         if self.is_cut:
@@ -124,6 +126,7 @@
         self.crashed = set()
         # Targets that accept connections and answer nothing.
         self.frozen = set()
+        self.cut_off_peers = set()
         self.links = []
         self.arrivals = []
         # Time and target of each direct connection attempt.
@@ -146,6 +149,11 @@
         self._reset([name], is_relayed=False)
         self._reset([name], is_relayed=True)
 
+    def reset_relayed(self):
+        """Reset all connections through peers."""
+        names = [listing.name for listing in self.listings]
+        self._reset(names, is_relayed=True)
+
     def connectTCP(self, host, port, factory, timeout, bindAddress):
         listing = self._find(f'{host}:{port}')
         self.attempts.append((self.clock.now_ms(), listing.name))
@@ -218,7 +226,8 @@
 
     def __init__(self, network, *peers):
         self.peers = list(peers)
-        self.cut_off_peers = set()
+        # Peers without paths to targets, silently.
+        self.cut_off_peers = network.cut_off_peers
         # Time, peer and target of each relayed connection attempt.
         self.attempts = []
         self._network = network
@@ -226,6 +235,14 @@
     def list_peers(self, now_ms):
         return self.peers
 
+    def cut_off(self, name):
+        """Let a peer lose its paths, which its connections need as well."""
+        self.cut_off_peers.add(name)
+        self.peers = [
+            peer._replace(is_cut_off=peer.is_cut_off or peer.name == name)
+            for peer in self.peers
+        ]
+
     async def connect(self, peer, listing, build):
         clock = self._network.clock
         self.attempts.append((clock.now_ms(), peer, listing.name))
--- a/tests/test_serving/test_cut_paths.py
+++ b/tests/test_serving/test_cut_paths.py
@@ -7,91 +7,14 @@
 
 import pytest
 
-from cicadahoist.serving.target_connections import TargetConnections
-from tests.test_serving.network import (
-    Cut,
-    Network,
-    Peer,
-    Relays,
-    engines,
-    plain_targets,
-)
-from tests.test_serving.world import SHORT_PROMPT_HEADERS, World
-
-STEP_MS = 5
-PERIOD_MS = 50
+from tests.test_serving.cut_world import CutWorld
+from tests.test_serving.network import Cut, Peer, engines, plain_targets
+from tests.test_serving.world import SHORT_PROMPT_HEADERS
+
 # The stated time from which an instance without direct paths has to serve.
 CONTACT_MS = 3000
 
 
-class Connections(TargetConnections):
-    """The real connections, with room for attributes of tests."""
-
-
-class CutWorld(World):
-    """A world whose connections lead through a network that can be cut."""
-
-    def __init__(self, *listings, peers=(Peer('peer-1'),)):
-        super().__init__()
-        self.network = Network(self.clock, *listings)
-        self.relays = Relays(self.network, *peers)
-        self.connections = Connections(
-            self.network, self.clock, self.connections.paths
-        )
-        self.connections.relays = self.relays
-        self.context.fleet.connections = self.connections
-        self.add(*self.network.listings)
-        self.answered_ms_by_caller = {}
-
-    def advance(self, span_ms):
-        for _ in range(span_ms // STEP_MS):
-            self.clock.advance(STEP_MS)
-
-    def play(self, span_ms, path=b'/lookup/x', **request):
-        """Send requests at a steady rate; return when each was answered."""
-        waits = []
-        for _ in range(span_ms // PERIOD_MS):
-            wait = Wait(self.send_request(path, **request), self.clock.now_ms())
-            waits.append(wait)
-            for _ in range(PERIOD_MS // STEP_MS):
-                self.clock.advance(STEP_MS)
-                self._observe(waits)
-        for _ in range(2500 // STEP_MS):
-            self.clock.advance(STEP_MS)
-            self._observe(waits)
-        return waits
-
-    def start_load(self, path=b'/lookup/x', *headers, **request):
-        """Send requests at a steady rate from now on; return them."""
-        waits = []
-
-        def send():
-            caller = self.send_request(path, *headers, **request)
-            waits.append(Wait(caller, self.clock.now_ms()))
-            self.clock.call_later(PERIOD_MS, send)
-
-        send()
-        return waits
-
-    def _observe(self, waits):
-        for wait in waits:
-            if wait.took_ms is None and wait.caller.received:
-                wait.took_ms = self.clock.now_ms() - wait.sent_ms
-
-
-class Wait:
-    """One request and how long its caller has waited for the answer."""
-
-    def __init__(self, caller, sent_ms):
-        self.caller = caller
-        self.sent_ms = sent_ms
-        self.took_ms = None
-
-    @property
-    def is_served(self):
-        return self.caller.status == 200
-
-
 def count_served(waits):
     return sum(wait.is_served for wait in waits)
 
@@ -293,3 +216,30 @@
     waits = world.start_load()
     world.advance(3000)
     assert all(wait.is_served for wait in waits[:50])
+
+
+# Guards against kept relays of peers that were cut off in the meantime.
+def test_relays_of_a_peer_that_is_cut_off_later_are_not_used():
+    world = CutWorld(*plain_targets(), peers=(Peer('a'), Peer('b')))
+    world.start_load()
+    world.network.cut(Cut.silent)
+    world.advance(1500)
+    world.relays.cut_off('a')
+    waits = world.start_load()
+    world.advance(3000)
+    assert all(wait.is_served for wait in waits[:50])
+
+
+# Guards against targets that are ejected as a peer has left.
+def test_the_loss_of_a_peer_is_no_crash_of_targets():
+    world = CutWorld(*plain_targets(), peers=(Peer('a'), Peer('b')))
+    news = []
+    world.context.gossip.on_blame = news.append
+    world.start_load()
+    world.network.cut(Cut.silent)
+    world.advance(1500)
+    world.network.reset_relayed()
+    waits = world.start_load()
+    world.advance(3000)
+    assert all(wait.is_served for wait in waits[:50])
+    assert not news
