Log and count targets that are reached only through peers

Operators could not tell an instance that had lost its links from targets that were gone. Each change of the path to a target is logged with the list of targets whose direct path is down, and serving_paths_down counts them. An unexpected error of a relay is logged, a connection attempt that timed out as the process was paused says nothing about the path, and no further peer is asked after 300 ms.

--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -170,6 +170,14 @@
         operator_remedy='see the last attempts of these requests in the log',
     )
 )
+PATHS_DOWN = METRICS.declare(
+    MetricSpec(
+        'serving_paths_down',
+        'Times that a target was found to be reached only through peers.',
+        operator_remedy='check the links between this instance and the targets '
+        'that the log names',
+    )
+)
 SILENT_KEPT = METRICS.declare(
     MetricSpec(
         'serving_silent_kept',
--- a/cicadahoist/serving/connector.py
+++ b/cicadahoist/serving/connector.py
@@ -32,6 +32,10 @@
 # Peers that are asked for one connection while there is reason to believe that
 # another one can open it.
 MAX_PEERS = 3
+# No further peer is asked after this time, so that a request is not held.
+MAX_ASKING_MS = 300
+# A connection that is given up this late shows that the process was paused.
+PROCESS_PAUSE_MS = 100
 
 
 class Relays(Protocol):
@@ -145,12 +149,7 @@
         try:
             connection: TargetConnection = await endpoint.connect(factory)
         except Exception as error:
-            is_refused = isinstance(error, ConnectionRefusedError)
-            self._paths.record_direct_failure(
-                listing.name,
-                PathFailure.refused if is_refused else PathFailure.hanging,
-                began_ms,
-            )
+            self._record_failure(listing.name, error, began_ms)
             raise NotSentError(
                 f'{listing.name} at {listing.address}: {error!r}',
                 remedy='send it to another target',
@@ -170,6 +169,16 @@
             if not peer.is_cut_off
         }
 
+    def _record_failure(
+        self, target: str, error: Exception, began_ms: int
+    ) -> None:
+        failure = PathFailure.hanging
+        if isinstance(error, ConnectionRefusedError):
+            failure = PathFailure.refused
+        took_ms = self._clock.now_ms() - began_ms
+        if took_ms < CONNECT_TIMEOUT_MS + PROCESS_PAUSE_MS:
+            self._paths.record_direct_failure(target, failure, began_ms)
+
     def _record_overtaken(self, target: str, began_ms: int) -> None:
         """Record a direct attempt that a relayed one has overtaken."""
         if self._clock.now_ms() - began_ms >= RELAY_DELAY_MS:
@@ -201,25 +210,32 @@
         raise _make_unreached_error(listing)
 
     async def _try_peers(self, listing: Listing) -> TargetConnection:
-        relays = self.relays
-        now_ms = self._clock.now_ms()
-        peers: list[str] = []
-        if relays is not None:
-            peers = self._ranking.rank(relays.list_peers(now_ms), now_ms)
+        began_ms = self._clock.now_ms()
         was_relayable = self._paths.get(listing.name).is_relayable
-        for number, peer in enumerate(peers[:MAX_PEERS]):
-            is_likely = was_relayable or self._paths.is_cut_off(
-                self._clock.now_ms()
-            )
-            if number and not is_likely:
+        for number, peer in enumerate(self._rank_peers(began_ms)):
+            if number and not self._may_ask_on(
+                began_ms, was_relayable=was_relayable
+            ):
                 break
             connection = await self._try_peer(listing, peer)
             if connection is not None:
                 return connection
-        if peers:
-            self._paths.record_relay_failure(listing.name, self._clock.now_ms())
+        self._paths.record_relay_failure(listing.name, self._clock.now_ms())
         raise _make_unreached_error(listing)
 
+    def _rank_peers(self, now_ms: int) -> list[str]:
+        if self.relays is None:
+            return []
+        peers = self._ranking.rank(self.relays.list_peers(now_ms), now_ms)
+        return peers[:MAX_PEERS]
+
+    def _may_ask_on(self, began_ms: int, *, was_relayable: bool) -> bool:
+        """Return whether another peer may succeed, and soon enough."""
+        now_ms = self._clock.now_ms()
+        if now_ms - began_ms >= MAX_ASKING_MS:
+            return False
+        return was_relayable or self._paths.is_cut_off(now_ms)
+
     async def _try_peer(
         self, listing: Listing, peer: str
     ) -> TargetConnection | None:
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -16,6 +16,7 @@
 from cicadahoist.serving.gossip import Gossip
 from cicadahoist.serving.meters import Meters
 from cicadahoist.serving.part_watch import PartWatch
+from cicadahoist.serving.path_log import PathLog
 from cicadahoist.serving.plain_targets import PlainTargets
 from cicadahoist.serving.stream_exchange import StreamExchange
 from cicadahoist.serving.target_connections import TargetConnections
@@ -152,6 +153,8 @@
             TargetCrashes(clock, self._read_true_ms, part_watch, metrics),
         )
         self.gossip.is_cut_off = self.fleet.is_cut_off
+        path_log = PathLog(self.fleet.paths, clock, metrics)
+        self.fleet.paths.on_change(path_log.record_change)
         self.deployment: Deployment | None = None
         self._deployed_ms: int | None = None
         self.demand = DemandRate()
--- a/cicadahoist/serving/path_race.py
+++ b/cicadahoist/serving/path_race.py
@@ -3,11 +3,15 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 
 from cicadahoist.clock import Clock
+from cicadahoist.errors import NotSentError
+from cicadahoist.log import get_logger
 from cicadahoist.serving.outbound import TargetConnection
 
+logger = get_logger(__name__)
+
 Open = Callable[[], 'Deferred[TargetConnection]']
 
 
@@ -104,6 +108,11 @@
         self._opened.callback(connection)
 
     def _fail_relay(self, failure: Any) -> None:
+        if not failure.check(NotSentError, CancelledError):
+            logger.error(
+                'opening through a peer raised an unexpected error: {0}',
+                failure.getTraceback(),
+            )
         self._has_relay_failed = True
         self._fail_if_over()
 
--- a/tests/test_serving/test_cut_paths.py
+++ b/tests/test_serving/test_cut_paths.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cicadahoist.metrics import PATHS_DOWN
 from tests.test_serving.cut_world import CutWorld
 from tests.test_serving.network import Cut, Peer, engines, plain_targets
 from tests.test_serving.world import SHORT_PROMPT_HEADERS
@@ -161,6 +162,28 @@
     assert all(wait.is_served for wait in waits[:-1])
 
 
+def test_operators_see_targets_that_only_peers_reach():
+    world = CutWorld(*plain_targets(3))
+    world.start_load()
+    world.advance(500)
+    assert world.count(PATHS_DOWN) == 0
+    world.network.cut(Cut.silent, 't1', 't2')
+    world.advance(1000)
+    assert world.count(PATHS_DOWN) == 2
+    assert world.context.fleet.paths.list_down() == ['t1', 't2']
+
+
+# A pause of the process makes its timers late, and is no cut.
+def test_a_pause_of_the_process_does_not_take_a_path_down():
+    world = CutWorld(*plain_targets(1))
+    world.network.cut(Cut.silent)
+    world.send_request(b'/lookup/x')
+    world.clock.advance(1000)
+    world.network.heal()
+    world.advance(500)
+    assert not world.context.fleet.paths.list_down()
+
+
 # Guards against a cut that is taken for crashes, at this instance or its peers.
 @pytest.mark.parametrize('kind', list(Cut))
 def test_an_instance_without_direct_paths_blames_no_request(kind):
