--- a/tests/test_serving/test_cut_paths.py
+++ b/tests/test_serving/test_cut_paths.py
@@ -7,91 +7,15 @@
 
 import pytest
 
-from cicadahoist.serving.target_connections import TargetConnections
-from tests.test_serving.network import (
-    Cut,
-    Network,
-    Peer,
-    Relays,
-    engines,
-    plain_targets,
-)
-from tests.test_serving.world import SHORT_PROMPT_HEADERS, World
-
-STEP_MS = 5
-PERIOD_MS = 50
+from cicadahoist.metrics import PATHS_DOWN
+from tests.test_serving.cut_world import CutWorld
+from tests.test_serving.network import Cut, Peer, engines, plain_targets
+from tests.test_serving.world import SHORT_PROMPT_HEADERS
+
 # The stated time from which an instance without direct paths has to serve.
 CONTACT_MS = 3000
 
 
-class Connections(TargetConnections):
-    """The real connections, with room for attributes of tests."""
-
-
-class CutWorld(World):
-    """A world whose connections lead through a network that can be cut."""
-
-    def __init__(self, *listings, peers=(Peer('peer-1'),)):
-        super().__init__()
-        self.network = Network(self.clock, *listings)
-        self.relays = Relays(self.network, *peers)
-        self.connections = Connections(
-            self.network, self.clock, self.connections.paths
-        )
-        self.connections.relays = self.relays
-        self.context.fleet.connections = self.connections
-        self.add(*self.network.listings)
-        self.answered_ms_by_caller = {}
-
-    def advance(self, span_ms):
-        for _ in range(span_ms // STEP_MS):
-            self.clock.advance(STEP_MS)
-
-    def play(self, span_ms, path=b'/lookup/x', **request):
-        """Send requests at a steady rate; return when each was answered."""
-        waits = []
-        for _ in range(span_ms // PERIOD_MS):
-            wait = Wait(self.send_request(path, **request), self.clock.now_ms())
-            waits.append(wait)
-            for _ in range(PERIOD_MS // STEP_MS):
-                self.clock.advance(STEP_MS)
-                self._observe(waits)
-        for _ in range(2500 // STEP_MS):
-            self.clock.advance(STEP_MS)
-            self._observe(waits)
-        return waits
-
-    def start_load(self, path=b'/lookup/x', *headers, **request):
-        """Send requests at a steady rate from now on; return them."""
-        waits = []
-
-        def send():
-            caller = self.send_request(path, *headers, **request)
-            waits.append(Wait(caller, self.clock.now_ms()))
-            self.clock.call_later(PERIOD_MS, send)
-
-        send()
-        return waits
-
-    def _observe(self, waits):
-        for wait in waits:
-            if wait.took_ms is None and wait.caller.received:
-                wait.took_ms = self.clock.now_ms() - wait.sent_ms
-
-
-class Wait:
-    """One request and how long its caller has waited for the answer."""
-
-    def __init__(self, caller, sent_ms):
-        self.caller = caller
-        self.sent_ms = sent_ms
-        self.took_ms = None
-
-    @property
-    def is_served(self):
-        return self.caller.status == 200
-
-
 def count_served(waits):
     return sum(wait.is_served for wait in waits)
 
@@ -238,6 +162,28 @@
     assert all(wait.is_served for wait in waits[:-1])
 
 
+def test_operators_see_targets_that_only_peers_reach():
+    world = CutWorld(*plain_targets(3))
+    world.start_load()
+    world.advance(500)
+    assert world.count(PATHS_DOWN) == 0
+    world.network.cut(Cut.silent, 't1', 't2')
+    world.advance(1000)
+    assert world.count(PATHS_DOWN) == 2
+    assert world.context.fleet.paths.list_down() == ['t1', 't2']
+
+
+# A pause of the process makes its timers late, and is no cut.
+def test_a_pause_of_the_process_does_not_take_a_path_down():
+    world = CutWorld(*plain_targets(1))
+    world.network.cut(Cut.silent)
+    world.send_request(b'/lookup/x')
+    world.clock.advance(1000)
+    world.network.heal()
+    world.advance(500)
+    assert not world.context.fleet.paths.list_down()
+
+
 # Guards against a cut that is taken for crashes, at this instance or its peers.
 @pytest.mark.parametrize('kind', list(Cut))
 def test_an_instance_without_direct_paths_blames_no_request(kind):
@@ -293,3 +239,30 @@
     waits = world.start_load()
     world.advance(3000)
     assert all(wait.is_served for wait in waits[:50])
+
+
+# Guards against kept relays of peers that were cut off in the meantime.
+def test_relays_of_a_peer_that_is_cut_off_later_are_not_used():
+    world = CutWorld(*plain_targets(), peers=(Peer('a'), Peer('b')))
+    world.start_load()
+    world.network.cut(Cut.silent)
+    world.advance(1500)
+    world.relays.cut_off('a')
+    waits = world.start_load()
+    world.advance(3000)
+    assert all(wait.is_served for wait in waits[:50])
+
+
+# Guards against targets that are ejected as a peer has left.
+def test_the_loss_of_a_peer_is_no_crash_of_targets():
+    world = CutWorld(*plain_targets(), peers=(Peer('a'), Peer('b')))
+    news = []
+    world.context.gossip.on_blame = news.append
+    world.start_load()
+    world.network.cut(Cut.silent)
+    world.advance(1500)
+    world.network.reset_relayed()
+    waits = world.start_load()
+    world.advance(3000)
+    assert all(wait.is_served for wait in waits[:50])
+    assert not news
