--- a/cicadahoist/serving/relay_client.py
+++ b/cicadahoist/serving/relay_client.py
@@ -112,7 +112,6 @@
         self._fail(RelayRefusal.peer_unreachable)
 
     def _abort(self, opened: 'Deferred[Any]') -> None:
-        opened.errback(CancelledError())
         self.transport.abortConnection()
 
     def _fail(self, refusal: RelayRefusal) -> None:
--- a/cicadahoist/serving/relay_connection.py
+++ b/cicadahoist/serving/relay_connection.py
@@ -130,16 +130,14 @@
 
     def _connect(self, listing: Listing) -> 'Deferred[Any]':
         host, port = listing.endpoint
-        timeout_s = CONNECT_TIMEOUT_MS / MS_PER_S
         endpoint = TCP4ClientEndpoint(
-            self._reactor, host, port, timeout=timeout_s
+            self._reactor, host, port, timeout=CONNECT_TIMEOUT_MS / MS_PER_S
         )
         factory: Any = Factory.forProtocol(
             lambda: SplicedEnd(self._reject_early_data, self._process_loss)
         )
         factory.noisy = False
-        connecting: Deferred[Any] = endpoint.connect(factory)
-        return connecting.addTimeout(timeout_s, self._clock.scheduler)
+        return endpoint.connect(factory)
 
     def _reject_early_data(self, received: bytes) -> None:
         self.abort()
--- a/tests/test_serving/relay_world.py
+++ b/tests/test_serving/relay_world.py
@@ -194,6 +194,21 @@
             return received, 'reset'
         return received, 'closed'
 
+    def list_ends(self):
+        """Return both ends of each relayed connection."""
+        return [
+            end
+            for connection in self.server._connections
+            for end in (connection.near_end, connection._far_end)
+        ]
+
+    def kill(self):
+        """End the process of the relay: the kernel closes its sockets."""
+        self.reactor.removeAll()
+        for end in self.list_ends():
+            if end.is_open:
+                end.transport.socket.close()
+
     def close(self):
         for one_socket in self._sockets:
             one_socket.close()
--- a/tests/test_serving/test_relay_server.py
+++ b/tests/test_serving/test_relay_server.py
@@ -6,6 +6,9 @@
 and against strangers that hold the relay's connections.
 """
 
+import socket
+from threading import Thread
+
 import pytest
 
 from cicadahoist.serving.outbound import AnswerEnding, AnswerLoss
@@ -26,6 +29,7 @@
 HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
 # More than both sockets and the relay hold.
 LARGE_BYTES = 16_000_000
+ANSWER_BYTES = 1_000_000
 PIECE = bytes(64_000)
 
 
@@ -43,6 +47,17 @@
     return (raw, accepted) if sender == 'peer' else (accepted, raw)
 
 
+def receive_end_without_turns(one_socket):
+    """Return how a socket ends after the process of the relay."""
+    one_socket.setblocking(True)
+    try:
+        while one_socket.recv(65_536):
+            pass
+    except ConnectionResetError:
+        return 'reset'
+    return 'closed'
+
+
 both_directions = pytest.mark.parametrize('sender', ['peer', 'target'])
 
 
@@ -126,8 +141,7 @@
         assert sent_bytes < LARGE_BYTES
         held_bytes = sum(
             len(end.transport.dataBuffer) + end.transport._tempDataLen
-            for connection in world.server._connections
-            for end in (connection.near_end, connection._far_end)
+            for end in world.list_ends()
         )
         assert held_bytes <= 2 * 32_768
         assert len(world.receive(second, sent_bytes)) == sent_bytes
@@ -165,6 +179,41 @@
         assert answer.end is AnswerLoss.reset
 
 
+@both_directions
+def test_the_end_of_the_process_is_no_clean_close(sender):
+    """Guard against answers that a killed peer cuts and that look whole."""
+    with relay_world() as world:
+        first, second = open_pair(world, sender)
+        first.sendall(b'part')
+        assert world.receive(second, 4) == b'part'
+        world.kill()
+        assert receive_end_without_turns(second) == 'reset'
+
+
+@both_directions
+def test_the_end_of_the_process_before_the_last_bytes_is_no_clean_close(
+    sender,
+):
+    """Guard against answers that a killed peer cuts and that look whole."""
+    with relay_world() as world:
+        first, second = open_pair(world, sender)
+        second.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        for end in world.list_ends():
+            end.transport.bufferSize = 2 * ANSWER_BYTES
+            end.transport.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+            )
+        first.setblocking(True)
+        sending = Thread(target=first.sendall, args=(bytes(ANSWER_BYTES),))
+        sending.start()
+        world.turn_until(lambda: not sending.is_alive())
+        first.close()
+        # The relay has read the clean close, and holds bytes to send.
+        world.turn_until(lambda: sum(e.is_open for e in world.list_ends()) == 1)
+        world.kill()
+        assert receive_end_without_turns(second) == 'reset'
+
+
 def test_an_abandoned_attempt_ends_at_the_target():
     """Guard against targets that work for callers who have gone."""
     with relay_world() as world:
