--- a/cicadahoist/serving/relay_server.py
+++ b/cicadahoist/serving/relay_server.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import Factory
 
 from cicadahoist.clock import Clock
@@ -67,10 +68,13 @@
         return len(self._connections)
 
     async def start(self) -> None:
-        """Start to listen."""
-        self._listening_port = self._reactor.listenTCP(
-            self._port, self, LISTEN_BACKLOG, self._host
-        )
+        """Start to listen; serve callers only where the port is taken."""
+        try:
+            self._listening_port = self._reactor.listenTCP(
+                self._port, self, LISTEN_BACKLOG, self._host
+            )
+        except CannotListenError as error:
+            logger.warning('nothing is relayed for peers: {0}', error)
 
     def leave(self) -> None:
         """Open no new connections; those that are open go on."""
--- a/tests/test_serving/test_relay_server.py
+++ b/tests/test_serving/test_relay_server.py
@@ -11,12 +11,17 @@
 
 import pytest
 
+from cicadahoist.policy.link_queue import LinkQueue
 from cicadahoist.serving.outbound import AnswerEnding, AnswerLoss
+from cicadahoist.serving.relay_admission import RelayAdmission
 from cicadahoist.serving.relay_connection import REQUEST_TIMEOUT_MS
 from cicadahoist.serving.relay_messages import OPENED, encode_request
+from cicadahoist.serving.relay_server import RelayServer
 from tests.coroutines import Pending
 from tests.test_serving.relay_world import (
     GRACE_MS,
+    HOST,
+    TOKEN,
     Answer,
     Silent,
     read_some,
@@ -328,3 +333,21 @@
     with relay_world() as world:
         stopping = Pending(world.server.stop())
         world.turn_until(lambda: stopping.is_done)
+
+
+def test_an_instance_whose_relay_port_is_taken_relays_nothing():
+    """Guard against instances that serve nobody for want of a relay."""
+    with relay_world() as world:
+        second = RelayServer(
+            RelayAdmission(TOKEN, world.directory),
+            HOST,
+            world.port,
+            GRACE_MS,
+            world.meters,
+            LinkQueue(),
+            world.clock,
+            world.reactor,
+        )
+        Pending(second.start()).result()
+        assert not second.is_accepting
+        Pending(second.stop()).result()
