Soak: instances that lose all targets, and how often callers are served there

Each instance now calls a store port of its own, sees addresses of its own, and has its own link to each target. A cut takes all targets from one instance, or from all but one, for 4 to 10 s: connections hang, are refused, or are reset and refused. Planned work, SIGTERM of others and silent targets go on beside it. A link that holds bytes back holds a close back too, until the fault ends.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -134,6 +134,7 @@
         key, workspace = self.rng.choice(sorted(world.keys.items()))
         connection = await self._connect()
         if connection is None:
+            self._record_try()
             return 'unreached'
         attempt = Attempt(
             attempt_id=f'a{next(_attempt_numbers)}',
@@ -146,6 +147,8 @@
         )
         self._choose_part(attempt)
         world.promises.record_attempt(attempt)
+        if broken_off is None:
+            self._record_try(attempt.attempt_id)
         body = self._build_body(attempt)
         answer = connection.send_request(
             b'POST',
@@ -163,6 +166,8 @@
         if outcome in {'cut', 'unanswered'}:
             self._check_cut(attempt)
         world.promises.count_outcome(attempt, outcome)
+        if outcome == 'served':
+            world.cut.record_served(attempt)
         may_take_up = (
             kind == 'ask' and broken_off is None and not self.is_stopped
         )
@@ -171,6 +176,17 @@
             world.promises.count_outcome(attempt, f'taken up {taken_up}')
         return outcome
 
+    def drop_connection(self) -> None:
+        """Let the next request go to an instance on a new connection."""
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    def _record_try(self, attempt_id: str = '') -> None:
+        """Record a first try at an instance that is not leaving."""
+        if not self._instance.is_ending(self.world.now_ms()):
+            self.world.cut.record_try(self._instance.name, attempt_id)
+
     def _choose_part(self, attempt: Attempt) -> None:
         """Choose whether a prompt has the part that crashes engines."""
         part = self.world.crashing_part
@@ -187,8 +203,7 @@
         if self._connection is not None and self._connection.is_open:
             if self.rng.random() < 0.8:
                 return self._connection
-            self._connection.abort()
-        self._connection = None
+        self.drop_connection()
         self._instance = self.rng.choice(self.world.instances)
         factory = Factory.forProtocol(ClientConnection)
         factory.noisy = False
@@ -312,19 +327,13 @@
             self.world.promises.check_cut(attempt)
 
     def _is_instance_ending(self, attempt) -> bool:
-        terminated_ms = self._instance.terminated_ms
-        return (
-            terminated_ms is not None and terminated_ms > attempt.sent_ms - 9000
-        )
+        return self._instance.is_ending(attempt.sent_ms)
 
     def _judge_missing_answer(self, attempt) -> str:
         """Check a connection that closed or timed out without an answer."""
         waited_ms = self.world.now_ms() - attempt.sent_ms
         if waited_ms >= TIMEOUT_MS_BY_KIND[attempt.kind]:
             return 'timed out'
-        is_planned = self._is_instance_ending(attempt)
-        if is_planned and self.world.may_only_planned_work_have_cut(attempt):
-            self.world.promises.report_breach(
-                'LOST', f'{attempt.attempt_id} at {attempt.instance}'
-            )
+        if self._is_instance_ending(attempt):
+            self.world.promises.check_lost(attempt)
         return 'unanswered'
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from soak.cuts import choose_cut
+
 FAULTS: dict[str, Callable] = {}
 PLANS: dict[str, Callable] = {}
 MIN_PAUSE_MS = 500
@@ -67,9 +69,9 @@
 
 @register_fault
 def disturb_target_link(world):
-    link = world.rng.choice(world.targets).link
-    link.set_fault(world.rng.choice(LINK_FAULTS))
-    return lambda: link.set_fault('')
+    links = world.rng.choice(world.targets).links
+    links.set_fault(world.rng.choice(LINK_FAULTS))
+    return lambda: links.set_fault('')
 
 
 @register_fault
@@ -83,10 +85,19 @@
     return heal
 
 
+@register_fault
+def cut_off(world):
+    cut = choose_cut(world)
+    if world.promises.cut_instances:
+        return None
+    cut.begin(world.targets)
+    return lambda: cut.heal(world.targets)
+
+
 @register_fault
 def crash_target(world):
     target = world.rng.choice(world.targets)
-    if target.running_count >= 0 and not target.link.fault:
+    if target.running_count >= 0 and not target.links.fault:
         target.crash(world.rng.uniform(0.2, 3))
 
 
@@ -119,7 +130,9 @@
 
 @register_plan
 def roll(world):
-    world.rng.choice(world.instances).terminate()
+    connected = world.list_connected_instances()
+    if connected:
+        world.rng.choice(connected).terminate()
 
 
 @register_plan
@@ -156,8 +169,8 @@
     for target in paused:
         # Requests that a pause holds back must not count as sent too late.
         if target.name not in world.promises.leaving_ms_by_target:
-            target.link.set_fault('silent')
-            world.clock.call_later(pause_ms, target.link.set_fault, '')
+            target.links.set_fault('silent')
+            world.clock.call_later(pause_ms, target.links.set_fault, '')
 
 
 def _disturb_link(world, instance, name):
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -14,6 +14,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 RESTART_S = 0.4
+# Longest time from SIGTERM until the process is gone.
+ENDING_MS = GRACE_MS + 1000
 SETTINGS = """
 node={name}
 zone={zone}
@@ -62,7 +64,7 @@
         self.is_stopped = False
         self._front, self._ready = find_free_port(), find_free_port()
         self.callers = Link(world.reactor, self._front)
-        self.store = Link(world.reactor, world.store_port)
+        self.store = Link(world.reactor, world.listen_for_store(self.name))
         self.cloud = Link(world.reactor, world.cloud_port)
         self.log = (folder / f'{self.name}.log').open('ab')
         self._settings = folder / f'{self.name}.conf'
@@ -107,6 +109,13 @@
             GRACE_MS / 1000, self._kill_if_running, process
         )
 
+    def is_ending(self, at_ms: int) -> bool:
+        """Return whether a process of the instance may be leaving."""
+        return (
+            self.terminated_ms is not None
+            and self.terminated_ms > at_ms - ENDING_MS
+        )
+
     def reload(self) -> None:
         self._settings.write_text(self._settings.read_text())
         self.signal('HUP')
--- a/soak/platform_pages.py
+++ b/soak/platform_pages.py
@@ -14,13 +14,15 @@
     Store of versioned objects with watches, over HTTP.
 
     ``fault`` is empty, ``down`` (every call gets 503), ``lost`` (writes take
-    effect but get no answer) or ``slow``.
+    effect but get no answer) or ``slow``. Instances are told apart by the port
+    that they call, and see their own addresses of the targets.
     """
 
     app = Klein()
 
     def __init__(self, reactor) -> None:
         self.fault = ''
+        self.instance_by_port: dict[int, str] = {}
         self._reactor = reactor
         self._revision = 1
         self._objects_by_kind = {}
@@ -145,12 +147,14 @@
         if self.fault == 'lost' and request.method != b'GET':
             request.transport.abortConnection()
             return b''
+        instance = self.instance_by_port[request.getHost().port]
+        body = _respond(
+            request, content, status, lambda links: links.get_address(instance)
+        )
         if self.fault != 'slow':
-            return _respond(request, content, status)
+            return body
         answer = Deferred()
-        self._reactor.callLater(
-            SLOW_S, answer.callback, _respond(request, content, status)
-        )
+        self._reactor.callLater(SLOW_S, answer.callback, body)
         return answer
 
     def _publish(self, kind, event):
@@ -200,8 +204,8 @@
         self.on_call(request.path.decode(), holder, fence, content)
 
 
-def _respond(request, content, status=200):
+def _respond(request, content, status=200, encode_links=None):
     request.setResponseCode(status)
     for name, text in JSON.items():
         request.setHeader(name, text)
-    return json.dumps(content)
+    return json.dumps(content, default=encode_links)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -22,6 +22,7 @@
         'DRAIN',
         'HELD',
         'LOST',
+        'PARTITION',
         'READY',
         'RECOVER',
     )
@@ -76,6 +77,8 @@
         self.leaving_ms_by_target: dict[str, int] = {}
         # Time of the last disturbance by instance; an empty name means all.
         self.disturbed_ms_by_instance: dict[str, int] = {}
+        # Instances that are cut off from all targets now.
+        self.cut_instances: set[str] = set()
         self.count_by_outcome: dict[str, int] = {}
         # Software versions of the targets that sent an event, by attempt and
         # number: an event that is lost on its way may be sent again.
@@ -114,6 +117,8 @@
 
         A disturbance less than ``CONTACT_MS`` before that time counts too.
         """
+        if instance in self.cut_instances:
+            return False
         last_ms = max(
             self.disturbed_ms_by_instance.get(instance, 0),
             self.disturbed_ms_by_instance.get('', 0),
@@ -181,6 +186,13 @@
                     f' ms at {attempt.instance}, run by {attempt.runs}',
                 )
 
+    def check_lost(self, attempt: Attempt) -> None:
+        """Check a request that was read and got no answer."""
+        if self.is_undisturbed(attempt.instance, attempt.sent_ms):
+            self.report_breach(
+                'LOST', f'{attempt.attempt_id} at {attempt.instance}'
+            )
+
     def record_part_crash(self, part: str) -> None:
         """Record the crash of an engine under a part of a prompt."""
         self._crash_times_by_part.setdefault(part, []).append(self.now_ms())
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,11 +1,19 @@
 """Loopback proxy that delays, resets or holds back what it forwards."""
 
+import socket
+
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 
 from bench.launch import find_free_port
 
 HOST = '127.0.0.1'
+BACKLOG = 50
+# Faults of a link that is cut: bytes are held back both ways and new
+# connections hang; open connections live on and others are refused; all are
+# reset and refused.
+CUT_FAULTS = ('hang', 'refuse', 'gone')
+HOLDING_FAULTS = frozenset(('silent', 'to', 'back', 'hang'))
 
 
 class ProxySide(Protocol):
@@ -45,7 +53,7 @@
 
     ``fault`` is empty, ``delay``, ``reset`` (open connections too), ``silent``
     (bytes are held back until the fault ends), ``to`` or ``back`` (bytes are
-    held back in one direction).
+    held back in one direction), or one of `CUT_FAULTS`.
 
     :param reactor: reactor of the proxy
     :param port: port of the server; ``target_port`` may change later
@@ -57,36 +65,35 @@
         self.fault = ''
         self.delay_s = 0.05
         self._sides: set[ProxySide] = set()
-        self._held: list[tuple[ProxySide, bytes]] = []
+        self._held: list[tuple[ProxySide, bytes | None]] = []
         self._factory = Factory.forProtocol(lambda: ProxySide(self, True))
         self._factory.noisy = False
         self._listening = None
+        self._is_refusing = False
+        # Fills the queue of connections to accept, so that others hang.
+        self._filler: socket.socket | None = None
         self.port = find_free_port()
         self.listen()
 
     def listen(self) -> None:
-        if self._listening is None:
-            self._listening = self._reactor.listenTCP(
-                self.port, self._factory, interface=HOST
-            )
+        self._is_refusing = False
+        self._update_port()
 
     def refuse_connections(self) -> None:
         """Close all connections in due form; refuse others until `listen`."""
-        if self._listening is not None:
-            self._listening.stopListening()
-            self._listening = None
+        self._is_refusing = True
+        self._update_port()
         for side in list(self._sides):
             side.transport.loseConnection()
 
     def set_fault(self, fault: str) -> None:
         self.fault = fault
-        if fault == 'reset':
+        if fault in {'reset', 'gone'}:
             for side in list(self._sides):
                 side.transport.abortConnection()
+        self._update_port()
         if not fault:
-            held, self._held = self._held, []
-            for side, received in held:
-                self._deliver(side, received)
+            self._deliver_held()
 
     def connect_target(self, caller: ProxySide) -> None:
         if self.fault == 'reset':
@@ -106,7 +113,7 @@
 
     def forward(self, side: ProxySide, received: bytes) -> None:
         direction = 'to' if side.is_caller else 'back'
-        if self.fault in {'silent', direction}:
+        if self.fault in {'silent', 'hang', direction}:
             self._held.append((side, received))
         elif self.fault == 'delay' or side.delayed_count:
             # Later bytes must not overtake delayed ones.
@@ -120,17 +127,54 @@
     def handle_close(self, side: ProxySide) -> None:
         self._sides.discard(side)
         if side.other is not None and side.other.is_open:
-            if self.fault in {'silent', 'to', 'back'}:
+            if self.fault in HOLDING_FAULTS:
                 # A broken link does not transmit a close either.
-                self._reactor.callLater(5, self._close, side.other)
+                self._held.append((side, None))
             else:
                 self._reactor.callLater(0.001, self._close, side.other)
 
     def stop(self) -> None:
+        self._set_hanging(False)
         self.refuse_connections()
         for side in list(self._sides):
             side.transport.abortConnection()
 
+    def _update_port(self) -> None:
+        """Accept, refuse or ignore new connections."""
+        accepts = not self._is_refusing and self.fault not in {'refuse', 'gone'}
+        if accepts and self._listening is None:
+            self._listening = self._reactor.listenTCP(
+                self.port, self._factory, BACKLOG, HOST
+            )
+        self._set_hanging(accepts and self.fault == 'hang')
+        if not accepts and self._listening is not None:
+            self._listening.stopListening()
+            self._listening = None
+
+    def _set_hanging(self, hangs: bool) -> None:
+        """Leave new connections to the system, which drops them when full."""
+        if hangs == (self._filler is not None):
+            return
+        if hangs:
+            self._listening.pauseProducing()
+            self._listening.socket.listen(0)
+            self._filler = socket.socket()
+            self._filler.setblocking(False)
+            self._filler.connect_ex((HOST, self.port))
+            return
+        self._filler.close()
+        self._filler = None
+        self._listening.socket.listen(BACKLOG)
+        self._listening.resumeProducing()
+
+    def _deliver_held(self) -> None:
+        held, self._held = self._held, []
+        for side, received in held:
+            if received is not None:
+                self._deliver(side, received)
+            elif side.other is not None:
+                self._reactor.callLater(0.001, self._close, side.other)
+
     def _connected(self, server: ProxySide, caller: ProxySide) -> None:
         self._sides.add(server)
         for piece in server.unsent:
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,13 +3,20 @@
 from pathlib import Path
 from traceback import format_exc
 
+from twisted.internet.defer import Deferred
+
 from soak.callers import Caller
+from soak.cuts import choose_cut
 from soak.faults import FAULTS, PLANS
 from soak.promises import CONTACT_MS
 from soak.world import World
 
 STORM_MS = 7000
 PLANNED_MS = 7000
+MIN_CUT_MS = 4000
+MAX_CUT_MS = 10_000
+FIRST_TRY_MS = 40
+KINDS = ('submit', 'lookup', 'ask', 'check')
 # Time for instances and targets to recover after all faults are healed.
 RECOVERY_LIMIT_MS = 9000
 PROBE_COUNT = 60
@@ -41,6 +48,7 @@
             reactor, seed, instances, folder, checks_times=checks_times
         )
         self.injected: list[str] = []
+        self.cuts: list[str] = []
         self._heal_callbacks: list = []
 
     async def run(self, seconds: float) -> dict:
@@ -57,6 +65,7 @@
             while world.now_ms() < end_ms:
                 await self._run_storm()
                 await self._run_planned_work()
+                await self._run_cut()
             await self._check_recovery()
         except Exception:
             world.promises.report_breach('SOAK', format_exc())
@@ -64,6 +73,7 @@
         return {
             'seed': self.seed,
             'broken': world.promises.breaches,
+            'cuts': self.cuts,
             'struck': len(self.injected),
             'kinds': sorted(set(self.injected)),
             'outcomes': dict(sorted(world.promises.count_by_outcome.items())),
@@ -91,6 +101,41 @@
             self._inject(world.rng.choice(sorted(PLANS)))
             await world.clock.sleep(world.rng.uniform(300, 2000))
 
+    async def _run_cut(self) -> None:
+        """Cut instances off from all targets, beside planned work."""
+        world = self.world
+        crashing_part, world.crashing_part = world.crashing_part, ''
+        world.cut = choose_cut(world)
+        end_ms = world.now_ms() + world.rng.uniform(MIN_CUT_MS, MAX_CUT_MS)
+        self.injected.append(f'cut {world.cut.fault}')
+        world.cut.begin(world.targets)
+        plans = sorted(PLANS)
+        if len(world.list_connected_instances()) == 1:
+            plans.remove('roll')
+        plan_ms = world.now_ms()
+        while world.now_ms() < end_ms:
+            if world.now_ms() >= plan_ms:
+                self._inject(world.rng.choice(plans))
+                plan_ms = world.now_ms() + world.rng.uniform(500, 2500)
+            self._send_first_try()
+            await world.clock.sleep(FIRST_TRY_MS)
+        world.cut.heal(world.targets)
+        await world.clock.sleep(CONTACT_MS + 1000)
+        world.cut.check()
+        self.cuts.append(str(world.cut))
+        world.crashing_part = crashing_part
+
+    def _send_first_try(self) -> None:
+        """Send a request on a connection of its own."""
+        world = self.world
+
+        async def send() -> None:
+            caller = Caller(world, world.rng)
+            await caller.send_request(world.rng.choice(KINDS))
+            caller.drop_connection()
+
+        Deferred.fromCoroutine(send()).addErrback(world.report_defect)
+
     async def _check_recovery(self) -> None:
         world = self.world
         world.crashing_part = ''
@@ -100,7 +145,7 @@
         caller = Caller(world, world.rng)
         outcomes = []
         for _ in range(PROBE_COUNT):
-            kind = world.rng.choice(('submit', 'lookup', 'ask', 'check'))
+            kind = world.rng.choice(KINDS)
             outcomes.append(await caller.send_request(kind))
         if outcomes.count('served') < SERVED_SHARE * PROBE_COUNT:
             world.promises.report_breach('RECOVER', f'{outcomes}')
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -7,7 +7,8 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
-from soak.proxy import HOST, Link
+from soak.proxy import HOST
+from soak.target_links import TargetLinks
 
 WORK_S = 0.03
 EVENT_S = 0.015
@@ -59,26 +60,29 @@
         self.accepted_order_count = 0
         self._requests: set = set()
         self._port = None
-        self.link = Link(world.reactor, 0)
+        self.links = TargetLinks(
+            world.reactor, [instance.name for instance in world.instances]
+        )
 
     def start(self) -> None:
         """Start a new incarnation and register it in the store."""
         if self._port is not None:
             return
-        self.link.listen()
+        self.links.listen()
         self.name = f't{next(_numbers)}'
         self.version = self.world.rng.choice(VERSIONS)
         self.running_count, self.accepted_order_count = 0, 0
         self.attempt_by_handle.clear()
         self._port = self.world.reactor.listenTCP(0, Site(self), interface=HOST)
-        self.link.target_port = self._port.getHost().port
+        self.links.set_target_port(self._port.getHost().port)
         self.write_entry('ready')
 
     def write_entry(self, state: str) -> None:
         """Write the store entry by which instances discover the target."""
         entry = {
             'service': self.service,
-            'address': f'{HOST}:{self.link.port}',
+            # Each instance is shown an address of its own.
+            'address': self.links,
             'stage': self.role,
             'state': state,
             'zone': self.zone,
@@ -115,7 +119,7 @@
     def stop(self) -> None:
         """Stop without a restart."""
         self._close()
-        self.link.stop()
+        self.links.stop()
 
     def render(self, request):
         headers = {
@@ -303,10 +307,10 @@
         for request in list(self._requests):
             request.transport.abortConnection()
         if is_clean:
-            self.link.refuse_connections()
+            self.links.refuse_connections()
         else:
-            self.link.set_fault('reset')
-            self.link.set_fault('')
+            self.links.set_fault('reset')
+            self.links.set_fault('')
 
     def _crash_on_part(self, old_name: str, part: str) -> None:
         if self.name == old_name and self._port is not None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,6 +11,7 @@
 
 from cicadahoist.clock import Clock, wall_ms
 from soak.callers import Caller
+from soak.cuts import Cut
 from soak.instances import Instance
 from soak.platform_pages import CloudStandIn, StoreStandIn
 from soak.promises import CONTACT_MS, PromiseChecker
@@ -61,13 +62,17 @@
         self.store = StoreStandIn(reactor)
         self.cloud = CloudStandIn(self.promises.check_platform_call)
         self._ports = []
-        self.store_port = self._listen(self.store)
         self.cloud_port = self._listen(self.cloud)
         self.keys = {f'k{number}': f'w{number}' for number in range(3)}
         self._granted_ms_by_key = dict.fromkeys(self.keys, self.now_ms())
         self.crashing_part = ''
         self._config_version = 0
         self.write_config()
+        self.cut = Cut(self.promises, [], '')
+        self.instances = [
+            Instance(self, number, ZONES[number % len(ZONES)], folder)
+            for number in range(instances)
+        ]
         self.targets = [
             Target(self, 'app', zone) for zone in (*ZONES, ZONES[0])
         ]
@@ -75,10 +80,6 @@
             self.targets.append(Target(self, 'llm', zone, 'prefill'))
             for _ in range(DECODE_COUNT):
                 self.targets.append(Target(self, 'llm', zone, 'decode'))
-        self.instances = [
-            Instance(self, number, ZONES[number % len(ZONES)], folder)
-            for number in range(instances)
-        ]
         # Callers have their own random source, so that the series of faults
         # depends on the seed alone.
         self.callers = [
@@ -101,7 +102,7 @@
                     return
                 await self.clock.sleep(100)
         for caller in self.callers:
-            Deferred.fromCoroutine(caller.run()).addErrback(self._report_defect)
+            Deferred.fromCoroutine(caller.run()).addErrback(self.report_defect)
 
     async def stop(self) -> None:
         for caller in self.callers:
@@ -185,10 +186,6 @@
             key for key in self.keys if self._granted_ms_by_key[key] < since_ms
         }
 
-    def may_only_planned_work_have_cut(self, attempt) -> bool:
-        """Return whether only planned work can have interrupted a request."""
-        return self.promises.is_undisturbed(attempt.instance, attempt.sent_ms)
-
     def pop_handle_owner(self, source: str) -> str | None:
         """
         Remove the handle of a KV cache at its target.
@@ -198,10 +195,24 @@
         """
         address, _, name = source.rpartition('/')
         for target in self.targets:
-            if address == f'{HOST}:{target.link.port}':
+            if target.links.has_address(address):
                 return target.attempt_by_handle.pop(name, None)
         return None
 
+    def listen_for_store(self, instance: str) -> int:
+        """Return the port at which an instance reaches the store."""
+        port = self._listen(self.store)
+        self.store.instance_by_port[port] = instance
+        return port
+
+    def list_connected_instances(self) -> list[Instance]:
+        """Return the instances that are not cut off from the targets."""
+        return [
+            instance
+            for instance in self.instances
+            if instance.name not in self.promises.cut_instances
+        ]
+
     def _listen(self, pages) -> int:
         port = self.reactor.listenTCP(
             0, Site(pages.app.resource()), interface=HOST
@@ -209,5 +220,5 @@
         self._ports.append(port)
         return port.getHost().port
 
-    def _report_defect(self, failure) -> None:
+    def report_defect(self, failure) -> None:
         self.promises.report_breach('SOAK', failure.getTraceback())
