Soak: limits that change under connections that callers keep

The soak's limits never changed, and its callers neither kept a connection idle nor sent a request in parts.

Configurations now shorten and lengthen idle and header timeouts and body sizes. Twelve callers without a proxy keep connections for up to four fifths of the idle timeout that they know, send in parts, and try again what was closed unread. They look at the socket before and after the last byte, and for a reset behind the close: read, unread and crossed are told apart. LOST is a request that was read and got no answer; CLOSED a connection closed within what its caller was promised; LIMIT a 408 or 413 likewise.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -47,12 +47,13 @@
         self._result = Deferred()
         self._head, self._body = None, b''
         request = h11.Request(method=method, target=path, headers=headers)
-        self.transport.write(
+        result = self._result
+        self._write_request(
             self.http.send(request)
             + self.http.send(h11.Data(data=body))
             + self.http.send(h11.EndOfMessage())
         )
-        return self._result
+        return result
 
     def dataReceived(self, received: bytes) -> None:
         try:
@@ -71,6 +72,9 @@
         self._fire_result(False)
         self.transport.abortConnection()
 
+    def _write_request(self, encoded: bytes) -> None:
+        self.transport.write(encoded)
+
     def _read_events(self) -> None:
         while True:
             event = self.http.next_event()
@@ -335,5 +339,5 @@
         if waited_ms >= TIMEOUT_MS_BY_KIND[attempt.kind]:
             return 'timed out'
         if self._is_instance_ending(attempt):
-            self.world.promises.check_lost(attempt)
+            self.world.promises.check_lost(attempt, 'may have crossed')
         return 'unanswered'
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from soak.cuts import choose_cut
+from soak.limits import Limits
 
 FAULTS: dict[str, Callable] = {}
 PLANS: dict[str, Callable] = {}
@@ -150,6 +151,12 @@
     world.write_config()
 
 
+@register_plan
+def change_limits(world):
+    world.limits.publish(Limits.choose(world.rng))
+    world.write_config()
+
+
 @register_plan
 def drain(world):
     target = world.rng.choice(world.targets[:3])
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -62,8 +62,8 @@
         self.zone = zone
         self.terminated_ms: int | None = None
         self.is_stopped = False
-        self._front, self._ready = find_free_port(), find_free_port()
-        self.callers = Link(world.reactor, self._front)
+        self.front_port, self._ready = find_free_port(), find_free_port()
+        self.callers = Link(world.reactor, self.front_port)
         self.store = Link(world.reactor, world.listen_for_store(self.name))
         self.cloud = Link(world.reactor, world.cloud_port)
         self.log = (folder / f'{self.name}.log').open('ab')
@@ -141,7 +141,7 @@
             SETTINGS.format(
                 name=self.name,
                 zone=self.zone,
-                front=self._front,
+                front=self.front_port,
                 ready=self._ready,
                 peer=peer_port,
                 store=self.store.port,
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -17,10 +17,12 @@
 TIMED_RULES = frozenset(
     (
         'BUDGET',
+        'CLOSED',
         'CONFIG',
         'DENIED',
         'DRAIN',
         'HELD',
+        'LIMIT',
         'LOST',
         'PARTITION',
         'READY',
@@ -186,11 +188,38 @@
                     f' ms at {attempt.instance}, run by {attempt.runs}',
                 )
 
-    def check_lost(self, attempt: Attempt) -> None:
-        """Check a request that was read and got no answer."""
+    def check_lost(self, attempt: Attempt, what: str) -> None:
+        """
+        Check a request that ends without an answer.
+
+        :param what: what is known of the request
+        """
         if self.is_undisturbed(attempt.instance, attempt.sent_ms):
+            waited_ms = self.now_ms() - attempt.sent_ms
+            self.report_breach(
+                'LOST',
+                f'{attempt.attempt_id} ({attempt.kind}) at {attempt.instance}'
+                f' after {waited_ms} ms, {what}, run by {attempt.runs}',
+            )
+
+    def check_limit(
+        self,
+        rule: str,
+        instance: str,
+        limit: str,
+        used: float,
+        promised: float,
+    ) -> None:
+        """
+        Check a caller that was closed (CLOSED) or refused (LIMIT) by a limit.
+
+        :param used: how much of the limit the caller had used
+        :param promised: how much of it the caller might use
+        """
+        if used < promised and self.is_undisturbed(instance, self.now_ms()):
             self.report_breach(
-                'LOST', f'{attempt.attempt_id} at {attempt.instance}'
+                rule,
+                f'{instance}: {limit}, {used:.0f} of {promised:.0f} used',
             )
 
     def record_part_crash(self, part: str) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,8 @@
 MAX_CUT_MS = 10_000
 FIRST_TRY_MS = 40
 KINDS = ('submit', 'lookup', 'ask', 'check')
+# Share of planned work that comes with new limits of callers.
+LIMITS_SHARE = 0.4
 # Time for instances and targets to recover after all faults are healed.
 RECOVERY_LIMIT_MS = 9000
 PROBE_COUNT = 60
@@ -99,6 +101,8 @@
         end_ms = world.now_ms() + PLANNED_MS
         while world.now_ms() < end_ms:
             self._inject(world.rng.choice(sorted(PLANS)))
+            if world.rng.random() < LIMITS_SHARE:
+                self._inject('change_limits')
             await world.clock.sleep(world.rng.uniform(300, 2000))
 
     async def _run_cut(self) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,6 +3,7 @@
 import random
 from pathlib import Path
 
+import msgspec
 import treq
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError, ConnectionLost
@@ -13,6 +14,8 @@
 from soak.callers import Caller
 from soak.cuts import Cut
 from soak.instances import Instance
+from soak.kept import KeptCaller
+from soak.limits import PublishedLimits
 from soak.platform_pages import CloudStandIn, StoreStandIn
 from soak.promises import CONTACT_MS, PromiseChecker
 from soak.proxy import HOST
@@ -20,6 +23,7 @@
 
 ZONES = ('zone-a', 'zone-b')
 CALLER_COUNT = 8
+KEPT_CALLER_COUNT = 12
 # Decode engines of each zone.
 DECODE_COUNT = 2
 READY_LIMIT_MS = 30_000
@@ -67,6 +71,7 @@
         self._granted_ms_by_key = dict.fromkeys(self.keys, self.now_ms())
         self.crashing_part = ''
         self._config_version = 0
+        self.limits = PublishedLimits(self.now_ms)
         self.write_config()
         self.cut = Cut(self.promises, [], '')
         self.instances = [
@@ -86,6 +91,10 @@
             Caller(self, random.Random(f'{seed}/{number}'))
             for number in range(CALLER_COUNT)
         ]
+        self.callers += [
+            KeptCaller(self, random.Random(f'{seed}/kept/{number}'))
+            for number in range(KEPT_CALLER_COUNT)
+        ]
 
     async def start(self) -> None:
         for target in self.targets:
@@ -151,7 +160,7 @@
             'version': self._config_version,
             'routes': routes,
             'services': [{'name': 'app'}, {'name': 'llm', 'engine': engine}],
-            'limits': {},
+            'limits': msgspec.to_builtins(self.limits.find(0)),
             'tenants': [
                 {'name': workspace, 'api-keys': [key]}
                 for key, workspace in self.keys.items()
