--- a/soak/kept.py
+++ b/soak/kept.py
@@ -1,5 +1,7 @@
 """Callers that keep connections idle and send requests in parts."""
 
+import math
+import re
 import socket
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -24,6 +26,7 @@
 RESET_MS = 50
 TIMEOUT_STATUS = 408
 BODY_STATUS = 413
+KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
 
 
 @implementer(IHalfCloseableProtocol)
@@ -51,6 +54,8 @@
         self.is_reset = False
         # When the instance closed the connection, if it did.
         self.closed_ms: int | None = None
+        # Idle timeout that the last answer stated.
+        self.stated_idle_ms = math.inf
         self.pause_ms = 0.0
         self.part_count = 1
         self.on_close = lambda connection: None
@@ -148,7 +153,7 @@
         longest_ms = MAX_FIRST_WAIT_MS
         if connection is not None and connection.is_open:
             idle_ms = self.world.now_ms() - connection.idle_since_ms
-            usable_ms = USED_SHARE * self._known.idle_timeout_ms
+            usable_ms = self._find_usable_ms(connection)
             longest_ms = min(MAX_WAIT_MS, max(0, usable_ms - idle_ms))
         await self.world.clock.sleep(longest_ms * self.rng.random())
 
@@ -156,6 +161,11 @@
         if not self._is_retry:
             super()._record_try(attempt_id)
 
+    def _find_usable_ms(self, connection: KeptConnection) -> float:
+        """Return how long a connection may be idle before it is used."""
+        known_ms = self._known.idle_timeout_ms
+        return USED_SHARE * min(known_ms, connection.stated_idle_ms)
+
     @property
     def _known(self):
         return self.world.limits.find(self._delay_ms)
@@ -164,7 +174,7 @@
         connection = self._connection
         if connection is not None and connection.is_open:
             idle_ms = self.world.now_ms() - connection.idle_since_ms
-            if idle_ms <= USED_SHARE * self._known.idle_timeout_ms:
+            if idle_ms <= self._find_usable_ms(connection):
                 self._plan_parts(connection)
                 return connection
         self.drop_connection()
@@ -206,6 +216,9 @@
         connection = self._connection
         connection.sending_since_ms = None
         connection.idle_since_ms = self.world.now_ms()
+        stated = KEEP_ALIVE.search(headers.get(b'keep-alive', b''))
+        if stated:
+            connection.stated_idle_ms = 1000 * int(stated[1])
         if status == TIMEOUT_STATUS:
             waited_ms = self.world.now_ms() - attempt.sent_ms
             self._check_promise('LIMIT', 'header_timeout_ms', waited_ms)
@@ -225,7 +238,9 @@
             return 'closed midway'
         if connection.is_reset:
             return 'closed unread'
-        self.world.promises.check_lost(attempt, 'read')
+        # Instances are killed once callers are stopped.
+        if not self.is_stopped:
+            self.world.promises.check_lost(attempt, 'read')
         return 'unanswered'
 
     def _check_close(self, connection: KeptConnection) -> None:
@@ -234,7 +249,10 @@
         sending_since_ms = connection.sending_since_ms
         if sending_since_ms is None or connection.has_crossed:
             name = 'idle_timeout_ms'
-            self._promised[name] = self._find_promised(name)
+            self._promised[name] = min(
+                self._find_promised(name),
+                USED_SHARE * connection.stated_idle_ms,
+            )
             used_ms = closed_ms - connection.idle_since_ms
         elif not connection.is_sent_whole:
             name, used_ms = 'header_timeout_ms', closed_ms - sending_since_ms
