--- a/soak/world.py
+++ b/soak/world.py
@@ -3,6 +3,7 @@
 import random
 from pathlib import Path
 
+import msgspec
 import treq
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError, ConnectionLost
@@ -11,7 +12,10 @@
 
 from cicadahoist.clock import Clock, wall_ms
 from soak.callers import Caller
+from soak.cuts import Cut
 from soak.instances import Instance
+from soak.kept import KeptCaller
+from soak.limits import PublishedLimits
 from soak.platform_pages import CloudStandIn, StoreStandIn
 from soak.promises import CONTACT_MS, PromiseChecker
 from soak.proxy import HOST
@@ -19,6 +23,7 @@
 
 ZONES = ('zone-a', 'zone-b')
 CALLER_COUNT = 8
+KEPT_CALLER_COUNT = 12
 # Decode engines of each zone.
 DECODE_COUNT = 2
 READY_LIMIT_MS = 30_000
@@ -61,13 +66,18 @@
         self.store = StoreStandIn(reactor)
         self.cloud = CloudStandIn(self.promises.check_platform_call)
         self._ports = []
-        self.store_port = self._listen(self.store)
         self.cloud_port = self._listen(self.cloud)
         self.keys = {f'k{number}': f'w{number}' for number in range(3)}
         self._granted_ms_by_key = dict.fromkeys(self.keys, self.now_ms())
         self.crashing_part = ''
         self._config_version = 0
+        self.limits = PublishedLimits(self.now_ms)
         self.write_config()
+        self.cut = Cut(self.promises, [], '')
+        self.instances = [
+            Instance(self, number, ZONES[number % len(ZONES)], folder)
+            for number in range(instances)
+        ]
         self.targets = [
             Target(self, 'app', zone) for zone in (*ZONES, ZONES[0])
         ]
@@ -75,16 +85,16 @@
             self.targets.append(Target(self, 'llm', zone, 'prefill'))
             for _ in range(DECODE_COUNT):
                 self.targets.append(Target(self, 'llm', zone, 'decode'))
-        self.instances = [
-            Instance(self, number, ZONES[number % len(ZONES)], folder)
-            for number in range(instances)
-        ]
         # Callers have their own random source, so that the series of faults
         # depends on the seed alone.
         self.callers = [
             Caller(self, random.Random(f'{seed}/{number}'))
             for number in range(CALLER_COUNT)
         ]
+        self.callers += [
+            KeptCaller(self, random.Random(f'{seed}/kept/{number}'))
+            for number in range(KEPT_CALLER_COUNT)
+        ]
 
     async def start(self) -> None:
         for target in self.targets:
@@ -101,7 +111,7 @@
                     return
                 await self.clock.sleep(100)
         for caller in self.callers:
-            Deferred.fromCoroutine(caller.run()).addErrback(self._report_defect)
+            Deferred.fromCoroutine(caller.run()).addErrback(self.report_defect)
 
     async def stop(self) -> None:
         for caller in self.callers:
@@ -150,7 +160,7 @@
             'version': self._config_version,
             'routes': routes,
             'services': [{'name': 'app'}, {'name': 'llm', 'engine': engine}],
-            'limits': {},
+            'limits': msgspec.to_builtins(self.limits.find(0)),
             'tenants': [
                 {'name': workspace, 'api-keys': [key]}
                 for key, workspace in self.keys.items()
@@ -185,10 +195,6 @@
             key for key in self.keys if self._granted_ms_by_key[key] < since_ms
         }
 
-    def may_only_planned_work_have_cut(self, attempt) -> bool:
-        """Return whether only planned work can have interrupted a request."""
-        return self.promises.is_undisturbed(attempt.instance, attempt.sent_ms)
-
     def pop_handle_owner(self, source: str) -> str | None:
         """
         Remove the handle of a KV cache at its target.
@@ -198,10 +204,24 @@
         """
         address, _, name = source.rpartition('/')
         for target in self.targets:
-            if address == f'{HOST}:{target.link.port}':
+            if target.links.has_address(address):
                 return target.attempt_by_handle.pop(name, None)
         return None
 
+    def listen_for_store(self, instance: str) -> int:
+        """Return the port at which an instance reaches the store."""
+        port = self._listen(self.store)
+        self.store.instance_by_port[port] = instance
+        return port
+
+    def list_connected_instances(self) -> list[Instance]:
+        """Return the instances that are not cut off from the targets."""
+        return [
+            instance
+            for instance in self.instances
+            if instance.name not in self.promises.cut_instances
+        ]
+
     def _listen(self, pages) -> int:
         port = self.reactor.listenTCP(
             0, Site(pages.app.resource()), interface=HOST
@@ -209,5 +229,5 @@
         self._ports.append(port)
         return port.getHost().port
 
-    def _report_defect(self, failure) -> None:
+    def report_defect(self, failure) -> None:
         self.promises.report_breach('SOAK', failure.getTraceback())
