Do not run a request in chunks that was refused as too long

Callers whose body in chunks exceeded [entry] body_limit got 413, outcome not-run, but where the last chunk was in the same read, the request was run all the same: a caller that sent it again ran it twice.

The channel goes on with the decoder after the refusal, and the end of the body started the request. A refused request is not handled any more.

test_a_refused_body_does_not_run failed before (one call at the service) and passes now.

--- a/cicadahoist/entry/connection.py
+++ b/cicadahoist/entry/connection.py
@@ -65,7 +65,9 @@
         super().lineReceived(line)
 
     def allContentReceived(self) -> None:
-        """Stop the time limit, as the request is complete."""
+        """Stop the time limit, and handle the request unless it is refused."""
+        if self.is_refused:
+            return
         self._stop_timer()
         super().allContentReceived()
 
