Let refusals of the entry survive the rest of their requests

A caller whose body was too long, or whose request could not be parsed, got a reset instead of the refusal: the connection was closed with bytes of the request unread or still arriving, and the reset that the system then sends discards what the caller has not read yet.

After the last answer only the direction to the caller is closed. Input is read and dropped until the caller closes too, for 2 s at most. An idle connection is closed as before: what arrives meanwhile stays unread, so that callers can tell.

test_a_refusal_survives_the_rest_of_its_request failed before (connection reset) and passes now.

--- a/cicadahoist/entry/connection.py
+++ b/cicadahoist/entry/connection.py
@@ -2,8 +2,12 @@
 
 from typing import Any
 
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
+from zope.interface import implementer
 
 from cicadahoist.clock import Clock, Timer
 from cicadahoist.config import Config
@@ -13,6 +17,8 @@
 from cicadahoist.settings import BODY_LIMIT, HEADER_TIMEOUT
 
 IDLE_TIMEOUT_S = 60
+# Time in which a caller may read the end of an answer and close.
+LINGER_MS = 2000
 
 
 class BoundedRequest(Request):
@@ -39,23 +45,33 @@
             super().handleContentChunk(data)
 
 
+@implementer(IHalfCloseableProtocol)
 class BoundedChannel(HTTPChannel):
-    """A connection with a time limit for receiving each request."""
+    """
+    A connection with a time limit for receiving each request.
+
+    After its last answer only the direction to the caller is closed, and input
+    is dropped until the caller has closed too: the reset that a close with
+    unread input sends may destroy an answer that the caller has not read yet.
+    """
 
     transport: Any
 
     def __init__(self) -> None:
         super().__init__()
         self.request_timer: Timer | None = None
-        self.is_refused = False
+        self._linger: Timer | None = None
+        self._is_closing = False
 
     def dataReceived(self, data: bytes) -> None:
-        """Process received bytes, unless the connection was refused."""
-        if not self.is_refused:
+        """Process received bytes, unless the last answer was written."""
+        if not self._is_closing:
             super().dataReceived(data)
 
     def lineReceived(self, line: bytes) -> None:
         """Start the time limit at the first line of a request."""
+        if self._is_closing:
+            return
         if self.request_timer is None:
             self.request_timer = self.factory.clock.call_later(
                 self.factory.header_timeout_ms,
@@ -68,24 +84,61 @@
         """Refuse a request with a line that is too long."""
         self.refuse(Refusal.bad_request)
 
+    def rawDataReceived(self, data: bytes) -> None:
+        """Process a part of a body, unless the last answer was written."""
+        if not self._is_closing:
+            super().rawDataReceived(data)
+
     def allContentReceived(self) -> None:
         """Stop the time limit, and handle the request unless it is refused."""
-        if self.is_refused:
+        if self._is_closing:
             return
         self._stop_timer()
         super().allContentReceived()
 
+    def timeoutConnection(self) -> None:
+        """Close an idle connection; what arrives meanwhile stays unread."""
+        self._abortingCall = self.callLater(
+            self.abortTimeout, self.forceAbortClient
+        )
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def loseConnection(self) -> None:
+        """Close once all answers are sent and the caller has closed."""
+        if self._is_closing:
+            return
+        self._is_closing = True
+        self._stop_timer()
+        self.setTimeout(None)
+        self.transport.unregisterProducer()
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+
+    def writeConnectionLost(self) -> None:
+        """Limit the time that the caller has to close."""
+        self._linger = self.factory.clock.call_later(
+            LINGER_MS, self.transport.loseConnection
+        )
+
+    def readConnectionLost(self) -> None:
+        """Close, after all answers are sent if the last one was written."""
+        if self._is_closing:
+            self.transport.loseConnection()
+        else:
+            self.transport.connectionLost(Failure(ConnectionDone()))
+
     def connectionLost(self, reason: Any = None) -> None:
-        """Stop the time limit."""
+        """Stop the time limits."""
         self._stop_timer()
+        if self._linger is not None and self._linger.active():
+            self._linger.cancel()
         super().connectionLost(reason)
 
     def refuse(self, reason: Refusal) -> None:
         """Send a refusal and close the connection."""
-        if self.is_refused:
+        if self._is_closing:
             return
-        self.is_refused = True
-        self._stop_timer()
         self.factory.metrics.count_refusal(reason)
         refused = RequestRefusedError(reason, 'the request was not read')
         body = refused.encode_body('')
--- a/tests/memory_net.py
+++ b/tests/memory_net.py
@@ -18,6 +18,13 @@
 STEP_MS = 10
 
 
+class HalfClosingTransport(iosim.FakeTransport):
+    """In-memory transport whose half-close ends the connection."""
+
+    def loseWriteConnection(self):
+        self.loseConnection()
+
+
 class Host:
     """A server that tests can kill, freeze and start again."""
 
@@ -32,7 +39,7 @@
         client = factory.buildProtocol(None)
         pump = iosim.connect(
             server,
-            iosim.makeFakeServer(server),
+            HalfClosingTransport(server, isServer=True),
             client,
             iosim.makeFakeClient(client),
         )
--- a/tests/test_entry/test_closed_connections.py
+++ b/tests/test_entry/test_closed_connections.py
@@ -5,7 +5,8 @@
 on them, so that it gets neither an answer nor a refusal.
 """
 
-from socket import SO_RCVBUF, SO_SNDBUF, SOL_SOCKET
+from select import select
+from socket import SHUT_WR, SO_RCVBUF, SO_SNDBUF, SOL_SOCKET
 
 import pytest
 from twisted.internet.defer import Deferred, succeed
@@ -15,11 +16,15 @@
 from twisted.web.server import NOT_DONE_YET
 
 from cicadahoist.config import Config
-from cicadahoist.entry.connection import IDLE_TIMEOUT_S
+from cicadahoist.entry.connection import IDLE_TIMEOUT_S, LINGER_MS
 from cicadahoist.entry.server import EntryServer
 from tests.test_entry.test_server import FixedTable
 from tests.test_entry.world import KEY, World, encode_chat_body
-from tests.test_serving.turned_reactor import SocketCaller, TurnedReactor
+from tests.test_serving.turned_reactor import (
+    TIMEOUT_S,
+    SocketCaller,
+    TurnedReactor,
+)
 
 GRACE_MS = 500
 LIMIT_MS = 5000
@@ -27,10 +32,11 @@
 IDLE_MS = IDLE_TIMEOUT_S * 1000
 HEADER_TIMEOUT_MS = 10_000
 BODY_LIMIT = 2048
+LOOKUP_PATH = b'/services/lookup/x'
 # More than the buffers of a narrow connection take.
 ANSWER_BYTES = 1_000_000
-BUFFER_BYTES = 4096
-LINGER_MS = 2000
+BUFFER_BYTES = 65_536
+MAX_PIECES = 100_000
 
 
 class ListeningReactor:
@@ -153,7 +159,7 @@
         caller.close()
 
 
-def make_call(path=b'/services/lookup/x', body=b'', *headers):
+def make_call(path=LOOKUP_PATH, body=b'', *headers):
     """Return the bytes of a request."""
     framing = () if headers else (b'Content-Length: %d' % len(body),)
     lines = (
@@ -176,6 +182,21 @@
     return caller.receive()
 
 
+def receive_all(caller):
+    """Return a long answer, waiting for the system where it moves no bytes."""
+    received = caller.receive()
+    for _ in range(MAX_PIECES):
+        if received.endswith(b'b' * ANSWER_BYTES):
+            break
+        writers = [caller.transport] if caller.transport.connected else []
+        readable, _, _ = select([caller.socket], writers, [], TIMEOUT_S)
+        piece = caller.receive()
+        if readable and not piece:
+            break
+        received += piece
+    return received
+
+
 def serve_one(sockets, caller):
     """Answer a request, so that its connection is a kept one."""
     caller.write(make_call())
@@ -213,6 +234,19 @@
     assert caller.is_closed_by_instance
 
 
+# Guards against a request that is read after the close was decided: callers may
+# send one again that was not read, never one that was.
+def test_what_arrives_after_the_close_was_decided_is_not_read(sockets):
+    service = FixedService(b'done')
+    sockets.set_service(service)
+    caller = sockets.connect()
+    sockets.skip(IDLE_MS)
+    caller.write(make_call())
+    assert not caller.receive()
+    assert is_reset(caller)
+    assert not service.call_count
+
+
 # Guards against the beginning of a request that is dropped in silence, as no
 # line of it is complete.
 def test_a_request_whose_first_line_is_never_complete_is_refused(sockets):
@@ -250,8 +284,7 @@
         sockets.skip(IDLE_MS // 2)
         received += caller.socket.recv(BUFFER_BYTES)
         sockets.reactor.turn_until_idle()
-    while piece := receive_after(sockets, caller, STEP_MS):
-        received += piece
+    received += receive_all(caller)
     assert received.endswith(b'b' * ANSWER_BYTES)
 
 
@@ -282,7 +315,7 @@
     size = BODY_LIMIT + 1
     body = b'%x\r\n%b\r\n0\r\n\r\n' % (size, b'b' * size)
     chunked = b'Transfer-Encoding: chunked'
-    caller.write(make_call(b'/services/lookup/x', body, chunked))
+    caller.write(make_call(LOOKUP_PATH, body, chunked))
     answer = receive_after(sockets, caller, 50)
     assert answer.startswith(b'HTTP/1.1 413 ')
     assert answer.count(b'HTTP/1.1') == 1
@@ -294,13 +327,39 @@
 def test_a_refusal_survives_the_rest_of_its_request(sockets):
     caller = sockets.connect()
     length = b'Content-Length: 900000'
-    caller.write(make_call(b'/services/lookup/x', b'b' * 100, length))
+    caller.write(make_call(LOOKUP_PATH, b'b' * 100, length))
     sockets.reactor.turn()
     caller.write(b'b' * 300_000)
     assert caller.receive().startswith(b'HTTP/1.1 413 ')
     assert not is_reset(caller)
 
 
+# Guards against an answer that is cut because its caller has nothing to send.
+def test_an_answer_survives_that_its_caller_ends_its_requests(sockets):
+    sockets.set_service(FixedService(b'b' * ANSWER_BYTES))
+    caller = sockets.connect_narrow()
+    length = b'Content-Length: 0'
+    caller.write(make_call(LOOKUP_PATH, b'', length, b'Connection: close'))
+    sockets.advance(50)
+    caller.socket.shutdown(SHUT_WR)
+    received = receive_all(caller)
+    assert received.endswith(b'b' * ANSWER_BYTES)
+    assert caller.is_closed_by_instance
+
+
+# Guards against callers that keep a refused connection open by sending on.
+def test_a_refused_caller_that_sends_on_is_closed_in_the_end(sockets):
+    caller = sockets.connect()
+    caller.write(make_call(LOOKUP_PATH, b'', b'Content-Length: 900000'))
+    assert caller.receive().startswith(b'HTTP/1.1 413 ')
+    sockets.skip(LINGER_MS - STEP_MS)
+    caller.write(b'b')
+    sockets.reactor.turn_until_idle()
+    assert not caller.is_closed_by_instance
+    sockets.skip(STEP_MS)
+    assert caller.is_closed_by_instance
+
+
 # Guards against an entry that leaves while a request waits in the socket.
 def test_a_leaving_entry_answers_a_request_in_the_socket(sockets):
     caller = sockets.connect()
@@ -345,9 +404,7 @@
     sockets.advance(50)
     stopped = sockets.stop()
     sockets.advance(100)
-    received = b''
-    while piece := receive_after(sockets, caller, STEP_MS):
-        received += piece
+    received = receive_all(caller)
     assert received.endswith(b'b' * ANSWER_BYTES)
     caller.close()
     sockets.advance(STEP_MS)
