Refuse requests that the idle timeout of the entry finds read in part

A request of which the first line had not arrived whole was closed after 60 s without an answer, as the header timeout began with that line. With a header timeout above 60 s, any request that paused for 60 s was closed in silence.

The header timeout begins with the first byte and ends with 408. The idle timeout leaves connections alone on which a request is being read.

test_a_request_whose_first_line_is_never_complete_is_refused and test_a_request_that_pauses_is_not_closed_as_idle failed before and pass now.

--- a/cicadahoist/entry/connection.py
+++ b/cicadahoist/entry/connection.py
@@ -64,22 +64,28 @@
         self._linger: Timer | None = None
         self._is_closing = False
 
-    def dataReceived(self, data: bytes) -> None:
-        """Process received bytes, unless the last answer was written."""
-        if not self._is_closing:
-            super().dataReceived(data)
+    @property
+    def is_reading(self) -> bool:
+        """Whether a part of a request has been read, and no more than that."""
+        is_begun = bool(self.requests or self._buffer)
+        return is_begun and not (self._handlingRequest or self._is_closing)
 
-    def lineReceived(self, line: bytes) -> None:
-        """Start the time limit at the first line of a request."""
+    def dataReceived(self, data: bytes) -> None:
+        """Process received bytes, and limit the time to receive the rest."""
         if self._is_closing:
             return
-        if self.request_timer is None:
+        super().dataReceived(data)
+        if self.is_reading and self.request_timer is None:
             self.request_timer = self.factory.clock.call_later(
                 self.factory.header_timeout_ms,
                 self.refuse,
                 Refusal.header_too_slow,
             )
-        super().lineReceived(line)
+
+    def lineReceived(self, line: bytes) -> None:
+        """Process a line, unless the last answer was written."""
+        if not self._is_closing:
+            super().lineReceived(line)
 
     def lineLengthExceeded(self, line: bytes) -> None:
         """Refuse a request with a line that is too long."""
@@ -99,7 +105,7 @@
 
     def timeoutConnection(self) -> None:
         """Close an idle connection, unless bytes of a request have arrived."""
-        if has_unread_input(self.transport):
+        if self.is_reading or has_unread_input(self.transport):
             self.setTimeout(self.timeOut)
             return
         self._abortingCall = self.callLater(
@@ -168,8 +174,8 @@
     :param clock: clock of the process
     :param metrics: counts refusals
     :param body_limit: maximum length of a body in bytes
-    :param header_timeout_ms: maximum time from the first line of a request
-        to its last byte
+    :param header_timeout_ms: maximum time from the first byte of a request
+        to its last one
     """
 
     protocol: Any = BoundedChannel
