Do not cut answers of the entry that their callers read slowly

A caller that read a long answer slowly lost its end 75 s after the entry had written it: the idle timeout began although the answer was still being sent, and the connection was aborted 15 s later.

The timeout goes on while bytes of the answer are unsent and their number changes. A caller that reads nothing between two timeouts is still given up.

--- a/cicadahoist/entry/connection.py
+++ b/cicadahoist/entry/connection.py
@@ -13,7 +13,7 @@
 from cicadahoist.config import Config
 from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.metrics import Metrics
-from cicadahoist.outside.sockets import has_unread_input
+from cicadahoist.outside.sockets import count_unsent_bytes, has_unread_input
 from cicadahoist.reasons import Refusal
 from cicadahoist.settings import BODY_LIMIT, HEADER_TIMEOUT
 
@@ -63,6 +63,8 @@
         self.request_timer: Timer | None = None
         self._linger: Timer | None = None
         self._is_closing = False
+        # Bytes of the last answer that were unsent at the last idle timeout.
+        self._unsent_bytes = 0
 
     @property
     def is_reading(self) -> bool:
@@ -104,15 +106,24 @@
         super().allContentReceived()
 
     def timeoutConnection(self) -> None:
-        """Close an idle connection, unless bytes of a request have arrived."""
-        if self.is_reading or has_unread_input(self.transport):
+        """
+        Close an idle connection, unless bytes of a request have arrived.
+
+        A connection is not idle while its caller reads the last answer.
+        """
+        previous_bytes = self._unsent_bytes
+        self._unsent_bytes = count_unsent_bytes(self.transport)
+        if self._unsent_bytes and self._unsent_bytes == previous_bytes:
+            self.transport.abortConnection()
+        elif (
+            self._unsent_bytes
+            or self.is_reading
+            or has_unread_input(self.transport)
+        ):
             self.setTimeout(self.timeOut)
-            return
-        self._abortingCall = self.callLater(
-            self.abortTimeout, self.forceAbortClient
-        )
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        else:
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
 
     def loseConnection(self) -> None:
         """Close once all answers are sent and the caller has closed."""
--- a/cicadahoist/outside/sockets.py
+++ b/cicadahoist/outside/sockets.py
@@ -1,6 +1,9 @@
 """State of the sockets below twisted's transports."""
 
+import fcntl
 import socket
+import termios
+from array import array
 from typing import Any
 
 from cicadahoist.log import get_logger
@@ -26,3 +29,14 @@
         logger.debug('connection is broken: {0}', error)
         return False
     return bool(piece)
+
+
+def count_unsent_bytes(transport: Any) -> int:
+    """
+    Return the bytes of a connection that the peer has not acknowledged.
+
+    :param transport: a twisted TCP transport that is not lost yet
+    """
+    queued_bytes = array('i', [0])
+    fcntl.ioctl(transport.getHandle(), termios.TIOCOUTQ, queued_bytes)
+    return queued_bytes[0] + len(transport.dataBuffer) - transport.offset
--- a/tests/memory_net.py
+++ b/tests/memory_net.py
@@ -27,6 +27,9 @@
 class HalfClosingTransport(iosim.FakeTransport):
     """In-memory transport whose half-close ends the connection."""
 
+    dataBuffer = b''
+    offset = 0
+
     def getHandle(self):
         return SILENT_SOCKETS[0]
 
--- a/tests/test_entry/test_closed_connections.py
+++ b/tests/test_entry/test_closed_connections.py
@@ -289,10 +289,11 @@
 
 
 # Guards against a connection that a caller keeps open by reading nothing.
-def test_an_answer_that_is_never_read_is_given_up(sockets):
+@pytest.mark.parametrize('request_count', [1, 3])
+def test_an_answer_that_is_never_read_is_given_up(sockets, request_count):
     sockets.set_service(FixedService(b'b' * ANSWER_BYTES))
     caller = sockets.connect_narrow()
-    caller.write(make_call())
+    caller.write(make_call() * request_count)
     sockets.advance(50)
     for _ in range(4):
         sockets.skip(IDLE_MS)
