Let a stopping entry end when its last answer has left

At a stop of cicadahoist-entry, requests on kept connections got neither an answer nor a refusal: those unread in the socket, those read in part, and those read behind another one. An answer that was still being sent was cut, and so could be the refusal of the last request. EntryServer.stop waited for the requests that were registered as open, not for the connections that carry them.

The site keeps its connections. From the stop on, answers announce the close. After the grace each connection is closed behind what has arrived on it: idle ones at once, a request read in part is refused, one that is unread or read is answered first. The stop ends when the last connection is gone; 2 s after the drain limit those left are aborted. What lingers has its own module.

--- a/cicadahoist/entry/connection.py
+++ b/cicadahoist/entry/connection.py
@@ -1,16 +1,13 @@
-"""Limits on the size and duration of a caller's requests."""
+"""Connections of callers: limits on requests, and graceful closes."""
 
 from typing import Any
 
-from twisted.internet.error import ConnectionDone
-from twisted.internet.interfaces import IHalfCloseableProtocol
-from twisted.python.failure import Failure
-from twisted.web.http import HTTPChannel
+from twisted.internet.defer import Deferred
 from twisted.web.server import Request, Site
-from zope.interface import implementer
 
 from cicadahoist.clock import Clock, Timer
 from cicadahoist.config import Config
+from cicadahoist.entry.lingering import LingeringChannel
 from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.metrics import Metrics
 from cicadahoist.outside.sockets import count_unsent_bytes, has_unread_input
@@ -18,8 +15,6 @@
 from cicadahoist.settings import BODY_LIMIT, HEADER_TIMEOUT
 
 IDLE_TIMEOUT_S = 60
-# Time in which a caller may read the end of an answer and close.
-LINGER_MS = 2000
 
 
 class BoundedRequest(Request):
@@ -46,23 +41,12 @@
             super().handleContentChunk(data)
 
 
-@implementer(IHalfCloseableProtocol)
-class BoundedChannel(HTTPChannel):
-    """
-    A connection with a time limit for receiving each request.
-
-    After its last answer only the direction to the caller is closed, and input
-    is dropped until the caller has closed too: the reset that a close with
-    unread input sends may destroy an answer that the caller has not read yet.
-    """
-
-    transport: Any
+class BoundedChannel(LingeringChannel):
+    """A connection with a time limit for receiving each request."""
 
     def __init__(self) -> None:
         super().__init__()
         self.request_timer: Timer | None = None
-        self._linger: Timer | None = None
-        self._is_closing = False
         # Bytes of the last answer that were unsent at the last idle timeout.
         self._unsent_bytes = 0
 
@@ -70,41 +54,59 @@
     def is_reading(self) -> bool:
         """Whether a part of a request has been read, and no more than that."""
         is_begun = bool(self.requests or self._buffer)
-        return is_begun and not (self._handlingRequest or self._is_closing)
+        return is_begun and not (self._handlingRequest or self.is_closing)
 
     def dataReceived(self, data: bytes) -> None:
         """Process received bytes, and limit the time to receive the rest."""
-        if self._is_closing:
-            return
         super().dataReceived(data)
-        if self.is_reading and self.request_timer is None:
+        if self.factory.is_closing:
+            self.close_unused()
+        elif self.is_reading and self.request_timer is None:
             self.request_timer = self.factory.clock.call_later(
                 self.factory.header_timeout_ms,
                 self.refuse,
                 Refusal.header_too_slow,
             )
 
-    def lineReceived(self, line: bytes) -> None:
-        """Process a line, unless the last answer was written."""
-        if not self._is_closing:
-            super().lineReceived(line)
-
     def lineLengthExceeded(self, line: bytes) -> None:
         """Refuse a request with a line that is too long."""
         self.refuse(Refusal.bad_request)
 
-    def rawDataReceived(self, data: bytes) -> None:
-        """Process a part of a body, unless the last answer was written."""
-        if not self._is_closing:
-            super().rawDataReceived(data)
-
     def allContentReceived(self) -> None:
-        """Stop the time limit, and handle the request unless it is refused."""
-        if self._is_closing:
-            return
+        """Stop the time limit, as the request is complete."""
         self._stop_timer()
         super().allContentReceived()
 
+    def writeHeaders(
+        self, version: bytes, code: bytes, reason: bytes, headers: Any
+    ) -> None:
+        """Announce in the last answer before a stop that it is the last one."""
+        has_read_ahead = bool(self._buffer) or any(self._dataBuffer)
+        if self.factory.is_leaving and not has_read_ahead:
+            self.persistent = False
+            headers.setRawHeaders(b'Connection', [b'close'])
+        super().writeHeaders(version, code, reason, headers)
+
+    def requestDone(self, request: Any) -> None:
+        """Continue with the next request, or close at a stop."""
+        super().requestDone(request)
+        if self.factory.is_closing:
+            self.close_unused()
+
+    def close_unused(self) -> None:
+        """Close, unless a request is handled; refuse one read in part."""
+        if self._handlingRequest or self.is_closing:
+            return
+        if self.is_reading:
+            self.refuse(Refusal.leaving)
+        elif has_unread_input(self.transport):
+            return
+        elif count_unsent_bytes(self.transport):
+            self.loseConnection()
+        else:
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+
     def timeoutConnection(self) -> None:
         """
         Close an idle connection, unless bytes of a request have arrived.
@@ -127,38 +129,18 @@
 
     def loseConnection(self) -> None:
         """Close once all answers are sent and the caller has closed."""
-        if self._is_closing:
-            return
-        self._is_closing = True
         self._stop_timer()
-        self.setTimeout(None)
-        self.transport.unregisterProducer()
-        self.transport.resumeProducing()
-        self.transport.loseWriteConnection()
-
-    def writeConnectionLost(self) -> None:
-        """Limit the time that the caller has to close."""
-        self._linger = self.factory.clock.call_later(
-            LINGER_MS, self.transport.loseConnection
-        )
-
-    def readConnectionLost(self) -> None:
-        """Close, after all answers are sent if the last one was written."""
-        if self._is_closing:
-            self.transport.loseConnection()
-        else:
-            self.transport.connectionLost(Failure(ConnectionDone()))
+        super().loseConnection()
 
     def connectionLost(self, reason: Any = None) -> None:
-        """Stop the time limits."""
+        """Stop the time limit."""
         self._stop_timer()
-        if self._linger is not None and self._linger.active():
-            self._linger.cancel()
         super().connectionLost(reason)
+        self.factory.remove(self)
 
     def refuse(self, reason: Refusal) -> None:
         """Send a refusal and close the connection."""
-        if self._is_closing:
+        if self.is_closing:
             return
         self.factory.metrics.count_refusal(reason)
         refused = RequestRefusedError(reason, 'the request was not read')
@@ -179,7 +161,10 @@
 
 class BoundedSite(Site):
     """
-    Serves a resource with limits on requests.
+    Serves a resource with limits on requests, and closes gracefully.
+
+    While ``is_leaving`` is set, each answer announces the close of its
+    connection. While ``is_closing`` is set, no connection is kept.
 
     :param resource: the twisted resource
     :param clock: clock of the process
@@ -209,6 +194,10 @@
         self.metrics = metrics
         self.body_limit = body_limit
         self.header_timeout_ms = header_timeout_ms
+        self.is_leaving = False
+        self.is_closing = False
+        self._channels: set[BoundedChannel] = set()
+        self._close_waiters: list[Deferred[None]] = []
 
     @classmethod
     def from_config(
@@ -222,3 +211,37 @@
             config.read(BODY_LIMIT),
             config.read(HEADER_TIMEOUT),
         )
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Return the protocol of a new connection."""
+        channel = super().buildProtocol(addr)
+        self._channels.add(channel)
+        return channel
+
+    def remove(self, channel: BoundedChannel) -> None:
+        """Remove a connection that is lost."""
+        self._channels.discard(channel)
+        if not self._channels:
+            close_waiters = self._close_waiters
+            self._close_waiters = []
+            for closed in close_waiters:
+                closed.callback(None)
+
+    def close_unused(self) -> None:
+        """Close all connections, each after the requests that it has sent."""
+        self.is_leaving = True
+        self.is_closing = True
+        for channel in list(self._channels):
+            channel.close_unused()
+
+    def abort_all(self) -> None:
+        """Close all connections at once."""
+        for channel in list(self._channels):
+            channel.transport.abortConnection()
+
+    async def wait_until_closed(self) -> None:
+        """Wait until no connection is left."""
+        if self._channels:
+            closed: Deferred[None] = Deferred()
+            self._close_waiters.append(closed)
+            await closed
--- a/cicadahoist/entry/server.py
+++ b/cicadahoist/entry/server.py
@@ -4,11 +4,12 @@
 
 from twisted.internet.defer import maybeDeferred
 
-from cicadahoist.clock import Clock
+from cicadahoist.clock import Clock, Timer
 from cicadahoist.config import Config
 from cicadahoist.entry.auth import is_key_valid
 from cicadahoist.entry.connection import BoundedSite
 from cicadahoist.entry.context import EntryContext
+from cicadahoist.entry.lingering import LINGER_MS
 from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.entry.resource import EntryResource
 from cicadahoist.log import get_logger
@@ -34,8 +35,10 @@
         '_config',
         '_context',
         '_is_leaving',
+        '_limit',
         '_port',
         '_reactor',
+        '_site',
         '_table_sync',
     )
 
@@ -51,7 +54,9 @@
         self._table_sync = table_sync
         self._reactor = reactor
         self._is_leaving = False
+        self._limit: Timer | None = None
         self._port: Any = None
+        self._site: Any = None
         context.set_table_source(table_sync)
         table_sync.add_change_listener(self._apply_table)
 
@@ -62,35 +67,39 @@
     async def start(self) -> None:
         """Open the listening port."""
         resource = EntryResource(self._context, self.is_ready)
-        site = BoundedSite.from_config(
+        self._site = BoundedSite.from_config(
             self._config,
             resource.http_resource(),
             self._clock,
             self._context.metrics,
         )
         self._port = self._reactor.listenTCP(
-            self._config.read(ENTRY_PORT), site
+            self._config.read(ENTRY_PORT), self._site
         )
         logger.bind(port=self._port.getHost().port).info('listening')
 
     async def stop(self) -> None:
         """
-        Drain the open requests and close the port.
+        Drain the open requests and close all connections.
 
         The port stays open for the drain grace, so that the balancer notices
         that the entry is not ready. Open requests may then finish until the
-        drain limit, at which they are aborted.
+        drain limit, at which they are aborted. The entry has stopped when the
+        last answer has left.
         """
         self._is_leaving = True
+        self._site.is_leaving = True
         await self._clock.sleep(self._config.read(DRAIN_GRACE))
         await maybeDeferred(self._port.stopListening)
         self._context.is_leaving = True
-        limit = self._clock.call_later(
+        self._limit = self._clock.call_later(
             self._config.read(DRAIN_LIMIT), self._abort_all
         )
+        self._site.close_unused()
         await self._context.open_requests.wait_until_none()
-        if limit.active():
-            limit.cancel()
+        await self._site.wait_until_closed()
+        if self._limit.active():
+            self._limit.cancel()
 
     @property
     def _clock(self) -> Clock:
@@ -104,6 +113,7 @@
             lambda _: True,
             RequestRefusedError(Refusal.timed_out, 'the instance leaves'),
         )
+        self._limit = self._clock.call_later(LINGER_MS, self._site.abort_all)
 
     def _apply_table(self, old: Table, new: Table) -> None:
         self._context.dispatcher.apply_table(new)
--- a/tests/test_entry/test_closed_connections.py
+++ b/tests/test_entry/test_closed_connections.py
@@ -16,7 +16,8 @@
 from twisted.web.server import NOT_DONE_YET
 
 from cicadahoist.config import Config
-from cicadahoist.entry.connection import IDLE_TIMEOUT_S, LINGER_MS
+from cicadahoist.entry.connection import IDLE_TIMEOUT_S
+from cicadahoist.entry.lingering import LINGER_MS
 from cicadahoist.entry.server import EntryServer
 from tests.test_entry.test_server import FixedTable
 from tests.test_entry.world import KEY, World, encode_chat_body
@@ -362,13 +363,17 @@
 
 
 # Guards against an entry that leaves while a request waits in the socket.
-def test_a_leaving_entry_answers_a_request_in_the_socket(sockets):
+@pytest.mark.parametrize('body', [b'', b'b'])
+@pytest.mark.parametrize('count', [1, 2])
+def test_a_leaving_entry_answers_requests_in_the_socket(sockets, count, body):
     caller = sockets.connect()
     serve_one(sockets, caller)
     sockets.stop()
-    caller.write(make_call())
+    caller.write(make_call(body=body) * count)
     sockets.skip(STEP_MS)
-    assert receive_after(sockets, caller, 50).startswith(b'HTTP/1.1 503 ')
+    answers = receive_after(sockets, caller, 50)
+    assert answers.count(b'HTTP/1.1 503 ') == count
+    assert answers.count(b'\r\nConnection: close\r\n') == 1
 
 
 # Guards against a request read in part that a leaving entry drops in silence.
@@ -413,11 +418,12 @@
 
 
 # Guards against callers that keep a connection until it is closed under them.
-def test_a_leaving_entry_announces_that_it_closes(sockets):
+@pytest.mark.parametrize('body', [b'', b'b'])
+def test_a_leaving_entry_announces_that_it_closes(sockets, body):
     caller = sockets.connect()
     serve_one(sockets, caller)
     sockets.stop(remaining_ms=100)
-    caller.write(make_call())
+    caller.write(make_call(body=body))
     answer = receive_after(sockets, caller, 50)
     assert answer.startswith(b'HTTP/1.1 200 ')
     assert b'\r\nConnection: close\r\n' in answer
@@ -444,5 +450,5 @@
     sockets.advance(50)
     stopped = sockets.stop()
     sockets.advance(LIMIT_MS)
-    sockets.advance(LINGER_MS + STEP_MS)
+    sockets.advance(LINGER_MS + 5 * STEP_MS)
     assert stopped.called
--- a/tests/test_entry/test_server.py
+++ b/tests/test_entry/test_server.py
@@ -62,6 +62,9 @@
             config, self.context, self.tables, self.world.net.reactor
         )
         self.world.net.result(self.server.start())
+        # Callers reach the site that the server opened.
+        _, site, *_ = self.world.net.reactor.tcpServers[-1]
+        self.world.entries[0].host.site = site
 
     def stop(self):
         done = []
