--- a/cicadahoist/entry/connection.py
+++ b/cicadahoist/entry/connection.py
@@ -1,14 +1,16 @@
-"""Limits on the size and duration of a caller's requests."""
+"""Connections of callers: limits on requests, and graceful closes."""
 
 from typing import Any
 
-from twisted.web.http import HTTPChannel
+from twisted.internet.defer import Deferred
 from twisted.web.server import Request, Site
 
 from cicadahoist.clock import Clock, Timer
 from cicadahoist.config import Config
+from cicadahoist.entry.lingering import LingeringChannel
 from cicadahoist.entry.refusal import RequestRefusedError
 from cicadahoist.metrics import Metrics
+from cicadahoist.outside.sockets import count_unsent_bytes, has_unread_input
 from cicadahoist.reasons import Refusal
 from cicadahoist.settings import BODY_LIMIT, HEADER_TIMEOUT
 
@@ -39,47 +41,107 @@
             super().handleContentChunk(data)
 
 
-class BoundedChannel(HTTPChannel):
+class BoundedChannel(LingeringChannel):
     """A connection with a time limit for receiving each request."""
 
-    transport: Any
-
     def __init__(self) -> None:
         super().__init__()
         self.request_timer: Timer | None = None
-        self.is_refused = False
+        # Bytes of the last answer that were unsent at the last idle timeout.
+        self._unsent_bytes = 0
 
-    def dataReceived(self, data: bytes) -> None:
-        """Process received bytes, unless the connection was refused."""
-        if not self.is_refused:
-            super().dataReceived(data)
+    @property
+    def is_reading(self) -> bool:
+        """Whether a part of a request has been read, and no more than that."""
+        is_begun = bool(self.requests or self._buffer)
+        return is_begun and not (self._handlingRequest or self.is_closing)
 
-    def lineReceived(self, line: bytes) -> None:
-        """Start the time limit at the first line of a request."""
-        if self.request_timer is None:
+    def dataReceived(self, data: bytes) -> None:
+        """Process received bytes, and limit the time to receive the rest."""
+        super().dataReceived(data)
+        if self.factory.is_closing:
+            self.close_unused()
+        elif self.is_reading and self.request_timer is None:
             self.request_timer = self.factory.clock.call_later(
                 self.factory.header_timeout_ms,
                 self.refuse,
                 Refusal.header_too_slow,
             )
-        super().lineReceived(line)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Refuse a request with a line that is too long."""
+        self.refuse(Refusal.bad_request)
 
     def allContentReceived(self) -> None:
         """Stop the time limit, as the request is complete."""
         self._stop_timer()
         super().allContentReceived()
 
+    def writeHeaders(
+        self, version: bytes, code: bytes, reason: bytes, headers: Any
+    ) -> None:
+        """Announce in the last answer before a stop that it is the last one."""
+        has_read_ahead = bool(self._buffer) or any(self._dataBuffer)
+        if self.factory.is_leaving and not has_read_ahead:
+            self.persistent = False
+            headers.setRawHeaders(b'Connection', [b'close'])
+        super().writeHeaders(version, code, reason, headers)
+
+    def requestDone(self, request: Any) -> None:
+        """Continue with the next request, or close at a stop."""
+        super().requestDone(request)
+        if self.factory.is_closing:
+            self.close_unused()
+
+    def close_unused(self) -> None:
+        """Close, unless a request is handled; refuse one read in part."""
+        if self._handlingRequest or self.is_closing:
+            return
+        if self.is_reading:
+            self.refuse(Refusal.leaving)
+        elif has_unread_input(self.transport):
+            return
+        elif count_unsent_bytes(self.transport):
+            self.loseConnection()
+        else:
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+
+    def timeoutConnection(self) -> None:
+        """
+        Close an idle connection, unless bytes of a request have arrived.
+
+        A connection is not idle while its caller reads the last answer.
+        """
+        previous_bytes = self._unsent_bytes
+        self._unsent_bytes = count_unsent_bytes(self.transport)
+        if self._unsent_bytes and self._unsent_bytes == previous_bytes:
+            self.transport.abortConnection()
+        elif (
+            self._unsent_bytes
+            or self.is_reading
+            or has_unread_input(self.transport)
+        ):
+            self.setTimeout(self.timeOut)
+        else:
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+
+    def loseConnection(self) -> None:
+        """Close once all answers are sent and the caller has closed."""
+        self._stop_timer()
+        super().loseConnection()
+
     def connectionLost(self, reason: Any = None) -> None:
         """Stop the time limit."""
         self._stop_timer()
         super().connectionLost(reason)
+        self.factory.remove(self)
 
     def refuse(self, reason: Refusal) -> None:
         """Send a refusal and close the connection."""
-        if self.is_refused:
+        if self.is_closing:
             return
-        self.is_refused = True
-        self._stop_timer()
         self.factory.metrics.count_refusal(reason)
         refused = RequestRefusedError(reason, 'the request was not read')
         body = refused.encode_body('')
@@ -99,14 +161,17 @@
 
 class BoundedSite(Site):
     """
-    Serves a resource with limits on requests.
+    Serves a resource with limits on requests, and closes gracefully.
+
+    While ``is_leaving`` is set, each answer announces the close of its
+    connection. While ``is_closing`` is set, no connection is kept.
 
     :param resource: the twisted resource
     :param clock: clock of the process
     :param metrics: counts refusals
     :param body_limit: maximum length of a body in bytes
-    :param header_timeout_ms: maximum time from the first line of a request
-        to its last byte
+    :param header_timeout_ms: maximum time from the first byte of a request
+        to its last one
     """
 
     protocol: Any = BoundedChannel
@@ -129,6 +194,10 @@
         self.metrics = metrics
         self.body_limit = body_limit
         self.header_timeout_ms = header_timeout_ms
+        self.is_leaving = False
+        self.is_closing = False
+        self._channels: set[BoundedChannel] = set()
+        self._close_waiters: list[Deferred[None]] = []
 
     @classmethod
     def from_config(
@@ -142,3 +211,37 @@
             config.read(BODY_LIMIT),
             config.read(HEADER_TIMEOUT),
         )
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Return the protocol of a new connection."""
+        channel = super().buildProtocol(addr)
+        self._channels.add(channel)
+        return channel
+
+    def remove(self, channel: BoundedChannel) -> None:
+        """Remove a connection that is lost."""
+        self._channels.discard(channel)
+        if not self._channels:
+            close_waiters = self._close_waiters
+            self._close_waiters = []
+            for closed in close_waiters:
+                closed.callback(None)
+
+    def close_unused(self) -> None:
+        """Close all connections, each after the requests that it has sent."""
+        self.is_leaving = True
+        self.is_closing = True
+        for channel in list(self._channels):
+            channel.close_unused()
+
+    def abort_all(self) -> None:
+        """Close all connections at once."""
+        for channel in list(self._channels):
+            channel.transport.abortConnection()
+
+    async def wait_until_closed(self) -> None:
+        """Wait until no connection is left."""
+        if self._channels:
+            closed: Deferred[None] = Deferred()
+            self._close_waiters.append(closed)
+            await closed
