Answer requests that are open when the grace of an instance ends

Callers of a leaving instance whose requests were still open at the end of its grace saw their connections closed without an answer, also where no target had been sent the request; a stream to a caller of HTTP/1.0, which ends with its connection, looked complete. A request that was read in the last 50 ms was sent to a target and cut off.

At the end of the grace, open requests are now refused (503) where no target can have run them, failed (502) where one may have, and begun answers are reset. What is read afterwards is refused. Requests still unread are counted after the last turns of the event loop, not before.

The four tests of test_end_of_grace failed before.

--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -141,6 +141,11 @@
         self._reply.end('caller-left')
         self._open_attempts.stop_all()
 
+    def give_up(self) -> None:
+        """Refuse the request, or fail it if it may have run."""
+        self._refuse(Refusal.leaving, MIN_RETRY_AFTER_MS)
+        self._open_attempts.stop_all()
+
     def pause(self) -> None:
         """Stop reading from the target until `resume` is called."""
         self._open_attempts.pause()
@@ -237,15 +242,25 @@
             self._context.fleet.exclude(name)
         return end
 
-    def _refuse(self, reason: Refusal, retry_after_ms: int) -> None:
+    def _refuse(
+        self,
+        reason: Refusal,
+        retry_after_ms: int,
+        failure: Refusal | None = None,
+    ) -> None:
         """
         Refuse the request as not run; fail it if a target may have run it.
 
         :param reason: reason for the log and the metrics
         :param retry_after_ms: time after which a retry can succeed
+        :param failure: reason of the failure, if it is another one
         """
-        if self._may_have_run:
-            self._reply.fail(HTTP_BAD_GATEWAY, reason)
+        if self._open_attempts.has_sent_run or self._allowance.may_have_run:
+            is_late = failure is Refusal.timed_out
+            self._reply.fail(
+                HTTP_GATEWAY_TIMEOUT if is_late else HTTP_BAD_GATEWAY,
+                failure or reason,
+            )
         else:
             self._reply.refuse(reason, retry_after_ms)
 
@@ -259,16 +274,10 @@
             self._has_counted_run = True
             self._context.usage.count_start(self._workspace, true_ms)
 
-    @property
-    def _may_have_run(self) -> bool:
-        """Whether a target may have begun to run the request."""
-        return self._open_attempts.has_sent_run or self._allowance.may_have_run
-
     def _expire(self) -> None:
-        if self._may_have_run:
-            self._reply.fail(HTTP_GATEWAY_TIMEOUT, Refusal.timed_out)
-        else:
-            self._refuse(Refusal.deadline_unreachable, MIN_RETRY_AFTER_MS)
+        self._refuse(
+            Refusal.deadline_unreachable, MIN_RETRY_AFTER_MS, Refusal.timed_out
+        )
         self._open_attempts.stop_all()
 
     def _fail_on_defect(self, failure: Any) -> None:
--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -35,6 +35,9 @@
     def caller_left(self) -> None:
         """Do nothing: the request is over."""
 
+    def give_up(self) -> None:
+        """Do nothing: the request is over."""
+
     def pause(self) -> None:
         """Do nothing: the answer was sent."""
 
@@ -55,7 +58,13 @@
     :param free_cache: frees a KV cache that no attempt will use
     """
 
-    __slots__ = ('_context', '_free_cache', '_may_use_keys', 'is_leaving')
+    __slots__ = (
+        '_context',
+        '_free_cache',
+        '_may_use_keys',
+        'is_ending',
+        'is_leaving',
+    )
 
     def __init__(
         self,
@@ -67,6 +76,8 @@
         self._may_use_keys = may_use_keys
         self._free_cache = free_cache
         self.is_leaving = False
+        # Whether the process ends before any request can be served.
+        self.is_ending = False
 
     def get_limits(self, since_ms: int) -> CallerLimits:
         """Return the limits for what a caller began at a time."""
@@ -94,6 +105,14 @@
         self._context.meters.record_read_wait(
             request.read_ms - request.arrived_ms
         )
+        if self.is_ending:
+            self._refuse(
+                exchange,
+                request,
+                Refusal.leaving,
+                OTHER_INSTANCE_RETRY_AFTER_MS,
+            )
+            return ANSWERED_REQUEST
         deployment = self._context.deployment
         if deployment is None:
             self._refuse(
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -47,6 +47,9 @@
     def caller_left(self) -> None:
         """Stop work whose answer no caller awaits."""
 
+    def give_up(self) -> None:
+        """Refuse or fail the request, as the process ends."""
+
     def pause(self) -> None:
         """Stop reading from the target until `resume` is called."""
 
@@ -196,7 +199,7 @@
         )
         self._reader: RequestReader | None = None
         self._exchange: Exchange | None = None
-        self._active_request: ActiveRequest | None = None
+        self.active_request: ActiveRequest | None = None
         self._is_closed = False
         self._linger: Timer | None = None
         self._read_ahead_bytes = 0
@@ -249,8 +252,8 @@
             linger.cancel()
         if self._exchange is not None:
             self._exchange.is_over = True
-        active_request = self._active_request
-        self._active_request = None
+        active_request = self.active_request
+        self.active_request = None
         self._exchange = None
         if active_request is not None:
             active_request.caller_left()
@@ -274,8 +277,8 @@
     def finish_exchange(self) -> None:
         """Continue with the next request, or close."""
         self._exchange = None
-        if self._active_request is not None:
-            self._active_request = None
+        if self.active_request is not None:
+            self.active_request = None
             self.transport.unregisterProducer()
         self._read_ahead_bytes = 0
         self._wait_started_ms = self._clock.now_ms()
@@ -379,7 +382,7 @@
         self.is_reading = False
         active_request = self._handler.handle(raw, exchange)
         if self._exchange is exchange:
-            self._active_request = active_request
+            self.active_request = active_request
             self.transport.registerProducer(
                 BackpressureProducer(active_request), True
             )
@@ -440,23 +443,22 @@
             if not connection.is_busy:
                 connection.close_unused()
 
-    def end_incomplete(self) -> int:
-        """
-        Refuse requests that are read in part, and report those not read.
-
-        :return: number of refusals, which have yet to leave
-        """
-        refusal_count = 0
+    def end_requests(self) -> None:
+        """Refuse or fail all requests that are read, as the process ends."""
         for connection in list(self._connections):
-            if connection.is_reading:
+            if connection.active_request is not None:
+                connection.active_request.give_up()
+            elif connection.is_reading:
                 connection.refuse_incomplete(HTTP_UNAVAILABLE)
-                refusal_count += 1
-            elif not connection.is_busy and has_unread_input(
+
+    def report_unread(self) -> None:
+        """Log and count requests that the end of the process leaves unread."""
+        for connection in self._connections:
+            if not connection.is_busy and has_unread_input(
                 connection.transport
             ):
                 self._handler.meters.count_closed_under_request()
                 logger.info('caller connection closed under a request')
-        return refusal_count
 
     def stop_sweeping(self) -> None:
         """Stop checking header and idle timeouts."""
--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -91,8 +91,12 @@
                 break
             await self._clock.sleep(DRAIN_POLL_MS)
         logger.bind(open=self._connections.count_open()).info('left')
-        if self._connections.end_incomplete():
+        if self._connections.count_open():
+            # What is read from now on is refused.
+            self._front.is_ending = True
+            self._connections.end_requests()
             await self._clock.sleep(DRAIN_POLL_MS)
+        self._connections.report_unread()
         self._connections.stop_sweeping()
 
 
--- a/tests/test_serving/test_cut_answers.py
+++ b/tests/test_serving/test_cut_answers.py
@@ -115,6 +115,6 @@
 ):
     transport = connect(world.caller_connections.buildProtocol(None))
     transport.receive_unread(b'POST /check/x HT')
-    world.caller_connections.end_incomplete()
+    world.caller_connections.report_unread()
     assert world.count(CLOSED_UNDER_REQUEST) == 1
     assert any(line['message'].endswith('a request') for line in log_lines)
--- /dev/null
+++ b/tests/test_serving/test_end_of_grace.py
@@ -0,0 +1,116 @@
+"""
+Tests of requests that are open when the grace of a leaving instance ends.
+
+They guard against requests that were read and get neither an answer nor a
+refusal, because the process ends under them.
+"""
+
+import pytest
+from twisted.internet.defer import Deferred, succeed
+
+from cicadahoist.serving.server import EXIT_MARGIN_MS, FrontServer
+from tests.test_serving.world import (
+    SHORT_PROMPT_HEADERS,
+    Caller,
+    World,
+    connect,
+    target,
+)
+
+GRACE_MS = 8000
+END_MS = GRACE_MS - EXIT_MARGIN_MS
+STEP_MS = 10
+HEADERS = (b'Authorization: Token k1', *SHORT_PROMPT_HEADERS)
+
+
+class ListeningReactor:
+    """Keeps the factory of the listening port; there is no port."""
+
+    def __init__(self) -> None:
+        self.factory = None
+
+    def listenTCP(self, port, factory, backlog, host):
+        self.factory = factory
+        return self
+
+    def stopListening(self):
+        return succeed(None)
+
+
+class ServedCaller(Caller):
+    """A caller of a server, with one connection."""
+
+    def __init__(self, factory) -> None:
+        self.connection = factory.buildProtocol(None)
+        self.transport = connect(self.connection)
+
+
+class LeavingServer:
+    """A server that is told to stop while a request is on its way."""
+
+    def __init__(self) -> None:
+        self.world = World()
+        self.world.add(target('d1', 'llm', 'decode'))
+        reactor = ListeningReactor()
+        self.server = FrontServer(
+            self.world.front,
+            '',
+            0,
+            GRACE_MS,
+            self.world.clock,
+            self.world.loop_times,
+            reactor,
+        )
+        Deferred.fromCoroutine(self.server.start())
+        self.caller = ServedCaller(reactor.factory)
+        self.stopped = Deferred.fromCoroutine(self.server.stop())
+
+    def send(self, path):
+        self.caller.send(path, HEADERS)
+
+    def advance(self, wait_ms):
+        for _ in range(wait_ms // STEP_MS):
+            self.world.clock.advance(STEP_MS)
+
+
+@pytest.fixture
+def leaving():
+    return LeavingServer()
+
+
+# Guards against a request that a target is at work on when the process ends.
+def test_a_request_without_an_answer_is_failed_at_the_end(leaving):
+    leaving.send(b'/ask/x')
+    leaving.advance(GRACE_MS)
+    assert leaving.stopped.called
+    assert leaving.caller.status == 502
+    assert leaving.world.sent[0].is_closed
+
+
+# Guards against a request that waits for a connection when the process ends.
+def test_a_request_that_was_not_sent_is_refused_at_the_end(leaving):
+    leaving.world.connections.pending_opens_by_target['d1'] = []
+    leaving.send(b'/ask/x')
+    leaving.advance(GRACE_MS)
+    assert leaving.caller.status == 503
+
+
+# Guards against a request that is read between the last answers and the end of
+# the process, and that a target begins to run.
+def test_a_request_that_is_read_at_the_end_is_refused(leaving):
+    leaving.caller.transport.receive_unread(b'POST')
+    leaving.advance(END_MS + STEP_MS)
+    leaving.send(b'/ask/x')
+    assert leaving.caller.status == 503
+    assert not leaving.world.sent
+
+
+# Guards against a stream that looks complete to callers of HTTP/1.0, whose
+# answers end with their connection.
+def test_a_stream_is_reset_at_the_end(leaving):
+    leaving.send(b'/ask/x')
+    leaving.world.sent[0].begin_stream()
+    leaving.world.sent[0].send_events(1)
+    leaving.advance(END_MS + STEP_MS)
+    assert leaving.caller.transport.is_aborted
+    assert leaving.world.sent[0].is_closed
