Look at the socket of an idle connection before a request is sent on it

Callers saw 502 for a request that may run only once although no target had read it. Cause: a connection to a target was taken from the pool by a timer's reckoning alone. A close by the target that waits in the socket, as after a long turn of the event loop or while a target leaves, was read only after the request was written, which is then lost and may not be sent again. Bytes of no request that wait in the socket came before the answer.

A connection whose socket has anything to read is closed instead of reused.

--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -14,6 +14,7 @@
 from cicadahoist.errors import NotSentError
 from cicadahoist.listings import Listing
 from cicadahoist.requests import HeaderList
+from cicadahoist.serving.peer_close import SocketInput, peek_input
 
 # Targets are a few ms away and accept a connection within one more. An
 # unreachable one is abandoned while there is time to use another.
@@ -320,7 +321,9 @@
             max_idle_ms = connection.idle_timeout_ms - IDLE_MARGIN_MS
             if not connection.is_open:
                 continue
-            if now_ms - connection.idle_since_ms <= max_idle_ms:
+            # The target may have closed it, or sent bytes of no request.
+            is_quiet = peek_input(connection.transport) is SocketInput.nothing
+            if is_quiet and now_ms - connection.idle_since_ms <= max_idle_ms:
                 return connection
             connection.close()
         return None
--- a/tests/test_serving/test_outbound.py
+++ b/tests/test_serving/test_outbound.py
@@ -1,9 +1,9 @@
 """
 Tests of pooled connections to targets.
 
-They guard against reuse of a connection to a target that has moved, against
-connections that stay open after their target was removed, and against targets
-that are taken for crashed.
+They guard against reuse of a connection to a target that has moved or has
+closed it, against connections that stay open after their target was removed,
+and against targets that are taken for crashed.
 """
 
 import pytest
@@ -53,6 +53,21 @@
     return connection, pool
 
 
+# Guards against a request that is sent on a connection which its target has
+# closed: it cannot be sent again if it may run only once.
+@pytest.mark.parametrize('is_closed', [True, False])
+def test_what_a_target_did_with_an_idle_connection_comes_first(is_closed):
+    connections = TargetConnections(Reactor(), Clock.manual())
+    first, pool = open_connection(connections, target('t1'))
+    pool.release(first)
+    if is_closed:
+        first.transport.close_by_peer()
+    else:
+        first.transport.receive_unread(b'late answer')
+    assert open_connection(connections, target('t1'))[0] is not first
+    assert not first.is_open
+
+
 def test_a_target_at_a_new_address_gets_new_connections():
     clock = Clock.manual()
     connections = TargetConnections(Reactor(), clock)
