--- a/cicadahoist/serving/target_pool.py
+++ b/cicadahoist/serving/target_pool.py
@@ -5,6 +5,7 @@
 
 from cicadahoist.listings import Listing
 from cicadahoist.serving.outbound import IDLE_MARGIN_MS, TargetConnection
+from cicadahoist.serving.peer_close import SocketInput, peek_input
 
 MAX_IDLE_CONNECTIONS = 64
 _DIRECT = ('',)
@@ -53,7 +54,9 @@
             max_idle_ms = connection.idle_timeout_ms - IDLE_MARGIN_MS
             if not connection.is_open:
                 continue
-            if now_ms - connection.idle_since_ms <= max_idle_ms:
+            # The target may have closed it, or sent bytes of no request.
+            is_quiet = peek_input(connection.transport) is SocketInput.nothing
+            if is_quiet and now_ms - connection.idle_since_ms <= max_idle_ms:
                 return connection
             connection.close()
         return None
