--- a/tests/test_serving/turned_reactor.py
+++ b/tests/test_serving/turned_reactor.py
@@ -111,18 +111,24 @@
     def receive(self):
         """Return what the instance sends until its turns change nothing."""
         self._reactor.turn_until_idle()
-        if self.transport.connected:
-            wait_until(
-                lambda: not count_queued(self.transport.socket, SIOCOUTQ)
-            )
-            self.socket.setblocking(False)
-        received = b''
+        self.socket.setblocking(False)
+        received = bytearray()
+        wait_until(lambda: self._take_rest(received))
+        return bytes(received)
+
+    def _take_rest(self, received):
+        """Read what has arrived; return whether nothing is under way."""
+        is_delivered = self.transport.connected and not count_queued(
+            self.transport.socket, SIOCOUTQ
+        )
         try:
             while piece := self.socket.recv(65_536):
                 received += piece
-        except (BlockingIOError, ConnectionResetError):
-            return received
-        return received
+        except BlockingIOError:
+            return is_delivered
+        except ConnectionResetError:
+            return True
+        return True
 
     @property
     def is_unread(self):
