--- a/cicadahoist/serving/relay_client.py
+++ b/cicadahoist/serving/relay_client.py
@@ -168,18 +168,26 @@
         peers = []
         for name in self._peers.list_alive(now_ms):
             address = self._relays.get_address(name)
-            state = self._relays.get_state(name)
-            if address is not None and state.is_accepting:
+            if address is not None and self.is_usable(name):
                 peers.append(
                     RelayPeer(
                         name,
                         address.zone,
                         address.zone == self._zone,
-                        state.is_cut_off,
+                        self._relays.get_state(name).is_cut_off,
                     )
                 )
         return peers
 
+    def is_usable(self, peer: str) -> bool:
+        """
+        Return whether connections through a peer may get new requests.
+
+        A peer that is leaving resets them at the end of its grace.
+        """
+        is_known = self._relays.get_address(peer) is not None
+        return is_known and self._relays.get_state(peer).is_accepting
+
     async def connect(
         self, peer: str, listing: Listing, build: Callable[[], Opened]
     ) -> Opened:
