List relays without sorting all peers

The list is read for each request to a target without a direct path. Whether a kept connection through a peer may be used follows from the list.

--- a/cicadahoist/serving/peers.py
+++ b/cicadahoist/serving/peers.py
@@ -40,6 +40,11 @@
         if holds_duties:
             self._holder_heard_ms = now_ms
 
+    def is_alive(self, peer: str, now_ms: int) -> bool:
+        """Return whether a peer was heard lately."""
+        heard_ms = self._heard_ms_by_peer.get(peer)
+        return heard_ms is not None and now_ms - heard_ms <= PEER_TIMEOUT_MS
+
     def list_alive(self, now_ms: int) -> list[str]:
         """
         Return the peers that are alive.
@@ -50,8 +55,8 @@
         own = fast_hash(self._instance)
         names = [
             peer
-            for peer, heard_ms in self._heard_ms_by_peer.items()
-            if now_ms - heard_ms <= PEER_TIMEOUT_MS
+            for peer in self._heard_ms_by_peer
+            if self.is_alive(peer, now_ms)
         ]
         return sorted(
             names, key=lambda name: (fast_hash(name) < own, fast_hash(name))
--- a/cicadahoist/serving/relay_client.py
+++ b/cicadahoist/serving/relay_client.py
@@ -166,28 +166,15 @@
     def list_peers(self, now_ms: int) -> list[RelayPeer]:
         """Return the live peers that open connections for others."""
         peers = []
-        for name in self._peers.list_alive(now_ms):
-            address = self._relays.get_address(name)
-            if address is not None and self.is_usable(name):
+        for name, address in self._relays.list_addresses():
+            state = self._relays.get_state(name)
+            if state.is_accepting and self._peers.is_alive(name, now_ms):
+                is_near = address.zone == self._zone
                 peers.append(
-                    RelayPeer(
-                        name,
-                        address.zone,
-                        address.zone == self._zone,
-                        self._relays.get_state(name).is_cut_off,
-                    )
+                    RelayPeer(name, address.zone, is_near, state.is_cut_off)
                 )
         return peers
 
-    def is_usable(self, peer: str) -> bool:
-        """
-        Return whether connections through a peer may get new requests.
-
-        A peer that is leaving resets them at the end of its grace.
-        """
-        is_known = self._relays.get_address(peer) is not None
-        return is_known and self._relays.get_state(peer).is_accepting
-
     async def connect(
         self, peer: str, listing: Listing, build: Callable[[], Opened]
     ) -> Opened:
--- a/cicadahoist/serving/relay_peers.py
+++ b/cicadahoist/serving/relay_peers.py
@@ -1,6 +1,6 @@
 """What is known of other instances as relays to targets."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -55,6 +55,10 @@
         """Return the address of a relay, or none."""
         return self._addresses_by_peer.get(peer)
 
+    def list_addresses(self) -> Iterable[tuple[str, RelayAddress]]:
+        """Return the names and addresses of all relays."""
+        return self._addresses_by_peer.items()
+
     def get_state(self, peer: str) -> RelayState:
         """Return what a peer told last."""
         return self._states_by_peer.get(peer, RelayState())
