--- a/cicadahoist/serving/relay_client.py
+++ b/cicadahoist/serving/relay_client.py
@@ -166,17 +166,12 @@
     def list_peers(self, now_ms: int) -> list[RelayPeer]:
         """Return the live peers that open connections for others."""
         peers = []
-        for name in self._peers.list_alive(now_ms):
-            address = self._relays.get_address(name)
+        for name, address in self._relays.list_addresses():
             state = self._relays.get_state(name)
-            if address is not None and state.is_accepting:
+            if state.is_accepting and self._peers.is_alive(name, now_ms):
+                is_near = address.zone == self._zone
                 peers.append(
-                    RelayPeer(
-                        name,
-                        address.zone,
-                        address.zone == self._zone,
-                        state.is_cut_off,
-                    )
+                    RelayPeer(name, address.zone, is_near, state.is_cut_off)
                 )
         return peers
 
--- a/tests/test_serving/test_relay_client.py
+++ b/tests/test_serving/test_relay_client.py
@@ -211,3 +211,11 @@
     with relay_world() as world:
         world.relays.set_addresses({})
         assert not world.client.list_peers(0)
+
+
+def test_a_peer_that_was_never_heard_is_not_listed():
+    with relay_world() as world:
+        address = world.relays.get_address('i2')
+        world.relays.set_addresses({'i3': address})
+        world.relays.record_state('i3', RelayState(is_accepting=True))
+        assert not world.client.list_peers(0)
