--- a/tests/test_serving/network.py
+++ b/tests/test_serving/network.py
@@ -96,6 +96,7 @@
 
     def carry(self, sent):
         if self.is_cut:
+            self.network.vanished.append(self.protocol.peer)
             self.network.clock.call_later(TCP_TIMEOUT_MS, self._give_up)
         else:
             self.network.arrive(self, sent)
@@ -129,6 +130,8 @@
         self.cut_off_peers = set()
         self.links = []
         self.arrivals = []
+        # Peers over which bytes were sent that vanished, empty for none.
+        self.vanished = []
         # Time and target of each direct connection attempt.
         self.attempts = []
 
--- a/tests/test_serving/test_cut_paths.py
+++ b/tests/test_serving/test_cut_paths.py
@@ -248,21 +248,34 @@
     world.network.cut(Cut.silent)
     world.advance(1500)
     world.relays.cut_off('a')
+    world.network.vanished.clear()
     waits = world.start_load()
     world.advance(3000)
     assert all(wait.is_served for wait in waits[:50])
+    assert 'a' not in world.network.vanished
 
 
-# Guards against targets that are ejected as a peer has left.
-def test_the_loss_of_a_peer_is_no_crash_of_targets():
-    world = CutWorld(*plain_targets(), peers=(Peer('a'), Peer('b')))
+# Guards against targets that are ejected, and requests that fail, as a peer has
+# left.
+def test_the_loss_of_a_peer_is_no_failure_of_targets():
+    world = CutWorld(*plain_targets(1), peers=(Peer('a'), Peer('b')))
+    world.network.cut(Cut.silent)
+    callers = hold_requests(world, 2)
+    world.network.reset_relayed()
+    now_ms = world.clock.now_ms()
+    assert world.context.fleet.plain_targets.is_sound('t1', now_ms)
+    world.advance(500)
+    assert [caller.status for caller in callers] == [200] * 2
+
+
+# Guards against blame for the loss of a path, with no answer after it.
+@pytest.mark.parametrize('path', [b'/submit/x', b'/lookup/x'])
+def test_the_loss_of_a_path_blames_no_request(path):
+    world = CutWorld(*plain_targets(1))
     news = []
     world.context.gossip.on_blame = news.append
-    world.start_load()
+    hold_requests(world, 2, path)
+    world.network.frozen.add('t1')
     world.network.cut(Cut.silent)
-    world.advance(1500)
-    world.network.reset_relayed()
-    waits = world.start_load()
-    world.advance(3000)
-    assert all(wait.is_served for wait in waits[:50])
+    world.advance(6000)
     assert not news
