Test the path of a target that breaks off requests although it was just heard

A request that was lost with the first reset of a cut was blamed for a crash where no other request followed: its target had been heard within 300 ms, so that its path was not tested. After a loss, only signs since then count.

--- a/cicadahoist/serving/attempt_watch.py
+++ b/cicadahoist/serving/attempt_watch.py
@@ -73,7 +73,7 @@
         is_lost = end.outcome is AttemptOutcome.lost
         is_relayed = attempt.is_sent and not attempt.is_direct
         if is_lost and attempt.is_direct:
-            self._launch(self._connections.test_path(attempt.listing))
+            self._launch(self._connections.test_path(attempt.listing, 0))
         is_bypassed = self._paths.get(name).is_bypassed
         return msgspec.structs.replace(
             end,
--- a/cicadahoist/serving/target_connections.py
+++ b/cicadahoist/serving/target_connections.py
@@ -94,9 +94,20 @@
         connection.close()
         return Reachability.accepted
 
-    async def test_path(self, listing: Listing) -> None:
-        """Find out whether the direct path to a target works."""
-        await self._tests.run(listing.name, lambda: self._test_path(listing))
+    async def test_path(
+        self, listing: Listing, period_ms: int = TEST_PERIOD_MS
+    ) -> None:
+        """
+        Find out whether the direct path to a target works.
+
+        :param period_ms: age up to which an earlier sign of it is enough
+        """
+        since_ms = self._clock.now_ms() - period_ms
+        path = self.paths.get(listing.name)
+        if not path.is_bypassed and not path.has_heard(since_ms):
+            await self._tests.run(
+                listing.name, lambda: self._test_path(listing)
+            )
 
     def retain(self, names: set[str]) -> None:
         """Close the idle connections to all targets that are not named."""
@@ -106,11 +117,6 @@
                 self.paths.forget(name)
 
     async def _test_path(self, listing: Listing) -> None:
-        since_ms = self._clock.now_ms() - TEST_PERIOD_MS
-        if self.paths.get(listing.name).is_bypassed or self.paths.get(
-            listing.name
-        ).has_heard(since_ms):
-            return
         try:
             connection = await self._connector.race(listing)
         except NotSentError:
--- a/tests/test_serving/test_cut_paths.py
+++ b/tests/test_serving/test_cut_paths.py
@@ -269,13 +269,14 @@
 
 
 # Guards against blame for the loss of a path, with no answer after it.
+@pytest.mark.parametrize('kind', [Cut.silent, Cut.reset])
 @pytest.mark.parametrize('path', [b'/submit/x', b'/lookup/x'])
-def test_the_loss_of_a_path_blames_no_request(path):
+def test_the_loss_of_a_path_blames_no_request(path, kind):
     world = CutWorld(*plain_targets(1))
     news = []
     world.context.gossip.on_blame = news.append
     hold_requests(world, 2, path)
     world.network.frozen.add('t1')
-    world.network.cut(Cut.silent)
+    world.network.cut(kind)
     world.advance(6000)
     assert not news
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -219,7 +219,7 @@
             return Reachability.no_answer
         return Reachability.accepted
 
-    async def test_path(self, listing):
+    async def test_path(self, listing, period_ms=0):
         """Do nothing: all paths are direct."""
 
     def retain(self, names):
