Give up a request under way only where its direct path has timed out

A direct connection that takes 100 ms, as after one lost packet, was enough to close the attempt at the only target and to send the request again through a peer. It is closed now once the direct attempt has timed out.

--- a/cicadahoist/policy/target_path.py
+++ b/cicadahoist/policy/target_path.py
@@ -2,6 +2,9 @@
 
 from enum import Enum
 
+# Targets are a few ms away and accept a connection within one more. An
+# unreachable one is abandoned while there is time to use another.
+CONNECT_TIMEOUT_MS = 300
 # While the direct path to a target is down, it is tried this often at most.
 PROBE_PERIOD_MS = 1000
 
@@ -22,6 +25,7 @@
     """What the latest attempts have shown about the paths to one target."""
 
     __slots__ = (
+        'failed_ms',
         'failure',
         'heard_ms',
         'is_relayable',
@@ -31,6 +35,8 @@
 
     def __init__(self) -> None:
         self.failure: PathFailure | None = None
+        # When the attempt began that first failed.
+        self.failed_ms = 0
         # When the target last accepted a connection or sent a byte, directly.
         self.heard_ms: int | None = None
         # When the latest direct attempt began.
@@ -49,6 +55,10 @@
         """Whether only peers reach the target, and direct bytes vanish."""
         return self.is_bypassed and self.failure is PathFailure.hanging
 
+    def is_confirmed(self, now_ms: int) -> bool:
+        """Return whether the direct attempt that failed first has ended."""
+        return self.is_hanging and now_ms - self.failed_ms >= CONNECT_TIMEOUT_MS
+
     def is_probe_due(self, now_ms: int) -> bool:
         """Return whether a direct path that is down is to be tried again."""
         if self.failure is None:
--- a/cicadahoist/policy/target_paths.py
+++ b/cicadahoist/policy/target_paths.py
@@ -147,6 +147,8 @@
         if is_outdated and failure is PathFailure.hanging:
             return
         was_bypassed = path.is_bypassed
+        if path.failure is None:
+            path.failed_ms = began_ms
         path.failure = failure
         if failure is PathFailure.hanging:
             self._hang_began_ms = max(began_ms, self._hang_began_ms or 0)
--- a/cicadahoist/serving/connector.py
+++ b/cicadahoist/serving/connector.py
@@ -14,7 +14,7 @@
 from cicadahoist.listings import Listing
 from cicadahoist.log import get_logger
 from cicadahoist.policy.relay_ranking import RankedPeer, RelayRanking
-from cicadahoist.policy.target_path import PathFailure
+from cicadahoist.policy.target_path import CONNECT_TIMEOUT_MS, PathFailure
 from cicadahoist.policy.target_paths import (
     RELAY_DELAY_MS,
     Opening,
@@ -26,9 +26,6 @@
 
 logger = get_logger(__name__)
 
-# Targets are a few ms away and accept a connection within one more. An
-# unreachable one is abandoned while there is time to use another.
-CONNECT_TIMEOUT_MS = 300
 # Peers that are asked for one connection while there is reason to believe that
 # another one can open it.
 MAX_PEERS = 3
--- a/cicadahoist/serving/takeover.py
+++ b/cicadahoist/serving/takeover.py
@@ -68,7 +68,7 @@
         )
         if may_send and self._try_start():
             self._context.meters.count_retry(Retry.target_frozen)
-        elif may_send and attempt.is_stranded and self._allowance.reserve():
+        elif may_send and self._is_cut(attempt) and self._allowance.reserve():
             # A target that was tried can be reached again, through a peer.
             attempt.abandon(STRANDED)
         else:
@@ -111,6 +111,12 @@
         is_failure = head is not None and head.meaning is AnswerMeaning.failure
         return is_failure and self._reply.is_begun
 
+    def _is_cut(self, attempt: Attempt) -> bool:
+        """Return whether the path of an attempt is known to be down."""
+        path = self._context.fleet.paths.get(attempt.listing.name)
+        now_ms = self._context.clock.now_ms()
+        return attempt.is_stranded and path.is_confirmed(now_ms)
+
     def _review(self, attempt: Attempt) -> None:
         oldest = self._open_attempts.get_oldest()
         is_open = self._open_attempts.contains(attempt)
--- a/tests/test_policy/test_target_paths.py
+++ b/tests/test_policy/test_target_paths.py
@@ -8,7 +8,11 @@
 
 import pytest
 
-from cicadahoist.policy.target_path import PROBE_PERIOD_MS, PathFailure
+from cicadahoist.policy.target_path import (
+    CONNECT_TIMEOUT_MS,
+    PROBE_PERIOD_MS,
+    PathFailure,
+)
 from cicadahoist.policy.target_paths import (
     CUT_OFF_RETRY_MS,
     DOUBT_MS,
@@ -69,6 +73,15 @@
     assert paths.choose_opening('t1', 500) is Opening.relayed
 
 
+def test_a_path_is_known_to_hang_once_the_direct_attempt_has_ended(paths):
+    fail_directly(paths, 't1', PathFailure.hanging, 100)
+    paths.record_relay_open('t1')
+    assert not paths.get('t1').is_confirmed(100 + CONNECT_TIMEOUT_MS - 1)
+    assert paths.get('t1').is_confirmed(100 + CONNECT_TIMEOUT_MS)
+    fail_directly(paths, 't1', PathFailure.hanging, 1200)
+    assert paths.get('t1').is_confirmed(1210)
+
+
 def test_one_lost_packet_beside_answers_is_no_cut(paths):
     paths.record_direct_start('t1', 0)
     paths.record_heard('t1', 50)
