Soak: a cut leaves an instance to compare with

Cuts now wait until no instance leaves, and at most one of two others gets SIGTERM beside them. First tries have their own random source, so that their number leaves the series of faults as it is.

--- a/soak/run.py
+++ b/soak/run.py
@@ -1,5 +1,6 @@
 """Run of one seed: faults, planned work without faults, recovery."""
 
+import random
 from pathlib import Path
 from traceback import format_exc
 
@@ -49,6 +50,8 @@
         self.world = World(
             reactor, seed, instances, folder, checks_times=checks_times
         )
+        # First tries leave the series of faults as it is.
+        self._try_rng = random.Random(f'{seed}/tries')
         self.injected: list[str] = []
         self.cuts: list[str] = []
         self._heal_callbacks: list = []
@@ -108,18 +111,22 @@
     async def _run_cut(self) -> None:
         """Cut instances off from all targets, beside planned work."""
         world = self.world
+        while any(one.is_ending(world.now_ms()) for one in world.instances):
+            await world.clock.sleep(FIRST_TRY_MS)
         crashing_part, world.crashing_part = world.crashing_part, ''
         world.cut = choose_cut(world)
         end_ms = world.now_ms() + world.rng.uniform(MIN_CUT_MS, MAX_CUT_MS)
         self.injected.append(f'cut {world.cut.fault}')
         world.cut.begin(world.targets)
-        plans = sorted(PLANS)
-        if len(world.list_connected_instances()) == 1:
-            plans.remove('roll')
+        # One of the others must stay, or nothing can be compared.
+        may_roll = len(world.list_connected_instances()) > 1
         plan_ms = world.now_ms()
         while world.now_ms() < end_ms:
             if world.now_ms() >= plan_ms:
-                self._inject(world.rng.choice(plans))
+                name = world.rng.choice(sorted(PLANS))
+                if name != 'roll' or may_roll:
+                    self._inject(name)
+                may_roll = may_roll and name != 'roll'
                 plan_ms = world.now_ms() + world.rng.uniform(500, 2500)
             self._send_first_try()
             await world.clock.sleep(FIRST_TRY_MS)
@@ -134,8 +141,8 @@
         world = self.world
 
         async def send() -> None:
-            caller = Caller(world, world.rng)
-            await caller.send_request(world.rng.choice(KINDS))
+            caller = Caller(world, self._try_rng)
+            await caller.send_request(self._try_rng.choice(KINDS))
             caller.drop_connection()
 
         Deferred.fromCoroutine(send()).addErrback(world.report_defect)
