Stop reading from callers that send too far ahead

A caller that sent more than 256 KiB of further requests while one was handled had its connection reset: the request that a target was at work on got neither an answer nor a refusal, nor did the ones behind it. Cause: the bound on what is read ahead closed the connection.

Reading stops at the bound and goes on after the answer. Until then a caller that leaves is not noticed, as its close stands behind the bytes that are not read; the deadline of the request bounds that.

--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -27,7 +27,7 @@
 
 HTTP_TIMEOUT = 408
 HTTP_UNAVAILABLE = 503
-# Bytes of further requests that a connection may send during an answer.
+# Bytes of further requests that are read from a connection during an answer.
 READ_AHEAD_BYTES = 262_144
 # Longest head of a request that any configuration can allow.
 MAX_HEAD_BYTES = 1_048_576
@@ -230,8 +230,7 @@
         if self._exchange is not None:
             self._read_ahead_bytes += len(received)
             if self._read_ahead_bytes > READ_AHEAD_BYTES:
-                self.abort()
-                return
+                self.transport.pauseProducing()
         elif not self.is_reading:
             self.is_reading = True
             self._wait_started_ms = self._clock.now_ms()
@@ -280,6 +279,8 @@
         if self.active_request is not None:
             self.active_request = None
             self.transport.unregisterProducer()
+        if self._read_ahead_bytes > READ_AHEAD_BYTES:
+            self.transport.resumeProducing()
         self._read_ahead_bytes = 0
         self._wait_started_ms = self._clock.now_ms()
         self.is_reading = bool(self._http.trailing_data[0])
--- a/tests/test_serving/test_closed_connections.py
+++ b/tests/test_serving/test_closed_connections.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from cicadahoist.rules import CallerLimits
-from cicadahoist.serving.inbound import LINGER_MS
+from cicadahoist.serving.inbound import LINGER_MS, READ_AHEAD_BYTES
 from cicadahoist.serving.server import UNREADY_WAIT_MS, FrontServer
 from tests.test_serving.turned_reactor import (
     SocketCaller,
@@ -329,6 +329,44 @@
     assert caller.is_closed_by_instance
 
 
+# Guards against a long request that is lost with the one before it.
+def test_a_long_request_behind_an_open_one_is_answered(sockets):
+    caller = sockets.connect()
+    caller.send(b'/submit/x')
+    sockets.reactor.turn()
+    body = b'b' * (3 * READ_AHEAD_BYTES)
+    unsent = make_request(b'/submit/x', body)
+    unsent = send_part(sockets, caller, unsent)
+    held, _ = caller.protocol._http.trailing_data
+    assert len(held) < 2 * READ_AHEAD_BYTES
+    sockets.answer()
+    assert caller.receive().endswith(b'filed')
+    while unsent:
+        unsent = send_part(sockets, caller, unsent)
+    wait_until(lambda: has_sent(sockets, 2))
+    assert sockets.world.sent[1].request.endswith(body)
+    sockets.answer()
+    assert caller.receive().endswith(b'filed')
+
+
+def send_part(sockets, caller, unsent):
+    """Send what the socket takes in some turns; return the rest."""
+    caller.socket.setblocking(False)
+    for _ in range(20):
+        try:
+            unsent = unsent[caller.socket.send(unsent) :]
+        except BlockingIOError:
+            sockets.reactor.turn()
+        sockets.reactor.turn()
+    return unsent
+
+
+def has_sent(sockets, count):
+    """Return whether so many requests were sent to targets."""
+    sockets.reactor.turn()
+    return len(sockets.world.sent) == count
+
+
 def is_ended(sockets, caller):
     """Return whether the instance has seen the end of a connection."""
     sockets.reactor.turn()
