Judge the length of an answer by the limits at the begin of its request

Callers could see 502 beside a new configuration for a request that was answered by its target: the bound on the answers that are held in memory is the body limit in force when the attempt begins, also for a request that began under a larger one. It is now the widest limit since the notice before the request, as for its own body.

test_a_smaller_limit_spares_the_answer_to_a_request_that_has_begun failed before. The fixture of test_endless_answers shortened the limit and judged answers in the same millisecond; it now waits until callers have heard of it, and the tests check the same bounds.

--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -220,9 +220,8 @@
         self._tried_targets.append(name)
         chosen_ms = self._context.clock.now_ms()
         attempt.prepare_send = partial(self._prepare_send, attempt, chosen_ms)
-        if self._context.deployment is not None:
-            limits = self._context.deployment.limits
-            attempt.max_body_bytes = limits.body_bytes
+        limits = self._context.get_caller_limits(self._request.arrived_ms)
+        attempt.max_body_bytes = limits.body_bytes
         end = await AttemptWatch(self._context).run(
             attempt,
             silence_ms + self._context.link.compute_wait_ms(chosen_ms),
--- a/tests/test_serving/test_endless_answers.py
+++ b/tests/test_serving/test_endless_answers.py
@@ -8,7 +8,9 @@
 import pytest
 
 from cicadahoist.outside.bodies import MAX_EVENT_BYTES
+from cicadahoist.policy.caller_limits import DEFAULT_NOTICE_MS
 from cicadahoist.rules import CallerLimits
+from tests.test_serving.turned_reactor import make_request
 from tests.test_serving.world import (
     SHORT_PROMPT_HEADERS,
     World,
@@ -26,6 +28,8 @@
     world.context.apply_deployment(
         deployment(limits=CallerLimits(body_bytes=LIMIT_BYTES))
     )
+    # Callers have heard of the limit.
+    world.clock.advance(DEFAULT_NOTICE_MS + 1)
     return world
 
 
@@ -46,6 +50,20 @@
     )
 
 
+# Guards against an answer that is cut off by a limit of a new configuration,
+# although its request began under the one before.
+def test_a_smaller_limit_spares_the_answer_to_a_request_that_has_begun(world):
+    world.add(target('t1'))
+    caller = world.caller()
+    request = make_request(b'/submit/x', b'b' * 40)
+    caller.write(request[:-2])
+    limits = CallerLimits(body_bytes=len(PIECE))
+    world.context.apply_deployment(deployment(version=2, limits=limits))
+    caller.write(request[-2:])
+    world.sent[0].answer(body=2 * PIECE)
+    assert caller.body == 2 * PIECE
+
+
 # The bodies of answers and failures were held until the deadline.
 @pytest.mark.parametrize('status', [200, 500])
 def test_a_body_beyond_the_limit_ends_the_attempt(world, status):
