Accept the connections that wait when an instance stops listening

Callers whose connections a leaving instance had not accepted yet saw a reset with their requests unread, though these had arrived: the close of the listening socket resets all that wait in its queue. Callers come until the instance leaves the rotation, and longer where all instances of a zone are used.

The queue is accepted before the port closes, and requests that have arrived on these connections are answered. A connection that is opened in the turn of the event loop in which twisted closes the port may still be reset.

--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -83,6 +83,7 @@
         # A request that is not read can be sent to another instance without
         # risk; one that is read near the end of the grace would be cut off.
         if self._listening_port is not None:
+            self._accept_waiting()
             await self._listening_port.stopListening()
         end_ms = started_ms + self._grace_ms - EXIT_MARGIN_MS
         while self._clock.now_ms() < end_ms:
@@ -99,6 +100,13 @@
         self._connections.report_unread()
         self._connections.stop_sweeping()
 
+    def _accept_waiting(self) -> None:
+        """Accept all connections that the close of the port would reset."""
+        accepted_count = -1
+        while accepted_count < self._connections.count_open():
+            accepted_count = self._connections.count_open()
+            self._listening_port.doRead()
+
 
 class ReadyServer:
     """
--- a/tests/test_serving/test_closed_connections.py
+++ b/tests/test_serving/test_closed_connections.py
@@ -37,6 +37,9 @@
         self.factory = factory
         return self
 
+    def doRead(self):
+        """Do nothing: no connection waits."""
+
     def stopListening(self):
         return succeed(None)
 
--- a/tests/test_serving/test_end_of_grace.py
+++ b/tests/test_serving/test_end_of_grace.py
@@ -33,6 +33,9 @@
         self.factory = factory
         return self
 
+    def doRead(self):
+        """Do nothing: no connection waits."""
+
     def stopListening(self):
         return succeed(None)
 
--- a/tests/test_serving/test_server.py
+++ b/tests/test_serving/test_server.py
@@ -26,6 +26,9 @@
         self.factory = factory
         return self
 
+    def doRead(self):
+        """Do nothing: no connection waits."""
+
     def stopListening(self):
         return succeed(None)
 
