Do not ask callers of the entry to continue a refused request

A caller with Expect: 100-continue and a body over the limit received 413 and, behind it, 100 Continue, as twisted goes on with the headers that were refused.

test_a_refused_request_is_not_asked_to_continue failed before (two status lines) and passes now.

--- a/cicadahoist/entry/lingering.py
+++ b/cicadahoist/entry/lingering.py
@@ -51,6 +51,10 @@
         if not self.is_closing:
             super().allContentReceived()
 
+    def _send100Continue(self) -> None:  # noqa: N802
+        if not self.is_closing:
+            super()._send100Continue()
+
     def loseConnection(self) -> None:
         """Close once all answers are sent and the caller has closed."""
         if self.is_closing:
--- a/tests/test_entry/test_closed_connections.py
+++ b/tests/test_entry/test_closed_connections.py
@@ -336,6 +336,16 @@
     assert not is_reset(caller)
 
 
+# Guards against a caller that is told to go on with a request that was refused.
+def test_a_refused_request_is_not_asked_to_continue(sockets):
+    caller = sockets.connect()
+    headers = (b'Content-Length: 900000', b'Expect: 100-continue')
+    caller.write(make_call(LOOKUP_PATH, b'', *headers))
+    answer = caller.receive()
+    assert answer.startswith(b'HTTP/1.1 413 ')
+    assert answer.count(b'HTTP/1.1') == 1
+
+
 # Guards against an answer that is cut because its caller has nothing to send.
 def test_an_answer_survives_that_its_caller_ends_its_requests(sockets):
     sockets.set_service(FixedService(b'b' * ANSWER_BYTES))
