Accept connections that wait when a stopping entry closes its port

A caller that connected in the turn of the event loop in which the drain grace ended, and sent its request, got a reset: the system had made the connection, and the process closed its port without accepting it.

The entry accepts what waits before it closes the port; such a request is refused as leaving. A connection made in the one turn between is still reset, unread.

test_a_leaving_entry_answers_a_request_on_a_new_connection failed before (connection reset) and passes now.

--- a/cicadahoist/entry/server.py
+++ b/cicadahoist/entry/server.py
@@ -14,6 +14,7 @@
 from cicadahoist.entry.resource import EntryResource
 from cicadahoist.log import get_logger
 from cicadahoist.mesh.table_sync import TableSync
+from cicadahoist.outside.sockets import accept_waiting
 from cicadahoist.reasons import Refusal
 from cicadahoist.settings import DRAIN_GRACE, DRAIN_LIMIT, ENTRY_PORT
 from cicadahoist.table import Table
@@ -90,6 +91,7 @@
         self._is_leaving = True
         self._site.is_leaving = True
         await self._clock.sleep(self._config.read(DRAIN_GRACE))
+        accept_waiting(self._port)
         await maybeDeferred(self._port.stopListening)
         self._context.is_leaving = True
         self._limit = self._clock.call_later(
--- a/cicadahoist/outside/sockets.py
+++ b/cicadahoist/outside/sockets.py
@@ -6,6 +6,8 @@
 from array import array
 from typing import Any
 
+from twisted.internet.interfaces import IReadDescriptor
+
 from cicadahoist.log import get_logger
 
 logger = get_logger(__name__)
@@ -40,3 +42,15 @@
     queued_bytes = array('i', [0])
     fcntl.ioctl(transport.getHandle(), termios.TIOCOUTQ, queued_bytes)
     return queued_bytes[0] + len(transport.dataBuffer) - transport.offset
+
+
+def accept_waiting(port: Any) -> None:
+    """
+    Accept the connections that the system has made but the process has not.
+
+    They would be reset when the port is closed.
+
+    :param port: a listening port of twisted
+    """
+    if IReadDescriptor.providedBy(port):
+        port.doRead()
--- a/tests/test_entry/test_closed_connections.py
+++ b/tests/test_entry/test_closed_connections.py
@@ -6,11 +6,12 @@
 """
 
 from select import select
-from socket import SHUT_WR, SO_RCVBUF, SO_SNDBUF, SOL_SOCKET
+from socket import SHUT_WR, SO_RCVBUF, SO_SNDBUF, SOL_SOCKET, create_connection
 
 import pytest
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 from twisted.internet.main import CONNECTION_DONE
+from twisted.internet.tcp import Port
 from twisted.python.failure import Failure
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
@@ -22,6 +23,7 @@
 from tests.test_entry.test_server import FixedTable
 from tests.test_entry.world import KEY, World, encode_chat_body
 from tests.test_serving.turned_reactor import (
+    HOST,
     TIMEOUT_S,
     SocketCaller,
     TurnedReactor,
@@ -41,21 +43,18 @@
 
 
 class ListeningReactor:
-    """Keeps the factory of the listening port; there is no port."""
+    """Keeps the factory of the listening port, which is a real one."""
 
-    def __init__(self) -> None:
+    def __init__(self, reactor) -> None:
+        self._reactor = reactor
         self.factory = None
-        self.port = 0
+        self.port = None
 
     def listenTCP(self, port, factory):
         self.factory = factory
-        return self
-
-    def getHost(self):
-        return self
-
-    def stopListening(self):
-        return succeed(None)
+        self.port = Port(port, factory, interface=HOST, reactor=self._reactor)
+        self.port.startListening()
+        return self.port
 
 
 class SocketWorld:
@@ -66,8 +65,9 @@
         self.context = self.world.entries[0].context
         self.reactor = TurnedReactor()
         self.callers = []
-        self.listening = ListeningReactor()
+        self.listening = ListeningReactor(self.reactor)
         config = Config.from_values(
+            entry__port=0,
             entry__drain_grace=GRACE_MS,
             entry__drain_limit=LIMIT_MS,
             entry__header_timeout=header_timeout_ms,
@@ -158,6 +158,8 @@
     yield sockets
     for caller in sockets.callers:
         caller.close()
+    sockets.listening.port.stopListening()
+    sockets.reactor.turn_until_idle()
 
 
 def make_call(path=LOOKUP_PATH, body=b'', *headers):
@@ -386,6 +388,17 @@
     assert answers.count(b'\r\nConnection: close\r\n') == 1
 
 
+# Guards against connections that the system has made before the port is closed.
+def test_a_leaving_entry_answers_a_request_on_a_new_connection(sockets):
+    sockets.stop()
+    address = sockets.listening.port.getHost()
+    with create_connection((HOST, address.port), TIMEOUT_S) as caller:
+        caller.sendall(make_call())
+        sockets.skip(STEP_MS)
+        sockets.advance(50)
+        assert caller.recv(BUFFER_BYTES).startswith(b'HTTP/1.1 503 ')
+
+
 # Guards against a request read in part that a leaving entry drops in silence.
 @pytest.mark.parametrize('missing_bytes', [2, 30, 100])
 def test_a_leaving_entry_refuses_a_request_read_in_part(sockets, missing_bytes):
