--- a/tests/test_serving/turned_reactor.py
+++ b/tests/test_serving/turned_reactor.py
@@ -100,7 +100,7 @@
         self.write(make_request(path, body, length))
 
     def write(self, piece):
-        """Send bytes, and wait until they, or a window of them, have arrived."""
+        """Send bytes, and wait until a window of them has arrived."""
         arrived = count_queued(self.transport.socket, termios.FIONREAD)
         self.socket.sendall(piece)
         expected = min(arrived + len(piece), WINDOW_BYTES)
