--- a/tests/test_serving/network.py
+++ b/tests/test_serving/network.py
@@ -26,6 +26,7 @@
 PEER_CONNECT_MS = 200
 # TCP gives up unacknowledged bytes after this time.
 TCP_TIMEOUT_MS = 2000
+HANDLE_BODY = b'{"kv-handle": "h7", "tokens": 9000, "version": 1}'
 
 
 class Cut(Enum):
@@ -183,7 +184,9 @@
     def _answer(self, link, arrival):
         if arrival.is_closed or link.is_cut:
             return
-        if b'/ask/' in arrival.request:
+        if arrival.header(b'X-Cicadahoist-Serving-Stage') == b'prefill':
+            arrival.answer(body=HANDLE_BODY)
+        elif b'/ask/' in arrival.request:
             arrival.begin_stream()
             arrival.send_events(1, 2)
             arrival.end_stream()
--- a/tests/test_serving/test_cut_paths.py
+++ b/tests/test_serving/test_cut_paths.py
@@ -10,7 +10,11 @@
 from cicadahoist.metrics import PATHS_DOWN
 from tests.test_serving.cut_world import CutWorld
 from tests.test_serving.network import Cut, Peer, engines, plain_targets
-from tests.test_serving.world import SHORT_PROMPT_HEADERS
+from tests.test_serving.world import (
+    SHORT_PROMPT_HEADERS,
+    prompt_headers,
+    target,
+)
 
 # The stated time from which an instance without direct paths has to serve.
 CONTACT_MS = 3000
@@ -77,6 +81,18 @@
     assert {caller.status for caller in callers} <= {502, 504}
 
 
+@pytest.mark.parametrize('kind', list(Cut))
+def test_long_prompts_are_prefilled_and_decoded_through_a_peer(kind):
+    world = CutWorld(target('p1', 'llm', 'prefill'), *engines())
+    world.network.cut(kind)
+    caller = world.send_request(b'/ask/x', *prompt_headers(), patience=15_000)
+    world.advance(1000)
+    assert caller.body.count(b'data: t') == 2
+    assert [arrival.target for arrival in world.network.arrivals][0] == 'p1'
+    assert all(arrival.is_relayed for arrival in world.network.arrivals)
+    assert len(world.network.arrivals) == 2
+
+
 # Guards against streams that end with the direct path to their engine.
 def test_a_stream_under_way_goes_on_through_a_peer():
     world = CutWorld(*engines())
