Connect relayed connections to the address that the relay lists

A relay denied targets that it lists at another address than the sender. The name and the start of a target name its process; where to reach it from here is known from the own list alone, so that instances with different ways to a target can relay, as those of the soak. A request carries no address any more.

--- a/cicadahoist/serving/relay_admission.py
+++ b/cicadahoist/serving/relay_admission.py
@@ -49,13 +49,13 @@
         """
         Return the target to connect to, or why there is no connection.
 
-        The target has to be listed here as the peer lists it: nobody can have
-        a connection opened to any other address.
+        The process that the peer names has to be listed here, and its address
+        is the one listed here: nobody can have another one connected to.
         """
         if not self._is_known(request):
             return RelayRefusal.denied
         listing = self._directory.get(request.target)
-        if listing is None or not _is_same_process(listing, request):
+        if listing is None or listing.started_ms != request.started_ms:
             return RelayRefusal.denied
         if self.is_leaving:
             return RelayRefusal.leaving
@@ -68,10 +68,3 @@
             request.token.encode(), self._token.encode()
         )
         return is_own_token and request.version == VERSION
-
-
-def _is_same_process(listing: Listing, request: RelayRequest) -> bool:
-    return (listing.address, listing.started_ms) == (
-        request.address,
-        request.started_ms,
-    )
--- a/cicadahoist/serving/relay_client.py
+++ b/cicadahoist/serving/relay_client.py
@@ -220,7 +220,6 @@
             sender=self._instance,
             relay_id=relay_id,
             target=listing.name,
-            address=listing.address,
             started_ms=listing.started_ms,
         )
         try:
--- a/cicadahoist/serving/relay_messages.py
+++ b/cicadahoist/serving/relay_messages.py
@@ -33,7 +33,6 @@
     :param sender: name of the instance that sends it
     :param relay_id: id of the connection in the logs of both instances
     :param target: name of the target
-    :param address: host and port of the target, as the sender lists it
     :param started_ms: start of the target, as the sender lists it
     """
 
@@ -42,7 +41,6 @@
     sender: str
     relay_id: str
     target: str
-    address: str
     started_ms: int
 
 
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 from twisted.internet import protocol
@@ -69,7 +70,7 @@
         self.log = (folder / f'{self.name}.log').open('ab')
         self._settings = folder / f'{self.name}.conf'
         self._process = None
-        self._write_settings(find_free_port(socket.SOCK_DGRAM))
+        self._write_settings(find_peer_port())
 
     def start(self) -> None:
         if self.is_stopped:
@@ -151,3 +152,13 @@
                 revoke_ms=REVOKE_MS,
             )
         )
+
+
+def find_peer_port() -> int:
+    """Return a port that is free for datagrams and for the relay."""
+    while True:
+        port = find_free_port()
+        with socket.socket(type=socket.SOCK_DGRAM) as probe:
+            with suppress(OSError):
+                probe.bind((HOST, port))
+                return port
--- a/tests/test_cmd/test_front_peering.py
+++ b/tests/test_cmd/test_front_peering.py
@@ -28,6 +28,7 @@
     LoadExchange,
     PeerRecord,
 )
+from cicadahoist.serving.relay_client import RelayClient
 from tests.coroutines import Pending
 from tests.test_serving.fake_objects import FakeObjects
 
@@ -86,6 +87,7 @@
             self.tasks, context, settings, f'{name}.n', reactor
         )
         self.gossip = context.gossip
+        self.connections = context.fleet.connections
         self.true_ms = context.true_time.now_ms
         self.started = Pending(self.tasks.start())
 
@@ -145,6 +147,7 @@
     relay = instance.peering.relay
     assert relay.is_accepting
     assert instance.gossip.relays.is_accepting()
+    assert isinstance(instance.connections.relays, RelayClient)
     stored = objects.kinds[PEER_KIND]['i1']
     record = msgspec.convert(stored.spec, PeerRecord)
     assert instance.reactor.tcpServers[0][0] == record.relay_port
