--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -5,7 +5,7 @@
 
 from cicadahoist.application import Application
 from cicadahoist.cmd.front_duties import DutyAssembly
-from cicadahoist.cmd.front_peering import add_peering, build_relay_client
+from cicadahoist.cmd.front_peering import add_peering
 from cicadahoist.ids import new_nonce
 from cicadahoist.objects import Change, StoredObject
 from cicadahoist.platform.clients import (
@@ -120,13 +120,6 @@
             self._incarnation,
             self._reactor,
         )
-        self._context.fleet.connections.relays = build_relay_client(
-            self._application,
-            self._context,
-            self._settings,
-            self._peering.peers,
-            self._reactor,
-        )
         self._add_duties()
         self._add_servers()
 
--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -115,6 +115,9 @@
         application.clock,
         partial(apply_history, context.streams),
     )
+    context.fleet.connections.relays = build_relay_client(
+        application, context, settings, peers, reactor
+    )
     for task in (relay, exchange, poller, records, history):
         application.add(task)
     _add_held_parts(application, context, settings, reactor)
