--- a/soak/platform_pages.py
+++ b/soak/platform_pages.py
@@ -147,7 +147,8 @@
         if self.fault == 'lost' and request.method != b'GET':
             request.transport.abortConnection()
             return b''
-        instance = self.instance_by_port[request.getHost().port]
+        # Other ports than those of instances serve addresses as they are.
+        instance = self.instance_by_port.get(request.getHost().port, '')
         body = _respond(
             request, content, status, lambda links: links.get_address(instance)
         )
