Read the socket before a header timeout of the entry refuses a request

Callers of cicadahoist-entry got 408 although the rest of their request had arrived, when a turn of the event loop took long. The timer now lets the next turn read first. The look at sockets lies in one module, outside.sockets, for the entry and the instances.

--- a/cicadahoist/entry/connection.py
+++ b/cicadahoist/entry/connection.py
@@ -63,9 +63,7 @@
             self.close_unused()
         elif self.is_reading and self.request_timer is None:
             self.request_timer = self.factory.clock.call_later(
-                self.factory.header_timeout_ms,
-                self.refuse,
-                Refusal.header_too_slow,
+                self.factory.header_timeout_ms, self._refuse_as_too_slow
             )
 
     def lineLengthExceeded(self, line: bytes) -> None:
@@ -153,6 +151,15 @@
         )
         self.loseConnection()
 
+    def _refuse_as_too_slow(self) -> None:
+        if has_unread_input(self.transport):
+            # The rest may have arrived: the next turn reads it first.
+            self.request_timer = self.factory.clock.call_later(
+                0, self._refuse_as_too_slow
+            )
+        else:
+            self.refuse(Refusal.header_too_slow)
+
     def _stop_timer(self) -> None:
         if self.request_timer is not None and self.request_timer.active():
             self.request_timer.cancel()
--- a/cicadahoist/outside/sockets.py
+++ b/cicadahoist/outside/sockets.py
@@ -4,6 +4,7 @@
 import socket
 import termios
 from array import array
+from enum import Enum
 from typing import Any
 
 from twisted.internet.interfaces import IReadDescriptor
@@ -13,11 +14,23 @@
 logger = get_logger(__name__)
 
 
-def has_unread_input(transport: Any) -> bool:
+class SocketInput(Enum):
     """
-    Return whether bytes wait in the socket of a connection.
+    What the event loop would find if it read a socket now.
 
-    They have arrived before a timer that fires now.
+    ``ended``: the peer has closed or reset the connection.
+    """
+
+    nothing = 'nothing'
+    unread = 'unread'
+    ended = 'ended'
+
+
+def peek_input(transport: Any) -> SocketInput:
+    """
+    Return what has arrived at a connection and is not read yet.
+
+    A close behind bytes that are not read yet is not recognized.
 
     :param transport: a twisted TCP transport that is not lost yet
     """
@@ -26,11 +39,22 @@
             1, socket.MSG_PEEK | socket.MSG_DONTWAIT
         )
     except BlockingIOError:
-        return False
+        return SocketInput.nothing
     except OSError as error:
         logger.debug('connection is broken: {0}', error)
-        return False
-    return bool(piece)
+        return SocketInput.ended
+    return SocketInput.unread if piece else SocketInput.ended
+
+
+def has_unread_input(transport: Any) -> bool:
+    """
+    Return whether bytes wait in the socket of a connection.
+
+    They have arrived before a timer that fires now.
+
+    :param transport: a twisted TCP transport that is not lost yet
+    """
+    return peek_input(transport) is SocketInput.unread
 
 
 def count_unsent_bytes(transport: Any) -> int:
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -10,13 +10,11 @@
 from cicadahoist.clock import Clock, Timer
 from cicadahoist.log import get_logger
 from cicadahoist.loop_times import ConnectionInput, LoopTimes
+from cicadahoist.outside.sockets import has_unread_input
 from cicadahoist.requests import HeaderList
 from cicadahoist.rules import CallerLimits
 from cicadahoist.serving.meters import Meters
-from cicadahoist.serving.peer_close import (
-    has_unread_input,
-    is_closed_by_peer,
-)
+from cicadahoist.serving.peer_close import is_closed_by_peer
 from cicadahoist.serving.request_reader import (
     RawRequest,
     RequestReader,
--- a/cicadahoist/serving/target_pool.py
+++ b/cicadahoist/serving/target_pool.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from cicadahoist.listings import Listing
+from cicadahoist.outside.sockets import SocketInput, peek_input
 from cicadahoist.serving.outbound import IDLE_MARGIN_MS, TargetConnection
-from cicadahoist.serving.peer_close import SocketInput, peek_input
 
 MAX_IDLE_CONNECTIONS = 64
 _DIRECT = ('',)
--- a/tests/test_serving/turned_reactor.py
+++ b/tests/test_serving/turned_reactor.py
@@ -73,11 +73,11 @@
 
     def _disconnect(self, selectable, reason):
         self.removeReader(selectable)
-        self.removeWriter(selectable)
         if reason is CONNECTION_DONE and selectable.connected:
             if not selectable.disconnecting:
                 selectable.readConnectionLost(Failure(reason))
                 return
+        self.removeWriter(selectable)
         selectable.connectionLost(Failure(reason))
 
 
