--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -25,8 +25,8 @@
     AnswerEnding,
     AnswerLoss,
     TargetConnection,
-    TargetConnections,
 )
+from cicadahoist.serving.target_connections import TargetConnections
 
 
 class Dialect(Protocol):
@@ -83,6 +83,9 @@
     :param detail: cause of a failure, for the log
     :param is_silent: whether the target counted as silent at the end
     :param ending: how the end of a complete answer is known
+    :param is_stranded: whether it may have been lost to its path: to a direct
+        one that is down while a peer reaches the target, or to a peer
+    :param is_relayed: whether it was sent through a peer
     :param silent_ms: time since the target last sent a byte to this attempt, or
         since its start
     """
@@ -92,12 +95,16 @@
     body: bytes = b''
     detail: str = ''
     is_silent: bool = False
+    is_stranded: bool = False
+    is_relayed: bool = False
     ending: AnswerEnding | None = None
     silent_ms: int = 0
 
 
 # Detail of an attempt that this instance ended because its target was silent.
 SILENT = 'silent'
+# The same because its path is down while a peer reaches the target.
+STRANDED = 'stranded'
 
 _NOT_RUN = frozenset((AnswerMeaning.not_run, AnswerMeaning.misplaced))
 
@@ -130,8 +137,10 @@
         '_options',
         '_request',
         '_stream',
+        'is_direct',
         'is_paused',
         'is_sent',
+        'is_stranded',
         'listing',
         'max_body_bytes',
         'on_activity',
@@ -159,6 +168,10 @@
         self._end_deferred: Deferred[AttemptEnd] | None = Deferred()
         self._head: AnswerHead | None = None
         self.is_sent = False
+        # Whether it was sent without a peer.
+        self.is_direct = False
+        # Whether nothing arrives as its path is down.
+        self.is_stranded = False
         # Whether the answer is not read, as its caller reads slowly.
         self.is_paused = False
         # Longest body that is collected.
@@ -198,6 +211,7 @@
             return AttemptEnd(AttemptOutcome.stopped)
         self._connection = connection
         self.is_sent = True
+        self.is_direct = not connection.peer
         outgoing = h11.Request(
             method=self._request.method,
             target=self._request.path,
--- a/cicadahoist/serving/crash_watch.py
+++ b/cicadahoist/serving/crash_watch.py
@@ -43,13 +43,22 @@
         """Schedule the check of a target that broke off the request."""
         if end.detail == SILENT:
             return
+        check = self._check if end.is_relayed else self._check_direct
         self._context.clock.call_later(
-            CRASH_CHECK_MS, self._check, target, self._context.clock.now_ms()
+            CRASH_CHECK_MS, check, target, self._context.clock.now_ms()
         )
 
+    def _check_direct(self, target: str, lost_ms: int) -> None:
+        """Blame the request unless only the path to the target was lost."""
+        fleet = self._context.fleet
+        is_bypassed = fleet.paths.get(target).is_bypassed
+        if not is_bypassed and not fleet.is_cut_off():
+            self._check(target, lost_ms)
+
     def _check(self, target: str, lost_ms: int) -> None:
         """Blame the request if the target has been silent since the loss."""
-        if self._context.fleet.answer_watch.has_answered_since(target, lost_ms):
+        fleet = self._context.fleet
+        if fleet.answer_watch.has_answered_since(target, lost_ms):
             return
         now_ms = self._context.clock.now_ms()
         lost_true_ms = self._context.true_time.now_ms() - (now_ms - lost_ms)
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -10,13 +10,11 @@
 from cicadahoist.clock import Clock, Timer
 from cicadahoist.log import get_logger
 from cicadahoist.loop_times import ConnectionInput, LoopTimes
+from cicadahoist.outside.sockets import has_unread_input
 from cicadahoist.requests import HeaderList
 from cicadahoist.rules import CallerLimits
 from cicadahoist.serving.meters import Meters
-from cicadahoist.serving.peer_close import (
-    has_unread_input,
-    is_closed_by_peer,
-)
+from cicadahoist.serving.peer_close import is_closed_by_peer
 from cicadahoist.serving.request_reader import (
     RawRequest,
     RequestReader,
@@ -27,7 +25,7 @@
 
 HTTP_TIMEOUT = 408
 HTTP_UNAVAILABLE = 503
-# Bytes of further requests that a connection may send during an answer.
+# Bytes of further requests that are read from a connection during an answer.
 READ_AHEAD_BYTES = 262_144
 # Longest head of a request that any configuration can allow.
 MAX_HEAD_BYTES = 1_048_576
@@ -47,6 +45,9 @@
     def caller_left(self) -> None:
         """Stop work whose answer no caller awaits."""
 
+    def give_up(self) -> None:
+        """Refuse or fail the request, as the process ends."""
+
     def pause(self) -> None:
         """Stop reading from the target until `resume` is called."""
 
@@ -196,7 +197,7 @@
         )
         self._reader: RequestReader | None = None
         self._exchange: Exchange | None = None
-        self._active_request: ActiveRequest | None = None
+        self.active_request: ActiveRequest | None = None
         self._is_closed = False
         self._linger: Timer | None = None
         self._read_ahead_bytes = 0
@@ -227,8 +228,7 @@
         if self._exchange is not None:
             self._read_ahead_bytes += len(received)
             if self._read_ahead_bytes > READ_AHEAD_BYTES:
-                self.abort()
-                return
+                self.transport.pauseProducing()
         elif not self.is_reading:
             self.is_reading = True
             self._wait_started_ms = self._clock.now_ms()
@@ -249,8 +249,8 @@
             linger.cancel()
         if self._exchange is not None:
             self._exchange.is_over = True
-        active_request = self._active_request
-        self._active_request = None
+        active_request = self.active_request
+        self.active_request = None
         self._exchange = None
         if active_request is not None:
             active_request.caller_left()
@@ -274,9 +274,11 @@
     def finish_exchange(self) -> None:
         """Continue with the next request, or close."""
         self._exchange = None
-        if self._active_request is not None:
-            self._active_request = None
+        if self.active_request is not None:
+            self.active_request = None
             self.transport.unregisterProducer()
+        if self._read_ahead_bytes > READ_AHEAD_BYTES:
+            self.transport.resumeProducing()
         self._read_ahead_bytes = 0
         self._wait_started_ms = self._clock.now_ms()
         self.is_reading = bool(self._http.trailing_data[0])
@@ -379,7 +381,7 @@
         self.is_reading = False
         active_request = self._handler.handle(raw, exchange)
         if self._exchange is exchange:
-            self._active_request = active_request
+            self.active_request = active_request
             self.transport.registerProducer(
                 BackpressureProducer(active_request), True
             )
@@ -440,23 +442,22 @@
             if not connection.is_busy:
                 connection.close_unused()
 
-    def end_incomplete(self) -> int:
-        """
-        Refuse requests that are read in part, and report those not read.
-
-        :return: number of refusals, which have yet to leave
-        """
-        refusal_count = 0
+    def end_requests(self) -> None:
+        """Refuse or fail all requests that are read, as the process ends."""
         for connection in list(self._connections):
-            if connection.is_reading:
+            if connection.active_request is not None:
+                connection.active_request.give_up()
+            elif connection.is_reading:
                 connection.refuse_incomplete(HTTP_UNAVAILABLE)
-                refusal_count += 1
-            elif not connection.is_busy and has_unread_input(
+
+    def report_unread(self) -> None:
+        """Log and count requests that the end of the process leaves unread."""
+        for connection in self._connections:
+            if not connection.is_busy and has_unread_input(
                 connection.transport
             ):
                 self._handler.meters.count_closed_under_request()
                 logger.info('caller connection closed under a request')
-        return refusal_count
 
     def stop_sweeping(self) -> None:
         """Stop checking header and idle timeouts."""
--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -83,6 +83,7 @@
         # A request that is not read can be sent to another instance without
         # risk; one that is read near the end of the grace would be cut off.
         if self._listening_port is not None:
+            self._accept_waiting()
             await self._listening_port.stopListening()
         end_ms = started_ms + self._grace_ms - EXIT_MARGIN_MS
         while self._clock.now_ms() < end_ms:
@@ -91,10 +92,21 @@
                 break
             await self._clock.sleep(DRAIN_POLL_MS)
         logger.bind(open=self._connections.count_open()).info('left')
-        if self._connections.end_incomplete():
+        if self._connections.count_open():
+            # What is read from now on is refused.
+            self._front.is_ending = True
+            self._connections.end_requests()
             await self._clock.sleep(DRAIN_POLL_MS)
+        self._connections.report_unread()
         self._connections.stop_sweeping()
 
+    def _accept_waiting(self) -> None:
+        """Accept all connections that the close of the port would reset."""
+        accepted_count = -1
+        while accepted_count < self._connections.count_open():
+            accepted_count = self._connections.count_open()
+            self._listening_port.doRead()
+
 
 class ReadyServer:
     """
--- a/cicadahoist/serving/takeover.py
+++ b/cicadahoist/serving/takeover.py
@@ -4,7 +4,12 @@
 
 from cicadahoist.reasons import Retry
 from cicadahoist.requests import AnswerMeaning
-from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
+from cicadahoist.serving.attempt import (
+    STRANDED,
+    Attempt,
+    AttemptEnd,
+    AttemptOutcome,
+)
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.open_attempts import OpenAttempts
 from cicadahoist.serving.reply import Reply
@@ -63,6 +68,9 @@
         )
         if may_send and self._try_start():
             self._context.meters.count_retry(Retry.target_frozen)
+        elif may_send and self._is_cut(attempt) and self._allowance.reserve():
+            # A target that was tried can be reached again, through a peer.
+            attempt.abandon(STRANDED)
         else:
             self._record_kept(attempt.listing.name)
 
@@ -103,6 +111,12 @@
         is_failure = head is not None and head.meaning is AnswerMeaning.failure
         return is_failure and self._reply.is_begun
 
+    def _is_cut(self, attempt: Attempt) -> bool:
+        """Return whether the path of an attempt is known to be down."""
+        path = self._context.fleet.paths.get(attempt.listing.name)
+        now_ms = self._context.clock.now_ms()
+        return attempt.is_stranded and path.is_confirmed(now_ms)
+
     def _review(self, attempt: Attempt) -> None:
         oldest = self._open_attempts.get_oldest()
         is_open = self._open_attempts.contains(attempt)
@@ -113,7 +127,8 @@
             return
         target = oldest.listing.name
         now_ms = self._context.clock.now_ms()
-        if self._context.fleet.answer_watch.is_silent(target, now_ms):
+        is_silent = self._context.fleet.answer_watch.is_silent(target, now_ms)
+        if is_silent or oldest.is_stranded:
             self.schedule_review(attempt)
         else:
             self._open_attempts.keep_only(target)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -17,11 +17,14 @@
 TIMED_RULES = frozenset(
     (
         'BUDGET',
+        'CLOSED',
         'CONFIG',
         'DENIED',
         'DRAIN',
         'HELD',
+        'LIMIT',
         'LOST',
+        'PARTITION',
         'READY',
         'RECOVER',
     )
@@ -76,6 +79,8 @@
         self.leaving_ms_by_target: dict[str, int] = {}
         # Time of the last disturbance by instance; an empty name means all.
         self.disturbed_ms_by_instance: dict[str, int] = {}
+        # Instances that are cut off from all targets now.
+        self.cut_instances: set[str] = set()
         self.count_by_outcome: dict[str, int] = {}
         # Software versions of the targets that sent an event, by attempt and
         # number: an event that is lost on its way may be sent again.
@@ -114,6 +119,8 @@
 
         A disturbance less than ``CONTACT_MS`` before that time counts too.
         """
+        if instance in self.cut_instances:
+            return False
         last_ms = max(
             self.disturbed_ms_by_instance.get(instance, 0),
             self.disturbed_ms_by_instance.get('', 0),
@@ -181,6 +188,40 @@
                     f' ms at {attempt.instance}, run by {attempt.runs}',
                 )
 
+    def check_lost(self, attempt: Attempt, what: str) -> None:
+        """
+        Check a request that ends without an answer.
+
+        :param what: what is known of the request
+        """
+        if self.is_undisturbed(attempt.instance, attempt.sent_ms):
+            waited_ms = self.now_ms() - attempt.sent_ms
+            self.report_breach(
+                'LOST',
+                f'{attempt.attempt_id} ({attempt.kind}) at {attempt.instance}'
+                f' after {waited_ms} ms, {what}, run by {attempt.runs}',
+            )
+
+    def check_limit(
+        self,
+        rule: str,
+        instance: str,
+        limit: str,
+        used: float,
+        promised: float,
+    ) -> None:
+        """
+        Check a caller that was closed (CLOSED) or refused (LIMIT) by a limit.
+
+        :param used: how much of the limit the caller had used
+        :param promised: how much of it the caller might use
+        """
+        if used < promised and self.is_undisturbed(instance, self.now_ms()):
+            self.report_breach(
+                rule,
+                f'{instance}: {limit}, {used:.0f} of {promised:.0f} used',
+            )
+
     def record_part_crash(self, part: str) -> None:
         """Record the crash of an engine under a part of a prompt."""
         self._crash_times_by_part.setdefault(part, []).append(self.now_ms())
