--- a/cicadahoist/entry/connection.py
+++ b/cicadahoist/entry/connection.py
@@ -15,6 +15,8 @@
 from cicadahoist.settings import BODY_LIMIT, HEADER_TIMEOUT
 
 IDLE_TIMEOUT_S = 60
+# A timer of this length fires after the event loop has read all sockets.
+NEXT_TURN_MS = 10
 
 
 class BoundedRequest(Request):
@@ -155,7 +157,7 @@
         if has_unread_input(self.transport):
             # The rest may have arrived: the next turn reads it first.
             self.request_timer = self.factory.clock.call_later(
-                0, self._refuse_as_too_slow
+                NEXT_TURN_MS, self._refuse_as_too_slow
             )
         else:
             self.refuse(Refusal.header_too_slow)
