Leave targets that say that they leave, and pause those that ask for it

Cause: neither Server-Leaving nor Retry-After of a target's answer was read. An instance that was cut off from the store went on sending to targets that had told it that they leave, and retried targets within the pause they asked for.

Change: the head of each answer, also to orders, is applied at once. A pause is this instance's own. With all targets pausing, callers are refused at once with the time until the first pause ends. Neither is a failure: no ejection. A relay opens no connections to targets that leave.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -92,7 +92,10 @@
             self._reactor,
         )
         self._engine_calls = EngineCalls(
-            new_http_client(self._reactor), settings.instance, ORDER_TIMEOUT_MS
+            new_http_client(self._reactor),
+            settings.instance,
+            ORDER_TIMEOUT_MS,
+            self._context.fleet.notices.record_engine_departure,
         )
         self._context.usage.window_ms = settings.usage_window_ms
         self._context.set_notice(settings.config_ms)
--- a/cicadahoist/listings.py
+++ b/cicadahoist/listings.py
@@ -1,9 +1,13 @@
 """Targets as the platform lists them, and each instance's directory of them."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
 import msgspec
 
+# Departures of targets that are kept; the oldest ones are forgotten beyond it.
+MAX_DEPARTURES = 1024
+
 
 class Listing(msgspec.Struct, frozen=True, kw_only=True):
     """
@@ -52,12 +56,22 @@
 class TargetDirectory:
     """Currently listed targets, by name and by service."""
 
-    __slots__ = ('_by_name', '_by_service', '_excluded_locations', '_on_change')
+    __slots__ = (
+        '_by_name',
+        '_by_service',
+        '_departed_ms_by_name',
+        '_excluded_locations',
+        '_on_change',
+    )
 
     def __init__(self) -> None:
         self._by_name: dict[str, Listing] = {}
         self._by_service: dict[str, list[Listing]] = {}
         self._on_change: list[Callable[[], None]] = []
+        # Start time of the latest process of each target that has said that it
+        # leaves. Kept also while the target is not listed: an older entry may
+        # come back.
+        self._departed_ms_by_name: OrderedDict[str, int] = OrderedDict()
         # Location of each excluded target at the time of its exclusion.
         self._excluded_locations: dict[str, tuple[str, str, int]] = {}
 
@@ -77,6 +91,32 @@
         """Return all listed targets."""
         return self._by_name.values()
 
+    def mark_leaving(self, name: str, started_ms: int) -> bool:
+        """
+        Use a target no more until a later process of it is listed.
+
+        :param started_ms: start time of the process that leaves, 0 for unknown
+        :return: whether this was not known
+        """
+        known_ms = self._departed_ms_by_name.get(name)
+        if known_ms is not None and known_ms >= started_ms:
+            return False
+        self._departed_ms_by_name[name] = started_ms
+        self._departed_ms_by_name.move_to_end(name)
+        if len(self._departed_ms_by_name) > MAX_DEPARTURES:
+            self._departed_ms_by_name.popitem(last=False)
+        self._rebuild()
+        return True
+
+    def is_leaving(self, listing: Listing) -> bool:
+        """Return whether a target is listed as leaving, or has said so."""
+        return listing.is_leaving or self.has_departed(listing)
+
+    def has_departed(self, listing: Listing) -> bool:
+        """Return whether a target has said in an answer that it leaves."""
+        departed_ms = self._departed_ms_by_name.get(listing.name)
+        return departed_ms is not None and departed_ms >= listing.started_ms
+
     def exclude(self, name: str) -> None:
         """Exclude a target until its location changes or it is restored."""
         listing = self._by_name.get(name)
@@ -114,7 +154,8 @@
         by_service: dict[str, list[Listing]] = {}
         for name in sorted(self._by_name):
             listing = self._by_name[name]
-            if not listing.is_leaving and name not in self._excluded_locations:
+            is_excluded = name in self._excluded_locations
+            if not is_excluded and not self.is_leaving(listing):
                 by_service.setdefault(listing.service, []).append(listing)
         self._by_service = by_service
         for action in self._on_change:
--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -212,6 +212,20 @@
         'the prompt',
     )
 )
+TARGETS_LEAVING = METRICS.declare(
+    MetricSpec(
+        'serving_targets_leaving',
+        'Targets that said in an answer that they leave.',
+        operator_remedy='none beside a release; otherwise see who stops them',
+    )
+)
+TARGETS_PAUSED = METRICS.declare(
+    MetricSpec(
+        'serving_targets_paused',
+        'Answers in which targets asked for a pause.',
+        operator_remedy='see the load of these targets; add some if it goes on',
+    )
+)
 RELAYS_USED = METRICS.declare(
     MetricSpec(
         'relay_used',
--- a/cicadahoist/platform/dialect.py
+++ b/cicadahoist/platform/dialect.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cicadahoist.errors import CallerError, WireError
+from cicadahoist.log import get_logger
 from cicadahoist.outside.http import HTTP_MULTIPLE_CHOICES, HTTP_OK
 from cicadahoist.platform.names import (
     ATTEMPT_ID,
@@ -14,11 +15,13 @@
     HANDLE,
     KEY_SCHEME,
     LAST_EVENT,
+    LEAVING,
     LENGTH_ESTIMATE,
     MODEL,
     NOT_RUN,
     PROMPT_PARTS,
     RESUMED_ATTEMPT,
+    RETRY_AFTER,
     SIGNATURE,
     STAGE,
     SYSTEM_HEADERS,
@@ -37,9 +40,13 @@
     SendOptions,
 )
 
+logger = get_logger(__name__)
+
 MS_PER_S = 1000
 HTTP_MISDIRECTED = 421
+HTTP_UNAVAILABLE = 503
 HTTP_SUCCESSES = range(HTTP_OK, HTTP_MULTIPLE_CHOICES)
+_SECONDS = re.compile(rb'\d{1,12}(\.\d*)?')
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 
 
@@ -129,6 +136,8 @@
             status,
             forwarded,
             int(found[1]) * MS_PER_S if found else None,
+            by_name.get(LEAVING.lower(), b'').strip() == b'1',
+            _read_pause_ms(status, by_name),
         )
 
     def own_headers(
@@ -140,7 +149,7 @@
             headers.append((ATTEMPT_ID, request.attempt_id.encode()))
         if retry_after_ms is not None:
             seconds = retry_after_ms / MS_PER_S
-            headers.append((b'Retry-After', b'%.3f' % seconds))
+            headers.append((RETRY_AFTER, b'%.3f' % seconds))
         return headers
 
     def handle_from(self, body: bytes, engine: str, address: str) -> Handle:
@@ -179,6 +188,17 @@
     return AnswerMeaning.failure
 
 
+def _read_pause_ms(status: int, by_name: dict[bytes, bytes]) -> int | None:
+    """Return the pause that a target asks for, none if it asks for none."""
+    text = by_name.get(RETRY_AFTER.lower(), b'').strip()
+    if status != HTTP_UNAVAILABLE or not text:
+        return None
+    if not _SECONDS.fullmatch(text):
+        logger.warning('Retry-After of a target ignored: {0!r}', text)
+        return None
+    return round(float(text) * MS_PER_S)
+
+
 def _parse_connection_options(connection: bytes) -> frozenset[bytes]:
     """Return the names that a Connection header declares hop-by-hop."""
     return frozenset(name.strip().lower() for name in connection.split(b','))
--- a/cicadahoist/platform/engines.py
+++ b/cicadahoist/platform/engines.py
@@ -1,13 +1,16 @@
 """Management calls to engines: role orders and released KV caches."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from cicadahoist.errors import NotSentError, RefusedError, TargetError
 from cicadahoist.listings import Listing
-from cicadahoist.outside.http import HTTP_OK, HttpClient
+from cicadahoist.outside.http import HTTP_OK, HttpClient, TargetResponse
 from cicadahoist.platform.names import (
     EXPECTED_TARGET,
     HANDLE_PATH,
+    LEAVING,
     ORDER_PATH,
     REPORT_PATH,
 )
@@ -15,6 +18,7 @@
 from cicadahoist.serving.duty_calls import OrderReply
 
 HTTP_ACCEPTED = 202
+HTTP_MISDIRECTED = 421
 
 
 class _WireOrder(msgspec.Struct, rename='kebab', kw_only=True):
@@ -41,12 +45,21 @@
     :param http: client with its own connection pool
     :param holder: name of this instance, sent as the duty holder
     :param timeout_ms: time limit for an answer
+    :param on_departure: called with the id of an engine that states in an
+        answer that it leaves
     """
 
-    __slots__ = ('_holder', '_http', '_timeout_ms')
+    __slots__ = ('_holder', '_http', '_on_departure', '_timeout_ms')
 
-    def __init__(self, http: HttpClient, holder: str, timeout_ms: int) -> None:
+    def __init__(
+        self,
+        http: HttpClient,
+        holder: str,
+        timeout_ms: int,
+        on_departure: Callable[[str], None],
+    ) -> None:
         self._http = http
+        self._on_departure = on_departure
         self._holder = holder
         self._timeout_ms = timeout_ms
 
@@ -62,6 +75,7 @@
             headers={EXPECTED_TARGET.decode(): engine.name},
             timeout_ms=self._timeout_ms,
         )
+        self._read_departure(engine.name, response)
         body = await response.read_body(self._timeout_ms)
         try:
             return _decode_report(body).seq
@@ -98,6 +112,7 @@
                 body=msgspec.json.encode(order),
                 timeout_ms=self._timeout_ms,
             )
+            self._read_departure(engine.name, response)
             await response.read_body(self._timeout_ms)
         except NotSentError:
             return OrderReply.refused
@@ -119,4 +134,12 @@
             headers={EXPECTED_TARGET.decode(): handle.engine},
             timeout_ms=self._timeout_ms,
         )
+        self._read_departure(handle.engine, response)
         await response.read_body(self._timeout_ms)
+
+    def _read_departure(self, engine: str, response: TargetResponse) -> None:
+        if response.status == HTTP_MISDIRECTED:
+            # Another engine has the address now.
+            return
+        if response.header(LEAVING.decode()).strip() == '1':
+            self._on_departure(engine)
--- a/cicadahoist/platform/names.py
+++ b/cicadahoist/platform/names.py
@@ -18,6 +18,8 @@
 TOKEN_COUNT = b'X-Cicadahoist-Token-Count'
 URGENCY = b'X-Cicadahoist-Request-Priority'
 DUTY_HOLDER = 'X-Cicadahoist-Duty-Holder'
+LEAVING = b'Server-Leaving'
+RETRY_AFTER = b'Retry-After'
 # Rises each time the store comes back from an older copy.
 STORE_ERA = 'Store-Era'
 FENCE = 'X-Cicadahoist-Fence-Token'
--- a/cicadahoist/policy/engine_board.py
+++ b/cicadahoist/policy/engine_board.py
@@ -15,6 +15,7 @@
 from cicadahoist.policy.part_cache import PartCache
 from cicadahoist.policy.peer_loads import InFlightLoad, PeerLoads
 from cicadahoist.policy.prediction_bias import PredictionBias
+from cicadahoist.policy.target_pauses import TargetLife, TargetPauses
 from cicadahoist.requests import PromptPart
 
 # Prefill rate of an engine with slowness 1: the lowest in the deployments'
@@ -113,6 +114,11 @@
         self.slowness = 1.0
         self.health = TargetHealth()
 
+    @property
+    def life(self) -> TargetLife:
+        """The process of the engine."""
+        return TargetLife(self.name, self.started_ms)
+
     @property
     def prefill_tokens_per_ms(self) -> float:
         """Prefill rate in the present role."""
@@ -141,23 +147,31 @@
 
     :param zone: availability zone of this instance
     :param answers: open attempts, which show the silent engines
+    :param pauses: engines that want no requests for a while
     """
 
     __slots__ = (
         '_answers',
         '_closure_by_engine',
         '_engines_by_name',
+        '_pauses',
         'peer_loads',
         'prediction_bias',
         'versions',
         'zone',
     )
 
-    def __init__(self, zone: str, answers: AnswerWatch | None = None) -> None:
+    def __init__(
+        self,
+        zone: str,
+        answers: AnswerWatch | None = None,
+        pauses: TargetPauses | None = None,
+    ) -> None:
         self.zone = zone
         # Software versions of the engines, sorted.
         self.versions: list[str] = []
         self._answers = answers or AnswerWatch()
+        self._pauses = pauses or TargetPauses()
         self._engines_by_name: dict[str, EngineState] = {}
         self.peer_loads = PeerLoads()
         # Learned from long prompts only.
@@ -195,17 +209,27 @@
             for engine in self._engines_by_name.values()
             if engine.role == role
             and engine.version == version
-            and not self._is_closed(engine, now_ms)
+            and not _is_closed(
+                engine, self._closure_by_engine.get(engine.name), now_ms
+            )
+            and not self._pauses.is_paused(engine.life, now_ms)
         ]
         return [
             engine for engine in engines if self.is_healthy(engine, now_ms)
         ] or engines
 
-    def _is_closed(self, engine: EngineState, now_ms: int) -> bool:
-        closure = self._closure_by_engine.get(engine.name)
-        if closure is None:
-            return False
-        return closure.role == engine.role and closure.expires_ms > now_ms
+    def compute_pause_ms(self, now_ms: int) -> int | None:
+        """
+        Return the time until the first decode engine takes requests again.
+
+        :return: none unless all of them pause
+        """
+        lives = [
+            engine.life
+            for engine in self._engines_by_name.values()
+            if engine.role == DECODE
+        ]
+        return self._pauses.compute_wait_ms(lives, now_ms)
 
     def is_healthy(self, engine: EngineState, now_ms: int) -> bool:
         """Return whether an engine is neither ejected nor silent."""
@@ -232,7 +256,7 @@
             name: closure
             for name, closure in self._closure_by_engine.items()
             if name in self._engines_by_name
-            and self._is_closed(self._engines_by_name[name], now_ms)
+            and _is_closed(self._engines_by_name[name], closure, now_ms)
         }
         return {
             name: RoleClosure(closure.role, closure.expires_ms - now_ms)
@@ -321,3 +345,11 @@
         listed.started_ms,
         listed.version,
     )
+
+
+def _is_closed(
+    engine: EngineState, closure: RoleClosure | None, now_ms: int
+) -> bool:
+    if closure is None:
+        return False
+    return closure.role == engine.role and closure.expires_ms > now_ms
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -139,6 +139,12 @@
         'come back after Retry-After',
         'see whether the pool has targets that are up and not draining',
     )
+    targets_paused = RefusalSpec(
+        503,
+        Outcome.not_run,
+        'come back after Retry-After',
+        'add targets: those of the service ask for pauses under this load',
+    )
     not_ready = RefusalSpec(
         503,
         Outcome.not_run,
@@ -311,7 +317,8 @@
         'see whether the target runs, and which instances reach it',
     )
     denied = RetrySpec(
-        'the peer does not know the token, or lists no such target',
+        'the peer does not know the token, lists no such target, or has heard '
+        'from it that it leaves',
         'none for some seconds after a start; later, see whether the lists of '
         'targets of both instances are current',
     )
--- a/cicadahoist/requests.py
+++ b/cicadahoist/requests.py
@@ -153,9 +153,14 @@
     :param headers: headers that are forwarded to the caller
     :param idle_timeout_ms: how long the target keeps an idle connection open,
         none if it does not state this
+    :param is_target_leaving: whether the target states that it leaves
+    :param pause_ms: time for which the target wants no requests from this
+        instance, none if it does not state this
     """
 
     meaning: AnswerMeaning
     status: int
     headers: HeaderList
     idle_timeout_ms: int | None = None
+    is_target_leaving: bool = False
+    pause_ms: int | None = None
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -144,6 +144,7 @@
         'listing',
         'max_body_bytes',
         'on_activity',
+        'on_head',
         'on_unread',
         'prepare_send',
     )
@@ -178,6 +179,8 @@
         self.max_body_bytes = CallerLimits().body_bytes
         # Called when the head or a piece of the answer arrives.
         self.on_activity: Callable[[], None] = _ignore
+        # Called with the head of the answer.
+        self.on_head: Callable[[AnswerHead], None] = _ignore_head
         # Called while the answer is not read, with the time in ms.
         self.on_unread: Callable[[int], None] = _ignore_unread
         # Called when a connection is open: returns what to send along now, or
@@ -261,6 +264,7 @@
         if head.meaning is AnswerMeaning.foreign:
             return False
         self._head = head
+        self.on_head(head)
         if self._connection is not None and head.idle_timeout_ms is not None:
             # The target states whole seconds: 0 s is less than a second.
             self._connection.idle_timeout_ms = (
@@ -365,5 +369,9 @@
     """Do nothing."""
 
 
+def _ignore_head(head: AnswerHead) -> None:
+    """Do nothing."""
+
+
 def _ignore_unread(now_ms: int) -> None:
     """Do nothing."""
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -22,6 +22,7 @@
 from cicadahoist.serving.stream_exchange import StreamExchange
 from cicadahoist.serving.target_connections import TargetConnections
 from cicadahoist.serving.target_crashes import TargetCrashes
+from cicadahoist.serving.target_notices import TargetNotices
 from cicadahoist.serving.usage_counts import UsageCounts
 
 # A target that is not at its listed address is used again after this time: its
@@ -41,6 +42,7 @@
     :param clock: clock of the process
     :param part_watch: finds the prompt parts that crash engines
     :param target_crashes: finds the targets that crash
+    :param metrics: metrics of the process
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         'connections',
         'directory',
         'is_settled',
+        'notices',
         'part_watch',
         'paths',
         'plain_targets',
@@ -63,6 +66,7 @@
         clock: Clock,
         part_watch: PartWatch,
         target_crashes: TargetCrashes,
+        metrics: Metrics,
     ) -> None:
         self._clock = clock
         self.part_watch = part_watch
@@ -71,9 +75,12 @@
         self.connections = connections
         self.paths = connections.paths
         self.answer_watch = AnswerWatch()
-        self.boards = EngineBoards(self.directory, self.answer_watch, zone)
+        self.notices = TargetNotices(self.directory, clock, metrics)
+        self.boards = EngineBoards(
+            self.directory, self.answer_watch, zone, self.notices.pauses
+        )
         self.plain_targets = PlainTargets(
-            self.directory, self.answer_watch, zone
+            self.directory, self.answer_watch, zone, self.notices.pauses
         )
         # Whether orders to targets may be based on the list of targets.
         self.is_settled = False
@@ -153,6 +160,7 @@
             clock,
             part_watch,
             TargetCrashes(clock, self._read_true_ms, part_watch, metrics),
+            metrics,
         )
         self.gossip.is_cut_off = self.fleet.is_cut_off
         path_log = PathLog(self.fleet.paths, clock, metrics)
--- a/cicadahoist/serving/engine_boards.py
+++ b/cicadahoist/serving/engine_boards.py
@@ -4,6 +4,7 @@
 from cicadahoist.policy.answer_watch import AnswerWatch
 from cicadahoist.policy.engine_board import EngineBoard, EngineState
 from cicadahoist.policy.placement import Placer
+from cicadahoist.policy.target_pauses import TargetPauses
 from cicadahoist.rules import Deployment
 
 
@@ -14,6 +15,7 @@
     :param directory: targets listed at this moment
     :param answers: records which targets are silent
     :param zone: availability zone of this instance
+    :param pauses: targets that want no requests for a while
     """
 
     __slots__ = (
@@ -21,15 +23,21 @@
         '_board_by_service',
         '_deployment',
         '_directory',
+        '_pauses',
         '_zone',
     )
 
     def __init__(
-        self, directory: TargetDirectory, answers: AnswerWatch, zone: str
+        self,
+        directory: TargetDirectory,
+        answers: AnswerWatch,
+        zone: str,
+        pauses: TargetPauses,
     ) -> None:
         self._directory = directory
         self._answers = answers
         self._zone = zone
+        self._pauses = pauses
         self._board_by_service: dict[str, EngineBoard] = {}
         self._deployment: Deployment | None = None
 
@@ -42,7 +50,7 @@
         """Return the board of a service, creating it at the first use."""
         board = self._board_by_service.get(service)
         if board is None:
-            board = EngineBoard(self._zone, self._answers)
+            board = EngineBoard(self._zone, self._answers, self._pauses)
             self._board_by_service[service] = board
             self._sync_board(service, board)
         return board
--- a/cicadahoist/serving/engine_choice.py
+++ b/cicadahoist/serving/engine_choice.py
@@ -73,6 +73,11 @@
         # Engines outside of the sample may have capacity.
         return self._choose_among(None, tried, remaining_ms, version)
 
+    def compute_pause_ms(self) -> int | None:
+        """Return when engines end their pauses, none unless all pause."""
+        board = self._context.fleet.boards.get_board(self._service)
+        return board.compute_pause_ms(self._context.clock.now_ms())
+
     def find_engine(self, name: str) -> tuple[EngineState, Listing] | None:
         """Return an engine and its listing, none if it was just removed."""
         fleet = self._context.fleet
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -39,6 +39,8 @@
 MAX_CONNECT_FAILURES = 3
 # Blames of a quarantined request may have expired after this time.
 QUARANTINE_RETRY_AFTER_MS = 10_000
+# Targets that are started again take this long at least.
+NO_TARGET_RETRY_AFTER_MS = 500
 # Another instance may know the version that began the stream.
 STREAM_RETRY_AFTER_MS = 100
 
@@ -224,6 +226,9 @@
         self._excluded_targets.add(name)
         chosen_ms = self._context.clock.now_ms()
         attempt.prepare_send = partial(self._prepare_send, attempt, chosen_ms)
+        attempt.on_head = partial(
+            self._context.fleet.notices.receive, attempt.listing
+        )
         limits = self._context.get_caller_limits(self._request.arrived_ms)
         attempt.max_body_bytes = limits.body_bytes
         end = await AttemptWatch(self._context).run(
@@ -305,6 +310,18 @@
     Deferred.fromCoroutine(serving).addErrback(on_defect)
 
 
+def explain_no_target(pause_ms: int | None) -> tuple[Refusal, int]:
+    """
+    Return why no target was found, and when callers may come back.
+
+    :param pause_ms: time until the first target ends its pause, none unless all
+        of them pause
+    """
+    if pause_ms is None:
+        return Refusal.no_target, NO_TARGET_RETRY_AFTER_MS
+    return Refusal.targets_paused, pause_ms
+
+
 def is_final(end: AttemptEnd) -> bool:
     """Return whether an attempt brought an answer that no retry can improve."""
     head = end.head
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -15,6 +15,7 @@
 from cicadahoist.policy.crash_blame import Blame
 from cicadahoist.policy.engine_board import EngineBoard, RoleClosure
 from cicadahoist.policy.peer_loads import InFlightLoad, PeerLoad
+from cicadahoist.policy.target_pauses import TargetLife
 from cicadahoist.requests import PromptPart
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.crash_watch import CRASH_CHECK_MS
@@ -73,6 +74,7 @@
     :param usage: usage counts of the sender, for peers that keep copies of them
     :param part_news: news on prompt parts that crash engines
     :param relay: the sender as a relay to targets
+    :param departures: targets that have told the sender that they leave
     """
 
     sender: str
@@ -85,6 +87,7 @@
     usage: UsageCopy | None = None
     part_news: PartNews | None = None
     relay: RelayState = RelayState()
+    departures: tuple[TargetLife, ...] = ()
 
 
 class PeerRecord(msgspec.Struct):
@@ -152,6 +155,7 @@
         context.gossip.on_blame = self._recent_blames.append
         context.gossip.on_prefill_started = self._queue_prefill
         context.streams.send = self._send_datagram
+        context.fleet.notices.on_departure = self._announce
 
     async def start(self) -> None:
         """Listen, and begin to send load reports."""
@@ -216,6 +220,7 @@
             gossip.blames.add(blame)
         if load.part_news is not None:
             self._context.fleet.part_watch.apply_news(load.part_news)
+        self._context.fleet.notices.apply_peer_departures(load.departures)
         for board in self._context.fleet.boards.list_boards():
             _apply_load(board, load, now_ms)
 
@@ -238,6 +243,9 @@
         self._far.prefills.append(prefill)
         self._schedule_check(PREFILL_DELAY_MS)
 
+    def _announce(self) -> None:
+        self._schedule_check(PREFILL_DELAY_MS)
+
     def _schedule_check(self, wait_ms: int) -> None:
         """Check the load after a delay, or earlier if that is scheduled."""
         due_ms = self._clock.now_ms() + wait_ms
@@ -296,6 +304,7 @@
             holds_duties=gossip.holds_duties(),
             part_news=self._part_news.collect(self._context.true_time.now_ms()),
             relay=RelayState(gossip.relays.is_accepting(), gossip.is_cut_off()),
+            departures=self._context.fleet.notices.list_departures(),
         )
 
     def _collect_blames(self) -> tuple[Blame, ...]:
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -37,8 +37,10 @@
 from cicadahoist.serving.flow import (
     HTTP_BAD_GATEWAY,
     MAX_CONNECT_FAILURES,
+    NO_TARGET_RETRY_AFTER_MS,
     STREAM_RETRY_AFTER_MS,
     Flow,
+    explain_no_target,
     has_failed,
     is_final,
     launch,
@@ -47,7 +49,6 @@
 
 logger = get_logger(__name__)
 
-NO_ENGINE_RETRY_AFTER_MS = 500
 # A held part stays held for minutes.
 PART_HELD_RETRY_AFTER_MS = 10_000
 BUSY_RETRY_AFTER_MS = 100
@@ -167,7 +168,7 @@
         if self._takeover.is_given_up(is_possible=_is_accepted(choice)):
             return None
         if choice is None:
-            self._refuse(Refusal.no_target, NO_ENGINE_RETRY_AFTER_MS)
+            self._refuse(*explain_no_target(self._choice.compute_pause_ms()))
             return None
         placement = choice.placement
         first_token_ms = round(placement.first_token_ms)
@@ -257,7 +258,7 @@
         """Retry or refuse after an attempt in which the request has not run."""
         if end.outcome is AttemptOutcome.unsent:
             if self._allowance.unreached_count >= MAX_CONNECT_FAILURES:
-                self._refuse(Refusal.no_target, NO_ENGINE_RETRY_AFTER_MS)
+                self._refuse(Refusal.no_target, NO_TARGET_RETRY_AFTER_MS)
         elif self._allowance.try_spend_retry():
             self._context.meters.count_retry(reason)
         else:
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -8,8 +8,10 @@
 from cicadahoist.serving.flow import (
     HTTP_BAD_GATEWAY,
     MAX_CONNECT_FAILURES,
+    NO_TARGET_RETRY_AFTER_MS,
     STREAM_RETRY_AFTER_MS,
     Flow,
+    explain_no_target,
     has_failed,
     is_final,
     launch,
@@ -18,7 +20,6 @@
 # A request takes some 100 ms, so that a busy service has a free slot again
 # within this time.
 BUSY_RETRY_AFTER_MS = 150
-NO_TARGET_RETRY_AFTER_MS = 500
 # Longest usual time to an answer: the longest specified job takes 450 ms.
 PLAIN_SILENCE_MS = 450
 
@@ -49,7 +50,10 @@
             return None
         listing = self._choose()
         if listing is None:
-            self._refuse(Refusal.no_target, NO_TARGET_RETRY_AFTER_MS)
+            pause_ms = self._context.fleet.plain_targets.compute_pause_ms(
+                self._service, self._context.clock.now_ms()
+            )
+            self._refuse(*explain_no_target(pause_ms))
         return listing
 
     def _choose(self) -> Listing | None:
--- a/cicadahoist/serving/plain_targets.py
+++ b/cicadahoist/serving/plain_targets.py
@@ -4,6 +4,7 @@
 from cicadahoist.listings import Listing, TargetDirectory
 from cicadahoist.policy.answer_watch import AnswerWatch
 from cicadahoist.policy.health import TargetHealth
+from cicadahoist.policy.target_pauses import TargetLife, TargetPauses
 
 
 class PlainTargets:
@@ -13,6 +14,7 @@
     :param directory: the listed targets
     :param answer_watch: reports which targets are silent
     :param zone: availability zone of this instance
+    :param pauses: targets that want no requests for a while
     """
 
     __slots__ = (
@@ -20,17 +22,23 @@
         '_directory',
         '_health_by_target',
         '_open_count_by_target',
+        '_pauses',
         '_started_ms_by_target',
         '_zone',
     )
 
     def __init__(
-        self, directory: TargetDirectory, answer_watch: AnswerWatch, zone: str
+        self,
+        directory: TargetDirectory,
+        answer_watch: AnswerWatch,
+        zone: str,
+        pauses: TargetPauses,
     ) -> None:
         self._directory = directory
         self._answer_watch = answer_watch
         self._started_ms_by_target: dict[str, int] = {}
         self._zone = zone
+        self._pauses = pauses
         self._open_count_by_target: dict[str, int] = {}
         self._health_by_target: dict[str, TargetHealth] = {}
 
@@ -57,7 +65,9 @@
         candidates = [
             listing
             for listing in self._directory.list_usable(service)
-            if listing.name not in tried and version in {None, listing.version}
+            if listing.name not in tried
+            and version in {None, listing.version}
+            and not self._pauses.is_paused(_get_life(listing), now_ms)
         ]
         if not candidates:
             return None
@@ -72,6 +82,15 @@
             ),
         )
 
+    def compute_pause_ms(self, service: str, now_ms: int) -> int | None:
+        """
+        Return the time until the first target takes requests again.
+
+        :return: none unless all targets of the service pause
+        """
+        lives = map(_get_life, self._directory.list_usable(service))
+        return self._pauses.compute_wait_ms(lives, now_ms)
+
     def is_sound(self, target: str, now_ms: int) -> bool:
         """Return whether a target is neither ejected nor silent."""
         if not self.get_health(target).compute_usable_share(now_ms):
@@ -118,3 +137,7 @@
             ) != self._started_ms_by_target.get(target):
                 self._health_by_target.pop(target)
         self._started_ms_by_target = started_ms_by_target
+
+
+def _get_life(listing: Listing) -> TargetLife:
+    return TargetLife(listing.name, listing.started_ms)
--- a/cicadahoist/serving/relay_admission.py
+++ b/cicadahoist/serving/relay_admission.py
@@ -57,6 +57,8 @@
         listing = self._directory.get(request.target)
         if listing is None or listing.started_ms != request.started_ms:
             return RelayRefusal.denied
+        if self._directory.has_departed(listing):
+            return RelayRefusal.denied
         if self.is_leaving:
             return RelayRefusal.leaving
         if self.relayed_count >= self.max_relayed:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -10,6 +10,8 @@
 from soak.proxy import HOST
 from soak.target_links import TargetLinks
 
+# Pause that a full target asks for.
+BUSY_PAUSE_S = 0.7
 WORK_S = 0.03
 EVENT_S = 0.015
 PREFILL_S = 0.02
@@ -58,6 +60,7 @@
         self.running_count = 0
         self.attempt_by_handle: dict[str, str] = {}
         self.accepted_order_count = 0
+        self.is_leaving = False
         self._requests: set = set()
         self._port = None
         self.links = TargetLinks(
@@ -72,6 +75,7 @@
         self.name = f't{next(_numbers)}'
         self.version = self.world.rng.choice(VERSIONS)
         self.running_count, self.accepted_order_count = 0, 0
+        self.is_leaving = False
         self.attempt_by_handle.clear()
         self._port = self.world.reactor.listenTCP(0, Site(self), interface=HOST)
         self.links.set_target_port(self._port.getHost().port)
@@ -110,6 +114,7 @@
     def drain(self) -> None:
         """Drain, stop, and start as a new incarnation."""
         old_name = self.name
+        self.is_leaving = True
         self.write_entry('draining')
         self.world.promises.leaving_ms_by_target[old_name] = self.world.now_ms()
         later = self.world.reactor.callLater
@@ -127,6 +132,8 @@
             for name, values in request.requestHeaders.getAllRawHeaders()
         }
         self._requests.add(request)
+        if self.is_leaving:
+            request.setHeader(b'Server-Leaving', b'1')
         request.notifyFinish().addBoth(
             lambda _: self._requests.discard(request)
         )
@@ -150,6 +157,7 @@
         request.setHeader(b'X-Cicadahoist-Attempt-Id', attempt_id)
         part = self.world.promises.check_crashing_part(attempt_id)
         if self.fault == 'busy' or self.running_count >= 2 * SLOTS:
+            request.setHeader(b'Retry-After', b'%.3f' % BUSY_PAUSE_S)
             return self._reject(request, 503)
         if headers.get(b'x-cicadahoist-serving-stage') == b'prefill':
             return self._run_prefill(request, attempt_id)
--- a/tests/test_serving/test_relay_admission.py
+++ b/tests/test_serving/test_relay_admission.py
@@ -121,3 +121,11 @@
     # A peer that is not reached sends none.
     assert len(statuses) == len(RelayRefusal) - 1
     assert all(len(status) == 1 for status in statuses)
+
+
+def test_a_target_that_has_said_it_leaves_is_denied():
+    directory = TargetDirectory()
+    directory.put(target('t1', started_ms=5))
+    directory.mark_leaving('t1', 5)
+    admission = RelayAdmission(TOKEN, directory)
+    assert admission.admit(request(started_ms=5)) is RelayRefusal.denied
