Learn the speed of engines and what they cache; back off from engines that reject

Change: each rejection closes its engine for 50 ms, doubled up to 1.6 s until it accepts; peers hear of it as of other closures, and with all engines closed callers hear when the first one opens. Slowness starts from the median of the measured engines. The time from a handoff to the first token is learned. Cached parts are those that were read, also by decode engines. Targets that fail some of their requests are avoided while others are not busier by four requests.

--- a/cicadahoist/policy/engine_board.py
+++ b/cicadahoist/policy/engine_board.py
@@ -12,14 +12,17 @@
 
 from cicadahoist.policy.answer_watch import AnswerWatch
 from cicadahoist.policy.health import TargetHealth
+from cicadahoist.policy.median_ratio import MedianRatio
 from cicadahoist.policy.part_cache import PartCache
 from cicadahoist.policy.peer_loads import InFlightLoad, PeerLoads
 from cicadahoist.policy.prediction_bias import PredictionBias
+from cicadahoist.policy.rejection_backoff import RejectionBackoffs
 from cicadahoist.policy.target_pauses import TargetLife, TargetPauses
+from cicadahoist.policy.typical_slowness import TypicalSlowness
 from cicadahoist.requests import PromptPart
 
-# Prefill rate of an engine with slowness 1: the lowest in the deployments'
-# sheets.
+# Prefill rate of an engine with slowness 1. How much slower the engines of a
+# deployment are is learned.
 DEFAULT_PREFILL_TOKENS_PER_MS = 310.0
 # Decode engines run prefill between the decode steps of running requests.
 DECODE_PREFILL_SHARE = 0.5
@@ -31,7 +34,7 @@
 # Shorter prefills are mostly overhead and say nothing about the speed.
 MIN_LEARNED_PREFILL_MS = 8.0
 # Time of one decode step without tokens, and per 1,000 tokens of KV cache that
-# it attends to. The deployments' sheets give both.
+# it attends to, of an engine with slowness 1.
 DECODE_STEP_MS = 0.7
 DECODE_STEP_MS_PER_K_TOKENS = 0.003
 TOKENS_PER_K = 1000
@@ -78,13 +81,14 @@
         'cache_tokens',
         'health',
         'is_cheap',
+        '_slowness',
         'name',
         'own_load',
         'prefix_cache',
         'role',
         'slots',
-        'slowness',
         'started_ms',
+        'typical_slowness',
         'version',
         'zone',
     )
@@ -111,7 +115,10 @@
         self.cache_tokens = cache_tokens
         self.prefix_cache = PartCache.from_memory(cache_tokens)
         self.own_load = InFlightLoad()
-        self.slowness = 1.0
+        # Learned from the prefills of this engine, none before the first one.
+        self._slowness: float | None = None
+        # Learned from the prefills of all engines of the service.
+        self.typical_slowness = TypicalSlowness()
         self.health = TargetHealth()
 
     @property
@@ -119,26 +126,40 @@
         """The process of the engine."""
         return TargetLife(self.name, self.started_ms)
 
+    @property
+    def slowness(self) -> float:
+        """How many times slower it prefills than the default rate."""
+        return self._slowness or self.typical_slowness.ratio
+
     @property
     def prefill_tokens_per_ms(self) -> float:
         """Prefill rate in the present role."""
         share = DECODE_PREFILL_SHARE if self.role == DECODE else 1
         return DEFAULT_PREFILL_TOKENS_PER_MS * share / self.slowness
 
-    def observe_prefill(self, predicted_ms: float, took_ms: float) -> None:
+    def observe_prefill(
+        self, predicted_ms: float, took_ms: float, slowness: float | None = None
+    ) -> None:
         """
         Adapt the slowness to the time that a prefill took.
 
         :param predicted_ms: predicted time
         :param took_ms: measured time
+        :param slowness: slowness with which it was predicted, none for the
+            present one; it may have been learned since then
         """
         if predicted_ms < MIN_LEARNED_PREFILL_MS:
             return
-        measured = self.slowness * took_ms / predicted_ms
-        change = SLOWNESS_GAIN * (measured - self.slowness)
-        self.slowness = min(
-            MAX_SLOWNESS, max(MIN_SLOWNESS, self.slowness + change)
-        )
+        measured = (slowness or self.slowness) * took_ms / predicted_ms
+        # The first measurement of an engine replaces the typical slowness.
+        gain = SLOWNESS_GAIN if self._slowness else 1
+        slowness = self.slowness + gain * (measured - self.slowness)
+        self._slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
+        self.typical_slowness.record(self.name, self._slowness)
+
+    def forget_slowness(self) -> None:
+        """Assume the typical slowness of the service."""
+        self._slowness = None
 
 
 class EngineBoard:
@@ -155,6 +176,9 @@
         '_closure_by_engine',
         '_engines_by_name',
         '_pauses',
+        '_typical_slowness',
+        'backoffs',
+        'decode_slowness',
         'peer_loads',
         'prediction_bias',
         'versions',
@@ -176,6 +200,10 @@
         self.peer_loads = PeerLoads()
         # Learned from long prompts only.
         self.prediction_bias = PredictionBias()
+        self._typical_slowness = TypicalSlowness()
+        # Learned from the time between a handoff and the first event.
+        self.decode_slowness = MedianRatio()
+        self.backoffs = RejectionBackoffs()
         self._closure_by_engine: dict[str, RoleClosure] = {}
 
     def sync(self, engines: Iterable[EngineState]) -> None:
@@ -185,13 +213,16 @@
             known = self._engines_by_name.get(listed.name)
             if known is None or not _is_same_process(known, listed):
                 # A restarted engine has lost its cache and its requests.
+                listed.typical_slowness = self._typical_slowness
                 state_by_name[listed.name] = listed
                 continue
             if known.role != listed.role:
                 known.role = listed.role
-                known.slowness = 1.0
+                known.forget_slowness()
             state_by_name[listed.name] = known
         self._engines_by_name = state_by_name
+        self.backoffs.retain(state_by_name)
+        self._typical_slowness.retain(state_by_name)
         self.versions = sorted(
             {engine.version for engine in state_by_name.values()}
         )
@@ -222,14 +253,26 @@
         """
         Return the time until the first decode engine takes requests again.
 
-        :return: none unless all of them pause
+        :return: none unless all of them pause or are closed
         """
-        lives = [
-            engine.life
+        engines = [
+            engine
             for engine in self._engines_by_name.values()
             if engine.role == DECODE
         ]
-        return self._pauses.compute_wait_ms(lives, now_ms)
+        closures = [
+            self._closure_by_engine.get(engine.name, _NO_CLOSURE)
+            for engine in engines
+        ]
+        waits_ms = [
+            max(
+                closure.expires_ms - now_ms,
+                self._pauses.compute_wait_ms([engine.life], now_ms) or 0,
+            )
+            for engine, closure in zip(engines, closures, strict=True)
+        ]
+        wait_ms = min(waits_ms, default=0)
+        return wait_ms if wait_ms > 0 else None
 
     def is_healthy(self, engine: EngineState, now_ms: int) -> bool:
         """Return whether an engine is neither ejected nor silent."""
@@ -244,6 +287,9 @@
         :param engine: name of the engine
         :param until_ms: time at which the closure expires
         """
+        known = self._closure_by_engine.get(engine, _NO_CLOSURE)
+        if known.role == role:
+            until_ms = max(until_ms, known.expires_ms)
         self._closure_by_engine[engine] = RoleClosure(role, until_ms)
 
     def list_closures(self, now_ms: int) -> dict[str, RoleClosure]:
@@ -310,7 +356,7 @@
         """
         run_count = self.count_runs(engine)
         kv_tokens = self.count_kv_tokens(engine)
-        step_ms = engine.slowness * (
+        step_ms = self.decode_slowness.ratio * (
             DECODE_STEP_MS
             + DECODE_STEP_MS_PER_K_TOKENS * kv_tokens / TOKENS_PER_K
         )
@@ -353,3 +399,6 @@
     if closure is None:
         return False
     return closure.role == engine.role and closure.expires_ms > now_ms
+
+
+_NO_CLOSURE = RoleClosure('', 0)
--- a/cicadahoist/policy/placement.py
+++ b/cicadahoist/policy/placement.py
@@ -51,6 +51,9 @@
     :param wait_ms: part of it that is spent waiting for other requests
     :param prefill_ms: predicted time until the end of the prefill
     :param prefill_tokens: prompt tokens that are not cached at the engine
+    :param prefill_slowness: slowness of the prefill engine in the prediction
+    :param handoff_ms: predicted time from the end of the prefill to the first
+        token, 0 without a prefill engine
     """
 
     prefill_engine: str | None
@@ -59,6 +62,8 @@
     wait_ms: float
     prefill_ms: float
     prefill_tokens: int
+    prefill_slowness: float = 1
+    handoff_ms: float = 0
 
 
 class Placer:
@@ -233,11 +238,15 @@
         engines: list[EngineState],
     ) -> list[EngineState]:
         """Put the engines that cache most of a prompt before the sample."""
+        sampled_tokens = max(
+            engine.prefix_cache.count_cached_tokens(work.parts)
+            for engine in sample
+        )
         holders = [
             engine
             for engine in engines
             if engine.prefix_cache.count_cached_tokens(work.parts)
-            > count_shared_tokens(work)
+            > sampled_tokens
         ]
         holders.sort(
             key=lambda engine: engine.prefix_cache.count_cached_tokens(
@@ -293,6 +302,8 @@
             wait_ms=prefill.wait_ms + wait_ms,
             prefill_ms=prefill.prefill_ms,
             prefill_tokens=prefill.prefill_tokens,
+            prefill_slowness=prefill.slowness,
+            handoff_ms=HANDOFF_MS + wait_ms,
         )
 
     def _predict_prefill(
@@ -304,7 +315,12 @@
             prefill_ms += CROSS_ZONE_MS
         wait_ms = self._board.predict_prefill_wait_ms(engine)
         return _PrefillPrediction(
-            engine.name, engine.zone, wait_ms, prefill_ms, prefill_tokens
+            engine.name,
+            engine.zone,
+            wait_ms,
+            prefill_ms,
+            prefill_tokens,
+            engine.slowness,
         )
 
     def _predict_decode_wait_ms(
@@ -327,6 +343,7 @@
     wait_ms: float
     prefill_ms: float
     prefill_tokens: int
+    slowness: float
 
 
 def _first_token_ms(placement: Placement) -> float:
@@ -390,9 +407,9 @@
 
 def count_uncached_tokens(work: ModelWork) -> int:
     """
-    Return the prompt tokens that no engine has cached for sure.
+    Return the prompt tokens that are read where requests meet their parts.
 
-    The first part is shared by so many requests that all engines cache it.
+    The first part is one that other requests share.
     """
     return max(1, work.prompt_tokens - count_shared_tokens(work))
 
@@ -400,6 +417,4 @@
 def count_prefill_tokens(work: ModelWork, engine: EngineState) -> int:
     """Return the prompt tokens that an engine does not have cached."""
     cached_tokens = engine.prefix_cache.count_cached_tokens(work.parts)
-    return max(
-        1, work.prompt_tokens - max(cached_tokens, count_shared_tokens(work))
-    )
+    return max(1, work.prompt_tokens - cached_tokens)
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -10,7 +10,6 @@
 from cicadahoist.policy.engine_board import EngineState
 from cicadahoist.policy.patience import compute_silence_bound_ms
 from cicadahoist.policy.placement import (
-    MIN_HANDOFF_TOKENS,
     Placement,
     compute_engine_urgency,
     estimate_engine_ms,
@@ -32,6 +31,7 @@
     OnPieces,
 )
 from cicadahoist.serving.engine_choice import Choice, EngineChoice
+from cicadahoist.serving.engine_feedback import EngineFeedback
 from cicadahoist.serving.event_relay import EventRelay
 from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.flow import (
@@ -61,6 +61,7 @@
 
     __slots__ = (
         '_choice',
+        '_feedback',
         '_free_cache',
         '_handle',
         '_handle_version',
@@ -82,6 +83,9 @@
         self._choice = EngineChoice(
             self._context, self._request, self._route, self._service, work
         )
+        self._feedback = EngineFeedback(
+            self._context, self._request, self._service, work
+        )
         self._free_cache = free_cache
         self._handle: Handle | None = None
         # Only a decode engine of this version can use the handle.
@@ -202,8 +206,7 @@
         )
         started_ms = self._context.clock.now_ms()
         engine.own_load.prefill_tokens += placement.prefill_tokens
-        engine.prefix_cache.record_prompt(self._work.parts)
-        self._context.gossip.on_prefill_started(engine_name, self._work.parts)
+        self._feedback.record_prefill(engine)
         try:
             end = await self._run_attempt(
                 attempt, compute_silence_bound_ms(placement.prefill_ms)
@@ -212,6 +215,7 @@
             engine.own_load.prefill_tokens -= placement.prefill_tokens
         took_ms = self._context.clock.now_ms() - started_ms
         handle = self._parse_handle(engine, end, listing.address)
+        self._feedback.record_admission(engine, end)
         if handle is None:
             if self._takeover.is_left_to_other(end):
                 return False
@@ -222,7 +226,9 @@
         self._handle_version = engine.version
         self._allowance.record_prefill()
         self._reply.log_fields['read_ms'] = took_ms
-        engine.observe_prefill(placement.prefill_ms, took_ms)
+        engine.observe_prefill(
+            placement.prefill_ms, took_ms, placement.prefill_slowness
+        )
         if not self._open_attempts.has_sent_run:
             self._open_attempts.stop_all()
         elif not has_older_run:
@@ -281,6 +287,8 @@
             0 if handle else placement.prefill_tokens,
             estimate_kv_tokens(self._work),
         )
+        if handle is None:
+            self._feedback.record_prefill(engine)
         run_watch = self._prompt_watch.start_run(listing)
         attempt = Attempt(
             self._context.dialect,
@@ -301,29 +309,24 @@
         if handle is not None and not attempt.is_sent:
             self._handle = handle
         self._prompt_watch.record_end(run_watch, end)
+        self._feedback.record_admission(engine, end)
         return self._process_end(engine, end)
 
     def _make_piece_handler(
         self, run_load: '_RunLoad', placement: Placement, engine: EngineState
     ) -> OnPieces:
         """Return the function that passes pieces on to the caller."""
-        board = self._context.fleet.boards.get_board(self._service)
         # The time since arrival includes earlier attempts, so that later ones
         # do not show how long a placement takes.
         is_first_try = len(self._tried_targets) <= int(
             placement.prefill_engine is not None
         )
-        is_long_prompt = self._work.prompt_tokens >= MIN_HANDOFF_TOKENS
+        sent_ms = self._context.clock.now_ms()
 
         def pass_on(head: AnswerHead, pieces: list[bytes]) -> None:
-            if (
-                run_load.record_prompt_read()
-                and is_first_try
-                and is_long_prompt
-            ):
-                now_ms = self._context.clock.now_ms()
-                board.prediction_bias.observe(
-                    placement.first_token_ms, now_ms - self._request.read_ms
+            if run_load.record_prompt_read():
+                self._feedback.record_first_token(
+                    engine, placement, sent_ms, is_first_try=is_first_try
                 )
             self._count_run(self._context.true_time.now_ms())
             if self._route.is_streamed:
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -126,7 +126,9 @@
                 else:
                     self._refuse(Refusal.limit_reached, BUSY_RETRY_AFTER_MS)
             case AttemptOutcome.answered:
-                health.record_success()
+                self._context.fleet.plain_targets.record_answer(
+                    listing.name, now_ms, is_failure=not is_final(end)
+                )
                 self._deliver_or_retry(listing, end)
             case AttemptOutcome.lost:
                 self._retry_or_fail()
--- a/cicadahoist/serving/plain_targets.py
+++ b/cicadahoist/serving/plain_targets.py
@@ -3,9 +3,13 @@
 from cicadahoist.ids import fast_hash
 from cicadahoist.listings import Listing, TargetDirectory
 from cicadahoist.policy.answer_watch import AnswerWatch
+from cicadahoist.policy.failure_share import FailureShare
 from cicadahoist.policy.health import TargetHealth
 from cicadahoist.policy.target_pauses import TargetLife, TargetPauses
 
+# Open attempts by which others must be busier before a failing target is used.
+FAILING_PENALTY_COUNT = 4
+
 
 class PlainTargets:
     """
@@ -20,6 +24,7 @@
     __slots__ = (
         '_answer_watch',
         '_directory',
+        '_failures_by_target',
         '_health_by_target',
         '_open_count_by_target',
         '_pauses',
@@ -41,6 +46,7 @@
         self._pauses = pauses
         self._open_count_by_target: dict[str, int] = {}
         self._health_by_target: dict[str, TargetHealth] = {}
+        self._failures_by_target: dict[str, FailureShare] = {}
 
     def choose(
         self,
@@ -53,7 +59,8 @@
         """
         Return the target of a service with the fewest open attempts, or none.
 
-        An ejected or silent target is chosen only where no other is left. Ties
+        An ejected or silent target is chosen only where no other is left, and
+        one that fails requests only where the others are busier by some. Ties
         go to the zone of this instance, then to a hash of the request.
 
         :param service: name of the service
@@ -76,7 +83,7 @@
             key=lambda listing: (
                 not self.get_health(listing.name).compute_usable_share(now_ms),
                 self._answer_watch.is_silent(listing.name, now_ms),
-                self._open_count_by_target.get(listing.name, 0),
+                self._count_open(listing.name, now_ms),
                 listing.zone != self._zone,
                 fast_hash(request_id + listing.name),
             ),
@@ -105,6 +112,22 @@
             self._health_by_target[target] = health
         return health
 
+    def record_answer(
+        self, target: str, now_ms: int, *, is_failure: bool
+    ) -> None:
+        """Record a whole answer, which may state a failure."""
+        self.get_health(target).record_success()
+        failures = self._failures_by_target.setdefault(target, FailureShare())
+        failures.record(now_ms, is_failure=is_failure)
+
+    def _count_open(self, target: str, now_ms: int) -> int:
+        """Return the open attempts, more of them for a failing target."""
+        open_count = self._open_count_by_target.get(target, 0)
+        failures = self._failures_by_target.get(target)
+        if failures is not None and failures.is_failing(now_ms):
+            return open_count + FAILING_PENALTY_COUNT
+        return open_count
+
     def end_ejection(self, target: str) -> None:
         """End the ejection of a target that has not failed itself."""
         health = self._health_by_target.get(target)
@@ -136,6 +159,7 @@
                 target
             ) != self._started_ms_by_target.get(target):
                 self._health_by_target.pop(target)
+                self._failures_by_target.pop(target, None)
         self._started_ms_by_target = started_ms_by_target
 
 
--- a/tests/test_serving/test_plain_flow.py
+++ b/tests/test_serving/test_plain_flow.py
@@ -246,3 +246,27 @@
     world.clock.advance(4000)
     world.send_request(b'/submit/x')
     assert len(world.sent) == 2
+
+
+def test_a_target_that_fails_requests_is_avoided(world):
+    failing = 't1'
+    for _ in range(6):
+        world.send_request(b'/submit/x')
+        sent = world.sent[-1]
+        sent.answer(500 if sent.target == failing else 200)
+    before = len(world.sent)
+    for _ in range(6):
+        world.send_request(b'/submit/x')
+        world.sent[-1].answer()
+    assert {sent.target for sent in world.sent[before:]} == {'t2'}
+
+
+def test_a_failing_target_is_used_where_the_other_is_busy(world):
+    for _ in range(6):
+        world.send_request(b'/submit/x')
+        sent = world.sent[-1]
+        sent.answer(500 if sent.target == 't1' else 200)
+    before = len(world.sent)
+    for _ in range(12):
+        world.send_request(b'/submit/x')
+    assert {sent.target for sent in world.sent[before:]} == {'t1', 't2'}
