--- a/cicadahoist/policy/engine_board.py
+++ b/cicadahoist/policy/engine_board.py
@@ -240,10 +240,14 @@
             for engine in self._engines_by_name.values()
             if engine.role == role
             and engine.version == version
-            and not _is_closed(
-                engine, self._closure_by_engine.get(engine.name), now_ms
+            and _compute_wait_ms(
+                engine,
+                self._closure_by_engine.get(engine.name),
+                self._pauses,
+                self.backoffs,
+                now_ms,
             )
-            and not self._pauses.is_paused(engine.life, now_ms)
+            <= 0
         ]
         return [
             engine for engine in engines if self.is_healthy(engine, now_ms)
@@ -253,23 +257,18 @@
         """
         Return the time until the first decode engine takes requests again.
 
-        :return: none unless all of them pause or are closed
+        :return: none unless all of them pause, are closed or have rejected work
         """
-        engines = [
-            engine
-            for engine in self._engines_by_name.values()
-            if engine.role == DECODE
-        ]
-        closures = [
-            self._closure_by_engine.get(engine.name, _NO_CLOSURE)
-            for engine in engines
-        ]
         waits_ms = [
-            max(
-                closure.expires_ms - now_ms,
-                self._pauses.compute_wait_ms([engine.life], now_ms) or 0,
+            _compute_wait_ms(
+                engine,
+                self._closure_by_engine.get(engine.name),
+                self._pauses,
+                self.backoffs,
+                now_ms,
             )
-            for engine, closure in zip(engines, closures, strict=True)
+            for engine in self._engines_by_name.values()
+            if engine.role == DECODE
         ]
         wait_ms = min(waits_ms, default=0)
         return wait_ms if wait_ms > 0 else None
@@ -287,9 +286,6 @@
         :param engine: name of the engine
         :param until_ms: time at which the closure expires
         """
-        known = self._closure_by_engine.get(engine, _NO_CLOSURE)
-        if known.role == role:
-            until_ms = max(until_ms, known.expires_ms)
         self._closure_by_engine[engine] = RoleClosure(role, until_ms)
 
     def list_closures(self, now_ms: int) -> dict[str, RoleClosure]:
@@ -401,4 +397,16 @@
     return closure.role == engine.role and closure.expires_ms > now_ms
 
 
-_NO_CLOSURE = RoleClosure('', 0)
+def _compute_wait_ms(
+    engine: EngineState,
+    closure: RoleClosure | None,
+    pauses: TargetPauses,
+    backoffs: RejectionBackoffs,
+    now_ms: int,
+) -> int:
+    """Return the time until an engine takes work, 0 or less for now."""
+    end_ms = backoffs.get_end_ms(engine.name)
+    if closure is not None and closure.role == engine.role:
+        end_ms = max(end_ms, closure.expires_ms)
+    pause_ms = pauses.compute_wait_ms([engine.life], now_ms) or 0
+    return max(end_ms - now_ms, pause_ms)
--- a/cicadahoist/serving/engine_feedback.py
+++ b/cicadahoist/serving/engine_feedback.py
@@ -45,10 +45,9 @@
         if end.outcome is AttemptOutcome.answered:
             board.backoffs.record_acceptance(engine.name)
         elif end.head and end.head.meaning is AnswerMeaning.not_run:
-            until_ms = board.backoffs.record_rejection(
+            board.backoffs.record_rejection(
                 engine.name, self._context.clock.now_ms()
             )
-            board.close_role(engine.name, engine.role, until_ms)
 
     def record_first_token(
         self,
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -15,6 +15,7 @@
 from cicadahoist.policy.crash_blame import Blame
 from cicadahoist.policy.engine_board import EngineBoard, RoleClosure
 from cicadahoist.policy.peer_loads import InFlightLoad, PeerLoad
+from cicadahoist.policy.rejection_backoff import MAX_BACKOFF_MS
 from cicadahoist.policy.target_pauses import TargetLife
 from cicadahoist.requests import PromptPart
 from cicadahoist.serving.context import ServingContext
@@ -75,6 +76,8 @@
     :param part_news: news on prompt parts that crash engines
     :param relay: the sender as a relay to targets
     :param departures: targets that have told the sender that they leave
+    :param backoff_ms_by_engine: engines that have rejected work of the sender,
+        and for how much longer it leaves them alone
     """
 
     sender: str
@@ -88,6 +91,7 @@
     part_news: PartNews | None = None
     relay: RelayState = RelayState()
     departures: tuple[TargetLife, ...] = ()
+    backoff_ms_by_engine: dict[str, int] = {}
 
 
 class PeerRecord(msgspec.Struct):
@@ -289,10 +293,12 @@
     def _collect_load(self, now_ms: int) -> LoadMessage:
         by_engine: dict[str, InFlightLoad] = {}
         closed_by_engine: dict[str, RoleClosure] = {}
+        backoff_ms_by_engine: dict[str, int] = {}
         for board in self._context.fleet.boards.list_boards():
             board.peer_loads.drop_expired(now_ms)
             by_engine.update(board.snapshot_own_load())
             closed_by_engine.update(board.list_closures(now_ms))
+            backoff_ms_by_engine.update(board.backoffs.list_own(now_ms))
         self._context.fleet.part_watch.drop_expired()
         gossip = self._context.gossip
         return LoadMessage(
@@ -305,6 +311,7 @@
             part_news=self._part_news.collect(self._context.true_time.now_ms()),
             relay=RelayState(gossip.relays.is_accepting(), gossip.is_cut_off()),
             departures=self._context.fleet.notices.list_departures(),
+            backoff_ms_by_engine=backoff_ms_by_engine,
         )
 
     def _collect_blames(self) -> tuple[Blame, ...]:
@@ -348,6 +355,10 @@
     for engine, closure in load.closed_by_engine.items():
         if board.get(engine) is not None:
             board.close_role(engine, closure.role, now_ms + closure.expires_ms)
+    for engine, left_ms in load.backoff_ms_by_engine.items():
+        if board.get(engine) is not None:
+            left_ms = min(left_ms, MAX_BACKOFF_MS)
+            board.backoffs.apply_peer_backoff(engine, now_ms + left_ms)
     for prefill in load.prefills:
         board.record_prefill(prefill.engine, prefill.parts)
 
--- a/tests/test_serving/test_load_exchange.py
+++ b/tests/test_serving/test_load_exchange.py
@@ -1,12 +1,14 @@
 """Loads, blames and counts that instances exchange by datagrams."""
 
 from itertools import pairwise
+from random import Random
 
 from cicadahoist.objects import StoredObject
 from cicadahoist.policy.crash_blame import Blame
 from cicadahoist.requests import PromptPart
 from cicadahoist.serving.load_exchange import LoadExchange, PeerRecord
 from cicadahoist.serving.peers import Peers
+from cicadahoist.serving.target_notices import get_life
 from tests.test_serving.world import World, target
 
 PARTS = (PromptPart('guide', 2500), PromptPart('site', 3800))
@@ -260,3 +262,50 @@
     _, _, (first, _) = create_deployment(['a', 'b'])
     first.exchange.datagramReceived(b'\x00', ('h', 9))
     assert first.board.count_prefill_tokens(first.board.get('p1')) == 0
+
+
+def test_a_departure_reaches_all_peers_at_once():
+    _, clock, instances = create_deployment(['a', 'b'])
+    first, second = instances
+    for instance in instances:
+        instance.world.add(target('t1', started_ms=7))
+    directory = first.world.context.fleet.directory
+    first.world.context.fleet.notices.record_departure(
+        get_life(directory.get('t1'))
+    )
+    clock.advance(1000)
+    listing = second.world.context.fleet.directory.get('t1')
+    assert second.world.context.fleet.directory.is_leaving(listing)
+
+
+def test_no_change_of_a_datagram_raises_an_error():
+    network, clock, (first, second) = create_deployment(['a', 'a'])
+    first.world.context.gossip.on_prefill_started('p1', PARTS)
+    clock.advance(1000)
+    rng = Random(5)
+    sound = network.datagrams[-1]
+    for _ in range(3000):
+        changed = bytearray(sound)
+        for _ in range(rng.randrange(1, 5)):
+            changed[rng.randrange(len(changed))] = rng.randrange(256)
+        second.exchange.datagramReceived(
+            bytes(changed[: rng.randrange(len(changed) + 1)]), ('h', 9)
+        )
+    clock.advance(5000)
+    assert second.world.context.fleet.directory.get('p1') is not None
+
+
+def test_back_offs_end_although_all_peers_tell_their_loads():
+    """Guards against back-offs that instances tell each other in circles."""
+    _, clock, instances = create_deployment(['a'] * 12)
+    now_ms = clock.now_ms()
+    end_ms = instances[0].board.backoffs.record_rejection('p1', now_ms)
+    for step in range(60):
+        for number, instance in enumerate(instances):
+            instance.board.get('p1').own_load.prefill_tokens = step + number
+        clock.advance(5)
+    ends_ms = {
+        instance.board.backoffs.get_end_ms('p1') for instance in instances
+    }
+    assert min(ends_ms) > now_ms
+    assert max(ends_ms) <= end_ms + 5
