Do not send to an engine that asked for a pause during a prefill

Cause: a decode engine is chosen before the prefill. If it asked for a pause meanwhile, each prompt that was in prefill still went to it: more than two requests within the pause.

Change: an engine is looked up again right before each send; one that pauses counts as gone, and another one is chosen, with the same KV cache. The new test failed before.

--- a/cicadahoist/serving/engine_choice.py
+++ b/cicadahoist/serving/engine_choice.py
@@ -79,12 +79,19 @@
         return board.compute_pause_ms(self._context.clock.now_ms())
 
     def find_engine(self, name: str) -> tuple[EngineState, Listing] | None:
-        """Return an engine and its listing, none if it was just removed."""
+        """
+        Return an engine and its listing, none if it is to be sent no requests.
+
+        Since it was chosen, it may have been removed or have asked for a pause.
+        """
         fleet = self._context.fleet
         engine = fleet.boards.get_board(self._service).get(name)
         listing = fleet.directory.get(name)
         if engine is None or listing is None:
             return None
+        now_ms = self._context.clock.now_ms()
+        if fleet.notices.pauses.is_paused(engine.life, now_ms):
+            return None
         return engine, listing
 
     def is_sound(self, placement: Placement) -> bool:
--- a/tests/test_serving/test_target_notices.py
+++ b/tests/test_serving/test_target_notices.py
@@ -230,3 +230,25 @@
     world.send_request(b'/submit/x')
     world.sent[0].answer(429, b'', [b'Retry-After: 5'])
     assert not world.count(TARGETS_PAUSED)
+
+
+def test_prompts_in_prefill_do_not_go_to_an_engine_that_pauses_meanwhile():
+    world = World()
+    world.add(
+        target('p1', 'llm', 'prefill', started_ms=1),
+        target('d1', 'llm', 'decode', started_ms=1),
+    )
+    callers = [
+        world.send_request(b'/check/x', *prompt_headers(), patience=2000)
+        for _ in range(4)
+    ]
+    prefills = list(world.sent)
+    prefills[0].answer(body=HANDLE_BODY)
+    world.add(target('d2', 'llm', 'decode', started_ms=1))
+    reject_with_pause(world.sent[-1], b'5')
+    world.clock.advance(600)
+    before = len(world.sent)
+    for prefill in prefills[1:]:
+        prefill.answer(body=HANDLE_BODY)
+    assert len(callers) == 4
+    assert {sent.target for sent in world.sent[before:]} == {'d2'}
