--- a/cicadahoist/policy/rejection_backoff.py
+++ b/cicadahoist/policy/rejection_backoff.py
@@ -1,8 +1,8 @@
 """
 Back-off from engines that reject work.
 
-An engine that rejects everything at once, as it does while it changes its role,
-has no load. By its predicted times it would attract all requests: a black hole.
+An engine that rejects everything at once has no load. By its predicted times it
+would attract all requests: a black hole.
 """
 
 from collections.abc import Collection
