--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -31,6 +31,7 @@
 from cicadahoist.serving.relay_server import RelayServer
 from cicadahoist.serving.server import EXIT_MARGIN_MS
 from cicadahoist.serving.version_history import HISTORY_KIND, apply_history
+from cicadahoist.settings import LARGE_FLEET
 
 # New instances affect only shares and loads, so cheap lists that may be seconds
 # old are enough to find them.
@@ -74,6 +75,7 @@
     :param incarnation: unique name of this process
     :return: what other tasks need of them
     """
+    context.gossip.set_large_from(application.config.read(LARGE_FLEET))
     peers = Peers(settings.instance)
     record = PeerRecord(
         settings.host,
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -181,6 +181,11 @@
         """Version of the configuration in force, none before the first."""
         return self.deployment.version if self.deployment else None
 
+    @property
+    def is_large_fleet(self) -> bool:
+        """Whether the deployment has many instances."""
+        return self.gossip.is_large_fleet
+
     @property
     def config_age_ms(self) -> int | None:
         """Time since the latest new configuration, none before the first."""
@@ -225,3 +230,4 @@
         """Set the number of instances that share demand and retry budgets."""
         self.demand.instance_count = count
         self.retries.instance_count = count
+        self.gossip.set_instance_count(count)
--- a/cicadahoist/serving/gossip.py
+++ b/cicadahoist/serving/gossip.py
@@ -3,14 +3,19 @@
 from collections.abc import Callable
 from typing import Any
 
+from cicadahoist.log import get_logger
 from cicadahoist.policy.crash_blame import Blame, CrashBlame
 from cicadahoist.policy.crash_evidence import CrashEvidence
 from cicadahoist.policy.crash_log import CrashReport
+from cicadahoist.policy.fleet_size import FleetSize
 from cicadahoist.policy.held_parts import HeldParts, PartHold
 from cicadahoist.policy.sound_parts import SoundPart
 from cicadahoist.requests import PromptPart
 from cicadahoist.serving.relay_peers import RelayPeers
 from cicadahoist.serving.usage_copies import UsageCopies
+from cicadahoist.settings import LARGE_FLEET
+
+logger = get_logger(__name__)
 
 
 class Gossip:
@@ -22,6 +27,7 @@
     """
 
     __slots__ = (
+        '_fleet_size',
         'blames',
         'crash_evidence',
         'held_parts',
@@ -42,6 +48,7 @@
         self.held_parts = HeldParts()
         self.usage_copies = UsageCopies()
         self.relays = RelayPeers()
+        self._fleet_size = FleetSize(LARGE_FLEET.default)
         # Called with each blame that this instance has found.
         self.on_blame: Callable[[Blame], None] = _ignore
         # Called with each hold that this instance has decided.
@@ -59,6 +66,22 @@
         # Returns whether this instance reaches no target itself.
         self.is_cut_off: Callable[[], bool] = bool
 
+    @property
+    def is_large_fleet(self) -> bool:
+        """Whether the deployment has many instances."""
+        return self._fleet_size.is_large
+
+    def set_large_from(self, instance_count: int) -> None:
+        """Set the number of instances from which a fleet counts as large."""
+        self._fleet_size = FleetSize(instance_count)
+
+    def set_instance_count(self, count: int) -> None:
+        """Set the number of registered instances, this one included."""
+        if self._fleet_size.apply_count(count):
+            logger.bind(
+                instances=count, is_large=self._fleet_size.is_large
+            ).info('size class of the fleet changed')
+
 
 def _ignore(*news: Any) -> None:
     """Send nothing."""
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -413,6 +413,18 @@
     )
 )
 
+LARGE_FLEET = _declare(
+    Option(
+        'fleet',
+        'large_from',
+        12,
+        unit='instances',
+        lowest=2,
+        summary='Number of instances from which a deployment is served as a'
+        ' large fleet.',
+    )
+)
+
 SETTINGS.declare_order(HEARTBEAT_PERIOD, PEER_TIMEOUT)
 SETTINGS.declare_order(LEASE_MARGIN, LEASE_TERM)
 SETTINGS.declare_order(ORDER_BOUND, LEASE_TERM)
--- a/tests/test_cmd/test_front_peering.py
+++ b/tests/test_cmd/test_front_peering.py
@@ -13,6 +13,7 @@
 
 from cicadahoist.clock import MS_PER_S, Clock
 from cicadahoist.cmd import front_peering
+from cicadahoist.config import Config
 from cicadahoist.metrics import Metrics
 from cicadahoist.platform.dialect import Dialect
 from cicadahoist.platform.settings_file import Address, InstanceSettings
@@ -41,6 +42,7 @@
 
     def __init__(self, reactor):
         self.clock = Clock(reactor, lambda: round(reactor.seconds() * MS_PER_S))
+        self.config = Config.from_values()
         self.added = []
 
     def add(self, task):
