Two instances of a zone watch the store for all of it

Change: in large fleets the first two living instances of a zone, by a hash of their names, watch; the others follow their datagrams and watch the store themselves where these stop, tell an old state or miss a change.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -1,52 +1,33 @@
 """Assembles the tasks of one instance on the platform."""
 
 from collections.abc import Callable
-from functools import partial
 
 from cicadahoist.application import Application
 from cicadahoist.cmd.front_duties import DutyAssembly
+from cicadahoist.cmd.front_followers import add_followers
 from cicadahoist.cmd.front_peering import add_peering
 from cicadahoist.ids import new_nonce
-from cicadahoist.objects import Change, StoredObject
 from cicadahoist.platform.clients import (
     ORDER_TIMEOUT_MS,
     new_http_client,
-    new_store_client,
-)
-from cicadahoist.platform.configuration import (
-    CONFIG_KIND,
-    CONFIG_NAME,
-    decode_deployment,
 )
 from cicadahoist.platform.dialect import Dialect
-from cicadahoist.platform.discovery import LISTING_KIND, decode_listing
 from cicadahoist.platform.engines import EngineCalls
 from cicadahoist.platform.names import READY_PATH
 from cicadahoist.platform.settings_file import InstanceSettings
 from cicadahoist.policy.link_queue import LinkQueue
 from cicadahoist.policy.retry_share import RetryTerms
 from cicadahoist.serving.context import ServingContext
-from cicadahoist.serving.deployment_source import DeploymentSource
 from cicadahoist.serving.front import Front
 from cicadahoist.serving.relay_server import RelayLeave
 from cicadahoist.serving.server import FrontServer, ReadyServer
 from cicadahoist.serving.settings_watch import SettingsWatch
-from cicadahoist.serving.store_follower import KindFollower, ListHandler
-from cicadahoist.serving.target_source import TargetSource
+from cicadahoist.serving.watch_fanout import WatchFanout
 
 # Keyed requests are refused well before a withdrawn key must stop working.
 MAX_KEYED_AGE_SHARE = 0.8
 # The instance reports not ready before it has to refuse keyed requests.
 MAX_READY_AGE_SHARE = 0.6
-# Targets register within two heartbeats; a list is complete after this time.
-LIST_SETTLE_MS = 3500
-# How long the store holds a watch of the configuration. This bounds the age of
-# what is known about keys; a shorter time costs more calls.
-CONFIG_WAIT_MS = 2400
-# Targets join, leave and change roles in groups, so changes are batched for
-# this time, longer with more instances because a change wakes all of them.
-LISTING_GATHER_MS = 120
-GATHER_PER_INSTANCE_MS = 5
 
 
 class FrontAssembly:
@@ -69,6 +50,7 @@
         '_reactor',
         '_read_settings',
         '_settings',
+        '_watch_fanout',
     )
 
     def __init__(
@@ -91,6 +73,12 @@
             _build_retry_terms(settings),
             self._reactor,
         )
+        self._watch_fanout = WatchFanout(
+            self._clock,
+            self._incarnation,
+            lambda: self._context.is_large_fleet,
+            application.metrics,
+        )
         self._engine_calls = EngineCalls(
             new_http_client(self._reactor),
             settings.instance,
@@ -122,6 +110,7 @@
             self._settings,
             self._incarnation,
             self._reactor,
+            self._watch_fanout,
         )
         self._add_duties()
         self._add_servers()
@@ -133,63 +122,14 @@
         self._context.set_notice(settings.config_ms)
 
     def _add_followers(self) -> None:
-        source = DeploymentSource(CONFIG_NAME, decode_deployment)
-        source.on_change(self._context.apply_deployment)
-        self._config_follower = self._build_follower(
-            CONFIG_KIND,
-            CONFIG_WAIT_MS,
-            source.apply_list,
-            source.apply_change,
-        )
-        targets = TargetSource(
-            self._context.fleet.directory,
-            decode_listing,
-            self._clock,
-            lambda: listings.outage_ended_ms,
-        )
-        listings = self._build_follower(
-            LISTING_KIND,
-            self._settings.drain_ms,
-            self._settle_after_list(targets.apply_list),
-            targets.apply_change,
-            self._compute_gather_ms,
-        )
-        self._application.add(self._config_follower)
-        self._application.add(listings)
-        # The store holds each watch for drain_ms.
-        self._context.streams.is_listing_fresh = partial(
-            listings.is_confirmed_within, 2 * self._settings.drain_ms
-        )
-
-    def _build_follower(
-        self,
-        kind: str,
-        wait_ms: int,
-        on_list: ListHandler,
-        on_change: Callable[[Change], None],
-        gather_ms: Callable[[], int] | None = None,
-    ) -> KindFollower:
-        store = new_store_client(self._settings.store_address, self._reactor)
-        return KindFollower(
-            store, kind, wait_ms, self._clock, on_list, on_change, gather_ms
+        followers = add_followers(
+            self._application,
+            self._context,
+            self._settings,
+            self._watch_fanout,
+            self._reactor,
         )
-
-    def _compute_gather_ms(self) -> int:
-        instances = self._context.demand.instance_count
-        return LISTING_GATHER_MS + GATHER_PER_INSTANCE_MS * instances
-
-    def _settle_after_list(self, apply_list: ListHandler) -> ListHandler:
-        """Return a handler of lists that enables orders some time after one."""
-
-        def apply_and_settle(found: list[StoredObject]) -> None:
-            apply_list(found)
-            if not self._context.fleet.is_settled:
-                self._clock.call_later(LIST_SETTLE_MS, self._mark_settled)
-
-        return apply_and_settle
-
-    def _mark_settled(self) -> None:
-        self._context.fleet.is_settled = True
+        self._config_follower = followers.configuration
 
     def _add_duties(self) -> None:
         if self._settings.order_address is None:
--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -31,6 +31,7 @@
 from cicadahoist.serving.relay_server import RelayServer
 from cicadahoist.serving.server import EXIT_MARGIN_MS
 from cicadahoist.serving.version_history import HISTORY_KIND, apply_history
+from cicadahoist.serving.watch_fanout import WatchFanout, WatchFanoutTask
 from cicadahoist.settings import LARGE_FLEET
 
 # New instances affect only shares and loads, so cheap lists that may be seconds
@@ -65,6 +66,7 @@
     settings: InstanceSettings,
     incarnation: str,
     reactor: Any,
+    fanout: WatchFanout,
 ) -> Peering:
     """
     Add the tasks that register this instance and exchange load with others.
@@ -73,6 +75,7 @@
     until the end of the grace.
 
     :param incarnation: unique name of this process
+    :param fanout: shares watches of the store in the zone
     :return: what other tasks need of them
     """
     context.gossip.set_large_from(application.config.read(LARGE_FLEET))
@@ -110,6 +113,10 @@
         context.gossip.usage_copies,
     )
     exchange.on_unregistered = records.register_again
+    fanout.attach(exchange)
+    heartbeats = WatchFanoutTask(
+        fanout, settings.instance, peers, application.clock
+    )
     history = KindPoller(
         new_store_client(settings.store_address, reactor),
         HISTORY_KIND,
@@ -120,7 +127,7 @@
     context.fleet.connections.relays = build_relay_client(
         application, context, settings, peers, reactor
     )
-    for task in (relay, exchange, poller, records, history):
+    for task in (relay, exchange, poller, records, history, heartbeats):
         application.add(task)
     _add_held_parts(application, context, settings, reactor)
     return Peering(peers, relay)
--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -127,6 +127,20 @@
         operator_remedy='compare with the bandwidth of the instance',
     )
 )
+WATCH_NEWS_SENT = METRICS.declare(
+    MetricSpec(
+        'serving_watch_news_sent',
+        'Messages on the state of the store sent to instances of the zone.',
+        operator_remedy='none; only the readers of a zone send them',
+    )
+)
+WATCH_GAPS = METRICS.declare(
+    MetricSpec(
+        'serving_watch_gaps',
+        'Changes of the store that were missed and read from it.',
+        operator_remedy='look for lost datagrams in the zone if it rises fast',
+    )
+)
 ANSWERED = METRICS.declare(
     MetricSpec(
         'serving_answered',
--- /dev/null
+++ b/cicadahoist/policy/shared_watch/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which instances watch the store, and how old their news are."""
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -29,6 +29,8 @@
 
 logger = get_logger(__name__)
 
+Receiver = Callable[[bytes, Address], None]
+
 PEER_KIND = 'cicadahoist-peers'
 # The load is checked for changes this often: half of the time that the prefill
 # of a prompt takes.
@@ -156,11 +158,20 @@
         self._copies_sent_ms = 0
         # Called when a list of all instances lacks this one.
         self.on_unregistered: Callable[[], None] = _ignore
+        # Called with the addresses of the peers of the zone after each list.
+        self.on_zone_members: Callable[[dict[str, Address]], None] = _ignore
+        self._receiver_by_mark: dict[bytes, Receiver] = {
+            STREAM_MARK: context.streams.receive
+        }
         context.gossip.on_blame = self._recent_blames.append
         context.gossip.on_prefill_started = self._queue_prefill
-        context.streams.send = self._send_datagram
+        context.streams.send = self.send_datagram
         context.fleet.notices.on_departure = self._announce
 
+    def add_receiver(self, mark: bytes, receiver: Receiver) -> None:
+        """Pass datagrams with a first byte to a receiver."""
+        self._receiver_by_mark[mark] = receiver
+
     async def start(self) -> None:
         """Listen, and begin to send load reports."""
         self._port = self._reactor.listenUDP(
@@ -195,6 +206,7 @@
                 zone_by_instance[stored.name] = peer.zone
                 if peer.relay_port:
                     relays[stored.name] = _get_relay_address(peer)
+        self.on_zone_members(self._near.addresses)
         self._context.gossip.relays.set_addresses(relays)
         self._context.set_instance_count(len(zone_by_instance))
         self._context.streams.set_peers(
@@ -203,8 +215,9 @@
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
         """Apply the load report of a peer; drop a datagram that is none."""
-        if datagram.startswith(STREAM_MARK):
-            self._context.streams.receive(datagram, addr)
+        receiver = self._receiver_by_mark.get(datagram[:1])
+        if receiver is not None:
+            receiver(datagram, addr)
             return
         try:
             load = _codec.decode(datagram)
@@ -333,10 +346,11 @@
         )
         datagram = _codec.encode(stamped)
         for address in addresses.values():
-            self._send_datagram(datagram, address)
+            self.send_datagram(datagram, address)
         return len(datagram) + DATAGRAM_HEADER_BYTES
 
-    def _send_datagram(self, datagram: bytes, address: Address) -> None:
+    def send_datagram(self, datagram: bytes, address: Address) -> None:
+        """Send a datagram to a peer and count its bytes."""
         sent_bytes = len(datagram) + DATAGRAM_HEADER_BYTES
         self._context.meters.count_load_bytes(sent_bytes)
         self._context.link.record_sent(sent_bytes, self._clock.now_ms())
@@ -363,5 +377,5 @@
         board.record_prefill(prefill.engine, prefill.parts)
 
 
-def _ignore() -> None:
+def _ignore(*news: Any) -> None:
     """Do nothing: no task registers this instance again."""
--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -9,6 +9,8 @@
 from cicadahoist.errors import HistoryGoneError, StoreError
 from cicadahoist.log import get_logger
 from cicadahoist.objects import Change, ObjectStoreClient, StoredObject
+from cicadahoist.serving.watch_feed import HeardNews, WatchFeed
+from cicadahoist.serving.watch_news import KindNews
 
 logger = get_logger(__name__)
 
@@ -16,6 +18,13 @@
 MAX_BACKOFF_MS = 400
 # An answer that is later than the end of a watch by this time ends an outage.
 OUTAGE_MS = 1500
+# A reader's watch is held no longer, so that members of its zone rely on a
+# state that is hardly older than one of their own watches would be.
+MAX_READER_WAIT_MS = 1200
+# The first watch after news of readers is held for a short time only: the last
+# of these is older than an own answer would be, and a long wait on top of it
+# would look like an outage of the store.
+FIRST_WAIT_MS = 300
 
 
 ListHandler = Callable[[list[StoredObject]], None]
@@ -33,12 +42,17 @@
     :param on_change: called with each change after a list
     :param batch_delay_ms: returns the pause after an answer with changes: more
         mostly follow, and each answer costs a call; none for no pause
+    :param feed: news of instances that watch the store for the zone; none to
+        watch it in any case
     """
 
     __slots__ = (
         '_batch_delay_ms',
         '_clock',
         '_era',
+        '_feed',
+        '_has_followed_feed',
+        '_has_gap',
         '_is_stopped',
         '_kind',
         '_last_answer_ms',
@@ -61,7 +75,12 @@
         on_list: ListHandler,
         on_change: Callable[[Change], None],
         batch_delay_ms: Callable[[], int] | None = None,
+        feed: WatchFeed | None = None,
     ) -> None:
+        self._feed = feed
+        # Whether the last news told of a change that was not received.
+        self._has_gap = False
+        self._has_followed_feed = False
         self._batch_delay_ms = batch_delay_ms
         self._objects = objects
         self._kind = kind
@@ -122,12 +141,11 @@
         must_list = True
         while not self._is_stopped:
             asked_ms = self._clock.now_ms()
-            complete_until_ms = asked_ms
             try:
                 if must_list:
-                    await self._list()
+                    complete_until_ms = await self._list(asked_ms)
                 else:
-                    complete_until_ms = await self._watch(asked_ms)
+                    complete_until_ms = await self._follow(asked_ms)
             except HistoryGoneError:
                 logger.bind(kind=self._kind, revision=self.revision).info(
                     'store has dropped the watched history; listing again'
@@ -146,11 +164,16 @@
                 continue
             backoff_ms = 0
             must_list = False
-            self.confirmed_ms = complete_until_ms
+            self.confirmed_ms = max(complete_until_ms, self.confirmed_ms or 0)
 
-    async def _list(self) -> None:
+    async def _list(self, asked_ms: int) -> int:
+        """
+        Apply all objects.
+
+        :return: time at which the state was complete
+        """
         page = await self._objects.read_page(self._kind)
-        self._record_answer()
+        self._record_answer(self._clock.now_ms())
         if self._era is not None and page.era != self._era:
             # What others wrote last may be missing until they write it again.
             self.outage_ended_ms = self._clock.now_ms()
@@ -165,6 +188,62 @@
             found.extend(page.objects)
         self.revision = revision
         self._on_list(found)
+        if self._feed is not None:
+            self._feed.discard_pending()
+            self._feed.record_list(revision, self._era, asked_ms)
+        return asked_ms
+
+    async def _follow(self, asked_ms: int) -> int:
+        """
+        Apply the next changes, told by a reader or by the store.
+
+        :return: time until which the state is complete
+        """
+        feed = self._feed
+        if feed is not None and feed.is_usable(self._era):
+            return await self._follow_feed(feed)
+        return await self._watch(asked_ms)
+
+    async def _follow_feed(self, feed: WatchFeed) -> int:
+        """
+        Apply the next news of a reader; watch the store if they miss a change.
+
+        :return: time until which the state is complete
+        """
+        heard = await feed.take()
+        self._has_followed_feed = True
+        if heard is None or not self._is_current(heard.news.era):
+            return self.confirmed_ms or 0
+        news = heard.news
+        if news.changed_at > self.revision:
+            if not news.changes or news.changed_before > self.revision:
+                return await self._fill_gap(feed, heard)
+            # Later changes of an object follow earlier ones, so that changes
+            # that were applied before end in the same state.
+            for change in news.changes:
+                self._on_change(change)
+        self._has_gap = False
+        self.revision = max(self.revision, news.as_of)
+        self._record_answer(heard.confirmed_ms)
+        return heard.confirmed_ms
+
+    async def _fill_gap(self, feed: WatchFeed, heard: HeardNews) -> int:
+        """
+        Watch the store after missed changes, which it answers at once.
+
+        The first news of a change may overtake the message that has it.
+        """
+        if not self._has_gap:
+            self._has_gap = True
+            return self.confirmed_ms or 0
+        self._has_gap = False
+        feed.count_gap()
+        logger.bind(
+            kind=self._kind,
+            revision=self.revision,
+            changed_at=heard.news.changed_at,
+        ).info('changes were missed; reading them from the store')
+        return await self._watch(self._clock.now_ms())
 
     async def _watch(self, asked_ms: int) -> int:
         """
@@ -173,21 +252,45 @@
         :return: time at which the state was complete: a store that held the
             watch in full had no change up to the end of the wait
         """
-        seen = await self._objects.watch(
-            self._kind, self.revision, self._wait_ms
-        )
-        self._record_answer()
+        wait_ms = self._wait_ms
+        if self._feed is not None and self._feed.is_reading:
+            wait_ms = min(wait_ms, MAX_READER_WAIT_MS)
+        if self._has_followed_feed:
+            wait_ms = min(wait_ms, FIRST_WAIT_MS)
+            self._has_followed_feed = False
+        seen = await self._objects.watch(self._kind, self.revision, wait_ms)
+        answered_ms = self._clock.now_ms()
+        self._record_answer(answered_ms)
         self._check_era(seen.era)
         for change in seen.changes:
             self._on_change(change)
         self.revision = max(self.revision, seen.as_of)
-        if seen.changes:
-            if self._batch_delay_ms is not None:
-                await self._clock.sleep(self._batch_delay_ms())
-            return asked_ms
-        if self._clock.now_ms() - asked_ms < self._wait_ms:
-            return asked_ms
-        return asked_ms + self._wait_ms
+        complete_until_ms = asked_ms
+        if not seen.changes and answered_ms - asked_ms >= wait_ms:
+            complete_until_ms += wait_ms
+        if self._feed is not None:
+            news = KindNews(
+                self._kind,
+                seen.era,
+                self.revision,
+                0,
+                0,
+                changes=tuple(seen.changes),
+            )
+            self._feed.record_watch(news, complete_until_ms)
+        if seen.changes and self._batch_delay_ms is not None:
+            await self._clock.sleep(self._batch_delay_ms())
+        return complete_until_ms
+
+    def _is_current(self, era: int) -> bool:
+        """
+        Return whether news are of the present era of the store.
+
+        :raises HistoryGoneError: they are of a later one
+        """
+        if self._era is not None and era > self._era:
+            self._check_era(era)
+        return era == self._era
 
     def _check_era(self, era: int) -> None:
         """
@@ -202,16 +305,20 @@
                 remedy='list the objects again',
             )
 
-    def _record_answer(self) -> None:
-        """Record that the store answers, and whether an outage ended."""
-        now_ms = self._clock.now_ms()
+    def _record_answer(self, answered_ms: int) -> None:
+        """
+        Record that the store answers, and whether an outage ended.
+
+        :param answered_ms: time of the answer, to this instance or to a reader
+        """
         previous_ms = self._last_answer_ms
-        self._last_answer_ms = now_ms
+        if previous_ms is None or answered_ms > previous_ms:
+            self._last_answer_ms = answered_ms
         if previous_ms is None:
             return
-        silence_ms = now_ms - previous_ms
+        silence_ms = answered_ms - previous_ms
         if silence_ms > self._wait_ms + OUTAGE_MS:
-            self.outage_ended_ms = now_ms
+            self.outage_ended_ms = self._clock.now_ms()
             logger.bind(kind=self._kind, silence_ms=silence_ms).info(
                 'store is heard again'
             )
--- /dev/null
+++ b/cicadahoist/serving/watch_news.py
@@ -0,0 +1,63 @@
+"""Messages by which readers of the store tell their zone its changes."""
+
+import msgspec
+
+from cicadahoist.codec import Codec
+from cicadahoist.objects import Change
+
+# First byte of these datagrams; no load report begins with it.
+WATCH_MARK = b'W'
+# Changes whose message would be longer are not told; members read them.
+MAX_NEWS_BYTES = 8000
+
+
+class KindNews(msgspec.Struct, frozen=True, array_like=True):
+    """
+    State of the objects of one kind at a reader.
+
+    :param era: era of the store
+    :param as_of: revision of the store up to which the state is complete
+    :param changed_at: revision of the last change that the reader has seen; an
+        instance that has reached it lacks no change
+    :param age_ms: age of the state
+    :param changed_before: value of `changed_at` before the changes
+    :param changes: latest changes, oldest first; none in heartbeats and where
+        they are too long for a message
+    """
+
+    kind: str
+    era: int
+    as_of: int
+    changed_at: int
+    age_ms: int
+    changed_before: int = 0
+    changes: tuple[Change, ...] = ()
+
+
+class WatchMessage(msgspec.Struct, frozen=True, array_like=True):
+    """
+    One datagram of a reader.
+
+    :param sender: unique name of the process that sends it
+    :param sent_ms: reading of its clock
+    """
+
+    sender: str
+    sent_ms: int
+    news: tuple[KindNews, ...]
+
+
+watch_codec: Codec[WatchMessage] = Codec.packed('watch news', WatchMessage)
+
+
+def encode_news(message: WatchMessage) -> bytes:
+    """Return the datagram of a message, without changes that are too long."""
+    datagram = WATCH_MARK + watch_codec.encode(message)
+    if len(datagram) <= MAX_NEWS_BYTES:
+        return datagram
+    shortened = tuple(
+        msgspec.structs.replace(news, changes=()) for news in message.news
+    )
+    return WATCH_MARK + watch_codec.encode(
+        msgspec.structs.replace(message, news=shortened)
+    )
--- a/tests/test_cmd/test_front_peering.py
+++ b/tests/test_cmd/test_front_peering.py
@@ -30,6 +30,7 @@
     PeerRecord,
 )
 from cicadahoist.serving.relay_client import RelayClient
+from cicadahoist.serving.watch_fanout import WatchFanout
 from tests.coroutines import Pending
 from tests.test_serving.fake_objects import FakeObjects
 
@@ -85,8 +86,11 @@
             order_address=ADDRESS,
         )
         self.reactor = reactor
+        fanout = WatchFanout(
+            self.tasks.clock, f'{name}.n', bool, Metrics(MeterProvider())
+        )
         self.peering = front_peering.add_peering(
-            self.tasks, context, settings, f'{name}.n', reactor
+            self.tasks, context, settings, f'{name}.n', reactor, fanout
         )
         self.gossip = context.gossip
         self.connections = context.fleet.connections
