One reader of the store a zone, and fewer calls at the start

At the start each instance wrote its record twice, since the first list of instances lacks it, and knew the others only from the second list. Change: one reader; members watch the store themselves until a lost one is replaced. The second list follows after 1.2 s, and a record is written again only if a list lacks it 4 s after it was written. Messages up to 16 kB carry changes. Run: tests of the fanout, the followers and the commands pass.

--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -37,6 +37,8 @@
 # New instances affect only shares and loads, so cheap lists that may be seconds
 # old are enough to find them.
 PEER_PERIOD_MS = 3000
+# Instances that start together register within this time.
+SECOND_PEER_LIST_MS = 1200
 # The first read is the one that matters: later versions are in the list of
 # targets.
 HISTORY_PERIOD_MS = 60_000
@@ -97,6 +99,7 @@
         PEER_PERIOD_MS,
         application.clock,
         exchange.apply_list,
+        second_after_ms=SECOND_PEER_LIST_MS,
     )
     records = InstanceRecords(
         new_store_client(settings.store_address, reactor),
--- a/cicadahoist/serving/instance_records.py
+++ b/cicadahoist/serving/instance_records.py
@@ -28,6 +28,8 @@
 # Period of checks whether a window has closed: its counts are written at once.
 CHECK_PERIOD_MS = 500
 RETRY_MS = 300
+# Lists of instances may be this old, so that they lack a record written since.
+LIST_LAG_MS = 4000
 
 
 class InstanceIdentity(msgspec.Struct, frozen=True, kw_only=True):
@@ -67,6 +69,7 @@
         '_last_record',
         '_last_write_ms',
         '_objects',
+        '_registered_ms',
         '_running',
         '_true_ms',
         '_usage',
@@ -93,6 +96,8 @@
         self._true_ms = true_ms
         self._last_record: dict[str, Any] = {}
         self._is_stopped = False
+        # None before the first record of this process.
+        self._registered_ms: int | None = None
         self._running: Deferred[None] | None = None
 
     async def start(self) -> None:
@@ -102,6 +107,10 @@
 
     def register_again(self) -> None:
         """Write the record of this instance again after others removed it."""
+        if self._registered_ms is None or self._is_stopped:
+            return
+        if self._clock.now_ms() - self._registered_ms < LIST_LAG_MS:
+            return
         logger.info('own record is gone; registering again')
         registering = Deferred.fromCoroutine(self._register())
         registering.addErrback(_log_defect)
@@ -138,6 +147,7 @@
                     self._identity.name,
                     self._identity.record,
                 )
+                self._registered_ms = self._clock.now_ms()
                 return
             except StoreError as error:
                 logger.warning(
--- a/cicadahoist/serving/kind_poller.py
+++ b/cicadahoist/serving/kind_poller.py
@@ -26,6 +26,8 @@
     :param objects: the store
     :param period_ms: time between two lists
     :param on_list: called with all objects after each list
+    :param second_after_ms: time from the first list to the second, which finds
+        what others write as they start, too; none for the period
     :param start_wait_ms: longest time for which the start waits for the first
         list, so that tasks that start later have it
     """
@@ -39,6 +41,7 @@
         '_on_list',
         '_period_ms',
         '_running',
+        '_second_after_ms',
         '_start_wait_ms',
         '_started',
     )
@@ -51,7 +54,9 @@
         clock: Clock,
         on_list: ListHandler,
         start_wait_ms: int = 0,
+        second_after_ms: int | None = None,
     ) -> None:
+        self._second_after_ms = second_after_ms
         self._objects = objects
         self._kind = kind
         self._period_ms = period_ms
@@ -114,6 +119,9 @@
                 await self._clock.sleep(RETRY_MS)
                 continue
             self._on_list(found)
+            pause_ms = self._period_ms
+            if not self._has_listed and self._second_after_ms is not None:
+                pause_ms = self._second_after_ms
             self._has_listed = True
             self._end_start()
-            await self._clock.sleep(self._period_ms)
+            await self._clock.sleep(pause_ms)
--- a/cicadahoist/serving/watch_fanout.py
+++ b/cicadahoist/serving/watch_fanout.py
@@ -1,5 +1,5 @@
 """
-Shares the watches of a few readers of the store with all of their zone.
+Shares the watches of one reader of the store with all of its zone.
 
 Without it, the calls to the store grow with the instances: each holds a watch
 of each kind, and each change wakes all of them.
@@ -14,7 +14,7 @@
 from cicadahoist.log import get_logger
 from cicadahoist.metrics import WATCH_GAPS, WATCH_NEWS_SENT, Metrics
 from cicadahoist.policy.shared_watch.reader_age import ReaderAge
-from cicadahoist.policy.shared_watch.readers import select_readers
+from cicadahoist.policy.shared_watch.readers import select_reader
 from cicadahoist.serving.load_exchange import LoadExchange
 from cicadahoist.serving.peers import Peers
 from cicadahoist.serving.watch_feed import WatchFeed
@@ -114,8 +114,8 @@
         ]
         was_reader = self._is_reader
         # An instance that hears nobody may be one that has just started.
-        self._is_reader = bool(alive) and (
-            instance in select_readers([instance, *alive])
+        self._is_reader = (
+            bool(alive) and select_reader([instance, *alive]) == instance
         )
         if self.is_reader != (was_reader and self._is_enabled()):
             logger.bind(is_reader=self.is_reader, alive=len(alive)).info(
--- a/cicadahoist/serving/watch_news.py
+++ b/cicadahoist/serving/watch_news.py
@@ -7,8 +7,9 @@
 
 # First byte of these datagrams; no load report begins with it.
 WATCH_MARK = b'W'
-# Changes whose message would be longer are not told; members read them.
-MAX_NEWS_BYTES = 8000
+# Changes whose message would be longer are not told; members read them. When
+# engines change roles in a group, some 40 entries of 300 bytes change at once.
+MAX_NEWS_BYTES = 16_000
 
 
 class KindNews(msgspec.Struct, frozen=True, array_like=True):
