--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -154,6 +154,8 @@
             targets.apply_change,
             self._compute_gather_ms,
         )
+        for follower in (self._config_follower, listings):
+            follower.on_era = self._context.streams.recorded.apply_era
         self._application.add(self._config_follower)
         self._application.add(listings)
         # The store holds each watch for drain_ms.
@@ -183,6 +185,7 @@
 
         def apply_and_settle(found: list[StoredObject]) -> None:
             apply_list(found)
+            self._context.streams.recorded.record_relist()
             if not self._context.fleet.is_settled:
                 self._clock.call_later(LIST_SETTLE_MS, self._mark_settled)
 
--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -101,7 +101,8 @@
         )
         duties.add(RoleChangeJob(self._context, engines), ORDER_PERIOD_MS)
         duties.add(
-            VersionHistoryJob(store, self._context.streams), ORDER_PERIOD_MS
+            VersionHistoryJob(store, self._context.streams, clock),
+            ORDER_PERIOD_MS,
         )
         duties.add(
             HeldPartsJob(store, self._context.gossip.held_parts),
--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -1,6 +1,5 @@
 """Assembles the exchange between the instances of a deployment."""
 
-from functools import partial
 from random import Random
 from typing import Any, NamedTuple
 
@@ -30,15 +29,12 @@
 from cicadahoist.serving.relay_client import RelayClient
 from cicadahoist.serving.relay_server import RelayServer
 from cicadahoist.serving.server import EXIT_MARGIN_MS
-from cicadahoist.serving.version_history import HISTORY_KIND, apply_history
+from cicadahoist.serving.version_recorder import VersionRecorder
 from cicadahoist.settings import LARGE_FLEET
 
 # New instances affect only shares and loads, so cheap lists that may be seconds
 # old are enough to find them.
 PEER_PERIOD_MS = 3000
-# The first read is the one that matters: later versions are in the list of
-# targets.
-HISTORY_PERIOD_MS = 60_000
 # Instances tell each other new holds; the store has them for those that start
 # or were cut off, and brings releases by operators.
 HELD_PARTS_PERIOD_MS = 3000
@@ -110,17 +106,20 @@
         context.gossip.usage_copies,
     )
     exchange.on_unregistered = records.register_again
-    history = KindPoller(
+    # Its first read follows the start of the exchange, which receives the
+    # origins of streams that begin at versions recorded later.
+    recorder = VersionRecorder(
         new_store_client(settings.store_address, reactor),
-        HISTORY_KIND,
-        HISTORY_PERIOD_MS,
+        context.streams,
         application.clock,
-        partial(apply_history, context.streams),
+        Random(),
+        lambda: context.demand.instance_count,
+        application.metrics,
     )
     context.fleet.connections.relays = build_relay_client(
         application, context, settings, peers, reactor
     )
-    for task in (relay, exchange, poller, records, history):
+    for task in (relay, exchange, poller, records, recorder):
         application.add(task)
     _add_held_parts(application, context, settings, reactor)
     return Peering(peers, relay)
--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -196,6 +196,28 @@
         'often the only one',
     )
 )
+RECORD_READS = METRICS.declare(
+    MetricSpec(
+        'serving_record_reads',
+        'Reads of the recorded software versions.',
+        operator_remedy='see whether instances reach each other: they tell '
+        'each other what is recorded',
+    )
+)
+RECORD_WRITES = METRICS.declare(
+    MetricSpec(
+        'serving_record_writes',
+        'Attempts to record software versions in the store.',
+        operator_remedy='none, unless it rises without a new version',
+    )
+)
+RECORD_WAITS = METRICS.declare(
+    MetricSpec(
+        'serving_record_waits',
+        'Waits of requests until the version of a target was recorded.',
+        operator_remedy='see whether the store answers, if it rises often',
+    )
+)
 TARGET_CRASHES = METRICS.declare(
     MetricSpec(
         'serving_target_crashes',
--- a/cicadahoist/policy/placement.py
+++ b/cicadahoist/policy/placement.py
@@ -18,6 +18,7 @@
 from cicadahoist.requests import ModelWork
 
 NONE_TRIED: frozenset[str] = frozenset()
+NONE_BARRED: frozenset[str] = frozenset()
 # For shorter prompts, prefill on the decode engine is faster than a handoff.
 MIN_HANDOFF_TOKENS = 600
 # Time to transfer a prompt's KV cache and to start on the decode engine.
@@ -85,6 +86,7 @@
         tried: frozenset[str] = NONE_TRIED,
         sample_key: str | None = None,
         version: str | None = None,
+        barred: frozenset[str] = NONE_BARRED,
     ) -> Placement | None:
         """
         Return the engines for a request, or none if no decode engine is left.
@@ -97,12 +99,14 @@
             sample of engines to compare, none to compare all
         :param version: software version at which the request has to run, none
             for any
+        :param barred: software versions at which it may not run
         """
         versions = self._board.versions if version is None else [version]
         placements = [
             placement
             for version in versions
-            if (
+            if version not in barred
+            and (
                 placement := self._place_at(
                     version, work, now_ms, tried, sample_key
                 )
--- a/cicadahoist/policy/service_versions.py
+++ b/cicadahoist/policy/service_versions.py
@@ -1,28 +1,23 @@
-"""Tracks which software versions of each service are listed."""
+"""Tracks which software versions of each service streams may have begun at."""
 
 from collections.abc import Iterable
 
-# Callers take a stream up within their deadline, so that after this time no
-# stream is left that an unlisted version began.
-STREAM_LIFETIME_MS = 30_000
+from cicadahoist.policy.stream_versions.stream_terms import StreamTerms
+from cicadahoist.policy.stream_versions.version_record import RecordCopy
 
+# A version that is listed again after this share of a stream's lifetime may
+# have left the record since an instance read it.
+DOUBT_SHARE = 0.5
 
-class VersionHistory:
-    """
-    Versions of one service that are or were listed.
 
-    :param since_ms: time of the first observation
-    :param earlier: versions that may have begun a stream before, none if they
-        are not known
-    """
+class ListedVersions:
+    """Versions of one service that are or were listed."""
 
-    __slots__ = ('_left_ms_by_version', '_since_ms', 'earlier', 'listed')
+    __slots__ = ('_left_ms_by_version', 'listed')
 
-    def __init__(self, since_ms: int, earlier: frozenset[str] | None) -> None:
-        self._since_ms = since_ms
+    def __init__(self) -> None:
         self._left_ms_by_version: dict[str, int] = {}
         self.listed: frozenset[str] = frozenset()
-        self.earlier = earlier
 
     def observe(self, listed: frozenset[str], now_ms: int) -> None:
         """Record the versions that are listed from now on."""
@@ -32,97 +27,216 @@
             self._left_ms_by_version.pop(version, None)
         self.listed = listed
 
-    def list_recent(self, now_ms: int) -> frozenset[str]:
+    def list_recent(self, now_ms: int, lifetime_ms: int) -> frozenset[str]:
         """Return the versions that may have begun an open stream."""
-        recent = {
+        return self.listed | {
             version
             for version, left_ms in self._left_ms_by_version.items()
-            if now_ms - left_ms < STREAM_LIFETIME_MS
+            if now_ms - left_ms < lifetime_ms
         }
-        if self.earlier is None or self._is_observed(now_ms):
-            return self.listed | recent
-        return self.listed | recent | self.earlier
-
-    def is_complete(self, now_ms: int) -> bool:
-        """Return whether all versions of open streams are known."""
-        return self.earlier is not None or self._is_observed(now_ms)
 
-    def _is_observed(self, now_ms: int) -> bool:
-        return now_ms - self._since_ms >= STREAM_LIFETIME_MS
+    def get_left_ms(self, version: str) -> int | None:
+        """Return when a version left, none if it did not."""
+        return self._left_ms_by_version.get(version)
 
 
 class ServiceVersions:
-    """Versions of all services, as one instance has seen them."""
-
-    __slots__ = ('_earlier_by_service', '_history_by_service')
+    """Versions of all services, as one instance knows them."""
+
+    __slots__ = (
+        '_carried_by_service',
+        '_copied_ms',
+        '_doubtful',
+        '_era',
+        '_listed_by_service',
+        'copy',
+        'is_recording',
+        'terms',
+    )
 
     def __init__(self) -> None:
-        self._earlier_by_service: dict[str, frozenset[str]] | None = None
-        self._history_by_service: dict[str, VersionHistory] = {}
-
-    def observe(
-        self, listed: Iterable[tuple[str, str]], now_ms: int
-    ) -> list[str]:
+        # The record as it was last read, written or told; none before that.
+        self.copy: RecordCopy | None = None
+        # Whether streams begin at recorded versions only.
+        self.is_recording = False
+        self.terms = StreamTerms()
+        self._copied_ms = 0
+        self._era = 0
+        # Versions of an earlier era of the store, which may have lost them.
+        self._carried_by_service: dict[str, frozenset[str]] = {}
+        # Versions that may have left the record since it was read.
+        self._doubtful: set[tuple[str, str]] = set()
+        self._listed_by_service: dict[str, ListedVersions] = {}
+
+    def observe(self, listed: Iterable[tuple[str, str]], now_ms: int) -> None:
         """
         Record the services and versions of all listed targets.
 
         :param listed: service and version of each target
-        :return: services that have several versions since this observation
         """
         versions_by_service: dict[str, set[str]] = {
-            service: set() for service in self._history_by_service
+            service: set() for service in self._listed_by_service
         }
         for service, version in listed:
             versions_by_service.setdefault(service, set()).add(version)
-        newly_mixed = []
-        for service, versions in versions_by_service.items():
-            was_mixed = self.is_mixed(service, now_ms)
-            history = self._history_by_service.setdefault(
-                service, VersionHistory(now_ms, self._get_earlier(service))
+        for known_service, versions in versions_by_service.items():
+            history = self._listed_by_service.setdefault(
+                known_service, ListedVersions()
             )
+            for new in versions - history.listed:
+                left_ms = history.get_left_ms(new) or 0
+                self._doubt(known_service, new, left_ms, now_ms)
             history.observe(frozenset(versions), now_ms)
-            if not was_mixed and self.is_mixed(service, now_ms):
-                newly_mixed.append(service)
-        return newly_mixed
+
+    def apply_copy(
+        self, copy: RecordCopy, now_ms: int, *, may_lag: bool = False
+    ) -> bool:
+        """
+        Apply the record as it was read or written by this or another instance.
+
+        :param may_lag: whether it may be seconds old
+        :return: whether it is not older than what is known
+        """
+        if copy.era < self._era or not copy.is_newer_than(self.copy):
+            return False
+        self.apply_era(copy.era)
+        self.copy = copy
+        if not may_lag:
+            self._copied_ms = now_ms
+            self._doubtful.clear()
+        if copy.is_of_era:
+            self._carried_by_service = {
+                service: missing
+                for service, versions in self._carried_by_service.items()
+                if (missing := versions - copy.record.get_versions(service))
+            }
+        return True
+
+    def apply_era(self, era: int) -> bool:
+        """
+        Record the era of the store.
+
+        In a new one the store may have lost versions that were recorded.
+
+        :return: whether it is a new one
+        """
+        if era <= self._era:
+            return False
+        self._era = era
+        if self.copy is not None:
+            for service in self.copy.record.versions_by_service:
+                known = self._carried_by_service.get(service, frozenset())
+                self._carried_by_service[service] = (
+                    known | self.copy.record.get_versions(service)
+                )
+        return True
+
+    def is_complete(self) -> bool:
+        """Return whether the versions of all open streams are known."""
+        copy = self.copy
+        return copy is not None and copy.era == self._era and copy.is_complete
 
     def is_mixed(self, service: str, now_ms: int) -> bool:
         """Return whether open streams of a service may differ in version."""
-        history = self._history_by_service.get(service)
-        return history is not None and len(history.list_recent(now_ms)) > 1
+        return len(self._list_versions(service, now_ms)) > 1
+
+    def list_uncertain(self, now_ms: int) -> set[str]:
+        """Return the services whose streams' versions may differ."""
+        return {
+            service
+            for service in self._listed_by_service
+            if self.is_uncertain(service, now_ms)
+        }
+
+    def is_uncertain(self, service: str, now_ms: int) -> bool:
+        """Return whether streams of a service may differ, or it is unknown."""
+        return not self.is_complete() or self.is_mixed(service, now_ms)
 
     def find_only(self, service: str, now_ms: int) -> str | None:
         """Return the version of all open streams, none if they may differ."""
-        history = self._history_by_service.get(service)
-        if history is None or not history.is_complete(now_ms):
+        versions = self._list_versions(service, now_ms)
+        if self.copy is None or not self.is_complete() or len(versions) != 1:
             return None
-        return _get_single(history.list_recent(now_ms))
+        only = next(iter(versions))
+        if self.is_recording and only not in self.copy.list_versions(service):
+            # No stream has begun at it.
+            return None
+        return only
+
+    def is_recorded(self, service: str, version: str) -> bool:
+        """Return whether the store holds a version as used in this era."""
+        if not self.is_recording:
+            return True
+        copy = self.copy
+        if copy is None or copy.era != self._era or not copy.is_of_era:
+            return False
+        is_usable = version in copy.record.get_usable(service)
+        return is_usable and (service, version) not in self._doubtful
+
+    def list_barred(self, service: str) -> frozenset[str]:
+        """Return the listed versions at which no stream may begin yet."""
+        history = self._listed_by_service.get(service)
+        if history is None or not self.is_recording:
+            return frozenset()
+        return frozenset(
+            version
+            for version in history.listed
+            if not self.is_recorded(service, version)
+        )
 
-    def list_recent(self, now_ms: int) -> dict[str, list[str]]:
-        """Return the versions of open streams by service, where known."""
+    def list_listed(self) -> dict[str, frozenset[str]]:
+        """Return the versions of the listed targets by service."""
         return {
-            service: sorted(history.list_recent(now_ms))
-            for service, history in sorted(self._history_by_service.items())
-            if history.is_complete(now_ms)
+            service: history.listed
+            for service, history in self._listed_by_service.items()
         }
 
-    def apply_earlier(self, versions_by_service: dict[str, list[str]]) -> None:
-        """
-        Record the versions that were seen before this instance started.
-
-        A service that is not named had no targets.
-        """
-        self._earlier_by_service = {
-            service: frozenset(versions)
-            for service, versions in versions_by_service.items()
+    def list_missing(self) -> dict[str, frozenset[str]]:
+        """Return the versions that are to be recorded, by service."""
+        if not self.is_recording:
+            return {}
+        missing = {
+            service: frozenset(
+                version
+                for version in versions
+                if not self.is_recorded(service, version)
+            )
+            for service, versions in self._list_wanted().items()
+        }
+        return {
+            service: versions
+            for service, versions in missing.items()
+            if versions
         }
-        for service, history in self._history_by_service.items():
-            history.earlier = self._get_earlier(service)
-
-    def _get_earlier(self, service: str) -> frozenset[str] | None:
-        if self._earlier_by_service is None:
-            return None
-        return self._earlier_by_service.get(service, frozenset())
-
 
-def _get_single(versions: frozenset[str]) -> str | None:
-    return next(iter(versions)) if len(versions) == 1 else None
+    def _list_wanted(self) -> dict[str, set[str]]:
+        """Return the versions that the record is to have."""
+        wanted: dict[str, set[str]] = {}
+        for service, carried in self._carried_by_service.items():
+            wanted.setdefault(service, set()).update(carried)
+        if self.copy is not None:
+            for old_service, earlier in self.copy.earlier_by_service.items():
+                wanted.setdefault(old_service, set()).update(earlier)
+        for used in self.terms.resumable_services:
+            history = self._listed_by_service.get(used)
+            if history is not None:
+                wanted.setdefault(used, set()).update(history.listed)
+        return wanted
+
+    def _list_versions(self, service: str, now_ms: int) -> frozenset[str]:
+        """Return all versions at which open streams may have begun."""
+        versions = self._carried_by_service.get(service, frozenset())
+        if self.copy is not None:
+            versions |= self.copy.list_versions(service)
+        history = self._listed_by_service.get(service)
+        if history is not None:
+            versions |= history.list_recent(now_ms, self.terms.lifetime_ms)
+        return versions
+
+    def _doubt(
+        self, service: str, version: str, left_ms: int, now_ms: int
+    ) -> None:
+        """Doubt that a version is recorded that has not been seen for long."""
+        age_ms = now_ms - max(left_ms, self._copied_ms)
+        if age_ms >= DOUBT_SHARE * self.terms.lifetime_ms:
+            self._doubtful.add((service, version))
--- a/cicadahoist/policy/stream_origins.py
+++ b/cicadahoist/policy/stream_origins.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cicadahoist.policy.service_versions import STREAM_LIFETIME_MS
+from cicadahoist.policy.stream_versions.stream_terms import MIN_LIFETIME_MS
 
 MAX_ORIGINS = 50_000
 
@@ -32,20 +32,28 @@
 class StreamOrigins:
     """Origins of recent streams, the oldest first."""
 
-    __slots__ = ('_entry_by_attempt',)
+    __slots__ = ('_entry_by_attempt', 'lifetime_ms')
 
     def __init__(self) -> None:
+        # Time after which no stream is left that began before.
+        self.lifetime_ms = MIN_LIFETIME_MS
         self._entry_by_attempt: OrderedDict[str, _Entry] = OrderedDict()
 
     def record(self, origin: Origin, now_ms: int, *, is_own: bool) -> None:
         """
         Remember an origin; the first one of an attempt stands.
 
+        It is kept for as long as a stream that was taken up again may last.
+
         :param is_own: whether this instance has passed the first event on
         """
         self._drop_expired(now_ms)
+        known = self._entry_by_attempt.pop(origin.attempt_id, None)
+        if known is not None:
+            origin = known.origin
+            is_own = is_own or known.is_own
         entry = _Entry(origin, now_ms, is_own)
-        self._entry_by_attempt.setdefault(origin.attempt_id, entry)
+        self._entry_by_attempt[origin.attempt_id] = entry
 
     def find(self, attempt_id: str) -> Origin | None:
         """Return the origin of a stream, or none if it is not known."""
@@ -64,7 +72,7 @@
         entries = self._entry_by_attempt
         while entries:
             oldest = next(iter(entries.values()))
-            is_recent = now_ms - oldest.recorded_ms < STREAM_LIFETIME_MS
+            is_recent = now_ms - oldest.recorded_ms < self.lifetime_ms
             if is_recent and len(entries) < MAX_ORIGINS:
                 return
             entries.popitem(last=False)
--- /dev/null
+++ b/cicadahoist/policy/stream_versions/__init__.py
@@ -0,0 +1,1 @@
+"""Which software versions streams may begin at, and go on at."""
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -164,6 +164,13 @@
         'see whether instances reach each other; several versions of the '
         'targets serve, and none of them knows which one began the stream',
     )
+    version_unrecorded = RefusalSpec(
+        503,
+        Outcome.not_run,
+        'come back after Retry-After',
+        'see whether the store answers: streams begin at a new software '
+        'version only once the store holds it',
+    )
     claim_store_away = RefusalSpec(
         503,
         Outcome.not_run,
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -10,6 +10,7 @@
 from cicadahoist.policy.demand_rate import DemandRate
 from cicadahoist.policy.link_queue import LinkQueue
 from cicadahoist.policy.retry_share import RetryShares, RetryTerms
+from cicadahoist.policy.stream_versions.stream_terms import StreamTerms
 from cicadahoist.policy.true_time import TrueTime
 from cicadahoist.rules import CallerLimits, Deployment
 from cicadahoist.serving.attempt import Dialect
@@ -206,6 +207,7 @@
         self.deployment = deployment
         self._caller_limits.apply(deployment.limits, self.clock.now_ms())
         self.fleet.boards.apply_deployment(deployment)
+        self.streams.apply_terms(StreamTerms.from_deployment(deployment))
 
     def get_caller_limits(self, since_ms: int) -> CallerLimits:
         """Return the limits for what a caller began at a time."""
@@ -219,7 +221,7 @@
         return self.true_time.now_ms()
 
     def _observe_versions(self) -> None:
-        self.streams.observe(
+        self.streams.recorded.observe(
             [
                 (listing.service, listing.version)
                 for listing in self.fleet.directory.list_all()
--- a/cicadahoist/serving/engine_choice.py
+++ b/cicadahoist/serving/engine_choice.py
@@ -1,5 +1,7 @@
 """Choice of engines for one request, and its admission."""
 
+from collections.abc import Collection
+
 import msgspec
 
 from cicadahoist.listings import Listing
@@ -9,6 +11,8 @@
 from cicadahoist.requests import InboundRequest, ModelWork
 from cicadahoist.rules import RouteRule
 from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.deadline import Deadline
+from cicadahoist.serving.stream_binding import StreamBinding
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -34,9 +38,17 @@
     :param route: the route of the request
     :param service: the service that serves it
     :param work: the work that the request requires of an engine
+    :param binding: the versions that may serve the request
     """
 
-    __slots__ = ('_context', '_request', '_route', '_service', '_work')
+    __slots__ = (
+        '_binding',
+        '_context',
+        '_request',
+        '_route',
+        '_service',
+        '_work',
+    )
 
     def __init__(
         self,
@@ -45,7 +57,9 @@
         route: RouteRule,
         service: str,
         work: ModelWork,
+        binding: StreamBinding,
     ) -> None:
+        self._binding = binding
         self._context = context
         self._request = request
         self._route = route
@@ -54,24 +68,26 @@
 
     def choose(
         self,
-        tried: frozenset[str],
-        remaining_ms: int,
+        tried: Collection[str],
+        deadline: Deadline,
         version: str | None,
     ) -> Choice | None:
         """
         Return the engines to use, or none where no engine is left.
 
         :param tried: engines that are excluded
-        :param remaining_ms: time until the deadline of the request
+        :param deadline: when the request ends
         :param version: software version at which it has to run, none for any
         """
+        excluded = frozenset(tried)
+        remaining_ms = deadline.remaining_ms
         sampled_choice = self._choose_among(
-            self._request.attempt_id, tried, remaining_ms, version
+            self._request.attempt_id, excluded, remaining_ms, version
         )
         if sampled_choice is None or sampled_choice.is_accepted:
             return sampled_choice
         # Engines outside of the sample may have capacity.
-        return self._choose_among(None, tried, remaining_ms, version)
+        return self._choose_among(None, excluded, remaining_ms, version)
 
     def compute_pause_ms(self) -> int | None:
         """Return when engines end their pauses, none unless all pause."""
@@ -113,7 +129,12 @@
         version: str | None,
     ) -> Choice | None:
         placement = self._context.fleet.boards.get_placer(self._service).place(
-            self._work, self._context.clock.now_ms(), tried, sample_key, version
+            self._work,
+            self._context.clock.now_ms(),
+            tried,
+            sample_key,
+            version,
+            self._binding.list_barred(),
         )
         if placement is None:
             return None
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -23,6 +23,7 @@
 from cicadahoist.serving.deadline import Deadline
 from cicadahoist.serving.inbound import Exchange
 from cicadahoist.serving.open_attempts import OpenAttempts
+from cicadahoist.serving.record_wait import RecordWait
 from cicadahoist.serving.reply import MIN_RETRY_AFTER_MS, Reply
 from cicadahoist.serving.retry_allowance import RetryAllowance
 from cicadahoist.serving.stream_binding import StreamBinding
@@ -68,6 +69,7 @@
         '_excluded_targets',
         '_has_counted_run',
         '_open_attempts',
+        '_record_wait',
         '_reply',
         '_request',
         '_route',
@@ -101,6 +103,9 @@
         self._urgency = urgency
         self._deadline = Deadline.from_request(request, route, context.clock)
         self._reply = Reply(context, request, route, exchange, self._deadline)
+        self._record_wait = RecordWait(
+            context, request, route, self._binding, self._reply, self._deadline
+        )
         self._open_attempts = OpenAttempts()
         self._tried_targets: list[str] = []
         # Tried targets, without those that another path leads to.
@@ -310,13 +315,19 @@
     Deferred.fromCoroutine(serving).addErrback(on_defect)
 
 
-def explain_no_target(pause_ms: int | None) -> tuple[Refusal, int]:
+def explain_no_target(
+    pause_ms: int | None, *, is_unrecorded: bool = False
+) -> tuple[Refusal, int]:
     """
     Return why no target was found, and when callers may come back.
 
     :param pause_ms: time until the first target ends its pause, none unless all
         of them pause
+    :param is_unrecorded: whether there are targets of a software version that
+        is not recorded yet
     """
+    if is_unrecorded:
+        return Refusal.version_unrecorded, STREAM_RETRY_AFTER_MS
     if pause_ms is None:
         return Refusal.no_target, NO_TARGET_RETRY_AFTER_MS
     return Refusal.targets_paused, pause_ms
--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -11,6 +11,7 @@
     FIRST_BYTE,
     LOAD_BYTES,
     READ_WAIT,
+    RECORD_WAITS,
     SILENT_KEPT,
     Metrics,
 )
@@ -37,6 +38,7 @@
         '_load_bytes',
         '_metrics',
         '_read_wait',
+        '_record_waits',
         '_silent_kept',
         'relays',
     )
@@ -53,6 +55,7 @@
         self._first_byte = metrics.histogram(FIRST_BYTE)
         self._load_bytes = metrics.counter(LOAD_BYTES)
         self._read_wait = metrics.histogram(READ_WAIT)
+        self._record_waits = metrics.counter(RECORD_WAITS)
         self._silent_kept = metrics.counter(SILENT_KEPT)
         self.relays = RelayMeters(metrics)
 
@@ -88,6 +91,10 @@
         """Count an attempt that stays with a silent target."""
         self._silent_kept.add(1)
 
+    def count_record_wait(self) -> None:
+        """Count a wait until a software version was recorded."""
+        self._record_waits.add(1)
+
     def record_first_byte(self, took_ms: int) -> None:
         """Record the time from arrival to the first byte of the answer."""
         self._first_byte.record(took_ms)
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -1,6 +1,7 @@
 """Requests to engines, which may split prefill and decode between two."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -28,7 +29,6 @@
     Attempt,
     AttemptEnd,
     AttemptOutcome,
-    OnPieces,
 )
 from cicadahoist.serving.engine_choice import Choice, EngineChoice
 from cicadahoist.serving.engine_feedback import EngineFeedback
@@ -45,6 +45,7 @@
     is_final,
     launch,
 )
+from cicadahoist.serving.held_events import HeldEvents
 from cicadahoist.serving.prompt_watch import PromptWatch
 
 logger = get_logger(__name__)
@@ -81,7 +82,12 @@
         self._work = work
         self._prompt_watch = PromptWatch(self._context, self._workspace, work)
         self._choice = EngineChoice(
-            self._context, self._request, self._route, self._service, work
+            self._context,
+            self._request,
+            self._route,
+            self._service,
+            work,
+            self._binding,
         )
         self._feedback = EngineFeedback(
             self._context, self._request, self._service, work
@@ -104,7 +110,7 @@
     async def _serve(self) -> None:
         if not await self._binding.resolve():
             self._refuse(Refusal.stream_unknown, STREAM_RETRY_AFTER_MS)
-        await self._serve_at(self._place())
+        await self._serve_at(await self._place())
 
     async def _serve_at(self, placement: Placement | None) -> None:
         """Send attempts, the first ones to chosen engines."""
@@ -117,15 +123,13 @@
                 is_ready = self._handle is not None
             if goes_on and is_ready and self._is_awaited():
                 goes_on = await self._generate(placement)
-            placement = self._place() if goes_on else None
+            placement = await self._place() if goes_on else None
         if self._reply.is_over:
             self._free_unused_cache()
 
     def _try_take_over(self) -> bool:
         choice = self._choice.choose(
-            frozenset(self._excluded_targets),
-            self._deadline.remaining_ms,
-            self._binding.version,
+            self._excluded_targets, self._deadline, self._binding.version
         )
         can_take_over = (
             choice is not None
@@ -153,26 +157,34 @@
         # A run that is open goes on.
         return False
 
-    def _place(self) -> Placement | None:
+    async def _place(self) -> Placement | None:
         """Return where to run, none if the request is over or is refused."""
         if not self._is_awaited():
             return None
         version = self._binding.version
         if version is None and self._handle is not None:
             version = self._handle_version
-        choice = self._choice.choose(
-            frozenset(self._excluded_targets),
-            self._deadline.remaining_ms,
-            version,
+        choice = await self._record_wait.choose(
+            partial(
+                self._choice.choose,
+                self._excluded_targets,
+                self._deadline,
+                version,
+            )
         )
         if choice is None and self._handle is not None:
             # Another version may serve the request, but without the KV cache.
             self._free_unused_cache()
-            return self._place()
+            return await self._place()
         if self._takeover.is_given_up(is_possible=_is_accepted(choice)):
             return None
         if choice is None:
-            self._refuse(*explain_no_target(self._choice.compute_pause_ms()))
+            self._refuse(
+                *explain_no_target(
+                    self._choice.compute_pause_ms(),
+                    is_unrecorded=bool(self._binding.list_barred()),
+                )
+            )
             return None
         placement = choice.placement
         first_token_ms = round(placement.first_token_ms)
@@ -280,6 +292,9 @@
         if engine_and_listing is None:
             return True
         engine, listing = engine_and_listing
+        if not self._binding.admits(engine.version):
+            # It has restarted with another version since it was chosen.
+            return True
         handle = self._handle
         self._handle = None
         run_load = _RunLoad(
@@ -290,14 +305,13 @@
         if handle is None:
             self._feedback.record_prefill(engine)
         run_watch = self._prompt_watch.start_run(listing)
+        events = self._make_events(run_load, placement, engine)
         attempt = Attempt(
             self._context.dialect,
             self._request,
             listing,
             self._make_options(listing.name, handle=handle),
-            run_watch.watch(
-                self._make_piece_handler(run_load, placement, engine)
-            ),
+            run_watch.watch(events.receive),
             EventStream.from_route(self._route),
         )
         try:
@@ -310,12 +324,15 @@
             self._handle = handle
         self._prompt_watch.record_end(run_watch, end)
         self._feedback.record_admission(engine, end)
+        if events.is_holding and end.outcome is AttemptOutcome.answered:
+            self._open_attempts.stop_all()
+        await events.finish(end)
         return self._process_end(engine, end)
 
-    def _make_piece_handler(
+    def _make_events(
         self, run_load: '_RunLoad', placement: Placement, engine: EngineState
-    ) -> OnPieces:
-        """Return the function that passes pieces on to the caller."""
+    ) -> HeldEvents:
+        """Return what passes pieces on to the caller."""
         # The time since arrival includes earlier attempts, so that later ones
         # do not show how long a placement takes.
         is_first_try = len(self._tried_targets) <= int(
@@ -323,12 +340,14 @@
         )
         sent_ms = self._context.clock.now_ms()
 
-        def pass_on(head: AnswerHead, pieces: list[bytes]) -> None:
+        def record_arrival() -> None:
             if run_load.record_prompt_read():
                 self._feedback.record_first_token(
                     engine, placement, sent_ms, is_first_try=is_first_try
                 )
             self._count_run(self._context.true_time.now_ms())
+
+        def pass_on(head: AnswerHead, pieces: list[bytes]) -> None:
             if self._route.is_streamed:
                 pieces = self._relay.select_new(pieces)
             if pieces:
@@ -337,7 +356,13 @@
                 self._reply.begin(head)
                 self._reply.send(b''.join(pieces))
 
-        return pass_on
+        return HeldEvents(
+            self._binding,
+            engine.version,
+            self._deadline,
+            record_arrival,
+            pass_on,
+        )
 
     def _suspend_target(self, target: str) -> None:
         engine = self._context.fleet.boards.get_board(self._service).get(target)
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -32,7 +32,7 @@
     async def _serve(self) -> None:
         if not await self._binding.resolve():
             self._refuse(Refusal.stream_unknown, STREAM_RETRY_AFTER_MS)
-        await self._serve_at(self._place())
+        await self._serve_at(await self._place())
 
     async def _serve_at(self, listing: Listing | None) -> None:
         """Send attempts, the first one to a chosen target."""
@@ -42,18 +42,23 @@
             if end.outcome in {AttemptOutcome.answered, AttemptOutcome.lost}:
                 self._count_run(sent_ms)
             goes_on = self._process_end(listing, end)
-            listing = self._place() if goes_on else None
+            listing = await self._place() if goes_on else None
 
-    def _place(self) -> Listing | None:
+    async def _place(self) -> Listing | None:
         """Return where to run, none if the request is over or is refused."""
         if not self._is_awaited():
             return None
-        listing = self._choose()
+        listing = await self._record_wait.choose(self._choose)
+        if not self._is_awaited():
+            return None
         if listing is None:
             pause_ms = self._context.fleet.plain_targets.compute_pause_ms(
                 self._service, self._context.clock.now_ms()
             )
-            self._refuse(*explain_no_target(pause_ms))
+            is_unrecorded = bool(self._binding.list_barred())
+            self._refuse(
+                *explain_no_target(pause_ms, is_unrecorded=is_unrecorded)
+            )
         return listing
 
     def _choose(self) -> Listing | None:
@@ -63,6 +68,7 @@
             frozenset(self._excluded_targets),
             self._context.clock.now_ms(),
             self._binding.version,
+            self._binding.list_barred(),
         )
 
     def _try_take_over(self) -> bool:
--- a/cicadahoist/serving/plain_targets.py
+++ b/cicadahoist/serving/plain_targets.py
@@ -7,6 +7,7 @@
 from cicadahoist.policy.health import TargetHealth
 from cicadahoist.policy.target_pauses import TargetLife, TargetPauses
 
+NONE_BARRED: frozenset[str] = frozenset()
 # Open attempts by which others must be busier before a failing target is used.
 FAILING_PENALTY_COUNT = 4
 
@@ -55,6 +56,7 @@
         tried: frozenset[str],
         now_ms: int,
         version: str | None = None,
+        barred: frozenset[str] = NONE_BARRED,
     ) -> Listing | None:
         """
         Return the target of a service with the fewest open attempts, or none.
@@ -68,12 +70,14 @@
         :param tried: targets that are excluded
         :param now_ms: time of the process clock
         :param version: software version of the target, none for any
+        :param barred: software versions at which it may not run
         """
         candidates = [
             listing
             for listing in self._directory.list_usable(service)
             if listing.name not in tried
             and version in {None, listing.version}
+            and listing.version not in barred
             and not self._pauses.is_paused(_get_life(listing), now_ms)
         ]
         if not candidates:
--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -48,6 +48,7 @@
         '_running',
         '_wait_ms',
         'confirmed_ms',
+        'on_era',
         'outage_ended_ms',
         'revision',
     )
@@ -74,6 +75,8 @@
         self._era: int | None = None
         self._last_answer_ms: int | None = None
         self._running: Deferred[None] | None = None
+        # Called with the era of an answer that differs from the one before.
+        self.on_era: Callable[[int], None] = _ignore
         self.revision = 0
         self.confirmed_ms: int | None = None
         self.outage_ended_ms: int | None = None
@@ -154,6 +157,7 @@
         if self._era is not None and page.era != self._era:
             # What others wrote last may be missing until they write it again.
             self.outage_ended_ms = self._clock.now_ms()
+        self.on_era(page.era)
         self._era = page.era
         revision = page.as_of
         found = list(page.objects)
@@ -197,6 +201,7 @@
             new list shows the state
         """
         if era != self._era:
+            self.on_era(era)
             raise HistoryGoneError(
                 f'store changed its era from {self._era} to {era}',
                 remedy='list the objects again',
@@ -215,3 +220,7 @@
             logger.bind(kind=self._kind, silence_ms=silence_ms).info(
                 'store is heard again'
             )
+
+
+def _ignore(era: int) -> None:
+    """Do nothing: nobody follows the era."""
--- a/cicadahoist/serving/stream_binding.py
+++ b/cicadahoist/serving/stream_binding.py
@@ -1,7 +1,8 @@
 """Binds one stream to the software version that began it."""
 
 from cicadahoist.policy.stream_origins import Origin
-from cicadahoist.requests import InboundRequest, RepeatRule
+from cicadahoist.policy.stream_versions.stream_terms import is_recorded_route
+from cicadahoist.requests import InboundRequest
 from cicadahoist.rules import RouteRule
 from cicadahoist.serving.stream_exchange import StreamExchange
 
@@ -20,6 +21,7 @@
 
     __slots__ = (
         '_exchange',
+        '_is_begun',
         '_is_resumable',
         '_is_streamed',
         '_is_taken_up',
@@ -36,7 +38,9 @@
         service: str,
     ) -> None:
         self._exchange = exchange
-        self._is_resumable = route.repeat is RepeatRule.resumable
+        # Whether an event was passed on to the caller.
+        self._is_begun = False
+        self._is_resumable = is_recorded_route(route)
         self._is_streamed = route.is_streamed
         self._is_taken_up = route.is_streamed and bool(request.resume_after)
         self._request = request
@@ -58,12 +62,44 @@
         )
         return self.version is not None
 
+    def list_barred(self) -> frozenset[str]:
+        """Return the listed versions that may not serve the request yet."""
+        if not self._is_resumable:
+            return frozenset()
+        return self._exchange.recorded.versions.list_barred(self._service)
+
+    def admits(self, version: str) -> bool:
+        """Return whether events of a version may be passed on now."""
+        if self._is_streamed and self.version not in {None, version}:
+            return False
+        versions = self._exchange.recorded.versions
+        return not self._is_resumable or versions.is_recorded(
+            self._service, version
+        )
+
+    async def wait_for_record(self, timeout_ms: float) -> bool:
+        """
+        Wait until the record of versions changes.
+
+        :return: whether it did within the time
+        """
+        return await self._exchange.recorded.wait_for_change(timeout_ms)
+
     def bind(self, version: str) -> None:
         """Record that an event of a version is passed on to the caller."""
-        if self.version is not None or not self._is_streamed:
+        if self._is_begun or not self._is_streamed:
             return
+        self._is_begun = True
         self.version = version
-        if self._is_resumable:
+        if not self._is_resumable:
+            return
+        self._record_origin(self._request.attempt_id, version)
+        if self._is_taken_up:
+            # Its caller may name either attempt if the stream breaks again.
+            self._record_origin(self._request.resumed_attempt_id, version)
+
+    def _record_origin(self, attempt_id: str, version: str) -> None:
+        if attempt_id:
             self._exchange.record_begin(
-                Origin(self._request.attempt_id, self._service, version)
+                Origin(attempt_id, self._service, version)
             )
--- a/cicadahoist/serving/stream_exchange.py
+++ b/cicadahoist/serving/stream_exchange.py
@@ -9,18 +9,21 @@
 from cicadahoist.clock import Clock
 from cicadahoist.codec import Codec
 from cicadahoist.errors import WireError
-from cicadahoist.ids import rendezvous
 from cicadahoist.log import get_logger
-from cicadahoist.policy.service_versions import ServiceVersions
 from cicadahoist.policy.stream_origins import Origin, StreamOrigins
+from cicadahoist.policy.stream_versions.stream_terms import StreamTerms
+from cicadahoist.policy.stream_versions.version_record import RecordCopy
+from cicadahoist.serving.recorded_versions import RecordedVersions
+from cicadahoist.serving.stream_peers import (
+    REPLICA_COUNT,
+    Address,
+    StreamPeers,
+)
 
 logger = get_logger(__name__)
 
 # First byte of these datagrams; no load report begins with it.
 STREAM_MARK = b'S'
-# Instances that hold the origin of a stream besides the one at which it began,
-# in different zones where there are any.
-REPLICA_COUNT = 3
 # Instances that are asked, the replicas first: some may have restarted, and in
 # a small fleet the instance at which the stream began is among them.
 ASKED_COUNT = 12
@@ -28,8 +31,6 @@
 ANSWER_TIMEOUT_MS = 100
 MAX_ORIGINS_PER_DATAGRAM = 20
 
-Address = tuple[str, int]
-
 
 class Question(msgspec.Struct, frozen=True, array_like=True):
     """A question for the version that began a stream."""
@@ -46,20 +47,28 @@
     :param only_version: version of all open streams of the service, none if
         they may differ or it is not known
     :param is_mixed: whether open streams of the service may differ
+    :param is_replica: whether this instance would hold the origin if the
+        stream had begun while its versions could differ
     """
 
     attempt_id: str
     version: str | None
     only_version: str | None
     is_mixed: bool
+    is_replica: bool = False
 
 
 class StreamMessage(msgspec.Struct, frozen=True, array_like=True):
-    """One datagram: streams that began, questions and answers."""
+    """
+    One datagram: streams that began, questions, answers and the record.
+
+    :param record: record of versions that the sender has written
+    """
 
     origins: tuple[Origin, ...] = ()
     questions: tuple[Question, ...] = ()
     answers: tuple[Answer, ...] = ()
+    record: RecordCopy | None = None
 
 
 _codec: Codec[StreamMessage] = Codec.packed('stream message', StreamMessage)
@@ -69,28 +78,28 @@
     """
     Knows, or asks its peers, which version began a stream.
 
-    Origins are replicated only while their service has several versions.
+    Origins are replicated only while their service has several versions, or
+    while it is not known that it has one.
 
     :param clock: clock of the process
     """
 
     __slots__ = (
-        '_address_by_peer',
         '_clock',
         '_inquiry_by_attempt',
         '_origins',
-        '_versions',
-        '_zone_by_instance',
+        '_peers',
         'is_listing_fresh',
+        'recorded',
         'send',
     )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._origins = StreamOrigins()
-        self._versions = ServiceVersions()
-        self._address_by_peer: dict[str, Address] = {}
-        self._zone_by_instance: dict[str, str] = {}
+        self._peers = StreamPeers()
+        self.recorded = RecordedVersions(clock)
+        self.recorded.on_uncertain = self._replicate_own
         self._inquiry_by_attempt: dict[str, _Inquiry] = {}
         # Returns whether the list of targets was confirmed a short time ago.
         self.is_listing_fresh: Callable[[], bool] = _is_fresh
@@ -108,29 +117,24 @@
         :param address_by_peer: addresses of all others
         :param zone_by_instance: zones of all, this one included
         """
-        self._address_by_peer = address_by_peer
-        self._zone_by_instance = zone_by_instance
+        self._peers.replace(address_by_peer, zone_by_instance)
 
-    def observe(self, listed: list[tuple[str, str]]) -> None:
-        """Record the services and versions of all listed targets."""
-        for service in self._versions.observe(listed, self._clock.now_ms()):
-            own = self._origins.list_own(service)
-            for start in range(0, len(own), MAX_ORIGINS_PER_DATAGRAM):
-                self._replicate(own[start : start + MAX_ORIGINS_PER_DATAGRAM])
+    def apply_terms(self, terms: StreamTerms) -> None:
+        """Apply the terms of streams of a new configuration."""
+        self.recorded.apply_terms(terms)
+        self._origins.lifetime_ms = self.recorded.versions.terms.lifetime_ms
 
-    def list_recent_versions(self) -> dict[str, list[str]]:
-        """Return the versions of open streams, by service, where known."""
-        return self._versions.list_recent(self._clock.now_ms())
-
-    def apply_history(self, versions_by_service: dict[str, list[str]]) -> None:
-        """Apply what was known of versions before this instance started."""
-        self._versions.apply_earlier(versions_by_service)
+    def share_record(self, copy: RecordCopy) -> None:
+        """Apply a record that this instance has written, and tell all peers."""
+        self.recorded.apply_copy(copy)
+        message = StreamMessage(record=copy)
+        for address in self._peers.address_by_peer.values():
+            self._send(message, address)
 
     def record_begin(self, origin: Origin) -> None:
         """Record that the first event of a stream is passed on."""
-        now_ms = self._clock.now_ms()
-        self._origins.record(origin, now_ms, is_own=True)
-        if self._versions.is_mixed(origin.service, now_ms):
+        self._origins.record(origin, self._clock.now_ms(), is_own=True)
+        if self.recorded.is_uncertain(origin.service):
             self._replicate([origin])
 
     async def find_version(self, attempt_id: str, service: str) -> str | None:
@@ -150,7 +154,15 @@
                 found = Origin(attempt_id, service, answer.version)
                 self._origins.record(found, self._clock.now_ms(), is_own=False)
                 return answer.version
-        return self._infer_version(service, answers)
+        inferred = self._infer_version(service, answers)
+        if inferred is None or self._is_confirmed(attempt_id, answers):
+            return inferred
+        if self.recorded.read_again is None:
+            return inferred
+        # The instances that knew the origin may have been killed.
+        has_read = await self.recorded.read_again()
+        is_only = self.recorded.find_only(service) == inferred
+        return inferred if has_read and is_only else None
 
     def receive(self, datagram: bytes, address: Address) -> None:
         """Process a datagram of a peer; drop one that cannot be read."""
@@ -159,6 +171,8 @@
         except WireError as error:
             logger.info('{0}', error)
             return
+        if message.record is not None:
+            self.recorded.apply_copy(message.record)
         now_ms = self._clock.now_ms()
         for origin in message.origins:
             self._origins.record(origin, now_ms, is_own=False)
@@ -178,15 +192,14 @@
 
     def _infer_version(self, service: str, answers: list[Answer]) -> str | None:
         """Return the version of all open streams, none if they may differ."""
-        now_ms = self._clock.now_ms()
         if (
-            self._address_by_peer
+            self._peers.address_by_peer
             and not answers
             and not self.is_listing_fresh()
         ):
             # Cut off from all others: their targets may have other versions.
             return None
-        is_mixed = self._versions.is_mixed(service, now_ms)
+        is_mixed = self.recorded.is_mixed(service)
         if is_mixed or any(answer.is_mixed for answer in answers):
             return None
         candidates = {
@@ -194,27 +207,34 @@
             for answer in answers
             if answer.only_version is not None
         }
-        own = self._versions.find_only(service, now_ms)
+        own = self.recorded.find_only(service)
         if own is not None:
             candidates.add(own)
         return candidates.pop() if len(candidates) == 1 else None
 
+    def _is_confirmed(self, attempt_id: str, answers: list[Answer]) -> bool:
+        """Return whether an instance that would hold the origin lacks it."""
+        return self._peers.is_replica(attempt_id) or any(
+            answer.is_replica and answer.only_version is not None
+            for answer in answers
+        )
+
     async def _ask(self, question: Question) -> list[Answer]:
-        asked = self._list_peers(question.attempt_id, ASKED_COUNT)
+        asked = self._peers.list_first(question.attempt_id, ASKED_COUNT)
         if not asked or not question.attempt_id:
             return []
         attempt_id = question.attempt_id
         inquiry = self._inquiry_by_attempt.get(attempt_id)
         if inquiry is None:
-            own = self._versions.find_only(
-                question.service, self._clock.now_ms()
+            own = self.recorded.find_only(question.service)
+            inquiry = _Inquiry(
+                len(asked), own, is_replica=self._peers.is_replica(attempt_id)
             )
-            inquiry = _Inquiry(len(asked), own)
             self._inquiry_by_attempt[attempt_id] = inquiry
             self._clock.call_later(ANSWER_TIMEOUT_MS, self._close, attempt_id)
             message = StreamMessage(questions=(question,))
             for peer in asked:
-                self._send(message, self._address_by_peer[peer])
+                self._send(message, self._peers.address_by_peer[peer])
         return await inquiry.wait()
 
     def _close(self, attempt_id: str) -> None:
@@ -223,46 +243,35 @@
             inquiry.close()
 
     def _answer(self, question: Question) -> Answer:
-        now_ms = self._clock.now_ms()
         return Answer(
             question.attempt_id,
             self._find_known(question.attempt_id, question.service),
-            self._versions.find_only(question.service, now_ms),
-            self._versions.is_mixed(question.service, now_ms),
+            self.recorded.find_only(question.service),
+            self.recorded.is_mixed(question.service),
+            self._peers.is_replica(question.attempt_id),
         )
 
+    def _replicate_own(self, services: set[str]) -> None:
+        """Replicate the streams of services that began at this instance."""
+        for service in sorted(services):
+            own = self._origins.list_own(service)
+            for start in range(0, len(own), MAX_ORIGINS_PER_DATAGRAM):
+                self._replicate(own[start : start + MAX_ORIGINS_PER_DATAGRAM])
+
     def _replicate(self, origins: list[Origin]) -> None:
         """Send each origin to its replicas."""
         origins_by_peer: dict[str, list[Origin]] = {}
         for origin in origins:
-            for peer in self._list_peers(origin.attempt_id, REPLICA_COUNT):
+            for peer in self._peers.list_first(
+                origin.attempt_id, REPLICA_COUNT
+            ):
                 origins_by_peer.setdefault(peer, []).append(origin)
         for peer, replicated in origins_by_peer.items():
             self._send(
                 StreamMessage(origins=tuple(replicated)),
-                self._address_by_peer[peer],
+                self._peers.address_by_peer[peer],
             )
 
-    def _list_peers(self, attempt_id: str, count: int) -> list[str]:
-        """
-        Return the first peers for a stream, the best of each zone first.
-
-        All instances that know the same fleet list them in the same order.
-        """
-        names = list(self._zone_by_instance)
-        ranked = rendezvous(attempt_id, names, len(names))
-        best_by_zone: dict[str, str] = {}
-        for instance in ranked:
-            zone = self._zone_by_instance[instance]
-            best_by_zone.setdefault(zone, instance)
-        first = list(best_by_zone.values())[:REPLICA_COUNT]
-        rest = [name for name in ranked if name not in first]
-        return [
-            name
-            for name in (*first, *rest)[:count]
-            if name in self._address_by_peer
-        ]
-
     def _send(self, message: StreamMessage, address: Address) -> None:
         self.send(STREAM_MARK + _codec.encode(message), address)
 
@@ -274,12 +283,26 @@
     :param asked_count: number of peers that were asked
     :param only_version: version of all open streams of the service as this
         instance sees it, none if they may differ or it is not known
+    :param is_replica: whether this instance would hold the origin
     """
 
-    __slots__ = ('_answers', '_asked_count', '_only_version', '_waiting')
+    __slots__ = (
+        '_answers',
+        '_asked_count',
+        '_is_replica',
+        '_only_version',
+        '_waiting',
+    )
 
-    def __init__(self, asked_count: int, only_version: str | None) -> None:
+    def __init__(
+        self,
+        asked_count: int,
+        only_version: str | None,
+        *,
+        is_replica: bool,
+    ) -> None:
         self._asked_count = asked_count
+        self._is_replica = is_replica
         self._only_version = only_version
         self._answers: list[Answer] = []
         self._waiting: list[Deferred[None]] = []
@@ -289,7 +312,8 @@
         Add an answer.
 
         The first that names the version ends the wait, or that confirms that
-        there is only one. Answers after the end of the wait are dropped.
+        there is only one, where it or this instance would hold the origin.
+        Answers after the end of the wait are dropped.
         """
         if not self._asked_count:
             return
@@ -297,6 +321,7 @@
         is_confirmed = (
             self._only_version is not None
             and answer.only_version == self._only_version
+            and (self._is_replica or answer.is_replica)
         )
         is_found = answer.version is not None or is_confirmed
         if is_found or len(self._answers) >= self._asked_count:
--- a/tests/test_serving/fake_objects.py
+++ b/tests/test_serving/fake_objects.py
@@ -53,10 +53,12 @@
         self.era += 1
         self.revision = revision
         self.log = [entry for entry in self.log if entry[0] <= revision]
-        for objects in self.kinds.values():
-            for name, stored in list(objects.items()):
-                if stored.revision > revision:
-                    objects.pop(name)
+        self.kinds = {}
+        for _, kind, change in self.log:
+            objects = self.kinds.setdefault(kind, {})
+            objects.pop(change.stored.name, None)
+            if not change.is_removed:
+                objects[change.stored.name] = change.stored
         self.break_watches()
 
     def names(self, kind):
--- a/tests/test_serving/test_load_exchange.py
+++ b/tests/test_serving/test_load_exchange.py
@@ -50,11 +50,12 @@
 class Instance:
     """One instance; the same engine is listed at all of them."""
 
-    def __init__(self, network, number, zone, clock):
-        self.world = World(clock)
+    def __init__(self, network, number, zone, clock, world=None):
+        self.world = world or World(clock)
         self.name = f'i{number}'
         self.record = PeerRecord('h', number, zone)
-        self.world.add(target('p1', 'llm', 'prefill'))
+        if world is None:
+            self.world.add(target('p1', 'llm', 'prefill'))
         self.board = self.world.context.fleet.boards.get_board('llm')
         self.peers = Peers(self.name)
         self.unregistered_count = 0
@@ -89,11 +90,11 @@
         return self.world.context.gossip
 
 
-def create_deployment(zones, clock=None):
+def create_deployment(zones, clock=None, new_world=lambda clock: None):
     network = Network()
     clock = clock or World().clock
     instances = [
-        Instance(network, number, zone, clock)
+        Instance(network, number, zone, clock, new_world(clock))
         for number, zone in enumerate(zones, start=1)
     ]
     found = [
--- a/tests/test_serving/test_stream_exchange.py
+++ b/tests/test_serving/test_stream_exchange.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cicadahoist.policy.service_versions import STREAM_LIFETIME_MS
+from cicadahoist.policy.stream_versions.stream_terms import MIN_LIFETIME_MS
 from cicadahoist.serving.stream_exchange import (
     ANSWER_TIMEOUT_MS,
     REPLICA_COUNT,
@@ -99,7 +99,7 @@
 def test_an_instance_without_store_and_peers_refuses_unknown_streams():
     one_version = [target('a0', 'llm', 'decode', version='v1')]
     fleet = Fleet(engines=one_version)
-    fleet.clock.advance(STREAM_LIFETIME_MS)
+    fleet.clock.advance(MIN_LIFETIME_MS)
     fleet.network.drops_all = True
     cut_off = fleet.instances[1].world
     cut_off.context.streams.is_listing_fresh = bool
@@ -112,7 +112,7 @@
 # One instance may not list a new version yet.
 def test_an_instance_with_an_old_list_asks_before_it_trusts_it():
     fleet = Fleet(engines=ENGINES[:2])
-    fleet.clock.advance(STREAM_LIFETIME_MS)
+    fleet.clock.advance(MIN_LIFETIME_MS)
     for instance in fleet.instances[1:]:
         instance.world.context.fleet.directory.replace(ENGINES)
     caller, sent = fleet.take_up(0, b'elsewhere')
@@ -124,7 +124,7 @@
     fleet = Fleet(engines=[])
     for instance in fleet.instances[1:]:
         instance.world.context.fleet.directory.replace(ENGINES[:2])
-    fleet.clock.advance(STREAM_LIFETIME_MS)
+    fleet.clock.advance(MIN_LIFETIME_MS)
     fleet.instances[0].world.context.fleet.directory.replace(ENGINES[:2])
     _, sent = fleet.take_up(0, b'elsewhere')
     assert len(sent) == 1
@@ -133,7 +133,7 @@
 # Such streams were not replicated while there was one version.
 def test_streams_that_began_before_a_version_came_are_replicated():
     fleet = Fleet(engines=ENGINES[:2])
-    fleet.clock.advance(STREAM_LIFETIME_MS)
+    fleet.clock.advance(MIN_LIFETIME_MS)
     first = fleet.begin_stream(0)
     assert not list_stream_datagrams(fleet)
     for instance in fleet.instances:
@@ -157,7 +157,7 @@
 # Dead peers do not answer, and would delay each stream by the whole wait.
 def test_one_version_is_confirmed_by_the_first_answer():
     fleet = Fleet(engines=ENGINES[:2])
-    fleet.clock.advance(STREAM_LIFETIME_MS)
+    fleet.clock.advance(MIN_LIFETIME_MS)
     for number in (0, 2, 3, 4):
         fleet.kill(number)
     _, sent = fleet.take_up(1, b'elsewhere')
--- a/tests/test_serving/test_stream_versions.py
+++ b/tests/test_serving/test_stream_versions.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from cicadahoist.policy.service_versions import STREAM_LIFETIME_MS
+from cicadahoist.policy.stream_versions.stream_terms import MIN_LIFETIME_MS
 from cicadahoist.rules import EngineSizes, ServiceRule, ServiceShare
 from tests.test_serving.streams import send_ask, take_up
 from tests.test_serving.world import (
@@ -135,17 +135,23 @@
 )
 def test_earlier_versions_decide_after_a_restart(earlier, goes_on):
     world = World(is_first_start=False)
-    world.context.streams.apply_history({'llm': earlier})
+    world.apply_record({'llm': earlier})
     world.add(decode('a0', 'v1'))
     _, sent = take_up(world, b'elsewhere')
     assert bool(sent) == goes_on
 
 
-def test_earlier_versions_are_forgotten_once_their_streams_have_ended():
+# Which versions open streams began at is decided by the record alone: an
+# instance cannot tell that from the time for which it has run.
+def test_earlier_versions_are_forgotten_once_they_left_the_record():
     world = World(is_first_start=False)
-    world.context.streams.apply_history({'llm': ['v2']})
+    world.apply_record({'llm': ['v2']}, 1)
     world.add(decode('a0', 'v1'))
-    world.clock.advance(STREAM_LIFETIME_MS)
+    world.clock.advance(2 * MIN_LIFETIME_MS)
+    caller, sent = take_up(world, b'elsewhere')
+    assert not sent
+    assert caller.status == 503
+    world.apply_record({'llm': ['v1']}, 2)
     _, sent = take_up(world, b'elsewhere')
     assert len(sent) == 1
 
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -21,6 +21,10 @@
 from cicadahoist.metrics import PREFIX, Metrics
 from cicadahoist.platform.dialect import Dialect
 from cicadahoist.policy.retry_share import RetryTerms
+from cicadahoist.policy.stream_versions.version_record import (
+    RecordCopy,
+    VersionRecord,
+)
 from cicadahoist.requests import RepeatRule
 from cicadahoist.rules import (
     CallerLimits,
@@ -375,11 +379,12 @@
         self.clock = clock or Clock.manual()
         self.loop_times = LoopTimes(self.clock)
         self._metric_reader = InMemoryMetricReader()
+        self.metrics = Metrics(MeterProvider([self._metric_reader]))
         self.context = ServingContext(
             'zone-a',
             Dialect(),
             self.clock,
-            Metrics(MeterProvider([self._metric_reader])),
+            self.metrics,
             RetryTerms(0.2, 100, 10_000),
             None,
         )
@@ -388,7 +393,7 @@
         )
         self.context.fleet.connections = self.connections
         if is_first_start:
-            self.context.streams.apply_history({})
+            self.apply_record({})
         self.are_keys_fresh = True
         self.freed_handles = []
         self.front = Front(
@@ -399,6 +404,15 @@
         )
         self.context.apply_deployment(deployment())
 
+    def apply_record(self, versions_by_service, revision=0, *, era=0):
+        """Apply a complete record of versions, as if it had been read."""
+        record = VersionRecord(
+            versions_by_service=versions_by_service, era=era, is_complete=True
+        )
+        self.context.streams.recorded.apply_copy(
+            RecordCopy(era, revision, record)
+        )
+
     async def _free(self, handle):
         self.freed_handles.append(handle)
 
