A new reader tells of changes that other readers told it

Cause: a member did not keep the revision of changes that it applied from messages. Once it became a reader and watched without a change, its heartbeats told the older revision as that of the last change; a member that had missed the change took its state for complete and never read it. Change: the follower records the revision of the last change that it is told. Measured: 3 of 13 moments of the change failed before, none after (test_a_new_reader_tells_of_changes_that_it_was_told).

--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -224,6 +224,7 @@
                 self._on_change(change)
         self._has_gap = False
         self.revision = max(self.revision, news.as_of)
+        feed.record_followed(news)
         self._record_answer(heard.confirmed_ms)
         return heard.confirmed_ms
 
--- a/cicadahoist/serving/watch_feed.py
+++ b/cicadahoist/serving/watch_feed.py
@@ -137,6 +137,15 @@
         news = KindNews(self.kind, era, revision, revision, 0, revision)
         self.latest = (news, confirmed_ms)
 
+    def record_followed(self, news: KindNews) -> None:
+        """
+        Record that the follower has applied the news of a reader.
+
+        If this instance becomes a reader, members that lack these changes have
+        to see it in its messages.
+        """
+        self._changed_at = max(self._changed_at, news.changed_at)
+
     def record_watch(self, news: KindNews, confirmed_ms: int) -> None:
         """
         Record the answer to a watch, and tell the zone if it has changes.
