A reader that lags does not hide a change that a member missed

Cause: a member watches the store at the second news in a row that tell of a change which it lacks. News of a reader that was cut off from the store, and so told an older change, came between them each time; the member never read the change, and its state aged until it refused requests. Changes that are too long for a message needed no lost message for it. Change: the follower keeps the revision of the missed change until it has it.

--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -52,10 +52,10 @@
         '_era',
         '_feed',
         '_has_followed_feed',
-        '_has_gap',
         '_is_stopped',
         '_kind',
         '_last_answer_ms',
+        '_missed_at',
         '_objects',
         '_on_change',
         '_on_list',
@@ -78,8 +78,8 @@
         feed: WatchFeed | None = None,
     ) -> None:
         self._feed = feed
-        # Whether the last news told of a change that was not received.
-        self._has_gap = False
+        # Revision of a change that was told but not received, 0 for none.
+        self._missed_at = 0
         self._has_followed_feed = False
         self._batch_delay_ms = batch_delay_ms
         self._objects = objects
@@ -187,6 +187,7 @@
             self._check_era(page.era)
             found.extend(page.objects)
         self.revision = revision
+        self._missed_at = 0
         self._on_list(found)
         if self._feed is not None:
             self._feed.discard_pending()
@@ -222,8 +223,10 @@
             # that were applied before end in the same state.
             for change in news.changes:
                 self._on_change(change)
-        self._has_gap = False
         self.revision = max(self.revision, news.as_of)
+        # News of a reader that lags do not show that the change was received.
+        if self.revision >= self._missed_at:
+            self._missed_at = 0
         feed.record_followed(news)
         self._record_answer(heard.confirmed_ms)
         return heard.confirmed_ms
@@ -234,10 +237,10 @@
 
         The first news of a change may overtake the message that has it.
         """
-        if not self._has_gap:
-            self._has_gap = True
+        if not self._missed_at:
+            self._missed_at = heard.news.changed_at
             return self.confirmed_ms or 0
-        self._has_gap = False
+        self._missed_at = 0
         feed.count_gap()
         logger.bind(
             kind=self._kind,
