Members ask readers for their clock, which bounds the age of their state

Cause: the age of a reader's state was derived from its fastest message so far and an assumed 300 ms. Where all messages of a reader waited longer, as in a link that is full for long, its state counted as too recent by that delay, and withdrawn keys could be used for longer than 5 s. News of a reader that was not relied on yet were taken at their word beside another reader. Change: a member asks each reader that it hears for its clock every 2 s, in a message without news. The reader reads it after the question was sent, which bounds the difference of the clocks whatever the delay. Without an answer, the age is unknown. The fake network of the tests passes the sender's address, to which answers go.

--- a/cicadahoist/serving/watch_fanout.py
+++ b/cicadahoist/serving/watch_fanout.py
@@ -146,6 +146,16 @@
             return
         if not self._is_enabled():
             return
+        if message.news:
+            self._receive_news(message, address)
+        elif message.asked_ms is None:
+            self._send_clock(address, message.sent_ms)
+        else:
+            age = self._age_by_sender.get(message.sender)
+            if age is not None:
+                age.record_answer(message.asked_ms, message.sent_ms)
+
+    def _receive_news(self, message: WatchMessage, address: Address) -> None:
         now_ms = self._clock.now_ms()
         age = self._age_by_sender.get(message.sender)
         if age is None:
@@ -153,12 +163,23 @@
                 self._age_by_sender.clear()
             age = ReaderAge(now_ms)
             self._age_by_sender[message.sender] = age
+        if age.begin_question(now_ms):
+            self._send_clock(address)
         for news in message.news:
             feed = self._feed_by_kind.get(news.kind)
             confirmed_ms = age.record(message.sent_ms, news.age_ms, now_ms)
             if feed is not None:
                 feed.receive(message.sender, news, confirmed_ms, age)
 
+    def _send_clock(
+        self, address: Address, asked_ms: int | None = None
+    ) -> None:
+        """Ask a reader for its clock, or answer such a question."""
+        message = WatchMessage(
+            self._incarnation, self._clock.now_ms(), (), asked_ms
+        )
+        self.send(encode_news(message), address)
+
     def _publish(self, news: KindNews, confirmed_ms: int) -> None:
         self._send([(news, confirmed_ms)])
 
--- a/cicadahoist/serving/watch_news.py
+++ b/cicadahoist/serving/watch_news.py
@@ -36,15 +36,18 @@
 
 class WatchMessage(msgspec.Struct, frozen=True, array_like=True):
     """
-    One datagram of a reader.
+    One datagram of a reader, or without news a question for its clock.
 
     :param sender: unique name of the process that sends it
     :param sent_ms: reading of its clock
+    :param asked_ms: `sent_ms` of the question that this answers, none for news
+        and questions
     """
 
     sender: str
     sent_ms: int
     news: tuple[KindNews, ...]
+    asked_ms: int | None = None
 
 
 watch_codec: Codec[WatchMessage] = Codec.packed('watch news', WatchMessage)
--- a/tests/test_serving/test_watch_fanout.py
+++ b/tests/test_serving/test_watch_fanout.py
@@ -138,12 +138,14 @@
         self.datagrams += 1
         is_lost = self.random.random() < self.lost_share
         if sender.is_up and not is_lost and not self.is_lost(sender.name, name):
-            self.clock.call_later(self.delay_ms, self.deliver, name, datagram)
+            self.clock.call_later(
+                self.delay_ms, self.deliver, name, datagram, (sender.name, 0)
+            )
 
-    def deliver(self, name, datagram):
+    def deliver(self, name, datagram, address):
         member = self.by_name[name]
         if member.is_up:
-            member.fanout.receive(datagram, ('', 0))
+            member.fanout.receive(datagram, address)
 
     def run(self, duration_ms):
         for _ in range(duration_ms // STEP_MS):
--- a/tests/test_serving/test_watch_faults.py
+++ b/tests/test_serving/test_watch_faults.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from tests.test_serving.test_watch_fanout import STEP_MS, Zone
+from cicadahoist.serving.watch_news import (
+    KindNews,
+    WatchMessage,
+    encode_news,
+)
+from tests.test_serving.test_watch_fanout import STEP_MS, Member, Zone
 
 # A changed configuration is in force after this time.
 CONFIG_MS = 3000
@@ -39,3 +44,38 @@
     zone.is_lost = lambda sender, name: False
     zone.run(CONFIG_MS - STEP_MS)
     assert all(member.specs['main'] == value for member in zone.members)
+
+
+def tell(member, sender, sent_ms, *news):
+    """Deliver news of a reader."""
+    message = WatchMessage(sender, sent_ms, news)
+    member.fanout.receive(encode_news(message), ('i0', 0))
+
+
+def test_the_first_news_of_a_reader_do_not_make_a_state_recent():
+    # Guards against keys that are used because the first messages of a reader
+    # waited for long: nothing shows yet that they did.
+    zone = Zone(14)
+    member = zone.members[0]
+    revision = zone.objects.revision
+    confirmed_ms = member.follower.confirmed_ms
+    news = KindNews('config', 0, revision, revision, 0)
+    tell(member, 'late', zone.clock.now_ms() - 5000, news)
+    assert member.follower.confirmed_ms == confirmed_ms
+
+
+def test_messages_that_all_wait_do_not_make_a_state_recent():
+    # Guards against keys that are used because the links are full all the time,
+    # so that no message was faster than the others.
+    zone = Zone(14)
+    zone.delay_ms = 3000
+    joined = zone.by_name['i14'] = Member(zone, 'i14')
+    zone.run(8000)
+    assert joined in zone.members
+    for member in (joined, *zone.readers):
+        member.is_store_reachable = False
+    zone.objects.break_watches()
+    cut_ms = zone.clock.now_ms()
+    for _ in range(200):
+        zone.run(STEP_MS)
+        assert joined.follower.confirmed_ms <= cut_ms + STEP_MS
