Batches of two readers that overlap apply no change again

Cause: a batch that began before the revision of a member was applied in full. An object that was removed and is back, or a target that was listed as leaving, went back for a moment, in which the directory told its listeners. Change: changes up to the last one that surely was applied are skipped. Measured: 7 changes applied instead of 5 before, 5 after (test_news_that_overlap_never_apply_an_older_version).

--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -10,7 +10,7 @@
 from cicadahoist.log import get_logger
 from cicadahoist.objects import Change, ObjectStoreClient, StoredObject
 from cicadahoist.serving.watch_feed import HeardNews, WatchFeed
-from cicadahoist.serving.watch_news import KindNews
+from cicadahoist.serving.watch_news import KindNews, list_unapplied
 
 logger = get_logger(__name__)
 
@@ -219,9 +219,8 @@
         if news.changed_at > self.revision:
             if not news.changes or news.changed_before > self.revision:
                 return await self._fill_gap(feed, heard)
-            # Later changes of an object follow earlier ones, so that changes
-            # that were applied before end in the same state.
-            for change in news.changes:
+            # Batches of two readers overlap; none takes an object back.
+            for change in list_unapplied(news.changes, self.revision):
                 self._on_change(change)
         self.revision = max(self.revision, news.as_of)
         # News of a reader that lags do not show that the change was received.
--- a/cicadahoist/serving/watch_news.py
+++ b/cicadahoist/serving/watch_news.py
@@ -53,6 +53,26 @@
 watch_codec: Codec[WatchMessage] = Codec.packed('watch news', WatchMessage)
 
 
+def list_unapplied(
+    changes: tuple[Change, ...], revision: int
+) -> tuple[Change, ...]:
+    """
+    Return the changes after the last one that surely was applied before.
+
+    The revision of a removed object may be that of its last content, so that it
+    does not tell whether the removal was applied. To apply a removal again does
+    no harm where no later change of the object was applied.
+
+    :param changes: changes, oldest first
+    :param revision: revision whose state was applied
+    """
+    first = 0
+    for position, change in enumerate(changes, 1):
+        if not change.is_removed and change.stored.revision <= revision:
+            first = position
+    return changes[first:]
+
+
 def encode_news(message: WatchMessage) -> bytes:
     """Return the datagram of a message, without changes that are too long."""
     datagram = WATCH_MARK + watch_codec.encode(message)
--- a/tests/test_serving/test_watch_faults.py
+++ b/tests/test_serving/test_watch_faults.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cicadahoist.objects import Change, StoredObject
 from cicadahoist.serving.watch_news import (
     KindNews,
     WatchMessage,
@@ -79,3 +80,23 @@
     for _ in range(200):
         zone.run(STEP_MS)
         assert joined.follower.confirmed_ms <= cut_ms + STEP_MS
+
+
+def test_news_that_overlap_never_apply_an_older_version():
+    # Guards against a target that leaves and is used again for a moment, as two
+    # readers gather changes into different batches.
+    zone = Zone(14)
+    member = zone.members[0]
+    base = zone.objects.revision
+    changes = [
+        Change(StoredObject('t', base + number, number), number in {1, 4})
+        for number in range(1, 6)
+    ]
+    seen = []
+    member.follower._on_change = seen.append
+    for last in (2, 5):
+        news = KindNews(
+            'config', 0, base + last, base + last, 0, base, changes[:last]
+        )
+        tell(member, 'i0.n', zone.clock.now_ms(), news)
+    assert [change.stored.spec for change in seen] == [1, 2, 3, 4, 5]
