A reader that stops sends nothing once its socket closes

Cause: the follower stops after the task that has the socket. A change between the two made the follower of a reader fail, log an error and list again. Change: the task of the heartbeats, which stops before, ends all sending. Measured: one more list before, none after (test_a_change_while_an_instance_stops_does_not_end_the_watch).

--- a/cicadahoist/serving/watch_fanout.py
+++ b/cicadahoist/serving/watch_fanout.py
@@ -223,7 +223,8 @@
         self._tick()
 
     async def stop(self) -> None:
-        """Stop; members notice the silence."""
+        """Stop; members notice the silence. The socket closes after this."""
+        self._fanout.send = _drop
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
--- a/tests/test_serving/test_watch_faults.py
+++ b/tests/test_serving/test_watch_faults.py
@@ -8,6 +8,7 @@
     WatchMessage,
     encode_news,
 )
+from tests.coroutines import Pending
 from tests.test_serving.test_watch_fanout import STEP_MS, Member, Zone
 
 # A changed configuration is in force after this time.
@@ -100,3 +101,16 @@
         )
         tell(member, 'i0.n', zone.clock.now_ms(), news)
     assert [change.stored.spec for change in seen] == [1, 2, 3, 4, 5]
+
+
+def test_a_change_while_an_instance_stops_does_not_end_the_watch():
+    # Guards against an error in the follower of a reader that stops: the socket
+    # closes before the follower stops.
+    zone = Zone(14)
+    reader = zone.readers[0]
+    reader.fanout.send = None
+    Pending(reader.task.stop())
+    pages = zone.objects.calls.count(('page', 'config'))
+    zone.objects.put('config', 'main', 1)
+    zone.run(1000)
+    assert zone.objects.calls.count(('page', 'config')) == pages
