A silent reader is not waited for a second time

Cause: the wait for news ends 900 ms after the last message, when the reader still counted as heard, so that a member could wait for another 900 ms. Change: a silence of 900 ms ends the reliance. Measured: the age was reliable at 900 ms before, not after (test_a_reader_that_is_silent_for_its_time_is_not_waited_for_again).

--- a/cicadahoist/policy/shared_watch/reader_age.py
+++ b/cicadahoist/policy/shared_watch/reader_age.py
@@ -84,5 +84,5 @@
         """
         if self._answered_offset_ms is None:
             return False
-        is_heard = now_ms - self._last_heard_ms <= READER_SILENCE_MS
+        is_heard = now_ms - self._last_heard_ms < READER_SILENCE_MS
         return is_heard and now_ms - confirmed_ms <= MAX_STATE_AGE_MS
--- a/tests/test_serving/test_watch_faults.py
+++ b/tests/test_serving/test_watch_faults.py
@@ -3,6 +3,10 @@
 import pytest
 
 from cicadahoist.objects import Change, StoredObject
+from cicadahoist.policy.shared_watch.reader_age import (
+    READER_SILENCE_MS,
+    ReaderAge,
+)
 from cicadahoist.serving.watch_news import (
     KindNews,
     WatchMessage,
@@ -114,3 +118,12 @@
     zone.objects.put('config', 'main', 1)
     zone.run(1000)
     assert zone.objects.calls.count(('page', 'config')) == pages
+
+
+def test_a_reader_that_is_silent_for_its_time_is_not_waited_for_again():
+    # Guards against members that wait twice for a reader that has ended.
+    age = ReaderAge(0)
+    age.begin_question(0)
+    age.record_answer(0, 0)
+    age.record(0, 0, 0)
+    assert not age.is_reliable(0, READER_SILENCE_MS)
