--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -10,7 +10,7 @@
 from cicadahoist.log import get_logger
 from cicadahoist.objects import Change, ObjectStoreClient, StoredObject
 from cicadahoist.serving.watch_feed import HeardNews, WatchFeed
-from cicadahoist.serving.watch_news import KindNews
+from cicadahoist.serving.watch_news import KindNews, list_unapplied
 
 logger = get_logger(__name__)
 
@@ -52,10 +52,10 @@
         '_era',
         '_feed',
         '_has_followed_feed',
-        '_has_gap',
         '_is_stopped',
         '_kind',
         '_last_answer_ms',
+        '_missed_at',
         '_objects',
         '_on_change',
         '_on_list',
@@ -79,8 +79,8 @@
         feed: WatchFeed | None = None,
     ) -> None:
         self._feed = feed
-        # Whether the last news told of a change that was not received.
-        self._has_gap = False
+        # Revision of a change that was told but not received, 0 for none.
+        self._missed_at = 0
         self._has_followed_feed = False
         self._batch_delay_ms = batch_delay_ms
         self._objects = objects
@@ -191,6 +191,7 @@
             self._check_era(page.era)
             found.extend(page.objects)
         self.revision = revision
+        self._missed_at = 0
         self._on_list(found)
         if self._feed is not None:
             self._feed.discard_pending()
@@ -222,12 +223,14 @@
         if news.changed_at > self.revision:
             if not news.changes or news.changed_before > self.revision:
                 return await self._fill_gap(feed, heard)
-            # Later changes of an object follow earlier ones, so that changes
-            # that were applied before end in the same state.
-            for change in news.changes:
+            # Batches of two readers overlap; none takes an object back.
+            for change in list_unapplied(news.changes, self.revision):
                 self._on_change(change)
-        self._has_gap = False
         self.revision = max(self.revision, news.as_of)
+        # News of a reader that lags do not show that the change was received.
+        if self.revision >= self._missed_at:
+            self._missed_at = 0
+        feed.record_followed(news)
         self._record_answer(heard.confirmed_ms)
         return heard.confirmed_ms
 
@@ -237,10 +240,10 @@
 
         The first news of a change may overtake the message that has it.
         """
-        if not self._has_gap:
-            self._has_gap = True
+        if not self._missed_at:
+            self._missed_at = heard.news.changed_at
             return self.confirmed_ms or 0
-        self._has_gap = False
+        self._missed_at = 0
         feed.count_gap()
         logger.bind(
             kind=self._kind,
--- a/cicadahoist/serving/watch_news.py
+++ b/cicadahoist/serving/watch_news.py
@@ -37,20 +37,43 @@
 
 class WatchMessage(msgspec.Struct, frozen=True, array_like=True):
     """
-    One datagram of a reader.
+    One datagram of a reader, or without news a question for its clock.
 
     :param sender: unique name of the process that sends it
     :param sent_ms: reading of its clock
+    :param asked_ms: `sent_ms` of the question that this answers, none for news
+        and questions
     """
 
     sender: str
     sent_ms: int
     news: tuple[KindNews, ...]
+    asked_ms: int | None = None
 
 
 watch_codec: Codec[WatchMessage] = Codec.packed('watch news', WatchMessage)
 
 
+def list_unapplied(
+    changes: tuple[Change, ...], revision: int
+) -> tuple[Change, ...]:
+    """
+    Return the changes after the last one that surely was applied before.
+
+    The revision of a removed object may be that of its last content, so that it
+    does not tell whether the removal was applied. To apply a removal again does
+    no harm where no later change of the object was applied.
+
+    :param changes: changes, oldest first
+    :param revision: revision whose state was applied
+    """
+    first = 0
+    for position, change in enumerate(changes, 1):
+        if not change.is_removed and change.stored.revision <= revision:
+            first = position
+    return changes[first:]
+
+
 def encode_news(message: WatchMessage) -> bytes:
     """Return the datagram of a message, without changes that are too long."""
     datagram = WATCH_MARK + watch_codec.encode(message)
--- a/tests/test_cmd/test_front_peering.py
+++ b/tests/test_cmd/test_front_peering.py
@@ -44,6 +44,7 @@
     def __init__(self, reactor):
         self.clock = Clock(reactor, lambda: round(reactor.seconds() * MS_PER_S))
         self.config = Config.from_values()
+        self.metrics = Metrics(MeterProvider())
         self.added = []
 
     def add(self, task):
@@ -87,7 +88,7 @@
         )
         self.reactor = reactor
         fanout = WatchFanout(
-            self.tasks.clock, f'{name}.n', bool, Metrics(MeterProvider())
+            self.tasks.clock, f'{name}.n', bool, self.tasks.metrics
         )
         self.peering = front_peering.add_peering(
             self.tasks, context, settings, f'{name}.n', reactor, fanout
