Plan the engines of large fleets by their measured load

In large fleets the holder of the duties now samples the load in flight at all engines, and orders what its mean and its recent value need.

--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -25,6 +25,7 @@
     NoTimer,
     PlatformDuties,
 )
+from cicadahoist.serving.engine_demand import EngineDemand
 from cicadahoist.serving.fleet_orders import RoleChangeJob, TargetScalingJob
 from cicadahoist.serving.held_parts_job import HeldPartsJob
 from cicadahoist.serving.load_exchange import PEER_KIND
@@ -34,6 +35,8 @@
 
 USAGE_PERIOD_MS = 800
 ORDER_PERIOD_MS = 500
+# Prefills take some 10 ms: the more samples, the better the mean.
+DEMAND_PERIOD_MS = 50
 HELD_PARTS_PERIOD_MS = 3000
 # A holder stops using the lease twice this time before its term ends.
 LEASE_MARGIN_MS = 200
@@ -95,8 +98,10 @@
             settings.usage_due_ms,
         )
         duties.add(usage, USAGE_PERIOD_MS)
+        demand = EngineDemand(self._context, settings.zones)
+        duties.add(demand, DEMAND_PERIOD_MS)
         duties.add(
-            TargetScalingJob(self._context, calls, settings.zones),
+            TargetScalingJob(self._context, calls, settings.zones, demand),
             ORDER_PERIOD_MS,
         )
         duties.add(RoleChangeJob(self._context, engines), ORDER_PERIOD_MS)
--- a/cicadahoist/policy/demand_rate.py
+++ b/cicadahoist/policy/demand_rate.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+from cicadahoist.policy.capacity_plan.prefill_times import PrefillTimes
+
 # Load is averaged over this time, which is longer than the swings of the mix.
 WINDOW_MS = 15_000
 BUCKET_MS = 500
@@ -14,15 +16,22 @@
     Estimate of the engines that the requests of all instances keep busy.
 
     Instances receive similar shares of the requests, so that the load of this
-    one times their number is the load of all.
+    one times their number is the load of all. Large fleets are planned by
+    ``prefill_times`` and the load in flight instead.
     """
 
-    __slots__ = ('_buckets', '_last_arrival_ms', 'instance_count')
+    __slots__ = (
+        '_buckets',
+        '_last_arrival_ms',
+        'instance_count',
+        'prefill_times',
+    )
 
     def __init__(self) -> None:
         self._buckets: deque[list[float]] = deque()
         self._last_arrival_ms: int | None = None
         self.instance_count = 1
+        self.prefill_times = PrefillTimes()
 
     def record_arrival(self, engine_ms: float, now_ms: int) -> None:
         """
--- a/cicadahoist/policy/fleet_plan.py
+++ b/cicadahoist/policy/fleet_plan.py
@@ -36,12 +36,14 @@
     :param steady_count: steady targets, ordered ones included
     :param cheap_count: reclaimable targets, ordered ones included
     :param ready_cheap_count: reclaimable targets that serve already
+    :param serving_count: targets of both kinds that serve at this moment
     """
 
     zone: str
     steady_count: int = 0
     cheap_count: int = 0
     ready_cheap_count: int = 0
+    serving_count: int = 0
 
 
 class ZonePlan(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/cicadahoist/serving/engine_demand.py
@@ -0,0 +1,145 @@
+"""Measures the load of large fleets, and plans their engines by it."""
+
+from collections.abc import Callable, Collection
+
+import msgspec
+
+from cicadahoist.log import get_logger
+from cicadahoist.policy.capacity_plan.engine_use import EngineUse
+from cicadahoist.policy.capacity_plan.load_sample import LoadSample
+from cicadahoist.policy.capacity_plan.role_shares import START_DECODE_SHARE
+from cicadahoist.policy.capacity_plan.wanted_engines import (
+    Wanted,
+    WantedEngines,
+)
+from cicadahoist.policy.capacity_plan.zone_targets import ZoneTargets
+from cicadahoist.policy.fleet_plan import ZoneFleet, ZonePlan
+from cicadahoist.rules import EngineSizes, OrderLimits
+from cicadahoist.serving.context import ServingContext
+
+logger = get_logger(__name__)
+
+# Streams of 3 to 4 s build up for as long: earlier, they seem to be few.
+ROLE_MEASURE_MS = 8000
+
+
+class _ServiceDemand(msgspec.Struct):
+    """
+    Load of one service.
+
+    :param wanted: the last plan, none before the first
+    """
+
+    use: EngineUse
+    wanted_engines: WantedEngines
+    wanted: Wanted | None = None
+
+
+class EngineDemand:
+    """
+    Samples the load in flight at the engines, and plans their number.
+
+    It is a job of the holder of the duties, and does nothing in small fleets.
+
+    :param context: shared parts of the data path
+    :param zones: availability zones of the deployment
+    """
+
+    __slots__ = ('_context', '_demand_by_service', '_zones')
+
+    def __init__(self, context: ServingContext, zones: tuple[str, ...]) -> None:
+        self._context = context
+        self._zones = zones
+        self._demand_by_service: dict[str, _ServiceDemand] = {}
+
+    def begin_term(self) -> None:
+        """Forget the load of an earlier term."""
+        self._demand_by_service.clear()
+
+    async def run(
+        self, true_ms: int, may_act: Callable[[], bool], epoch: int
+    ) -> None:
+        """Sample the load of all services that run on engines."""
+        deployment = self._context.deployment
+        if deployment is None or not self._context.is_large_fleet:
+            return
+        now_ms = self._context.clock.now_ms()
+        for rule in deployment.services_by_name.values():
+            if rule.engine is not None:
+                self._get(rule.name).use.record(self._sample(rule.name), now_ms)
+
+    def _sample(self, service: str) -> LoadSample:
+        fleet = self._context.fleet
+        names = [
+            listing.name
+            for listing in fleet.directory.list_all()
+            if listing.service == service
+        ]
+        return LoadSample.of_board(fleet.boards.get_board(service), names)
+
+    def is_idle(self, service: str) -> bool:
+        """Return whether no instance sends anything to the engines."""
+        return self._get(service).use.is_idle(self._context.clock.now_ms())
+
+    def get_decode_share(self, service: str) -> float:
+        """Return the share of the engines that should decode."""
+        demand = self._get(service)
+        loaded_ms = demand.use.count_loaded_ms(self._context.clock.now_ms())
+        if demand.wanted is None or loaded_ms < ROLE_MEASURE_MS:
+            return START_DECODE_SHARE
+        return demand.wanted.need.decode_share
+
+    def plan_zones(
+        self,
+        service: str,
+        sizes: EngineSizes,
+        limits: OrderLimits,
+        fleets: list[ZoneFleet],
+        lacking_zones: Collection[str],
+    ) -> list[ZonePlan]:
+        """
+        Return the engines to have in each availability zone.
+
+        :param fleets: present engines of each zone
+        :param lacking_zones: zones without reclaimable engines to order
+        """
+        demand = self._get(service)
+        now_ms = self._context.clock.now_ms()
+        wanted = demand.wanted_engines.compute(
+            limits,
+            sizes,
+            sum(fleet.steady_count + fleet.cheap_count for fleet in fleets),
+            self._context.demand.prefill_times.compute_mean_ms(now_ms),
+            now_ms,
+        )
+        if demand.wanted is None or wanted.count != demand.wanted.count:
+            _log_decision(service, wanted, lacking_zones)
+        demand.wanted = wanted
+        return ZoneTargets(limits, fleets, lacking_zones).plan_zones(
+            wanted.count, wanted.needed_count
+        )
+
+    def _get(self, service: str) -> _ServiceDemand:
+        demand = self._demand_by_service.get(service)
+        if demand is None:
+            use = EngineUse()
+            demand = _ServiceDemand(use, WantedEngines(use, len(self._zones)))
+            self._demand_by_service[service] = demand
+        return demand
+
+
+def _log_decision(
+    service: str, wanted: Wanted, lacking_zones: Collection[str]
+) -> None:
+    mean = wanted.mean
+    logger.bind(
+        service=service,
+        wanted=wanted.count,
+        needed=wanted.needed_count,
+        busy_prefill=round(mean.prefill_count, 2),
+        runs=round(mean.run_count, 1),
+        kv_tokens=round(mean.kv_tokens),
+        prefill_need=round(wanted.need.prefill, 2),
+        decode_need=round(wanted.need.decode, 2),
+        lacking_zones=sorted(lacking_zones),
+    ).info('number of engines decided')
--- a/cicadahoist/serving/engine_feedback.py
+++ b/cicadahoist/serving/engine_feedback.py
@@ -39,6 +39,16 @@
                 engine.name, self._work.parts
             )
 
+    def record_prefill_time(self, tokens: int, took_ms: int) -> None:
+        """
+        Record how long an engine has taken to prefill a prompt.
+
+        :param tokens: tokens of the prompt that were not cached
+        """
+        self._context.demand.prefill_times.record(
+            tokens, took_ms, self._context.clock.now_ms()
+        )
+
     def record_admission(self, engine: EngineState, end: AttemptEnd) -> None:
         """Record whether an engine has accepted an attempt that has ended."""
         board = self._board
--- a/cicadahoist/serving/fleet_orders.py
+++ b/cicadahoist/serving/fleet_orders.py
@@ -1,6 +1,6 @@
 """Orders targets and engine roles as the fleet plan and role plan want."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 
@@ -23,6 +23,7 @@
     RoleOrders,
     TargetOrder,
 )
+from cicadahoist.serving.engine_demand import EngineDemand
 
 logger = get_logger(__name__)
 
@@ -46,11 +47,13 @@
     :param listed_by_ms: time by which the targets should be listed, 0 for an
         order that was not accepted
     :param retry_ms: time after which to order missing targets again
+    :param is_lacking: whether the platform had none of them
     """
 
     count: int
     listed_by_ms: int
     retry_ms: int
+    is_lacking: bool = False
 
 
 class TargetScalingJob:
@@ -60,10 +63,12 @@
     :param context: shared parts of the data path
     :param interface: accepts the orders
     :param zones: availability zones of the deployment
+    :param demand: plans the engines of large fleets
     """
 
     __slots__ = (
         '_context',
+        '_demand',
         '_interface',
         '_last_order_by_key',
         '_start_count_by_service',
@@ -75,8 +80,10 @@
         context: ServingContext,
         interface: DutyInterface,
         zones: tuple[str, ...],
+        demand: EngineDemand,
     ) -> None:
         self._context = context
+        self._demand = demand
         self._interface = interface
         self._zones = zones
         self._last_order_by_key: dict[tuple[str, str, bool], _SentOrder] = {}
@@ -122,30 +129,57 @@
         start_count = self._start_count_by_service.setdefault(
             rule.name, len(listings)
         )
+        fleets = [
+            self._count_zone(rule, listings, zone) for zone in self._zones
+        ]
+        if rule.engine is not None and self._context.is_large_fleet:
+            return self._demand.plan_zones(
+                rule.name,
+                rule.engine,
+                limits,
+                fleets,
+                self._list_lacking_zones(rule.name),
+            )
+        now_ms = self._context.clock.now_ms()
         wanted = count_wanted_targets(
             limits,
             len(self._zones),
             start_count,
-            self._context.demand.estimate_busy_engines(
-                self._context.clock.now_ms()
-            ),
+            self._context.demand.estimate_busy_engines(now_ms),
         )
-        fleets = [
-            ZoneFleet(
-                zone=zone,
-                steady_count=self._count_expected(
-                    rule.name, listings, zone, is_cheap=False
-                ),
-                cheap_count=self._count_expected(
-                    rule.name, listings, zone, is_cheap=True
-                ),
-                ready_cheap_count=_count_targets(listings, zone, is_cheap=True),
-            )
-            for zone in self._zones
-        ]
-        is_idle = self._context.demand.is_idle(self._context.clock.now_ms())
+        is_idle = self._context.demand.is_idle(now_ms)
         return FleetPlan(limits, fleets, wanted, is_idle=is_idle).plan_zones()
 
+    def _count_zone(
+        self, rule: ServiceRule, listings: list[Listing], zone: str
+    ) -> ZoneFleet:
+        closures: Collection[str] = ()
+        if rule.engine is not None and self._context.is_large_fleet:
+            board = self._context.fleet.boards.get_board(rule.name)
+            closures = board.list_closures(self._context.clock.now_ms())
+        return ZoneFleet(
+            zone=zone,
+            steady_count=self._count_expected(
+                rule.name, listings, zone, is_cheap=False
+            ),
+            cheap_count=self._count_expected(
+                rule.name, listings, zone, is_cheap=True
+            ),
+            ready_cheap_count=_count_targets(listings, zone, is_cheap=True),
+            serving_count=sum(
+                listing.zone == zone and listing.name not in closures
+                for listing in listings
+            ),
+        )
+
+    def _list_lacking_zones(self, service: str) -> set[str]:
+        """Return the zones where the platform has no reclaimable targets."""
+        return {
+            zone
+            for (name, zone, is_cheap), order in self._last_order_by_key.items()
+            if name == service and is_cheap and order.is_lacking
+        }
+
     def _count_expected(
         self,
         service: str,
@@ -204,7 +238,10 @@
             )
         else:
             self._last_order_by_key[key] = _SentOrder(
-                count, 0, now_ms + UNAVAILABLE_RETRY_MS
+                count,
+                0,
+                now_ms + UNAVAILABLE_RETRY_MS,
+                is_lacking=reply is OrderReply.none_available,
             )
 
 
