Roles by the measured need in large fleets; engines closed before a change

Streams of seconds failed in a fresh fleet: one engine in six decoded, and the steady engines that did so were released once reclaimable ones had booted. The slots for streams were fewer than the streams of 22 a second take. Work that was sent to an engine between the order of its role and the news of its closure waited there for the change, and so did prompts staged for it.

In large fleets, a third of the engines decodes until the load is measured, then the measured share. Steady engines are not counted for decode beside reclaimable ones. An engine is closed for 500 ms before its role is ordered, and a staged prompt is placed again if its engine has been closed.

--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -104,7 +104,9 @@
             TargetScalingJob(self._context, calls, settings.zones, demand),
             ORDER_PERIOD_MS,
         )
-        duties.add(RoleChangeJob(self._context, engines), ORDER_PERIOD_MS)
+        duties.add(
+            RoleChangeJob(self._context, engines, demand), ORDER_PERIOD_MS
+        )
         duties.add(
             VersionHistoryJob(store, self._context.streams), ORDER_PERIOD_MS
         )
--- a/cicadahoist/policy/capacity_plan/engine_use.py
+++ b/cicadahoist/policy/capacity_plan/engine_use.py
@@ -12,8 +12,9 @@
 
 from cicadahoist.policy.capacity_plan.load_sample import LoadSample
 
-# Waves of the load have periods of 11 to 15 s.
-MEAN_WINDOW_MS = 15_000
+# Waves of the load have periods of 11 to 15 s. The mix of prefill and decode
+# turns each 2.8 s: this is three times there and back.
+MEAN_WINDOW_MS = 16_800
 # Bursts last for 3 s and more.
 RECENT_WINDOW_MS = 2000
 # The service counts as idle if no load is seen for so long.
@@ -76,7 +77,9 @@
         :param prefill_ms: mean time that a prompt's tokens spend at a prefill
             engine, transfer and waits included, none if unknown
         """
-        since_ms = max(now_ms - window_ms, self._first_load_ms or now_ms)
+        if self._first_load_ms is None:
+            return MeanUse()
+        since_ms = max(now_ms - window_ms, self._first_load_ms)
         samples = [
             sample for at_ms, sample in self._samples if at_ms >= since_ms
         ]
--- a/cicadahoist/policy/capacity_plan/role_shares.py
+++ b/cicadahoist/policy/capacity_plan/role_shares.py
@@ -18,6 +18,9 @@
 # engines of 32 slots have as many slots for decode as streams of 3 to 4 s at 22
 # a second and the answers to 158 prompts a second take on average.
 START_DECODE_SHARE = 1 / 3
+# The share is measured from so long after the first load on: twice there and
+# back of the mix. Streams of 3 to 4 s have built up by then.
+MEASURE_MS = 11_200
 # A fraction above this counts as a whole engine.
 ROUND_UP_FROM = 0.35
 # A zone keeps its decode engines if their number is off by less than this. A
@@ -26,41 +29,69 @@
 
 
 def plan_roles_by_share(
-    engines: list[EngineView], decode_share: float, *, is_idle: bool
+    engines: list[EngineView],
+    decode_share: float,
+    max_changing_count: int,
+    *,
+    leaves_steady: bool,
 ) -> list[RoleChange]:
     """
     Return the role changes to order now.
 
     :param decode_share: share of the engines that should decode
-    :param is_idle: whether no requests arrive, so that all may change at once
+    :param max_changing_count: engines that may change their role at a time
+    :param leaves_steady: whether steady engines keep their roles, as
+        reclaimable ones are about to replace them
     """
     engines_by_zone: dict[str, list[EngineView]] = {}
     for view in engines:
         engines_by_zone.setdefault(view.zone, []).append(view)
     changes = []
     for zone in sorted(engines_by_zone):
-        staying = _list_staying(engines_by_zone[zone])
-        changes.extend(_plan_zone(staying, decode_share))
+        changes.extend(
+            _plan_zone(
+                engines_by_zone[zone], decode_share, leaves_steady=leaves_steady
+            )
+        )
     # Changes to decode sort first: without a decode engine, nothing is served.
     changes.sort(key=_get_role)
-    if is_idle:
-        return changes
-    max_count = max(1, math.floor(MAX_CHANGING_SHARE * len(engines)))
     changing_count = sum(engine.is_changing for engine in engines)
-    return changes[: max(0, max_count - changing_count)]
+    return changes[: max(0, max_changing_count - changing_count)]
 
 
-def _list_staying(engines: list[EngineView]) -> list[EngineView]:
+def compute_max_changing(engine_count: int, wanted_count: int) -> int:
     """
-    Return the reclaimable engines of a zone, or all where it has none.
+    Return how many engines may change their role at a time under load.
+
+    :param engine_count: engines that take work
+    :param wanted_count: engines that should do so; the others may all change
+    """
+    return max(
+        1,
+        math.floor(MAX_CHANGING_SHARE * engine_count),
+        engine_count - wanted_count,
+    )
+
+
+def _plan_zone(
+    engines: list[EngineView], decode_share: float, *, leaves_steady: bool
+) -> list[RoleChange]:
+    """
+    Return the role changes of one zone.
 
     Steady engines are released once reclaimable ones serve. If they decoded for
     the zone, it would have no decode engine from then until a change of role.
     """
-    return [engine for engine in engines if engine.is_cheap] or engines
+    staying = [engine for engine in engines if engine.is_cheap]
+    if staying:
+        return _plan_staying(staying, decode_share)
+    is_decoding = any(_get_next_role(engine) == DECODE for engine in engines)
+    if leaves_steady and is_decoding:
+        return []
+    return _plan_staying(engines, 0 if leaves_steady else decode_share)
 
 
-def _plan_zone(
+def _plan_staying(
     engines: list[EngineView], decode_share: float
 ) -> list[RoleChange]:
     decoding = [
--- a/cicadahoist/policy/capacity_plan/wanted_engines.py
+++ b/cicadahoist/policy/capacity_plan/wanted_engines.py
@@ -94,6 +94,7 @@
             if self._start_count is None:
                 self._start_count = present_count
             wanted = max(wanted, self._start_count)
+            needed_count = max(needed_count, self._start_count)
         wanted = self._limit(wanted, limits)
         return Wanted(self._hold(wanted, now_ms), needed_count, need, mean)
 
--- a/cicadahoist/policy/capacity_plan/zone_targets.py
+++ b/cicadahoist/policy/capacity_plan/zone_targets.py
@@ -74,7 +74,7 @@
             counts.steady = self._count_kept(counts)
         self._move_missing()
         self._add_stand_ins(needed_count)
-        self._delay_release(wanted_count)
+        self._delay_release(wanted_count, needed_count)
         for crowded in self._counts:
             self._fit_places(crowded)
 
@@ -127,23 +127,42 @@
             return counts.fleet.ready_cheap_count
         return counts.cheap
 
-    def _delay_release(self, wanted_count: int) -> None:
-        """Release no more targets than those that serve exceed the wanted."""
+    def _delay_release(self, wanted_count: int, needed_count: int) -> None:
+        """
+        Release no more targets than those there exceed the wanted ones.
+
+        Those that change their role do not serve: until they do, as many steady
+        ones stay as the present load needs.
+        """
         serving_count = sum(
             counts.fleet.serving_count for counts in self._counts
         )
-        surplus = max(0, serving_count - wanted_count)
-        for counts in reversed(self._counts):
-            excess = max(0, counts.fleet.steady_count - counts.steady)
-            released = min(excess, surplus)
-            counts.steady += excess - released
-            surplus -= released
+        changing_count = sum(
+            counts.fleet.changing_count for counts in self._counts
+        )
+        surplus = serving_count + changing_count - wanted_count
+        steady_surplus = min(surplus, serving_count - needed_count)
+        surplus -= self._release_steady(max(0, steady_surplus))
         for counts in reversed(self._counts):
             excess = max(0, counts.fleet.cheap_count - counts.cheap)
-            released = min(excess, surplus)
+            released = max(0, min(excess, surplus))
             counts.cheap += excess - released
             surplus -= released
 
+    def _release_steady(self, most: int) -> int:
+        """
+        Keep the steady targets that may not be released yet.
+
+        :return: how many are released
+        """
+        left = most
+        for counts in reversed(self._counts):
+            excess = max(0, counts.fleet.steady_count - counts.steady)
+            released = min(excess, left)
+            counts.steady += excess - released
+            left -= released
+        return most - left
+
     def _fit_places(self, counts: _ZoneCounts) -> None:
         """
         Keep to the places of a zone, which both kinds share.
--- a/cicadahoist/policy/fleet_plan.py
+++ b/cicadahoist/policy/fleet_plan.py
@@ -37,6 +37,7 @@
     :param cheap_count: reclaimable targets, ordered ones included
     :param ready_cheap_count: reclaimable targets that serve already
     :param serving_count: targets of both kinds that serve at this moment
+    :param changing_count: targets of both kinds that change their role
     """
 
     zone: str
@@ -44,6 +45,7 @@
     cheap_count: int = 0
     ready_cheap_count: int = 0
     serving_count: int = 0
+    changing_count: int = 0
 
 
 class ZonePlan(msgspec.Struct, frozen=True):
--- a/cicadahoist/serving/engine_choice.py
+++ b/cicadahoist/serving/engine_choice.py
@@ -83,6 +83,8 @@
         Return an engine and its listing, none if it is to be sent no requests.
 
         Since it was chosen, it may have been removed or have asked for a pause.
+        In large fleets, it may also have been closed to change its role: it
+        would begin what reaches it only after the change.
         """
         fleet = self._context.fleet
         engine = fleet.boards.get_board(self._service).get(name)
@@ -92,8 +94,15 @@
         now_ms = self._context.clock.now_ms()
         if fleet.notices.pauses.is_paused(engine.life, now_ms):
             return None
+        if self._context.is_large_fleet and self._is_closed(name):
+            return None
         return engine, listing
 
+    def _is_closed(self, name: str) -> bool:
+        """Return whether an engine is about to leave its role."""
+        board = self._context.fleet.boards.get_board(self._service)
+        return name in board.list_closures(self._context.clock.now_ms())
+
     def is_sound(self, placement: Placement) -> bool:
         """Return whether the engines are neither ejected nor silent."""
         board = self._context.fleet.boards.get_board(self._service)
--- a/cicadahoist/serving/engine_demand.py
+++ b/cicadahoist/serving/engine_demand.py
@@ -7,32 +7,39 @@
 from cicadahoist.log import get_logger
 from cicadahoist.policy.capacity_plan.engine_use import EngineUse
 from cicadahoist.policy.capacity_plan.load_sample import LoadSample
-from cicadahoist.policy.capacity_plan.role_shares import START_DECODE_SHARE
+from cicadahoist.policy.capacity_plan.role_shares import (
+    MEASURE_MS,
+    START_DECODE_SHARE,
+    compute_max_changing,
+    plan_roles_by_share,
+)
 from cicadahoist.policy.capacity_plan.wanted_engines import (
     Wanted,
     WantedEngines,
 )
 from cicadahoist.policy.capacity_plan.zone_targets import ZoneTargets
 from cicadahoist.policy.fleet_plan import ZoneFleet, ZonePlan
+from cicadahoist.policy.role_plan import EngineView, RoleChange
 from cicadahoist.rules import EngineSizes, OrderLimits
 from cicadahoist.serving.context import ServingContext
 
 logger = get_logger(__name__)
 
-# Streams of 3 to 4 s build up for as long: earlier, they seem to be few.
-ROLE_MEASURE_MS = 8000
-
 
 class _ServiceDemand(msgspec.Struct):
     """
     Load of one service.
 
     :param wanted: the last plan, none before the first
+    :param decode_share: share of the engines that should decode
+    :param is_measured: whether this share has been measured
     """
 
     use: EngineUse
     wanted_engines: WantedEngines
     wanted: Wanted | None = None
+    decode_share: float = START_DECODE_SHARE
+    is_measured: bool = False
 
 
 class EngineDemand:
@@ -81,13 +88,41 @@
         """Return whether no instance sends anything to the engines."""
         return self._get(service).use.is_idle(self._context.clock.now_ms())
 
-    def get_decode_share(self, service: str) -> float:
-        """Return the share of the engines that should decode."""
+    def plan_roles(
+        self, service: str, engines: list[EngineView]
+    ) -> list[RoleChange]:
+        """Return the role changes to order now."""
         demand = self._get(service)
+        wanted = demand.wanted
+        if wanted is None:
+            return []
+        max_changing_count = len(engines)
+        if not self.is_idle(service):
+            max_changing_count = compute_max_changing(
+                len(engines), wanted.count
+            )
+            self._measure_share(demand, wanted)
+        changes = plan_roles_by_share(
+            engines,
+            demand.decode_share,
+            max_changing_count,
+            leaves_steady=not demand.is_measured,
+        )
+        if changes:
+            logger.bind(
+                service=service,
+                decode_share=round(demand.decode_share, 2),
+                prefill_need=round(wanted.need.prefill, 2),
+                decode_need=round(wanted.need.decode, 2),
+                changes=len(changes),
+            ).info('roles decided')
+        return changes
+
+    def _measure_share(self, demand: _ServiceDemand, wanted: Wanted) -> None:
         loaded_ms = demand.use.count_loaded_ms(self._context.clock.now_ms())
-        if demand.wanted is None or loaded_ms < ROLE_MEASURE_MS:
-            return START_DECODE_SHARE
-        return demand.wanted.need.decode_share
+        if loaded_ms >= MEASURE_MS:
+            demand.decode_share = wanted.need.decode_share
+            demand.is_measured = True
 
     def plan_zones(
         self,
--- a/cicadahoist/serving/fleet_orders.py
+++ b/cicadahoist/serving/fleet_orders.py
@@ -14,7 +14,7 @@
     ZonePlan,
     count_wanted_targets,
 )
-from cicadahoist.policy.role_plan import EngineView, plan_roles
+from cicadahoist.policy.role_plan import EngineView, RoleChange, plan_roles
 from cicadahoist.rules import OrderLimits, ServiceRule
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.duty_calls import (
@@ -34,6 +34,12 @@
 UNAVAILABLE_RETRY_MS = 1500
 # A role order without an answer may still take effect within this time.
 LATE_EFFECT_MS = 13_000
+# In large fleets, an engine is closed to new work for this time before its role
+# is ordered: peers learn of the closure up to 280 ms later, and what they send
+# meanwhile has begun or has fetched its KV cache by then.
+CLOSED_BEFORE_MS = 500
+# Without an order, such a closure ends after this time.
+UNORDERED_CLOSURE_MS = 2500
 # An engine finishes running requests before it changes its role; this covers
 # the longest answers of a day.
 ENGINE_DRAIN_MS = 15_000
@@ -170,6 +176,10 @@
                 listing.zone == zone and listing.name not in closures
                 for listing in listings
             ),
+            changing_count=sum(
+                listing.zone == zone and listing.name in closures
+                for listing in listings
+            ),
         )
 
     def _list_lacking_zones(self, service: str) -> set[str]:
@@ -251,19 +261,33 @@
 
     :param context: shared parts of the data path
     :param orders: sends orders to engines
+    :param demand: plans the roles of large fleets
     """
 
-    __slots__ = ('_change_by_engine', '_clock', '_context', '_orders')
+    __slots__ = (
+        '_change_by_engine',
+        '_clock',
+        '_closed_by_engine',
+        '_context',
+        '_demand',
+        '_orders',
+    )
 
-    def __init__(self, context: ServingContext, orders: RoleOrders) -> None:
+    def __init__(
+        self, context: ServingContext, orders: RoleOrders, demand: EngineDemand
+    ) -> None:
         self._context = context
         self._clock: Clock = context.clock
+        self._demand = demand
         self._orders = orders
         self._change_by_engine: dict[str, tuple[str, int]] = {}
+        # Roles to order at engines that are closed already, and when.
+        self._closed_by_engine: dict[str, tuple[str, int]] = {}
 
     def begin_term(self) -> None:
         """Forget the changes of a term: another holder may have ordered."""
         self._change_by_engine.clear()
+        self._closed_by_engine.clear()
 
     async def run(
         self, true_ms: int, may_act: Callable[[], bool], epoch: int
@@ -292,12 +316,59 @@
                 )
                 for listing in listings.values()
             ]
-            is_idle = self._context.demand.is_idle(now_ms)
-            for change in plan_roles(views, is_idle=is_idle):
+            for change in self._plan(rule, views, listings, now_ms):
                 await self._order(
                     listings[change.engine], change.role, rule, may_act, epoch
                 )
 
+    def _plan(
+        self,
+        rule: ServiceRule,
+        views: list[EngineView],
+        listings: dict[str, Listing],
+        now_ms: int,
+    ) -> list[RoleChange]:
+        """Return the role changes to order now."""
+        if not self._context.is_large_fleet:
+            is_idle = self._context.demand.is_idle(now_ms)
+            return plan_roles(views, is_idle=is_idle)
+        planned = self._demand.plan_roles(rule.name, views)
+        if self._demand.is_idle(rule.name):
+            return planned
+        for change in planned:
+            self._close_first(listings[change.engine], change.role)
+        return self._take_closed(listings, now_ms)
+
+    def _close_first(self, listing: Listing, role: str) -> None:
+        """Close an engine to new work, before its role is ordered."""
+        now_ms = self._clock.now_ms()
+        until_ms = now_ms + UNORDERED_CLOSURE_MS
+        self._context.fleet.boards.get_board(listing.service).close_role(
+            listing.name, listing.role, until_ms
+        )
+        self._closed_by_engine[listing.name] = (role, now_ms + CLOSED_BEFORE_MS)
+        self._change_by_engine[listing.name] = (role, until_ms)
+        logger.bind(target=listing.name, role=role, before=listing.role).info(
+            'engine closed before a change of its role'
+        )
+
+    def _take_closed(
+        self, listings: dict[str, Listing], now_ms: int
+    ) -> list[RoleChange]:
+        """Return the changes at engines that have been closed long enough."""
+        due = {
+            name: role
+            for name, (role, due_ms) in self._closed_by_engine.items()
+            if name in listings and due_ms <= now_ms
+        }
+        for closed in due:
+            self._closed_by_engine.pop(closed)
+        return [
+            RoleChange(engine, role)
+            for engine, role in due.items()
+            if listings[engine].role != role
+        ]
+
     def _is_changing(self, listing: Listing, now_ms: int) -> bool:
         role, retry_ms = self._change_by_engine.get(listing.name, ('', 0))
         if role == listing.role:
--- a/tests/test_policy/test_capacity_plan.py
+++ b/tests/test_policy/test_capacity_plan.py
@@ -177,14 +177,15 @@
     assert times.compute_mean_ms(60_000) is None
 
 
-def fleet(zone, steady=0, cheap=0, ready=None, serving=None):
+def fleet(zone, steady=0, cheap=0, ready=None, changing=0):
     ready = cheap if ready is None else ready
     return ZoneFleet(
         zone=zone,
         steady_count=steady,
         cheap_count=cheap,
         ready_cheap_count=ready,
-        serving_count=steady + ready if serving is None else serving,
+        serving_count=steady + ready - changing,
+        changing_count=changing,
     )
 
 
@@ -196,7 +197,7 @@
 def test_steady_engines_stay_until_reclaimable_ones_serve():
     booting = [fleet(zone, steady=3, cheap=3, ready=0) for zone in ZONES]
     assert set(plan_zones(booting).values()) == {(3, 3)}
-    changing = [fleet(zone, steady=3, cheap=3, serving=4) for zone in ZONES]
+    changing = [fleet(zone, steady=3, cheap=3, changing=3) for zone in ZONES]
     assert sum(steady for steady, _ in plan_zones(changing).values()) == 6
     serving = [fleet(zone, steady=3, cheap=3) for zone in ZONES]
     assert set(plan_zones(serving).values()) == {(0, 3)}
--- a/tests/test_serving/test_engine_demand.py
+++ b/tests/test_serving/test_engine_demand.py
@@ -1,6 +1,7 @@
 """Orders of engines and roles in large fleets, by the load in flight."""
 
 import pytest
+from msgspec import structs
 
 from cicadahoist.clock import Clock
 from cicadahoist.policy.peer_loads import InFlightLoad, PeerLoad
@@ -13,9 +14,9 @@
 )
 from cicadahoist.serving.duty_calls import OrderReply
 from cicadahoist.serving.engine_demand import EngineDemand
-from cicadahoist.serving.fleet_orders import TargetScalingJob
+from cicadahoist.serving.fleet_orders import RoleChangeJob, TargetScalingJob
 from tests.coroutines import result_of
-from tests.test_serving.world import World, target
+from tests.test_serving.world import World, prompt_headers, target
 
 ZONES = ('a', 'b', 'c')
 LIMITS = OrderLimits(
@@ -53,6 +54,28 @@
             directory.put(engine(name, order.zone, is_cheap=order.is_cheap))
 
 
+class Roles:
+    """Changes roles, or refuses to if it is told so."""
+
+    def __init__(self, world) -> None:
+        self._world = world
+        self.ordered_names = set()
+        self.reply = OrderReply.accepted
+
+    async def fetch_accepted_count(self, engine):
+        return 0
+
+    async def order_role(self, engine, role, epoch, accepted):
+        self.ordered_names.add(engine.name)
+        if self.reply is OrderReply.accepted:
+            self._world.clock.call_later(
+                RULE.engine.role_change_ms,
+                self._world.context.fleet.directory.put,
+                structs.replace(engine, role=role),
+            )
+        return self.reply
+
+
 class Duties:
     """A large fleet whose duties this instance holds."""
 
@@ -72,6 +95,10 @@
         self._scaling = TargetScalingJob(
             self.context, self.platform, ZONES, self.demand
         )
+        self.roles = Roles(self.world)
+        self._role_changes = RoleChangeJob(
+            self.context, self.roles, self.demand
+        )
 
     def run(self, took_ms, load=None):
         """Run the jobs while a peer has a load at each of nine engines."""
@@ -86,6 +113,7 @@
             result_of(self.demand.run(0, lambda: True, 1))
             if step % 5 == 0:
                 result_of(self._scaling.run(0, lambda: True, 1))
+                result_of(self._role_changes.run(0, lambda: True, 1))
             self.world.clock.advance(100)
 
     def count(self, *, is_cheap):
@@ -153,3 +181,50 @@
     duties.run(20_000, InFlightLoad(run_count=1))
     assert duties.count(is_cheap=True) >= 9
     assert duties.count(is_cheap=False) <= LIMITS.min_targets
+
+
+def list_closed(duties):
+    board = duties.context.fleet.boards.get_board('llm')
+    return set(board.list_closures(duties.world.clock.now_ms()))
+
+
+def run_until_closed(duties):
+    """Run until the first engines are closed before a change of their role."""
+    for _ in range(100):
+        duties.run(500, BUSY)
+        if list_closed(duties):
+            return list_closed(duties)
+    raise AssertionError('no engine was closed')
+
+
+def test_engines_are_closed_before_their_role_is_ordered(duties):
+    """Guards against work that peers send to an engine during its change."""
+    closed = run_until_closed(duties)
+    assert not closed & duties.roles.ordered_names
+    duties.run(1000, BUSY)
+    assert closed <= duties.roles.ordered_names
+    assert closed <= list_closed(duties)
+
+
+def test_an_engine_that_refuses_its_role_opens_again(duties):
+    duties.roles.reply = OrderReply.refused
+    closed = run_until_closed(duties)
+    duties.world.clock.advance(2600)
+    assert not closed & list_closed(duties)
+
+
+@pytest.mark.parametrize('closed', ['d1', 'd2'])
+def test_a_staged_prompt_is_not_sent_to_an_engine_that_is_closed(closed):
+    """Guards against a prompt that waits for the end of a change of role."""
+    world = World()
+    world.context.set_instance_count(20)
+    world.add(
+        target('p1', 'llm', 'prefill'),
+        target('d1', 'llm', 'decode'),
+        target('d2', 'llm', 'decode'),
+    )
+    world.send_request(b'/check/x', *prompt_headers(), patience=2000)
+    board = world.context.fleet.boards.get_board('llm')
+    board.close_role(closed, 'decode', 3000)
+    world.sent[0].answer(body=b'{"kv-handle":"h7","tokens":9000,"version":1}')
+    assert world.sent[1].target not in {closed, 'p1'}
