Free slots for staged prompts, speeds of fast engines, counters of the plan

In large fleets, a staged prompt went to a decode engine whose slots streams held, if no other was in the sample: the predicted wait for a slot is that of short answers. Decode engines without a free slot get long prompts only if all are full.

--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -226,6 +226,28 @@
         operator_remedy='see the load of these targets; add some if it goes on',
     )
 )
+ENGINE_COUNT_DECISIONS = METRICS.declare(
+    MetricSpec(
+        'serving_engine_count_decisions',
+        'Changes of the number of engines that a large fleet should have.',
+        operator_remedy='the log line "number of engines decided" has the sums',
+    )
+)
+ROLE_CLOSURES = METRICS.declare(
+    MetricSpec(
+        'serving_role_closures',
+        'Engines closed to new work before a change of their role.',
+        operator_remedy='if many, the mix of prompts and answers changes',
+    )
+)
+PLACED_AGAIN = METRICS.declare(
+    MetricSpec(
+        'serving_placed_again',
+        'Attempts placed again as their engine was closed before they were '
+        'sent.',
+        operator_remedy='none: they would have waited for a change of role',
+    )
+)
 RELAYS_USED = METRICS.declare(
     MetricSpec(
         'relay_used',
--- a/cicadahoist/policy/engine_board.py
+++ b/cicadahoist/policy/engine_board.py
@@ -31,6 +31,9 @@
 SLOWNESS_GAIN = 0.2
 MAX_SLOWNESS = 20.0
 MIN_SLOWNESS = 0.5
+# Engines of large fleets prefill up to 1,584 tokens a ms. With the bound above,
+# those of 726 count as equally fast.
+LARGE_FLEET_MIN_SLOWNESS = 0.1
 # Shorter prefills are mostly overhead and say nothing about the speed.
 MIN_LEARNED_PREFILL_MS = 8.0
 # Time of one decode step without tokens, and per 1,000 tokens of KV cache that
@@ -138,7 +141,11 @@
         return DEFAULT_PREFILL_TOKENS_PER_MS * share / self.slowness
 
     def observe_prefill(
-        self, predicted_ms: float, took_ms: float, slowness: float | None = None
+        self,
+        predicted_ms: float,
+        took_ms: float,
+        slowness: float | None = None,
+        min_slowness: float = MIN_SLOWNESS,
     ) -> None:
         """
         Adapt the slowness to the time that a prefill took.
@@ -147,6 +154,7 @@
         :param took_ms: measured time
         :param slowness: slowness with which it was predicted, none for the
             present one; it may have been learned since then
+        :param min_slowness: lowest slowness that is learned
         """
         if predicted_ms < MIN_LEARNED_PREFILL_MS:
             return
@@ -154,7 +162,7 @@
         # The first measurement of an engine replaces the typical slowness.
         gain = SLOWNESS_GAIN if self._slowness else 1
         slowness = self.slowness + gain * (measured - self.slowness)
-        self._slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
+        self._slowness = min(MAX_SLOWNESS, max(min_slowness, slowness))
         self.typical_slowness.record(self.name, self._slowness)
 
     def forget_slowness(self) -> None:
--- a/cicadahoist/policy/placement.py
+++ b/cicadahoist/policy/placement.py
@@ -85,6 +85,8 @@
         tried: frozenset[str] = NONE_TRIED,
         sample_key: str | None = None,
         version: str | None = None,
+        *,
+        avoids_full: bool = False,
     ) -> Placement | None:
         """
         Return the engines for a request, or none if no decode engine is left.
@@ -97,6 +99,8 @@
             sample of engines to compare, none to compare all
         :param version: software version at which the request has to run, none
             for any
+        :param avoids_full: whether decode engines without a free slot get long
+            prompts only if all are full
         """
         versions = self._board.versions if version is None else [version]
         placements = [
@@ -104,7 +108,12 @@
             for version in versions
             if (
                 placement := self._place_at(
-                    version, work, now_ms, tried, sample_key
+                    version,
+                    work,
+                    now_ms,
+                    tried,
+                    sample_key,
+                    avoids_full=avoids_full,
                 )
             )
         ]
@@ -117,6 +126,8 @@
         now_ms: int,
         tried: frozenset[str],
         sample_key: str | None,
+        *,
+        avoids_full: bool,
     ) -> Placement | None:
         prefill_engines = self._list_untried(PREFILL, version, now_ms, tried)
         decode_engines = self._list_untried(DECODE, version, now_ms, tried)
@@ -130,6 +141,9 @@
             return self._place_short(
                 work, stream_engines, other_engines, sample_key
             )
+        if avoids_full:
+            # A slot that a stream holds is free only after seconds.
+            decode_engines = self._filter_free(decode_engines) or decode_engines
         return self._add_bias(
             self._place_long(
                 work, prefill_engines, decode_engines, other_engines, sample_key
--- a/cicadahoist/serving/engine_choice.py
+++ b/cicadahoist/serving/engine_choice.py
@@ -95,6 +95,7 @@
         if fleet.notices.pauses.is_paused(engine.life, now_ms):
             return None
         if self._context.is_large_fleet and self._is_closed(name):
+            self._context.meters.capacity.count_placed_again()
             return None
         return engine, listing
 
@@ -122,7 +123,12 @@
         version: str | None,
     ) -> Choice | None:
         placement = self._context.fleet.boards.get_placer(self._service).place(
-            self._work, self._context.clock.now_ms(), tried, sample_key, version
+            self._work,
+            self._context.clock.now_ms(),
+            tried,
+            sample_key,
+            version,
+            avoids_full=self._context.is_large_fleet,
         )
         if placement is None:
             return None
--- a/cicadahoist/serving/engine_demand.py
+++ b/cicadahoist/serving/engine_demand.py
@@ -148,6 +148,7 @@
             now_ms,
         )
         if demand.wanted is None or wanted.count != demand.wanted.count:
+            self._context.meters.capacity.count_decision()
             _log_decision(service, wanted, lacking_zones)
         demand.wanted = wanted
         return ZoneTargets(limits, fleets, lacking_zones).plan_zones(
--- a/cicadahoist/serving/engine_feedback.py
+++ b/cicadahoist/serving/engine_feedback.py
@@ -1,6 +1,11 @@
 """Records what the attempts of one request show about engines."""
 
-from cicadahoist.policy.engine_board import EngineBoard, EngineState
+from cicadahoist.policy.engine_board import (
+    LARGE_FLEET_MIN_SLOWNESS,
+    MIN_SLOWNESS,
+    EngineBoard,
+    EngineState,
+)
 from cicadahoist.policy.placement import MIN_HANDOFF_TOKENS, Placement
 from cicadahoist.requests import AnswerMeaning, InboundRequest, ModelWork
 from cicadahoist.serving.attempt import AttemptEnd, AttemptOutcome
@@ -39,14 +44,25 @@
                 engine.name, self._work.parts
             )
 
-    def record_prefill_time(self, tokens: int, took_ms: int) -> None:
+    def record_prefill_time(
+        self, engine: EngineState, placement: Placement, took_ms: int
+    ) -> None:
         """
         Record how long an engine has taken to prefill a prompt.
 
-        :param tokens: tokens of the prompt that were not cached
+        :param took_ms: time since the prompt was sent
         """
+        min_slowness = MIN_SLOWNESS
+        if self._context.is_large_fleet:
+            min_slowness = LARGE_FLEET_MIN_SLOWNESS
+        engine.observe_prefill(
+            placement.prefill_ms,
+            took_ms,
+            placement.prefill_slowness,
+            min_slowness,
+        )
         self._context.demand.prefill_times.record(
-            tokens, took_ms, self._context.clock.now_ms()
+            placement.prefill_tokens, took_ms, self._context.clock.now_ms()
         )
 
     def record_admission(self, engine: EngineState, end: AttemptEnd) -> None:
--- a/cicadahoist/serving/fleet_orders.py
+++ b/cicadahoist/serving/fleet_orders.py
@@ -348,6 +348,7 @@
         )
         self._closed_by_engine[listing.name] = (role, now_ms + CLOSED_BEFORE_MS)
         self._change_by_engine[listing.name] = (role, until_ms)
+        self._context.meters.capacity.count_role_closure()
         logger.bind(target=listing.name, role=role, before=listing.role).info(
             'engine closed before a change of its role'
         )
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -226,10 +226,7 @@
         self._handle_version = engine.version
         self._allowance.record_prefill()
         self._reply.log_fields['read_ms'] = took_ms
-        self._feedback.record_prefill_time(placement.prefill_tokens, took_ms)
-        engine.observe_prefill(
-            placement.prefill_ms, took_ms, placement.prefill_slowness
-        )
+        self._feedback.record_prefill_time(engine, placement, took_ms)
         if not self._open_attempts.has_sent_run:
             self._open_attempts.stop_all()
         elif not has_older_run:
--- a/tests/test_policy/test_engine_learning.py
+++ b/tests/test_policy/test_engine_learning.py
@@ -12,6 +12,8 @@
 
 from cicadahoist.policy.engine_board import (
     DECODE,
+    LARGE_FLEET_MIN_SLOWNESS,
+    OVERHEAD_MS,
     PREFILL,
     EngineBoard,
     EngineState,
@@ -262,3 +264,22 @@
         took_ms = 5000 if number % 10 == 0 else 20
         median.observe(20 * median.ratio, took_ms)
     assert median.ratio < 1.5
+
+
+def learn_speed(tokens_per_ms):
+    engine = create_engine('p0', PREFILL)
+    for number in range(60):
+        # Most prompts have their shared parts cached.
+        tokens = 9190 if number % 5 == 0 else 2890
+        predicted_ms = tokens / engine.prefill_tokens_per_ms + OVERHEAD_MS
+        engine.observe_prefill(
+            predicted_ms,
+            tokens / tokens_per_ms + OVERHEAD_MS,
+            min_slowness=LARGE_FLEET_MIN_SLOWNESS,
+        )
+    return engine.prefill_tokens_per_ms
+
+
+def test_fast_engines_of_large_fleets_are_told_from_slower_ones():
+    """Guards against equal queues at engines of .55 and 1.2 of a speed."""
+    assert learn_speed(1.2 * 1320) > 1.5 * learn_speed(0.55 * 1320)
--- a/tests/test_serving/test_engine_demand.py
+++ b/tests/test_serving/test_engine_demand.py
@@ -4,6 +4,7 @@
 from msgspec import structs
 
 from cicadahoist.clock import Clock
+from cicadahoist.metrics import ROLE_CLOSURES
 from cicadahoist.policy.peer_loads import InFlightLoad, PeerLoad
 from cicadahoist.rules import (
     CallerLimits,
@@ -18,6 +19,7 @@
 from tests.coroutines import result_of
 from tests.test_serving.world import World, prompt_headers, target
 
+HANDLE_BODY = b'{"kv-handle":"h7","tokens":9000,"version":1}'
 ZONES = ('a', 'b', 'c')
 LIMITS = OrderLimits(
     min_targets=1, max_targets=20, boot_ms=4000, cheap_price_ratio=0.15
@@ -204,6 +206,7 @@
     duties.run(1000, BUSY)
     assert closed <= duties.roles.ordered_names
     assert closed <= list_closed(duties)
+    assert duties.world.count(ROLE_CLOSURES) >= len(closed)
 
 
 def test_an_engine_that_refuses_its_role_opens_again(duties):
@@ -226,5 +229,23 @@
     world.send_request(b'/check/x', *prompt_headers(), patience=2000)
     board = world.context.fleet.boards.get_board('llm')
     board.close_role(closed, 'decode', 3000)
-    world.sent[0].answer(body=b'{"kv-handle":"h7","tokens":9000,"version":1}')
+    world.sent[0].answer(body=HANDLE_BODY)
     assert world.sent[1].target not in {closed, 'p1'}
+
+
+def test_a_staged_prompt_is_not_sent_to_an_engine_full_of_streams():
+    """Guards against a prompt that waits for the end of a stream of seconds."""
+    world = World()
+    world.context.set_instance_count(20)
+    names = [f'd{number}' for number in range(10)]
+    world.add(
+        target('p1', 'llm', 'prefill'),
+        *(target(name, 'llm', 'decode') for name in names),
+    )
+    board = world.context.fleet.boards.get_board('llm')
+    for name in names[1:]:
+        board.get(name).own_load.run_count = board.get(name).slots
+    for _ in range(10):
+        world.send_request(b'/check/x', *prompt_headers(), patience=2000)
+        world.sent[-1].answer(body=HANDLE_BODY)
+        assert world.sent[-1].target == names[0]
