--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -16,6 +16,7 @@
     Metrics,
 )
 from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.serving.capacity_meters import CapacityMeters
 from cicadahoist.serving.relay_meters import RelayMeters
 
 
@@ -40,6 +41,7 @@
         '_read_wait',
         '_record_waits',
         '_silent_kept',
+        'capacity',
         'relays',
     )
 
@@ -57,6 +59,7 @@
         self._read_wait = metrics.histogram(READ_WAIT)
         self._record_waits = metrics.counter(RECORD_WAITS)
         self._silent_kept = metrics.counter(SILENT_KEPT)
+        self.capacity = CapacityMeters(metrics)
         self.relays = RelayMeters(metrics)
 
     def count_answer(self) -> None:
