Members notice the end of an outage before the changes after it

Cause: a member applied the first changes that a reader told after an outage of the store, and recorded the reader's answer after them. Targets whose entries had expired in the outage were dropped at once instead of being kept until they are back. Change: the answer is recorded first, as after an own watch. Measured: no member had noticed the outage at the change before, all after (test_an_outage_is_noticed_before_the_changes_after_it).

--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -216,6 +216,8 @@
         if heard is None or not self._is_current(heard.news.era):
             return self.confirmed_ms or 0
         news = heard.news
+        # Changes after an outage are judged by its end.
+        self._record_answer(heard.confirmed_ms)
         if news.changed_at > self.revision:
             if not news.changes or news.changed_before > self.revision:
                 return await self._fill_gap(feed, heard)
@@ -227,7 +229,6 @@
         if self.revision >= self._missed_at:
             self._missed_at = 0
         feed.record_followed(news)
-        self._record_answer(heard.confirmed_ms)
         return heard.confirmed_ms
 
     async def _fill_gap(self, feed: WatchFeed, heard: HeardNews) -> int:
--- a/tests/test_serving/test_watch_faults.py
+++ b/tests/test_serving/test_watch_faults.py
@@ -127,3 +127,27 @@
     age.record_answer(0, 0)
     age.record(0, 0, 0)
     assert not age.is_reliable(0, READER_SILENCE_MS)
+
+
+def test_an_outage_is_noticed_before_the_changes_after_it():
+    # Guards against targets that are dropped after an outage of the store, in
+    # which their entries expired, instead of being kept until they are back.
+    zone = Zone(14)
+    zone.objects.put('config', 'expired', 1)
+    zone.run(1000)
+    noticed = []
+    for member in zone.members:
+        member.follower._on_change = lambda change, follower=member.follower: (
+            noticed.append(follower.outage_ended_ms is not None)
+        )
+    zone.objects.failure = 'down'
+    zone.objects.break_watches()
+    zone.run(8000)
+    # The readers reach the store first.
+    for member in zone.members:
+        member.is_store_reachable = False
+    zone.objects.drop('config', 'expired')
+    zone.objects.failure = None
+    zone.run(1000)
+    assert len(noticed) >= len(zone.members)
+    assert all(noticed)
