News tell when the store answered, by which outages are noticed

Cause: members judged the silence of the store by the moment up to which the told state is complete, which for changes is the start of the call. Where the first call that was answered after an outage had waited in it, members did not notice an outage that an own watch shows. Change: news have the time from that moment to the answer, as their last field. Measured: not noticed before, noticed after (test_an_outage_in_which_calls_wait_is_noticed).

--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -217,7 +217,7 @@
             return self.confirmed_ms or 0
         news = heard.news
         # Changes after an outage are judged by its end.
-        self._record_answer(heard.confirmed_ms)
+        self._record_answer(heard.confirmed_ms + news.answer_ms)
         if news.changed_at > self.revision:
             if not news.changes or news.changed_before > self.revision:
                 return await self._fill_gap(feed, heard)
@@ -280,6 +280,7 @@
                 0,
                 0,
                 changes=tuple(seen.changes),
+                answer_ms=answered_ms - complete_until_ms,
             )
             self._feed.record_watch(news, complete_until_ms)
         if seen.changes and self._batch_delay_ms is not None:
--- a/cicadahoist/serving/watch_feed.py
+++ b/cicadahoist/serving/watch_feed.py
@@ -163,6 +163,7 @@
             0,
             before,
             news.changes,
+            news.answer_ms,
         )
         self.latest = (told, confirmed_ms)
         if news.changes and self._is_reading():
--- a/cicadahoist/serving/watch_news.py
+++ b/cicadahoist/serving/watch_news.py
@@ -23,6 +23,8 @@
     :param changed_before: value of `changed_at` before the changes
     :param changes: latest changes, oldest first; none in heartbeats and where
         they are too long for a message
+    :param answer_ms: time from the moment up to which the state is complete to
+        the answer of the store
     """
 
     kind: str
@@ -32,6 +34,7 @@
     age_ms: int
     changed_before: int = 0
     changes: tuple[Change, ...] = ()
+    answer_ms: int = 0
 
 
 class WatchMessage(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_serving/test_watch_faults.py
+++ b/tests/test_serving/test_watch_faults.py
@@ -151,3 +151,31 @@
     zone.run(1000)
     assert len(noticed) >= len(zone.members)
     assert all(noticed)
+
+
+def test_an_outage_in_which_calls_wait_is_noticed():
+    # Guards against an outage that members do not notice, as the first call
+    # that the store answers after it began in the middle of it.
+    zone = Zone(14)
+    member, reader = zone.members[0], zone.readers[0]
+    zone.is_lost = lambda sender, name: True
+    zone.objects.failure = 'down'
+    zone.objects.break_watches()
+    zone.run(4200)
+    base = zone.objects.revision
+    change = Change(StoredObject('t', base + 1, 1), True)
+    waited_ms = 1700
+    news = KindNews(
+        'config',
+        0,
+        base + 1,
+        base + 1,
+        waited_ms,
+        base,
+        (change,),
+        waited_ms,
+    )
+    tell(member, f'{reader.name}.n', zone.clock.now_ms(), news)
+    zone.run(500)
+    assert member.follower.revision == base + 1
+    assert member.follower.outage_ended_ms is not None
