--- a/cicadahoist/serving/store_follower.py
+++ b/cicadahoist/serving/store_follower.py
@@ -220,6 +220,8 @@
         if heard is None or not self._is_current(heard.news.era):
             return self.confirmed_ms or 0
         news = heard.news
+        # Changes after an outage are judged by its end.
+        self._record_answer(heard.confirmed_ms + news.answer_ms)
         if news.changed_at > self.revision:
             if not news.changes or news.changed_before > self.revision:
                 return await self._fill_gap(feed, heard)
@@ -231,7 +233,6 @@
         if self.revision >= self._missed_at:
             self._missed_at = 0
         feed.record_followed(news)
-        self._record_answer(heard.confirmed_ms)
         return heard.confirmed_ms
 
     async def _fill_gap(self, feed: WatchFeed, heard: HeardNews) -> int:
@@ -283,6 +284,7 @@
                 0,
                 0,
                 changes=tuple(seen.changes),
+                answer_ms=answered_ms - complete_until_ms,
             )
             self._feed.record_watch(news, complete_until_ms)
         if seen.changes and self._batch_delay_ms is not None:
