--- a/tests/test_serving/test_watch_faults.py
+++ b/tests/test_serving/test_watch_faults.py
@@ -7,6 +7,7 @@
     READER_SILENCE_MS,
     ReaderAge,
 )
+from cicadahoist.policy.shared_watch.readers import select_reader
 from cicadahoist.serving.watch_news import (
     KindNews,
     WatchMessage,
@@ -24,13 +25,12 @@
     # Guards against a change that is lost for good: the next reader had it from
     # a reader instead of the store, and its heartbeats did not tell of it.
     zone = Zone(14)
-    first, second = zone.readers
+    first = zone.readers[0]
+    second = select_reader(name for name in zone.by_name if name != first.name)
     first.stop()
     zone.run(change_ms)
-    victim = zone.members[0]
-    zone.is_lost = lambda sender, name: (
-        name == victim.name and sender == second.name
-    )
+    victim = next(one for one in zone.members if one.name != second)
+    zone.is_lost = lambda sender, name: name == victim.name and sender == second
     zone.objects.put('config', 'main', 1)
     zone.run(4000)
     assert victim.specs['main'] == 1
