Test streams at another service, and answers of plain services in a new era

Cause: two cases of the record had no test, and the fake of the application had no metrics, which the recorder needs, so that six tests of the peering failed.

Change: the tests, and metrics in the fake.

--- a/tests/test_cmd/test_front_peering.py
+++ b/tests/test_cmd/test_front_peering.py
@@ -43,6 +43,7 @@
     def __init__(self, reactor):
         self.clock = Clock(reactor, lambda: round(reactor.seconds() * MS_PER_S))
         self.config = Config.from_values()
+        self.metrics = Metrics(MeterProvider())
         self.added = []
 
     def add(self, task):
@@ -69,7 +70,7 @@
             'zone-a',
             Dialect(),
             self.tasks.clock,
-            Metrics(MeterProvider()),
+            self.tasks.metrics,
             RetryTerms(0.2, 100, 10_000),
             reactor,
         )
--- a/tests/test_serving/test_stream_versions.py
+++ b/tests/test_serving/test_stream_versions.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cicadahoist.policy.stream_versions.stream_terms import MIN_LIFETIME_MS
+from cicadahoist.requests import RepeatRule
 from cicadahoist.rules import EngineSizes, ServiceRule, ServiceShare
 from tests.test_serving.streams import send_ask, take_up
 from tests.test_serving.world import (
@@ -231,6 +232,45 @@
         assert second.target == first.target
 
 
+# The id of an attempt that took a stream up may stand for another service.
+def test_a_stream_does_not_go_on_at_another_service():
+    world = World()
+    world.context.apply_deployment(split_deployment())
+    world.add(decode('a0', 'v1'), target('x0', 'other', 'decode', version='v1'))
+    refused_count = 0
+    for _ in range(STREAM_COUNT):
+        caller, (first,) = send_ask(world)
+        begin(first, 1)
+        caller.disconnect()
+        caller, (second,) = take_up(world, first.attempt_id)
+        begin(second, 2)
+        caller.disconnect()
+        caller, sent = take_up(world, second.attempt_id)
+        refused_count += not sent
+        assert caller.status == 503 or sent[0].target == first.target
+    assert refused_count
+
+
+# A plain service may have resumable streams as well.
+def test_an_answer_of_a_plain_service_waits_for_the_record_in_a_new_era():
+    world = World()
+    resumable = msgspec.structs.replace(
+        ROUTES[1], repeat=RepeatRule.resumable, is_streamed=True
+    )
+    world.context.apply_deployment(deployment(2, [resumable]))
+    recorded = world.context.streams.recorded
+    recorded.require_records()
+    world.apply_record({'app': ['v1']}, 1)
+    world.add(target('t1', version='v1'))
+    caller = world.send_request(b'/lookup/x', patience=2000)
+    recorded.apply_era(1)
+    world.sent[0].answer(body=b'id: 1\ndata: t\n\n')
+    world.clock.advance(500)
+    assert not caller.received
+    world.apply_record({'app': ['v1']}, 2, era=1)
+    assert caller.status == 200
+
+
 def split_deployment():
     shares = (ServiceShare('llm', 1), ServiceShare('other', 1))
     routes = [
