--- a/tests/test_cmd/test_front_peering.py
+++ b/tests/test_cmd/test_front_peering.py
@@ -71,7 +71,7 @@
             'zone-a',
             Dialect(),
             self.tasks.clock,
-            Metrics(MeterProvider()),
+            self.tasks.metrics,
             RetryTerms(0.2, 100, 10_000),
             reactor,
         )
