--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -24,6 +24,7 @@
 from cicadahoist.platform.names import READY_PATH
 from cicadahoist.platform.settings_file import InstanceSettings
 from cicadahoist.policy.link_queue import LinkQueue
+from cicadahoist.policy.quotas.limit import QuotaTerms
 from cicadahoist.policy.retry_share import RetryTerms
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.deployment_source import DeploymentSource
@@ -99,6 +100,7 @@
         )
         self._context.usage.window_ms = settings.usage_window_ms
         self._context.set_notice(settings.config_ms)
+        self._context.quotas.set_terms(_build_quota_terms(settings))
         self._context.link = LinkQueue.from_mbps(settings.link_mbps)
 
     def build(self) -> None:
@@ -131,6 +133,7 @@
         self._settings = settings
         self._context.retries.update_terms(_build_retry_terms(settings))
         self._context.set_notice(settings.config_ms)
+        self._context.quotas.set_terms(_build_quota_terms(settings))
 
     def _add_followers(self) -> None:
         source = DeploymentSource(CONFIG_NAME, decode_deployment)
@@ -274,3 +277,11 @@
     return RetryTerms(
         settings.retry_share, settings.retry_slack, settings.retry_window_ms
     )
+
+
+def _build_quota_terms(settings: InstanceSettings) -> QuotaTerms:
+    return QuotaTerms(
+        window_ms=settings.quota_window_ms,
+        over_share=settings.quota_over_share,
+        slack_tokens=settings.quota_slack_tokens,
+    )
--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -84,6 +84,7 @@
         relay_port=settings.peer_ports[0],
         relay_token=new_nonce(),
     )
+    context.quotas.join(settings.instance, incarnation, peers.is_alive)
     relay = _build_relay(application, context, settings, record, reactor)
     exchange = LoadExchange(
         context, settings.instance, incarnation, record, peers, reactor
@@ -110,6 +111,7 @@
         context.gossip.usage_copies,
     )
     exchange.on_unregistered = records.register_again
+    records.on_first_start = context.quotas.claims.delegations.mark_first_start
     history = KindPoller(
         new_store_client(settings.store_address, reactor),
         HISTORY_KIND,
@@ -120,7 +122,14 @@
     context.fleet.connections.relays = build_relay_client(
         application, context, settings, peers, reactor
     )
-    for task in (relay, exchange, poller, records, history):
+    for task in (
+        relay,
+        exchange,
+        context.quotas,
+        poller,
+        records,
+        history,
+    ):
         application.add(task)
     _add_held_parts(application, context, settings, reactor)
     return Peering(peers, relay)
--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -102,6 +102,36 @@
         unit='ms',
     )
 )
+QUOTA_USED = METRICS.declare(
+    MetricSpec(
+        'quota_used',
+        'Tokens of runs of workspaces with a quota, by workspace.',
+        operator_remedy='none: compare it with the quota of the workspace',
+    )
+)
+QUOTA_GRANTED = METRICS.declare(
+    MetricSpec(
+        'quota_granted',
+        'Tokens granted to requests, by workspace.',
+        operator_remedy='none: compare it with the quota of the workspace',
+    )
+)
+QUOTA_REFUSED = METRICS.declare(
+    MetricSpec(
+        'quota_refused',
+        'Tokens refused to requests, by workspace.',
+        operator_remedy='raise the quota of the workspace if there is '
+        'capacity; if it uses less than its quota, see whether instances '
+        'reach each other',
+    )
+)
+QUOTA_RETURNED = METRICS.declare(
+    MetricSpec(
+        'quota_returned',
+        'Granted tokens of requests that did not run, by workspace.',
+        operator_remedy='see for which other reason requests are refused',
+    )
+)
 READ_WAIT = METRICS.declare(
     MetricSpec(
         'serving_read_wait',
--- a/cicadahoist/platform/configuration.py
+++ b/cicadahoist/platform/configuration.py
@@ -10,6 +10,7 @@
     EngineSizes,
     KeyHolder,
     OrderLimits,
+    Quota,
     RouteRule,
     ServiceRule,
     ServiceShare,
@@ -19,6 +20,8 @@
 CONFIG_NAME = 'main'
 MS_PER_S = 1000
 NO_PRIORITY = 9
+# Unit of a quota whose figures are tokens; with any other, they are requests.
+TOKEN_UNIT = 'token_stream'
 
 
 class _WireShare(msgspec.Struct, rename='kebab'):
@@ -71,6 +74,12 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    unit: str | None = None
+    # Tokens that a request without a token count counts as.
+    plain_tokens: float = 0
+    # 0 for no limit.
+    rate_per_s: float = 0
+    burst: float = 0
 
 
 class _WireConfig(msgspec.Struct, rename='kebab', kw_only=True):
@@ -102,6 +111,7 @@
         [_build_service(service) for service in wire.services],
         _build_limits(wire.limits),
         _index_key_holders(wire.tenants),
+        _build_quotas(wire.tenants or []),
     )
 
 
@@ -186,3 +196,16 @@
         for tenant in tenants
         for key in tenant.api_keys
     }
+
+
+def _build_quotas(tenants: list[_WireTenant]) -> dict[str, Quota]:
+    return {
+        tenant.name: Quota(
+            tokens_per_s=tenant.rate_per_s,
+            burst_tokens=tenant.burst,
+            counts_tokens=tenant.unit == TOKEN_UNIT,
+            plain_tokens=tenant.plain_tokens,
+        )
+        for tenant in tenants
+        if tenant.rate_per_s > 0 and tenant.burst > 0
+    }
--- a/cicadahoist/platform/settings_file.py
+++ b/cicadahoist/platform/settings_file.py
@@ -58,6 +58,9 @@
     :param usage_window_ms: length of a billing window
     :param usage_due_ms: time after the end of a window by which it must be
         reported
+    :param quota_window_ms: length of the windows in which quotas hold
+    :param quota_over_share: what may pass beyond a quota, as a share of it
+    :param quota_slack_tokens: tokens that may pass beyond that
     """
 
     instance: str
@@ -80,6 +83,9 @@
     term_ms: int = 3000
     usage_window_ms: int = 5000
     usage_due_ms: int = 10_000
+    quota_window_ms: int = 8000
+    quota_over_share: float = 0.1
+    quota_slack_tokens: float = 120_000
 
     @classmethod
     def from_file(cls, path: str | None = None) -> 'InstanceSettings':
@@ -173,4 +179,7 @@
     'lease-ms': ('term_ms', 1),
     'report-window-s': ('usage_window_ms', MS_PER_S),
     'usage-late-s': ('usage_due_ms', MS_PER_S),
+    'quota-window-s': ('quota_window_ms', MS_PER_S),
+    'quota-over': ('quota_over_share', 1),
+    'quota-slack': ('quota_slack_tokens', 1),
 }
--- /dev/null
+++ b/cicadahoist/policy/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces over all instances of a deployment."""
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -114,6 +114,13 @@
         'come back after Retry-After',
         'raise the limits of the row with "table set" if there is capacity',
     )
+    quota_exceeded = RefusalSpec(
+        429,
+        Outcome.not_run,
+        'come back after Retry-After, or ask your operator for a higher quota',
+        'raise rate-per-s and burst of the workspace; see the tokens that it '
+        'has used, by workspace, and whether its home changes',
+    )
     deadline_unreachable = RefusalSpec(
         429,
         Outcome.not_run,
--- a/cicadahoist/rules.py
+++ b/cicadahoist/rules.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from cicadahoist.ids import fast_hash
-from cicadahoist.requests import RepeatRule
+from cicadahoist.requests import ModelWork, RepeatRule
 
 # Resolution of the weighted split of a route's requests.
 SPLIT_STEPS = 10_000
@@ -132,6 +132,31 @@
     priority: int | None = None
 
 
+class Quota(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    What a workspace may use over all instances.
+
+    :param tokens_per_s: sustained rate
+    :param burst_tokens: what may be used at once
+    :param counts_tokens: whether a request counts by its tokens; otherwise, it
+        counts as one
+    :param plain_tokens: tokens of a request that does not state them
+    """
+
+    tokens_per_s: float
+    burst_tokens: float
+    counts_tokens: bool = False
+    plain_tokens: float = 0
+
+    def compute_tokens(self, work: ModelWork | None) -> float:
+        """Return what a request counts as."""
+        if not self.counts_tokens:
+            return 1
+        if work is None:
+            return self.plain_tokens
+        return work.prompt_tokens + work.max_output_tokens
+
+
 class Deployment(msgspec.Struct, frozen=True, kw_only=True):
     """
     One version of the configuration.
@@ -139,6 +164,7 @@
     :param routes_by_host: routes of each host, those with the longest prefix
         first
     :param holder_by_key: workspaces by API key, none if keys are not checked
+    :param quota_by_workspace: quotas of the workspaces that have one
     """
 
     version: int
@@ -146,6 +172,7 @@
     services_by_name: dict[str, ServiceRule]
     limits: CallerLimits = CallerLimits()
     holder_by_key: dict[str, KeyHolder] | None = None
+    quota_by_workspace: dict[str, Quota] = {}
 
     @classmethod
     def from_routes(
@@ -155,6 +182,7 @@
         services: list[ServiceRule],
         limits: CallerLimits,
         holder_by_key: dict[str, KeyHolder] | None,
+        quota_by_workspace: dict[str, Quota] | None = None,
     ) -> 'Deployment':
         """Return a deployment with its routes grouped and sorted."""
         by_host: dict[str, list[RouteRule]] = {}
@@ -166,6 +194,7 @@
             services_by_name={rule.name: rule for rule in services},
             limits=limits,
             holder_by_key=holder_by_key,
+            quota_by_workspace=quota_by_workspace or {},
         )
 
     def find_route(self, host: str, path: str) -> RouteRule | None:
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -19,6 +19,7 @@
 from cicadahoist.serving.part_watch import PartWatch
 from cicadahoist.serving.path_log import PathLog
 from cicadahoist.serving.plain_targets import PlainTargets
+from cicadahoist.serving.quota_exchange import QuotaExchange
 from cicadahoist.serving.stream_exchange import StreamExchange
 from cicadahoist.serving.target_connections import TargetConnections
 from cicadahoist.serving.target_crashes import TargetCrashes
@@ -126,6 +127,7 @@
     __slots__ = (
         '_caller_limits',
         '_deployed_ms',
+        '_quotas',
         'clock',
         'demand',
         'deployment',
@@ -174,6 +176,7 @@
         self.usage = UsageCounts()
         self.link = LinkQueue()
         self.streams = StreamExchange(clock)
+        self._quotas = QuotaExchange(clock, metrics)
         self.fleet.directory.on_change(self._observe_versions)
 
     @property
@@ -181,6 +184,11 @@
         """Version of the configuration in force, none before the first."""
         return self.deployment.version if self.deployment else None
 
+    @property
+    def quotas(self) -> QuotaExchange:
+        """Quotas of workspaces over all instances."""
+        return self._quotas
+
     @property
     def is_large_fleet(self) -> bool:
         """Whether the deployment has many instances."""
@@ -206,6 +214,7 @@
         self.deployment = deployment
         self._caller_limits.apply(deployment.limits, self.clock.now_ms())
         self.fleet.boards.apply_deployment(deployment)
+        self._quotas.apply_quotas(deployment.quota_by_workspace)
 
     def get_caller_limits(self, since_ms: int) -> CallerLimits:
         """Return the limits for what a caller began at a time."""
--- a/cicadahoist/serving/instance_records.py
+++ b/cicadahoist/serving/instance_records.py
@@ -70,6 +70,7 @@
         '_running',
         '_true_ms',
         '_usage',
+        'on_first_start',
     )
 
     def __init__(
@@ -94,6 +95,8 @@
         self._last_record: dict[str, Any] = {}
         self._is_stopped = False
         self._running: Deferred[None] | None = None
+        # Called if no earlier process of this instance has left its record.
+        self.on_first_start: Callable[[], None] = _ignore
 
     async def start(self) -> None:
         """Register the instance, and begin to write its counts."""
@@ -120,7 +123,8 @@
             )
 
     async def _run(self) -> None:
-        await self._register()
+        if await self._register():
+            self.on_first_start()
         while not self._is_stopped:
             await self._clock.sleep(CHECK_PERIOD_MS)
             try:
@@ -130,20 +134,25 @@
             except StoreError as error:
                 logger.warning('usage counts not written; retrying: {0}', error)
 
-    async def _register(self) -> None:
+    async def _register(self) -> bool:
+        """
+        Write the record of this instance.
+
+        :return: whether there was none
+        """
         while not self._is_stopped:
             try:
-                await self._put(
+                return await self._put(
                     self._identity.kind,
                     self._identity.name,
                     self._identity.record,
                 )
-                return
             except StoreError as error:
                 logger.warning(
                     'instance not registered yet; retrying: {0}', error
                 )
                 await self._clock.sleep(RETRY_MS)
+        return False
 
     async def _store_orphans(self) -> None:
         """Store the copied counts of processes that ended or are cut off."""
@@ -188,12 +197,22 @@
         await self._put(COUNT_KIND, self._identity.incarnation, record)
         self._last_record = record
 
-    async def _put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
-        """Create or replace an object that only this instance writes."""
+    async def _put(self, kind: str, name: str, spec: dict[str, Any]) -> bool:
+        """
+        Create or replace an object that only this instance writes.
+
+        :return: whether it was created
+        """
         try:
             await self._objects.replace(kind, name, spec)
         except VersionConflictError:
             await self._objects.create(kind, name, spec)
+            return True
+        return False
+
+
+def _ignore() -> None:
+    """Do nothing."""
 
 
 def _log_defect(failure: Any) -> None:
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -23,6 +23,7 @@
 from cicadahoist.serving.load_group import LoadGroup, PrefillStart
 from cicadahoist.serving.part_news import PartNews, PartNewsQueue
 from cicadahoist.serving.peers import Peers
+from cicadahoist.serving.quota_messages import QUOTA_MARK
 from cicadahoist.serving.relay_peers import RelayAddress, RelayState
 from cicadahoist.serving.stream_exchange import STREAM_MARK, Address
 from cicadahoist.serving.usage_copies import UsageCopy
@@ -197,15 +198,18 @@
                     relays[stored.name] = _get_relay_address(peer)
         self._context.gossip.relays.set_addresses(relays)
         self._context.set_instance_count(len(zone_by_instance))
-        self._context.streams.set_peers(
-            {**self._near.addresses, **self._far.addresses}, zone_by_instance
-        )
+        addresses = {**self._near.addresses, **self._far.addresses}
+        self._context.streams.set_peers(addresses, zone_by_instance)
+        self._context.quotas.connect(self._send_datagram, addresses)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
         """Apply the load report of a peer; drop a datagram that is none."""
         if datagram.startswith(STREAM_MARK):
             self._context.streams.receive(datagram, addr)
             return
+        if datagram.startswith(QUOTA_MARK):
+            self._context.quotas.receive(datagram)
+            return
         try:
             load = _codec.decode(datagram)
         except WireError as error:
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -91,9 +91,6 @@
         # Only a decode engine of this version can use the handle.
         self._handle_version = ''
         self._relay = EventRelay(self._request.resume_after)
-        self._context.demand.record_arrival(
-            estimate_engine_ms(work), self._context.clock.now_ms()
-        )
         self._reply.log_fields.update(
             prompt_tokens=work.prompt_tokens,
             estimate=work.estimated_output_tokens,
@@ -101,6 +98,13 @@
         )
         return self
 
+    def _begin(self) -> None:
+        # A request beyond its quota is no demand for engines.
+        self._context.demand.record_arrival(
+            estimate_engine_ms(self._work), self._context.clock.now_ms()
+        )
+        super()._begin()
+
     async def _serve(self) -> None:
         if not await self._binding.resolve():
             self._refuse(Refusal.stream_unknown, STREAM_RETRY_AFTER_MS)
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -1,5 +1,6 @@
 """The reply to one request: an answer, a refusal or a failure."""
 
+from collections.abc import Callable
 from typing import Any
 
 from cicadahoist.log import get_logger
@@ -14,6 +15,7 @@
 
 logger = get_logger(__name__)
 
+HTTP_TOO_MANY_REQUESTS = 429
 HTTP_UNAVAILABLE = 503
 # Retry-After is at most a third of the time until the caller's deadline.
 MAX_RETRY_AFTER_SHARE = 0.33
@@ -40,6 +42,7 @@
         '_route',
         'is_over',
         'log_fields',
+        'on_end',
     )
 
     def __init__(
@@ -59,6 +62,8 @@
         self.is_over = False
         # Grounds of the decisions on the request, for its last log line.
         self.log_fields: dict[str, Any] = {}
+        # Called at the end of the request.
+        self.on_end: Callable[[], None] = _ignore
 
     @property
     def is_begun(self) -> bool:
@@ -108,14 +113,20 @@
         """
         if self.is_over:
             return
-        limit_ms = max(
-            MIN_RETRY_AFTER_MS,
-            round(MAX_RETRY_AFTER_SHARE * self._deadline.remaining_ms),
-        )
-        delay_ms = min(max(MIN_RETRY_AFTER_MS, retry_after_ms), limit_ms)
+        status = HTTP_UNAVAILABLE
+        delay_ms = max(MIN_RETRY_AFTER_MS, retry_after_ms)
+        if reason is Refusal.quota_exceeded:
+            # An earlier return would be refused again.
+            status = HTTP_TOO_MANY_REQUESTS
+        else:
+            limit_ms = max(
+                MIN_RETRY_AFTER_MS,
+                round(MAX_RETRY_AFTER_SHARE * self._deadline.remaining_ms),
+            )
+            delay_ms = min(delay_ms, limit_ms)
         self._context.meters.count_refusal(reason)
         self._exchange.answer(
-            HTTP_UNAVAILABLE,
+            status,
             self._context.dialect.own_headers(self._request, delay_ms),
         )
         self.end('refused', reason=reason.name, retry_after_ms=delay_ms)
@@ -183,6 +194,7 @@
             return
         self.is_over = True
         self._deadline.cancel()
+        self.on_end()
         self._context.meters.count_end(
             is_cut=is_cut, is_beside_change=self._context.is_beside_change
         )
@@ -211,3 +223,7 @@
             self._context.meters.record_first_byte(
                 self._first_byte_ms - self._request.arrived_ms
             )
+
+
+def _ignore() -> None:
+    """Do nothing."""
