--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -6,6 +6,7 @@
 from cicadahoist.application import Application
 from cicadahoist.cmd.front_duties import DutyAssembly
 from cicadahoist.cmd.front_peering import add_peering
+from cicadahoist.cmd.front_terms import build_quota_terms, build_retry_terms
 from cicadahoist.ids import new_nonce
 from cicadahoist.objects import Change, StoredObject
 from cicadahoist.platform.clients import (
@@ -24,8 +25,6 @@
 from cicadahoist.platform.names import READY_PATH
 from cicadahoist.platform.settings_file import InstanceSettings
 from cicadahoist.policy.link_queue import LinkQueue
-from cicadahoist.policy.quotas.limit import QuotaTerms
-from cicadahoist.policy.retry_share import RetryTerms
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.deployment_source import DeploymentSource
 from cicadahoist.serving.front import Front
@@ -89,7 +88,7 @@
             Dialect(),
             self._clock,
             application.metrics,
-            _build_retry_terms(settings),
+            build_retry_terms(settings),
             self._reactor,
         )
         self._engine_calls = EngineCalls(
@@ -100,7 +99,7 @@
         )
         self._context.usage.window_ms = settings.usage_window_ms
         self._context.set_notice(settings.config_ms)
-        self._context.quotas.set_terms(_build_quota_terms(settings))
+        self._context.quotas.set_terms(build_quota_terms(settings))
         self._context.link = LinkQueue.from_mbps(settings.link_mbps)
 
     def build(self) -> None:
@@ -131,9 +130,9 @@
     def _apply_settings(self, settings: InstanceSettings) -> None:
         """Apply settings that may change while the process runs."""
         self._settings = settings
-        self._context.retries.update_terms(_build_retry_terms(settings))
+        self._context.retries.update_terms(build_retry_terms(settings))
         self._context.set_notice(settings.config_ms)
-        self._context.quotas.set_terms(_build_quota_terms(settings))
+        self._context.quotas.set_terms(build_quota_terms(settings))
 
     def _add_followers(self) -> None:
         source = DeploymentSource(CONFIG_NAME, decode_deployment)
@@ -271,17 +270,3 @@
     :param read_settings: reads the platform's settings of this instance
     """
     FrontAssembly(application, read_settings).build()
-
-
-def _build_retry_terms(settings: InstanceSettings) -> RetryTerms:
-    return RetryTerms(
-        settings.retry_share, settings.retry_slack, settings.retry_window_ms
-    )
-
-
-def _build_quota_terms(settings: InstanceSettings) -> QuotaTerms:
-    return QuotaTerms(
-        window_ms=settings.quota_window_ms,
-        over_share=settings.quota_over_share,
-        slack_tokens=settings.quota_slack_tokens,
-    )
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -23,8 +23,8 @@
 from cicadahoist.serving.deadline import Deadline
 from cicadahoist.serving.inbound import Exchange
 from cicadahoist.serving.open_attempts import OpenAttempts
-from cicadahoist.serving.quota_asks import Receipt
 from cicadahoist.serving.quota_charge import QuotaCharge
+from cicadahoist.serving.quota_gate import QuotaGate
 from cicadahoist.serving.reply import MIN_RETRY_AFTER_MS, Reply
 from cicadahoist.serving.retry_allowance import RetryAllowance
 from cicadahoist.serving.stream_binding import StreamBinding
@@ -64,7 +64,6 @@
     __slots__ = (
         '_allowance',
         '_binding',
-        '_charge',
         '_context',
         '_crash_watch',
         '_deadline',
@@ -79,6 +78,7 @@
         '_tried_targets',
         '_urgency',
         '_workspace',
+        'gate',
     )
 
     def __init__(
@@ -104,11 +104,6 @@
         self._urgency = urgency
         self._deadline = Deadline.from_request(request, route, context.clock)
         self._reply = Reply(context, request, route, exchange, self._deadline)
-        self._charge = QuotaCharge.from_request(
-            context.quotas, workspace, request
-        )
-        if self._charge is not None:
-            self._reply.on_end = self._charge.close
         self._open_attempts = OpenAttempts()
         self._tried_targets: list[str] = []
         # Tried targets, without those that another path leads to.
@@ -123,43 +118,31 @@
             self._reply,
             self._try_take_over,
         )
+        self.gate = QuotaGate(
+            QuotaCharge.from_request(context.quotas, workspace, request),
+            self._reply,
+            self._open_attempts,
+            self._allowance,
+            self._is_awaited,
+            self._refuse,
+        )
         self._has_counted_run = False
-        self._deadline.start(self._expire)
-
-    def start(self) -> None:
-        """Start to handle the request, once its tokens are granted."""
         self._reply.log_fields.update(
             workspace=self._workspace,
             service=self._service,
             targets=self._tried_targets,
         )
-        if self._charge is None:
-            self._begin()
-        else:
-            launch(self._begin_charged(self._charge), self._fail_on_defect)
-
-    async def _begin_charged(self, charge: QuotaCharge) -> None:
-        """Begin within the quota of the workspace, or refuse the request."""
-        wait_ms = await charge.prepare()
-        self._reply.log_fields['quota_ms'] = (
-            self._context.clock.now_ms() - self._request.read_ms
-        )
-        if not self._is_awaited():
-            return
-        if wait_ms is None:
-            self._begin()
-        else:
-            self._refuse(Refusal.quota_exceeded, wait_ms)
+        self._deadline.start(self._expire)
 
-    def _begin(self) -> None:
-        """Begin to handle the request, or refuse it if quarantined."""
+    def start(self) -> None:
+        """Start to handle the request, or refuse it if quarantined."""
         self._context.retries.record_request(
             self._service, self._context.clock.now_ms()
         )
         if self._crash_watch.is_quarantined:
             self._refuse(Refusal.quarantined, QUARANTINE_RETRY_AFTER_MS)
             return
-        launch(self._serve(), self._fail_on_defect)
+        launch(self._serve(), self.fail_on_defect)
 
     def caller_left(self) -> None:
         """Stop work whose answer no caller awaits, where that is safe."""
@@ -248,9 +231,8 @@
             counts as silent
         :return: the end of the attempt
         """
-        if attempt.may_run and not await self._prepare_charge():
+        if not await self.gate.prepare(attempt):
             return AttemptEnd(AttemptOutcome.stopped)
-        receipt = self._spend_charge(attempt)
         name = attempt.listing.name
         self._open_attempts.add(attempt)
         self._tried_targets.append(name)
@@ -268,7 +250,7 @@
             partial(self._takeover.react_to_silence, attempt),
         )
         self._open_attempts.remove(attempt)
-        self._settle_charge(attempt, end, receipt)
+        self.gate.settle(attempt, end)
         if end.is_stranded:
             self._excluded_targets.discard(name)
         elif end.is_silent:
@@ -284,47 +266,6 @@
             self._context.fleet.exclude(name)
         return end
 
-    async def _prepare_charge(self) -> bool:
-        """
-        Get the tokens of a run; the first one has those of the admission.
-
-        :return: false if the run must not be sent
-        """
-        if self._charge is None:
-            return True
-        oldest = self._open_attempts.get_oldest()
-        wait_ms = await self._charge.prepare()
-        if not self._is_awaited():
-            return False
-        if oldest is not None:
-            # The run beside which this one is to be sent may have ended, and
-            # decided how the request goes on.
-            is_needed = oldest is self._open_attempts.get_oldest()
-            if wait_ms is None and is_needed:
-                return True
-            self._allowance.return_retry()
-            return False
-        if wait_ms is not None:
-            self._refuse(Refusal.quota_exceeded, wait_ms)
-        return wait_ms is None
-
-    def _spend_charge(self, attempt: Attempt) -> Receipt | None:
-        if self._charge is None or not attempt.may_run:
-            return None
-        return self._charge.spend()
-
-    def _settle_charge(
-        self, attempt: Attempt, end: AttemptEnd, receipt: Receipt | None
-    ) -> None:
-        """Keep the tokens of a run that no target has begun."""
-        if self._charge is None:
-            return
-        has_run = attempt.is_sent and end.outcome is not AttemptOutcome.not_run
-        if receipt is not None:
-            self._charge.settle(receipt, has_run=has_run)
-        elif has_run:
-            self._charge.mark_begun()
-
     def _refuse(
         self,
         reason: Refusal,
@@ -363,7 +304,8 @@
         )
         self._open_attempts.stop_all()
 
-    def _fail_on_defect(self, failure: Any) -> None:
+    def fail_on_defect(self, failure: Any) -> None:
+        """Fail the request after an unexpected error."""
         logger.bind(request=self._request.attempt_id).error(
             'request handling raised an unexpected error: {0}',
             failure.getTraceback(),
--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -1,14 +1,16 @@
 """Admission of callers' requests by configuration, route and key."""
 
 from collections.abc import Callable
+from functools import partial
 
 from cicadahoist.errors import CallerError
 from cicadahoist.log import get_logger
+from cicadahoist.policy.placement import estimate_engine_ms
 from cicadahoist.reasons import Refusal
 from cicadahoist.requests import InboundRequest
 from cicadahoist.rules import CallerLimits, Deployment, KeyHolder, RouteRule
 from cicadahoist.serving.context import ServingContext
-from cicadahoist.serving.flow import Flow
+from cicadahoist.serving.flow import Flow, launch
 from cicadahoist.serving.inbound import Exchange
 from cicadahoist.serving.meters import Meters
 from cicadahoist.serving.model_flow import FreeHandle, ModelFlow
@@ -157,7 +159,13 @@
             )
             return ANSWERED_REQUEST
         flow = self._create_flow(request, route, holder, exchange)
-        flow.start()
+        if flow.gate.is_open:
+            self._start(flow, request)
+        else:
+            # While the home of the quota is asked, the caller may leave and
+            # the deadline may pass, as at any time later.
+            start = partial(self._start, flow, request)
+            launch(flow.gate.admit(start), flow.fail_on_defect)
         return flow
 
     def _create_flow(
@@ -184,6 +192,14 @@
             flow.with_work(work, self._free_cache)
         return flow
 
+    def _start(self, flow: Flow, request: InboundRequest) -> None:
+        """Start an admitted request; one beyond its quota is no demand."""
+        if isinstance(flow, ModelFlow) and request.work is not None:
+            self._context.demand.record_arrival(
+                estimate_engine_ms(request.work), self._context.clock.now_ms()
+            )
+        flow.start()
+
     def _refuse(
         self,
         exchange: Exchange,
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -20,12 +20,11 @@
 from cicadahoist.requests import PromptPart
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.crash_watch import CRASH_CHECK_MS
+from cicadahoist.serving.datagram_kinds import Address, find_receiver
 from cicadahoist.serving.load_group import LoadGroup, PrefillStart
 from cicadahoist.serving.part_news import PartNews, PartNewsQueue
 from cicadahoist.serving.peers import Peers
-from cicadahoist.serving.quota_messages import QUOTA_MARK
 from cicadahoist.serving.relay_peers import RelayAddress, RelayState
-from cicadahoist.serving.stream_exchange import STREAM_MARK, Address
 from cicadahoist.serving.usage_copies import UsageCopy
 
 logger = get_logger(__name__)
@@ -204,11 +203,9 @@
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
         """Apply the load report of a peer; drop a datagram that is none."""
-        if datagram.startswith(STREAM_MARK):
-            self._context.streams.receive(datagram, addr)
-            return
-        if datagram.startswith(QUOTA_MARK):
-            self._context.quotas.receive(datagram)
+        receive = find_receiver(self._context, datagram)
+        if receive is not None:
+            receive(datagram, addr)
             return
         try:
             load = _codec.decode(datagram)
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -12,7 +12,6 @@
 from cicadahoist.policy.placement import (
     Placement,
     compute_engine_urgency,
-    estimate_engine_ms,
     estimate_kv_tokens,
 )
 from cicadahoist.reasons import Refusal, Retry
@@ -98,13 +97,6 @@
         )
         return self
 
-    def _begin(self) -> None:
-        # A request beyond its quota is no demand for engines.
-        self._context.demand.record_arrival(
-            estimate_engine_ms(self._work), self._context.clock.now_ms()
-        )
-        super()._begin()
-
     async def _serve(self) -> None:
         if not await self._binding.resolve():
             self._refuse(Refusal.stream_unknown, STREAM_RETRY_AFTER_MS)
@@ -141,7 +133,7 @@
             return False
         if not self._allowance.try_spend_retry():
             return False
-        launch(self._serve_at(choice.placement), self._fail_on_defect)
+        launch(self._serve_at(choice.placement), self.fail_on_defect)
         return True
 
     def _is_awaited(self) -> bool:
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -73,7 +73,7 @@
             return False
         if not self._allowance.try_spend_retry():
             return False
-        launch(self._serve_at(listing), self._fail_on_defect)
+        launch(self._serve_at(listing), self.fail_on_defect)
         return True
 
     async def _send_to(self, listing: Listing) -> AttemptEnd:
--- a/cicadahoist/serving/quota_asks.py
+++ b/cicadahoist/serving/quota_asks.py
@@ -1,6 +1,7 @@
 """Asks the homes of quotas for the tokens of requests."""
 
 from itertools import count
+from typing import Any, NamedTuple
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -31,6 +32,11 @@
     number: int
 
 
+class _Pending(NamedTuple):
+    home: str
+    waiting: Deferred[Any]
+
+
 class QuotaAsks:
     """
     Questions of this process to homes at other instances.
@@ -45,10 +51,7 @@
         self._clock = clock
         self._outbox = outbox
         self._numbers = count(1)
-        # The home that is asked, and what ends the wait.
-        self._pending_by_number: dict[
-            int, tuple[str, Deferred[Answer | None]]
-        ] = {}
+        self._pending_by_number: dict[int, _Pending] = {}
 
     def new_number(self) -> int:
         """Return a number for a question, unique in this process."""
@@ -81,16 +84,16 @@
         :return: whether it was awaited
         """
         pending = self._pending_by_number.get(answer.number)
-        if pending is None or pending[0] != home:
+        if pending is None or pending.home != home:
             return False
         self._pending_by_number.pop(answer.number)
-        pending[1].callback(answer)
+        pending.waiting.callback(answer)
         return True
 
     async def _ask_once(self, home: str, question: Question) -> Answer | None:
         number = question.number
         waiting: Deferred[Answer | None] = Deferred()
-        self._pending_by_number[number] = (home, waiting)
+        self._pending_by_number[number] = _Pending(home, waiting)
         self._outbox.put(home, question)
         timer = self._clock.call_later(
             ANSWER_TIMEOUT_MS, self._give_up, number, waiting
--- a/cicadahoist/serving/quota_exchange.py
+++ b/cicadahoist/serving/quota_exchange.py
@@ -7,18 +7,18 @@
 from cicadahoist.log import get_logger
 from cicadahoist.metrics import Metrics
 from cicadahoist.policy.quotas.delegations import CLAIM_PERIOD_MS
-from cicadahoist.policy.quotas.home import QuestionId, Verdict
+from cicadahoist.policy.quotas.home import Verdict
 from cicadahoist.policy.quotas.limit import QuotaLimit, QuotaTerms
 from cicadahoist.policy.quotas.roster import QuotaRoster
 from cicadahoist.rules import Quota
 from cicadahoist.serving.quota_asks import QuotaAsks, Receipt
 from cicadahoist.serving.quota_claims import QuotaClaims
+from cicadahoist.serving.quota_desk import QuotaDesk
 from cicadahoist.serving.quota_homes import QuotaHomes
 from cicadahoist.serving.quota_messages import (
     QUOTA_MARK,
     Answer,
     Question,
-    QuotaMessage,
     Return,
     codec,
 )
@@ -46,6 +46,7 @@
     __slots__ = (
         '_asks',
         '_clock',
+        '_desk',
         '_homes',
         '_outbox',
         '_quota_by_workspace',
@@ -69,6 +70,9 @@
         self.claims = QuotaClaims(
             clock, self._roster, self._outbox, self._homes
         )
+        self._desk = QuotaDesk(
+            clock, self._roster, self._outbox, self._homes, self.claims
+        )
         self.meters = QuotaMeters(metrics)
 
     def join(
@@ -156,11 +160,11 @@
         self.meters.count_returned(workspace, tokens)
         returned = Return(receipt.number, workspace)
         if receipt.home == self._roster.instance:
-            self._take_back(returned, receipt.home, self._outbox.term)
+            self._desk.take_back(returned, receipt.home, self._outbox.term)
         elif receipt.home:
             self._outbox.put(receipt.home, returned)
 
-    def receive(self, datagram: bytes) -> None:
+    def receive(self, datagram: bytes, address: Address) -> None:
         """Process a datagram of a peer; drop one that cannot be read."""
         try:
             message = codec.decode(datagram[len(QUOTA_MARK) :])
@@ -170,12 +174,11 @@
         self.claims.process(message)
         # Without a configuration, the workspace may have a quota or none.
         if self._quota_by_workspace is not None:
-            for question in message.questions:
-                self._process_question(question, message)
+            self._desk.process(message)
         for answer in message.answers:
             self._process_answer(answer, message.sender)
         for returned in message.returns:
-            self._take_back(returned, message.sender, message.term)
+            self._desk.take_back(returned, message.sender, message.term)
 
     async def _ask_homes(self, question: Question) -> Receipt | int:
         homes = self._roster.list_homes(
@@ -183,7 +186,7 @@
         )
         for home in homes:
             if home == self._roster.instance:
-                verdict: Verdict | None = await self._ask_self(question)
+                verdict: Verdict | None = await self._desk.ask(question)
             else:
                 verdict = await self._asks.ask(self._roster, home, question)
             if verdict is not None and verdict.wait_ms is not None:
@@ -194,56 +197,11 @@
             return Receipt('', question.number)
         return NO_HOME_RETRY_AFTER_MS
 
-    async def _ask_self(self, question: Question) -> Verdict:
-        delay_ms = self._prepare_home(question.workspace)
-        if delay_ms:
-            await self._clock.sleep(delay_ms)
-        return self._decide(question, self._roster.instance, self._outbox.term)
-
-    def _process_question(
-        self, question: Question, message: QuotaMessage
-    ) -> None:
-        delay_ms = self._prepare_home(question.workspace)
-        if delay_ms:
-            self._clock.call_later(delay_ms, self._answer, question, message)
-        else:
-            self._answer(question, message)
-
-    def _answer(self, question: Question, message: QuotaMessage) -> None:
-        verdict = self._decide(question, message.sender, message.term)
-        self._outbox.put(
-            message.sender,
-            Answer(question.number, question.workspace, verdict.wait_ms),
-        )
-
-    def _prepare_home(self, workspace: str) -> int:
-        """Begin a home if there is none; return the time until it answers."""
-        now_ms = self._clock.now_ms()
-        if self._homes.begin_asked(workspace, now_ms):
-            self.claims.claim((workspace,))
-        return self._homes.compute_delay_ms(workspace, now_ms)
-
-    def _decide(self, question: Question, instance: str, term: str) -> Verdict:
-        question_id: QuestionId = (instance, term, question.number)
-        return self._homes.ask(
-            question.workspace,
-            question_id,
-            question.tokens,
-            self._clock.now_ms(),
-        )
-
     def _process_answer(self, answer: Answer, home: str) -> None:
         """Apply an answer; return the tokens of one that came too late."""
         if not self._asks.resolve(home, answer) and answer.wait_ms is None:
             self._outbox.put(home, Return(answer.number, answer.workspace))
 
-    def _take_back(self, returned: Return, instance: str, term: str) -> None:
-        self._homes.give_back(
-            returned.workspace,
-            (instance, term, returned.number),
-            self._clock.now_ms(),
-        )
-
     def _try_spend_overdraft(self, question: Question) -> bool:
         """Grant from this instance's own share of the overdraft."""
         now_ms = self._clock.now_ms()
--- a/cicadahoist/serving/quota_homes.py
+++ b/cicadahoist/serving/quota_homes.py
@@ -44,9 +44,9 @@
 
         :return: workspaces whose home this instance is no more
         """
-        for workspace in self.limit_by_workspace:
-            if self._is_first(workspace, now_ms):
-                self._begin(workspace, now_ms)
+        for limited in self.limit_by_workspace:
+            if self._is_first(limited, now_ms):
+                self._begin(limited, now_ms)
         ended = [
             workspace
             for workspace in self._home_by_workspace
