--- a/cicadahoist/serving/quota_claims.py
+++ b/cicadahoist/serving/quota_claims.py
@@ -37,7 +37,7 @@
         self.delegations = Delegations(clock.now_ms())
 
     def review(self) -> None:
-        """Begin and end homes, and tell peers of those that ended."""
+        """Update homes, and tell peers of those that ended."""
         ended = self._homes.review(self._clock.now_ms())
         if ended:
             self._release(ended)
@@ -54,6 +54,7 @@
 
     def claim_all(self) -> None:
         """Claim the shares in all quotas whose home this instance is."""
+        self._homes.begin_first(self._clock.now_ms())
         self.review()
         self.claim(self._homes.list_claimed())
 
--- a/cicadahoist/serving/quota_homes.py
+++ b/cicadahoist/serving/quota_homes.py
@@ -38,15 +38,18 @@
         self._asked_ms_by_workspace: dict[str, int] = {}
         self._began_ms_by_workspace: dict[str, int] = {}
 
+    def begin_first(self, now_ms: int) -> None:
+        """Begin the homes for which this instance is first in rank."""
+        for workspace in self.limit_by_workspace:
+            if self._is_first(workspace, now_ms):
+                self._begin(workspace, now_ms)
+
     def review(self, now_ms: int) -> list[str]:
         """
-        Begin and end homes by rank, and apply limits and instance counts.
+        End homes by rank, and apply limits and instance counts.
 
         :return: workspaces whose home this instance is no more
         """
-        for limited in self.limit_by_workspace:
-            if self._is_first(limited, now_ms):
-                self._begin(limited, now_ms)
         ended = [
             workspace
             for workspace in self._home_by_workspace
