--- a/cicadahoist/platform/configuration.py
+++ b/cicadahoist/platform/configuration.py
@@ -76,10 +76,10 @@
     priority: int | None = None
     unit: str | None = None
     # Tokens that a request without a token count counts as.
-    plain_tokens: float = 0
-    # 0 for no limit.
-    rate_per_s: float = 0
-    burst: float = 0
+    plain_tokens: float | None = None
+    # None or 0 for no limit.
+    rate_per_s: float | None = None
+    burst: float | None = None
 
 
 class _WireConfig(msgspec.Struct, rename='kebab', kw_only=True):
@@ -201,11 +201,11 @@
 def _build_quotas(tenants: list[_WireTenant]) -> dict[str, Quota]:
     return {
         tenant.name: Quota(
-            tokens_per_s=tenant.rate_per_s,
-            burst_tokens=tenant.burst,
+            tokens_per_s=tenant.rate_per_s or 0,
+            burst_tokens=tenant.burst or 0,
             counts_tokens=tenant.unit == TOKEN_UNIT,
-            plain_tokens=tenant.plain_tokens,
+            plain_tokens=tenant.plain_tokens or 0,
         )
         for tenant in tenants
-        if tenant.rate_per_s > 0 and tenant.burst > 0
+        if (tenant.rate_per_s or 0) > 0 and (tenant.burst or 0) > 0
     }
--- a/tests/test_platform/test_formats.py
+++ b/tests/test_platform/test_formats.py
@@ -11,7 +11,7 @@
 from cicadahoist.platform.configuration import decode_deployment
 from cicadahoist.platform.discovery import decode_listing
 from cicadahoist.platform.settings_file import Address, InstanceSettings
-from cicadahoist.requests import RepeatRule
+from cicadahoist.requests import ModelWork, RepeatRule
 
 SETTINGS = """
 node=front-a-1
@@ -160,6 +160,38 @@
     assert decode_deployment(without).holder_by_key is None
 
 
+def test_quotas_are_decoded_and_zero_or_none_is_no_limit():
+    quota = {
+        'unit': 'token_stream',
+        'plain-tokens': 200,
+        'rate-per-s': 1054375,
+        'burst': 1054375,
+    }
+    tenants = [
+        {'name': 'w1', **quota},
+        {'name': 'w2', **quota, 'unit': 'request'},
+        {'name': 'w3', **quota, 'burst': 0},
+        {'name': 'w4', **quota, 'rate-per-s': None},
+        {'name': 'w5'},
+    ]
+    quotas = decode_deployment(
+        {**CONFIG, 'tenants': tenants}
+    ).quota_by_workspace
+    assert list(quotas) == ['w1', 'w2']
+    work = ModelWork(model='m', prompt_tokens=11_969, max_output_tokens=102)
+    assert quotas['w1'].compute_tokens(work) == 12_071
+    assert quotas['w1'].compute_tokens(None) == 200
+    assert quotas['w2'].compute_tokens(work) == 1
+
+
+def test_the_tolerance_of_quotas_is_read_from_the_settings():
+    text = 'bounds.quota-window-s=4\nbounds.quota-over=0.2\n'
+    settings = InstanceSettings.from_text(SETTINGS + text)
+    assert settings.quota_window_ms == 4000
+    assert settings.quota_over_share == 0.2
+    assert settings.quota_slack_tokens == 120_000
+
+
 @pytest.mark.parametrize('spec', [None, 'x', {'version': 'one'}, {}])
 def test_undecodable_configuration_raises_a_typed_error(spec):
     with pytest.raises(WireError):
--- a/tests/test_serving/test_load_exchange.py
+++ b/tests/test_serving/test_load_exchange.py
@@ -58,6 +58,9 @@
         self.board = self.world.context.fleet.boards.get_board('llm')
         self.peers = Peers(self.name)
         self.unregistered_count = 0
+        self.world.context.quotas.join(
+            self.name, f'{self.name}.n', self.peers.is_alive
+        )
         self.exchange = LoadExchange(
             self.world.context,
             self.name,
--- a/tests/test_serving/test_quota_fleet.py
+++ b/tests/test_serving/test_quota_fleet.py
@@ -1,8 +1,8 @@
 """
 Tests of quotas over many instances (docs/design/quotas.md).
 
-They guard against more than the rule QUOTA allows in any window of 8 s, whatever
-fails meanwhile, and against refusals below the limit in calm.
+They guard against more than the rule QUOTA allows in any window of 8 s,
+whatever fails meanwhile, and against refusals below the limit in calm.
 """
 
 from random import Random
