Use a late grant of a busy home while the second in rank is asked

Cause: a home that is behind with its events answers after 120 ms; the second in rank holds no shares then and refuses, so that requests below the limit are lost. Change: the refusal of the second is final only after the first had another 60 ms; grants that no request uses are returned to each home that may have made them.

--- a/cicadahoist/policy/quotas/roster.py
+++ b/cicadahoist/policy/quotas/roster.py
@@ -80,6 +80,12 @@
         """Leave out an instance as a home for a while."""
         self._suspect_until_ms[home] = now_ms + for_ms
 
+    def trust(self, home: str, now_ms: int) -> None:
+        """End the suspicion of an instance that has answered after all."""
+        until_ms = self._suspect_until_ms.get(home, now_ms)
+        if until_ms - now_ms <= SUSPICION_MS:
+            self._suspect_until_ms.pop(home, None)
+
     def list_homes(self, workspace: str, count: int, now_ms: int) -> list[str]:
         """Return the first instances in rank that are heard from."""
         ranked = self._ranked_by_workspace.get(workspace)
--- a/cicadahoist/serving/quota_exchange.py
+++ b/cicadahoist/serving/quota_exchange.py
@@ -7,7 +7,6 @@
 from cicadahoist.log import get_logger
 from cicadahoist.metrics import Metrics
 from cicadahoist.policy.quotas.delegations import CLAIM_PERIOD_MS
-from cicadahoist.policy.quotas.home import Verdict
 from cicadahoist.policy.quotas.limit import QuotaLimit, QuotaTerms
 from cicadahoist.policy.quotas.roster import QuotaRoster
 from cicadahoist.rules import Quota
@@ -62,7 +61,6 @@
         self._roster = QuotaRoster('', _is_no_peer_alive)
         self._outbox = QuotaOutbox(clock, self._roster)
         self._homes = QuotaHomes(self._roster)
-        self._asks = QuotaAsks(clock, self._outbox)
         # None before the first configuration.
         self._quota_by_workspace: dict[str, Quota] | None = None
         self._terms = QuotaTerms()
@@ -73,6 +71,7 @@
         self._desk = QuotaDesk(
             clock, self._roster, self._outbox, self._homes, self.claims
         )
+        self._asks = QuotaAsks(clock, self._roster, self._outbox, self._desk)
         self.meters = QuotaMeters(metrics)
 
     def join(
@@ -184,15 +183,9 @@
         homes = self._roster.list_homes(
             question.workspace, HOME_COUNT, self._clock.now_ms()
         )
-        for home in homes:
-            if home == self._roster.instance:
-                verdict: Verdict | None = await self._desk.ask(question)
-            else:
-                verdict = await self._asks.ask(self._roster, home, question)
-            if verdict is not None and verdict.wait_ms is not None:
-                return verdict.wait_ms
-            if verdict is not None:
-                return Receipt(home, question.number)
+        answer = await self._asks.ask(homes, question) if homes else None
+        if answer is not None:
+            return answer
         if self._try_spend_overdraft(question):
             return Receipt('', question.number)
         return NO_HOME_RETRY_AFTER_MS
