Answer instances that are not listed yet, and ask homes not heard yet

Cause: an instance that joins is listed by its peers up to 3 s later: it heard no home, and no home had its address, so that its callers were refused. Change: peers that are listed anew count as alive for 3.5 s, and datagrams give the address of their sender; token counts that no message can carry are bounded.

--- a/cicadahoist/policy/quotas/roster.py
+++ b/cicadahoist/policy/quotas/roster.py
@@ -9,6 +9,9 @@
 # Numbers of instances that peers have told count this long: two periods in
 # which each instance reads the list.
 COUNT_MEMORY_MS = 6000
+# A peer that is listed anew is taken to be alive for this long: it sends loads
+# here only once it has listed this instance too.
+NEW_PEER_MS = 3500
 
 
 class QuotaRoster:
@@ -20,6 +23,7 @@
     """
 
     __slots__ = (
+        '_listed_ms_by_peer',
         '_names',
         '_ranked_by_workspace',
         '_suspect_until_ms',
@@ -34,6 +38,7 @@
         self.instance = instance
         self.is_alive = is_alive
         self._names: frozenset[str] = frozenset()
+        self._listed_ms_by_peer: dict[str, int] = {}
         self._ranked_by_workspace: dict[str, list[str]] = {}
         self._suspect_until_ms: dict[str, int] = {}
         # Numbers told by peers, and when.
@@ -55,6 +60,10 @@
             self.record_count(self.own_count, now_ms)
             self._names = names
             self._ranked_by_workspace.clear()
+            self._listed_ms_by_peer = {
+                peer: self._listed_ms_by_peer.get(peer, now_ms)
+                for peer in peers
+            }
 
     def record_count(self, count: int, now_ms: int) -> None:
         """Record how many instances a peer has listed."""
@@ -107,4 +116,6 @@
             return True
         if now_ms < self._suspect_until_ms.get(name, now_ms):
             return False
+        if now_ms - self._listed_ms_by_peer[name] <= NEW_PEER_MS:
+            return True
         return self.is_alive(name, now_ms)
--- a/cicadahoist/rules.py
+++ b/cicadahoist/rules.py
@@ -7,6 +7,8 @@
 
 # Resolution of the weighted split of a route's requests.
 SPLIT_STEPS = 10_000
+# Callers may state any number; one that no message can carry counts as this.
+MAX_STATED_TOKENS = 1_000_000_000_000
 
 
 class ServiceShare(msgspec.Struct, frozen=True):
@@ -154,7 +156,8 @@
             return 1
         if work is None:
             return self.plain_tokens
-        return work.prompt_tokens + work.max_output_tokens
+        stated = work.prompt_tokens + work.max_output_tokens
+        return min(MAX_STATED_TOKENS, stated)
 
 
 class Deployment(msgspec.Struct, frozen=True, kw_only=True):
--- a/cicadahoist/serving/quota_exchange.py
+++ b/cicadahoist/serving/quota_exchange.py
@@ -99,7 +99,7 @@
         :param send_datagram: sends a datagram to an address
         """
         self._outbox.send_datagram = send_datagram
-        self._outbox.address_by_peer = address_by_peer
+        self._outbox.address_by_peer = dict(address_by_peer)
         self._roster.set_peers(address_by_peer, self._clock.now_ms())
         self.claims.review()
 
@@ -170,6 +170,7 @@
         except WireError as error:
             logger.info('{0}', error)
             return
+        self._outbox.learn_address(message.sender, address)
         self.claims.process(message)
         # Without a configuration, the workspace may have a quota or none.
         if self._quota_by_workspace is not None:
--- a/cicadahoist/serving/quota_outbox.py
+++ b/cicadahoist/serving/quota_outbox.py
@@ -58,6 +58,10 @@
         # Sends a datagram to a peer; the task that has the socket sets it.
         self.send_datagram: Callable[[bytes, Address], None] = _drop
 
+    def learn_address(self, peer: str, address: Address) -> None:
+        """Keep the address of a peer that the list does not have yet."""
+        self.address_by_peer.setdefault(peer, address)
+
     def put(self, peer: str, entry: Entry) -> None:
         """Send an entry to a peer, together with others of this moment."""
         entries = self._entries_by_peer.get(peer)
--- a/tests/test_platform/test_formats.py
+++ b/tests/test_platform/test_formats.py
@@ -6,12 +6,14 @@
 """
 
 import pytest
+from msgspec.structs import replace
 
 from cicadahoist.errors import ConfigError, WireError
 from cicadahoist.platform.configuration import decode_deployment
 from cicadahoist.platform.discovery import decode_listing
 from cicadahoist.platform.settings_file import Address, InstanceSettings
 from cicadahoist.requests import ModelWork, RepeatRule
+from cicadahoist.rules import MAX_STATED_TOKENS
 
 SETTINGS = """
 node=front-a-1
@@ -181,6 +183,8 @@
     work = ModelWork(model='m', prompt_tokens=11_969, max_output_tokens=102)
     assert quotas['w1'].compute_tokens(work) == 12_071
     assert quotas['w1'].compute_tokens(None) == 200
+    endless = replace(work, prompt_tokens=10**4000)
+    assert quotas['w1'].compute_tokens(endless) == MAX_STATED_TOKENS
     assert quotas['w2'].compute_tokens(work) == 1
 
 
--- a/tests/test_policy/test_quotas.py
+++ b/tests/test_policy/test_quotas.py
@@ -22,7 +22,11 @@
     QuotaTerms,
     compute_allowed,
 )
-from cicadahoist.policy.quotas.roster import COUNT_MEMORY_MS, QuotaRoster
+from cicadahoist.policy.quotas.roster import (
+    COUNT_MEMORY_MS,
+    NEW_PEER_MS,
+    QuotaRoster,
+)
 from cicadahoist.rules import Quota
 
 LIMIT = QuotaLimit(
@@ -174,6 +178,13 @@
     assert roster.count_instances(later_ms + 100) == 4
 
 
+def test_a_new_peer_is_a_home_before_it_is_heard():
+    roster = QuotaRoster('i1', lambda name, now_ms: False)
+    roster.set_peers(['i2', 'i3'], 0)
+    assert roster.list_homes('w', 3, 100) == HOMES
+    assert roster.list_homes('w', 3, NEW_PEER_MS + 1) == ['i1']
+
+
 def test_the_slack_counts_for_quotas_in_tokens_only():
     terms = QuotaTerms()
     requests = Quota(tokens_per_s=3, burst_tokens=3)
--- a/tests/test_serving/quota_fleet.py
+++ b/tests/test_serving/quota_fleet.py
@@ -49,10 +49,11 @@
         self.fleet = fleet
         self.name = name
         self.zone = zone
-        self.started_ms = fleet.now_ms
         # Time from which it is dead or frozen, none while it runs.
         self.still_ms = None
         self.is_dead = False
+        # Instances that it sends its load to.
+        self.listed = set()
         self.delayed = []
         self.clock = Clock(self, lambda: fleet.now_ms)
         self.quotas = QuotaExchange(self.clock, METRICS)
@@ -72,6 +73,7 @@
         if not self.fleet.is_store_down:
             names = self.fleet.registered - {self.name}
             self.quotas.connect(self.send, {name: name for name in names})
+            self.listed = names
         self.callLater(LIST_PERIOD_MS / MS_PER_S, self.list_peers)
 
     def wake(self):
@@ -150,7 +152,7 @@
             peer = self.by_name.get(name)
             if peer is None:
                 return False
-            if now_ms - max(peer.started_ms, instance.started_ms) < 300:
+            if instance.name not in peer.listed:
                 return False
             silent_ms = 0
             if peer.still_ms is not None:
@@ -171,7 +173,9 @@
         ):
             return
         if not self.is_cut(sender, receiver):
-            timer = Timer(lambda: receiver.quotas.receive(datagram, None))
+            timer = Timer(
+                lambda: receiver.quotas.receive(datagram, sender.name)
+            )
             self.schedule(self.random.uniform(0.2, 2), receiver, timer)
 
     def start(self, name, zone):
--- a/tests/test_serving/test_quota_fleet.py
+++ b/tests/test_serving/test_quota_fleet.py
@@ -39,6 +39,16 @@
     assert not fleet.refused
 
 
+# Peers list an instance some seconds after its start.
+def test_callers_of_an_instance_that_joins_are_not_refused():
+    fleet = QuotaFleet(74, LOWEST)
+    fleet.run(WARM_UP_MS)
+    fleet.at(0, fleet.start, 'new', 'a')
+    fleet.run(500)
+    play(fleet, 8000, load=1 / 1.8, names=['new'], returned=0)
+    assert not fleet.refused
+
+
 @pytest.mark.parametrize('size', [8, 74, 195])
 @pytest.mark.parametrize('quota', [LOWEST, token_quota(200_000)])
 def test_a_hot_workspace_gets_nine_tenths_of_its_limit(size, quota):
