--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -6,6 +6,7 @@
 from cicadahoist.cmd.front_duties import DutyAssembly
 from cicadahoist.cmd.front_followers import add_followers
 from cicadahoist.cmd.front_peering import add_peering
+from cicadahoist.cmd.front_terms import build_quota_terms, build_retry_terms
 from cicadahoist.ids import new_nonce
 from cicadahoist.platform.clients import (
     ORDER_TIMEOUT_MS,
@@ -16,7 +17,6 @@
 from cicadahoist.platform.names import READY_PATH
 from cicadahoist.platform.settings_file import InstanceSettings
 from cicadahoist.policy.link_queue import LinkQueue
-from cicadahoist.policy.retry_share import RetryTerms
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.front import Front
 from cicadahoist.serving.relay_server import RelayLeave
@@ -70,7 +70,7 @@
             Dialect(),
             self._clock,
             application.metrics,
-            _build_retry_terms(settings),
+            build_retry_terms(settings),
             self._reactor,
         )
         self._watch_fanout = WatchFanout(
@@ -87,6 +87,7 @@
         )
         self._context.usage.window_ms = settings.usage_window_ms
         self._context.set_notice(settings.config_ms)
+        self._context.quotas.set_terms(build_quota_terms(settings))
         self._context.link = LinkQueue.from_mbps(settings.link_mbps)
 
     def build(self) -> None:
@@ -118,8 +119,9 @@
     def _apply_settings(self, settings: InstanceSettings) -> None:
         """Apply settings that may change while the process runs."""
         self._settings = settings
-        self._context.retries.update_terms(_build_retry_terms(settings))
+        self._context.retries.update_terms(build_retry_terms(settings))
         self._context.set_notice(settings.config_ms)
+        self._context.quotas.set_terms(build_quota_terms(settings))
 
     def _add_followers(self) -> None:
         followers = add_followers(
@@ -208,9 +210,3 @@
     :param read_settings: reads the platform's settings of this instance
     """
     FrontAssembly(application, read_settings).build()
-
-
-def _build_retry_terms(settings: InstanceSettings) -> RetryTerms:
-    return RetryTerms(
-        settings.retry_share, settings.retry_slack, settings.retry_window_ms
-    )
--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -85,6 +85,7 @@
         relay_port=settings.peer_ports[0],
         relay_token=new_nonce(),
     )
+    context.quotas.join(settings.instance, incarnation, peers.is_alive)
     relay = _build_relay(application, context, settings, record, reactor)
     exchange = LoadExchange(
         context, settings.instance, incarnation, record, peers, reactor
@@ -112,6 +113,7 @@
         context.gossip.usage_copies,
     )
     exchange.on_unregistered = records.register_again
+    records.on_first_start = context.quotas.claims.delegations.mark_first_start
     fanout.attach(exchange)
     heartbeats = WatchFanoutTask(
         fanout, settings.instance, peers, application.clock
@@ -129,7 +131,15 @@
     context.fleet.connections.relays = build_relay_client(
         application, context, settings, peers, reactor
     )
-    for task in (relay, exchange, poller, records, recorder, heartbeats):
+    for task in (
+        relay,
+        exchange,
+        context.quotas,
+        poller,
+        records,
+        recorder,
+        heartbeats,
+    ):
         application.add(task)
     _add_held_parts(application, context, settings, reactor)
     return Peering(peers, relay)
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -23,6 +23,8 @@
 from cicadahoist.serving.deadline import Deadline
 from cicadahoist.serving.inbound import Exchange
 from cicadahoist.serving.open_attempts import OpenAttempts
+from cicadahoist.serving.quota_charge import QuotaCharge
+from cicadahoist.serving.quota_gate import QuotaGate
 from cicadahoist.serving.record_wait import RecordWait
 from cicadahoist.serving.reply import MIN_RETRY_AFTER_MS, Reply
 from cicadahoist.serving.retry_allowance import RetryAllowance
@@ -78,6 +80,7 @@
         '_tried_targets',
         '_urgency',
         '_workspace',
+        'gate',
     )
 
     def __init__(
@@ -120,7 +123,20 @@
             self._reply,
             self._try_take_over,
         )
+        self.gate = QuotaGate(
+            QuotaCharge.from_request(context.quotas, workspace, request),
+            self._reply,
+            self._open_attempts,
+            self._allowance,
+            self._is_awaited,
+            self._refuse,
+        )
         self._has_counted_run = False
+        self._reply.log_fields.update(
+            workspace=self._workspace,
+            service=self._service,
+            targets=self._tried_targets,
+        )
         self._deadline.start(self._expire)
 
     def start(self) -> None:
@@ -128,15 +144,10 @@
         self._context.retries.record_request(
             self._service, self._context.clock.now_ms()
         )
-        self._reply.log_fields.update(
-            workspace=self._workspace,
-            service=self._service,
-            targets=self._tried_targets,
-        )
         if self._crash_watch.is_quarantined:
             self._refuse(Refusal.quarantined, QUARANTINE_RETRY_AFTER_MS)
             return
-        launch(self._serve(), self._fail_on_defect)
+        launch(self._serve(), self.fail_on_defect)
 
     def caller_left(self) -> None:
         """Stop work whose answer no caller awaits, where that is safe."""
@@ -225,6 +236,8 @@
             counts as silent
         :return: the end of the attempt
         """
+        if not await self.gate.prepare(attempt):
+            return AttemptEnd(AttemptOutcome.stopped)
         name = attempt.listing.name
         self._open_attempts.add(attempt)
         self._tried_targets.append(name)
@@ -242,6 +255,7 @@
             partial(self._takeover.react_to_silence, attempt),
         )
         self._open_attempts.remove(attempt)
+        self.gate.settle(attempt, end)
         if end.is_stranded:
             self._excluded_targets.discard(name)
         elif end.is_silent:
@@ -295,7 +309,8 @@
         )
         self._open_attempts.stop_all()
 
-    def _fail_on_defect(self, failure: Any) -> None:
+    def fail_on_defect(self, failure: Any) -> None:
+        """Fail the request after an unexpected error."""
         logger.bind(request=self._request.attempt_id).error(
             'request handling raised an unexpected error: {0}',
             failure.getTraceback(),
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -161,7 +161,8 @@
         # Called with the addresses of the peers of the zone after each list.
         self.on_zone_members: Callable[[dict[str, Address]], None] = _ignore
         self._receiver_by_mark: dict[bytes, Receiver] = {
-            STREAM_MARK: context.streams.receive
+            STREAM_MARK: context.streams.receive,
+            context.quotas.mark: context.quotas.receive,
         }
         context.gossip.on_blame = self._recent_blames.append
         context.gossip.on_prefill_started = self._queue_prefill
@@ -209,9 +210,9 @@
         self.on_zone_members(self._near.addresses)
         self._context.gossip.relays.set_addresses(relays)
         self._context.set_instance_count(len(zone_by_instance))
-        self._context.streams.set_peers(
-            {**self._near.addresses, **self._far.addresses}, zone_by_instance
-        )
+        addresses = {**self._near.addresses, **self._far.addresses}
+        self._context.streams.set_peers(addresses, zone_by_instance)
+        self._context.quotas.connect(self.send_datagram, addresses)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
         """Apply the load report of a peer; drop a datagram that is none."""
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -13,7 +13,6 @@
 from cicadahoist.policy.placement import (
     Placement,
     compute_engine_urgency,
-    estimate_engine_ms,
     estimate_kv_tokens,
 )
 from cicadahoist.reasons import Refusal, Retry
@@ -97,9 +96,6 @@
         # Only a decode engine of this version can use the handle.
         self._handle_version = ''
         self._relay = EventRelay(self._request.resume_after)
-        self._context.demand.record_arrival(
-            estimate_engine_ms(work), self._context.clock.now_ms()
-        )
         self._reply.log_fields.update(
             prompt_tokens=work.prompt_tokens,
             estimate=work.estimated_output_tokens,
@@ -141,7 +137,7 @@
             return False
         if not self._allowance.try_spend_retry():
             return False
-        launch(self._serve_at(choice.placement), self._fail_on_defect)
+        launch(self._serve_at(choice.placement), self.fail_on_defect)
         return True
 
     def _is_awaited(self) -> bool:
--- a/cicadahoist/serving/stream_exchange.py
+++ b/cicadahoist/serving/stream_exchange.py
@@ -13,6 +13,7 @@
 from cicadahoist.policy.stream_origins import Origin, StreamOrigins
 from cicadahoist.policy.stream_versions.stream_terms import StreamTerms
 from cicadahoist.policy.stream_versions.version_record import RecordCopy
+from cicadahoist.rules import Deployment
 from cicadahoist.serving.recorded_versions import RecordedVersions
 from cicadahoist.serving.stream_peers import (
     REPLICA_COUNT,
@@ -119,9 +120,9 @@
         """
         self._peers.replace(address_by_peer, zone_by_instance)
 
-    def apply_terms(self, terms: StreamTerms) -> None:
+    def apply_deployment(self, deployment: Deployment) -> None:
         """Apply the terms of streams of a new configuration."""
-        self.recorded.apply_terms(terms)
+        self.recorded.apply_terms(StreamTerms.from_deployment(deployment))
         self._origins.lifetime_ms = self.recorded.versions.terms.lifetime_ms
 
     def share_record(self, copy: RecordCopy) -> None:
