Wait for the first read of the record before a stream is refused

Cause: right after a kill of all, a stream was refused that came before the answer to the instance's first read, some ms later.

Change: such a request waits for it, 100 ms at most.

--- a/cicadahoist/serving/recorded_versions.py
+++ b/cicadahoist/serving/recorded_versions.py
@@ -95,6 +95,12 @@
         """Return the version of all open streams, none if they may differ."""
         return self.versions.find_only(service, self._clock.now_ms())
 
+    async def wait_for_first(self, timeout_ms: float) -> None:
+        """Wait until the record is known, as it is soon after the start."""
+        due_ms = self._clock.now_ms() + timeout_ms
+        while self.versions.copy is None and self._clock.now_ms() < due_ms:
+            await self.wait_for_change(due_ms - self._clock.now_ms())
+
     async def wait_for_change(self, timeout_ms: float) -> bool:
         """
         Wait until the record changes.
--- a/cicadahoist/serving/stream_exchange.py
+++ b/cicadahoist/serving/stream_exchange.py
@@ -150,6 +150,9 @@
             attempt_id, service
         ):
             return version
+        read_again = self.recorded.read_again
+        if read_again is not None:
+            await self.recorded.wait_for_first(ANSWER_TIMEOUT_MS)
         answers = await self._ask(Question(attempt_id, service))
         for answer in answers:
             if answer.version is not None:
@@ -159,10 +162,10 @@
         inferred = self._infer_version(service, answers)
         if inferred is None or self._is_confirmed(attempt_id, answers):
             return inferred
-        if self.recorded.read_again is None:
+        if read_again is None:
             return inferred
         # The instances that knew the origin may have been killed.
-        has_read = await self.recorded.read_again()
+        has_read = await read_again()
         is_only = self.recorded.find_only(service) == inferred
         return inferred if has_read and is_only else None
 
--- a/tests/test_serving/test_version_recorder.py
+++ b/tests/test_serving/test_version_recorder.py
@@ -9,7 +9,7 @@
 
 from cicadahoist.clock import Clock
 from cicadahoist.serving.version_history import HISTORY_KIND
-from tests.test_serving.streams import send_ask
+from tests.test_serving.streams import send_ask, take_up
 from tests.test_serving.version_fleet import (
     PausedObjects,
     VersionFleet,
@@ -188,6 +188,17 @@
     assert caller.status == 503
 
 
+def test_a_stream_waits_for_the_first_read_of_an_instance():
+    fleet = start(listed=engines('a'))
+    _, first = fleet.begin()
+    fleet.objects.pauses_after.add('page')
+    restarted = fleet.restart('a')
+    world = restarted.instances[0].world
+    assert not take_up(world, first.attempt_id)[1]
+    fleet.objects.release()
+    assert version_of(world.sent[0]) == 'v1'
+
+
 # The copy was made before the second version was recorded.
 @pytest.mark.parametrize('left', ['a', 'b', 'ab'])
 @pytest.mark.parametrize('is_era_noticed', [False, True])
