--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -98,7 +98,7 @@
             settings.usage_due_ms,
         )
         duties.add(usage, USAGE_PERIOD_MS)
-        demand = EngineDemand(self._context, settings.zones)
+        demand = EngineDemand(self._context, settings.zones, peers)
         duties.add(demand, DEMAND_PERIOD_MS)
         duties.add(
             TargetScalingJob(self._context, calls, settings.zones, demand),
--- a/cicadahoist/policy/capacity_plan/load_sample.py
+++ b/cicadahoist/policy/capacity_plan/load_sample.py
@@ -52,6 +52,15 @@
             kv_tokens=kv_tokens,
         )
 
+    def scale(self, factor: float) -> 'LoadSample':
+        """Return the sample as if a multiple of the load were in flight."""
+        return LoadSample(
+            busy_prefill_count=factor * self.busy_prefill_count,
+            prefill_work_ms=factor * self.prefill_work_ms,
+            run_count=factor * self.run_count,
+            kv_tokens=factor * self.kv_tokens,
+        )
+
     @property
     def is_empty(self) -> bool:
         """Whether nothing is in flight."""
--- a/cicadahoist/serving/engine_demand.py
+++ b/cicadahoist/serving/engine_demand.py
@@ -22,9 +22,14 @@
 from cicadahoist.policy.role_plan import EngineView, RoleChange
 from cicadahoist.rules import EngineSizes, OrderLimits
 from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.peers import Peers
 
 logger = get_logger(__name__)
 
+# A holder that hears less than this share of the instances knows too little of
+# the load to order by it.
+MIN_HEARD_SHARE = 0.5
+
 
 class _ServiceDemand(msgspec.Struct):
     """
@@ -50,12 +55,23 @@
 
     :param context: shared parts of the data path
     :param zones: availability zones of the deployment
+    :param peers: the instances that are heard from
     """
 
-    __slots__ = ('_context', '_demand_by_service', '_zones')
+    __slots__ = (
+        '_context',
+        '_demand_by_service',
+        '_is_cut_off',
+        '_peers',
+        '_zones',
+    )
 
-    def __init__(self, context: ServingContext, zones: tuple[str, ...]) -> None:
+    def __init__(
+        self, context: ServingContext, zones: tuple[str, ...], peers: Peers
+    ) -> None:
         self._context = context
+        self._is_cut_off = False
+        self._peers = peers
         self._zones = zones
         self._demand_by_service: dict[str, _ServiceDemand] = {}
 
@@ -71,9 +87,26 @@
         if deployment is None or not self._context.is_large_fleet:
             return
         now_ms = self._context.clock.now_ms()
+        heard_share = self._compute_heard_share(now_ms)
+        self._set_cut_off(is_cut_off=heard_share < MIN_HEARD_SHARE)
+        if self._is_cut_off:
+            return
         for rule in deployment.services_by_name.values():
             if rule.engine is not None:
-                self._get(rule.name).use.record(self._sample(rule.name), now_ms)
+                sample = self._sample(rule.name).scale(1 / heard_share)
+                self._get(rule.name).use.record(sample, now_ms)
+
+    def _compute_heard_share(self, now_ms: int) -> float:
+        """Return the share of the instances whose load is known."""
+        heard_count = 1 + len(self._peers.list_alive(now_ms))
+        return min(1, heard_count / self._context.demand.instance_count)
+
+    def _set_cut_off(self, *, is_cut_off: bool) -> None:
+        if is_cut_off != self._is_cut_off:
+            self._is_cut_off = is_cut_off
+            logger.bind(is_cut_off=is_cut_off).info(
+                'load of most instances known or unknown to the holder'
+            )
 
     def _sample(self, service: str) -> LoadSample:
         fleet = self._context.fleet
@@ -94,7 +127,7 @@
         """Return the role changes to order now."""
         demand = self._get(service)
         wanted = demand.wanted
-        if wanted is None:
+        if wanted is None or self._is_cut_off:
             return []
         max_changing_count = len(engines)
         if not self.is_idle(service):
@@ -135,9 +168,13 @@
         """
         Return the engines to have in each availability zone.
 
+        While most instances are not heard, nothing is to be ordered.
+
         :param fleets: present engines of each zone
         :param lacking_zones: zones without reclaimable engines to order
         """
+        if self._is_cut_off:
+            return []
         demand = self._get(service)
         now_ms = self._context.clock.now_ms()
         wanted = demand.wanted_engines.compute(
--- a/tests/test_serving/test_engine_demand.py
+++ b/tests/test_serving/test_engine_demand.py
@@ -16,6 +16,7 @@
 from cicadahoist.serving.duty_calls import OrderReply
 from cicadahoist.serving.engine_demand import EngineDemand
 from cicadahoist.serving.fleet_orders import RoleChangeJob, TargetScalingJob
+from cicadahoist.serving.peers import Peers
 from tests.coroutines import result_of
 from tests.test_serving.world import World, prompt_headers, target
 
@@ -93,7 +94,9 @@
             zone = ZONES[number % 3]
             self.world.add(engine(f'{zone}-0-{number}', zone))
         self.context.fleet.is_settled = True
-        self.demand = EngineDemand(self.context, ZONES)
+        self.heard_count = instance_count - 1
+        self.peers = Peers('i')
+        self.demand = EngineDemand(self.context, ZONES, self.peers)
         self._scaling = TargetScalingJob(
             self.context, self.platform, ZONES, self.demand
         )
@@ -112,6 +115,8 @@
             fleet.boards.get_board('llm').peer_loads.apply(
                 'peer', PeerLoad(loads if load else {}, now_ms)
             )
+            for number in range(self.heard_count):
+                self.peers.mark_alive(f'i{number}', now_ms)
             result_of(self.demand.run(0, lambda: True, 1))
             if step % 5 == 0:
                 result_of(self._scaling.run(0, lambda: True, 1))
@@ -185,6 +190,15 @@
     assert duties.count(is_cheap=False) <= LIMITS.min_targets
 
 
+def test_a_holder_cut_off_from_most_instances_releases_no_engines(duties):
+    """Guards against a fleet reduced to the load of the few that are heard."""
+    duties.run(20_000, BUSY)
+    count = duties.count(is_cheap=True)
+    duties.heard_count = 5
+    duties.run(60_000)
+    assert duties.count(is_cheap=True) == count
+
+
 def list_closed(duties):
     board = duties.context.fleet.boards.get_board('llm')
     return set(board.list_closures(duties.world.clock.now_ms()))
