--- a/cicadahoist/serving/quota_exchange.py
+++ b/cicadahoist/serving/quota_exchange.py
@@ -56,6 +56,9 @@
         'meters',
     )
 
+    # First byte of its datagrams; no load report begins with it.
+    mark = QUOTA_MARK
+
     def __init__(self, clock: Clock, metrics: Metrics) -> None:
         self._clock = clock
         self._roster = QuotaRoster('', _is_no_peer_alive)
@@ -74,11 +77,6 @@
         self._asks = QuotaAsks(clock, self._roster, self._outbox, self._desk)
         self.meters = QuotaMeters(metrics)
 
-    @property
-    def mark(self) -> bytes:
-        """First byte of its datagrams; no load report begins with it."""
-        return QUOTA_MARK
-
     def join(
         self, instance: str, term: str, is_alive: Callable[[str, int], bool]
     ) -> None:
