Cut single links in the model of quotas, and kill all of 195 instances

Cause: two instances that hear all others, and not each other, are what a share of heard/registered would not have covered. Change: a test of two such homes, a kind of fault in the property, a larger kill.

--- a/tests/test_serving/quota_fleet.py
+++ b/tests/test_serving/quota_fleet.py
@@ -112,6 +112,8 @@
         # Zone that is cut off from the others, and since when.
         self.cut_zone = None
         self.cut_ms = 0
+        # Pairs of instances that do not reach each other, and since when.
+        self.cut_ms_by_pair = {}
         self.quota = quota
         # Time from which a quota may be in force, and the quota.
         self.history = [(0, quota)]
@@ -142,10 +144,11 @@
     def at(self, delay_ms, action, *args):
         self.schedule(delay_ms, None, Timer(lambda: action(*args)))
 
-    def is_cut(self, first, second):
-        return self.cut_zone is not None and (
-            (first.zone == self.cut_zone) != (second.zone == self.cut_zone)
-        )
+    def find_cut_ms(self, first, second):
+        """Return since when two instances do not reach each other, or none."""
+        if (first.zone == self.cut_zone) != (second.zone == self.cut_zone):
+            return self.cut_ms
+        return self.cut_ms_by_pair.get(frozenset((first.name, second.name)))
 
     def bind_alive(self, instance):
         def is_alive(name, now_ms):
@@ -157,8 +160,9 @@
             silent_ms = 0
             if peer.still_ms is not None:
                 silent_ms = now_ms - peer.still_ms
-            if self.is_cut(instance, peer):
-                silent_ms = max(silent_ms, now_ms - self.cut_ms)
+            cut_ms = self.find_cut_ms(instance, peer)
+            if cut_ms is not None:
+                silent_ms = max(silent_ms, now_ms - cut_ms)
             return silent_ms <= PEER_TIMEOUT_MS
 
         return is_alive
@@ -172,7 +176,7 @@
             or self.random.random() < (self.loss)
         ):
             return
-        if not self.is_cut(sender, receiver):
+        if self.find_cut_ms(sender, receiver) is None:
             timer = Timer(
                 lambda: receiver.quotas.receive(datagram, sender.name)
             )
@@ -224,6 +228,11 @@
         self.cut_zone, self.cut_ms = zone, self.now_ms
         self.at(duration_ms, self._heal)
 
+    def cut_link(self, first, second, duration_ms):
+        pair = frozenset((first, second))
+        self.cut_ms_by_pair[pair] = self.now_ms
+        self.at(duration_ms, self.cut_ms_by_pair.pop, pair, None)
+
     def _heal(self):
         self.cut_zone = None
 
--- a/tests/test_serving/test_quota_fleet.py
+++ b/tests/test_serving/test_quota_fleet.py
@@ -11,8 +11,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cicadahoist.policy.quotas.delegations import compute_rank
 from cicadahoist.policy.quotas.limit import QuotaTerms
-from tests.test_serving.quota_fleet import QuotaFleet, token_quota
+from tests.test_serving.quota_fleet import WORKSPACE, QuotaFleet, token_quota
 
 LOWEST = token_quota(29_000)
 HIGHEST = token_quota(1_054_375)
@@ -69,8 +70,9 @@
     assert sum(run.tokens for run in fleet.runs) >= 0.9 * 16 * 29_000
 
 
-def test_all_killed_at_once_and_back_stay_within_the_limit():
-    fleet = QuotaFleet(74, token_quota(200_000), terms=STRICT)
+@pytest.mark.parametrize('size', [74, 195])
+def test_all_killed_at_once_and_back_stay_within_the_limit(size):
+    fleet = QuotaFleet(size, token_quota(200_000), terms=STRICT)
     fleet.run(WARM_UP_MS)
     for name in list(fleet.by_name):
         fleet.at(6000, fleet.restart, name, fleet.random.uniform(300, 2500))
@@ -94,6 +96,20 @@
     assert play(fleet, 24_000) <= 1
 
 
+# Two instances that hear all others, and not each other, are both first in
+# rank as far as they can hear.
+def test_two_homes_that_do_not_hear_each_other_share_the_quota():
+    fleet = QuotaFleet(74, token_quota(200_000), terms=STRICT)
+    fleet.run(WARM_UP_MS)
+    first, second = sorted(
+        fleet.by_name, key=lambda name: compute_rank(WORKSPACE, name)
+    )[:2]
+    fleet.at(3000, fleet.cut_link, first, second, 10_000)
+    assert play(fleet, 20_000, returned=0) <= 1
+    used = sum(run.tokens for run in fleet.runs)
+    assert used >= 0.9 * 200_000 * 20
+
+
 def test_the_highest_quota_holds_while_homes_are_killed():
     fleet = QuotaFleet(24, HIGHEST)
     fleet.run(WARM_UP_MS)
@@ -124,6 +140,9 @@
             fleet.freeze(name, random.uniform(200, 10_000))
         case 'cut':
             fleet.cut(random.choice('abc'), random.uniform(500, 12_000))
+        case 'cut-link':
+            peer = random.choice(sorted(fleet.by_name))
+            fleet.cut_link(name, peer, random.uniform(500, 12_000))
         case 'configure':
             rate = random.choice([29_000, 80_000, 300_000, None])
             fleet.configure(rate and token_quota(rate))
@@ -138,6 +157,7 @@
     'stop',
     'freeze',
     'cut',
+    'cut-link',
     'configure',
     'store',
 ]
