--- /dev/null
+++ b/cicadahoist/policy/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Balanced load from information that is some time old."""
--- a/cicadahoist/policy/engine_board.py
+++ b/cicadahoist/policy/engine_board.py
@@ -228,13 +228,21 @@
         )
 
     def list_available(
-        self, role: str, version: str, now_ms: int
+        self,
+        role: str,
+        version: str,
+        now_ms: int,
+        *,
+        has_backoffs: bool = True,
     ) -> list[EngineState]:
         """
         Return the engines of a role, unhealthy ones only if all are.
 
         :param version: version of their software
+        :param has_backoffs: whether engines that have rejected work are left
+            out for a while
         """
+        backoffs = self.backoffs if has_backoffs else RejectionBackoffs()
         engines = [
             engine
             for engine in self._engines_by_name.values()
@@ -244,7 +252,7 @@
                 engine,
                 self._closure_by_engine.get(engine.name),
                 self._pauses,
-                self.backoffs,
+                backoffs,
                 now_ms,
             )
             <= 0
--- a/cicadahoist/policy/peer_loads.py
+++ b/cicadahoist/policy/peer_loads.py
@@ -55,6 +55,15 @@
         """Return the load of all peers at an engine."""
         return self._total_by_engine.get(engine, _NO_LOAD)
 
+    def compute_age_ms(self, now_ms: int) -> float:
+        """Return the mean time since the loads of peers arrived."""
+        if not self._load_by_peer:
+            return 0
+        received_ms = sum(
+            load.received_ms for load in self._load_by_peer.values()
+        )
+        return max(0, now_ms - received_ms / len(self._load_by_peer))
+
     def drop_expired(self, now_ms: int) -> None:
         """Drop the loads of peers that have sent none for a while."""
         for peer, load in list(self._load_by_peer.items()):
--- a/cicadahoist/policy/placement.py
+++ b/cicadahoist/policy/placement.py
@@ -5,9 +5,13 @@
 over to another one, which decodes.
 """
 
+from collections.abc import Callable
+from functools import partial
+
 import msgspec
 
 from cicadahoist.ids import fast_hash
+from cicadahoist.policy.balancing.engine_sample import EngineSample
 from cicadahoist.policy.engine_board import (
     DECODE,
     DEFAULT_PREFILL_TOKENS_PER_MS,
@@ -17,6 +21,8 @@
 )
 from cicadahoist.requests import ModelWork
 
+Sample = Callable[[list[EngineState]], list[EngineState]]
+
 NONE_TRIED: frozenset[str] = frozenset()
 # For shorter prompts, prefill on the decode engine is faster than a handoff.
 MIN_HANDOFF_TOKENS = 600
@@ -71,12 +77,17 @@
     Chooses engines by the predicted time to the first token.
 
     :param board: engines of the service and their load
+    :param level_sample: draws engines where the slots of the service are few,
+        none where they are not
     """
 
-    __slots__ = ('_board',)
+    __slots__ = ('_board', '_level_sample')
 
-    def __init__(self, board: EngineBoard) -> None:
+    def __init__(
+        self, board: EngineBoard, level_sample: EngineSample | None = None
+    ) -> None:
         self._board = board
+        self._level_sample = level_sample
 
     def place(
         self,
@@ -98,13 +109,14 @@
         :param version: software version at which the request has to run, none
             for any
         """
+        sample = partial(self._sample, sample_key, now_ms)
         versions = self._board.versions if version is None else [version]
         placements = [
             placement
             for version in versions
             if (
                 placement := self._place_at(
-                    version, work, now_ms, tried, sample_key
+                    version, work, now_ms, tried, sample
                 )
             )
         ]
@@ -116,7 +128,7 @@
         work: ModelWork,
         now_ms: int,
         tried: frozenset[str],
-        sample_key: str | None,
+        sample: Sample,
     ) -> Placement | None:
         prefill_engines = self._list_untried(PREFILL, version, now_ms, tried)
         decode_engines = self._list_untried(DECODE, version, now_ms, tried)
@@ -128,11 +140,11 @@
         ]
         if work.prompt_tokens < MIN_HANDOFF_TOKENS:
             return self._place_short(
-                work, stream_engines, other_engines, sample_key
+                work, stream_engines, other_engines, sample
             )
         return self._add_bias(
             self._place_long(
-                work, prefill_engines, decode_engines, other_engines, sample_key
+                work, prefill_engines, decode_engines, other_engines, sample
             )
         )
 
@@ -149,7 +161,7 @@
         prefill_engines: list[EngineState],
         decode_engines: list[EngineState],
         other_engines: list[EngineState],
-        sample_key: str | None,
+        sample: Sample,
     ) -> Placement:
         """
         Place a long prompt, whose answer is usually short.
@@ -157,20 +169,14 @@
         :param other_engines: decode engines outside the stream engines
         """
         if not prefill_engines:
-            return self._place_unsplit(
-                work, self._sample(decode_engines, sample_key)
-            )
-        sample = self._add_cache_holders(
-            work, self._sample(prefill_engines, sample_key), prefill_engines
-        )
-        split = self._place_split(
-            work, sample, self._sample(decode_engines, sample_key)
+            return self._place_unsplit(work, sample(decode_engines))
+        compared = self._add_cache_holders(
+            work, sample(prefill_engines), prefill_engines
         )
+        split = self._place_split(work, compared, sample(decode_engines))
         if not other_engines:
             return split
-        unsplit = self._place_unsplit(
-            work, self._sample(other_engines, sample_key)
-        )
+        unsplit = self._place_unsplit(work, sample(other_engines))
         if (
             split.first_token_ms
             <= unsplit.first_token_ms + MIN_DECODE_ONLY_GAIN_MS
@@ -182,6 +188,13 @@
         self, role: str, version: str, now_ms: int, tried: frozenset[str]
     ) -> list[EngineState]:
         engines = self._board.list_available(role, version, now_ms)
+        untried = [engine for engine in engines if engine.name not in tried]
+        if untried or self._level_sample is None:
+            return untried
+        # A rejection says that the slots were taken then; some are free soon.
+        engines = self._board.list_available(
+            role, version, now_ms, has_backoffs=False
+        )
         return [engine for engine in engines if engine.name not in tried]
 
     def _place_short(
@@ -189,7 +202,7 @@
         work: ModelWork,
         stream_engines: list[EngineState],
         other_engines: list[EngineState],
-        sample_key: str | None,
+        sample: Sample,
     ) -> Placement:
         """Place a short prompt, whose answer is usually a long stream."""
         free_engines = self._filter_free(stream_engines)
@@ -197,7 +210,7 @@
             # Streams hold their slots for seconds, so a request that waits for
             # one is late.
             free_engines = self._filter_free(other_engines) or stream_engines
-        return self._place_unsplit(work, self._sample(free_engines, sample_key))
+        return self._place_unsplit(work, sample(free_engines))
 
     def _filter_free(self, engines: list[EngineState]) -> list[EngineState]:
         return [
@@ -207,11 +220,18 @@
         ]
 
     def _sample(
-        self, engines: list[EngineState], sample_key: str | None
+        self, sample_key: str | None, now_ms: int, engines: list[EngineState]
     ) -> list[EngineState]:
-        """Return a sample of engines, most of them in the own zone."""
+        """
+        Return a sample of engines, most of them in the own zone.
+
+        Where slots are few, it is one engine, drawn by shares that level the
+        load.
+        """
         if sample_key is None:
             return engines
+        if self._level_sample is not None:
+            return [self._level_sample.draw(engines, sample_key, now_ms)]
         ranked = sorted(
             engines, key=lambda engine: fast_hash(sample_key + engine.name)
         )
