Engines and plain targets with few slots are asked for at the home

Plain targets count only own attempts, which with 70 instances and a request a second each is a random choice.

Change: in large fleets, services with fewer slots than [balancing] scarce_places for each instance (2.0, 0 is off) have a home by rendezvous hashing over the instances that are heard. Open attempts at such plain targets enter the load reports; prefills there count as slots.

--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -31,7 +31,7 @@
 from cicadahoist.serving.relay_server import RelayServer
 from cicadahoist.serving.server import EXIT_MARGIN_MS
 from cicadahoist.serving.version_history import HISTORY_KIND, apply_history
-from cicadahoist.settings import LARGE_FLEET
+from cicadahoist.settings import LARGE_FLEET, SCARCE_PLACES
 
 # New instances affect only shares and loads, so cheap lists that may be seconds
 # old are enough to find them.
@@ -76,6 +76,9 @@
     :return: what other tasks need of them
     """
     context.gossip.set_large_from(application.config.read(LARGE_FLEET))
+    context.fleet.balances.set_slots_per_instance(
+        application.config.read(SCARCE_PLACES)
+    )
     peers = Peers(settings.instance)
     record = PeerRecord(
         settings.host,
--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -226,6 +226,54 @@
         operator_remedy='see the load of these targets; add some if it goes on',
     )
 )
+SLOTS_GRANTED = METRICS.declare(
+    MetricSpec(
+        'balance_granted',
+        'Slots that the home of a service has granted to this instance.',
+        operator_remedy='none',
+    )
+)
+SLOTS_CHOSEN_ALONE = METRICS.declare(
+    MetricSpec(
+        'balance_chosen_alone',
+        'Targets with few slots that this instance chose by load reports, as '
+        'no home answered.',
+        operator_remedy='see whether the home that the log names runs, and '
+        'whether it has the processor time to answer',
+    )
+)
+SLOTS_REFUSED = METRICS.declare(
+    MetricSpec(
+        'balance_refused',
+        'Requests refused as all slots were taken for too long.',
+        operator_remedy='add targets to the service if this goes on',
+    )
+)
+SLOTS_WAIT = METRICS.declare(
+    MetricSpec(
+        'balance_wait',
+        'Time from asking for a slot until the answer.',
+        operator_remedy='some ms are the round trip to the home; if more, add '
+        'targets',
+        unit='ms',
+    )
+)
+LOAD_AGE = METRICS.declare(
+    MetricSpec(
+        'balance_load_age',
+        'Age of the load reports at choices without a home.',
+        operator_remedy='see whether the peers send load reports',
+        unit='ms',
+    )
+)
+TARGET_REJECTIONS = METRICS.declare(
+    MetricSpec(
+        'balance_rejections',
+        'Requests that targets have rejected as not run, by target.',
+        operator_remedy='if one target rejects many, see its load; if all do, '
+        'add targets',
+    )
+)
 RELAYS_USED = METRICS.declare(
     MetricSpec(
         'relay_used',
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -139,6 +139,13 @@
         'come back after Retry-After',
         'see whether the pool has targets that are up and not draining',
     )
+    slots_taken = RefusalSpec(
+        503,
+        Outcome.not_run,
+        'come back after Retry-After',
+        'add targets: all slots of the service are taken for longer than the '
+        'callers wait',
+    )
     targets_paused = RefusalSpec(
         503,
         Outcome.not_run,
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -13,6 +13,7 @@
 from cicadahoist.policy.true_time import TrueTime
 from cicadahoist.rules import CallerLimits, Deployment
 from cicadahoist.serving.attempt import Dialect
+from cicadahoist.serving.balances import Balances
 from cicadahoist.serving.engine_boards import EngineBoards
 from cicadahoist.serving.gossip import Gossip
 from cicadahoist.serving.meters import Meters
@@ -48,6 +49,7 @@
     __slots__ = (
         '_clock',
         'answer_watch',
+        'balances',
         'boards',
         'connections',
         'directory',
@@ -72,15 +74,24 @@
         self.part_watch = part_watch
         self.target_crashes = target_crashes
         self.directory = TargetDirectory()
+        self.balances = Balances(self.directory, clock)
         self.connections = connections
         self.paths = connections.paths
         self.answer_watch = AnswerWatch()
         self.notices = TargetNotices(self.directory, clock, metrics)
         self.boards = EngineBoards(
-            self.directory, self.answer_watch, zone, self.notices.pauses
+            self.directory,
+            self.answer_watch,
+            zone,
+            self.notices.pauses,
+            self.balances,
         )
         self.plain_targets = PlainTargets(
-            self.directory, self.answer_watch, zone, self.notices.pauses
+            self.directory,
+            self.answer_watch,
+            zone,
+            self.notices.pauses,
+            self.balances,
         )
         # Whether orders to targets may be based on the list of targets.
         self.is_settled = False
@@ -107,6 +118,7 @@
         names = {listing.name for listing in self.directory.list_all()}
         self.connections.retain(names)
         self.answer_watch.retain(names)
+        self.balances.sync()
         self.plain_targets.sync()
         self.boards.sync()
 
@@ -231,3 +243,4 @@
         self.demand.instance_count = count
         self.retries.instance_count = count
         self.gossip.set_instance_count(count)
+        self.fleet.balances.set_fleet(count, is_large=self.is_large_fleet)
--- a/cicadahoist/serving/engine_boards.py
+++ b/cicadahoist/serving/engine_boards.py
@@ -2,10 +2,12 @@
 
 from cicadahoist.listings import TargetDirectory
 from cicadahoist.policy.answer_watch import AnswerWatch
+from cicadahoist.policy.balancing.engine_sample import EngineSample
 from cicadahoist.policy.engine_board import EngineBoard, EngineState
 from cicadahoist.policy.placement import Placer
 from cicadahoist.policy.target_pauses import TargetPauses
 from cicadahoist.rules import Deployment
+from cicadahoist.serving.balances import Balances
 
 
 class EngineBoards:
@@ -16,10 +18,12 @@
     :param answers: records which targets are silent
     :param zone: availability zone of this instance
     :param pauses: targets that want no requests for a while
+    :param balances: services with few slots
     """
 
     __slots__ = (
         '_answers',
+        '_balances',
         '_board_by_service',
         '_deployment',
         '_directory',
@@ -33,7 +37,9 @@
         answers: AnswerWatch,
         zone: str,
         pauses: TargetPauses,
+        balances: Balances,
     ) -> None:
+        self._balances = balances
         self._directory = directory
         self._answers = answers
         self._zone = zone
@@ -57,7 +63,12 @@
 
     def get_placer(self, service: str) -> Placer:
         """Return a placer of requests on the engines of a service."""
-        return Placer(self.get_board(service))
+        board = self.get_board(service)
+        if not self._balances.is_scarce(service):
+            return Placer(board)
+        return Placer(
+            board, EngineSample(board, service, self._balances.hold_times)
+        )
 
     def list_boards(self) -> list[EngineBoard]:
         """Return the boards of all services in use."""
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -24,6 +24,7 @@
 from cicadahoist.serving.inbound import Exchange
 from cicadahoist.serving.open_attempts import OpenAttempts
 from cicadahoist.serving.reply import MIN_RETRY_AFTER_MS, Reply
+from cicadahoist.serving.request_slots import RequestSlots
 from cicadahoist.serving.retry_allowance import RetryAllowance
 from cicadahoist.serving.stream_binding import StreamBinding
 from cicadahoist.serving.takeover import Takeover
@@ -72,6 +73,7 @@
         '_request',
         '_route',
         '_service',
+        '_slots',
         '_takeover',
         '_tried_targets',
         '_urgency',
@@ -108,6 +110,14 @@
         self._allowance = RetryAllowance(
             context, route, self._service, self._deadline
         )
+        self._slots = RequestSlots(
+            context,
+            self._service,
+            route,
+            self._deadline,
+            self._is_awaited,
+            self._refuse,
+        )
         self._takeover = Takeover(
             context,
             self._open_attempts,
@@ -244,6 +254,8 @@
         if attempt.is_sent and end.outcome is AttemptOutcome.lost:
             self._crash_watch.record_loss(name, end)
         self._allowance.record_end(attempt, end)
+        if end.head and end.head.meaning is AnswerMeaning.not_run:
+            self._context.meters.balance.count_rejection(name)
         if end.outcome is not AttemptOutcome.answered:
             self._reply.log_attempt(name, end)
         elif end.ending is not None:
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -159,6 +159,9 @@
         context.gossip.on_blame = self._recent_blames.append
         context.gossip.on_prefill_started = self._queue_prefill
         context.streams.send = self._send_datagram
+        context.fleet.balances.slots.start(
+            instance, peers.list_alive, self._send_datagram
+        )
         context.fleet.notices.on_departure = self._announce
 
     async def start(self) -> None:
@@ -197,15 +200,17 @@
                     relays[stored.name] = _get_relay_address(peer)
         self._context.gossip.relays.set_addresses(relays)
         self._context.set_instance_count(len(zone_by_instance))
-        self._context.streams.set_peers(
-            {**self._near.addresses, **self._far.addresses}, zone_by_instance
-        )
+        addresses = {**self._near.addresses, **self._far.addresses}
+        self._context.streams.set_peers(addresses, zone_by_instance)
+        self._context.fleet.balances.slots.set_peers(addresses)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
         """Apply the load report of a peer; drop a datagram that is none."""
         if datagram.startswith(STREAM_MARK):
             self._context.streams.receive(datagram, addr)
             return
+        if self._context.fleet.balances.receive(datagram):
+            return
         try:
             load = _codec.decode(datagram)
         except WireError as error:
@@ -225,7 +230,12 @@
         if load.part_news is not None:
             self._context.fleet.part_watch.apply_news(load.part_news)
         self._context.fleet.notices.apply_peer_departures(load.departures)
-        for board in self._context.fleet.boards.list_boards():
+        self._apply_loads(load, now_ms)
+
+    def _apply_loads(self, load: LoadMessage, now_ms: int) -> None:
+        fleet = self._context.fleet
+        fleet.balances.apply_peer_load(load.sender, load.by_engine, now_ms)
+        for board in fleet.boards.list_boards():
             _apply_load(board, load, now_ms)
 
     def _decode_peer(self, stored: StoredObject) -> PeerRecord | None:
@@ -291,7 +301,8 @@
         )
 
     def _collect_load(self, now_ms: int) -> LoadMessage:
-        by_engine: dict[str, InFlightLoad] = {}
+        self._context.fleet.balances.peer_loads.drop_expired(now_ms)
+        by_engine = self._context.fleet.plain_targets.snapshot_own_load()
         closed_by_engine: dict[str, RoleClosure] = {}
         backoff_ms_by_engine: dict[str, int] = {}
         for board in self._context.fleet.boards.list_boards():
--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -15,6 +15,7 @@
     Metrics,
 )
 from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.serving.balance_meters import BalanceMeters
 from cicadahoist.serving.relay_meters import RelayMeters
 
 
@@ -38,6 +39,7 @@
         '_metrics',
         '_read_wait',
         '_silent_kept',
+        'balance',
         'relays',
     )
 
@@ -54,6 +56,7 @@
         self._load_bytes = metrics.counter(LOAD_BYTES)
         self._read_wait = metrics.histogram(READ_WAIT)
         self._silent_kept = metrics.counter(SILENT_KEPT)
+        self.balance = BalanceMeters(metrics)
         self.relays = RelayMeters(metrics)
 
     def count_answer(self) -> None:
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -32,6 +32,7 @@
 )
 from cicadahoist.serving.engine_choice import Choice, EngineChoice
 from cicadahoist.serving.engine_feedback import EngineFeedback
+from cicadahoist.serving.engine_slots import EngineGrant, EngineSlots
 from cicadahoist.serving.event_relay import EventRelay
 from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.flow import (
@@ -61,6 +62,7 @@
 
     __slots__ = (
         '_choice',
+        '_engine_slots',
         '_feedback',
         '_free_cache',
         '_handle',
@@ -86,6 +88,9 @@
         self._feedback = EngineFeedback(
             self._context, self._request, self._service, work
         )
+        self._engine_slots = EngineSlots(
+            self._context, self._service, work, self._slots
+        )
         self._free_cache = free_cache
         self._handle: Handle | None = None
         # Only a decode engine of this version can use the handle.
@@ -113,10 +118,21 @@
             is_ready = True
             engine = None if self._handle else placement.prefill_engine
             if engine and self._allowance.try_spend_prefill():
-                goes_on = await self._prefill(placement, engine)
+                goes_on = await self._prefill(
+                    await self._engine_slots.ask_for_prefill(
+                        placement, self._open_attempts, self._excluded_targets
+                    )
+                )
                 is_ready = self._handle is not None
             if goes_on and is_ready and self._is_awaited():
-                goes_on = await self._generate(placement)
+                goes_on = await self._generate(
+                    await self._engine_slots.ask_for_run(
+                        placement,
+                        self._open_attempts,
+                        self._excluded_targets,
+                        is_prefilled=self._handle is not None,
+                    )
+                )
             placement = self._place() if goes_on else None
         if self._reply.is_over:
             self._free_unused_cache()
@@ -187,14 +203,17 @@
             return None
         return placement
 
-    async def _prefill(self, placement: Placement, engine_name: str) -> bool:
+    async def _prefill(self, grant: EngineGrant) -> bool:
         """
         Prefill the prompt at an engine, which keeps the KV cache.
 
         :return: false if another attempt decides how the request goes on
         """
-        engine_and_listing = self._choice.find_engine(engine_name)
+        if not self._slots.may_send(grant.slot):
+            return True
+        engine_and_listing = self._choice.find_engine(grant.slot.target)
         if engine_and_listing is None:
+            self._slots.end(grant.slot, None)
             return True
         has_older_run = self._open_attempts.has_sent_run
         engine, listing = engine_and_listing
@@ -205,14 +224,12 @@
             self._make_options(listing.name, prefill_only=True),
         )
         started_ms = self._context.clock.now_ms()
-        engine.own_load.prefill_tokens += placement.prefill_tokens
         self._feedback.record_prefill(engine)
-        try:
+        with self._engine_slots.hold_prefill(engine, grant):
             end = await self._run_attempt(
-                attempt, compute_silence_bound_ms(placement.prefill_ms)
+                attempt, compute_silence_bound_ms(grant.placement.prefill_ms)
             )
-        finally:
-            engine.own_load.prefill_tokens -= placement.prefill_tokens
+        self._slots.end(grant.slot, end)
         took_ms = self._context.clock.now_ms() - started_ms
         handle = self._parse_handle(engine, end, listing.address)
         self._feedback.record_admission(engine, end)
@@ -227,7 +244,9 @@
         self._allowance.record_prefill()
         self._reply.log_fields['read_ms'] = took_ms
         engine.observe_prefill(
-            placement.prefill_ms, took_ms, placement.prefill_slowness
+            grant.placement.prefill_ms,
+            took_ms,
+            grant.placement.prefill_slowness,
         )
         if not self._open_attempts.has_sent_run:
             self._open_attempts.stop_all()
@@ -270,21 +289,24 @@
         else:
             self._refuse(Refusal.limit_reached, BUSY_RETRY_AFTER_MS)
 
-    async def _generate(self, placement: Placement) -> bool:
+    async def _generate(self, grant: EngineGrant) -> bool:
         """
         Run the request at an engine, from the KV cache if there is one.
 
         :return: false if another attempt decides how the request goes on
         """
-        engine_and_listing = self._choice.find_engine(placement.decode_engine)
+        if not self._slots.may_send(grant.slot):
+            return True
+        engine_and_listing = self._choice.find_engine(grant.slot.target)
         if engine_and_listing is None:
+            self._slots.end(grant.slot, None)
             return True
         engine, listing = engine_and_listing
         handle = self._handle
         self._handle = None
         run_load = _RunLoad(
             engine,
-            0 if handle else placement.prefill_tokens,
+            0 if handle else grant.placement.prefill_tokens,
             estimate_kv_tokens(self._work),
         )
         if handle is None:
@@ -296,16 +318,18 @@
             listing,
             self._make_options(listing.name, handle=handle),
             run_watch.watch(
-                self._make_piece_handler(run_load, placement, engine)
+                self._make_piece_handler(run_load, grant.placement, engine)
             ),
             EventStream.from_route(self._route),
         )
         try:
             end = await self._run_attempt(
-                attempt, compute_silence_bound_ms(placement.first_token_ms)
+                attempt,
+                compute_silence_bound_ms(grant.placement.first_token_ms),
             )
         finally:
             run_load.end()
+        self._slots.end(grant.slot, end)
         if handle is not None and not attempt.is_sent:
             self._handle = handle
         self._prompt_watch.record_end(run_watch, end)
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -16,6 +16,7 @@
     is_final,
     launch,
 )
+from cicadahoist.serving.request_slots import SlotGrant
 
 # A request takes some 100 ms, so that a busy service has a free slot again
 # within this time.
@@ -37,13 +38,44 @@
     async def _serve_at(self, listing: Listing | None) -> None:
         """Send attempts, the first one to a chosen target."""
         while listing is not None:
+            grant = await self._ask_slot(listing)
+            if not self._slots.may_send(grant):
+                return
+            listing = self._find_granted(grant) or listing
             sent_ms = self._context.true_time.now_ms()
             end = await self._send_to(listing)
+            self._slots.end(grant, end)
             if end.outcome in {AttemptOutcome.answered, AttemptOutcome.lost}:
                 self._count_run(sent_ms)
             goes_on = self._process_end(listing, end)
             listing = self._place() if goes_on else None
 
+    async def _ask_slot(self, listing: Listing) -> SlotGrant:
+        """
+        Ask for a slot where they are few.
+
+        An attempt beside a silent one goes where it was decided.
+        """
+        if self._open_attempts or not self._slots.is_needed:
+            return SlotGrant(listing.name)
+        return await self._slots.ask(
+            self._service,
+            listing.name,
+            self._context.fleet.plain_targets.list_candidates(
+                self._service,
+                frozenset(self._excluded_targets),
+                self._context.clock.now_ms(),
+                self._binding.version,
+            ),
+            self._context.fleet.balances.hold_times.get_hold_ms(self._service),
+        )
+
+    def _find_granted(self, grant: SlotGrant) -> Listing | None:
+        """Return the target of a grant, none if it takes no new work now."""
+        listings = self._context.fleet.directory.list_usable(self._service)
+        by_name = {listing.name: listing for listing in listings}
+        return by_name.get(grant.target)
+
     def _place(self) -> Listing | None:
         """Return where to run, none if the request is over or is refused."""
         if not self._is_awaited():
--- a/cicadahoist/serving/plain_targets.py
+++ b/cicadahoist/serving/plain_targets.py
@@ -3,12 +3,17 @@
 from cicadahoist.ids import fast_hash
 from cicadahoist.listings import Listing, TargetDirectory
 from cicadahoist.policy.answer_watch import AnswerWatch
+from cicadahoist.policy.balancing.slot_messages import Candidate
 from cicadahoist.policy.failure_share import FailureShare
 from cicadahoist.policy.health import TargetHealth
+from cicadahoist.policy.peer_loads import InFlightLoad
 from cicadahoist.policy.target_pauses import TargetLife, TargetPauses
+from cicadahoist.serving.balances import Balances
 
 # Open attempts by which others must be busier before a failing target is used.
 FAILING_PENALTY_COUNT = 4
+# Where a home grants the slots, each open request counts as this long.
+REQUEST_COST_MS = 30
 
 
 class PlainTargets:
@@ -19,10 +24,12 @@
     :param answer_watch: reports which targets are silent
     :param zone: availability zone of this instance
     :param pauses: targets that want no requests for a while
+    :param balances: services with few slots
     """
 
     __slots__ = (
         '_answer_watch',
+        '_balances',
         '_directory',
         '_failures_by_target',
         '_health_by_target',
@@ -38,7 +45,9 @@
         answer_watch: AnswerWatch,
         zone: str,
         pauses: TargetPauses,
+        balances: Balances,
     ) -> None:
+        self._balances = balances
         self._directory = directory
         self._answer_watch = answer_watch
         self._started_ms_by_target: dict[str, int] = {}
@@ -69,15 +78,15 @@
         :param now_ms: time of the process clock
         :param version: software version of the target, none for any
         """
-        candidates = [
-            listing
-            for listing in self._directory.list_usable(service)
-            if listing.name not in tried
-            and version in {None, listing.version}
-            and not self._pauses.is_paused(_get_life(listing), now_ms)
-        ]
+        candidates = self._list_untried(service, tried, now_ms, version)
         if not candidates:
             return None
+        if self._balances.is_scarce(service):
+            sound = self._filter_sound(candidates, now_ms)
+            own_counts = [
+                self._count_open(listing.name, now_ms) for listing in sound
+            ]
+            return self._balances.draw(sound, own_counts, request_id, now_ms)
         return min(
             candidates,
             key=lambda listing: (
@@ -89,6 +98,29 @@
             ),
         )
 
+    def list_candidates(
+        self,
+        service: str,
+        tried: frozenset[str],
+        now_ms: int,
+        version: str | None = None,
+    ) -> tuple[Candidate, ...]:
+        """
+        Return the targets among which a home of the service may choose.
+
+        :param tried: targets that are excluded
+        :param version: software version of the target, none for any
+        """
+        listings = self._list_untried(service, tried, now_ms, version)
+        return tuple(
+            Candidate(
+                listing.name,
+                listing.slots,
+                REQUEST_COST_MS * (1 + self._get_penalty(listing.name, now_ms)),
+            )
+            for listing in self._filter_sound(listings, now_ms)
+        )
+
     def compute_pause_ms(self, service: str, now_ms: int) -> int | None:
         """
         Return the time until the first target takes requests again.
@@ -123,10 +155,39 @@
     def _count_open(self, target: str, now_ms: int) -> int:
         """Return the open attempts, more of them for a failing target."""
         open_count = self._open_count_by_target.get(target, 0)
+        return open_count + self._get_penalty(target, now_ms)
+
+    def _get_penalty(self, target: str, now_ms: int) -> int:
         failures = self._failures_by_target.get(target)
         if failures is not None and failures.is_failing(now_ms):
-            return open_count + FAILING_PENALTY_COUNT
-        return open_count
+            return FAILING_PENALTY_COUNT
+        return 0
+
+    def _list_untried(
+        self,
+        service: str,
+        tried: frozenset[str],
+        now_ms: int,
+        version: str | None,
+    ) -> list[Listing]:
+        return [
+            listing
+            for listing in self._directory.list_usable(service)
+            if listing.name not in tried
+            and version in {None, listing.version}
+            and not self._pauses.is_paused(_get_life(listing), now_ms)
+        ]
+
+    def _filter_sound(
+        self, listings: list[Listing], now_ms: int
+    ) -> list[Listing]:
+        """Return the sound targets, all if none is sound."""
+        sound = [
+            listing
+            for listing in listings
+            if self.is_sound(listing.name, now_ms)
+        ]
+        return sound or listings
 
     def end_ejection(self, target: str) -> None:
         """End the ejection of a target that has not failed itself."""
@@ -148,6 +209,15 @@
         else:
             self._open_count_by_target.pop(target, None)
 
+    def snapshot_own_load(self) -> dict[str, InFlightLoad]:
+        """Return the open attempts at targets of services with few slots."""
+        loads: dict[str, InFlightLoad] = {}
+        for target, open_count in self._open_count_by_target.items():
+            listing = self._directory.get(target)
+            if listing and self._balances.is_scarce(listing.service):
+                loads[target] = InFlightLoad(run_count=open_count)
+        return loads
+
     def sync(self) -> None:
         """Discard the health of targets that were removed or restarted."""
         started_ms_by_target = {
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -425,6 +425,18 @@
     )
 )
 
+SCARCE_PLACES = _declare(
+    Option(
+        'balancing',
+        'scarce_places',
+        2.0,
+        unit='slots',
+        lowest=0,
+        summary='In a large fleet, the slots of a service are granted by one'
+        ' instance if there are fewer of them for each instance; 0 for never.',
+    )
+)
+
 SETTINGS.declare_order(HEARTBEAT_PERIOD, PEER_TIMEOUT)
 SETTINGS.declare_order(LEASE_MARGIN, LEASE_TERM)
 SETTINGS.declare_order(ORDER_BOUND, LEASE_TERM)
