--- a/cicadahoist/policy/balancing/home_rank.py
+++ b/cicadahoist/policy/balancing/home_rank.py
@@ -9,8 +9,9 @@
 MAX_DOUBLINGS = 5
 # The choice is kept for this long, as ranking all instances takes a while.
 KEEP_MS = 250
-# A question is sent this soon after it was asked.
-ASK_DELAY_MS = 1
+# A home that was chosen later than this cannot have been asked what got no
+# answer.
+MIN_ASKED_MS = 20
 
 
 class HomeRank:
@@ -52,15 +53,14 @@
         home, _, _ = self._chosen_by_service.get(service, _NO_CHOICE)
         self._row_by_instance.pop(home, None)
 
-    def record_silence(self, service: str, asked_ms: int, now_ms: int) -> str:
+    def record_silence(self, service: str, now_ms: int) -> str:
         """
-        Pass over the home of a service, unless another one was asked.
+        Pass over the home of a service, unless it was chosen just now.
 
-        :param asked_ms: when the question was sent that got no answer
         :return: name of the home that is passed over, empty for none
         """
         home, _, since_ms = self._chosen_by_service.get(service, _NO_CHOICE)
-        if not home or since_ms > asked_ms + ASK_DELAY_MS:
+        if not home or now_ms - since_ms < MIN_ASKED_MS:
             return ''
         self._chosen_by_service.pop(service)
         row, _ = self._row_by_instance.get(home, (0, 0))
--- a/cicadahoist/policy/balancing/slot_messages.py
+++ b/cicadahoist/policy/balancing/slot_messages.py
@@ -57,6 +57,8 @@
     :param holdings: all wishes that are not over, those of ``asks`` included
     :param accepted: targets that have run requests since the last message
     :param rejected: targets that have rejected some since then
+    :param is_repeat: whether the home is to answer also if it grants nothing,
+        which shows that it is there
     """
 
     sender: str
@@ -66,6 +68,7 @@
     holdings: tuple[Holding, ...] = ()
     accepted: tuple[str, ...] = ()
     rejected: tuple[str, ...] = ()
+    is_repeat: bool = False
 
 
 class SlotAnswer(msgspec.Struct, frozen=True, array_like=True):
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -308,6 +308,7 @@
             failure.getTraceback(),
         )
         self._open_attempts.stop_all()
+        self._slots.end_all()
         self._reply.fail(HTTP_BAD_GATEWAY, Refusal.internal_error)
 
 
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -41,7 +41,10 @@
             grant = await self._ask_slot(listing)
             if not self._slots.may_send(grant):
                 return
-            listing = self._find_granted(grant) or listing
+            listing = self._find_granted(grant)
+            if listing is None:
+                self._slots.end(grant, None)
+                return
             sent_ms = self._context.true_time.now_ms()
             end = await self._send_to(listing)
             self._slots.end(grant, end)
@@ -71,10 +74,14 @@
         )
 
     def _find_granted(self, grant: SlotGrant) -> Listing | None:
-        """Return the target of a grant, none if it takes no new work now."""
+        """
+        Return the target of a grant, or another one if it has begun to leave.
+
+        :return: none if there is no other one
+        """
         listings = self._context.fleet.directory.list_usable(self._service)
         by_name = {listing.name: listing for listing in listings}
-        return by_name.get(grant.target)
+        return by_name.get(grant.target) or self._place()
 
     def _place(self) -> Listing | None:
         """Return where to run, none if the request is over or is refused."""
--- a/cicadahoist/serving/request_slots.py
+++ b/cicadahoist/serving/request_slots.py
@@ -48,6 +48,7 @@
         '_context',
         '_deadline',
         '_is_awaited',
+        '_open_grants',
         '_refuse',
         '_route',
         '_service',
@@ -63,6 +64,7 @@
         refuse: Callable[[Refusal, int], None],
     ) -> None:
         self._is_awaited = is_awaited
+        self._open_grants: list[SlotGrant] = []
         self._refuse = refuse
         self._context = context
         self._service = service
@@ -91,7 +93,8 @@
         """
         if not candidates:
             return SlotGrant(chosen)
-        slots = self._context.fleet.balances.slots
+        balances = self._context.fleet.balances
+        slots = balances.slots
         patience_ms = compute_patience_ms(
             self._deadline.remaining_ms,
             self._route.timeout_ms,
@@ -107,12 +110,18 @@
         self._context.meters.balance.record_choice(
             wish.state, now_ms - wish.asked_ms
         )
+        if wish.state is WishState.unknown:
+            self._context.meters.balance.record_load_age(
+                balances.peer_loads.compute_age_ms(now_ms)
+            )
         if wish.state is WishState.refused:
             slots.end(self._service, wish, is_rejected=None)
             return SlotGrant(chosen, retry_after_ms=wish.retry_after_ms)
         target = wish.target or chosen
         slots.take(self._service, wish, target)
-        return SlotGrant(target, wish, granted_ms=now_ms)
+        grant = SlotGrant(target, wish, granted_ms=now_ms)
+        self._open_grants.append(grant)
+        return grant
 
     def may_send(self, grant: SlotGrant) -> bool:
         """
@@ -133,8 +142,9 @@
 
         :param end: the end of the attempt, none if there was none
         """
-        if grant.wish is None:
+        if grant.wish is None or grant not in self._open_grants:
             return
+        self._open_grants.remove(grant)
         balances = self._context.fleet.balances
         if end is not None and end.outcome is AttemptOutcome.answered:
             balances.hold_times.record(
@@ -145,6 +155,11 @@
             self._service, grant.wish, is_rejected=_read_rejection(end)
         )
 
+    def end_all(self) -> None:
+        """State that all slots of the request are free."""
+        for grant in tuple(self._open_grants):
+            self.end(grant, None)
+
 
 def _read_rejection(end: AttemptEnd | None) -> bool | None:
     """Return whether a target has rejected an attempt, none if unknown."""
--- a/cicadahoist/serving/slot_exchange.py
+++ b/cicadahoist/serving/slot_exchange.py
@@ -9,7 +9,7 @@
 from cicadahoist.codec import Codec
 from cicadahoist.errors import WireError
 from cicadahoist.log import get_logger
-from cicadahoist.policy.balancing.home_rank import ASK_DELAY_MS, HomeRank
+from cicadahoist.policy.balancing.home_rank import HomeRank
 from cicadahoist.policy.balancing.slot_home import SlotHome
 from cicadahoist.policy.balancing.slot_messages import (
     Candidate,
@@ -23,7 +23,7 @@
 # First byte of these datagrams; no load report begins with it.
 SLOT_MARK = b'G'
 # Wishes of the same moment share a datagram.
-GATHER_MS = ASK_DELAY_MS
+GATHER_MS = 1
 # The home is 0.4 to 4 ms away; a busy one takes longer to read.
 ANSWER_TIMEOUT_MS = 40
 # Wishes that are not over are stated this often, as datagrams may be lost.
@@ -53,6 +53,7 @@
     __slots__ = (
         '_address_by_peer',
         '_clock',
+        '_heard_ms_by_service',
         '_home_by_service',
         '_instance',
         '_list_alive',
@@ -67,6 +68,8 @@
     def __init__(self, clock: Clock) -> None:
         self._address_by_peer: dict[str, Address] = {}
         self._clock = clock
+        # When the home of a service was last heard.
+        self._heard_ms_by_service: dict[str, int] = {}
         self._home_by_service: dict[str, SlotHome] = {}
         self._rank = HomeRank()
         self._repeat_timer: Timer | None = None
@@ -123,7 +126,11 @@
         )
         self._schedule(service)
         self._clock.call_later(
-            GATHER_MS + ANSWER_TIMEOUT_MS, self._check_heard, service, wish
+            GATHER_MS + ANSWER_TIMEOUT_MS,
+            self._check_home,
+            service,
+            now_ms,
+            wish,
         )
         if self._repeat_timer is None:
             self._repeat_timer = self._clock.call_later(REPEAT_MS, self._repeat)
@@ -154,9 +161,10 @@
         except WireError as error:
             logger.info('{0}', error)
             return
-        if decoded.message is not None:
+        if decoded.message is None:
+            self._apply_answers(decoded.service, decoded.answers)
+        else:
             self._act_as_home(decoded.message)
-        self._apply_answers(decoded.service, decoded.answers)
 
     def _schedule(self, service: str) -> None:
         """Send the wishes at a service soon."""
@@ -174,12 +182,18 @@
             if wishes.has_open
         ]
         for service in open_services:
-            self._schedule(service)
+            self._send_wishes(service, is_repeat=True)
+            self._clock.call_later(
+                ANSWER_TIMEOUT_MS,
+                self._check_home,
+                service,
+                self._clock.now_ms(),
+            )
         self._repeat_timer = None
         if open_services:
             self._repeat_timer = self._clock.call_later(REPEAT_MS, self._repeat)
 
-    def _send_wishes(self, service: str) -> None:
+    def _send_wishes(self, service: str, *, is_repeat: bool = False) -> None:
         now_ms = self._clock.now_ms()
         home = self._rank.find_kept(service, now_ms)
         if home is None:
@@ -187,7 +201,7 @@
         # A process that starts again goes on with higher numbers.
         self._sequence = max(self._sequence + 1, now_ms)
         message = self._wishes.get(service).build_message(
-            self._instance, self._sequence
+            self._instance, self._sequence, is_repeat=is_repeat
         )
         if home == self._instance:
             self._act_as_home(message)
@@ -213,6 +227,8 @@
                 'granting the slots of a service'
             )
         answers_by_sender: dict[str, list[SlotAnswer]] = {}
+        if message.is_repeat:
+            answers_by_sender[message.sender] = []
         for sender, answer in home.apply(message, self._clock.now_ms()):
             answers_by_sender.setdefault(sender, []).append(answer)
         for name, answers in answers_by_sender.items():
@@ -224,9 +240,10 @@
     def _apply_answers(
         self, service: str, answers: tuple[SlotAnswer, ...]
     ) -> None:
+        self._rank.record_answer(service)
+        self._heard_ms_by_service[service] = self._clock.now_ms()
         wishes = self._wishes.get(service)
         for answer in answers:
-            self._rank.record_answer(service)
             wish = wishes.apply(answer)
             if wish is None and answer.target:
                 # The grant has come too late; the next message frees the slot.
@@ -245,18 +262,25 @@
             self._schedule(service)
             self._clock.call_later(GATHER_MS + ANSWER_TIMEOUT_MS, wish.give_up)
 
-    def _check_heard(self, service: str, wish: SlotWish) -> None:
-        """Choose without a home that has not answered in time."""
-        if wish.state is not WishState.asked:
-            return
-        home = self._rank.record_silence(
-            service, wish.asked_ms, self._clock.now_ms()
-        )
-        if home:
-            logger.bind(service=service, home=home).info(
-                'home of slots does not answer'
-            )
-        wish.give_up()
+    def _check_home(
+        self, service: str, asked_ms: int, wish: SlotWish | None = None
+    ) -> None:
+        """
+        Pass over a home that has not answered, and tell the next one all.
+
+        :param asked_ms: when it was asked
+        :param wish: what it was asked, none for a repetition
+        """
+        now_ms = self._clock.now_ms()
+        if self._heard_ms_by_service.get(service, -1) < asked_ms:
+            home = self._rank.record_silence(service, now_ms)
+            if home:
+                logger.bind(service=service, home=home).info(
+                    'home of slots does not answer'
+                )
+                self._schedule(service)
+        if wish is not None and wish.state is WishState.asked:
+            wish.give_up()
 
     def _send(self, peer: str, datagram: SlotDatagram) -> None:
         address = self._address_by_peer.get(peer)
--- a/cicadahoist/serving/slot_wishes.py
+++ b/cicadahoist/serving/slot_wishes.py
@@ -176,7 +176,9 @@
             wish.decide(WishState.queued)
         return wish
 
-    def build_message(self, sender: str, sequence: int) -> SlotMessage:
+    def build_message(
+        self, sender: str, sequence: int, *, is_repeat: bool
+    ) -> SlotMessage:
         """Return the message that states all wishes."""
         message = SlotMessage(
             sender,
@@ -190,6 +192,7 @@
             holdings=tuple(self._holding_by_number.values()),
             accepted=tuple(self._accepted),
             rejected=tuple(self._rejected),
+            is_repeat=is_repeat,
         )
         self._accepted.clear()
         self._rejected.clear()
--- a/tests/test_policy/test_balancing.py
+++ b/tests/test_policy/test_balancing.py
@@ -265,9 +265,9 @@
     rank = HomeRank()
     names = [f'i{number}' for number in range(70)]
     first = rank.choose('llm', names, 0)
-    assert rank.record_silence('llm', 10, 50) == first
+    assert rank.record_silence('llm', 50) == first
     second = rank.choose('llm', names, 50)
     assert second != first
-    # This question was sent to the first one as well.
-    assert not rank.record_silence('llm', 20, 60)
+    # The question that gets no answer now was sent to the first one.
+    assert not rank.record_silence('llm', 60)
     assert rank.choose('llm', names, 50 + 500) == first
--- a/tests/test_serving/test_slot_exchange.py
+++ b/tests/test_serving/test_slot_exchange.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from cicadahoist.ids import rendezvous
 from cicadahoist.metrics import SLOTS_CHOSEN_ALONE, TARGET_REJECTIONS
 from cicadahoist.serving.slot_exchange import ANSWER_TIMEOUT_MS, SLOT_MARK
 from tests.test_serving.test_load_exchange import create_deployment
@@ -170,3 +171,26 @@
     second.answer()
     assert caller.status == 200
     assert instances[0].world.count(TARGET_REJECTIONS) == 1
+
+
+def test_the_next_home_knows_the_requests_that_run():
+    # Guards against targets that are filled twice when the home ends.
+    network, clock, instances = create_fleet()
+    first = rendezvous('app', [instance.name for instance in instances])[0]
+    (home,) = [one for one in instances if one.name == first]
+    instances.remove(home)
+    send_all(clock, instances, 5, b'/submit/x')
+    network.by_port.pop(home.record.port)
+    home.stop()
+    for _ in range(60):
+        clock.advance(10)
+    late = instances[5].world
+    late.send_request(b'/submit/x')
+    for _ in range(10):
+        clock.advance(10)
+    # It chose alone, as the home did not answer, and asks the next one now.
+    late.sent[0].answer()
+    send_all(clock, instances[5:6], 2, b'/submit/x')
+    assert len(late.sent) == 2
+    open_names = [sent.target for sent in list_sent(instances)[:5]]
+    assert [*open_names, late.sent[1].target].count(late.sent[1].target) == 2
