--- a/cicadahoist/serving/slot_exchange.py
+++ b/cicadahoist/serving/slot_exchange.py
@@ -62,7 +62,7 @@
         '_sequence',
         '_timer_by_service',
         '_transmit',
-        '_wishes',
+        'wishes',
     )
 
     def __init__(self, clock: Clock) -> None:
@@ -75,7 +75,7 @@
         self._repeat_timer: Timer | None = None
         self._sequence = 0
         self._timer_by_service: dict[str, Timer] = {}
-        self._wishes = WishBook(clock)
+        self.wishes = WishBook(clock)
         # Name of this instance.
         self._instance = ''
         # Returns the peers that are alive.
@@ -121,7 +121,7 @@
         :param max_wait_ms: longest wait for a slot
         """
         now_ms = self._clock.now_ms()
-        wish = self._wishes.get(service).add(
+        wish = self.wishes.get(service).add(
             pool, candidates, max_wait_ms, now_ms
         )
         self._schedule(service)
@@ -139,7 +139,7 @@
 
     def take(self, service: str, wish: SlotWish, target: str) -> None:
         """State where a request is sent, if the home has not decided it."""
-        if self._wishes.get(service).take(wish, target):
+        if self.wishes.get(service).take(wish, target):
             self._schedule(service)
 
     def end(
@@ -151,7 +151,7 @@
         :param is_rejected: whether its target has rejected it, none if it says
             nothing about the target
         """
-        self._wishes.get(service).end(wish, is_rejected=is_rejected)
+        self.wishes.get(service).end(wish, is_rejected=is_rejected)
         self._schedule(service)
 
     def receive(self, datagram: bytes) -> None:
@@ -178,7 +178,7 @@
         """State open wishes again, and stop once there are none."""
         open_services = [
             wishes.service
-            for wishes in self._wishes.list_all()
+            for wishes in self.wishes.list_all()
             if wishes.has_open
         ]
         for service in open_services:
@@ -200,7 +200,7 @@
             home = self._choose_home(service, now_ms)
         # A process that starts again goes on with higher numbers.
         self._sequence = max(self._sequence + 1, now_ms)
-        message = self._wishes.get(service).build_message(
+        message = self.wishes.get(service).build_message(
             self._instance, self._sequence, is_repeat=is_repeat
         )
         if home == self._instance:
@@ -242,7 +242,7 @@
     ) -> None:
         self._rank.record_answer(service)
         self._heard_ms_by_service[service] = self._clock.now_ms()
-        wishes = self._wishes.get(service)
+        wishes = self.wishes.get(service)
         for answer in answers:
             wish = wishes.apply(answer)
             if wish is None and answer.target:
--- a/tests/test_serving/test_slot_exchange.py
+++ b/tests/test_serving/test_slot_exchange.py
@@ -1,5 +1,7 @@
 """Slots of services with few of them, granted between instances."""
 
+from random import Random
+
 import msgspec
 import pytest
 
@@ -194,3 +196,66 @@
     assert len(late.sent) == 2
     open_names = [sent.target for sent in list_sent(instances)[:5]]
     assert [*open_names, late.sent[1].target].count(late.sent[1].target) == 2
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_no_slot_is_lost_in_a_play_with_faults(seed):
+    # Guards against slots that stay taken after rejections, broken answers,
+    # lost datagrams and callers that leave: the service would stand still.
+    network, clock, instances = create_engines(3)
+    play_faults(network, clock, instances, Random(seed))
+    for one in instances:
+        wishes = one.world.context.fleet.balances.slots.wishes.list_all()
+        assert not any(at_service.has_open for at_service in wishes)
+        loads = [one.board.get(n).own_load for n in ('p1', 'p2', 'd1', 'd2')]
+        assert not any(load.run_count for load in loads)
+    # Homes that were passed over are asked again after this time.
+    for _ in range(40):
+        clock.advance(500)
+    before = len(list_sent(instances))
+    send_all(clock, instances, 6, b'/submit/last')
+    assert len(list_sent(instances)) == before + 6
+    names = [one.world.sent[-1].target for one in instances[:6]]
+    assert [names.count(name) for name in TARGETS] == [2, 2, 2]
+
+
+def play_faults(network, clock, instances, rng):
+    """Send 300 requests beside faults, and end all that are open at last."""
+    ended = set()
+    for number in range(360):
+        network.drops_all = number < 300 and rng.random() < 0.05
+        if number < 300:
+            send_any(rng.choice(instances).world, number, rng)
+        for sent in list_sent(instances):
+            is_due = number >= 300 or rng.random() < 0.4
+            if sent not in ended and is_due and not sent.is_closed:
+                ended.add(sent)
+                end_attempt(sent, rng)
+        clock.advance(rng.randrange(1, 12) if number < 300 else 50)
+
+
+def send_any(world, number, rng):
+    """Send a request of any kind, whose caller may leave."""
+    prefix = rng.choice([b'/submit/', b'/lookup/', b'/ask/'])
+    headers = prompt_headers() if prefix == b'/ask/' else ()
+    # Requests that differ are not quarantined for the faults of others.
+    caller = world.send_request(prefix + b'%d' % number, *headers)
+    if rng.random() < 0.1:
+        caller.disconnect()
+
+
+def end_attempt(sent, rng):
+    """End an attempt as a target does that works, rejects or fails."""
+    fault = rng.random()
+    if fault < 0.2:
+        sent.reject()
+    elif fault < 0.3:
+        sent.reset()
+    elif sent.header(b'X-Cicadahoist-Serving-Stage') == b'prefill':
+        sent.answer(body=b'{"kv-handle": "h", "tokens": 9000}')
+    elif sent.target.startswith('d'):
+        sent.begin_stream()
+        sent.send_events(1, 2)
+        sent.end_stream()
+    else:
+        sent.answer()
