The home learns how many slots of a rejecting target it can use

Cause: slots may be held by what the home does not see: requests that another home granted, or prompts that wait at an engine to be fetched. It would go on granting them, and each rejection takes a retry of the budget.

Change: after a rejection, the home grants as many slots of the target as were in use then, and one more each 400 ms.

--- a/cicadahoist/policy/balancing/slot_home.py
+++ b/cicadahoist/policy/balancing/slot_home.py
@@ -18,6 +18,7 @@
     SlotAnswer,
     SlotMessage,
 )
+from cicadahoist.policy.balancing.usable_slots import UsableSlots
 from cicadahoist.policy.rejection_backoff import RejectionBackoffs
 
 # Open wishes are repeated each 400 ms; those of an instance that has ended
@@ -61,6 +62,7 @@
         '_backoffs',
         '_hold_times',
         '_senders_by_name',
+        '_usable_slots',
         '_use_by_target',
         '_waiting',
     )
@@ -72,6 +74,7 @@
         self._waiting: list[_Waiting] = []
         self._hold_times = HoldTimes()
         self._backoffs = RejectionBackoffs()
+        self._usable_slots = UsableSlots()
 
     def apply(self, message: SlotMessage, now_ms: int) -> Answers:
         """Apply what an instance states, and return the answers due now."""
@@ -101,6 +104,10 @@
             self._backoffs.record_acceptance(accepted)
         for rejected in message.rejected:
             self._backoffs.record_rejection(rejected, now_ms)
+            # The rejected request is still counted.
+            self._usable_slots.record_rejection(
+                rejected, self.count_open(rejected) - 1, now_ms
+            )
 
     def _apply_holdings(
         self, sender: _Sender, message: SlotMessage, now_ms: int
@@ -188,7 +195,10 @@
         free = [
             candidate
             for candidate in ask.candidates
-            if self.count_open(candidate.name) < candidate.slots
+            if self.count_open(candidate.name)
+            < self._usable_slots.compute_limit(
+                candidate.name, candidate.slots, now_ms
+            )
         ]
         return min(
             free,
--- a/tests/test_policy/test_balancing.py
+++ b/tests/test_policy/test_balancing.py
@@ -154,6 +154,40 @@
     assert busiest <= 2 * 54
 
 
+def test_slots_that_the_home_does_not_see_cost_few_rejections():
+    # Guards against engines whose slots are held by staged prompts: three of
+    # six are never free, and each request takes 100 ms.
+    home = SlotHome()
+    held = {}
+    rejected = []
+    sent_count = 0
+    for now_ms in range(0, 10_000, 5):
+        over = {n for n, (_, due_ms) in held.items() if due_ms <= now_ms}
+        held = {n: held[n] for n in held if n not in over}
+        ask = Ask(now_ms, 'app', 0, (Candidate('t1', 6, 100),))
+        holdings = [Holding(n, 'app', 't1', 100) for n in held]
+        message = SlotMessage(
+            'i1',
+            'app',
+            now_ms,
+            (ask,),
+            (*holdings, Holding(now_ms, 'app')),
+            accepted=('t1',) if over else (),
+            rejected=('t1',) if rejected[-1:] == [now_ms - 5] else (),
+        )
+        ((_, answer),) = home.apply(message, now_ms)
+        if not answer.target:
+            continue
+        sent_count += 1
+        if len(held) >= 3:
+            rejected.append(now_ms)
+        else:
+            held[now_ms] = ('t1', now_ms + 100)
+    # The grants use what is free: 3 slots for 10 s, of 100 ms each.
+    assert sent_count - len(rejected) >= 0.9 * 300
+    assert len(rejected) <= 0.1 * sent_count
+
+
 def test_slots_of_an_instance_that_has_ended_are_free_again():
     home = SlotHome()
     held = tuple(Holding(n, 'app', 't1', 30) for n in range(6))
