--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -3,9 +3,7 @@
 from typing import Any
 
 from cicadahoist.clock import Clock, wall_ms
-from cicadahoist.listings import TargetDirectory
 from cicadahoist.metrics import Metrics
-from cicadahoist.policy.answer_watch import AnswerWatch
 from cicadahoist.policy.caller_limits import CallerLimitHistory
 from cicadahoist.policy.demand_rate import DemandRate
 from cicadahoist.policy.link_queue import LinkQueue
@@ -13,105 +11,22 @@
 from cicadahoist.policy.true_time import TrueTime
 from cicadahoist.rules import CallerLimits, Deployment
 from cicadahoist.serving.attempt import Dialect
-from cicadahoist.serving.engine_boards import EngineBoards
+from cicadahoist.serving.fleet import Fleet
 from cicadahoist.serving.gossip import Gossip
 from cicadahoist.serving.meters import Meters
 from cicadahoist.serving.part_watch import PartWatch
 from cicadahoist.serving.path_log import PathLog
-from cicadahoist.serving.plain_targets import PlainTargets
 from cicadahoist.serving.quota_exchange import QuotaExchange
 from cicadahoist.serving.stream_exchange import StreamExchange
 from cicadahoist.serving.target_connections import TargetConnections
 from cicadahoist.serving.target_crashes import TargetCrashes
-from cicadahoist.serving.target_notices import TargetNotices
 from cicadahoist.serving.usage_counts import UsageCounts
 
-# A target that is not at its listed address is used again after this time: its
-# entry expires after three missed heartbeats of 1.2 s.
-EXCLUSION_MS = 4000
 # A change of the configuration may affect what ends up to this time later: it
 # has to be in force at all instances within 2 s, and open requests follow.
 CHANGE_WINDOW_MS = 3000
 
 
-class Fleet:
-    """
-    The listed targets, with their load, health and connections.
-
-    :param zone: availability zone of this instance
-    :param connections: connections to the targets
-    :param clock: clock of the process
-    :param part_watch: finds the prompt parts that crash engines
-    :param target_crashes: finds the targets that crash
-    :param metrics: metrics of the process
-    """
-
-    __slots__ = (
-        '_clock',
-        'answer_watch',
-        'boards',
-        'connections',
-        'directory',
-        'is_settled',
-        'notices',
-        'part_watch',
-        'paths',
-        'plain_targets',
-        'target_crashes',
-    )
-
-    def __init__(
-        self,
-        zone: str,
-        connections: TargetConnections,
-        clock: Clock,
-        part_watch: PartWatch,
-        target_crashes: TargetCrashes,
-        metrics: Metrics,
-    ) -> None:
-        self._clock = clock
-        self.part_watch = part_watch
-        self.target_crashes = target_crashes
-        self.directory = TargetDirectory()
-        self.connections = connections
-        self.paths = connections.paths
-        self.answer_watch = AnswerWatch()
-        self.notices = TargetNotices(self.directory, clock, metrics)
-        self.boards = EngineBoards(
-            self.directory, self.answer_watch, zone, self.notices.pauses
-        )
-        self.plain_targets = PlainTargets(
-            self.directory, self.answer_watch, zone, self.notices.pauses
-        )
-        # Whether orders to targets may be based on the list of targets.
-        self.is_settled = False
-        self.directory.on_change(self._sync)
-        self.paths.on_change(self._follow_path)
-
-    def exclude(self, target: str) -> None:
-        """Exclude a target for a while: it is not at its listed address."""
-        self.directory.exclude(target)
-        self._clock.call_later(EXCLUSION_MS, self.directory.restore, target)
-
-    def is_cut_off(self) -> bool:
-        """Return whether this instance reaches most targets only by peers."""
-        return self.paths.is_cut_off(self._clock.now_ms())
-
-    def _follow_path(self, target: str) -> None:
-        """Judge a target afresh whose path has changed."""
-        if self.paths.get(target).is_bypassed:
-            self.answer_watch.release(target)
-        self.plain_targets.end_ejection(target)
-        self.boards.end_ejection(target)
-
-    def _sync(self) -> None:
-        names = {listing.name for listing in self.directory.list_all()}
-        self.connections.retain(names)
-        self.answer_watch.retain(names)
-        self.plain_targets.sync()
-        self.boards.sync()
-
-
 class ServingContext:
     """
     Shared parts of the data path.
@@ -241,3 +156,4 @@
         self.demand.instance_count = count
         self.retries.instance_count = count
         self.gossip.set_instance_count(count)
+        self.fleet.balances.set_fleet(count, is_large=self.is_large_fleet)
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -27,6 +27,7 @@
 from cicadahoist.serving.quota_gate import QuotaGate
 from cicadahoist.serving.record_wait import RecordWait
 from cicadahoist.serving.reply import MIN_RETRY_AFTER_MS, Reply
+from cicadahoist.serving.request_slots import RequestSlots
 from cicadahoist.serving.retry_allowance import RetryAllowance
 from cicadahoist.serving.stream_binding import StreamBinding
 from cicadahoist.serving.takeover import Takeover
@@ -76,6 +77,7 @@
         '_request',
         '_route',
         '_service',
+        '_slots',
         '_takeover',
         '_tried_targets',
         '_urgency',
@@ -116,6 +118,14 @@
         self._allowance = RetryAllowance(
             context, route, self._service, self._deadline
         )
+        self._slots = RequestSlots(
+            context,
+            self._service,
+            route,
+            self._deadline,
+            self._is_awaited,
+            self._refuse,
+        )
         self._takeover = Takeover(
             context,
             self._open_attempts,
@@ -263,12 +273,11 @@
         if attempt.is_sent and end.outcome is AttemptOutcome.lost:
             self._crash_watch.record_loss(name, end)
         self._allowance.record_end(attempt, end)
+        _record_meaning(self._context, name, end)
         if end.outcome is not AttemptOutcome.answered:
             self._reply.log_attempt(name, end)
         elif end.ending is not None:
             self._reply.record_ending(end.ending)
-        if end.head and end.head.meaning is AnswerMeaning.misplaced:
-            self._context.fleet.exclude(name)
         return end
 
     def _refuse(
@@ -316,6 +325,7 @@
             failure.getTraceback(),
         )
         self._open_attempts.stop_all()
+        self._slots.end_all()
         self._reply.fail(HTTP_BAD_GATEWAY, Refusal.internal_error)
 
 
@@ -362,3 +372,14 @@
 def has_failed(end: AttemptEnd) -> bool:
     """Return whether a target, not the path to it, has lost an attempt."""
     return end.outcome is AttemptOutcome.lost and not end.is_stranded
+
+
+def _record_meaning(
+    context: ServingContext, target: str, end: AttemptEnd
+) -> None:
+    """Record what the head of an answer says about its target."""
+    meaning = end.head.meaning if end.head else None
+    if meaning is AnswerMeaning.not_run:
+        context.meters.balance.count_rejection(target)
+    elif meaning is AnswerMeaning.misplaced:
+        context.fleet.exclude(target)
--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -16,6 +16,7 @@
     Metrics,
 )
 from cicadahoist.reasons import Refusal, Retry
+from cicadahoist.serving.balance_meters import BalanceMeters
 from cicadahoist.serving.capacity_meters import CapacityMeters
 from cicadahoist.serving.relay_meters import RelayMeters
 
@@ -42,6 +43,7 @@
         '_record_waits',
         '_silent_kept',
         'capacity',
+        'balance',
         'relays',
     )
 
@@ -60,6 +62,7 @@
         self._record_waits = metrics.counter(RECORD_WAITS)
         self._silent_kept = metrics.counter(SILENT_KEPT)
         self.capacity = CapacityMeters(metrics)
+        self.balance = BalanceMeters(metrics)
         self.relays = RelayMeters(metrics)
 
     def count_answer(self) -> None:
