Load digests: collectors sum up the load reports of large fleets

Cause: each instance sends its load to every other one, so that datagrams and their handling grow with the square of the fleet. Peers that take no digests get reports as before.

--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -83,6 +83,9 @@
         settings.zone,
         relay_port=settings.peer_ports[0],
         relay_token=new_nonce(),
+        takes_digests=True,
+        link_mbps=settings.link_mbps or 0,
+        core_count=settings.core_count or 0,
     )
     relay = _build_relay(application, context, settings, record, reactor)
     exchange = LoadExchange(
--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -127,6 +127,30 @@
         operator_remedy='compare with the bandwidth of the instance',
     )
 )
+LOAD_DATAGRAMS_SENT = METRICS.declare(
+    MetricSpec(
+        'serving_load_datagrams_sent',
+        'Datagrams sent to other instances.',
+        operator_remedy='compare instances: collectors send about ten a second '
+        'to each member of their zone',
+    )
+)
+LOAD_DATAGRAMS_RECEIVED = METRICS.declare(
+    MetricSpec(
+        'serving_load_datagrams_received',
+        'Datagrams received from other instances.',
+        operator_remedy='compare instances: members of a large fleet receive '
+        'fewer than 25 a second',
+    )
+)
+COLLECTOR_CHANGES = METRICS.declare(
+    MetricSpec(
+        'serving_collector_changes',
+        'Changes of the collector that gets the load reports of this instance.',
+        operator_remedy='look for lost datagrams, or for a collector without '
+        'processor time',
+    )
+)
 ANSWERED = METRICS.declare(
     MetricSpec(
         'serving_answered',
--- a/cicadahoist/platform/settings_file.py
+++ b/cicadahoist/platform/settings_file.py
@@ -53,6 +53,7 @@
     :param retry_window_ms: sliding window over which retries are counted
     :param retry_slack: retries allowed beyond the share, over all instances
     :param link_mbps: bandwidth of the instance in Mbit/s, none if not stated
+    :param core_count: processor capacity in cores, none if not stated
     :param term_ms: lease term: shortest time between two changes of a duty's
         holder
     :param usage_window_ms: length of a billing window
@@ -77,6 +78,7 @@
     retry_window_ms: int = 10_000
     retry_slack: float = 0
     link_mbps: float | None = None
+    core_count: float | None = None
     term_ms: int = 3000
     usage_window_ms: int = 5000
     usage_due_ms: int = 10_000
@@ -147,9 +149,19 @@
             store_address=Address.from_text(fields['platform.address']),
             order_address=Address.from_text(orders) if orders else None,
             link_mbps=float(fields.get('limits.link-mbps', '') or 0) or None,
+            core_count=_parse_core_count(fields),
         ).with_bounds(_parse_bounds(fields))
 
 
+def _parse_core_count(fields: dict[str, str]) -> float | None:
+    """Return the cores times the share of each, none if neither is stated."""
+    cores = fields.get('limits.cores', '')
+    share = fields.get('limits.cpu-share', '')
+    if not cores and not share:
+        return None
+    return float(cores or 1) * float(share or 1)
+
+
 def _parse_bounds(fields: dict[str, str]) -> dict[str, float]:
     """Return the bounds set in the file, durations in milliseconds."""
     bounds: dict[str, float] = {}
--- /dev/null
+++ b/cicadahoist/policy/load_digests/__init__.py
@@ -0,0 +1,1 @@
+"""Load reports that collectors sum up for their zones."""
--- a/cicadahoist/policy/peer_loads.py
+++ b/cicadahoist/policy/peer_loads.py
@@ -45,11 +45,29 @@
         self._total_by_engine: dict[str, InFlightLoad] = {}
 
     def apply(self, peer: str, load: PeerLoad) -> None:
-        """Replace the load of a peer."""
-        self._drop(peer)
+        """Replace the load of a peer, touching only the engines it changes."""
+        last = self._load_by_peer.get(peer)
+        last_by_engine = last.load_by_engine if last else {}
         self._load_by_peer[peer] = load
         for engine, in_flight in load.load_by_engine.items():
-            self._add(engine, in_flight, 1)
+            known = last_by_engine.get(engine, _NO_LOAD)
+            if in_flight != known:
+                self._add(engine, known, -1)
+                self._add(engine, in_flight, 1)
+        for engine in last_by_engine.keys() - load.load_by_engine.keys():
+            self._add(engine, last_by_engine[engine], -1)
+
+    def drop(self, peer: str) -> None:
+        """Drop the load of a peer, if it has any."""
+        load = self._load_by_peer.pop(peer, None)
+        if load is None:
+            return
+        for engine, in_flight in load.load_by_engine.items():
+            self._add(engine, in_flight, -1)
+
+    def list_totals(self) -> dict[str, InFlightLoad]:
+        """Return the load of all peers by engine."""
+        return dict(self._total_by_engine)
 
     def get_total(self, engine: str) -> InFlightLoad:
         """Return the load of all peers at an engine."""
@@ -59,14 +77,7 @@
         """Drop the loads of peers that have sent none for a while."""
         for peer, load in list(self._load_by_peer.items()):
             if now_ms - load.received_ms > PEER_LOAD_TTL_MS:
-                self._drop(peer)
-
-    def _drop(self, peer: str) -> None:
-        load = self._load_by_peer.pop(peer, None)
-        if load is None:
-            return
-        for engine, in_flight in load.load_by_engine.items():
-            self._add(engine, in_flight, -1)
+                self.drop(peer)
 
     def _add(self, engine: str, load: InFlightLoad, sign: int) -> None:
         total = self.get_total(engine)
--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -3,6 +3,7 @@
 from cicadahoist.metrics import (
     ANSWERED,
     CLOSED_UNDER_REQUEST,
+    COLLECTOR_CHANGES,
     CUT_BESIDE_CHANGE,
     CUT_OTHERWISE,
     ENDED_BESIDE_CHANGE,
@@ -10,6 +11,8 @@
     ENDED_OTHERWISE,
     FIRST_BYTE,
     LOAD_BYTES,
+    LOAD_DATAGRAMS_RECEIVED,
+    LOAD_DATAGRAMS_SENT,
     READ_WAIT,
     SILENT_KEPT,
     Metrics,
@@ -28,6 +31,7 @@
     __slots__ = (
         '_answered',
         '_closed_under_request',
+        '_collector_changes',
         '_cut_beside_change',
         '_cut_otherwise',
         '_ended_beside_change',
@@ -35,6 +39,8 @@
         '_ended_otherwise',
         '_first_byte',
         '_load_bytes',
+        '_load_datagrams_received',
+        '_load_datagrams_sent',
         '_metrics',
         '_read_wait',
         '_silent_kept',
@@ -51,7 +57,10 @@
         self._ended_by_close = metrics.counter(ENDED_BY_CLOSE)
         self._ended_otherwise = metrics.counter(ENDED_OTHERWISE)
         self._first_byte = metrics.histogram(FIRST_BYTE)
+        self._collector_changes = metrics.counter(COLLECTOR_CHANGES)
         self._load_bytes = metrics.counter(LOAD_BYTES)
+        self._load_datagrams_received = metrics.counter(LOAD_DATAGRAMS_RECEIVED)
+        self._load_datagrams_sent = metrics.counter(LOAD_DATAGRAMS_SENT)
         self._read_wait = metrics.histogram(READ_WAIT)
         self._silent_kept = metrics.counter(SILENT_KEPT)
         self.relays = RelayMeters(metrics)
@@ -96,9 +105,18 @@
         """Record how long a request can have waited until it was read."""
         self._read_wait.record(waited_ms)
 
-    def count_load_bytes(self, sent_bytes: int) -> None:
-        """Count bytes of load reports sent to other instances."""
+    def count_load_sent(self, sent_bytes: int) -> None:
+        """Count a datagram sent to another instance."""
         self._load_bytes.add(sent_bytes)
+        self._load_datagrams_sent.add(1)
+
+    def count_load_received(self) -> None:
+        """Count a datagram received from another instance."""
+        self._load_datagrams_received.add(1)
+
+    def count_collector_change(self) -> None:
+        """Count a change of the collector of this instance."""
+        self._collector_changes.add(1)
 
     def count_refusal(self, reason: Refusal) -> None:
         """Count a refusal."""
--- a/cicadahoist/serving/part_news.py
+++ b/cicadahoist/serving/part_news.py
@@ -71,11 +71,38 @@
         )
         return None if news == PartNews() else news
 
+    @property
+    def recent_count(self) -> int:
+        """Number of own findings that may have to be sent."""
+        return len(self._crashes) + len(self._sounds)
+
     def _add_crash(self, report: CrashReport) -> None:
         runs = _limit_bytes(list(report.runs), MAX_REPORT_BYTES)
         self._crashes.append(msgspec.structs.replace(report, runs=runs))
 
 
+def merge_news(
+    first: PartNews | None, second: PartNews | None
+) -> PartNews | None:
+    """Return the news of two reports, each once, within the same bounds."""
+    if first is None or second is None:
+        return first or second
+    if first == second:
+        return first
+    return PartNews(
+        _unite(first.crashes, second.crashes, MAX_CRASH_BYTES),
+        _unite(first.sounds, second.sounds, MAX_SOUND_BYTES),
+        _unite(first.holds, second.holds, MAX_HOLD_BYTES),
+    )
+
+
+def _unite(
+    first: tuple[_Entry, ...], second: tuple[_Entry, ...], max_bytes: int
+) -> tuple[_Entry, ...]:
+    added = [entry for entry in second if entry not in first]
+    return _limit_bytes([*first, *added], max_bytes)
+
+
 def _select(
     queued: list[_Timed], since_ms: int, max_bytes: int
 ) -> tuple[_Timed, ...]:
--- a/cicadahoist/serving/peers.py
+++ b/cicadahoist/serving/peers.py
@@ -35,10 +35,15 @@
     def mark_alive(
         self, peer: str, now_ms: int, *, holds_duties: bool = False
     ) -> None:
-        """Record that a peer is alive, and whether it holds the duties."""
-        self._heard_ms_by_peer[peer] = now_ms
+        """
+        Record that a peer was alive at a time, and whether it held the duties.
+
+        Digests tell of reports that are older than those received directly.
+        """
+        heard_ms = self._heard_ms_by_peer.get(peer, now_ms)
+        self._heard_ms_by_peer[peer] = max(heard_ms, now_ms)
         if holds_duties:
-            self._holder_heard_ms = now_ms
+            self._holder_heard_ms = max(self._holder_heard_ms or 0, now_ms)
 
     def is_alive(self, peer: str, now_ms: int) -> bool:
         """Return whether a peer was heard lately."""
