Load digests: loads by member between collectors, each counted once

Cause: sums of two collectors of a zone cannot be told apart, so that a member counted twice while its collector changed. Change: collectors send each other the loads of each member and take the newest; members still get sums. An instance without digests says so, and gets loads directly.

--- a/cicadahoist/serving/digest_exchange.py
+++ b/cicadahoist/serving/digest_exchange.py
@@ -8,10 +8,7 @@
 from cicadahoist.clock import Timer
 from cicadahoist.ids import fast_hash
 from cicadahoist.log import get_logger
-from cicadahoist.policy.load_digests.load_sum import subtract_load
-from cicadahoist.policy.load_digests.own_reports import OwnReports
 from cicadahoist.policy.load_digests.pace import ReportPace
-from cicadahoist.policy.peer_loads import PEER_LOAD_TTL_MS
 from cicadahoist.serving.collector_role import CollectorRole
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.digest_messages import (
@@ -20,7 +17,8 @@
     MEMBER_MARK,
     REPORT_MARK,
     SECTION_MARK,
-    LoadDigest,
+    UNSERVED_MARK,
+    MemberDigest,
     parse_for_member,
 )
 from cicadahoist.serving.load_group import (
@@ -34,12 +32,11 @@
 )
 from cicadahoist.serving.load_receiver import LoadReceiver
 from cicadahoist.serving.own_load import OwnLoad
+from cicadahoist.serving.received_loads import ReceivedLoads
 from cicadahoist.serving.stream_exchange import Address
 
 logger = get_logger(__name__)
 
-# Source of the load from digests; no instance has this name.
-DIGEST_SOURCE = ''
 # News wait this long, so that several share a report.
 NEWS_DELAY_MS = 4
 
@@ -59,11 +56,9 @@
 
     __slots__ = (
         '_context',
-        '_covered',
-        '_digest_ms',
+        '_loads',
         '_instance',
         '_own_load',
-        '_own_reports',
         '_pace',
         '_prefills',
         '_receiver',
@@ -87,14 +82,11 @@
         self._own_load = own_load
         self._receiver = receiver
         self._pace = ReportPace(fast_hash(instance))
-        self._own_reports = OwnReports()
         self._prefills: deque[PrefillStart] = deque(
             maxlen=MAX_PREFILLS_PER_DATAGRAM
         )
         self._summary: Any = None
-        # Instances whose loads are in the digests, and the time of the last.
-        self._covered: frozenset[str] = frozenset()
-        self._digest_ms = 0
+        self._loads = ReceivedLoads(receiver)
         self._timer: Timer | None = None
         self._timer_due_ms = 0
 
@@ -117,7 +109,7 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
-        self._covered = frozenset()
+        self._loads.end_digests(self._context.clock.now_ms())
         self._role.clear()
 
     def queue_prefill(self, prefill: PrefillStart) -> None:
@@ -132,35 +124,31 @@
             wait_ms = self._pace.compute_due_ms() - self._context.clock.now_ms()
             self._schedule(max(NEWS_DELAY_MS, wait_ms))
 
-    def covers(self, peer: str) -> bool:
-        """Return whether digests contain the load of a peer."""
-        if peer not in self._covered:
-            return False
-        age_ms = self._context.clock.now_ms() - self._digest_ms
-        return age_ms <= PEER_LOAD_TTL_MS
+    def apply_direct(self, report: LoadMessage, now_ms: int) -> None:
+        """Apply the load of a peer that it has sent directly."""
+        self._loads.apply(report, now_ms)
 
     def select_direct(
         self, address_by_name: dict[str, Address]
     ) -> dict[str, Address]:
-        """
-        Return the peers that are to be sent load reports directly.
-
-        :return: those whose loads are in no digest, as they do not send theirs
-            to a collector, or all if this instance gets no digests
-        """
+        """Return the peers that are to be sent load reports directly."""
         if self._timer is None:
             return address_by_name
         now_ms = self._context.clock.now_ms()
-        choice = self._role.members.own_choice
-        if not self._role.members.is_own_collector and not choice.is_answered(
-            now_ms
-        ):
-            return address_by_name
         return {
             name: address_by_name[name]
-            for name in address_by_name.keys() - self._covered
+            for name in self._loads.list_direct(address_by_name, now_ms)
         }
 
+    def frame_direct(self, peer: str, datagram: bytes) -> bytes:
+        """Return a load report to a peer that is sent directly."""
+        is_served = self._timer is None or self._loads.is_served(
+            self._context.clock.now_ms()
+        )
+        if is_served or not self._role.members.takes_digests(peer):
+            return datagram
+        return UNSERVED_MARK + datagram
+
     def receive(self, datagram: bytes, sender: Address) -> None:
         """
         Apply a datagram of load digests.
@@ -168,35 +156,40 @@
         :raises WireError: it cannot be decoded
         """
         kind = datagram[:MARK_BYTES]
-        if kind == REPORT_MARK:
-            self._apply_report(LOAD_CODEC.decode(datagram[MARK_BYTES:]))
+        if kind in {REPORT_MARK, UNSERVED_MARK}:
+            self._apply_report(
+                LOAD_CODEC.decode(datagram[MARK_BYTES:]),
+                is_member=kind == REPORT_MARK,
+            )
         elif kind == MEMBER_MARK:
             stamp_ms, digest = parse_for_member(datagram)
             self._apply_answer(digest, stamp_ms)
-        elif kind in {SECTION_MARK, FORWARDED_MARK}:
-            self._apply_section(datagram, sender)
-        else:
+        elif kind not in {SECTION_MARK, FORWARDED_MARK}:
             logger.info('unknown kind of load digest dropped: {0}', kind)
+        elif self._timer is not None:
+            now_ms = self._context.clock.now_ms()
+            self._role.add_section(datagram, sender, now_ms)
+            self._schedule(self._role.compute_wait_ms(now_ms))
+
+    def _apply_report(self, report: LoadMessage, *, is_member: bool) -> None:
+        """
+        Apply a report.
 
-    def _apply_report(self, report: LoadMessage) -> None:
-        """Apply the report of an instance that has chosen this one."""
+        :param is_member: whether its sender has chosen this instance as its
+            collector; otherwise it gets no digests
+        """
         now_ms = self._context.clock.now_ms()
-        if self._timer is None:
-            # The sender counts the fleet as large before this instance does.
+        if self._timer is None or not is_member:
             self._receiver.apply_report(report, now_ms)
-            self._receiver.apply_load(report.sender, report.by_engine, now_ms)
-            return
-        self._receiver.apply_sender(report, now_ms)
-        self._schedule(self._role.add_report(report, now_ms))
-
-    def _apply_section(self, datagram: bytes, sender: Address) -> None:
+            self._loads.apply(report, now_ms)
+        if not is_member:
+            self._loads.record_unserved(report.sender, now_ms)
         if self._timer is not None:
-            now_ms = self._context.clock.now_ms()
-            wait_ms = self._role.add_section(datagram, sender, now_ms)
-            if wait_ms is not None:
-                self._schedule(wait_ms)
+            self._receiver.apply_sender(report, now_ms)
+            self._role.add_report(report, now_ms, is_member=is_member)
+            self._schedule(self._role.compute_wait_ms(now_ms))
 
-    def _apply_answer(self, digest: LoadDigest, stamp_ms: int) -> None:
+    def _apply_answer(self, digest: MemberDigest, stamp_ms: int) -> None:
         """Apply a digest for the members of its collector."""
         if self._timer is None:
             return
@@ -206,25 +199,11 @@
                 digest.collector, now_ms
             )
         is_chosen = self._role.members.choose_own(now_ms) == digest.collector
-        if is_chosen and not self._role.is_acting:
-            self._apply_digest(digest, stamp_ms, now_ms)
+        if is_chosen and stamp_ms and not self._role.is_acting:
+            self._pace.record_digest(now_ms)
+            self._loads.apply_digest(digest, stamp_ms, now_ms)
             self._schedule(self._pace.compute_wait_ms(now_ms))
 
-    def _apply_digest(
-        self, digest: LoadDigest, stamp_ms: int, now_ms: int
-    ) -> None:
-        self._pace.record_digest(now_ms)
-        self._digest_ms = now_ms
-        own_load = self._own_reports.get(stamp_ms)
-        self._receiver.apply_load(
-            DIGEST_SOURCE, subtract_load(digest.by_engine, own_load), now_ms
-        )
-        self._receiver.apply_news(digest.news, now_ms)
-        if digest.marks is not None:
-            self._receiver.apply_marks(digest.marks, digest.true_ms, now_ms)
-            self._covered = frozenset(digest.marks)
-            self._receiver.drop_loads(self._covered)
-
     def _schedule(self, wait_ms: float) -> None:
         """Check after a delay, or earlier if that is scheduled."""
         due_ms = self._context.clock.now_ms() + round(wait_ms)
@@ -236,19 +215,27 @@
         self._timer = self._context.clock.call_later(wait_ms, self._check)
 
     def _check(self) -> None:
-        """Send the report and the digests that are due."""
+        """Send what is due; an error does not end the checks."""
         now_ms = self._context.clock.now_ms()
+        try:
+            self._send_due(now_ms)
+        finally:
+            self._schedule(
+                min(
+                    self._pace.compute_wait_ms(now_ms),
+                    max(1, self._role.compute_wait_ms(now_ms)),
+                )
+            )
+
+    def _send_due(self, now_ms: int) -> None:
         self._role.check(now_ms)
+        self._loads.drop_expired(now_ms)
         self._report_if_due(now_ms)
-        digest_wait_ms = self._role.compute_wait_ms(now_ms)
-        if digest_wait_ms == 0:
-            merged, stamp_ms = self._role.send_digests(now_ms)
-            self._apply_digest(merged, stamp_ms, now_ms)
-            digest_wait_ms = self._role.compute_wait_ms(now_ms)
-        wait_ms = self._pace.compute_wait_ms(now_ms)
-        if digest_wait_ms is not None:
-            wait_ms = min(wait_ms, digest_wait_ms)
-        self._schedule(wait_ms)
+        if self._role.compute_wait_ms(now_ms) == 0:
+            digest, stamp_ms = self._role.send_digests(now_ms)
+            if digest is not None:
+                self._pace.record_digest(now_ms)
+                self._loads.apply_digest(digest, stamp_ms, now_ms)
 
     def _report_if_due(self, now_ms: int) -> None:
         if not self._pace.is_change_due(now_ms):
@@ -265,5 +252,5 @@
             true_ms=self._context.true_time.read_own_ms(),
         )
         self._prefills.clear()
-        self._own_reports.add(report.true_ms, report.by_engine)
+        self._loads.own_reports.add(report.true_ms, report.by_engine)
         self._role.send_report(report, now_ms)
--- a/cicadahoist/serving/digest_messages.py
+++ b/cicadahoist/serving/digest_messages.py
@@ -6,7 +6,10 @@
 from cicadahoist.errors import WireError
 from cicadahoist.policy.crash_blame import Blame
 from cicadahoist.policy.engine_board import RoleClosure
-from cicadahoist.policy.load_digests.member_marks import MemberMark
+from cicadahoist.policy.load_digests.contributions import (
+    Contribution,
+    MemberMark,
+)
 from cicadahoist.policy.peer_loads import InFlightLoad
 from cicadahoist.policy.target_pauses import TargetLife
 from cicadahoist.serving.load_group import PrefillStart
@@ -16,7 +19,9 @@
 DIGEST_MARK = b'D'
 # Load report of an instance to its collector.
 REPORT_MARK = b'DR'
-# Load of the members of one collector, for other collectors.
+# Load report of an instance that gets no digests, to all others.
+UNSERVED_MARK = b'DU'
+# Loads of the members of one collector, for other collectors.
 SECTION_MARK = b'DS'
 # The same, passed on by an instance that does not collect itself.
 FORWARDED_MARK = b'DF'
@@ -53,15 +58,35 @@
     backoff_by_engine: dict[str, ToldBackoff] = {}
 
 
-class LoadDigest(msgspec.Struct, array_like=True, frozen=True):
+class SectionDigest(msgspec.Struct, array_like=True, frozen=True):
     """
-    Summed load reports.
+    Loads of the members of one collector, for other collectors.
+
+    The loads are those of each member: another collector may have some of them
+    as well, and each is to count once.
+
+    :param collector: the instance that has received their reports
+    :param true_ms: wall-clock time by the clock of the collector
+    :param contributions: loads that were reported lately
+    :param news: what was reported since the last digest
+    :param heard: collectors that the sender hears itself
+    """
+
+    collector: str
+    true_ms: int
+    contributions: tuple[Contribution, ...] = ()
+    news: DigestNews = DigestNews()
+    heard: tuple[str, ...] = ()
+
+
+class MemberDigest(msgspec.Struct, array_like=True, frozen=True):
+    """
+    Load of all instances, for the members of one collector.
 
     :param collector: the instance that has summed them
     :param true_ms: wall-clock time by the clock of the collector
-    :param by_engine: load in flight at each engine
+    :param by_engine: sum of the loads by engine
     :param news: what was reported since the last digest
-    :param heard: collectors that the sender has heard lately
     :param marks: instances whose loads are in the sum, none if they are as in
         the digest before
     """
@@ -70,11 +95,16 @@
     true_ms: int
     by_engine: dict[str, InFlightLoad]
     news: DigestNews = DigestNews()
-    heard: tuple[str, ...] = ()
     marks: dict[str, MemberMark] | None = None
 
 
-DIGEST_CODEC: Codec[LoadDigest] = Codec.packed('load digest', LoadDigest)
+SECTION_CODEC: Codec[SectionDigest] = Codec.packed('load digest', SectionDigest)
+_MEMBER_CODEC: Codec[MemberDigest] = Codec.packed('load digest', MemberDigest)
+
+
+def encode_for_members(digest: MemberDigest) -> bytes:
+    """Return the part of the datagram that is the same for all members."""
+    return _MEMBER_CODEC.encode(digest)
 
 
 def frame_for_member(stamp_ms: int, body: bytes) -> bytes:
@@ -89,7 +119,7 @@
     )
 
 
-def parse_for_member(datagram: bytes) -> tuple[int, LoadDigest]:
+def parse_for_member(datagram: bytes) -> tuple[int, MemberDigest]:
     """
     Return the time of the own report in a digest, and the digest.
 
@@ -103,4 +133,4 @@
             remedy='run the same version on all instances',
         )
     stamp_ms = int.from_bytes(stamp, 'big', signed=True)
-    return stamp_ms, DIGEST_CODEC.decode(datagram[begin:])
+    return stamp_ms, _MEMBER_CODEC.decode(datagram[begin:])
--- a/cicadahoist/serving/digest_news.py
+++ b/cicadahoist/serving/digest_news.py
@@ -4,6 +4,7 @@
 
 from cicadahoist.policy.crash_blame import Blame
 from cicadahoist.policy.engine_board import RoleClosure
+from cicadahoist.policy.rejection_backoff import MAX_BACKOFF_MS
 from cicadahoist.policy.target_pauses import TargetLife
 from cicadahoist.serving.digest_messages import DigestNews, ToldBackoff
 from cicadahoist.serving.load_group import PrefillStart
@@ -13,6 +14,8 @@
 # Older ones are dropped: all members of a zone get each of them.
 MAX_PREFILLS_PER_DIGEST = 32
 MAX_BLAMES_PER_DIGEST = 64
+# No change of a role takes longer.
+MAX_CLOSURE_MS = 60_000
 
 
 class NewsPool:
@@ -56,10 +59,13 @@
         self._departures.update(dict.fromkeys(news.departures))
         for engine, closure in news.closed_by_engine.items():
             self._closure_by_engine[engine] = RoleClosure(
-                closure.role, closure.expires_ms + now_ms
+                closure.role, min(MAX_CLOSURE_MS, closure.expires_ms) + now_ms
             )
         for engine, backoff in news.backoff_by_engine.items():
-            end = (backoff.left_ms + now_ms, backoff.source)
+            end = (
+                min(MAX_BACKOFF_MS, backoff.left_ms) + now_ms,
+                backoff.source,
+            )
             self._backoff_by_engine[engine] = max(
                 end, self._backoff_by_engine.get(engine, end)
             )
--- a/cicadahoist/serving/digest_peers.py
+++ b/cicadahoist/serving/digest_peers.py
@@ -1,5 +1,7 @@
 """Instances that take load digests, and the collectors of their zones."""
 
+from collections.abc import Iterable
+
 from cicadahoist.log import get_logger
 from cicadahoist.policy.load_digests.collector_choice import CollectorChoice
 from cicadahoist.policy.load_digests.collector_rank import (
@@ -26,10 +28,10 @@
 
     __slots__ = (
         '_choice_by_zone',
+        '_digest_takers',
         '_instance',
         '_meters',
         '_peers',
-        '_ranked_by_zone',
         '_record',
         'address_by_name',
         '_zone_by_name',
@@ -47,9 +49,9 @@
         self._peers = peers
         self._meters = meters
         self._choice_by_zone = {record.zone: CollectorChoice(instance)}
-        self._ranked_by_zone: dict[str, list[str]] = {}
         self.address_by_name: dict[str, Address] = {}
         self._zone_by_name: dict[str, str] = {}
+        self._digest_takers: frozenset[str] = frozenset()
         self.set_records({})
 
     @property
@@ -72,6 +74,9 @@
         self._zone_by_name = {
             name: record.zone for name, record in records.items()
         }
+        self._digest_takers = frozenset(
+            name for name, record in records.items() if record.takes_digests
+        )
         candidates_by_zone: dict[str, list[CollectorCandidate]] = {
             self._record.zone: []
         }
@@ -89,7 +94,6 @@
                 zone, CollectorChoice(self._instance)
             )
             choice.set_ranked(rank_candidates(candidates))
-            self._ranked_by_zone[zone] = rank_candidates(candidates)
 
     def choose_own(self, now_ms: int) -> str:
         """Return the collector of the own zone."""
@@ -126,17 +130,24 @@
             collectors.extend(choice.list_trials(now_ms))
         return collectors
 
-    def list_rivals(self, collectors: list[str]) -> dict[str, bool]:
+    def takes_digests(self, name: str) -> bool:
+        """Return whether the build of an instance knows load digests."""
+        return name in self._digest_takers
+
+    def has_heard_all(self, collectors: Iterable[str]) -> bool:
         """
-        Return the other collectors of the own zone.
+        Return whether each zone has a collector that was heard.
 
-        :return: whether each comes before this instance in rank
+        :param collectors: the other collectors that were heard
         """
-        return {
-            name: self._is_outranked_by(name)
-            for name in collectors
-            if self._zone_by_name.get(name) == self._record.zone
-        }
+        heard = {self._zone_by_name.get(name) for name in collectors}
+        if self.is_own_collector:
+            heard.add(self._record.zone)
+        return all(
+            zone in heard
+            for zone, choice in self._choice_by_zone.items()
+            if choice.chosen is not None
+        )
 
     def record_far_answer(
         self, collector: str, now_ms: int, *, is_direct: bool
@@ -153,9 +164,3 @@
             choice.record_answer(collector, now_ms)
         elif choice.chosen != collector:
             choice.record_indirect_answer(now_ms)
-
-    def _is_outranked_by(self, name: str) -> bool:
-        ranked = self._ranked_by_zone[self._record.zone]
-        if name not in ranked:
-            return False
-        return ranked.index(name) < ranked.index(self._instance)
--- a/cicadahoist/serving/load_collector.py
+++ b/cicadahoist/serving/load_collector.py
@@ -1,84 +1,64 @@
-"""Sums the load reports of a zone and builds digests of them."""
+"""Sums load reports and builds digests of them."""
 
-from typing import NamedTuple
-
-from cicadahoist.policy.load_digests.load_sum import LoadByTarget, add_loads
-from cicadahoist.policy.load_digests.member_marks import (
+from cicadahoist.policy.load_digests.contributions import (
     Change,
-    Marks,
+    Contribution,
+    ContributionTable,
     MemberMark,
-    merge_marks,
+    rebase,
 )
 from cicadahoist.policy.load_digests.pace import LIST_PERIOD_MS, DigestPace
-from cicadahoist.policy.load_digests.section_table import Section, SectionTable
-from cicadahoist.policy.load_digests.zone_sum import MemberReport, ZoneSum
-from cicadahoist.serving.digest_messages import LoadDigest
+from cicadahoist.serving.digest_messages import MemberDigest, SectionDigest
 from cicadahoist.serving.digest_news import NewsPool
 from cicadahoist.serving.load_messages import LoadMessage
 
-# A collector whose timer is late by this much has stood still: its members have
-# another collector by now.
-FROZEN_MS = 500
-# Reports that have waited in the socket meanwhile are received at once.
-BACKLOG_MS = 100
-
-
-class Digests(NamedTuple):
-    """
-    The digests of one period.
-
-    :param section: load of the own members, for other collectors
-    :param merged: load of all instances, for the own members
-    """
-
-    section: LoadDigest
-    merged: LoadDigest
-
 
 class LoadCollector:
     """
-    Load reports of members, and sections of other collectors.
+    Load reports of members, and what other collectors have of theirs.
 
     :param instance: name of this instance
     :param pace: decides when digests are due
     """
 
     __slots__ = (
-        '_backlog_until_ms',
-        '_checked_ms',
         '_instance',
         '_listed_ms',
+        '_member_news',
         '_must_list',
         '_news',
-        '_pace',
-        '_zone_news',
-        'sections',
-        'zone',
+        '_section_ms',
+        'contributions',
+        'pace',
     )
 
     def __init__(self, instance: str, pace: DigestPace) -> None:
         self._instance = instance
-        self._pace = pace
-        self.zone = ZoneSum()
-        self.sections = SectionTable()
+        self.pace = pace
+        self.contributions = ContributionTable()
         # News of the own members, and of all instances.
-        self._zone_news = NewsPool()
+        self._member_news = NewsPool()
         self._news = NewsPool()
         self._listed_ms = 0
         self._must_list = True
-        self._checked_ms: int | None = None
-        self._backlog_until_ms = 0
+        # Times of the last two sections.
+        self._section_ms = (0, 0)
 
     def add_report(
-        self, report: LoadMessage, own_true_ms: int, now_ms: int
+        self,
+        report: LoadMessage,
+        own_true_ms: int,
+        now_ms: int,
+        *,
+        is_member: bool = True,
     ) -> None:
         """
-        Add the report of a member.
+        Add the report of an instance.
 
         :param own_true_ms: time by the clock of this instance
+        :param is_member: whether it reports to this instance as its collector;
+            otherwise it reports to all, and other collectors have it themselves
         """
-        if now_ms < self._backlog_until_ms and report.sender != self._instance:
-            return
         mark = MemberMark(
             0,
             report.true_ms - own_true_ms,
@@ -86,123 +66,88 @@
             report.relay.is_cut_off,
             report.holds_duties,
         )
-        change = self.zone.apply(
-            MemberReport(report.sender, report.true_ms, mark, report.by_engine),
+        change = self.contributions.apply(
+            Contribution(report.sender, mark, report.by_engine),
+            own_true_ms,
             now_ms,
+            is_direct=is_member,
         )
         has_news = self._news.add_report(report, now_ms)
-        if has_news:
-            self._zone_news.add_report(report, now_ms)
+        if has_news and is_member:
+            self._member_news.add_report(report, now_ms)
         self._record_change(change, now_ms, has_news=has_news)
 
     def add_section(
+        self, digest: SectionDigest, own_true_ms: int, now_ms: int
+    ) -> None:
+        """Add what another collector has of its members."""
+        for contribution in digest.contributions:
+            change = self.contributions.apply(
+                rebase(contribution, digest.true_ms - own_true_ms),
+                own_true_ms,
+                now_ms,
+                is_direct=False,
+            )
+            self._record_change(change, now_ms)
+        has_news = self._news.add(digest.news, now_ms)
+        self._record_change(Change(), now_ms, has_news=has_news)
+
+    def drop_expired(self, now_ms: int) -> None:
+        """Drop the silent instances."""
+        if self.contributions.drop_expired(now_ms):
+            self._record_change(Change(is_summed=True, is_listed=True), now_ms)
+
+    def clear(self) -> None:
+        """Forget all reports."""
+        self.contributions.clear()
+        self._must_list = True
+
+    def build_section(
         self,
-        digest: LoadDigest,
         own_true_ms: int,
         now_ms: int,
         *,
-        is_direct: bool,
-    ) -> None:
-        """Add the section of another collector."""
-        section = Section(
-            digest.collector,
-            digest.true_ms,
-            digest.by_engine,
-            digest.heard,
-            digest.marks,
-        )
-        change = self.sections.apply(
-            section, own_true_ms, now_ms, is_direct=is_direct
-        )
-        has_news = self._news.add(digest.news, now_ms)
-        self._record_change(change, now_ms, has_news=has_news)
-
-    def check(self, now_ms: int) -> bool:
+        heard: tuple[str, ...],
+        is_full: bool,
+    ) -> SectionDigest:
         """
-        Drop what has expired.
+        Return the digest for other collectors.
 
-        :return: whether this process has stood still
+        It has what was reported since the last but one, so that one may be
+        lost. Members repeat their reports, so that each load comes again.
+
+        :param heard: collectors that are heard
+        :param is_full: whether it has all members
         """
-        last_ms = self._checked_ms
-        self._checked_ms = now_ms
-        is_frozen = last_ms is not None and now_ms - last_ms > FROZEN_MS
-        if is_frozen:
-            self.zone.clear()
-            self._backlog_until_ms = now_ms + BACKLOG_MS
-        # Both are to be evaluated: each drops what has expired.
-        is_dropped = [
-            self.zone.drop_expired(now_ms),
-            self.sections.drop_expired(now_ms),
-        ]
-        if any(is_dropped):
-            self._must_list = True
-            self._pace.record_change(now_ms)
-        return is_frozen
-
-    def compute_wait_ms(self, now_ms: int) -> int:
-        """Return the time until the next digest is due, 0 for now."""
-        return self._pace.compute_wait_ms(now_ms)
-
-    def build(self, own_true_ms: int, now_ms: int) -> Digests:
-        """Return the digests of this period."""
-        marks = self._list_marks(now_ms)
-        zone_load = self.zone.list_loads()
-        section = LoadDigest(
+        since_ms = 0 if is_full else self._section_ms[0]
+        self._section_ms = (self._section_ms[1], now_ms)
+        return SectionDigest(
             self._instance,
             own_true_ms,
-            zone_load,
-            self._zone_news.take(now_ms),
-            self.sections.list_active(now_ms),
-            None if marks is None else self.zone.list_marks(now_ms),
+            tuple(self.contributions.list_direct(since_ms, now_ms)),
+            self._member_news.take(now_ms),
+            heard,
         )
-        merged = LoadDigest(
+
+    def build_for_members(self, own_true_ms: int, now_ms: int) -> MemberDigest:
+        """Return the digest for the members."""
+        marks = None
+        is_due = now_ms - self._listed_ms >= LIST_PERIOD_MS
+        if is_due or self._must_list:
+            self._must_list = False
+            self._listed_ms = now_ms
+            marks = self.contributions.list_marks(now_ms)
+        return MemberDigest(
             self._instance,
             own_true_ms,
-            self._add_sections(zone_load),
+            self.contributions.list_loads(),
             self._news.take(now_ms),
-            marks=marks,
+            marks,
         )
-        return Digests(section, merged)
-
-    def record_sent(self, sent_bytes: int, now_ms: int) -> None:
-        """Record that digests were sent, with the bytes to all recipients."""
-        self._pace.record_sent(sent_bytes, now_ms)
-
-    def clear(self) -> None:
-        """Drop all reports and sections."""
-        self.zone.clear()
-        self.sections.clear()
-
-    def yield_to_rivals(self, is_outranked_by_name: dict[str, bool]) -> None:
-        """
-        Count each member once, though it reports to two collectors.
-
-        :param is_outranked_by_name: the other collectors of the zone, and
-            whether each comes before this one in rank
-        """
-        for name, is_outranked in is_outranked_by_name.items():
-            self.zone.yield_to(
-                self.sections.list_stamps(name), is_outranked=is_outranked
-            )
-            # The other one compares the reports that are listed.
-            self._must_list = True
 
     def _record_change(
-        self, change: Change, now_ms: int, *, has_news: bool
+        self, change: Change, now_ms: int, *, has_news: bool = False
     ) -> None:
         self._must_list = self._must_list or change.is_listed
         if change.is_any or has_news:
-            self._pace.record_change(now_ms)
-
-    def _add_sections(self, zone_load: LoadByTarget) -> LoadByTarget:
-        return add_loads([zone_load, *self.sections.list_loads()])
-
-    def _list_marks(self, now_ms: int) -> Marks | None:
-        is_due = now_ms - self._listed_ms >= LIST_PERIOD_MS
-        if not is_due and not self._must_list:
-            return None
-        self._must_list = False
-        self._listed_ms = now_ms
-        return merge_marks(
-            [self.zone.list_marks(now_ms), *self.sections.list_marks(now_ms)]
-        )
+            self.pace.record_change(now_ms)
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -186,8 +186,7 @@
         load = LOAD_CODEC.decode(datagram)
         now_ms = self._clock.now_ms()
         self._receiver.apply_report(load, now_ms)
-        if not self.digests.covers(load.sender):
-            self._receiver.apply_load(load.sender, load.by_engine, now_ms)
+        self.digests.apply_direct(load, now_ms)
 
     def _decode_peers(self, found: list[StoredObject]) -> dict[str, PeerRecord]:
         records: dict[str, PeerRecord] = {}
@@ -279,8 +278,9 @@
             load, true_ms=self._context.true_time.read_own_ms()
         )
         datagram = LOAD_CODEC.encode(stamped)
-        for address in addresses.values():
-            self._send_datagram(datagram, address)
+        for name, address in addresses.items():
+            framed = self.digests.frame_direct(name, datagram)
+            self._send_datagram(framed, address)
         return len(datagram) + DATAGRAM_HEADER_BYTES
 
     def _send_datagram(self, datagram: bytes, address: Address) -> None:
--- a/cicadahoist/serving/load_receiver.py
+++ b/cicadahoist/serving/load_receiver.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 
 from cicadahoist.policy.engine_board import EngineBoard
+from cicadahoist.policy.load_digests.contributions import MemberMark
 from cicadahoist.policy.load_digests.load_sum import LoadByTarget
-from cicadahoist.policy.load_digests.member_marks import Marks
 from cicadahoist.policy.peer_loads import PeerLoad
 from cicadahoist.policy.rejection_backoff import MAX_BACKOFF_MS
 from cicadahoist.serving.context import ServingContext
@@ -79,7 +79,7 @@
                 board.peer_loads.drop(name)
 
     def apply_marks(
-        self, marks: Marks, sender_true_ms: int, now_ms: int
+        self, marks: dict[str, MemberMark], sender_true_ms: int, now_ms: int
     ) -> None:
         """
         Apply what a digest tells about the instances whose loads it sums.
--- a/tests/test_serving/digest_fleet.py
+++ b/tests/test_serving/digest_fleet.py
@@ -10,6 +10,7 @@
 from tests.test_serving.world import target
 
 STEP_MS = 5
+MAX_KEPT = 5000
 
 
 class CutNetwork(Network):
@@ -35,6 +36,8 @@
         if sender in self.dead:
             return
         self.out_count[sender] += 1
+        if len(self.datagrams) < MAX_KEPT:
+            self.datagrams.append(datagram)
         is_lost = self.loses is not None and self.loses(sender, datagram)
         if (sender, receiver) in self.cut_links or receiver in self.dead:
             return
@@ -82,9 +85,10 @@
     :param old: numbers of the instances of an earlier build, which take no
         digests
     :param engine_count: engines that all instances use
+    :param registered_count: instances whose records all of them have read
     """
 
-    def __init__(self, zones, old=(), engine_count=9):
+    def __init__(self, zones, old=(), engine_count=9, registered_count=None):
         self.clock = Clock.manual()
         self.network = CutNetwork()
         self.old = set(old)
@@ -92,7 +96,7 @@
         self.instances = []
         for number, zone in enumerate(zones, start=1):
             self.instances.append(self.start_instance(number, zone))
-        self.register()
+        self.register(self.instances[:registered_count])
 
     @classmethod
     def of_size(cls, count, **fields):
