Load digests: a collector passes on loads that another one does not hear

Cause: a collector cut from its zone hears other zones only, whose collectors sent it just their own members. Change: a collector names those that it hears, and gets all loads from others if one is missing.

--- a/cicadahoist/policy/load_digests/collector_contacts.py
+++ b/cicadahoist/policy/load_digests/collector_contacts.py
@@ -10,17 +10,32 @@
 class CollectorContacts:
     """When each other collector was heard, and which ones were sent to."""
 
-    __slots__ = ('_direct_ms_by_name', '_heard_ms_by_name', '_sent_to')
+    __slots__ = (
+        '_direct_ms_by_name',
+        '_heard_by_name',
+        '_heard_ms_by_name',
+        '_sent_to',
+    )
 
     def __init__(self) -> None:
         self._direct_ms_by_name: dict[str, int] = {}
         self._heard_ms_by_name: dict[str, int] = {}
+        # Collectors that each other one hears itself.
+        self._heard_by_name: dict[str, frozenset[str]] = {}
         self._sent_to: frozenset[str] = frozenset()
 
-    def record_heard(self, name: str, now_ms: int, *, is_direct: bool) -> bool:
+    def record_heard(
+        self,
+        name: str,
+        heard: Iterable[str],
+        now_ms: int,
+        *,
+        is_direct: bool,
+    ) -> bool:
         """
         Record a digest of a collector.
 
+        :param heard: collectors that it hears itself
         :param is_direct: whether no other instance has passed it on
         :return: whether it was not heard before
         """
@@ -28,6 +43,7 @@
             ACTIVE_MS
         )
         self._heard_ms_by_name[name] = now_ms
+        self._heard_by_name[name] = frozenset(heard)
         if is_direct:
             self._direct_ms_by_name[name] = now_ms
         return is_new
@@ -40,15 +56,24 @@
         """Return the collectors that are heard."""
         return _list_active(self._heard_ms_by_name, now_ms)
 
-    def record_sent(self, names: frozenset[str]) -> bool:
+    def list_cut_off(self, now_ms: int) -> set[str]:
+        """Return the collectors that do not hear all others heard here."""
+        direct = set(self.list_direct(now_ms))
+        return {
+            name
+            for name in direct
+            if direct - {name} - self._heard_by_name[name]
+        }
+
+    def record_sent(self, names: frozenset[str]) -> frozenset[str]:
         """
         Record to which collectors a digest goes.
 
-        :return: whether one of them has not got the last one
+        :return: those that have not got the last one
         """
-        has_new = bool(names - self._sent_to)
+        added = names - self._sent_to
         self._sent_to = names
-        return has_new
+        return added
 
     def has_sent_to(self, names: Iterable[str]) -> bool:
         """Return whether the last digest went to all of some collectors."""
@@ -58,6 +83,7 @@
         """Forget all collectors."""
         self._direct_ms_by_name.clear()
         self._heard_ms_by_name.clear()
+        self._heard_by_name.clear()
         self._sent_to = frozenset()
 
 
--- a/cicadahoist/policy/load_digests/contributions.py
+++ b/cicadahoist/policy/load_digests/contributions.py
@@ -80,6 +80,7 @@
     # last reported to this process itself, none if it did not.
     heard_ms: int
     direct_ms: int | None
+    received_ms: int
 
 
 class ContributionTable:
@@ -119,6 +120,7 @@
             stamp_ms=sender_true_ms - mark.age_ms + mark.offset_ms,
             heard_ms=now_ms - mark.age_ms,
             direct_ms=now_ms if is_direct else None,
+            received_ms=now_ms,
         )
         last = self._entry_by_member.get(contribution.member)
         if last is None:
@@ -181,19 +183,23 @@
             for name, entry in self._entry_by_member.items()
         }
 
-    def list_direct(self, since_ms: int, now_ms: int) -> list[Contribution]:
+    def list_since(
+        self, since_ms: int, now_ms: int, *, has_all: bool
+    ) -> list[Contribution]:
         """
-        Return the loads of the instances that report to this one.
+        Return the loads that were received lately.
 
-        :param since_ms: those that have reported before are left out
+        :param since_ms: those that were received before are left out
+        :param has_all: whether to return also those of instances that report to
+            other collectors
         """
         return [
             msgspec.structs.replace(
                 entry.contribution, mark=_compute_mark(entry, now_ms)
             )
             for entry in self._entry_by_member.values()
-            if entry.direct_ms is not None
-            and entry.direct_ms >= max(since_ms, now_ms - MEMBER_TTL_MS)
+            if entry.received_ms >= since_ms
+            and (has_all or _is_direct(entry, now_ms))
         ]
 
 
--- a/cicadahoist/serving/collector_role.py
+++ b/cicadahoist/serving/collector_role.py
@@ -164,15 +164,7 @@
             the sum, 0 for none
         """
         true_ms = self._context.true_time.read_own_ms()
-        collectors = self._list_other_collectors(now_ms)
-        section = self._collector.build_section(
-            true_ms,
-            now_ms,
-            heard=self._contacts.list_direct(now_ms),
-            is_full=self._contacts.record_sent(collectors),
-        )
-        datagram = SECTION_MARK + SECTION_CODEC.encode(section)
-        sent_bytes = [self._send_to(name, datagram) for name in collectors]
+        sent_bytes = self._send_to_collectors(true_ms, now_ms)
         digest = None
         if self._is_ready(now_ms):
             digest = self._collector.build_for_members(true_ms, now_ms)
@@ -181,6 +173,21 @@
         contributions = self._collector.contributions
         return digest, contributions.get_stamp_ms(self._instance)
 
+    def _send_to_collectors(self, true_ms: int, now_ms: int) -> list[int]:
+        heard = self._contacts.list_direct(now_ms)
+        names = self._list_other_collectors(now_ms)
+        # Those that were not sent the last digest, or lack loads.
+        relayed = self._contacts.record_sent(names)
+        relayed |= self._contacts.list_cut_off(now_ms) & names
+        section = self._collector.build_section(true_ms, now_ms, heard)
+        datagram = SECTION_MARK + SECTION_CODEC.encode(section)
+        sent_bytes = [self._send_to(name, datagram) for name in names - relayed]
+        if relayed:
+            relay = self._collector.build_relay(true_ms, now_ms, heard)
+            datagram = SECTION_MARK + SECTION_CODEC.encode(relay)
+            sent_bytes.extend(self._send_to(name, datagram) for name in relayed)
+        return sent_bytes
+
     def _send_to_members(self, digest: MemberDigest, now_ms: int) -> list[int]:
         body = encode_for_members(digest)
         contributions = self._collector.contributions
@@ -208,7 +215,7 @@
         self, digest: SectionDigest, now_ms: int, *, is_direct: bool
     ) -> None:
         if self._contacts.record_heard(
-            digest.collector, now_ms, is_direct=is_direct
+            digest.collector, digest.heard, now_ms, is_direct=is_direct
         ):
             # It is to learn soon that it is heard.
             self._collector.pace.record_change(now_ms)
--- a/cicadahoist/serving/digest_news.py
+++ b/cicadahoist/serving/digest_news.py
@@ -74,7 +74,18 @@
 
     def take(self, now_ms: int) -> DigestNews:
         """Return the news, and begin anew."""
-        news = DigestNews(
+        news = self.peek(now_ms)
+        self._prefills.clear()
+        self._blames.clear()
+        self._departures.clear()
+        self._closure_by_engine.clear()
+        self._backoff_by_engine.clear()
+        self._part_news = None
+        return news
+
+    def peek(self, now_ms: int) -> DigestNews:
+        """Return the news, and keep them."""
+        return DigestNews(
             prefills=tuple(self._prefills),
             closed_by_engine={
                 engine: RoleClosure(closure.role, closure.expires_ms - now_ms)
@@ -89,13 +100,6 @@
                 if end_ms > now_ms
             },
         )
-        self._prefills.clear()
-        self._blames.clear()
-        self._departures.clear()
-        self._closure_by_engine.clear()
-        self._backoff_by_engine.clear()
-        self._part_news = None
-        return news
 
 
 def get_news(report: LoadMessage) -> DigestNews:
--- a/cicadahoist/serving/load_collector.py
+++ b/cicadahoist/serving/load_collector.py
@@ -103,32 +103,40 @@
         self._must_list = True
 
     def build_section(
-        self,
-        own_true_ms: int,
-        now_ms: int,
-        *,
-        heard: tuple[str, ...],
-        is_full: bool,
+        self, own_true_ms: int, now_ms: int, heard: tuple[str, ...]
     ) -> SectionDigest:
         """
-        Return the digest for other collectors.
+        Return the loads of the members, for other collectors.
 
         It has what was reported since the last but one, so that one may be
         lost. Members repeat their reports, so that each load comes again.
 
         :param heard: collectors that are heard
-        :param is_full: whether it has all members
         """
-        since_ms = 0 if is_full else self._section_ms[0]
+        since_ms = self._section_ms[0]
         self._section_ms = (self._section_ms[1], now_ms)
         return SectionDigest(
             self._instance,
             own_true_ms,
-            tuple(self.contributions.list_direct(since_ms, now_ms)),
+            tuple(
+                self.contributions.list_since(since_ms, now_ms, has_all=False)
+            ),
             self._member_news.take(now_ms),
             heard,
         )
 
+    def build_relay(
+        self, own_true_ms: int, now_ms: int, heard: tuple[str, ...]
+    ) -> SectionDigest:
+        """Return all loads, for a collector that does not hear all others."""
+        return SectionDigest(
+            self._instance,
+            own_true_ms,
+            tuple(self.contributions.list_since(0, now_ms, has_all=True)),
+            self._news.peek(now_ms),
+            heard,
+        )
+
     def build_for_members(self, own_true_ms: int, now_ms: int) -> MemberDigest:
         """Return the digest for the members."""
         marks = None
--- a/tests/test_serving/test_load_digests.py
+++ b/tests/test_serving/test_load_digests.py
@@ -349,9 +349,10 @@
     assert ages.most_counted <= 0
     check_counted_once(fleet)
     assert len(fleet.list_collectors()) == 3
-    fleet.register(small)
-    fleet.advance(SETTLE_MS)
+    for instance in fleet.instances[9:]:
+        fleet.kill(instance)
     fleet.instances = small
+    fleet.register(small)
     check_counted_once(fleet)
 
 
