Load digests: rank in the records of instances, metrics, pages and a bench

Cause: collectors are to be the instances with the fastest link and the most processor capacity. Change: limits.link-mbps and limits.cpu-share x limits.cores are in the instance's record; counters of datagrams and of changes of the collector; docs/design/load-digests.md, docs/OPERATIONS.md; python -m bench.slopes loads.

--- a/bench/slopes/__main__.py
+++ b/bench/slopes/__main__.py
@@ -13,7 +13,14 @@
 from bench.slopes.fit import fit_line
 from bench.slopes.series import SERIES, Series
 
-GROUPS = ('tables', 'messages', 'leases', 'policies', 'instances')
+GROUPS = (
+    'tables',
+    'messages',
+    'leases',
+    'policies',
+    'instances',
+    'load_reports',
+)
 KIB_PER_MIB = 1024
 
 
--- a/tests/test_cmd/test_front_peering.py
+++ b/tests/test_cmd/test_front_peering.py
@@ -83,6 +83,8 @@
             peer_ports=(1, 1),
             store_address=ADDRESS,
             order_address=ADDRESS,
+            link_mbps=80,
+            core_count=1.5,
         )
         self.reactor = reactor
         self.peering = front_peering.add_peering(
@@ -157,6 +159,14 @@
     assert len(record.relay_token) >= 24
 
 
+def test_the_record_of_an_instance_ranks_it_as_a_collector(objects):
+    """Guard against load digests that nobody sends."""
+    Instance('i1').tasks.advance(1000)
+    record = msgspec.convert(objects.kinds[PEER_KIND]['i1'].spec, PeerRecord)
+    assert record.takes_digests
+    assert (record.link_mbps, record.core_count) == (80, 1.5)
+
+
 def test_each_process_has_a_token_of_its_own(objects):
     tokens = set()
     for _ in range(2):
--- a/tests/test_platform/test_formats.py
+++ b/tests/test_platform/test_formats.py
@@ -119,6 +119,21 @@
     assert caught.value.remedy
 
 
+@pytest.mark.parametrize(
+    ('lines', 'core_count'),
+    [
+        ('', None),
+        ('limits.cores=4\n', 4),
+        ('limits.cpu-share=0.5\n', 0.5),
+        ('limits.cores=4\nlimits.cpu-share=0.5\n', 2),
+    ],
+)
+def test_processor_capacity_is_cores_times_share(lines, core_count):
+    """Guard against small instances that collect load reports."""
+    settings = InstanceSettings.from_text(f'{SETTINGS}\n{lines}')
+    assert settings.core_count == core_count
+
+
 def test_missing_settings_file_error_names_the_variable(tmp_path):
     with pytest.raises(ConfigError, match='CICADAHOIST_CONFIG'):
         InstanceSettings.from_file(str(tmp_path / 'none'))
