--- a/cicadahoist/serving/peers.py
+++ b/cicadahoist/serving/peers.py
@@ -35,10 +35,15 @@
     def mark_alive(
         self, peer: str, now_ms: int, *, holds_duties: bool = False
     ) -> None:
-        """Record that a peer is alive, and whether it holds the duties."""
-        self._heard_ms_by_peer[peer] = now_ms
+        """
+        Record that a peer was alive at a time, and whether it held the duties.
+
+        Digests tell of reports that are older than those received directly.
+        """
+        heard_ms = self._heard_ms_by_peer.get(peer, now_ms)
+        self._heard_ms_by_peer[peer] = max(heard_ms, now_ms)
         if holds_duties:
-            self._holder_heard_ms = now_ms
+            self._holder_heard_ms = max(self._holder_heard_ms or 0, now_ms)
 
     def is_alive(self, peer: str, now_ms: int) -> bool:
         """Return whether a peer was heard lately."""
@@ -53,14 +58,15 @@
         that instances choose different peers for their copies.
         """
         own = fast_hash(self._instance)
-        names = [
-            peer
-            for peer in self._heard_ms_by_peer
-            if self.is_alive(peer, now_ms)
+        hashes = [
+            (fast_hash(peer), peer)
+            for peer, heard_ms in self._heard_ms_by_peer.items()
+            if now_ms - heard_ms <= PEER_TIMEOUT_MS
+        ]
+        hashes.sort()
+        return [peer for place, peer in hashes if place >= own] + [
+            peer for place, peer in hashes if place < own
         ]
-        return sorted(
-            names, key=lambda name: (fast_hash(name) < own, fast_hash(name))
-        )
 
     def compute_rank(self, now_ms: int) -> int:
         """Return the rank of this instance among those alive, from 0."""
