--- a/cicadahoist/policy/capacity_plan/wanted_engines.py
+++ b/cicadahoist/policy/capacity_plan/wanted_engines.py
@@ -14,9 +14,10 @@
 )
 from cicadahoist.rules import EngineSizes, OrderLimits
 
-# Bursts reach 1.5 to 2.5 times the mean and are over before or soon after an
-# engine has booted, so that the engines for them have to be there already.
-BURST_HEADROOM = 2.0
+# Bursts reach 2.5 times the mean of a wave that itself rises by a quarter and
+# more. They are over before or soon after an engine has booted, so that the
+# engines for them have to be there already.
+BURST_HEADROOM = 3.0
 # Growth of the recent load until an engine ordered now serves.
 BOOT_HEADROOM = 1.25
 # Engines are released once so long fewer would have sufficed: two periods of
