Load digests from 40 instances on

Cause: with 16 instances, reports to all peers are sent at each change, so that digests of 100 ms are older. Change: [fleet] digests_from, 40 by default; smaller fleets report to all peers as before.

--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -31,7 +31,7 @@
 from cicadahoist.serving.server import EXIT_MARGIN_MS
 from cicadahoist.serving.version_recorder import VersionRecorder
 from cicadahoist.serving.watch_fanout import WatchFanout, WatchFanoutTask
-from cicadahoist.settings import LARGE_FLEET, SCARCE_PLACES
+from cicadahoist.settings import LARGE_FLEET, LOAD_DIGESTS, SCARCE_PLACES
 
 # New instances affect only shares and loads, so cheap lists that may be seconds
 # old are enough to find them.
@@ -77,6 +77,7 @@
     :return: what other tasks need of them
     """
     context.gossip.set_large_from(application.config.read(LARGE_FLEET))
+    context.gossip.set_digests_from(application.config.read(LOAD_DIGESTS))
     context.fleet.balances.set_slots_per_instance(
         application.config.read(SCARCE_PLACES)
     )
--- a/cicadahoist/serving/digest_exchange.py
+++ b/cicadahoist/serving/digest_exchange.py
@@ -98,10 +98,10 @@
     def apply_records(self, record_by_name: dict[str, PeerRecord]) -> None:
         """Replace the records of the other instances."""
         self._role.members.set_records(record_by_name)
-        if not self._context.is_large_fleet:
+        if not self._context.gossip.uses_load_digests:
             self.stop()
         elif self._timer is None:
-            logger.info('load reports go to collectors: the fleet is large')
+            logger.info('load reports go to collectors')
             self._schedule(0)
 
     def stop(self) -> None:
--- a/cicadahoist/serving/gossip.py
+++ b/cicadahoist/serving/gossip.py
@@ -13,7 +13,7 @@
 from cicadahoist.requests import PromptPart
 from cicadahoist.serving.relay_peers import RelayPeers
 from cicadahoist.serving.usage_copies import UsageCopies
-from cicadahoist.settings import LARGE_FLEET
+from cicadahoist.settings import LARGE_FLEET, LOAD_DIGESTS
 
 logger = get_logger(__name__)
 
@@ -27,6 +27,7 @@
     """
 
     __slots__ = (
+        '_digest_size',
         '_fleet_size',
         'blames',
         'crash_evidence',
@@ -48,6 +49,7 @@
         self.held_parts = HeldParts()
         self.usage_copies = UsageCopies()
         self.relays = RelayPeers()
+        self._digest_size = FleetSize(LOAD_DIGESTS.default)
         self._fleet_size = FleetSize(LARGE_FLEET.default)
         # Called with each blame that this instance has found.
         self.on_blame: Callable[[Blame], None] = _ignore
@@ -75,8 +77,18 @@
         """Set the number of instances from which a fleet counts as large."""
         self._fleet_size = FleetSize(instance_count)
 
+    @property
+    def uses_load_digests(self) -> bool:
+        """Whether load reports go to collectors."""
+        return self._digest_size.is_large
+
+    def set_digests_from(self, instance_count: int) -> None:
+        """Set the number of instances from which reports go to collectors."""
+        self._digest_size = FleetSize(instance_count)
+
     def set_instance_count(self, count: int) -> None:
         """Set the number of registered instances, this one included."""
+        self._digest_size.apply_count(count)
         if self._fleet_size.apply_count(count):
             logger.bind(
                 instances=count, is_large=self._fleet_size.is_large
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -249,7 +249,7 @@
             (group, self.digests.select_direct(group.addresses))
             for group in (self._near, self._far)
         ]
-        self._has_direct = not self._context.is_large_fleet or any(
+        self._has_direct = not self._context.gossip.uses_load_digests or any(
             addresses for _, addresses in recipients
         )
         if self._has_direct:
--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -437,6 +437,18 @@
     )
 )
 
+LOAD_DIGESTS = _declare(
+    Option(
+        'fleet',
+        'digests_from',
+        40,
+        unit='instances',
+        lowest=2,
+        summary='Number of instances from which load reports go to collectors.'
+        ' With fewer, reports to all peers are more recent.',
+    )
+)
+
 SETTINGS.declare_order(HEARTBEAT_PERIOD, PEER_TIMEOUT)
 SETTINGS.declare_order(LEASE_MARGIN, LEASE_TERM)
 SETTINGS.declare_order(ORDER_BOUND, LEASE_TERM)
--- a/tests/test_serving/digest_fleet.py
+++ b/tests/test_serving/digest_fleet.py
@@ -107,6 +107,8 @@
         instance = Instance(self.network, number, zone, clock)
         instance.world.add(*(target(name, 'llm') for name in self.engines))
         instance.number = number
+        # Small fleets of instances show the same as those of 40 and more.
+        instance.world.context.gossip.set_digests_from(12)
         return instance
 
     def register(self, instances=None):
