--- a/cicadahoist/settings.py
+++ b/cicadahoist/settings.py
@@ -429,7 +429,7 @@
     Option(
         'balancing',
         'scarce_places',
-        2.0,
+        0.0,
         unit='slots',
         lowest=0,
         summary='In a large fleet, the slots of a service are granted by one'
--- a/tests/test_serving/test_slot_exchange.py
+++ b/tests/test_serving/test_slot_exchange.py
@@ -23,6 +23,8 @@
     """Return instances that have heard each other, and 3 plain targets."""
     network, clock, instances = create_deployment(['a'] * count)
     for instance in instances:
+        balances = instance.world.context.fleet.balances
+        balances.set_slots_per_instance(2.0)
         instance.world.add(
             *(limit_slots(target(name), slots) for name in TARGETS)
         )
--- a/tests/test_serving/test_stream_exchange.py
+++ b/tests/test_serving/test_stream_exchange.py
@@ -48,8 +48,6 @@
         self.network, self.clock, self.instances = create_deployment(zones)
         for instance in self.instances:
             instance.world.context.fleet.directory.replace(engines)
-            # Requests are sent at once, as where engines have slots enough.
-            instance.world.context.fleet.balances.set_slots_per_instance(0)
         self.network.datagrams.clear()
 
     def begin_stream(self, number):
--- a/tests/test_serving/version_fleet.py
+++ b/tests/test_serving/version_fleet.py
@@ -107,8 +107,6 @@
         # Load reports take most of the time of a test, and play no part.
         for instance in self.instances:
             instance.stop()
-            # Requests are sent at once, as where engines have slots enough.
-            instance.world.context.fleet.balances.set_slots_per_instance(0)
         self.list_engines(listed)
         for recorder in self.recorders:
             Pending(recorder.start())
