--- a/tests/test_policy/test_capacity_plan.py
+++ b/tests/test_policy/test_capacity_plan.py
@@ -108,9 +108,8 @@
             continue
         share = plan.need.decode_share
         assert load.fits(plan.count, share, factor(at_ms + 4000))
-        # Zones are reclaimed beside waves of up to 55%.
         left_count = plan.count - math.ceil(plan.count / len(ZONES))
-        assert load.fits(left_count, share, min(1.55, factor(at_ms)))
+        assert load.fits(left_count, share, factor(at_ms))
 
 
 @pytest.mark.parametrize('load', LOADS)
