--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,6 +10,8 @@
 from common.workers import Worker
 
 CLIENTS = 60
+# Retries of a client, as on the sheet.
+RETRIES = 1
 TRAFFIC_S = 16
 # Limits of the site file for `garble`, how `extra late`; it comes twice.
 TROUBLES_FROM_S = (2, 9)
@@ -39,8 +41,18 @@
         # One worker of three: the limit is a share of 0.6.
         workers[0].sends_copy = Copies(case, workers[0]).draw
     refused = {}
+    attempts_by_booking = {}
     await asyncio.gather(
-        *(call(case, began_s + TRAFFIC_S, refused) for _ in range(CLIENTS))
+        *(
+            call(
+                case,
+                began_s + TRAFFIC_S,
+                f'{number}',
+                refused,
+                attempts_by_booking,
+            )
+            for number in range(CLIENTS)
+        )
     )
     await asyncio.sleep(1)
     for worker in workers:
@@ -48,6 +60,10 @@
             worker.name,
             f'{worker.answered} answers, {len(worker.copied)} repeated',
         )
+    for booking, attempts in attempts_by_booking.items():
+        count = sum(one in worker.ran for one in attempts for worker in workers)
+        if count > 1:
+            case.record('clients', f'booking {booking} has run {count} times')
     return [
         f'REFUSED: {attempt} got {status} and ran at {worker.name}'
         for attempt, status in refused.items()
@@ -86,12 +102,18 @@
         return False
 
 
-async def call(case, end_s, refused):
-    """Book again and again on one connection."""
+async def call(case, end_s, client, refused, attempts_by_booking):
+    """Book again and again; try a refused booking once more, as told."""
     connection = case.fronts[0].connect()
+    number = 0
     while case.now_s() < end_s:
-        attempt, answer = await case.book(connection)
-        if answer.status in REFUSALS and answer.is_whole:
+        number += 1
+        booking = f'{client}-{number}'
+        for _ in range(1 + RETRIES):
+            attempt, answer = await case.book(connection, booking=booking)
+            attempts_by_booking.setdefault(booking, []).append(attempt)
+            if answer.status not in REFUSALS or not answer.is_whole:
+                break
             refused[attempt] = answer.status
             await asyncio.sleep(float(answer.headers.get('retry-after', 0.1)))
     connection.close()
--- a/review/common/case.py
+++ b/review/common/case.py
@@ -300,7 +300,7 @@
         for front in self.fronts:
             await front.wait_until_ready()
 
-    async def book(self, connection, key=KEY):
+    async def book(self, connection, key=KEY, booking='1'):
         """Send a booking, which may run once; return its id and answer."""
         attempt = self.new_attempt()
         headers = {
@@ -309,13 +309,15 @@
             'X-Cicadahoist-Deadline-Ms': 4000,
             'Authorization': f'Token {key}',
         }
-        self.record('client', f'books {attempt}')
-        answer = await connection.send('POST', '/book/1', headers, b'{}')
+        self.record('client', f'books {booking} as {attempt}')
+        answer = await connection.send(
+            'POST', f'/book/{booking}', headers, b'{}'
+        )
         kind = 'whole' if answer.is_whole else 'cut'
         self.record('client', f'{attempt} gets {answer.status} {kind}')
         return attempt, answer
 
-    async def chat(self, connection, tokens):
+    async def chat(self, connection, tokens, prompt_tokens=220):
         """Send a request for a stream; return its id and answer."""
         attempt = self.new_attempt()
         headers = {
@@ -323,8 +325,10 @@
             'X-Cicadahoist-Attempt-Id': attempt,
             'X-Cicadahoist-Deadline-Ms': 15000,
             'X-Cicadahoist-Model': 'm',
-            'X-Cicadahoist-Token-Count': f'220,{tokens}',
-            'X-Cicadahoist-Prompt-Prefix': f'5c1e07a2:79,{attempt}:141',
+            'X-Cicadahoist-Token-Count': f'{prompt_tokens},{tokens}',
+            'X-Cicadahoist-Prompt-Prefix': (
+                f'5c1e07a2:79,{attempt}:{prompt_tokens - 79}'
+            ),
             'X-Cicadahoist-Length-Hint': tokens,
             'Authorization': f'Token {KEY}',
         }
@@ -364,8 +368,12 @@
         for connection in case.connections:
             connection.close()
         case.end_fronts()
-        # Stand-ins notice the closed connections.
+        # Stand-ins end after they have noticed the closed connections.
         await asyncio.sleep(0.3)
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 def find_port(host, count=1):
--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -210,19 +210,20 @@
         self.address = f'{host}:{port}'
 
     async def _serve(self, reader, writer):
-        while True:
+        try:
             request = await read_request(reader)
-            if request is None:
-                break
-            holder = request.headers['x-cicadahoist-duty-holder']
-            token = int(request.headers['x-cicadahoist-fence-token'])
-            content = request.json()
-            self.calls.append(
-                (self._now_s(), request.path, holder, token, content)
-            )
-            self._record(
-                holder,
-                f'{request.path} token {token} {json.dumps(content)}',
-            )
-            writer.write(build_json_answer(200, {}))
-        writer.close()
+            while request is not None:
+                writer.write(self._answer(request))
+                request = await read_request(reader)
+        finally:
+            writer.transport.abort()
+
+    def _answer(self, request):
+        holder = request.headers['x-cicadahoist-duty-holder']
+        token = int(request.headers['x-cicadahoist-fence-token'])
+        content = request.json()
+        self.calls.append((self._now_s(), request.path, holder, token, content))
+        self._record(
+            holder, f'{request.path} token {token} {json.dumps(content)}'
+        )
+        return build_json_answer(200, {})
--- a/review/common/workers.py
+++ b/review/common/workers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import itertools
+import socket
+import struct
 
 from common.web import (
     build_answer,
@@ -12,6 +14,8 @@
 )
 
 ATTEMPT_ID = 'x-cicadahoist-attempt-id'
+# Makes the system reset a connection that is closed.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _numbers = itertools.count(1)
 
 
@@ -54,8 +58,9 @@
         self._stage = stage
         self._event_s = event_s
         self._places = asyncio.Semaphore(slots)
-        self._open = 0
+        self.open_count = 0
         self._server = None
+        self._writers = set()
         # Attempts that began to run, with their times.
         self.ran = {}
         # Decides whether a second copy of an answer is sent late.
@@ -84,7 +89,17 @@
             entry['models'] = [{'name': 'm', 'version': 1, 'adapters': []}]
         self._store.put('servers', self.name, entry)
 
+    def close(self):
+        """Accept no connections any more, and reset those that are open."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         late_copy = b''
         try:
             while True:
@@ -107,6 +122,7 @@
         except ConnectionError:
             return
         finally:
+            self._writers.discard(writer)
             writer.transport.abort()
 
     async def _answer(self, request, reader, writer):
@@ -116,6 +132,10 @@
                 build_json_answer(200, {'stage': self._stage, 'seq': 0})
             )
             return b''
+        if request.path == '/health':
+            own = {'X-Cicadahoist-Instance-Id': self.name}
+            writer.write(build_answer(200, own))
+            return b''
         attempt = request.headers.get(ATTEMPT_ID, '')
         expected = request.headers.get('x-cicadahoist-expect-instance')
         echo = {'X-Cicadahoist-Attempt-Id': attempt}
@@ -123,17 +143,17 @@
             writer.write(build_answer(421, echo))
             return b''
         self.answered += 1
-        if self._open >= self._slots + self._queue:
+        if self.open_count >= self._slots + self._queue:
             self._record(self.name, f'rejects {attempt}')
             echo['X-Cicadahoist-Not-Executed'] = '1'
             sent = build_answer(503, echo)
             writer.write(sent)
             return sent
-        self._open += 1
+        self.open_count += 1
         try:
             return await self._run(request, reader, writer, attempt, echo)
         finally:
-            self._open -= 1
+            self.open_count -= 1
 
     async def _run(self, request, reader, writer, attempt, echo):
         async with self._places:
