Review: the drill of review/2 waits until a holder has acted

On a slow machine no instance might have held the lease before the drill, so that nothing could be compared.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -42,7 +42,8 @@
         asyncio.ensure_future(call(case, number % 3, end_s))
         for number in range(CLIENTS)
     ]
-    await asyncio.sleep(copied_s + COPY_AGE_S - case.now_s())
+    while case.now_s() < copied_s + COPY_AGE_S or not case.duties.calls:
+        await asyncio.sleep(0.05)
     away_s = case.now_s()
     back_s = away_s
     if case.is_troubled:
