Skip late copies of rejections, whatever their status

Cause: the adapter looked at 421 and X-Cicadahoist-Not-Executed before it compared the attempt id, so that a copied rejection of an earlier request counted for the one in flight. The id is compared first now, for every status.

The same cause on related paths: an answer that names no attempt, on a connection that was used before, counts as a lost attempt; a second attempt of a request at the same target gets a new connection, as a copy would bear its own id.

--- a/cicadahoist/platform/dialect.py
+++ b/cicadahoist/platform/dialect.py
@@ -138,6 +138,7 @@
             int(found[1]) * MS_PER_S if found else None,
             by_name.get(LEAVING.lower(), b'').strip() == b'1',
             _read_pause_ms(status, by_name),
+            names_request=bool(_read_text(by_name, ATTEMPT_ID)),
         )
 
     def own_headers(
@@ -173,14 +174,15 @@
 def _classify_answer(
     request: InboundRequest, status: int, by_name: dict[bytes, bytes]
 ) -> AnswerMeaning:
+    # Any answer may be a late copy of one to another request.
+    echoed = _read_text(by_name, ATTEMPT_ID)
+    if echoed and echoed != request.attempt_id:
+        return AnswerMeaning.foreign
     if status == HTTP_MISDIRECTED:
         return AnswerMeaning.misplaced
     if NOT_RUN.lower() in by_name:
         return AnswerMeaning.not_run
-    echoed = by_name.get(ATTEMPT_ID.lower(), b'').decode('latin-1')
     is_signed = SIGNATURE.lower() in by_name
-    if echoed and echoed != request.attempt_id:
-        return AnswerMeaning.foreign
     if status in HTTP_SUCCESSES:
         if is_signed and b'content-encoding' not in by_name:
             return AnswerMeaning.whole
--- a/cicadahoist/requests.py
+++ b/cicadahoist/requests.py
@@ -156,6 +156,7 @@
     :param is_target_leaving: whether the target states that it leaves
     :param pause_ms: time for which the target wants no requests from this
         instance, none if it does not state this
+    :param names_request: whether the answer states which request it belongs to
     """
 
     meaning: AnswerMeaning
@@ -164,3 +165,4 @@
     idle_timeout_ms: int | None = None
     is_target_leaving: bool = False
     pause_ms: int | None = None
+    names_request: bool = True
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -105,6 +105,8 @@
 SILENT = 'silent'
 # The same because its path is down while a peer reaches the target.
 STRANDED = 'stranded'
+# The same because it cannot be told which request the answer belongs to.
+UNATTRIBUTED = 'unattributed'
 
 _NOT_RUN = frozenset((AnswerMeaning.not_run, AnswerMeaning.misplaced))
 
@@ -143,6 +145,7 @@
         'is_stranded',
         'listing',
         'max_body_bytes',
+        'needs_new_connection',
         'on_activity',
         'on_head',
         'on_unread',
@@ -173,6 +176,9 @@
         self.is_direct = False
         # Whether nothing arrives as its path is down.
         self.is_stranded = False
+        # Whether the target may answer an earlier attempt of the request, which
+        # has the same id, once more on a connection that it keeps.
+        self.needs_new_connection = False
         # Whether the answer is not read, as its caller reads slowly.
         self.is_paused = False
         # Longest body that is collected.
@@ -203,7 +209,9 @@
         if end_deferred is None:
             return AttemptEnd(AttemptOutcome.stopped)
         try:
-            connection, pool = await connections.open(self.listing)
+            connection, pool = await connections.open(
+                self.listing, is_new=self.needs_new_connection
+            )
         except NotSentError as error:
             self._end_deferred = None
             return AttemptEnd(AttemptOutcome.unsent, detail=str(error))
@@ -263,6 +271,9 @@
         self.on_activity()
         if head.meaning is AnswerMeaning.foreign:
             return False
+        if not head.names_request and _was_used(self._connection):
+            self.abandon(UNATTRIBUTED)
+            return False
         self._head = head
         self.on_head(head)
         if self._connection is not None and head.idle_timeout_ms is not None:
@@ -360,6 +371,11 @@
             end_deferred.callback(end)
 
 
+def _was_used(connection: TargetConnection | None) -> bool:
+    """Return whether a late answer to an earlier request may arrive."""
+    return connection is not None and connection.is_reused
+
+
 def _keep_options(options: SendOptions) -> SendOptions:
     """Let the request be sent as it is."""
     return options
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -250,6 +250,7 @@
             return AttemptEnd(AttemptOutcome.stopped)
         name = attempt.listing.name
         self._open_attempts.add(attempt)
+        attempt.needs_new_connection = name in self._tried_targets
         self._tried_targets.append(name)
         self._excluded_targets.add(name)
         chosen_ms = self._context.clock.now_ms()
--- a/cicadahoist/serving/target_connections.py
+++ b/cicadahoist/serving/target_connections.py
@@ -61,18 +61,19 @@
         self._connector.relays = relays
 
     async def open(
-        self, listing: Listing
+        self, listing: Listing, *, is_new: bool = False
     ) -> tuple[TargetConnection, TargetPool]:
         """
         Return an idle or new connection to a target, and its pool.
 
+        :param is_new: whether an idle connection must not be used
         :raises NotSentError: no path to the target works
         """
         pool = self._get_pool(listing)
         path = self.paths.get(listing.name)
         if path.is_bypassed and path.is_probe_due(self._clock.now_ms()):
             self._connector.probe(listing)
-        connection = self._acquire(pool)
+        connection = None if is_new else self._acquire(pool)
         if connection is None:
             connection = await self._connector.connect(listing)
         return connection, pool
