Pass on no status of a target that promises "not run"

Cause: only X-Cicadahoist-Not-Executed and 421 state that a target has not run a request, but every other answer was passed on with its status, promise or not.

Such an answer ends the request with 502 now; a request that may be repeated is tried at another target first. policy.promise_status lists which statuses an answer may bear.

--- /dev/null
+++ b/cicadahoist/serving/attempt_results.py
@@ -0,0 +1,22 @@
+"""What the end of an attempt means for its request."""
+
+from cicadahoist.policy.promise_status import may_pass_on
+from cicadahoist.requests import AnswerMeaning
+from cicadahoist.serving.attempt import AttemptEnd, AttemptOutcome
+
+HTTP_SERVER_ERROR = 500
+
+
+def is_final(end: AttemptEnd) -> bool:
+    """Return whether an attempt brought an answer that no retry can improve."""
+    head = end.head
+    if end.outcome is not AttemptOutcome.answered or head is None:
+        return False
+    if head.meaning is not AnswerMeaning.failure:
+        return True
+    return head.status < HTTP_SERVER_ERROR and may_pass_on(head.status)
+
+
+def has_failed(end: AttemptEnd) -> bool:
+    """Return whether a target, not the path to it, has lost an attempt."""
+    return end.outcome is AttemptOutcome.lost and not end.is_stranded
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -34,7 +34,6 @@
 
 logger = get_logger(__name__)
 
-HTTP_SERVER_ERROR = 500
 HTTP_BAD_GATEWAY = 502
 HTTP_GATEWAY_TIMEOUT = 504
 # Usual length of the head of a request to a target.
@@ -359,22 +358,6 @@
     return Refusal.targets_paused, pause_ms
 
 
-def is_final(end: AttemptEnd) -> bool:
-    """Return whether an attempt brought an answer that no retry can improve."""
-    head = end.head
-    if end.outcome is not AttemptOutcome.answered or head is None:
-        return False
-    return (
-        head.meaning is not AnswerMeaning.failure
-        or head.status < HTTP_SERVER_ERROR
-    )
-
-
-def has_failed(end: AttemptEnd) -> bool:
-    """Return whether a target, not the path to it, has lost an attempt."""
-    return end.outcome is AttemptOutcome.lost and not end.is_stranded
-
-
 def _record_meaning(
     context: ServingContext, target: str, end: AttemptEnd
 ) -> None:
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -29,6 +29,7 @@
     AttemptEnd,
     AttemptOutcome,
 )
+from cicadahoist.serving.attempt_results import has_failed, is_final
 from cicadahoist.serving.engine_choice import Choice, EngineChoice
 from cicadahoist.serving.engine_feedback import EngineFeedback
 from cicadahoist.serving.engine_slots import EngineGrant, EngineSlots
@@ -41,8 +42,6 @@
     STREAM_RETRY_AFTER_MS,
     Flow,
     explain_no_target,
-    has_failed,
-    is_final,
     launch,
 )
 from cicadahoist.serving.held_events import HeldEvents
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -4,6 +4,7 @@
 from cicadahoist.reasons import Refusal, Retry
 from cicadahoist.requests import RepeatRule, SendOptions
 from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
+from cicadahoist.serving.attempt_results import has_failed, is_final
 from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.flow import (
     HTTP_BAD_GATEWAY,
@@ -12,8 +13,6 @@
     STREAM_RETRY_AFTER_MS,
     Flow,
     explain_no_target,
-    has_failed,
-    is_final,
     launch,
 )
 from cicadahoist.serving.request_slots import SlotGrant
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from cicadahoist.log import get_logger
+from cicadahoist.policy.promise_status import may_pass_on
 from cicadahoist.reasons import Refusal
 from cicadahoist.requests import AnswerHead, InboundRequest
 from cicadahoist.rules import RouteRule
@@ -16,6 +17,7 @@
 logger = get_logger(__name__)
 
 HTTP_TOO_MANY_REQUESTS = 429
+HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 # Retry-After is at most a third of the time until the caller's deadline.
 MAX_RETRY_AFTER_SHARE = 0.33
@@ -76,9 +78,13 @@
         return self._exchange.is_awaited
 
     def deliver(self, head: AnswerHead, body: bytes) -> None:
-        """Pass on a complete answer of a target."""
+        """Pass on a complete answer of a target that may have run it."""
         if self.is_over:
             return
+        if not may_pass_on(head.status):
+            self.log_fields['target_status'] = head.status
+            self.fail(HTTP_BAD_GATEWAY, Refusal.target_failed)
+            return
         self._record_bytes(len(body))
         self._record_first_byte()
         self._exchange.answer(head.status, head.headers, body)
