Keep tokens rising and windows reported once across eras of the store

Cause: a missing lease counted as one that was never held. It was claimed at once, beside a holder whose term ran, and tokens began at 1 again; sealed usage windows that the copy lacked were summed anew. The era of the store was looked at by the followers of lists only.

Tokens of an era lie above those of the one before. A lease is claimed a takeover after its reader first saw the era; a write counts only in the era of its read; no duty calls out once another era was seen; windows that an earlier era can have reported are not reported in the next one.

--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -89,7 +89,7 @@
             ORDER_TIMEOUT_MS,
         )
         clock = self._context.clock
-        duties = PlatformDuties(clock, self._context.true_time.now_ms)
+        duties = PlatformDuties(clock, self._context.true_time.now_ms, store)
         usage = UsageReportJob(
             store,
             calls,
--- a/cicadahoist/control/store_calls.py
+++ b/cicadahoist/control/store_calls.py
@@ -67,7 +67,7 @@
             return ReadFailed()
         if stored is None:
             return ObjectRead(0, b'')
-        return ObjectRead(stored.version, stored.payload)
+        return ObjectRead(stored.version, stored.payload, stored.era)
 
     async def _write(self, action: WriteObject) -> None:
         event = await self._store_object(action)
--- a/cicadahoist/objects.py
+++ b/cicadahoist/objects.py
@@ -62,6 +62,10 @@
 class ObjectStoreClient(Protocol):
     """Client of an object store with conditional writes and watches."""
 
+    @property
+    def era(self) -> int:
+        """Newest era in any answer; answers of earlier ones count as none."""
+
     async def read_page(
         self, kind: str, *, after: str = '', may_lag: bool = False
     ) -> ObjectPage:
--- a/cicadahoist/outside/store.py
+++ b/cicadahoist/outside/store.py
@@ -31,11 +31,17 @@
 
 
 class Stored(msgspec.Struct, frozen=True):
-    """An object as read from the store."""
+    """
+    An object as read from the store.
+
+    :param version: version of the object, ``ABSENT`` if it does not exist
+    :param era: rises each time the store comes back from an older copy
+    """
 
     name: str
     version: int
     payload: bytes
+    era: int = 0
 
 
 class LeaseStore(Protocol):
--- a/cicadahoist/platform/objects.py
+++ b/cicadahoist/platform/objects.py
@@ -78,17 +78,22 @@
     or may not have taken effect, and :exc:`StoreBusyError`, after which it has
     not.
 
+    An answer from before the store came back from an older copy counts as none:
+    what it tells is gone.
+
     :param base: base URL of the store
     :param http: client with its own connection pool
     :param timeout_ms: time limit for an answer
     """
 
-    __slots__ = ('_base', '_http', '_timeout_ms')
+    __slots__ = ('_base', '_http', '_timeout_ms', 'era')
 
     def __init__(self, base: str, http: HttpClient, timeout_ms: int) -> None:
         self._base = base
         self._http = http
         self._timeout_ms = timeout_ms
+        # Newest era of the store in any answer.
+        self.era = 0
 
     @classmethod
     def from_address(
@@ -233,10 +238,24 @@
             raise StoreUnavailableError(
                 f'store: {lost}', remedy='read the object to see its state'
             ) from lost
+        self._check_era(answer.era)
         if response.status in {HTTP_OK, HTTP_CREATED}:
             return answer
         raise _build_error(response.status, f'{method} {url}')
 
+    def _check_era(self, era: int) -> None:
+        """
+        Record the era of an answer.
+
+        :raises StoreUnavailableError: another answer had a later one
+        """
+        if era < self.era:
+            raise StoreUnavailableError(
+                f'store: answer of era {era}, which is over',
+                remedy='read the object to see its state',
+            )
+        self.era = era
+
 
 class ObjectMissingError(StoreError):
     """The object does not exist."""
@@ -252,18 +271,22 @@
     :param kind: kind of the lease objects
     """
 
-    __slots__ = ('_kind', '_objects')
+    __slots__ = ('_era', '_kind', '_objects')
 
     def __init__(self, objects: ObjectStore, kind: str) -> None:
         self._objects = objects
         self._kind = kind
+        # Era of the last read, on which writes rely.
+        self._era = 0
 
-    async def read(self, name: str) -> Stored | None:
-        """Return an object, or none if it does not exist."""
+    async def read(self, name: str) -> Stored:
+        """Return an object, an empty one if it does not exist."""
         found = await self._objects.get(self._kind, name)
+        self._era = self._objects.era
         if found is None:
-            return None
-        return Stored(name, found.revision, msgspec.json.encode(found.spec))
+            return Stored(name, ABSENT, b'', self._era)
+        payload = msgspec.json.encode(found.spec)
+        return Stored(name, found.revision, payload, self._era)
 
     async def write(self, name: str, payload: bytes, expected: int) -> int:
         """
@@ -272,11 +295,22 @@
         :param expected: revision to replace, ``ABSENT`` to create
         :return: the new revision
         :raises VersionConflictError: the object has another revision
+        :raises StoreUnavailableError: the store has come back from an older
+            copy since the last read
         """
         spec = msgspec.json.decode(payload)
         if expected == ABSENT:
-            return await self._objects.create(self._kind, name, spec)
-        return await self._objects.replace(self._kind, name, spec, expected)
+            revision = await self._objects.create(self._kind, name, spec)
+        else:
+            revision = await self._objects.replace(
+                self._kind, name, spec, expected
+            )
+        if self._objects.era != self._era:
+            raise StoreUnavailableError(
+                f'store: {name} was written in another era than it was read in',
+                remedy='read the object to see its state',
+            )
+        return revision
 
 
 def _to_stored_object(wire: _WireObject) -> StoredObject:
--- a/cicadahoist/protocol/events.py
+++ b/cicadahoist/protocol/events.py
@@ -15,10 +15,12 @@
 
     :param version: version of the object, 0 if it does not exist
     :param payload: encoded record, empty if the object does not exist
+    :param era: rises each time the store comes back from an older copy
     """
 
     version: int
     payload: bytes
+    era: int = 0
 
 
 class ReadFailed(msgspec.Struct, frozen=True):
--- a/cicadahoist/protocol/lease.py
+++ b/cicadahoist/protocol/lease.py
@@ -22,21 +22,34 @@
     """
     Latest observed version of the lease object.
 
+    Versions of different eras of the store have no order and no identity.
+
     :ivar since_ms: clock reading at which the version was first observed
+    :ivar era: era of the store, none before the first read
+    :ivar era_since_ms: clock reading at which the era was first observed
     """
 
-    __slots__ = ('since_ms', 'version')
+    __slots__ = ('era', 'era_since_ms', 'since_ms', 'version')
 
     def __init__(self) -> None:
         self.version = -1
         self.since_ms = 0
+        self.era: int | None = None
+        self.era_since_ms = 0
 
     def update(self, version: int, now_ms: int) -> None:
-        """Record a version that was read or written."""
+        """Record a version that was read or written in the era."""
         if version != self.version:
             self.version = version
             self.since_ms = now_ms
 
+    def enter_era(self, era: int, now_ms: int) -> None:
+        """Record the era of a read; no version is known at its begin."""
+        if era != self.era:
+            self.era = era
+            self.era_since_ms = now_ms
+            self.version = -1
+
 
 class LeaseKeeper(ChartCore):
     """
--- a/cicadahoist/protocol/lease_guards.py
+++ b/cicadahoist/protocol/lease_guards.py
@@ -16,12 +16,13 @@
 @GUARDS.register('lease_free')
 def _lease_free(lease: 'LeaseKeeper', event: ObjectRead, now_ms: int) -> bool:
     record = decode_record(event.payload)
-    return record.released or not record.epoch
+    is_free = record.released or not record.epoch
+    return is_free and _is_era_settled(lease, event, now_ms)
 
 
 @GUARDS.register('takeover_due')
 def _takeover_due(lease: 'LeaseKeeper', event: ObjectRead, now_ms: int) -> bool:
-    if event.version != lease.seen_version.version:
+    if not _has_seen(lease, event):
         return False
     return now_ms - lease.seen_version.since_ms >= lease.timing.takeover_ms
 
@@ -40,14 +41,16 @@
 
 @GUARDS.register('nonce_own')
 def _nonce_own(lease: 'LeaseKeeper', event: ObjectRead, now_ms: int) -> bool:
-    return read_nonce(event) in lease.write_ms_by_nonce
+    # A write that was granted in an earlier era may be gone with it.
+    is_granted_here = event.era == lease.seen_version.era
+    return is_granted_here and read_nonce(event) in lease.write_ms_by_nonce
 
 
 @GUARDS.register('version_unchanged')
 def _version_unchanged(
     lease: 'LeaseKeeper', event: ObjectRead, now_ms: int
 ) -> bool:
-    return event.version == lease.seen_version.version
+    return _has_seen(lease, event)
 
 
 @GUARDS.register('step_down_due')
@@ -69,3 +72,26 @@
 @GUARDS.register('leaving')
 def _leaving(lease: 'LeaseKeeper', event: Any, now_ms: int) -> bool:
     return lease.is_leaving
+
+
+def _has_seen(lease: 'LeaseKeeper', event: ObjectRead) -> bool:
+    """Return whether the object still is as it was last seen."""
+    seen = lease.seen_version
+    return (event.era, event.version) == (seen.era, seen.version)
+
+
+def _is_era_settled(
+    lease: 'LeaseKeeper', event: ObjectRead, now_ms: int
+) -> bool:
+    """
+    Return whether no holder of an earlier era can be left.
+
+    A record that is missing, or released, may be an older copy. A store without
+    eras never comes back from one.
+    """
+    if not event.era:
+        return True
+    seen = lease.seen_version
+    if event.era != seen.era:
+        return False
+    return now_ms - seen.era_since_ms >= lease.timing.takeover_ms
--- a/cicadahoist/protocol/lease_outputs.py
+++ b/cicadahoist/protocol/lease_outputs.py
@@ -14,7 +14,7 @@
 )
 from cicadahoist.protocol.events import JournalChange, ObjectRead, read_nonce
 from cicadahoist.protocol.machine import Output
-from cicadahoist.protocol.records import decode_record
+from cicadahoist.protocol.records import compute_next_epoch, decode_record
 from cicadahoist.registry import Registry
 
 if TYPE_CHECKING:
@@ -30,6 +30,7 @@
 
 @OUTPUTS.register('note_version')
 def _note_version(lease: 'LeaseKeeper', event: ObjectRead, now_ms: int) -> None:
+    lease.seen_version.enter_era(event.era, now_ms)
     lease.seen_version.update(event.version, now_ms)
     lease.record = decode_record(event.payload)
 
@@ -39,7 +40,9 @@
     lease.write_ms_by_nonce.clear()
     claim = msgspec.structs.replace(
         lease.record,
-        epoch=lease.record.epoch + 1,
+        epoch=compute_next_epoch(
+            lease.record.epoch, lease.seen_version.era or 0
+        ),
         holder=lease.holder,
         released=False,
     )
--- a/cicadahoist/protocol/records.py
+++ b/cicadahoist/protocol/records.py
@@ -4,6 +4,9 @@
 
 from cicadahoist.codec import Codec
 
+# Epochs of one era of the store lie below those of the next one.
+EPOCHS_PER_ERA = 1_000_000
+
 
 class JournalEntry(msgspec.Struct, frozen=True, kw_only=True):
     """
@@ -33,7 +36,8 @@
     """
     A lease and its order journal.
 
-    :param epoch: fencing token, increasing each time the lease is won
+    :param epoch: fencing token, increasing each time the lease is won, also
+        where the store has come back from an older copy since
     :param holder: name and incarnation of the holder
     :param nonce: unique value of each write
     :param released: whether the holder released the lease
@@ -54,6 +58,21 @@
         return all(entry.settled for entry in self.orders.values())
 
 
+def compute_next_epoch(epoch: int, era: int) -> int:
+    """
+    Return the epoch of the next holder of a lease.
+
+    :param epoch: epoch in the record, which may be an older copy
+    :param era: era of the store
+    """
+    return max(epoch, era * EPOCHS_PER_ERA) + 1
+
+
+def get_era(epoch: int) -> int:
+    """Return the era of the store in which a lease was won."""
+    return epoch // EPOCHS_PER_ERA
+
+
 _codec: Codec[LeaseRecord] = Codec.stored('lease', LeaseRecord)
 encode_record = _codec.encode
 
--- a/cicadahoist/serving/duties.py
+++ b/cicadahoist/serving/duties.py
@@ -8,8 +8,13 @@
 from cicadahoist.clock import Clock
 from cicadahoist.errors import StoreError
 from cicadahoist.log import get_logger
+from cicadahoist.objects import ObjectStoreClient
 from cicadahoist.protocol.actions import OrderOutcome
-from cicadahoist.protocol.records import JournalEntry, LeaseRecord
+from cicadahoist.protocol.records import (
+    JournalEntry,
+    LeaseRecord,
+    get_era,
+)
 
 logger = get_logger(__name__)
 
@@ -53,12 +58,26 @@
 
     :param clock: clock of the process
     :param true_ms: wall-clock time, corrected for steps
+    :param store: the store that keeps the lease
     """
 
-    __slots__ = ('_clock', '_due_ms_by_job', '_jobs', '_term', '_true_ms')
-
-    def __init__(self, clock: Clock, true_ms: Callable[[], int]) -> None:
+    __slots__ = (
+        '_clock',
+        '_due_ms_by_job',
+        '_jobs',
+        '_store',
+        '_term',
+        '_true_ms',
+    )
+
+    def __init__(
+        self,
+        clock: Clock,
+        true_ms: Callable[[], int],
+        store: ObjectStoreClient,
+    ) -> None:
         self._clock = clock
+        self._store = store
         self._true_ms = true_ms
         self._jobs: list[tuple[Job, int]] = []
         self._due_ms_by_job: dict[int, int] = {}
@@ -112,7 +131,8 @@
         epoch = term.epoch
 
         def may_act() -> bool:
-            return term.is_holder and term.epoch == epoch
+            is_lease_kept = get_era(epoch) == self._store.era
+            return term.is_holder and term.epoch == epoch and is_lease_kept
 
         try:
             await job.run(self._true_ms(), may_act, epoch)
--- a/cicadahoist/serving/usage_report.py
+++ b/cicadahoist/serving/usage_report.py
@@ -7,12 +7,15 @@
 from cicadahoist.errors import StoreError, VersionConflictError
 from cicadahoist.log import get_logger
 from cicadahoist.objects import ObjectStoreClient, StoredObject, list_all
+from cicadahoist.protocol.records import get_era
 from cicadahoist.serving.duty_calls import DutyInterface, OrderReply
 from cicadahoist.serving.instance_records import COUNT_KIND
 
 logger = get_logger(__name__)
 
 SEALED_KIND = 'cicadahoist-usage-windows'
+# By era of the store: the first window that is reported in it.
+ERA_KIND = 'cicadahoist-usage-eras'
 # Instances store their counts of a window about this long after its end.
 COUNT_DELAY_MS = 2200
 # A window is sealed this long before its report is due, also where counts of
@@ -37,12 +40,18 @@
     counts: dict[str, int] = {}
 
 
+class _Era(msgspec.Struct):
+    first: int
+
+
 class UsageReportJob:
     """
     Reports each window with the figures that were sealed for it.
 
     The store keeps the sealed figures, so that a report that is repeated, also
-    by another holder, has the same figures.
+    by another holder, has the same figures. Where it has come back from an
+    older copy, they may be gone: what can have been reported before is not
+    reported.
 
     :param objects: the store
     :param interface: accepts the reports
@@ -53,6 +62,7 @@
 
     __slots__ = (
         '_due_ms',
+        '_first_window',
         '_interface',
         '_last_reported_window',
         '_objects',
@@ -74,10 +84,14 @@
         self._window_ms = window_ms
         self._due_ms = due_ms
         self._last_reported_window: int | None = None
+        # First window that no holder has reported in an earlier era, none if
+        # it is not known yet.
+        self._first_window: int | None = None
 
     def begin_term(self) -> None:
         """Report again what is not past due: another holder's may be lost."""
         self._last_reported_window = None
+        self._first_window = None
 
     async def run(self, true_ms: int, may_act: Any, epoch: int) -> None:
         """
@@ -95,7 +109,8 @@
             if self._last_reported_window is None
             else self._last_reported_window + 1
         )
-        for window in range(max(oldest_unreported, oldest), newest + 1):
+        first = await self._find_first_window(get_era(epoch), newest + 1)
+        for window in range(max(oldest_unreported, oldest, first), newest + 1):
             seal_ms = (
                 (window + 1) * self._window_ms + self._due_ms - REPORT_LEAD_MS
             )
@@ -112,6 +127,39 @@
                 return
             self._last_reported_window = window
 
+    async def _find_first_window(self, era: int, unsealed: int) -> int:
+        """
+        Return the first window that is reported in an era of the store.
+
+        A lease is won a term after the begin of its era, so that no window that
+        can be sealed only now was reported before.
+
+        :param unsealed: first window that cannot be sealed yet
+        """
+        if self._first_window is not None:
+            return self._first_window
+        first = 0
+        if era:
+            try:
+                await self._objects.create(
+                    ERA_KIND, str(era), {'first': unsealed}
+                )
+            except VersionConflictError:
+                first = await self._read_first_window(era)
+            else:
+                first = unsealed
+        self._first_window = first
+        return first
+
+    async def _read_first_window(self, era: int) -> int:
+        stored = await self._objects.get(ERA_KIND, str(era))
+        if stored is None:
+            raise StoreError(
+                f'first usage window of era {era} is missing after a conflict',
+                remedy='read the store again',
+            )
+        return msgspec.convert(stored.spec, _Era).first
+
     async def _get_or_seal(
         self, window: int, *, must_seal: bool
     ) -> dict[str, int] | None:
--- a/tests/test_platform/test_objects.py
+++ b/tests/test_platform/test_objects.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from cicadahoist.platform.objects import ObjectStore
+from cicadahoist.errors import StoreUnavailableError
+from cicadahoist.platform.objects import LeaseObjects, ObjectStore
 from tests.coroutines import Pending
 
 
@@ -22,11 +23,11 @@
 
 
 class Client:
-    def __init__(self, answer):
-        self._answer = answer
+    def __init__(self, *answers):
+        self._answers = list(answers)
 
     async def call(self, method, url, **options):
-        return self._answer
+        return self._answers.pop(0)
 
 
 @pytest.mark.parametrize(
@@ -39,3 +40,37 @@
     events = Answer(stated, b'{"events":[],"as-of":7}')
     store = ObjectStore('http://s', Client(events), 1000)
     assert Pending(store.watch('servers', 6, 100)).result().era == era
+
+
+OBJECT = b'{"metadata":{"name":"duties","revision":7},"spec":{"epoch":3}}'
+
+
+# Guards against an answer that was given before the store came back and is read
+# after one that was given later.
+def test_an_answer_of_an_earlier_era_counts_as_none():
+    answers = [Answer(era, OBJECT) for era in ('2', '1', '2')]
+    store = ObjectStore('http://s', Client(*answers), 1000)
+    Pending(store.get('leases', 'duties')).result()
+    with pytest.raises(StoreUnavailableError):
+        Pending(store.get('leases', 'duties')).result()
+    assert store.era == 2
+    assert Pending(store.get('leases', 'duties')).result().revision == 7
+
+
+# Guards against a lease that is written in another era than it was read in.
+@pytest.mark.parametrize('expected', [0, 7])
+def test_a_lease_is_not_written_across_eras(expected):
+    answers = [Answer(era, OBJECT) for era in ('1', '2')]
+    store = ObjectStore('http://s', Client(*answers), 1000)
+    leases = LeaseObjects(store, 'leases')
+    assert Pending(leases.read('duties')).result().era == 1
+    with pytest.raises(StoreUnavailableError):
+        Pending(leases.write('duties', b'{}', expected)).result()
+
+
+def test_a_missing_lease_has_the_era_of_its_answer():
+    missing = Answer('4', b'{}')
+    missing.status = 404
+    store = ObjectStore('http://s', Client(missing), 1000)
+    read = Pending(LeaseObjects(store, 'leases').read('duties')).result()
+    assert (read.version, read.payload, read.era) == (0, b'', 4)
--- a/tests/test_serving/test_duties.py
+++ b/tests/test_serving/test_duties.py
@@ -176,7 +176,9 @@
     def __init__(self):
         self.clock = Clock.manual()
         self.term = Term()
-        self._duties = PlatformDuties(self.clock, self.clock.now_ms)
+        self._duties = PlatformDuties(
+            self.clock, self.clock.now_ms, FakeObjects()
+        )
         self._duties.set_term(self.term)
         self.add = self._duties.add
         self.tick = self._duties.tick
