Close with the answer while leaving, and admit late what ends in time

Cause: an answer that began before the stop could not say Connection: close, and its connection stayed open for the next request; and any request was admitted until the end of the grace.

The connection closes with the answer now, unless bytes of another request have arrived. From the time at which callers are routed elsewhere, a request is admitted only if it ends by itself before open requests are cut off; the rest is refused at once with the shortest Retry-After (policy.departure).

--- a/cicadahoist/cmd/front_peering.py
+++ b/cicadahoist/cmd/front_peering.py
@@ -9,6 +9,7 @@
 from cicadahoist.ids import new_nonce
 from cicadahoist.platform.clients import new_store_client
 from cicadahoist.platform.settings_file import InstanceSettings
+from cicadahoist.policy.departure import EXIT_MARGIN_MS
 from cicadahoist.policy.held_parts import PartHold
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.held_part_records import HELD_PARTS_KIND
@@ -28,7 +29,6 @@
 from cicadahoist.serving.relay_admission import RelayAdmission
 from cicadahoist.serving.relay_client import RelayClient
 from cicadahoist.serving.relay_server import RelayServer
-from cicadahoist.serving.server import EXIT_MARGIN_MS
 from cicadahoist.serving.version_recorder import VersionRecorder
 from cicadahoist.serving.watch_fanout import WatchFanout, WatchFanoutTask
 from cicadahoist.settings import LARGE_FLEET, LOAD_DIGESTS, SCARCE_PLACES
--- a/cicadahoist/serving/deadline.py
+++ b/cicadahoist/serving/deadline.py
@@ -22,11 +22,11 @@
     :param clock: clock of the process
     """
 
-    __slots__ = ('_clock', '_due_ms', '_timer')
+    __slots__ = ('_clock', '_timer', 'due_ms')
 
     def __init__(self, due_ms: int, clock: Clock) -> None:
         self._clock = clock
-        self._due_ms = due_ms
+        self.due_ms = due_ms
         self._timer: Timer | None = None
 
     @classmethod
@@ -42,7 +42,7 @@
     @property
     def remaining_ms(self) -> int:
         """Time left, negative after the deadline."""
-        return self._due_ms - self._clock.now_ms()
+        return self.due_ms - self._clock.now_ms()
 
     @property
     def has_passed(self) -> bool:
--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -5,16 +5,19 @@
 
 from cicadahoist.errors import CallerError
 from cicadahoist.log import get_logger
+from cicadahoist.policy.departure import Departure
 from cicadahoist.policy.placement import estimate_engine_ms
 from cicadahoist.reasons import Refusal
 from cicadahoist.requests import InboundRequest
 from cicadahoist.rules import CallerLimits, Deployment, KeyHolder, RouteRule
 from cicadahoist.serving.context import ServingContext
+from cicadahoist.serving.deadline import Deadline
 from cicadahoist.serving.flow import Flow, launch
 from cicadahoist.serving.inbound import Exchange
 from cicadahoist.serving.meters import Meters
 from cicadahoist.serving.model_flow import FreeHandle, ModelFlow
 from cicadahoist.serving.plain_flow import PlainFlow
+from cicadahoist.serving.reply import MIN_RETRY_AFTER_MS
 from cicadahoist.serving.request_reader import RawRequest
 
 logger = get_logger(__name__)
@@ -64,8 +67,7 @@
         '_context',
         '_free_cache',
         '_may_use_keys',
-        'is_ending',
-        'is_leaving',
+        'departure',
     )
 
     def __init__(
@@ -77,14 +79,17 @@
         self._context = context
         self._may_use_keys = may_use_keys
         self._free_cache = free_cache
-        self.is_leaving = False
-        # Whether the process ends before any request can be served.
-        self.is_ending = False
+        self.departure = Departure()
 
     def get_limits(self, since_ms: int) -> CallerLimits:
         """Return the limits for what a caller began at a time."""
         return self._context.get_caller_limits(since_ms)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether connections are to be closed after their answers."""
+        return self.departure.is_begun
+
     @property
     def meters(self) -> Meters:
         """Metrics of the data path."""
@@ -107,14 +112,8 @@
         self._context.meters.record_read_wait(
             request.read_ms - request.arrived_ms
         )
-        if self.is_ending:
-            self._refuse(
-                exchange,
-                request,
-                Refusal.leaving,
-                OTHER_INSTANCE_RETRY_AFTER_MS,
-            )
-            return ANSWERED_REQUEST
+        if self.departure.is_over:
+            return self._refuse_leaving(exchange, request)
         deployment = self._context.deployment
         if deployment is None:
             self._refuse(
@@ -158,6 +157,11 @@
                 exchange, request, HTTP_BAD_REQUEST, Refusal.bad_request
             )
             return ANSWERED_REQUEST
+        due_ms = Deadline.from_request(
+            request, route, self._context.clock
+        ).due_ms
+        if not self.departure.admits(self._context.clock.now_ms(), due_ms):
+            return self._refuse_leaving(exchange, request)
         flow = self._create_flow(request, route, holder, exchange)
         if flow.gate.is_open:
             self._start(flow, request)
@@ -200,6 +204,13 @@
             )
         flow.start()
 
+    def _refuse_leaving(
+        self, exchange: Exchange, request: InboundRequest
+    ) -> AnsweredRequest:
+        """Send a request elsewhere that this instance would cut off."""
+        self._refuse(exchange, request, Refusal.leaving, MIN_RETRY_AFTER_MS)
+        return ANSWERED_REQUEST
+
     def _refuse(
         self,
         exchange: Exchange,
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -291,6 +291,9 @@
         self._http.start_next_cycle()
         if self.is_reading:
             self._clock.call_later(0, self._read)
+        elif self._handler.is_leaving:
+            # The head of an answer that began before did not say so.
+            self.close_unused()
 
     def abort(self) -> None:
         """Close immediately, by a reset where the system allows it."""
--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -15,17 +15,13 @@
     HTTP_OK,
     HTTP_UNAVAILABLE,
 )
+from cicadahoist.policy.departure import UNREADY_WAIT_MS
 from cicadahoist.serving.front import Front
 from cicadahoist.serving.inbound import CallerConnections
 
 logger = get_logger(__name__)
 
-# The platform checks readiness once a second and routes no more callers here
-# after two failed checks.
-UNREADY_WAIT_MS = 2500
 DRAIN_POLL_MS = 50
-# Time for the exit itself before the process would be killed.
-EXIT_MARGIN_MS = 700
 LISTEN_BACKLOG = 512
 
 
@@ -81,8 +77,8 @@
 
     async def stop(self) -> None:
         """Report unready, stop listening and wait for open requests to end."""
-        self._front.is_leaving = True
-        started_ms = self._clock.now_ms()
+        departure = self._front.departure
+        departure.begin(self._clock.now_ms(), self._grace_ms)
         logger.bind(open=self._connections.count_open()).info('leaving')
         await self._clock.sleep(UNREADY_WAIT_MS)
         # A request that is not read can be sent to another instance without
@@ -90,8 +86,7 @@
         if self._listening_port is not None:
             self._accept_waiting()
             await self._listening_port.stopListening()
-        end_ms = started_ms + self._grace_ms - EXIT_MARGIN_MS
-        while self._clock.now_ms() < end_ms:
+        while self._clock.now_ms() < departure.cut_ms:
             self._connections.close_unused()
             if not self._connections.count_open():
                 break
@@ -99,7 +94,7 @@
         logger.bind(open=self._connections.count_open()).info('left')
         if self._connections.count_open():
             # What is read from now on is refused.
-            self._front.is_ending = True
+            departure.is_over = True
             self._connections.end_requests()
             await self._clock.sleep(DRAIN_POLL_MS)
         self._connections.report_unread()
--- a/tests/test_serving/test_closed_connections.py
+++ b/tests/test_serving/test_closed_connections.py
@@ -8,9 +8,10 @@
 import pytest
 from twisted.internet.defer import Deferred, succeed
 
+from cicadahoist.policy.departure import UNREADY_WAIT_MS
 from cicadahoist.rules import CallerLimits
 from cicadahoist.serving.inbound import LINGER_MS, READ_AHEAD_BYTES
-from cicadahoist.serving.server import UNREADY_WAIT_MS, FrontServer
+from cicadahoist.serving.server import FrontServer
 from tests.test_serving.turned_reactor import (
     SocketCaller,
     TurnedReactor,
--- a/tests/test_serving/test_front.py
+++ b/tests/test_serving/test_front.py
@@ -154,7 +154,7 @@
 
 
 def test_a_leaving_instance_asks_callers_to_connect_elsewhere(world):
-    world.front.is_leaving = True
+    world.front.departure.begin(world.clock.now_ms(), 8000)
     caller = world.send_request(b'/submit/x')
     world.sent[0].answer()
     assert caller.status == 200
--- a/tests/test_serving/test_stop_listening.py
+++ b/tests/test_serving/test_stop_listening.py
@@ -11,7 +11,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.tcp import Port
 
-from cicadahoist.serving.server import UNREADY_WAIT_MS, FrontServer
+from cicadahoist.policy.departure import UNREADY_WAIT_MS
+from cicadahoist.serving.server import FrontServer
 from tests.test_serving.turned_reactor import (
     HOST,
     TIMEOUT_S,
