--- a/cicadahoist/serving/stream_exchange.py
+++ b/cicadahoist/serving/stream_exchange.py
@@ -219,13 +219,18 @@
         return candidates.pop() if len(candidates) == 1 else None
 
     def _is_confirmed(self, attempt_id: str, answers: list[Answer]) -> bool:
-        """Return whether an instance that would hold the origin lacks it."""
-        if not attempt_id:
-            return False
-        return self._peers.is_replica(attempt_id) or any(
+        """
+        Return whether others that would hold the origin lack it.
+
+        What this instance lacks it may have missed, and so may another one of
+        its zone.
+        """
+        needed_count = self._peers.count_needed_replicas(attempt_id)
+        confirming_count = sum(
             answer.is_replica and answer.only_version is not None
             for answer in answers
         )
+        return 0 < needed_count <= confirming_count
 
     async def _ask(self, question: Question) -> list[Answer]:
         asked = self._peers.list_first(question.attempt_id, ASKED_COUNT)
@@ -236,7 +241,7 @@
         if inquiry is None:
             own = self.recorded.find_only(question.service)
             inquiry = _Inquiry(
-                len(asked), own, is_replica=self._peers.is_replica(attempt_id)
+                len(asked), own, self._peers.count_needed_replicas(attempt_id)
             )
             self._inquiry_by_attempt[attempt_id] = inquiry
             self._clock.call_later(ANSWER_TIMEOUT_MS, self._close, attempt_id)
@@ -292,26 +297,23 @@
     :param asked_count: number of peers that were asked
     :param only_version: version of all open streams of the service as this
         instance sees it, none if they may differ or it is not known
-    :param is_replica: whether this instance would hold the origin
+    :param needed_count: number of peers which would hold the origin that have
+        to confirm that version
     """
 
     __slots__ = (
         '_answers',
         '_asked_count',
-        '_is_replica',
+        '_needed_count',
         '_only_version',
         '_waiting',
     )
 
     def __init__(
-        self,
-        asked_count: int,
-        only_version: str | None,
-        *,
-        is_replica: bool,
+        self, asked_count: int, only_version: str | None, needed_count: int
     ) -> None:
         self._asked_count = asked_count
-        self._is_replica = is_replica
+        self._needed_count = needed_count
         self._only_version = only_version
         self._answers: list[Answer] = []
         self._waiting: list[Deferred[None]] = []
@@ -320,19 +322,20 @@
         """
         Add an answer.
 
-        The first that names the version ends the wait, or that confirms that
-        there is only one, where it or this instance would hold the origin.
-        Answers after the end of the wait are dropped.
+        The first that names the version ends the wait, or the last of those
+        that have to confirm that there is only one. Answers after the end of
+        the wait are dropped.
         """
         if not self._asked_count:
             return
         self._answers.append(answer)
-        is_confirmed = (
-            self._only_version is not None
+        if (
+            answer.is_replica
+            and answer.only_version is not None
             and answer.only_version == self._only_version
-            and (self._is_replica or answer.is_replica)
-        )
-        is_found = answer.version is not None or is_confirmed
+        ):
+            self._needed_count -= 1
+        is_found = answer.version is not None or self._needed_count <= 0
         if is_found or len(self._answers) >= self._asked_count:
             self.close()
 
--- a/cicadahoist/serving/stream_peers.py
+++ b/cicadahoist/serving/stream_peers.py
@@ -7,6 +7,9 @@
 # Instances that hold the origin of a stream besides the one at which it began,
 # in different zones where there are any.
 REPLICA_COUNT = 3
+# Of these, so many have to confirm that they hold none; one of them alone may
+# have missed it together with the instance that asks.
+CONFIRMING_COUNT = 2
 
 
 class StreamPeers:
@@ -44,6 +47,11 @@
             if name in self.address_by_peer
         ]
 
+    def count_needed_replicas(self, attempt_id: str) -> int:
+        """Return how many others have to confirm that they hold no origin."""
+        others = self.list_first(attempt_id, REPLICA_COUNT)
+        return min(CONFIRMING_COUNT, len(others)) if attempt_id else 0
+
     def is_replica(self, attempt_id: str) -> bool:
         """Return whether this instance is to hold the origin of a stream."""
         return self._own_name in self._rank(attempt_id)[:REPLICA_COUNT]
--- a/tests/test_serving/test_load_exchange.py
+++ b/tests/test_serving/test_load_exchange.py
@@ -20,6 +20,8 @@
     def __init__(self):
         self.by_port = {}
         self.drops_all = False
+        # Ports of instances that are cut off from all others.
+        self.cut_ports = set()
         self.sent = []
         self.datagrams = []
 
@@ -43,7 +45,9 @@
         self.network.sent.append((address[1], len(datagram)))
         self.network.datagrams.append(datagram)
         receiver = self.network.by_port.get(address[1])
-        if receiver is not None and not self.network.drops_all:
+        ends = {self.number, address[1]}
+        is_cut = self.network.drops_all or ends & self.network.cut_ports
+        if receiver is not None and not is_cut:
             receiver.datagramReceived(datagram, ('h', self.number))
 
 
--- a/tests/test_serving/test_stream_exchange.py
+++ b/tests/test_serving/test_stream_exchange.py
@@ -17,12 +17,12 @@
 )
 from cicadahoist.serving.stream_exchange import (
     ANSWER_TIMEOUT_MS,
-    REPLICA_COUNT,
     STREAM_MARK,
     Answer,
     Question,
     StreamMessage,
 )
+from cicadahoist.serving.stream_peers import REPLICA_COUNT, StreamPeers
 from tests.test_serving.streams import send_ask, take_up
 from tests.test_serving.test_load_exchange import create_deployment
 from tests.test_serving.world import target
@@ -164,12 +164,20 @@
 
 
 # Dead peers do not answer, and would delay each stream by the whole wait.
-def test_one_version_is_confirmed_by_the_first_answer():
+@pytest.mark.parametrize('attempt', [b'elsewhere', b'there', b'anywhere'])
+def test_one_version_is_confirmed_by_two_replicas_alone(attempt):
     fleet = Fleet(engines=ENGINES[:2])
     fleet.clock.advance(MIN_LIFETIME_MS)
-    for number in (0, 2, 3, 4):
-        fleet.kill(number)
-    _, sent = fleet.take_up(1, b'elsewhere')
+    peers = StreamPeers()
+    peers.replace(
+        {f'i{number}': ('h', number) for number in (1, 3, 4, 5, 6)},
+        {f'i{number}': zone for number, zone in enumerate(ZONES, 1)},
+    )
+    confirming = peers.list_first(attempt.decode(), REPLICA_COUNT)[:2]
+    for number in (0, 2, 3, 4, 5):
+        if f'i{number + 1}' not in confirming:
+            fleet.kill(number)
+    _, sent = fleet.take_up(1, attempt)
     assert len(sent) == 1
 
 
