Tell crashed targets from a cut by whether they refuse peers too

Cause: an instance took itself for cut off once most targets that it used lately refused connections, and blamed no request then. The check that tells crashes of engines asked the same.

A target that refuses the peers that were asked as well has crashed: it is no sign of a cut, and requests are blamed for it. With no peer that answers, the old rule decides.

--- a/cicadahoist/policy/target_path.py
+++ b/cicadahoist/policy/target_path.py
@@ -28,6 +28,7 @@
         'failed_ms',
         'failure',
         'heard_ms',
+        'is_refused_to_peers',
         'is_relayable',
         'relay_failed_ms',
         'tried_ms',
@@ -44,6 +45,8 @@
         # Whether the latest attempt through a peer reached the target.
         self.is_relayable = False
         self.relay_failed_ms: int | None = None
+        # Whether it refused all peers that were asked last: it has crashed.
+        self.is_refused_to_peers = False
 
     @property
     def is_bypassed(self) -> bool:
@@ -55,6 +58,11 @@
         """Whether only peers reach the target, and direct bytes vanish."""
         return self.is_bypassed and self.failure is PathFailure.hanging
 
+    @property
+    def has_crashed(self) -> bool:
+        """Whether the target refuses this instance and its peers."""
+        return self.failure is PathFailure.refused and self.is_refused_to_peers
+
     def is_confirmed(self, now_ms: int) -> bool:
         """Return whether the direct attempt that failed first has ended."""
         return self.is_hanging and now_ms - self.failed_ms >= CONNECT_TIMEOUT_MS
--- a/cicadahoist/policy/target_paths.py
+++ b/cicadahoist/policy/target_paths.py
@@ -102,11 +102,15 @@
         ]
 
     def is_cut_off(self, now_ms: int) -> bool:
-        """Return whether most targets used lately have no direct path."""
+        """
+        Return whether most targets used lately have no direct path.
+
+        Targets that refuse peers as well have crashed, and show nothing.
+        """
         recent = [
             path
             for path in self._paths_by_target.values()
-            if path.is_recent(now_ms - RECENT_MS)
+            if path.is_recent(now_ms - RECENT_MS) and not path.has_crashed
         ]
         down = [path for path in recent if path.failure is not None]
         # A single target that nobody reaches has crashed.
@@ -132,6 +136,7 @@
             return
         if is_new or path.failure is PathFailure.hanging:
             path.failure = None
+            path.is_refused_to_peers = False
             self._report_change(target)
 
     def record_direct_failure(
@@ -159,12 +164,20 @@
         path = self.get(target)
         was_bypassed = path.is_bypassed
         path.is_relayable = True
+        path.is_refused_to_peers = False
         self._report_begin(target, was_bypassed=was_bypassed)
 
-    def record_relay_failure(self, target: str, now_ms: int) -> None:
-        """Record that no peer that was asked has opened a connection."""
+    def record_relay_failure(
+        self, target: str, now_ms: int, *, is_refused: bool = False
+    ) -> None:
+        """
+        Record that no peer that was asked has opened a connection.
+
+        :param is_refused: whether the target refused all that answered
+        """
         path = self.get(target)
         path.is_relayable = False
+        path.is_refused_to_peers = is_refused
         path.relay_failed_ms = now_ms
 
     def forget(self, target: str) -> None:
--- a/cicadahoist/serving/connector.py
+++ b/cicadahoist/serving/connector.py
@@ -20,8 +20,10 @@
     Opening,
     TargetPaths,
 )
+from cicadahoist.reasons import RelayRefusal
 from cicadahoist.serving.outbound import TargetConnection
 from cicadahoist.serving.path_race import PathRace
+from cicadahoist.serving.relay_client import RelayError
 from cicadahoist.serving.shared_calls import SharedCalls
 
 logger = get_logger(__name__)
@@ -31,6 +33,16 @@
 MAX_PEERS = 3
 # No further peer is asked after this time, so that a request is not held.
 MAX_ASKING_MS = 300
+# Refusals that show that a target has crashed, and those that show nothing of
+# it, as the peer did not ask it.
+_REFUSED_BY_TARGET = frozenset((RelayRefusal.target_refused,))
+_UNANSWERED = frozenset(
+    (
+        RelayRefusal.busy,
+        RelayRefusal.leaving,
+        RelayRefusal.peer_unreachable,
+    )
+)
 # A connection that is given up this late shows that the process was paused.
 PROCESS_PAUSE_MS = 100
 
@@ -209,15 +221,21 @@
     async def _try_peers(self, listing: Listing) -> TargetConnection:
         began_ms = self._clock.now_ms()
         was_relayable = self._paths.get(listing.name).is_relayable
+        refusals: set[RelayRefusal | None] = set()
         for number, peer in enumerate(self._rank_peers(began_ms)):
             if number and not self._may_ask_on(
                 began_ms, was_relayable=was_relayable
             ):
                 break
-            connection = await self._try_peer(listing, peer)
-            if connection is not None:
-                return connection
-        self._paths.record_relay_failure(listing.name, self._clock.now_ms())
+            try:
+                return await self._connect_through(listing, peer)
+            except NotSentError as error:
+                refusals.add(_get_refusal(error))
+        self._paths.record_relay_failure(
+            listing.name,
+            self._clock.now_ms(),
+            is_refused=refusals - _UNANSWERED == _REFUSED_BY_TARGET,
+        )
         raise _make_unreached_error(listing)
 
     def _rank_peers(self, now_ms: int) -> list[str]:
@@ -233,12 +251,16 @@
             return False
         return was_relayable or self._paths.is_cut_off(now_ms)
 
-    async def _try_peer(
+    async def _connect_through(
         self, listing: Listing, peer: str
-    ) -> TargetConnection | None:
-        """Return a connection through a peer, none if it opened none."""
+    ) -> TargetConnection:
+        """
+        Open a connection through a peer.
+
+        :raises NotSentError: it opened none
+        """
         if self.relays is None:
-            return None
+            raise _make_unreached_error(listing)
         try:
             connection = await self.relays.connect(
                 peer,
@@ -248,12 +270,17 @@
         except NotSentError as error:
             logger.bind(target=listing.name, peer=peer).debug('{0}', error)
             self._ranking.record_failure(peer, self._clock.now_ms())
-            return None
+            raise
         self._ranking.record_success(peer)
         self._paths.record_relay_open(listing.name)
         return connection
 
 
+def _get_refusal(error: NotSentError) -> RelayRefusal | None:
+    """Return why a peer opened no connection, none if that is not known."""
+    return error.refusal if isinstance(error, RelayError) else None
+
+
 def _make_unreached_error(listing: Listing) -> NotSentError:
     return NotSentError(
         f'{listing.name} at {listing.address}: no peer reaches it',
--- a/cicadahoist/serving/crash_watch.py
+++ b/cicadahoist/serving/crash_watch.py
@@ -51,8 +51,8 @@
     def _check_direct(self, target: str, lost_ms: int) -> None:
         """Blame the request unless only the path to the target was lost."""
         fleet = self._context.fleet
-        is_bypassed = fleet.paths.get(target).is_bypassed
-        if not is_bypassed and not fleet.is_cut_off():
+        path = fleet.paths.get(target)
+        if path.has_crashed or not (path.is_bypassed or fleet.is_cut_off()):
             self._check(target, lost_ms)
 
     def _check(self, target: str, lost_ms: int) -> None:
--- a/cicadahoist/serving/load_messages.py
+++ b/cicadahoist/serving/load_messages.py
@@ -48,7 +48,9 @@
     backoff_ms_by_engine: dict[str, int] = {}
 
 
-_Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+MAX_PORT = 65_535
+
+_Port = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
 
 
 class PeerRecord(msgspec.Struct):
--- a/cicadahoist/serving/target_connections.py
+++ b/cicadahoist/serving/target_connections.py
@@ -88,8 +88,9 @@
             connection = await self._connector.race(listing)
         except NotSentError as error:
             is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            has_crashed = self.paths.get(listing.name).has_crashed
             is_cut_off = self.paths.is_cut_off(self._clock.now_ms())
-            if is_refused and not is_cut_off:
+            if is_refused and (has_crashed or not is_cut_off):
                 return Reachability.refused
             return Reachability.no_answer
         connection.close()
--- a/tests/test_policy/test_target_paths.py
+++ b/tests/test_policy/test_target_paths.py
@@ -172,3 +172,37 @@
     assert changed == ['t1']
     hear(paths, 't1', 1000)
     assert changed == ['t1', 't1']
+
+
+# Guards against crashes that are taken for a cut of this instance.
+def test_targets_that_refuse_peers_too_show_no_cut(paths):
+    hear(paths, 'sound', 0)
+    for target in ('t1', 't2', 't3'):
+        fail_directly(paths, target, PathFailure.refused, 10)
+    assert paths.is_cut_off(20)
+    for target in ('t1', 't2', 't3'):
+        paths.record_relay_failure(target, 30, is_refused=True)
+        assert paths.get(target).has_crashed
+    assert not paths.is_cut_off(40)
+
+
+# Guards against a crash that is remembered after its target is back.
+@pytest.mark.parametrize('is_relayed', [True, False])
+def test_a_target_that_is_back_has_not_crashed(paths, is_relayed):
+    fail_directly(paths, 't1', PathFailure.refused, 10)
+    paths.record_relay_failure('t1', 20, is_refused=True)
+    if is_relayed:
+        paths.record_relay_open('t1')
+    else:
+        hear(paths, 't1', 30)
+    assert not paths.get('t1').has_crashed
+    fail_directly(paths, 't1', PathFailure.refused, 40)
+    assert not paths.get('t1').has_crashed
+
+
+# Guards against a target that does not answer peers and counts as crashed.
+@pytest.mark.parametrize('failure', list(PathFailure))
+def test_a_target_that_peers_do_not_reach_has_not_crashed(paths, failure):
+    fail_directly(paths, 't1', failure, 10)
+    paths.record_relay_failure('t1', 20)
+    assert not paths.get('t1').has_crashed
--- a/tests/test_serving/network.py
+++ b/tests/test_serving/network.py
@@ -17,6 +17,8 @@
 from twisted.python.failure import Failure
 
 from cicadahoist.errors import NotSentError
+from cicadahoist.reasons import RelayRefusal
+from cicadahoist.serving.relay_client import RelayError
 from tests.test_serving.world import SentRequest, Transport, target
 
 LINK_MS = 1
@@ -257,7 +259,7 @@
             await clock.sleep(PEER_CONNECT_MS)
             raise NotSentError('target silent', remedy='try another peer')
         if listing.name in self._network.crashed:
-            raise NotSentError('target refused', remedy='try another target')
+            raise RelayError(RelayRefusal.target_refused, peer, listing.name)
         protocol = build()
         self._network.open_link(listing, protocol, is_relayed=True)
         return protocol
