Accept no keys with a configuration that others have left

Cause: an instance that starts took the store's configuration for the one in force; instances that knew a newer version were not asked.

Load reports carry the version in force at their sender. An instance accepts no keys and is not ready while its first version is older than one it was told, and for a second at most until it has heard of others.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -185,7 +185,15 @@
 
     def _may_use_keys(self) -> bool:
         share = self._compute_config_age_share()
-        return share is not None and share < MAX_KEYED_AGE_SHARE
+        if share is None or share >= MAX_KEYED_AGE_SHARE:
+            return False
+        return self._is_config_reliable()
+
+    def _is_config_reliable(self) -> bool:
+        return self._context.currency.is_reliable(
+            self._clock.now_ms(),
+            has_peers=self._context.demand.instance_count > 1,
+        )
 
     def _may_hold_duties(self) -> bool:
         return not self._front.is_leaving and self._may_use_keys()
@@ -196,6 +204,7 @@
             share is None
             or share > MAX_READY_AGE_SHARE
             or self._front.is_leaving
+            or not self._is_config_reliable()
         ):
             return False
         return any(True for _ in self._context.fleet.directory.list_all())
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -5,6 +5,7 @@
 from cicadahoist.clock import Clock, wall_ms
 from cicadahoist.metrics import Metrics
 from cicadahoist.policy.caller_limits import CallerLimitHistory
+from cicadahoist.policy.config_currency import ConfigCurrency
 from cicadahoist.policy.demand_rate import DemandRate
 from cicadahoist.policy.link_queue import LinkQueue
 from cicadahoist.policy.retry_share import RetryShares, RetryTerms
@@ -41,6 +42,7 @@
 
     __slots__ = (
         '_caller_limits',
+        '_currency',
         '_deployed_ms',
         '_quotas',
         'clock',
@@ -85,6 +87,7 @@
         self.deployment: Deployment | None = None
         self._caller_limits = CallerLimitHistory()
         self._deployed_ms: int | None = None
+        self._currency = ConfigCurrency()
         self.demand = DemandRate()
         self.meters = Meters(metrics)
         self.retries = RetryShares(retry_terms)
@@ -104,6 +107,11 @@
         """Quotas of workspaces over all instances."""
         return self._quotas
 
+    @property
+    def currency(self) -> ConfigCurrency:
+        """Whether the configuration may be relied on for keys."""
+        return self._currency
+
     @property
     def is_large_fleet(self) -> bool:
         """Whether the deployment has many instances."""
@@ -126,6 +134,7 @@
         """Apply a configuration to all further requests."""
         if self.version != deployment.version:
             self._deployed_ms = self.clock.now_ms()
+            self._currency.record_own(deployment.version, self._deployed_ms)
         self.deployment = deployment
         self._caller_limits.apply(deployment.limits, self.clock.now_ms())
         self.fleet.boards.apply_deployment(deployment)
--- a/cicadahoist/serving/load_messages.py
+++ b/cicadahoist/serving/load_messages.py
@@ -32,6 +32,8 @@
     :param departures: targets that have told the sender that they leave
     :param backoff_ms_by_engine: engines that have rejected work of the sender,
         and for how much longer it leaves them alone
+    :param config_version: version of the configuration in force at the sender,
+        0 for none or an older build
     """
 
     sender: str
@@ -46,6 +48,7 @@
     relay: RelayState = RelayState()
     departures: tuple[TargetLife, ...] = ()
     backoff_ms_by_engine: dict[str, int] = {}
+    config_version: int = 0
 
 
 MAX_PORT = 65_535
--- a/cicadahoist/serving/load_receiver.py
+++ b/cicadahoist/serving/load_receiver.py
@@ -41,6 +41,8 @@
             report.sender, now_ms, holds_duties=report.holds_duties
         )
         gossip.relays.record_state(report.sender, report.relay)
+        if report.config_version:
+            self._context.currency.record_told(report.config_version, now_ms)
         if report.usage is not None:
             gossip.usage_copies.keep(report.usage, now_ms)
 
--- a/cicadahoist/serving/own_load.py
+++ b/cicadahoist/serving/own_load.py
@@ -57,6 +57,7 @@
             relay=RelayState(gossip.relays.is_accepting(), gossip.is_cut_off()),
             departures=self._context.fleet.notices.list_departures(),
             backoff_ms_by_engine=backoff_ms_by_engine,
+            config_version=self._context.version or 0,
         )
 
     def summarize(self, now_ms: int) -> list[Any]:
--- a/tests/test_serving/test_load_exchange.py
+++ b/tests/test_serving/test_load_exchange.py
@@ -9,7 +9,7 @@
 from cicadahoist.serving.load_exchange import LoadExchange, PeerRecord
 from cicadahoist.serving.peers import Peers
 from cicadahoist.serving.target_notices import get_life
-from tests.test_serving.world import World, target
+from tests.test_serving.world import World, deployment, target
 
 PARTS = (PromptPart('guide', 2500), PromptPart('site', 3800))
 
@@ -317,3 +317,17 @@
     }
     assert min(ends_ms) > now_ms
     assert max(ends_ms) <= end_ms + 5
+
+
+# Guards against an instance that starts with an older configuration than the
+# one in force, and lets withdrawn keys pass (CONFIG).
+def test_instances_tell_each_other_which_configuration_is_in_force():
+    _, clock, (first, second) = create_deployment(['a', 'b'])
+    clock.advance(1000)
+    currency = second.world.context.currency
+    assert currency.is_reliable(clock.now_ms(), has_peers=True)
+    first.world.context.apply_deployment(deployment(version=2))
+    clock.advance(1000)
+    assert not currency.is_reliable(clock.now_ms(), has_peers=True)
+    second.world.context.apply_deployment(deployment(version=2))
+    assert currency.is_reliable(clock.now_ms(), has_peers=True)
