Take a target for crashed only where two peers are refused

Two of the peers that were asked have to be refused, or the only one, and one of those asked is of another zone, if there is any. While most targets are down, crashed or not, several peers are asked as before.

--- a/cicadahoist/policy/target_paths.py
+++ b/cicadahoist/policy/target_paths.py
@@ -79,7 +79,7 @@
         path = self.get(target)
         if path.is_relayable or path.relay_failed_ms is None:
             return True
-        is_cut_off = self.is_cut_off(now_ms)
+        is_cut_off = self.is_cut_off(now_ms, counts_crashed=True)
         retry_ms = CUT_OFF_RETRY_MS if is_cut_off else RELAY_RETRY_MS
         return now_ms - path.relay_failed_ms >= retry_ms
 
@@ -101,16 +101,18 @@
             if path.failure is not None
         ]
 
-    def is_cut_off(self, now_ms: int) -> bool:
+    def is_cut_off(self, now_ms: int, *, counts_crashed: bool = False) -> bool:
         """
         Return whether most targets used lately have no direct path.
 
-        Targets that refuse peers as well have crashed, and show nothing.
+        :param counts_crashed: whether targets count that refuse peers as well:
+            they have crashed, which peers may not have shown yet
         """
         recent = [
             path
             for path in self._paths_by_target.values()
-            if path.is_recent(now_ms - RECENT_MS) and not path.has_crashed
+            if path.is_recent(now_ms - RECENT_MS)
+            and (counts_crashed or not path.has_crashed)
         ]
         down = [path for path in recent if path.failure is not None]
         # A single target that nobody reaches has crashed.
@@ -173,7 +175,8 @@
         """
         Record that no peer that was asked has opened a connection.
 
-        :param is_refused: whether the target refused all that answered
+        :param is_refused: whether the target refused enough of them, and no
+            other cause is known
         """
         path = self.get(target)
         path.is_relayable = False
--- a/cicadahoist/serving/connector.py
+++ b/cicadahoist/serving/connector.py
@@ -33,9 +33,9 @@
 MAX_PEERS = 3
 # No further peer is asked after this time, so that a request is not held.
 MAX_ASKING_MS = 300
-# Refusals that show that a target has crashed, and those that show nothing of
-# it, as the peer did not ask it.
-_REFUSED_BY_TARGET = frozenset((RelayRefusal.target_refused,))
+# A single peer may be cut off together with this instance.
+CONFIRMING_COUNT = 2
+# Refusals that show nothing of a target, as the peer did not ask it.
 _UNANSWERED = frozenset(
     (
         RelayRefusal.busy,
@@ -126,7 +126,7 @@
         """
         began_ms = self._clock.now_ms()
         # An instance that is cut off is likely to need the peer.
-        is_cut_off = self._paths.is_cut_off(began_ms)
+        is_cut_off = self._paths.is_cut_off(began_ms, counts_crashed=True)
         race = PathRace(
             self._clock,
             0 if is_cut_off else RELAY_DELAY_MS,
@@ -221,8 +221,9 @@
     async def _try_peers(self, listing: Listing) -> TargetConnection:
         began_ms = self._clock.now_ms()
         was_relayable = self._paths.get(listing.name).is_relayable
-        refusals: set[RelayRefusal | None] = set()
-        for number, peer in enumerate(self._rank_peers(began_ms)):
+        ranked = self._rank_peers(began_ms)
+        refusals: list[RelayRefusal | None] = []
+        for number, peer in enumerate(ranked):
             if number and not self._may_ask_on(
                 began_ms, was_relayable=was_relayable
             ):
@@ -230,26 +231,35 @@
             try:
                 return await self._connect_through(listing, peer)
             except NotSentError as error:
-                refusals.add(_get_refusal(error))
+                refusals.append(_get_refusal(error))
         self._paths.record_relay_failure(
             listing.name,
             self._clock.now_ms(),
-            is_refused=refusals - _UNANSWERED == _REFUSED_BY_TARGET,
+            is_refused=_has_crashed(refusals, len(ranked)),
         )
         raise _make_unreached_error(listing)
 
     def _rank_peers(self, now_ms: int) -> list[str]:
+        """Return the peers to ask; one of them is of another zone, if any."""
         if self.relays is None:
             return []
-        peers = self._ranking.rank(self.relays.list_peers(now_ms), now_ms)
-        return peers[:MAX_PEERS]
+        peers = list(self.relays.list_peers(now_ms))
+        ranked = self._ranking.rank(peers, now_ms)
+        asked = ranked[:MAX_PEERS]
+        near = {peer.name for peer in peers if peer.is_near}
+        far = [name for name in ranked if name not in near]
+        if far and near.issuperset(asked):
+            asked[-1] = far[0]
+        return asked
 
     def _may_ask_on(self, began_ms: int, *, was_relayable: bool) -> bool:
         """Return whether another peer may succeed, and soon enough."""
         now_ms = self._clock.now_ms()
         if now_ms - began_ms >= MAX_ASKING_MS:
             return False
-        return was_relayable or self._paths.is_cut_off(now_ms)
+        return was_relayable or self._paths.is_cut_off(
+            now_ms, counts_crashed=True
+        )
 
     async def _connect_through(
         self, listing: Listing, peer: str
@@ -276,6 +286,19 @@
         return connection
 
 
+def _has_crashed(refusals: list[RelayRefusal | None], peer_count: int) -> bool:
+    """
+    Return whether peers show that a target has crashed.
+
+    :param refusals: why each peer that was asked opened no connection
+    :param peer_count: number of peers that can be asked
+    """
+    answers = [one for one in refusals if one not in _UNANSWERED]
+    if any(one is not RelayRefusal.target_refused for one in answers):
+        return False
+    return 0 < min(CONFIRMING_COUNT, peer_count) <= len(answers)
+
+
 def _get_refusal(error: NotSentError) -> RelayRefusal | None:
     """Return why a peer opened no connection, none if that is not known."""
     return error.refusal if isinstance(error, RelayError) else None
--- a/tests/test_policy/test_target_paths.py
+++ b/tests/test_policy/test_target_paths.py
@@ -184,6 +184,7 @@
         paths.record_relay_failure(target, 30, is_refused=True)
         assert paths.get(target).has_crashed
     assert not paths.is_cut_off(40)
+    assert paths.is_cut_off(40, counts_crashed=True)
 
 
 # Guards against a crash that is remembered after its target is back.
--- a/tests/test_serving/network.py
+++ b/tests/test_serving/network.py
@@ -236,6 +236,8 @@
         self.peers = list(peers)
         # Peers without paths to targets, silently.
         self.cut_off_peers = network.cut_off_peers
+        # Whether targets refuse them, instead of not answering.
+        self.are_cut_off_refused = False
         # Time, peer and target of each relayed connection attempt.
         self.attempts = []
         self._network = network
@@ -256,6 +258,10 @@
         self.attempts.append((clock.now_ms(), peer, listing.name))
         await clock.sleep(RELAY_MS)
         if peer in self.cut_off_peers:
+            if self.are_cut_off_refused:
+                raise RelayError(
+                    RelayRefusal.target_refused, peer, listing.name
+                )
             await clock.sleep(PEER_CONNECT_MS)
             raise NotSentError('target silent', remedy='try another peer')
         if listing.name in self._network.crashed:
--- a/tests/test_serving/test_crashes_of_most.py
+++ b/tests/test_serving/test_crashes_of_most.py
@@ -80,23 +80,33 @@
     assert callers[-1].status == 503
 
 
-# Guards against a cut that is taken for crashes while some peers are cut off
-# with this instance.
+# Guards against a cut that is taken for crashes while the peers of the zone are
+# cut off with this instance, whether that is known of them or not.
 @pytest.mark.parametrize('kind', list(Cut))
-def test_a_cut_blames_no_request_where_one_peer_reaches_targets(kind):
-    peers = (Peer('a'), Peer('b'), Peer('c', zone='zone-b', is_near=False))
-    world = CrashWorld(*plain_targets(3), *engines(), peers=peers)
-    world.relays.cut_off('a')
-    world.relays.cut_off('b')
+@pytest.mark.parametrize('is_known', [True, False])
+@pytest.mark.parametrize('near_count', [1, 2, 4])
+def test_a_cut_of_a_zone_blames_no_request(kind, is_known, near_count):
+    near = [Peer(f'a{number}') for number in range(near_count)]
+    far = Peer('c', zone='zone-b', is_near=False)
+    world = CrashWorld(*plain_targets(3), *engines(), peers=(*near, far))
     news = []
     gossip = world.context.gossip
     gossip.on_blame = gossip.on_crash = news.append
     world.start_load()
     world.start_load(b'/submit/x', body=b'same')
     world.advance(500)
+    for peer in near:
+        if is_known:
+            world.relays.cut_off(peer.name)
+        else:
+            world.relays.cut_off_peers.add(peer.name)
+    world.relays.are_cut_off_refused = kind is not Cut.silent
     world.network.cut(kind)
     world.advance(6000)
     assert not news
+    waits = world.start_load()
+    world.advance(2000)
+    assert all(wait.is_served for wait in waits[:30])
 
 
 # Guards against crashed engines that are not told from ones out of reach.
