Compete for the duties whatever version others have in force

The duties rested for a takeover at the start of a deployment, and targets were ordered later.

Cause: the question whether keys may be accepted also decided about the duties. They ask again only whether the configuration was confirmed a short time ago.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -184,10 +184,11 @@
         return age_ms / self._settings.revoke_ms
 
     def _may_use_keys(self) -> bool:
+        return self._is_config_confirmed() and self._is_config_reliable()
+
+    def _is_config_confirmed(self) -> bool:
         share = self._compute_config_age_share()
-        if share is None or share >= MAX_KEYED_AGE_SHARE:
-            return False
-        return self._is_config_reliable()
+        return share is not None and share < MAX_KEYED_AGE_SHARE
 
     def _is_config_reliable(self) -> bool:
         return self._context.currency.is_reliable(
@@ -196,7 +197,8 @@
         )
 
     def _may_hold_duties(self) -> bool:
-        return not self._front.is_leaving and self._may_use_keys()
+        # Not the version decides, but whether the store is heard.
+        return not self._front.is_leaving and self._is_config_confirmed()
 
     def _is_ready(self) -> bool:
         share = self._compute_config_age_share()
