--- a/cicadahoist/outside/json_pieces.py
+++ b/cicadahoist/outside/json_pieces.py
@@ -13,8 +13,8 @@
 
 from cicadahoist.errors import WireError
 
-# A string, a run of brackets that open or close, or a separator.
-_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[{]+|[\]}]+|[,:]', re.DOTALL)
+# A string, a run of brackets that open or close, or a comma.
+_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[{]+|[\]}]+|,', re.DOTALL)
 _SPACE = b' \t\r\n'
 
 
--- a/cicadahoist/platform/objects.py
+++ b/cicadahoist/platform/objects.py
@@ -36,6 +36,11 @@
 
 HTTP_GONE = 410
 HTTP_CREATED = 201
+# Answers that tell the state of an object. Others may come from elsewhere, and
+# state no era.
+STATES_OF_OBJECTS = frozenset(
+    (HTTP_OK, HTTP_CREATED, HTTP_NOT_FOUND, HTTP_CONFLICT)
+)
 JSON_HEADERS = {'Content-Type': 'application/json'}
 
 Decoded = TypeVar('Decoded')
@@ -209,7 +214,8 @@
             raise StoreUnavailableError(
                 f'store: {lost}', remedy='read the object to see its state'
             ) from lost
-        self._check_era(answer.era)
+        if response.status in STATES_OF_OBJECTS:
+            self._check_era(answer.era)
         if response.status in {HTTP_OK, HTTP_CREATED}:
             return answer
         raise _build_error(response.status, f'{method} {url}')
--- a/tests/test_platform/test_objects.py
+++ b/tests/test_platform/test_objects.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cicadahoist.errors import StoreUnavailableError
+from cicadahoist.errors import StoreBusyError, StoreUnavailableError
 from cicadahoist.platform.objects import LeaseObjects, ObjectStore
 from tests.coroutines import Pending
 
@@ -74,3 +74,15 @@
     store = ObjectStore('http://s', Client(missing), 1000)
     read = Pending(LeaseObjects(store, 'leases').read('duties')).result()
     assert (read.version, read.payload, read.era) == (0, b'', 4)
+
+
+# Guards against a refused call that counts as one that may have been done.
+@pytest.mark.parametrize('status', [429, 503])
+def test_a_refusal_without_an_era_is_a_refusal(status):
+    refused = Answer('', b'')
+    refused.status = status
+    store = ObjectStore('http://s', Client(Answer('2', OBJECT), refused), 1000)
+    Pending(store.get('leases', 'duties')).result()
+    with pytest.raises(StoreBusyError):
+        Pending(store.get('leases', 'duties')).result()
+    assert store.era == 2
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -366,6 +366,9 @@
 ]
 
 
+HANDLE_BODY = b'{"kv-handle":"h7","tokens":9000,"version":1}'
+
+
 class World:
     """
     One instance with scripted targets.
