Group policies of paths and of what callers are admitted to

The policy folder has over sixty modules. Moved and imports changed, nothing else. Linters, types, import rules and the tests of the modules pass.

--- /dev/null
+++ b/cicadahoist/policy/caller_admission/__init__.py
@@ -0,0 +1,1 @@
+"""What an instance admits of callers, and which statuses it answers with."""
--- /dev/null
+++ b/cicadahoist/policy/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the paths to targets: direct, or through peers."""
--- a/cicadahoist/policy/target_paths.py
+++ b/cicadahoist/policy/paths/target_paths.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from cicadahoist.policy.target_path import PathFailure, TargetPath
+from cicadahoist.policy.paths.target_path import PathFailure, TargetPath
 
 # Targets are a few ms away: a connection that takes longer than this is also
 # opened through a peer.
--- a/cicadahoist/serving/attempt_results.py
+++ b/cicadahoist/serving/attempt_results.py
@@ -1,6 +1,6 @@
 """What the end of an attempt means for its request."""
 
-from cicadahoist.policy.promise_status import may_pass_on
+from cicadahoist.policy.caller_admission.promise_status import may_pass_on
 from cicadahoist.requests import AnswerMeaning
 from cicadahoist.serving.attempt import AttemptEnd, AttemptOutcome
 
--- a/cicadahoist/serving/connector.py
+++ b/cicadahoist/serving/connector.py
@@ -13,9 +13,9 @@
 from cicadahoist.errors import NotSentError
 from cicadahoist.listings import Listing
 from cicadahoist.log import get_logger
-from cicadahoist.policy.relay_ranking import RankedPeer, RelayRanking
-from cicadahoist.policy.target_path import CONNECT_TIMEOUT_MS, PathFailure
-from cicadahoist.policy.target_paths import (
+from cicadahoist.policy.paths.relay_ranking import RankedPeer, RelayRanking
+from cicadahoist.policy.paths.target_path import CONNECT_TIMEOUT_MS, PathFailure
+from cicadahoist.policy.paths.target_paths import (
     RELAY_DELAY_MS,
     Opening,
     TargetPaths,
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -4,8 +4,8 @@
 
 from cicadahoist.clock import Clock, wall_ms
 from cicadahoist.metrics import Metrics
-from cicadahoist.policy.caller_limits import CallerLimitHistory
-from cicadahoist.policy.config_currency import ConfigCurrency
+from cicadahoist.policy.caller_admission.caller_limits import CallerLimitHistory
+from cicadahoist.policy.caller_admission.config_currency import ConfigCurrency
 from cicadahoist.policy.demand_rate import DemandRate
 from cicadahoist.policy.link_queue import LinkQueue
 from cicadahoist.policy.retry_share import RetryShares, RetryTerms
--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -5,7 +5,7 @@
 
 from cicadahoist.errors import CallerError
 from cicadahoist.log import get_logger
-from cicadahoist.policy.departure import Departure
+from cicadahoist.policy.caller_admission.departure import Departure
 from cicadahoist.policy.placement import estimate_engine_ms
 from cicadahoist.reasons import Refusal
 from cicadahoist.requests import InboundRequest
--- a/cicadahoist/serving/path_log.py
+++ b/cicadahoist/serving/path_log.py
@@ -3,7 +3,7 @@
 from cicadahoist.clock import Clock
 from cicadahoist.log import get_logger
 from cicadahoist.metrics import PATHS_DOWN, Metrics
-from cicadahoist.policy.target_paths import TargetPaths
+from cicadahoist.policy.paths.target_paths import TargetPaths
 
 logger = get_logger(__name__)
 
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from cicadahoist.log import get_logger
-from cicadahoist.policy.promise_status import may_pass_on
+from cicadahoist.policy.caller_admission.promise_status import may_pass_on
 from cicadahoist.reasons import Refusal
 from cicadahoist.requests import AnswerHead, InboundRequest
 from cicadahoist.rules import RouteRule
--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -15,7 +15,7 @@
     HTTP_OK,
     HTTP_UNAVAILABLE,
 )
-from cicadahoist.policy.departure import UNREADY_WAIT_MS
+from cicadahoist.policy.caller_admission.departure import UNREADY_WAIT_MS
 from cicadahoist.serving.front import Front
 from cicadahoist.serving.inbound import CallerConnections
 
--- a/cicadahoist/serving/target_connections.py
+++ b/cicadahoist/serving/target_connections.py
@@ -8,7 +8,7 @@
 from cicadahoist.clock import Clock
 from cicadahoist.errors import NotSentError
 from cicadahoist.listings import Listing
-from cicadahoist.policy.target_paths import TargetPaths
+from cicadahoist.policy.paths.target_paths import TargetPaths
 from cicadahoist.serving.connector import Connector, Relays
 from cicadahoist.serving.outbound import TargetConnection
 from cicadahoist.serving.shared_calls import SharedCalls
--- a/tests/test_policy/test_caller_limits.py
+++ b/tests/test_policy/test_caller_limits.py
@@ -4,7 +4,7 @@
 They guard against limits that hold for callers which cannot know them yet.
 """
 
-from cicadahoist.policy.caller_limits import CallerLimitHistory
+from cicadahoist.policy.caller_admission.caller_limits import CallerLimitHistory
 from cicadahoist.rules import CallerLimits
 
 NOTICE_MS = 2000
--- a/tests/test_policy/test_config_currency.py
+++ b/tests/test_policy/test_config_currency.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cicadahoist.policy.config_currency import (
+from cicadahoist.policy.caller_admission.config_currency import (
     HEAR_TIMEOUT_MS,
     MAX_LAG_MS,
     ConfigCurrency,
--- a/tests/test_policy/test_departure.py
+++ b/tests/test_policy/test_departure.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cicadahoist.policy.departure import (
+from cicadahoist.policy.caller_admission.departure import (
     EXIT_MARGIN_MS,
     UNREADY_WAIT_MS,
     Departure,
--- a/tests/test_policy/test_relay_ranking.py
+++ b/tests/test_policy/test_relay_ranking.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from cicadahoist.policy.relay_ranking import FAILURE_MS, RelayRanking
+from cicadahoist.policy.paths.relay_ranking import FAILURE_MS, RelayRanking
 
 
 class Peer(NamedTuple):
--- a/tests/test_policy/test_target_paths.py
+++ b/tests/test_policy/test_target_paths.py
@@ -8,12 +8,12 @@
 
 import pytest
 
-from cicadahoist.policy.target_path import (
+from cicadahoist.policy.paths.target_path import (
     CONNECT_TIMEOUT_MS,
     PROBE_PERIOD_MS,
     PathFailure,
 )
-from cicadahoist.policy.target_paths import (
+from cicadahoist.policy.paths.target_paths import (
     CUT_OFF_RETRY_MS,
     DOUBT_MS,
     RECENT_MS,
--- a/tests/test_serving/test_closed_connections.py
+++ b/tests/test_serving/test_closed_connections.py
@@ -8,7 +8,7 @@
 import pytest
 from twisted.internet.defer import Deferred, succeed
 
-from cicadahoist.policy.departure import UNREADY_WAIT_MS
+from cicadahoist.policy.caller_admission.departure import UNREADY_WAIT_MS
 from cicadahoist.rules import CallerLimits
 from cicadahoist.serving.inbound import LINGER_MS, READ_AHEAD_BYTES
 from cicadahoist.serving.server import FrontServer
--- a/tests/test_serving/test_end_of_grace.py
+++ b/tests/test_serving/test_end_of_grace.py
@@ -8,7 +8,7 @@
 import pytest
 from twisted.internet.defer import Deferred, succeed
 
-from cicadahoist.policy.departure import EXIT_MARGIN_MS
+from cicadahoist.policy.caller_admission.departure import EXIT_MARGIN_MS
 from cicadahoist.serving.server import FrontServer
 from tests.test_serving.world import (
     SHORT_PROMPT_HEADERS,
--- a/tests/test_serving/test_endless_answers.py
+++ b/tests/test_serving/test_endless_answers.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cicadahoist.outside.bodies import MAX_EVENT_BYTES
-from cicadahoist.policy.caller_limits import DEFAULT_NOTICE_MS
+from cicadahoist.policy.caller_admission.caller_limits import DEFAULT_NOTICE_MS
 from cicadahoist.rules import CallerLimits
 from tests.test_serving.turned_reactor import make_request
 from tests.test_serving.world import (
--- a/tests/test_serving/test_front.py
+++ b/tests/test_serving/test_front.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cicadahoist.policy.caller_limits import DEFAULT_NOTICE_MS
+from cicadahoist.policy.caller_admission.caller_limits import DEFAULT_NOTICE_MS
 from cicadahoist.rules import CallerLimits
 from cicadahoist.serving.inbound import READ_AHEAD_BYTES
 from tests.test_serving.world import (
--- a/tests/test_serving/test_late_in_grace.py
+++ b/tests/test_serving/test_late_in_grace.py
@@ -8,7 +8,10 @@
 import pytest
 from twisted.internet.defer import Deferred
 
-from cicadahoist.policy.departure import EXIT_MARGIN_MS, UNREADY_WAIT_MS
+from cicadahoist.policy.caller_admission.departure import (
+    EXIT_MARGIN_MS,
+    UNREADY_WAIT_MS,
+)
 from tests.test_serving.test_end_of_grace import (
     GRACE_MS,
     HEADERS,
--- a/tests/test_serving/test_late_rejections.py
+++ b/tests/test_serving/test_late_rejections.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cicadahoist.policy.target_path import PathFailure
+from cicadahoist.policy.paths.target_path import PathFailure
 from cicadahoist.requests import AnswerMeaning
 from tests.test_platform.test_dialect import SIGNED, classify
 from tests.test_serving.world import (
--- a/tests/test_serving/test_server.py
+++ b/tests/test_serving/test_server.py
@@ -8,7 +8,7 @@
 import pytest
 from twisted.internet.defer import Deferred, succeed
 
-from cicadahoist.policy.departure import UNREADY_WAIT_MS
+from cicadahoist.policy.caller_admission.departure import UNREADY_WAIT_MS
 from cicadahoist.serving.server import FrontServer
 from tests.test_serving.test_slow_links import SlowTransport
 from tests.test_serving.world import World, target
--- a/tests/test_serving/test_stop_listening.py
+++ b/tests/test_serving/test_stop_listening.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.tcp import Port
 
-from cicadahoist.policy.departure import UNREADY_WAIT_MS
+from cicadahoist.policy.caller_admission.departure import UNREADY_WAIT_MS
 from cicadahoist.serving.server import FrontServer
 from tests.test_serving.turned_reactor import (
     HOST,
