Register fencing tokens before their first use

Cause: the token is the epoch of the lease record plus one, so the record must not go back. Within an era it can: a conditional write of an earlier era that the store carries out late replaces the record where its revision was given out again. The next claim then takes the token of the holder before it.

A holder registers its token in an object of its era before its jobs run, and gives up the lease where another process has registered this token or a later one. No write of an earlier era names the object of a later one, and a lost answer is read back.

The fault needs equal revisions; no play with processes has shown it.

--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -26,6 +26,7 @@
     PlatformDuties,
 )
 from cicadahoist.serving.engine_demand import EngineDemand
+from cicadahoist.serving.fence_register import FenceRegister
 from cicadahoist.serving.fleet_orders import RoleChangeJob, TargetScalingJob
 from cicadahoist.serving.held_parts_job import HeldPartsJob
 from cicadahoist.serving.load_exchange import PEER_KIND
@@ -89,7 +90,12 @@
             ORDER_TIMEOUT_MS,
         )
         clock = self._context.clock
-        duties = PlatformDuties(clock, self._context.true_time.now_ms, store)
+        duties = PlatformDuties(
+            clock,
+            self._context.true_time.now_ms,
+            store,
+            FenceRegister(store, self._incarnation),
+        )
         usage = UsageReportJob(
             store,
             calls,
@@ -122,7 +128,7 @@
             clock,
             TermDeadlines(NoTimer()),
             may_stand=may_stand,
-            may_hold=may_stand,
+            may_hold=lambda: may_stand() and not duties.is_token_taken,
             standby_check_period_s=lambda: peers.compute_check_period_s(
                 clock.now_ms()
             ),
--- a/cicadahoist/serving/duties.py
+++ b/cicadahoist/serving/duties.py
@@ -15,11 +15,14 @@
     LeaseRecord,
     get_era,
 )
+from cicadahoist.serving.fence_register import FenceRegister
 
 logger = get_logger(__name__)
 
 LEASE_KIND = 'cicadahoist-leases'
 LEASE_NAME = 'duties'
+# Longer than a call to the store may last.
+REGISTER_RETRY_MS = 1000
 
 
 class Term(Protocol):
@@ -56,18 +59,25 @@
     """
     Runs the jobs of the lease holder, each with its own period.
 
+    No job runs before the fencing token of the term is registered.
+
     :param clock: clock of the process
     :param true_ms: wall-clock time, corrected for steps
     :param store: the store that keeps the lease
+    :param fences: registers the token of a term
     """
 
     __slots__ = (
         '_clock',
         '_due_ms_by_job',
+        '_fences',
         '_jobs',
+        '_register_due_ms',
+        '_registered_epoch',
         '_store',
         '_term',
         '_true_ms',
+        'is_token_taken',
     )
 
     def __init__(
@@ -75,13 +85,20 @@
         clock: Clock,
         true_ms: Callable[[], int],
         store: ObjectStoreClient,
+        fences: FenceRegister,
     ) -> None:
         self._clock = clock
+        self._fences = fences
         self._store = store
         self._true_ms = true_ms
         self._jobs: list[tuple[Job, int]] = []
         self._due_ms_by_job: dict[int, int] = {}
         self._term: Term | None = None
+        self._registered_epoch: int | None = None
+        self._register_due_ms = 0
+        # Whether another process has used the token of this term, or a later
+        # one: the lease must be given up.
+        self.is_token_taken = False
 
     def set_term(self, term: Term) -> None:
         """Set the lease under which the jobs run."""
@@ -97,14 +114,18 @@
 
     def begin_term(self, record: LeaseRecord) -> None:
         """Begin a term of all jobs."""
+        self._register_due_ms = 0
         for job, _ in self._jobs:
             job.begin_term()
 
     def end_term(self) -> None:
-        """Do nothing: jobs check the lease before each call."""
+        """End a term; jobs check the lease before each call."""
+        self.is_token_taken = False
 
     def tick(self, now_ms: int) -> None:
-        """Run the jobs that are due."""
+        """Run the jobs that are due, once the token is registered."""
+        if not self._is_token_registered(now_ms):
+            return
         for number, (job, period_ms) in enumerate(self._jobs):
             if now_ms >= self._due_ms_by_job.get(number, 0):
                 # A job that is still running is not started again until then.
@@ -124,23 +145,50 @@
     ) -> None:
         """Do nothing: no order is journalled."""
 
-    async def _run(self, job: Job) -> None:
-        term = self._term
-        if term is None:
+    def _is_token_registered(self, now_ms: int) -> bool:
+        if self._term is None:
+            return False
+        epoch = self._term.epoch
+        if self._registered_epoch != epoch and now_ms >= self._register_due_ms:
+            self._register_due_ms = now_ms + REGISTER_RETRY_MS
+            registering = Deferred.fromCoroutine(self._register(epoch))
+            registering.addErrback(_log_defect)
+        return self._registered_epoch == epoch
+
+    async def _register(self, epoch: int) -> None:
+        try:
+            is_own = await self._fences.register(epoch)
+        except StoreError as error:
+            logger.bind(epoch=epoch).warning(
+                'fencing token not registered: {0}', error
+            )
             return
-        epoch = term.epoch
-
-        def may_act() -> bool:
-            is_lease_kept = get_era(epoch) == self._store.era
-            return term.is_holder and term.epoch == epoch and is_lease_kept
+        if is_own:
+            self._registered_epoch = epoch
+        elif self._may_act(epoch):
+            self.is_token_taken = True
+            logger.bind(epoch=epoch).warning(
+                'lease given up: another process has registered its token'
+            )
 
+    async def _run(self, job: Job) -> None:
+        if self._term is None:
+            return
+        epoch = self._term.epoch
         try:
-            await job.run(self._true_ms(), may_act, epoch)
+            await job.run(self._true_ms(), lambda: self._may_act(epoch), epoch)
         except StoreError as error:
             logger.bind(epoch=epoch).warning(
                 'duty postponed to its next run: {0}', error
             )
 
+    def _may_act(self, epoch: int) -> bool:
+        """Return whether the lease is held under a token in its era."""
+        term = self._term
+        if term is None or get_era(epoch) != self._store.era:
+            return False
+        return term.is_holder and term.epoch == epoch
+
     def _schedule_next(self, ended: Any, number: int, period_ms: int) -> None:
         self._due_ms_by_job[number] = self._clock.now_ms() + period_ms
 
--- a/tests/test_cmd/test_duties_across_eras.py
+++ b/tests/test_cmd/test_duties_across_eras.py
@@ -27,6 +27,7 @@
     PlatformDuties,
 )
 from cicadahoist.serving.duty_calls import OrderReply
+from cicadahoist.serving.fence_register import FenceRegister
 from cicadahoist.serving.instance_records import COUNT_KIND
 from cicadahoist.serving.usage_report import UsageReportJob
 from tests.test_platform.object_pages import ObjectPages
@@ -58,6 +59,23 @@
         )
 
 
+class OrderJob:
+    """Sends orders to engines all the time."""
+
+    def __init__(self, world, holder):
+        self._world = world
+        self._holder = holder
+
+    def begin_term(self):
+        """Do nothing."""
+
+    async def run(self, true_ms, may_act, epoch):
+        if may_act():
+            self._world.orders.append(
+                (self._world.clock.now_ms(), self._holder, epoch)
+            )
+
+
 class Process:
     """One process that competes for the duties."""
 
@@ -69,14 +87,21 @@
         self.is_up = True
         self.pages = ObjectPages(world.objects, world.clock, world.rng)
         store = ObjectStore('http://s/cicadahoist/objects', self.pages, 1000)
-        duties = PlatformDuties(world.clock, self._true_ms, store)
+        incarnation = f'{name}.{next(self.numbers)}'
+        duties = PlatformDuties(
+            world.clock,
+            self._true_ms,
+            store,
+            FenceRegister(store, incarnation),
+        )
         usage = UsageReportJob(
             store, Interface(world, name), 'peers', WINDOW_MS, 10_000
         )
         duties.add(usage, 800)
+        duties.add(OrderJob(world, name), 500)
         lease = LeaseKeeper(
             LEASE_NAME,
-            f'{name}.{next(self.numbers)}',
+            incarnation,
             LeaseTiming(
                 term_ms=TERM_MS, margin_ms=200, order_bound_ms=ORDER_BOUND_MS
             ),
@@ -89,7 +114,7 @@
             world.clock,
             TermDeadlines(NoTimer()),
             may_stand=lambda: self.is_up,
-            may_hold=lambda: self.is_up,
+            may_hold=lambda: self.is_up and not duties.is_token_taken,
         )
         duties.set_term(self.task)
         world.launch(self.task.start())
@@ -107,6 +132,7 @@
         self.objects = FakeObjects()
         self.objects.era = era
         self.calls = []
+        self.orders = []
         self.processes = [Process(self, f'i{one}') for one in range(count)]
         self._revisions = {}
 
@@ -127,6 +153,10 @@
         copied_ms = max(0, self.clock.now_ms() - age_ms) // STEP_MS * STEP_MS
         self.objects.come_back(self._revisions.get(copied_ms, 10))
 
+    def find_holder(self):
+        """Return the process that holds the duties, none if there is none."""
+        return next((one for one in self.processes if one.task.is_holder), None)
+
     def kill(self, process):
         """Let a new process take the place of one that acts no more."""
         process.is_up = False
@@ -148,6 +178,16 @@
         )
 
 
+def expect_rising_tokens(orders):
+    holder_by_epoch = {}
+    newest = 0
+    for at_ms, holder, epoch in orders:
+        first = holder_by_epoch.setdefault(epoch, holder)
+        assert first == holder, f'{epoch} of {first} and {holder} at {at_ms}'
+        assert epoch >= newest, f'{epoch} after {newest} at {at_ms}'
+        newest = epoch
+
+
 def expect_one_duty(calls):
     holder_by_epoch = {}
     counts_by_window = {}
@@ -200,6 +240,33 @@
     expect_one_duty(world.calls)
 
 
+# Guards against one token of two holders where a renewal of an earlier era,
+# done late, replaces the record of the holder whose revision is the same.
+@pytest.mark.parametrize('age_ms', [3000, 60_000])
+def test_a_late_write_of_an_earlier_era_frees_no_token(age_ms):
+    world = DutyWorld(seed=age_ms)
+    world.run(12_000)
+    late = world.find_holder()
+    late.pages.holds_writes = True
+    while not late.pages.held_writes:
+        world.run(STEP_MS)
+    lease = world.objects.kinds[LEASE_KIND][LEASE_NAME]
+    world.kill(late)
+    world.come_back(age_ms)
+    while world.find_holder() is None:
+        world.objects.revision = lease.revision - 1
+        world.clock.advance(STEP_MS)
+    first = world.find_holder()
+    while world.orders[-1][1] != first.name:
+        world.clock.advance(STEP_MS)
+    world.launch(late.pages.run_held_writes())
+    world.kill(first)
+    world.run(30_000)
+    assert world.orders[-1][0] > world.clock.now_ms() - 2000
+    expect_rising_tokens(world.orders)
+    expect_one_duty(world.calls)
+
+
 # Guards against the same in series: drills, kills, cuts and lost answers.
 @pytest.mark.parametrize('seed', range(30))
 @pytest.mark.parametrize('era', [0, 1, 7])
@@ -221,6 +288,7 @@
         process.pages.is_cut = False
     world.run(20_000)
     assert world.calls[-1][0] > 70_000
+    expect_rising_tokens(world.orders)
     expect_one_duty(world.calls)
 
 
--- a/tests/test_platform/object_pages.py
+++ b/tests/test_platform/object_pages.py
@@ -29,6 +29,8 @@
     HTTP client whose calls reach an in-memory store after a while.
 
     ``is_cut``: calls get no answer; writes may take effect all the same.
+    ``holds_writes``: writes get no answer, and take effect when
+    `run_held_writes` is called, if their conditions hold then.
 
     :param objects: the store
     :param clock: clock of the test
@@ -42,6 +44,16 @@
         self._rng = rng
         self._max_delay_ms = max_delay_ms
         self.is_cut = False
+        self.holds_writes = False
+        self.held_writes = []
+
+    async def run_held_writes(self):
+        held_writes, self.held_writes = self.held_writes, []
+        for call in held_writes:
+            try:
+                await self._run(*call)
+            except VersionConflictError:
+                continue
 
     async def call(self, method, url, *, timeout_ms, headers=None, body=None):
         await self._delay()
@@ -53,10 +65,12 @@
         )
         content = msgspec.json.decode(body) if body else None
         era = self._objects.era
+        arguments = (method, unquote(kind), unquote(name), content, parts.query)
+        if self.holds_writes and method in {'POST', 'PUT'}:
+            self.held_writes.append(arguments)
+            raise TargetError('no answer', remedy='try again')
         try:
-            status, found = await self._run(
-                method, unquote(kind), unquote(name), content, parts.query
-            )
+            status, found = await self._run(*arguments)
         except VersionConflictError:
             status, found = 409, None
         await self._delay()
--- a/tests/test_serving/test_duties.py
+++ b/tests/test_serving/test_duties.py
@@ -4,8 +4,10 @@
 
 from cicadahoist.clock import Clock
 from cicadahoist.errors import StoreUnavailableError
-from cicadahoist.serving.duties import PlatformDuties
+from cicadahoist.protocol.records import EPOCHS_PER_ERA
+from cicadahoist.serving.duties import REGISTER_RETRY_MS, PlatformDuties
 from cicadahoist.serving.duty_calls import OrderReply
+from cicadahoist.serving.fence_register import FenceRegister
 from cicadahoist.serving.instance_records import COUNT_KIND
 from cicadahoist.serving.usage_report import SEALED_KIND, UsageReportJob
 from tests.coroutines import result_of
@@ -176,8 +178,12 @@
     def __init__(self):
         self.clock = Clock.manual()
         self.term = Term()
+        self.objects = FakeObjects()
         self._duties = PlatformDuties(
-            self.clock, self.clock.now_ms, FakeObjects()
+            self.clock,
+            self.clock.now_ms,
+            self.objects,
+            FenceRegister(self.objects, 'i1.a'),
         )
         self._duties.set_term(self.term)
         self.add = self._duties.add
@@ -202,6 +208,20 @@
     assert not job.acted
 
 
+# Guards against a call under a token that another process may have used.
+def test_no_job_runs_before_the_token_is_registered(duties):
+    job = SlowJob(duties.clock)
+    duties.add(job, 100)
+    duties.objects.era = 2
+    duties.objects.failure = 'down'
+    duties.term.epoch = 2 * EPOCHS_PER_ERA + 1
+    duties.tick(0)
+    assert job.runs == 0
+    duties.objects.failure = None
+    duties.tick(REGISTER_RETRY_MS)
+    assert job.runs == 1
+
+
 def test_a_running_job_is_not_started_again(duties):
     job = SlowJob(duties.clock)
     duties.add(job, 200)
