--- a/cicadahoist/platform/objects.py
+++ b/cicadahoist/platform/objects.py
@@ -16,6 +16,7 @@
     VersionConflictError,
     WireError,
 )
+from cicadahoist.log import get_logger
 from cicadahoist.objects import Changes, ObjectPage, StoredObject
 from cicadahoist.outside.http import (
     HTTP_BUSY,
@@ -34,6 +35,8 @@
 )
 from cicadahoist.platform.settings_file import Address
 
+logger = get_logger(__name__)
+
 HTTP_GONE = 410
 HTTP_CREATED = 201
 # Answers that tell the state of an object. Others may come from elsewhere, and
@@ -259,7 +262,7 @@
     async def read(self, name: str) -> Stored:
         """Return an object, an empty one if it does not exist."""
         found = await self._objects.get(self._kind, name)
-        self._era = self._objects.era
+        self._enter_era(self._objects.era)
         if found is None:
             return Stored(name, ABSENT, b'', self._era)
         payload = msgspec.json.encode(found.spec)
@@ -289,6 +292,13 @@
             )
         return revision
 
+    def _enter_era(self, era: int) -> None:
+        if self._era and era != self._era:
+            logger.bind(era=era, before=self._era).warning(
+                'the store has come back from an older copy'
+            )
+        self._era = era
+
 
 def _parse_era(text: str) -> int:
     return int(text) if text.isdecimal() else 0
--- a/cicadahoist/serving/duties.py
+++ b/cicadahoist/serving/duties.py
@@ -165,6 +165,7 @@
             return
         if is_own:
             self._registered_epoch = epoch
+            logger.bind(epoch=epoch).info('fencing token registered')
         elif self._may_act(epoch):
             self.is_token_taken = True
             logger.bind(epoch=epoch).warning(
