Register the fencing token anew in each term

Cause: a process remembers the token that it has registered. Where the record of the lease goes back within an era, it can win with that token once more after others have used higher ones, and its jobs ran without a look at the register. A job of its earlier term that still waited for an answer also acted in the new one.

A registration holds for one term, and so does what a job may do.

Measured: test_a_token_is_registered_in_each_term failed in both cases ('assert 1 == 0': the job ran) and passes. No play with processes has shown the fault.

--- a/cicadahoist/serving/duties.py
+++ b/cicadahoist/serving/duties.py
@@ -59,7 +59,8 @@
     """
     Runs the jobs of the lease holder, each with its own period.
 
-    No job runs before the fencing token of the term is registered.
+    No job runs before the fencing token is registered, in each term: a record
+    that goes back lets a process win with a token that others have passed.
 
     :param clock: clock of the process
     :param true_ms: wall-clock time, corrected for steps
@@ -76,6 +77,7 @@
         '_registered_epoch',
         '_store',
         '_term',
+        '_term_count',
         '_true_ms',
         'is_token_taken',
     )
@@ -94,6 +96,8 @@
         self._jobs: list[tuple[Job, int]] = []
         self._due_ms_by_job: dict[int, int] = {}
         self._term: Term | None = None
+        self._term_count = 0
+        # Token that was registered in this term.
         self._registered_epoch: int | None = None
         self._register_due_ms = 0
         # Whether another process has used the token of this term, or a later
@@ -114,6 +118,8 @@
 
     def begin_term(self, record: LeaseRecord) -> None:
         """Begin a term of all jobs."""
+        self._term_count += 1
+        self._registered_epoch = None
         self._register_due_ms = 0
         for job, _ in self._jobs:
             job.begin_term()
@@ -151,11 +157,13 @@
         epoch = self._term.epoch
         if self._registered_epoch != epoch and now_ms >= self._register_due_ms:
             self._register_due_ms = now_ms + REGISTER_RETRY_MS
-            registering = Deferred.fromCoroutine(self._register(epoch))
+            registering = Deferred.fromCoroutine(
+                self._register(epoch, self._term_count)
+            )
             registering.addErrback(_log_defect)
         return self._registered_epoch == epoch
 
-    async def _register(self, epoch: int) -> None:
+    async def _register(self, epoch: int, term_number: int) -> None:
         try:
             is_own = await self._fences.register(epoch)
         except StoreError as error:
@@ -163,9 +171,11 @@
                 'fencing token not registered: {0}', error
             )
             return
+        if not self._may_act(epoch, term_number):
+            return
         if is_own:
             self._registered_epoch = epoch
-        elif self._may_act(epoch):
+        else:
             self.is_token_taken = True
             logger.bind(epoch=epoch).warning(
                 'lease given up: another process has registered its token'
@@ -175,18 +185,25 @@
         if self._term is None:
             return
         epoch = self._term.epoch
+        term_number = self._term_count
         try:
-            await job.run(self._true_ms(), lambda: self._may_act(epoch), epoch)
+            await job.run(
+                self._true_ms(),
+                lambda: self._may_act(epoch, term_number),
+                epoch,
+            )
         except StoreError as error:
             logger.bind(epoch=epoch).warning(
                 'duty postponed to its next run: {0}', error
             )
 
-    def _may_act(self, epoch: int) -> bool:
-        """Return whether the lease is held under a token in its era."""
+    def _may_act(self, epoch: int, term_number: int) -> bool:
+        """Return whether the lease is held in a term, in the token's era."""
         term = self._term
         if term is None or get_era(epoch) != self._store.era:
             return False
+        if term_number != self._term_count:
+            return False
         return term.is_holder and term.epoch == epoch
 
     def _schedule_next(self, ended: Any, number: int, period_ms: int) -> None:
--- a/tests/test_serving/test_duties.py
+++ b/tests/test_serving/test_duties.py
@@ -4,7 +4,7 @@
 
 from cicadahoist.clock import Clock
 from cicadahoist.errors import StoreUnavailableError
-from cicadahoist.protocol.records import EPOCHS_PER_ERA
+from cicadahoist.protocol.records import EPOCHS_PER_ERA, LeaseRecord
 from cicadahoist.serving.duties import REGISTER_RETRY_MS, PlatformDuties
 from cicadahoist.serving.duty_calls import OrderReply
 from cicadahoist.serving.fence_register import FenceRegister
@@ -187,6 +187,8 @@
         )
         self._duties.set_term(self.term)
         self.add = self._duties.add
+        self.begin_term = self._duties.begin_term
+        self.is_token_taken = lambda: self._duties.is_token_taken
         self.tick = self._duties.tick
 
 
@@ -222,6 +224,27 @@
     assert job.runs == 1
 
 
+# Guards against a lower token after a higher one: the record of the lease goes
+# back, and the process that had a token first wins it once more.
+@pytest.mark.parametrize('pause_ms', [0, 1000])
+def test_a_token_is_registered_in_each_term(duties, pause_ms):
+    job = SlowJob(duties.clock)
+    duties.add(job, 100)
+    duties.objects.era = 2
+    duties.term.epoch = 2 * EPOCHS_PER_ERA + 1
+    duties.tick(0)
+    duties.clock.advance(pause_ms)
+    acted = list(job.acted)
+    other = FenceRegister(duties.objects, 'i2.a')
+    assert result_of(other.register(duties.term.epoch + 1))
+    duties.begin_term(LeaseRecord())
+    duties.tick(5000)
+    duties.clock.advance(5000)
+    assert job.runs == 0
+    assert job.acted == acted
+    assert duties.is_token_taken()
+
+
 def test_a_running_job_is_not_started_again(duties):
     job = SlowJob(duties.clock)
     duties.add(job, 200)
