Let timers follow the time since boot

Cause: Clock reads the time since boot, but schedules on twisted's reactor, whose timers follow time.time. The limits for a connection and for a call bound how late an order can leave the process; a step back by 5 s adds 5 s to both.

The reactor of the program reads the time since boot before the first timer is set.

Measured: test_timers_do_not_follow_steps_of_the_wall_clock failed for steps of -5 s ([] == [73]) and 5 s ([70] == [73]), and passes.

--- a/cicadahoist/application.py
+++ b/cicadahoist/application.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.defer import Deferred
 
-from cicadahoist.clock import Clock
+from cicadahoist.clock import Clock, use_boot_time
 from cicadahoist.config import Config
 from cicadahoist.log import configure_logging, get_logger
 from cicadahoist.loop_times import LoopTimes
@@ -76,6 +76,7 @@
         from twisted.internet import reactor  # noqa: PLC0415, WPS433
 
         configure_logging(config.read(LOG_FORMAT), config.read(LOG_LEVEL))
+        use_boot_time(reactor)
         application = cls(config, reactor)
         application.loop_times.attach(reactor)
         return application
--- a/cicadahoist/clock.py
+++ b/cicadahoist/clock.py
@@ -9,6 +9,7 @@
 
 MS_PER_S = 1000
 NS_PER_MS = 1_000_000
+NS_PER_S = 1_000_000_000
 
 
 class Timer(Protocol):
@@ -76,6 +77,18 @@
         self._scheduler.advance(delay_ms / MS_PER_S)
 
 
+def use_boot_time(reactor: Any) -> None:
+    """
+    Let the timers of a reactor follow the time since boot.
+
+    Those of twisted follow the wall clock, so that a step of it would put off,
+    or bring forward, all time limits. No timer may be pending.
+    """
+    reactor.seconds = lambda: (
+        time.clock_gettime_ns(time.CLOCK_BOOTTIME) / NS_PER_S
+    )
+
+
 def read_boot_ms() -> int:
     """Return the milliseconds since boot, including time spent suspended."""
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
--- a/tests/test_core/test_application.py
+++ b/tests/test_core/test_application.py
@@ -1,5 +1,9 @@
+import time
+
 import pytest
+from twisted.internet.base import ReactorBase
 from twisted.internet.defer import Deferred
+from twisted.internet.selectreactor import SelectReactor
 
 from cicadahoist.application import EXIT_FAILURE, Application
 from cicadahoist.config import Config
@@ -71,3 +75,32 @@
         application.run()
     assert exit_info.value.code == EXIT_FAILURE
     assert reactor.stop_count == 1
+
+
+# Guards against a time limit that a step of the wall clock puts off: an order
+# waits for its connection, and is sent after the term of its lease (ONE).
+@pytest.mark.parametrize('step_s', [-5, 0, 5])
+def test_timers_do_not_follow_steps_of_the_wall_clock(monkeypatch, step_s):
+    times_s = {time.CLOCK_BOOTTIME: 70, time.CLOCK_REALTIME: 1_700_000_000}
+    monkeypatch.setattr(
+        ReactorBase, 'seconds', lambda _: times_s[time.CLOCK_REALTIME]
+    )
+    monkeypatch.setattr(
+        time, 'clock_gettime_ns', lambda kind: times_s[kind] * 1_000_000_000
+    )
+    monkeypatch.setattr(
+        'cicadahoist.application.configure_logging', lambda *_: None
+    )
+    reactor = SelectReactor()
+    monkeypatch.setattr('twisted.internet.reactor', reactor, raising=False)
+    application = Application.from_config(Config({}))
+    fired_s = []
+    application.clock.call_later(
+        3000, lambda: fired_s.append(times_s[time.CLOCK_BOOTTIME])
+    )
+    times_s[time.CLOCK_REALTIME] += step_s
+    for _ in range(4):
+        reactor.runUntilCurrent()
+        for kind in times_s:
+            times_s[kind] += 1
+    assert fired_s == [73]
