Replace stored usage counts only under their revision

What the platform can see: usage of a window that is reported too low (Duty).

Cause: an instance replaced its counts without a condition. A write without an answer that the store carried out later put earlier counts in place of newer ones, until the next write, or for good where the process had ended.

The write names the revision that was stored last; after a lost answer or a conflict it is read.

Measured: test_a_late_write_replaces_no_newer_counts failed ({'w1': 2} in place of 3) and passes.

--- a/cicadahoist/serving/instance_records.py
+++ b/cicadahoist/serving/instance_records.py
@@ -69,6 +69,7 @@
         '_clock',
         '_copies',
         '_count_instances',
+        '_count_revision',
         '_identity',
         '_is_stopped',
         '_last_record',
@@ -93,6 +94,8 @@
     ) -> None:
         self._copies = copies
         self._count_instances = count_instances
+        # Revision of the stored counts, none if it is not known.
+        self._count_revision: int | None = None
         # When a write of the counts was last attempted.
         self._last_write_ms = 0
         self._objects = objects
@@ -213,9 +216,38 @@
         }
         if record == self._last_record:
             return
-        await self._put(COUNT_KIND, self._identity.incarnation, record)
+        try:
+            await self._store_counts(record)
+        except VersionConflictError:
+            # A peer has stored its copy, or a write without an answer was
+            # carried out.
+            await self._store_counts(record)
         self._last_record = record
 
+    async def _store_counts(self, record: dict[str, Any]) -> None:
+        """
+        Replace the counts that are stored, if they are the last known ones.
+
+        A write that the store carries out late finds newer ones, and changes
+        nothing.
+
+        :raises VersionConflictError: the stored ones have changed
+        """
+        name = self._identity.incarnation
+        revision = self._count_revision
+        self._count_revision = None
+        if revision is None:
+            stored = await self._objects.get(COUNT_KIND, name)
+            if stored is None:
+                self._count_revision = await self._objects.create(
+                    COUNT_KIND, name, record
+                )
+                return
+            revision = stored.revision
+        self._count_revision = await self._objects.replace(
+            COUNT_KIND, name, record, revision
+        )
+
     async def _put(self, kind: str, name: str, spec: dict[str, Any]) -> bool:
         """
         Create or replace an object that only this instance writes.
--- a/tests/test_serving/test_instance_records.py
+++ b/tests/test_serving/test_instance_records.py
@@ -1,6 +1,9 @@
 """Records that an instance writes for itself and for peers that ended."""
 
+import random
+
 from cicadahoist.clock import Clock
+from cicadahoist.platform.objects import ObjectStore
 from cicadahoist.serving.instance_records import (
     COUNT_KIND,
     InstanceIdentity,
@@ -9,6 +12,7 @@
 from cicadahoist.serving.usage_copies import UsageCopies, UsageCopy
 from cicadahoist.serving.usage_counts import UsageCounts
 from tests.coroutines import Pending, result_of
+from tests.test_platform.object_pages import ObjectPages
 from tests.test_serving.fake_objects import FakeObjects
 
 IDENTITY = InstanceIdentity(
@@ -63,6 +67,40 @@
     assert objects.names(COUNT_KIND) == ['i1.n']
 
 
+# Guards against usage that is reported too low: a write without an answer that
+# the store carries out late replaced counts which were written since.
+def test_a_late_write_replaces_no_newer_counts():
+    clock, objects, usage = Clock.manual(), FakeObjects(), UsageCounts()
+    pages = ObjectPages(objects, clock, random.Random(1))
+    records = InstanceRecords(
+        ObjectStore('http://s/cicadahoist/objects', pages, 1000),
+        clock,
+        IDENTITY,
+        usage,
+        lambda: 505_600,
+        lambda: 1,
+        UsageCopies(),
+    )
+    Pending(records.start())
+
+    def count(number, duration_ms):
+        usage.count_start('w1', 500_000 + number)
+        for _ in range(duration_ms // 20):
+            clock.advance(20)
+
+    count(1, 3000)
+    pages.holds_writes = True
+    count(2, 2000)
+    assert pages.held_writes
+    pages.holds_writes = False
+    count(3, 3000)
+    Pending(pages.run_held_writes())
+    for number in (3, 4):
+        windows = objects.kinds[COUNT_KIND]['i1.n'].spec['windows']
+        assert windows == {'100': {'w1': number}}
+        count(number, 3000)
+
+
 def test_a_large_fleet_writes_its_counts_as_often_as_a_small_one():
     """Guards against calls to the store that grow with the fleet."""
     writes = {}
