Accept all waiting connections before an entry closes its port

Callers that connected at the end of an entry's drain grace were reset, although they had sent their requests. The entry let its port accept once before closing it, and Twisted accepts only as many connections at a time as in the turn before, often one; the close of the port resets the others.

The loop is now in outside.sockets.accept_waiting, which both servers use. It goes on until a turn accepts nothing, so that the queue is empty when the port is closed.

test_a_leaving_entry_answers_all_requests_on_new_connections failed before: ConnectionResetError: [Errno 104] Connection reset by peer

--- a/cicadahoist/outside/sockets.py
+++ b/cicadahoist/outside/sockets.py
@@ -72,9 +72,14 @@
     """
     Accept the connections that the system has made but the process has not.
 
-    They would be reset when the port is closed.
+    They would be reset when the port is closed. Twisted accepts fewer at a time
+    after a turn that accepted few.
 
     :param port: a listening port of twisted
     """
-    if IReadDescriptor.providedBy(port):
+    if not IReadDescriptor.providedBy(port):
+        return
+    accepted_count = -1
+    while accepted_count < port.sessionno:
+        accepted_count = port.sessionno
         port.doRead()
--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -15,6 +15,7 @@
     HTTP_OK,
     HTTP_UNAVAILABLE,
 )
+from cicadahoist.outside.sockets import accept_waiting
 from cicadahoist.policy.caller_admission.departure import UNREADY_WAIT_MS
 from cicadahoist.serving.front import Front
 from cicadahoist.serving.inbound import CallerConnections
@@ -84,7 +85,7 @@
         # A request that is not read can be sent to another instance without
         # risk; one that is read near the end of the grace would be cut off.
         if self._listening_port is not None:
-            self._accept_waiting()
+            accept_waiting(self._listening_port)
             await self._listening_port.stopListening()
         while self._clock.now_ms() < departure.cut_ms:
             self._connections.close_unused()
@@ -100,13 +101,6 @@
         self._connections.report_unread()
         self._connections.stop_sweeping()
 
-    def _accept_waiting(self) -> None:
-        """Accept all connections that the close of the port would reset."""
-        accepted_count = -1
-        while accepted_count < self._connections.count_open():
-            accepted_count = self._connections.count_open()
-            self._listening_port.doRead()
-
 
 class ReadyServer:
     """
--- a/tests/test_entry/test_closed_connections.py
+++ b/tests/test_entry/test_closed_connections.py
@@ -399,6 +399,23 @@
         assert caller.recv(BUFFER_BYTES).startswith(b'HTTP/1.1 503 ')
 
 
+# Guards against a reset of those that wait behind: Twisted accepts fewer at a
+# time after a turn that accepted few.
+def test_a_leaving_entry_answers_all_requests_on_new_connections(sockets):
+    address = sockets.listening.port.getHost()
+    callers = [create_connection((HOST, address.port), TIMEOUT_S)]
+    sockets.stop()
+    for _ in range(5):
+        callers.append(create_connection((HOST, address.port), TIMEOUT_S))
+        callers[-1].sendall(make_call())
+    sockets.skip(STEP_MS)
+    sockets.advance(50)
+    for caller in callers[1:]:
+        assert caller.recv(BUFFER_BYTES).startswith(b'HTTP/1.1 503 ')
+    for caller in callers:
+        caller.close()
+
+
 # Guards against a request read in part that a leaving entry drops in silence.
 @pytest.mark.parametrize('missing_bytes', [2, 30, 100])
 def test_a_leaving_entry_refuses_a_request_read_in_part(sockets, missing_bytes):
