Report the next usage windows though one has no answer

What the platform can see: usage windows that are missing after a change of the holder (Duty).

Cause: a new holder begins with the newest window past due. A report that was not answered, or refused for a while, ended the run, so that windows still in time were not reported until that one was.

Windows that were reported are kept as a set; one without an answer is repeated in the next run, with the same figures.

Measured: test_an_unanswered_report_delays_no_other_window failed for both replies ([98] == [98, 99, 100]) and passes.

--- a/cicadahoist/serving/usage_report.py
+++ b/cicadahoist/serving/usage_report.py
@@ -64,9 +64,9 @@
         '_due_ms',
         '_first_window',
         '_interface',
-        '_last_reported_window',
         '_objects',
         '_peer_kind',
+        '_reported_windows',
         '_window_ms',
     )
 
@@ -83,14 +83,14 @@
         self._peer_kind = peer_kind
         self._window_ms = window_ms
         self._due_ms = due_ms
-        self._last_reported_window: int | None = None
+        self._reported_windows: set[int] = set()
         # First window that no holder has reported in an earlier era, none if
         # it is not known yet.
         self._first_window: int | None = None
 
     def begin_term(self) -> None:
         """Report again what is not past due: another holder's may be lost."""
-        self._last_reported_window = None
+        self._reported_windows.clear()
         self._first_window = None
 
     async def run(self, true_ms: int, may_act: Any, epoch: int) -> None:
@@ -104,13 +104,13 @@
         """
         newest = (true_ms - COUNT_DELAY_MS) // self._window_ms - 1
         oldest = (true_ms - self._due_ms) // self._window_ms - 1
-        oldest_unreported = (
-            oldest
-            if self._last_reported_window is None
-            else self._last_reported_window + 1
-        )
+        self._reported_windows = {
+            window for window in self._reported_windows if window >= oldest
+        }
         first = await self._find_first_window(get_era(epoch), newest + 1)
-        for window in range(max(oldest_unreported, oldest, first), newest + 1):
+        for window in range(max(oldest, first), newest + 1):
+            if window in self._reported_windows:
+                continue
             seal_ms = (
                 (window + 1) * self._window_ms + self._due_ms - REPORT_LEAD_MS
             )
@@ -123,9 +123,9 @@
             logger.bind(
                 window=window, epoch=epoch, outcome=reply.value, counts=counts
             ).info('usage reported')
-            if reply not in {OrderReply.accepted, OrderReply.refused}:
-                return
-            self._last_reported_window = window
+            # Without an answer it is repeated; the next ones are due as well.
+            if reply in {OrderReply.accepted, OrderReply.refused}:
+                self._reported_windows.add(window)
 
     async def _find_first_window(self, era: int, unsealed: int) -> int:
         """
--- a/tests/test_serving/test_duties.py
+++ b/tests/test_serving/test_duties.py
@@ -100,6 +100,18 @@
     assert len(reports_of_window(interface, 100)) == 2
 
 
+# Guards against windows that are missing after a change of the holder: reports
+# of windows past due had no answer, and those still in time were not sent.
+@pytest.mark.parametrize('reply', [OrderReply.unknown, OrderReply.busy])
+def test_an_unanswered_report_delays_no_other_window(objects, reply):
+    interface = FakeInterface()
+    interface.replies = [reply, OrderReply.accepted, OrderReply.accepted]
+    report = run_report_at(objects, interface, 101 * WINDOW_MS + 3500)
+    assert [entry[0] for entry in interface.reports] == [98, 99, 100]
+    result_of(report.run(101 * WINDOW_MS + 4500, lambda: True, 1))
+    assert [entry[0] for entry in interface.reports[3:]] == [98]
+
+
 def test_nothing_is_reported_once_the_lease_is_lost(objects):
     interface = FakeInterface()
     run_report_at(objects, interface, 101 * WINDOW_MS + 3500, lambda: False)
