Test that a part of the head of an answer is no answer

Operators report that workers stopped inside the head of an answer and that clients got a 200 with an empty or short body, framed as whole.

h11 and twisted take a head for one only with its blank line, and the end of the connection before that for an error.

--- a/tests/test_entry/test_unframed_answers.py
+++ b/tests/test_entry/test_unframed_answers.py
@@ -15,6 +15,9 @@
     'choices': [{'message': {'content': 'text'}, 'finish_reason': 'stop'}],
     'usage': {'prompt_tokens': 1, 'completion_tokens': 1},
 }
+CUT_HEAD = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\n'
+)
 LAST_CHUNK = {
     'id': '',
     'choices': [{'delta': {'content': 'text'}, 'finish_reason': 'stop'}],
@@ -31,12 +34,23 @@
         return UnframedProtocol(self._body)
 
 
+class CutHeadServer(Factory):
+    """Sends the same part of a head for each request, and closes."""
+
+    def __init__(self, part) -> None:
+        self._part = part
+
+    def buildProtocol(self, addr):
+        return UnframedProtocol(b'', self._part)
+
+
 class UnframedProtocol(Protocol):
-    def __init__(self, body) -> None:
+    def __init__(self, body, head=b'HTTP/1.1 200 OK\r\n\r\n') -> None:
         self._body = body
+        self._head = head
 
     def dataReceived(self, data) -> None:
-        self.transport.write(b'HTTP/1.1 200 OK\r\n\r\n' + self._body)
+        self.transport.write(self._head + self._body)
         self.transport.loseConnection()
 
 
@@ -77,3 +91,16 @@
     answer = world.finish(world.send('POST', f'/services/{path}/x', b'return'))
     assert answer.status == 200
     assert answer.body == b'done'
+
+
+# Guards against a part of a head that is taken for an empty answer.
+@pytest.mark.parametrize('size', range(0, len(CUT_HEAD), 7))
+@pytest.mark.parametrize('target', ['service-0', 'engine-0'])
+def test_a_cut_head_is_no_answer(target, size):
+    world = World(engines=1, services=1, targets__answer_id='')
+    world.net.add_site(f'{target}:80', CutHeadServer(CUT_HEAD[:size]))
+    if target == 'service-0':
+        answering = world.send('POST', '/services/filing/x', b'return')
+    else:
+        answering = world.chat('once-model', stream=False)
+    assert world.finish(answering).status == 502
