Reset streams to HTTP/1.0 that the end of the process cuts

Callers of HTTP/1.0 saw a 200 whose body was short and looked complete, when the instance was killed inside a stream, or when its stop ran out of time while the last bytes waited for a slow caller.

Answers of unknown length go to such callers without chunks, so that the close of the connection is their end. A failure aborts the connection, which resets it; the end of the process did not, as the kernel and twisted close cleanly.

The connection of such an answer now gets SO_LINGER with 0 s at its head, and loses it only once all bytes are with the kernel, as relayed connections do: a kill before that resets it. A stop aborts what is still unsent at its end. Other answers state their end and are left as they were.

Before, three of the eight tests in test_killed_in_answer failed, with "(bytearray(...), 'closed') == (None, 'reset')"; all pass now, among them those of whole answers, which are closed cleanly still.

--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -13,6 +13,7 @@
 from cicadahoist.outside.sockets import has_unread_input
 from cicadahoist.requests import HeaderList
 from cicadahoist.rules import CallerLimits
+from cicadahoist.serving.clean_close import LastClose
 from cicadahoist.serving.meters import Meters
 from cicadahoist.serving.peer_close import is_closed_by_peer
 from cicadahoist.serving.request_reader import (
@@ -123,7 +124,7 @@
     def begin(self, status: int, headers: HeaderList) -> None:
         """Send the head of an answer whose length is not known."""
         if not self.is_over:
-            self._begin(status, headers, closes=False)
+            self._begin(status, headers, has_length=False)
 
     def send(self, piece: bytes) -> None:
         """Send a piece of the body."""
@@ -143,9 +144,18 @@
             self.is_over = True
             self._connection.abort()
 
-    def _begin(self, status: int, headers: HeaderList, *, closes: bool) -> None:
+    def _begin(
+        self,
+        status: int,
+        headers: HeaderList,
+        *,
+        closes: bool = False,
+        has_length: bool = True,
+    ) -> None:
         self.is_begun = True
-        self._connection.write_head(status, headers, closes=closes)
+        self._connection.write_head(
+            status, headers, closes=closes, has_length=has_length
+        )
 
 
 class BackpressureProducer:
@@ -199,6 +209,7 @@
         self._exchange: Exchange | None = None
         self.active_request: ActiveRequest | None = None
         self._is_closed = False
+        self.last_close = LastClose()
         self._linger: Timer | None = None
         self._read_ahead_bytes = 0
         self._wait_started_ms = clock.now_ms()
@@ -258,12 +269,20 @@
             self.on_lost(self)
 
     def write_head(
-        self, status: int, headers: HeaderList, *, closes: bool
+        self,
+        status: int,
+        headers: HeaderList,
+        *,
+        closes: bool,
+        has_length: bool,
     ) -> None:
         """Write the head of an answer."""
         has_read_ahead = bool(self._http.trailing_data[0])
         if closes or (self._handler.is_leaving and not has_read_ahead):
             headers = [*headers, (b'Connection', b'close')]
+        if not has_length and not self._is_closed:
+            version = self._http.their_http_version
+            self.last_close.prepare(self.transport, version or b'')
         self.write(h11.Response(status_code=status, headers=headers))
 
     def write(self, event: Any) -> None:
@@ -315,10 +334,7 @@
         self._linger = self._clock.call_later(
             LINGER_MS, self.transport.abortConnection
         )
-        if self.is_reading or has_unread_input(self.transport):
-            self.transport.loseWriteConnection()
-        else:
-            self.transport.loseConnection()
+        self.last_close.start(self.transport, is_half=self.is_reading)
         self.is_reading = False
 
     def close_unused(self) -> None:
@@ -453,6 +469,11 @@
             elif connection.is_reading:
                 connection.refuse_incomplete(HTTP_UNAVAILABLE)
 
+    def abort_unsent(self) -> None:
+        """Reset the connections whose close would cut an answer unseen."""
+        for connection in list(self._connections):
+            connection.last_close.abort_unsent(connection.transport)
+
     def report_unread(self) -> None:
         """Log and count requests that the end of the process leaves unread."""
         for connection in self._connections:
--- a/cicadahoist/serving/relay_splice.py
+++ b/cicadahoist/serving/relay_splice.py
@@ -1,15 +1,15 @@
 """Passes bytes on between two connections."""
 
 import socket
-import struct
 from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.error import ConnectionDone
-from twisted.internet.interfaces import IPullProducer, IPushProducer
+from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol as TwistedProtocol
 from zope.interface import implementer
 
+from cicadahoist.serving.clean_close import close_when_drained, reset_on_exit
 from cicadahoist.serving.outbound import (
     PROBE_IDLE_S,
     PROBE_PERIOD_S,
@@ -18,34 +18,6 @@
 
 # Bytes read at once, and bytes that wait at one end before the other is paused.
 BUFFER_BYTES = 32_768
-# Values of SO_LINGER: the kernel resets a connection that is closed, or closes
-# it cleanly.
-LINGER_RESET = struct.pack('ii', 1, 0)
-LINGER_CLEAN = struct.pack('ii', 0, 0)
-
-
-@implementer(IPullProducer)
-class Drain:
-    """
-    Calls an action once a transport has sent all its bytes.
-
-    :param action: called once
-    """
-
-    __slots__ = ('_action', '_is_registered')
-
-    def __init__(self, action: Callable[[], None]) -> None:
-        self._action = action
-        self._is_registered = False
-
-    def resumeProducing(self) -> None:
-        """Call the action, except on the call at the registration."""
-        if self._is_registered:
-            self._action()
-        self._is_registered = True
-
-    def stopProducing(self) -> None:
-        """Do nothing: the connection has ended."""
 
 
 @implementer(IPushProducer)
@@ -95,7 +67,7 @@
         transport.setTcpNoDelay(True)
         transport.setTcpKeepAlive(True)
         # The end of this process must not look like the end of an answer.
-        self._set_linger(LINGER_RESET)
+        reset_on_exit(transport)
         handle = transport.getHandle()
         for option, bound in (
             (socket.TCP_KEEPIDLE, PROBE_IDLE_S),
@@ -130,8 +102,7 @@
     def close(self) -> None:
         """Close cleanly once all bytes are sent."""
         self.transport.unregisterProducer()
-        self.transport.registerProducer(Drain(self._close_drained), False)
-        self.transport.startWriting()
+        close_when_drained(self.transport, self.transport.loseConnection)
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -147,13 +118,3 @@
 
     def stopProducing(self) -> None:
         """Do nothing: the end of a connection is passed on as its kind."""
-
-    def _close_drained(self) -> None:
-        self._set_linger(LINGER_CLEAN)
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
-
-    def _set_linger(self, linger: bytes) -> None:
-        self.transport.getHandle().setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, linger
-        )
--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -97,6 +97,7 @@
             departure.is_over = True
             self._connections.end_requests()
             await self._clock.sleep(DRAIN_POLL_MS)
+            self._connections.abort_unsent()
         self._connections.report_unread()
         self._connections.stop_sweeping()
 
