Soak: drills of the store, late writes, and a judge for fencing tokens

The soak could not: its store had no era, never lost a write and never carried one out late; nothing was ordered but roles; and tokens were compared with the newest one only.

After the storm of faults, the store goes away two to four times and comes back from a copy 1 to 8 s old; what the operator and the targets wrote is written again, revisions are given out again. Before or after each drill the holder is frozen, killed, stopped or cut from the store, or writes are carried out late.

The judge keeps all tokens of a subject. Equal tokens of two instances and differing reports count always, as before. New are holders that take turns. A lower token no longer counts for 300 ms after its sender was thawed or a link healed, as the rule says: what such a link held back is delivered then. The store checks the revision that a removal names. A target of the soak starts anew with its first role.

--- a/soak/cuts.py
+++ b/soak/cuts.py
@@ -52,6 +52,7 @@
         for instance in self.instances:
             self._promises.cut_instances.discard(instance)
             self._promises.record_disturbance(instance)
+            self._promises.duties.record_heal(instance)
             for target in targets:
                 target.links.heal(instance)
 
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -10,6 +10,7 @@
 from twisted.internet import protocol
 
 from bench.launch import find_free_port
+from soak.duties import LEASE_MS
 from soak.promises import DRAIN_MS, GRACE_MS, REVOKE_MS
 from soak.proxy import HOST, Link
 
@@ -31,7 +32,7 @@
 bounds.grace-s={grace_s}
 bounds.drain-ms={drain_ms}
 bounds.revoke-ms={revoke_ms}
-bounds.lease-ms=3000
+bounds.lease-ms={lease_ms}
 bounds.report-window-s=3
 bounds.usage-late-s=8
 bounds.retry-ratio=0.2
@@ -150,6 +151,7 @@
                 grace_s=GRACE_MS // 1000,
                 drain_ms=DRAIN_MS,
                 revoke_ms=REVOKE_MS,
+                lease_ms=LEASE_MS,
             )
         )
 
--- a/soak/platform_pages.py
+++ b/soak/platform_pages.py
@@ -1,12 +1,20 @@
 """Stand-ins for the store and the cloud interface of the platform."""
 
 import json
+import random
 
 from klein import Klein
 from twisted.internet.defer import Deferred
 
 JSON = {'Content-Type': 'application/json'}
+ERA = 'Store-Era'
 SLOW_S = 0.2
+# Times after which writes of `StoreStandIn.late_writers` are carried out.
+LATE_S = (1, 6)
+# Oldest copy that the store comes back from.
+MAX_AGE_S = 8
+# Kinds that the operator and the targets write.
+OUTSIDE_KINDS = ('config', 'servers')
 
 
 class StoreStandIn:
@@ -15,13 +23,24 @@
 
     ``fault`` is empty, ``down`` (every call gets 503), ``lost`` (writes take
     effect but get no answer) or ``slow``. Instances are told apart by the port
-    that they call, and see their own addresses of the targets.
+    that they call, and see their own addresses of the targets. Writes of
+    ``late_writers`` get no answer, and are carried out later if their
+    conditions hold then.
+
+    :param reactor: reactor of the soak
+    :param era: number of copies that it has come back from, 0 for a store that
+        does not tell
     """
 
     app = Klein()
 
-    def __init__(self, reactor) -> None:
+    def __init__(self, reactor, era: int = 0) -> None:
         self.fault = ''
+        self.era = era
+        self.is_away = False
+        self.late_writers: set[str] = set()
+        self.late_rng = random.Random(0)
+        self.late_count = 0
         self.instance_by_port: dict[int, str] = {}
         self._reactor = reactor
         self._revision = 1
@@ -29,6 +48,8 @@
         self._events = []
         self._timer_by_watch = {}
         self._oldest_revision = 0
+        # Time, revision and objects of past states, oldest first.
+        self._states = []
 
     def put(self, kind, name, spec):
         self._revision += 1
@@ -54,6 +75,30 @@
         self._events.clear()
         self.close()
 
+    def go_away(self):
+        """Answer nothing but 503 until `come_back`."""
+        self.is_away = True
+        self.close()
+
+    def come_back(self, age_s):
+        """Come back from a copy, with what others than instances wrote."""
+        present = self._objects_by_kind
+        copied_s = self._reactor.seconds() - age_s
+        while len(self._states) > 1 and self._states[-1][0] > copied_s:
+            self._states.pop()
+        _, self._revision, copy = self._states[-1]
+        self._objects_by_kind = {
+            kind: dict(objects) for kind, objects in copy.items()
+        }
+        self._events = [
+            event for event in self._events if event[0] <= self._revision
+        ]
+        self._oldest_revision = min(self._oldest_revision, self._revision)
+        self.era += 1
+        self.is_away = False
+        for kind in OUTSIDE_KINDS:
+            self._write_again(kind, present.get(kind, {}), copy.get(kind, {}))
+
     def get_spec(self, kind, name):
         return self._objects_by_kind[kind][name]['spec']
 
@@ -68,6 +113,8 @@
     @app.route('/cicadahoist/objects/<kind>', methods=['GET'])
     def list_or_watch(self, request, kind):
         watch = request.args.get(b'watch')
+        if self.is_away:
+            return self._send(request, {})
         if watch is None:
             stored_objects = [
                 self._objects_by_kind.get(kind, {})[name]
@@ -103,13 +150,8 @@
 
     @app.route('/cicadahoist/objects/<kind>', methods=['POST'])
     def create(self, request, kind):
-        if self.fault == 'down':
-            return self._send(request, {})
         sent = json.load(request.content)
-        name = sent['metadata']['name']
-        if name in self._objects_by_kind.get(kind, {}):
-            return self._send(request, self._objects_by_kind[kind][name], 409)
-        return self._send(request, self.put(kind, name, sent['spec']))
+        return self._write(request, self._create, kind, sent)
 
     @app.route('/cicadahoist/objects/<kind>/<name>', methods=['GET'])
     def get(self, request, kind, name):
@@ -120,35 +162,75 @@
 
     @app.route('/cicadahoist/objects/<kind>/<name>', methods=['PUT'])
     def replace(self, request, kind, name):
-        if self.fault == 'down':
-            return self._send(request, {})
         sent = json.load(request.content)
-        stored = self._objects_by_kind.get(kind, {}).get(name)
-        if stored is None:
-            return self._send(request, {}, 404)
-        expected = sent['metadata'].get('revision')
-        if expected not in {None, stored['metadata']['revision']}:
-            return self._send(request, stored, 409)
-        return self._send(request, self.put(kind, name, sent['spec']))
+        return self._write(request, self._replace, kind, name, sent)
 
     @app.route('/cicadahoist/objects/<kind>/<name>', methods=['DELETE'])
     def delete(self, request, kind, name):
-        if self.fault == 'down':
+        expected = request.args.get(b'revision')
+        revision = int(expected[0]) if expected else None
+        return self._write(request, self._delete, kind, name, revision)
+
+    def _write(self, request, write, *arguments):
+        """Carry out a write now or late, unless the store is down."""
+        if self._is_down:
             return self._send(request, {})
-        stored = self.remove(kind, name)
+        if self._get_instance(request) in self.late_writers:
+            self.late_count += 1
+            delay_s = self.late_rng.uniform(*LATE_S)
+            self._reactor.callLater(delay_s, write, *arguments)
+            request.transport.abortConnection()
+            return b''
+        content, status = write(*arguments)
+        return self._send(request, content, status)
+
+    def _write_again(self, kind, present, copied):
+        for name, stored in present.items():
+            if copied.get(name) != stored:
+                self.put(kind, name, stored['spec'])
+        for name in copied.keys() - present.keys():
+            self.remove(kind, name)
+
+    def _create(self, kind, sent):
+        name = sent['metadata']['name']
+        if name in self._objects_by_kind.get(kind, {}):
+            return self._objects_by_kind[kind][name], 409
+        return self.put(kind, name, sent['spec']), 200
+
+    def _replace(self, kind, name, sent):
+        stored = self._objects_by_kind.get(kind, {}).get(name)
         if stored is None:
-            return self._send(request, {}, 404)
-        return self._send(request, stored)
+            return {}, 404
+        if not _is_expected(stored, sent['metadata'].get('revision')):
+            return stored, 409
+        return self.put(kind, name, sent['spec']), 200
+
+    def _delete(self, kind, name, revision):
+        stored = self._objects_by_kind.get(kind, {}).get(name)
+        if stored is None:
+            return {}, 404
+        if not _is_expected(stored, revision):
+            return stored, 409
+        return self.remove(kind, name), 200
+
+    @property
+    def _is_down(self):
+        return self.is_away or self.fault == 'down'
+
+    def _get_instance(self, request):
+        # Other ports than those of instances serve addresses as they are.
+        return self.instance_by_port.get(request.getHost().port, '')
 
     def _send(self, request, content, status=200):
         """Answer immediately, late, with 503 or not at all, by the fault."""
-        if self.fault == 'down':
+        if self.era:
+            request.setHeader(ERA, str(self.era))
+        if self._is_down:
             return _respond(request, {}, 503)
         if self.fault == 'lost' and request.method != b'GET':
             request.transport.abortConnection()
             return b''
-        # Other ports than those of instances serve addresses as they are.
-        instance = self.instance_by_port.get(request.getHost().port, '')
+        instance = self._get_instance(request)
         body = _respond(
             request, content, status, lambda links: links.get_address(instance)
         )
@@ -160,6 +242,15 @@
 
     def _publish(self, kind, event):
         self._events.append((self._revision, kind, event))
+        oldest_s = self._reactor.seconds() - MAX_AGE_S
+        while len(self._states) > 1 and self._states[1][0] <= oldest_s:
+            self._states.pop(0)
+        objects_by_kind = {
+            one: dict(objects) for one, objects in self._objects_by_kind.items()
+        }
+        self._states.append(
+            (self._reactor.seconds(), self._revision, objects_by_kind)
+        )
         for watch_call in list(self._timer_by_watch):
             if watch_call[0] == kind:
                 self._answer_watch(watch_call, [event])
@@ -205,6 +296,10 @@
         self.on_call(request.path.decode(), holder, fence, content)
 
 
+def _is_expected(stored, revision):
+    return revision in {None, stored['metadata']['revision']}
+
+
 def _respond(request, content, status=200, encode_links=None):
     request.setResponseCode(status)
     for name, text in JSON.items():
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from soak.duties import DutyChecker
+
 # Bounds that the settings of the instances set and the soak checks.
 REVOKE_MS = 5000
 DRAIN_MS = 2000
@@ -89,8 +91,7 @@
         self._crash_times_by_part: dict[str, list[int]] = {}
         self._late_count_by_part: dict[str, int] = {}
         self._sound_prompts: list[Attempt] = []
-        self._counts_by_window: dict[int, dict] = {}
-        self._fence_by_subject: dict[str, tuple[int, str]] = {}
+        self.duties = DutyChecker(now_ms, self.report_breach, CONTACT_MS)
 
     def record_attempt(self, attempt: Attempt) -> None:
         self.attempt_by_id[attempt.attempt_id] = attempt
@@ -275,27 +276,10 @@
     ) -> None:
         """Check a call that only one holder at a time may make."""
         if path == '/usage':
-            subject = path
-            window = content['window']
-            known = self._counts_by_window.setdefault(window, content['counts'])
-            if known != content['counts']:
-                self.report_breach(
-                    'ONE', f'window {window} is reported differently'
-                )
-        else:
-            subject = f'{path} {content["service"]} {content["zone"]}'
-        self.check_fence(subject, holder, fence)
-
-    def check_fence(self, subject: str, holder: str, fence: int) -> None:
-        """Check that fencing tokens never decrease and have one holder each."""
-        newest, known = self._fence_by_subject.get(subject, (0, holder))
-        if fence < newest:
-            self.report_breach(
-                'ONE', f'{subject}: {fence} of {holder} after {newest}'
-            )
-        elif fence == newest and known != holder:
-            self.report_breach(
-                'ONE', f'{subject}: {known} and {holder} with {fence}'
+            self.duties.check_usage(
+                holder, fence, content['window'], content['counts']
             )
         else:
-            self._fence_by_subject[subject] = (fence, holder)
+            self.duties.check_scaling(
+                holder, fence, content['service'], content['zone']
+            )
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,7 +8,7 @@
 
 from soak.callers import Caller
 from soak.cuts import choose_cut
-from soak.faults import FAULTS, PLANS
+from soak.faults import FAULTS, HOLDER_FAULTS, PLANS, crash_engine, drill
 from soak.promises import CONTACT_MS
 from soak.world import World
 
@@ -16,6 +16,11 @@
 PLANNED_MS = 7000
 MIN_CUT_MS = 4000
 MAX_CUT_MS = 10_000
+DRILL_COUNTS = (2, 4)
+# The holder of the duties is struck at most so long before or after a drill.
+MAX_STRIKE_MS = 2000
+# A takeover ends within the longest pause.
+DRILL_PAUSES_MS = (1000, 9000)
 FIRST_TRY_MS = 40
 KINDS = ('submit', 'lookup', 'ask', 'check')
 # Share of planned work that comes with new limits of callers.
@@ -69,6 +74,7 @@
             end_ms = world.now_ms() + 1000 * seconds
             while world.now_ms() < end_ms:
                 await self._run_storm()
+                await self._run_drills()
                 await self._run_planned_work()
                 await self._run_cut()
             await self._check_recovery()
@@ -82,7 +88,9 @@
             'struck': len(self.injected),
             'kinds': sorted(set(self.injected)),
             'outcomes': dict(sorted(world.promises.count_by_outcome.items())),
-            'reports': len(world.cloud.calls),
+            'duties': dict(sorted(world.promises.duties.count_by_duty.items())),
+            'tokens': sorted(world.promises.duties.tokens),
+            'late writes': world.store.late_count,
         }
 
     async def _run_storm(self) -> None:
@@ -98,6 +106,22 @@
         world.promises.record_disturbance('')
         await world.clock.sleep(CONTACT_MS + 1000)
 
+    async def _run_drills(self) -> None:
+        """Let the store come back from copies, and strike the holder."""
+        world = self.world
+        rng = world.drill_rng
+        for _ in range(rng.randint(*DRILL_COUNTS)):
+            actions = [('drill', drill), ('crash_engine', crash_engine)]
+            strike = rng.choice(sorted(HOLDER_FAULTS))
+            actions.insert(rng.choice((0, 2)), (strike, HOLDER_FAULTS[strike]))
+            for name, action in actions:
+                self._strike(name, action, rng)
+                await world.clock.sleep(rng.uniform(0, MAX_STRIKE_MS))
+            await world.clock.sleep(rng.uniform(*DRILL_PAUSES_MS))
+        self._heal_all()
+        world.promises.record_disturbance('')
+        await world.clock.sleep(CONTACT_MS + 1000)
+
     async def _run_planned_work(self) -> None:
         """Do only planned work, which must not interrupt any request."""
         world = self.world
@@ -162,16 +186,19 @@
             world.promises.report_breach('RECOVER', f'{outcomes}')
 
     def _inject(self, name: str) -> None:
-        world = self.world
         action = FAULTS.get(name) or PLANS[name]
+        self._strike(name, action, self.world.rng)
+
+    def _strike(self, name: str, action, rng) -> None:
+        world = self.world
         self.injected.append(name)
-        if name in FAULTS:
+        if name not in PLANS:
             world.promises.record_disturbance('')
         heal = action(world)
         if heal is None:
             return
         self._heal_callbacks.append(heal)
-        world.clock.call_later(world.rng.uniform(300, 3500), self._heal, heal)
+        world.clock.call_later(rng.uniform(300, 3500), self._heal, heal)
 
     def _heal(self, heal) -> None:
         if heal in self._heal_callbacks:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -53,7 +53,7 @@
         self.world = world
         self.service = service
         self.zone = zone
-        self.role = role
+        self.role = self._first_role = role
         self.fault = ''
         self.name = ''
         self.version = ''
@@ -75,6 +75,7 @@
         self.name = f't{next(_numbers)}'
         self.version = self.world.rng.choice(VERSIONS)
         self.running_count, self.accepted_order_count = 0, 0
+        self.role = self._first_role
         self.is_leaving = False
         self.attempt_by_handle.clear()
         self._port = self.world.reactor.listenTCP(0, Site(self), interface=HOST)
@@ -273,8 +274,8 @@
 
     def _accept_order(self, request):
         order = json.load(request.content)
-        self.world.promises.check_fence(
-            f'orders of {self.name}', order['holder'], order['fence']
+        self.world.promises.duties.check_order(
+            order['holder'], order['fence'], self.name
         )
         if order['expected'] != self.accepted_order_count:
             request.setResponseCode(409)
--- a/soak/world.py
+++ b/soak/world.py
@@ -27,6 +27,8 @@
 # Decode engines of each zone.
 DECODE_COUNT = 2
 READY_LIMIT_MS = 30_000
+# More targets than there are, so that the holder goes on ordering them.
+AUTOSCALE = {'min': 4, 'max': 4, 'boot-s': 0}
 # Time after which every instance accepts a new key.
 KEY_PROPAGATION_MS = 2000
 ROUTES = (
@@ -62,8 +64,11 @@
         self.now_ms = self.clock.now_ms
         self.wall_ms = wall_ms
         self.rng = random.Random(seed)
+        # Drills leave the series of the other faults as it is.
+        self.drill_rng = random.Random(f'{seed}/drills')
         self.promises = PromiseChecker(self.now_ms, checks_times=checks_times)
-        self.store = StoreStandIn(reactor)
+        self.store = StoreStandIn(reactor, era=1)
+        self.store.late_rng = random.Random(f'{seed}/late')
         self.cloud = CloudStandIn(self.promises.check_platform_call)
         self._ports = []
         self.cloud_port = self._listen(self.cloud)
@@ -159,7 +164,10 @@
         config = {
             'version': self._config_version,
             'routes': routes,
-            'services': [{'name': 'app'}, {'name': 'llm', 'engine': engine}],
+            'services': [
+                {'name': 'app', 'autoscale': AUTOSCALE},
+                {'name': 'llm', 'engine': engine},
+            ],
             'limits': msgspec.to_builtins(self.limits.find(0)),
             'tenants': [
                 {'name': workspace, 'api-keys': [key]}
@@ -214,6 +222,12 @@
         self.store.instance_by_port[port] = instance
         return port
 
+    def find_holder(self) -> Instance:
+        """Return the instance that last acted as the holder of the duties."""
+        name = self.promises.duties.last_holder
+        holders = [one for one in self.instances if one.name == name]
+        return self.drill_rng.choice(holders or self.instances)
+
     def list_connected_instances(self) -> list[Instance]:
         """Return the instances that are not cut off from the targets."""
         return [
