Register an instance again whose listed record is an earlier one

An instance asked only whether the list has its name, so that it did not write its record again. Its peers showed the token of the earlier process from then on.

A record that is not that of this process now counts as missing, as one that cannot be read does. What a registration of an earlier process that is carried out late leaves ends in the same way, without a drill.

--- a/cicadahoist/serving/instance_records.py
+++ b/cicadahoist/serving/instance_records.py
@@ -114,12 +114,12 @@
         self._running.addErrback(_log_defect)
 
     def register_again(self) -> None:
-        """Write the record of this instance again after others removed it."""
+        """Write the record of this instance again after others changed it."""
         if self._registered_ms is None or self._is_stopped:
             return
         if self._clock.now_ms() - self._registered_ms < LIST_LAG_MS:
             return
-        logger.info('own record is gone; registering again')
+        logger.info('own record is not listed; registering again')
         registering = Deferred.fromCoroutine(self._register())
         registering.addErrback(_log_defect)
 
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -124,7 +124,7 @@
             self._own_load,
             self._receiver,
         )
-        # Called when a list of all instances lacks this one.
+        # Called when a list of all instances lacks the record of this process.
         self.on_unregistered: Callable[[], None] = _ignore
         # Called with the addresses of the peers of the zone after each list.
         self.on_zone_members: Callable[[dict[str, Address]], None] = _ignore
@@ -164,12 +164,12 @@
         """Replace the known peers by all instances of the deployment."""
         self._near.addresses.clear()
         self._far.addresses.clear()
-        names = {stored.name for stored in found}
-        if self._instance not in names:
-            self.on_unregistered()
         zone_by_instance = {self._instance: self._record.zone}
         relays: dict[str, RelayAddress] = {}
-        records = self._decode_peers(found)
+        records = self._decode_records(found)
+        # An older copy of the store may have that of an earlier process.
+        if records.pop(self._instance, None) != self._record:
+            self.on_unregistered()
         for name, peer in records.items():
             group = self._near if peer.zone == self._record.zone else self._far
             group.addresses[name] = (peer.host, peer.port)
@@ -205,11 +205,11 @@
         self._receiver.apply_report(load, now_ms)
         self.digests.apply_direct(load, now_ms)
 
-    def _decode_peers(self, found: list[StoredObject]) -> dict[str, PeerRecord]:
+    def _decode_records(
+        self, found: list[StoredObject]
+    ) -> dict[str, PeerRecord]:
         records: dict[str, PeerRecord] = {}
         for stored in found:
-            if stored.name == self._instance:
-                continue
             try:
                 records[stored.name] = msgspec.convert(stored.spec, PeerRecord)
             except msgspec.ValidationError as error:
--- a/tests/test_serving/test_load_exchange.py
+++ b/tests/test_serving/test_load_exchange.py
@@ -266,6 +266,25 @@
     assert first.world.context.retries.instance_count == 1
 
 
+# Guards against relays that refuse all peers, as these know the token of an
+# earlier process only: the store has come back from a copy with its record.
+def test_an_instance_whose_listed_record_is_an_earlier_one_registers_again():
+    _, _, (first, second) = create_deployment(['a', 'b'])
+    stored = StoredObject(
+        first.name,
+        9,
+        {
+            'host': 'h',
+            'port': first.record.port,
+            'zone': 'a',
+            'relay_token': 'earlier',
+        },
+    )
+    for instance in (first, second):
+        instance.exchange.apply_list([stored])
+    assert first.unregistered_count == 1
+
+
 def test_a_datagram_that_is_no_load_is_dropped():
     _, _, (first, _) = create_deployment(['a', 'b'])
     first.exchange.datagramReceived(b'\x00', ('h', 9))
