Read numbers of events that are no numbers, or too long

What callers saw: a request with "Last-Event-Id: ²", or with a number of over 4,300 digits, ended in an unexpected error of the instance instead of an answer; an event with such a number ended its stream in the same way.

Cause: `isdigit` holds for characters that `int` rejects, and `int` rejects long texts. A number of an event that comes from outside was converted unchecked.

Why this works: only ASCII digits, 18 at most, are taken for a number. Anything else counts as no number, as other texts did before.

--- a/cicadahoist/serving/event_relay.py
+++ b/cicadahoist/serving/event_relay.py
@@ -2,7 +2,15 @@
 
 import re
 
-_EVENT_ID = re.compile(rb'^id:[ ]?(\d+)', re.MULTILINE)
+# Longer numbers are no numbers of events.
+_MAX_DIGITS = 18
+_EVENT_ID = re.compile(rb'^id:[ ]?(\d{1,18})\r?$', re.MULTILINE)
+
+
+def parse_number(text: str) -> int | None:
+    """Return the number of an event from a header, none if it is no number."""
+    is_number = text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS
+    return int(text) if is_number else None
 
 
 class EventRelay:
@@ -15,9 +23,7 @@
     __slots__ = ('last_event_id',)
 
     def __init__(self, resume_after: str = '') -> None:
-        self.last_event_id = (
-            int(resume_after) if resume_after.isdigit() else None
-        )
+        self.last_event_id = parse_number(resume_after)
 
     def select_new(self, events: list[bytes]) -> list[bytes]:
         """Return the whole events that the caller lacks."""
