Ask each answer to a continuation whether it is the rest of the stream

What callers saw: a stream had begun and broke off, and the next target's answer was taken for the rest by its status and signature.

Cause: completeness had no owner. The adapter judged the head, Attempt the framing, EventRelay the numbers, Takeover the failures; none compared an answer with the stream that it was to continue. Whatever stood before a blank line was an event, and one without a number was always new.

Change: policy.stream_continuity decides what an answer must hold to be a stream, to continue one, and to complete it; Attempt, ModelFlow, PlainFlow and Takeover ask it, also for answers through a peer. Any other answer is a lost attempt: another target continues the stream, or it is broken off. So is a 5xx midway, which ended the stream although the route allowed one more target. A stray answer blames neither its request nor its prompt for a crash. A stream that has begun without numbers is not sent again from its start.

First answers are passed on as before. A gap is judged only where the numbers of the stream have been consecutive so far.

--- a/cicadahoist/requests.py
+++ b/cicadahoist/requests.py
@@ -166,3 +166,11 @@
     is_target_leaving: bool = False
     pause_ms: int | None = None
     names_request: bool = True
+
+    @property
+    def media_type(self) -> bytes:
+        """The media type of the body in lower case, empty if not stated."""
+        for name, content in self.headers:
+            if name.lower() == b'content-type':
+                return content.partition(b';')[0].strip().lower()
+        return b''
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -10,6 +10,7 @@
 
 from cicadahoist.errors import NotSentError
 from cicadahoist.listings import Listing
+from cicadahoist.policy.stream_continuity.answer_check import StreamFlaw
 from cicadahoist.requests import (
     AnswerHead,
     AnswerMeaning,
@@ -276,6 +277,8 @@
             return False
         self._head = head
         self.on_head(head)
+        if not self._accepts(head):
+            return False
         if self._connection is not None and head.idle_timeout_ms is not None:
             # The target states whole seconds: 0 s is less than a second.
             self._connection.idle_timeout_ms = (
@@ -290,13 +293,29 @@
         if head is None or head.meaning is not AnswerMeaning.whole:
             self._collect(piece)
             return
-        pieces = [piece] if self._stream is None else self._stream.feed(piece)
+        flaw: StreamFlaw | AnswerLoss | None = None
+        parts = [piece]
+        if self._stream is not None:
+            parts, flaw = self._stream.check.select_sound(
+                self._stream.feed(piece)
+            )
+            if flaw is None and self._stream.is_too_long:
+                flaw = AnswerLoss.too_long
         if self._on_pieces is None:
             self._collect(piece)
-        else:
-            self._on_pieces(head, pieces)
-        if self._stream is not None and self._stream.is_too_long:
-            self.abandon(AnswerLoss.too_long.value)
+        elif parts or flaw is None:
+            self._on_pieces(head, parts)
+        if flaw is not None:
+            self.abandon(flaw.value)
+
+    def _accepts(self, head: AnswerHead) -> bool:
+        """Return whether a success fits its stream; if not, abandon it."""
+        if self._stream is None or head.meaning is not AnswerMeaning.whole:
+            return True
+        flaw = self._stream.check.find_head_flaw(head)
+        if flaw is not None:
+            self.abandon(flaw.value)
+        return flaw is None
 
     def _collect(self, piece: bytes) -> None:
         self._body += piece
@@ -314,9 +333,12 @@
         ):
             self._finish(AttemptOutcome.answered, ending=ending)
             return
-        loss = self._find_loss(self._stream)
-        if loss is not None:
-            self._finish(AttemptOutcome.lost, loss.value)
+        flaw = self._stream.check.find_end_flaw(
+            is_inside_event=self._stream.is_inside_event,
+            is_stated=ending is AnswerEnding.stated,
+        )
+        if flaw is not None:
+            self._finish(AttemptOutcome.lost, flaw.value)
             return
         rest = self._stream.take_rest()
         if rest and self._on_pieces is not None:
@@ -327,21 +349,6 @@
         """End the attempt without a complete answer."""
         self._finish(AttemptOutcome.lost, cause.value)
 
-    def _find_loss(self, stream: EventStream) -> AnswerLoss | None:
-        """
-        Return why a stream is incomplete although its framing has ended.
-
-        A resumed stream may have no events left; another one without events has
-        not begun.
-
-        :return: none for a complete stream
-        """
-        if stream.is_inside_event:
-            return AnswerLoss.inside_event
-        if not stream.has_events and not self._options.resume_after:
-            return AnswerLoss.no_event
-        return None
-
     def _finish(
         self,
         outcome: AttemptOutcome,
--- a/cicadahoist/serving/crash_watch.py
+++ b/cicadahoist/serving/crash_watch.py
@@ -3,6 +3,7 @@
 from cicadahoist.ids import body_digest
 from cicadahoist.log import get_logger
 from cicadahoist.policy.crash_blame import Blame
+from cicadahoist.policy.stream_continuity.answer_check import STRAY_FLAWS
 from cicadahoist.requests import InboundRequest
 from cicadahoist.serving.attempt import SILENT, AttemptEnd
 from cicadahoist.serving.context import ServingContext
@@ -12,6 +13,8 @@
 # A crashed target does not answer for seconds; one that answers within this
 # time has only broken off a connection.
 CRASH_CHECK_MS = 1000
+# Details of losses that are not followed by a check.
+_UNCHECKED = frozenset((SILENT, *(flaw.value for flaw in STRAY_FLAWS)))
 
 
 class CrashWatch:
@@ -41,7 +44,7 @@
 
     def record_loss(self, target: str, end: AttemptEnd) -> None:
         """Schedule the check of a target that broke off the request."""
-        if end.detail == SILENT:
+        if end.detail in _UNCHECKED:
             return
         check = self._check if end.is_relayed else self._check_direct
         self._context.clock.call_later(
--- a/cicadahoist/serving/event_stream.py
+++ b/cicadahoist/serving/event_stream.py
@@ -3,6 +3,7 @@
 import re
 
 from cicadahoist.outside.bodies import MAX_EVENT_BYTES
+from cicadahoist.policy.stream_continuity.answer_check import AnswerCheck
 from cicadahoist.rules import RouteRule
 
 # The line end before the blank line may be LF or CRLF; both end in LF.
@@ -17,18 +18,22 @@
 
     Lines end in LF or CRLF. Each byte is searched about once, however the
     stream is split into pieces.
+
+    :param check: checks the answer, by default one from the start of a stream
     """
 
-    __slots__ = ('_partial_event', 'has_events')
+    __slots__ = ('_partial_event', 'check')
 
-    def __init__(self) -> None:
+    def __init__(self, check: AnswerCheck | None = None) -> None:
         self._partial_event = bytearray()
-        self.has_events = False
+        self.check = check or AnswerCheck()
 
     @classmethod
-    def from_route(cls, route: RouteRule) -> 'EventStream | None':
+    def from_route(
+        cls, route: RouteRule, check: AnswerCheck
+    ) -> 'EventStream | None':
         """Return a stream for one answer, none if the route has no streams."""
-        return cls() if route.is_streamed else None
+        return cls(check) if route.is_streamed else None
 
     @property
     def is_inside_event(self) -> bool:
@@ -51,7 +56,6 @@
             events.append(bytes(buffer[event_start : boundary.end()]))
             event_start = boundary.end()
         if events:
-            self.has_events = True
             self._partial_event = buffer[event_start:]
         return events
 
--- a/cicadahoist/serving/model_flow.py
+++ b/cicadahoist/serving/model_flow.py
@@ -15,6 +15,8 @@
     compute_engine_urgency,
     estimate_kv_tokens,
 )
+from cicadahoist.policy.stream_continuity.answer_check import AnswerCheck
+from cicadahoist.policy.stream_continuity.caller_stream import CallerStream
 from cicadahoist.reasons import Refusal, Retry
 from cicadahoist.requests import (
     AnswerHead,
@@ -33,10 +35,8 @@
 from cicadahoist.serving.engine_choice import Choice, EngineChoice
 from cicadahoist.serving.engine_feedback import EngineFeedback
 from cicadahoist.serving.engine_slots import EngineGrant, EngineSlots
-from cicadahoist.serving.event_relay import EventRelay
 from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.flow import (
-    HTTP_BAD_GATEWAY,
     MAX_CONNECT_FAILURES,
     NO_TARGET_RETRY_AFTER_MS,
     STREAM_RETRY_AFTER_MS,
@@ -67,7 +67,7 @@
         '_handle',
         '_handle_version',
         '_prompt_watch',
-        '_relay',
+        '_stream',
         '_work',
     )
 
@@ -99,7 +99,7 @@
         self._handle: Handle | None = None
         # Only a decode engine of this version can use the handle.
         self._handle_version = ''
-        self._relay = EventRelay(self._request.resume_after)
+        self._stream = CallerStream(self._request.resume_after)
         self._reply.log_fields.update(
             prompt_tokens=work.prompt_tokens,
             estimate=work.estimated_output_tokens,
@@ -139,6 +139,8 @@
             self._free_unused_cache()
 
     def _try_take_over(self) -> bool:
+        if not self._stream.may_go_on:
+            return False
         choice = self._choice.choose(
             self._excluded_targets, self._deadline, self._binding.version
         )
@@ -326,7 +328,10 @@
             listing,
             self._make_options(listing.name, handle=handle),
             run_watch.watch(events.receive),
-            EventStream.from_route(self._route),
+            EventStream.from_route(
+                self._route,
+                AnswerCheck(self._stream.resume_after, self._stream),
+            ),
         )
         try:
             end = await self._run_attempt(
@@ -365,10 +370,11 @@
 
         def pass_on(head: AnswerHead, pieces: list[bytes]) -> None:
             if self._route.is_streamed:
-                pieces = self._relay.select_new(pieces)
+                pieces = self._stream.select_new(pieces)
             if pieces:
                 self._open_attempts.keep_only(engine.name)
                 self._binding.bind(engine.version)
+                self._stream.begin(head)
                 self._reply.begin(head)
                 self._reply.send(b''.join(pieces))
 
@@ -393,36 +399,31 @@
         """
         if end.outcome is AttemptOutcome.unsent or has_failed(end):
             engine.health.record_crash(self._context.clock.now_ms())
-        if is_final(end) and not self._takeover.fails_midway(end):
+        is_midway = self._takeover.fails_midway(end)
+        if is_final(end) and not is_midway:
             self._open_attempts.stop_all()
         elif self._takeover.is_left_to_other(end):
             return False
         match end.outcome:
             case AttemptOutcome.unsent | AttemptOutcome.not_run:
                 self._retry_or_refuse(end, Retry.target_busy)
-            case AttemptOutcome.answered:
+            case AttemptOutcome.answered if not is_midway:
                 engine.health.record_success()
                 self._finish_answer(end)
-            case AttemptOutcome.lost:
-                # Another engine may resume after the last event.
-                is_resumable = (
-                    self._route.repeat is RepeatRule.resumable
-                    and self._prompt_watch.may_send_on
+            case AttemptOutcome.answered | AttemptOutcome.lost:
+                self._takeover.resume_or_fail(
+                    end,
+                    is_resumable=self._route.repeat is RepeatRule.resumable
+                    and self._stream.may_go_on
+                    and self._prompt_watch.may_send_on,
                 )
-                if is_resumable and self._allowance.try_spend_retry():
-                    self._context.meters.count_retry(Retry.stream_broken)
-                else:
-                    self._reply.fail(HTTP_BAD_GATEWAY, Refusal.target_lost)
         return True
 
     def _finish_answer(self, end: AttemptEnd) -> None:
         head = end.head
         if head is None or self._reply.is_over:
             return
-        is_failure = head.meaning is AnswerMeaning.failure
-        if self._takeover.fails_midway(end):
-            self._reply.fail(HTTP_BAD_GATEWAY, Refusal.target_failed)
-        elif is_failure:
+        if head.meaning is AnswerMeaning.failure:
             self._reply.deliver(head, end.body)
         else:
             self._count_run(self._context.true_time.now_ms())
@@ -436,13 +437,12 @@
         prefill_only: bool = False,
         handle: Handle | None = None,
     ) -> SendOptions:
-        last_event_id = self._relay.last_event_id
         return SendOptions(
             target=target,
             workspace=self._workspace,
             prefill_only=prefill_only,
             handle=handle,
-            resume_after='' if last_event_id is None else str(last_event_id),
+            resume_after=self._stream.resume_after,
             urgency=compute_engine_urgency(self._work, self._urgency),
         )
 
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -39,18 +39,14 @@
 
 class AnswerLoss(Enum):
     """
-    Why an answer is incomplete.
+    Why an answer is incomplete by its framing.
 
-    ``inside_event`` and ``no_event``: the framing of a stream ended inside an
-    event, or before the first one. ``too_long``: more than an answer or an
-    event may hold.
+    ``too_long``: more than an answer or an event may hold.
     """
 
     closed = 'closed'
     reset = 'reset'
     malformed = 'malformed'
-    inside_event = 'inside-event'
-    no_event = 'no-event'
     too_long = 'too-long'
 
 
--- a/cicadahoist/serving/plain_flow.py
+++ b/cicadahoist/serving/plain_flow.py
@@ -1,6 +1,7 @@
 """Requests to plain services."""
 
 from cicadahoist.listings import Listing
+from cicadahoist.policy.stream_continuity.answer_check import AnswerCheck
 from cicadahoist.reasons import Refusal, Retry
 from cicadahoist.requests import RepeatRule, SendOptions
 from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
@@ -134,7 +135,9 @@
             self._request,
             listing,
             options,
-            stream=EventStream.from_route(self._route),
+            stream=EventStream.from_route(
+                self._route, AnswerCheck(options.resume_after)
+            ),
         )
         plain_targets = self._context.fleet.plain_targets
         plain_targets.record_start(listing.name)
--- a/cicadahoist/serving/prompt_watch.py
+++ b/cicadahoist/serving/prompt_watch.py
@@ -2,6 +2,10 @@
 
 from cicadahoist.listings import Listing
 from cicadahoist.policy.crash_log import BegunRun
+from cicadahoist.policy.stream_continuity.answer_check import (
+    STRAY_FLAWS,
+    StreamFlaw,
+)
 from cicadahoist.requests import AnswerHead, AnswerMeaning, ModelWork
 from cicadahoist.serving.attempt import AttemptEnd, AttemptOutcome, OnPieces
 from cicadahoist.serving.context import ServingContext
@@ -10,7 +14,9 @@
 
 # How a target ends an answer that it does not complete.
 _BROKEN_OFF = frozenset(
-    loss.value for loss in AnswerLoss if loss is not AnswerLoss.too_long
+    cause.value
+    for cause in (*AnswerLoss, *StreamFlaw)
+    if cause is not AnswerLoss.too_long and cause not in STRAY_FLAWS
 )
 
 
--- a/cicadahoist/serving/takeover.py
+++ b/cicadahoist/serving/takeover.py
@@ -2,17 +2,18 @@
 
 from collections.abc import Callable
 
-from cicadahoist.reasons import Retry
-from cicadahoist.requests import AnswerMeaning
+from cicadahoist.policy.stream_continuity.answer_check import can_continue
+from cicadahoist.reasons import Refusal, Retry
 from cicadahoist.serving.attempt import (
     STRANDED,
     Attempt,
     AttemptEnd,
     AttemptOutcome,
 )
+from cicadahoist.serving.attempt_results import is_final
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.open_attempts import OpenAttempts
-from cicadahoist.serving.reply import Reply
+from cicadahoist.serving.reply import HTTP_BAD_GATEWAY, Reply
 from cicadahoist.serving.retry_allowance import RetryAllowance
 
 # Two targets may be at work on one answer for 400 ms, so that one of them is
@@ -107,9 +108,27 @@
 
     def fails_midway(self, end: AttemptEnd) -> bool:
         """Return whether an answer cannot complete the one that is begun."""
-        head = end.head
-        is_failure = head is not None and head.meaning is AnswerMeaning.failure
-        return is_failure and self._reply.is_begun
+        if end.head is None or not self._reply.is_begun:
+            return False
+        return not can_continue(end.head.meaning)
+
+    def resume_or_fail(self, end: AttemptEnd, *, is_resumable: bool) -> None:
+        """
+        Let another target resume after the last event, or fail the request.
+
+        :param is_resumable: whether the request may be sent on
+        """
+        if self._reply.is_over:
+            return
+        may_retry = is_resumable and not is_final(end)
+        if may_retry and self._allowance.try_spend_retry():
+            self._context.meters.count_retry(Retry.stream_broken)
+            return
+        is_failure = end.outcome is AttemptOutcome.answered
+        self._reply.fail(
+            HTTP_BAD_GATEWAY,
+            Refusal.target_failed if is_failure else Refusal.target_lost,
+        )
 
     def _is_cut(self, attempt: Attempt) -> bool:
         """Return whether the path of an attempt is known to be down."""
