--- a/soak/faults.py
+++ b/soak/faults.py
@@ -158,7 +158,8 @@
 def crash_engine(world):
     """Let an engine start anew, so that roles are ordered again."""
     engines = [one for one in world.targets if one.role]
-    engine = world.drill_rng.choice(engines)
+    changed = [one for one in engines if one.role != one.first_role]
+    engine = world.drill_rng.choice(changed or engines)
     if not engine.links.fault:
         engine.crash(world.drill_rng.uniform(0.2, 3))
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -117,7 +117,9 @@
             for name, action in actions:
                 self._strike(name, action, rng)
                 await world.clock.sleep(rng.uniform(0, MAX_STRIKE_MS))
-            await world.clock.sleep(rng.uniform(*DRILL_PAUSES_MS))
+            await world.clock.sleep(rng.uniform(*DRILL_PAUSES_MS) / 2)
+            self._strike('crash_engine', crash_engine, rng)
+            await world.clock.sleep(rng.uniform(*DRILL_PAUSES_MS) / 2)
         self._heal_all()
         world.promises.record_disturbance('')
         await world.clock.sleep(CONTACT_MS + 1000)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -53,7 +53,7 @@
         self.world = world
         self.service = service
         self.zone = zone
-        self.role = self._first_role = role
+        self.role = self.first_role = role
         self.fault = ''
         self.name = ''
         self.version = ''
@@ -75,7 +75,7 @@
         self.name = f't{next(_numbers)}'
         self.version = self.world.rng.choice(VERSIONS)
         self.running_count, self.accepted_order_count = 0, 0
-        self.role = self._first_role
+        self.role = self.first_role
         self.is_leaving = False
         self.attempt_by_handle.clear()
         self._port = self.world.reactor.listenTCP(0, Site(self), interface=HOST)
