--- a/cicadahoist/serving/duties.py
+++ b/cicadahoist/serving/duties.py
@@ -21,7 +21,6 @@
 
 LEASE_KIND = 'cicadahoist-leases'
 LEASE_NAME = 'duties'
-# Longer than a call to the store may last.
 REGISTER_RETRY_MS = 1000
 
 
