--- a/tests/test_serving/test_instance_records.py
+++ b/tests/test_serving/test_instance_records.py
@@ -23,10 +23,9 @@
 )
 
 
-def test_counts_of_an_instance_are_written_to_the_store():
-    clock, objects, usage = Clock.manual(), FakeObjects(), UsageCounts()
-    records = InstanceRecords(
-        objects,
+def make_records(store, clock, usage):
+    return InstanceRecords(
+        store,
         clock,
         IDENTITY,
         usage,
@@ -34,6 +33,11 @@
         lambda: 1,
         UsageCopies(),
     )
+
+
+def test_counts_of_an_instance_are_written_to_the_store():
+    clock, objects, usage = Clock.manual(), FakeObjects(), UsageCounts()
+    records = make_records(objects, clock, usage)
     Pending(records.start())
     assert objects.names('peers') == ['i1']
     usage.count_start('w1', 500_000)
@@ -72,15 +76,8 @@
 def test_a_late_write_replaces_no_newer_counts():
     clock, objects, usage = Clock.manual(), FakeObjects(), UsageCounts()
     pages = ObjectPages(objects, clock, random.Random(1))
-    records = InstanceRecords(
-        ObjectStore('http://s/cicadahoist/objects', pages, 1000),
-        clock,
-        IDENTITY,
-        usage,
-        lambda: 505_600,
-        lambda: 1,
-        UsageCopies(),
-    )
+    store = ObjectStore('http://s/cicadahoist/objects', pages, 1000)
+    records = make_records(store, clock, usage)
     Pending(records.start())
 
     def count(number, duration_ms):
