--- a/tests/test_platform/target_pages.py
+++ b/tests/test_platform/target_pages.py
@@ -6,6 +6,8 @@
 from klein import Klein
 from twisted.internet.defer import Deferred
 
+LARGE_BYTES = 1_048_576
+
 
 class TargetPages:
     """Answers as a plain service and as prefill and decode engine."""
@@ -33,5 +35,7 @@
         request.setHeader(b'X-Cicadahoist-Server-Seal', b'seal')
         answer = Deferred()
         body = b'id: 1\ndata: t\n\n'
+        if request.path.endswith(b'/large'):
+            body = b'x' * LARGE_BYTES
         self._reactor.callLater(self.delay_s, answer.callback, body)
         return answer
