Log what tells a late event loop from a full link and an old configuration

Of a request that its caller gets late, the logs did not tell whether the process was late, what it sent waited at its own link, or an older configuration was in force. The last line of a request now has late_ms and link_wait_ms, a refusal has the age of the configuration, and a long turn of the event loop the number of its events.

--- a/cicadahoist/application.py
+++ b/cicadahoist/application.py
@@ -100,10 +100,12 @@
         if self._has_failed:
             sys.exit(EXIT_FAILURE)
 
-    def _report_turn(self, took_ms: int) -> None:
+    def _report_turn(self, took_ms: int, event_count: int) -> None:
         if took_ms >= LONG_TURN_MS:
             self._long_turns.record(took_ms)
-            logger.bind(took_ms=took_ms).info('event loop was busy')
+            logger.bind(took_ms=took_ms, events=event_count).info(
+                'event loop was busy'
+            )
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         Deferred.fromCoroutine(work).addErrback(self._stop_on_error)
--- a/cicadahoist/loop_times.py
+++ b/cicadahoist/loop_times.py
@@ -22,6 +22,7 @@
     __slots__ = (
         '_began_ms',
         '_clock',
+        '_event_count',
         '_input_since_ms',
         '_polled_ms',
         'on_turn',
@@ -33,9 +34,10 @@
         self._began_ms = clock.now_ms()
         self._input_since_ms: int | None = None
         self._polled_ms = self._began_ms
+        self._event_count = 0
         self.turn_number = 0
-        # Called with the duration of each turn in ms.
-        self.on_turn: Callable[[int], None] = _ignore
+        # Called with the duration of each turn in ms, and its events.
+        self.on_turn: Callable[[int, int], None] = _ignore
 
     @property
     def input_since_ms(self) -> int:
@@ -55,17 +57,27 @@
         """Record that all input was handled and the next poll begins."""
         now_ms = self._clock.now_ms()
         if self.turn_number:
-            self.on_turn(now_ms - self._began_ms)
+            self.on_turn(now_ms - self._began_ms, self._event_count)
         self._began_ms = now_ms
 
-    def begin_turn(self) -> None:
-        """Record that a poll found input without waiting for it."""
+    def begin_turn(self, event_count: int = 0) -> None:
+        """
+        Record that a poll found input without waiting for it.
+
+        :param event_count: number of events that it found
+        """
+        self._event_count = event_count
         self._input_since_ms = self._polled_ms
         self._polled_ms = self._began_ms
         self.turn_number += 1
 
-    def begin_turn_after_idle(self) -> None:
-        """Record that a poll has waited until now, when input arrived."""
+    def begin_turn_after_idle(self, event_count: int = 0) -> None:
+        """
+        Record that a poll has waited until now, when input arrived.
+
+        :param event_count: number of events that it found
+        """
+        self._event_count = event_count
         now_ms = self._clock.now_ms()
         self._input_since_ms = now_ms
         self._polled_ms = now_ms
@@ -123,12 +135,12 @@
         self._times.end_turn()
         events = self._poller.poll(0, max_events)
         if events or not timeout_s:
-            self._times.begin_turn()
+            self._times.begin_turn(len(events))
             return events
         events = self._poller.poll(timeout_s, max_events)
-        self._times.begin_turn_after_idle()
+        self._times.begin_turn_after_idle(len(events))
         return events
 
 
-def _ignore(took_ms: int) -> None:
+def _ignore(took_ms: int, event_count: int) -> None:
     """Do nothing."""
--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -235,6 +235,7 @@
             reason=reason.name,
             status=status,
             version=self._context.version,
+            config_age_ms=self._context.config_age_ms,
         ).info('request refused')
         self._context.meters.count_refusal(reason)
         exchange.answer(
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -205,6 +205,7 @@
             is_cut=is_cut, is_beside_change=self._context.is_beside_change
         )
         arrived_ms = self._request.arrived_ms
+        now_ms = self._context.clock.now_ms()
         logger.bind(
             request=self._request.attempt_id,
             route=self._route.name,
@@ -213,7 +214,9 @@
             version=self._context.version,
             config_age_ms=self._context.config_age_ms,
             first_ms=self._first_byte_ms and self._first_byte_ms - arrived_ms,
-            took_ms=self._context.clock.now_ms() - arrived_ms,
+            took_ms=now_ms - arrived_ms,
+            late_ms=max(0, -self._deadline.remaining_ms),
+            link_wait_ms=round(self._context.link.compute_wait_ms(now_ms)),
             waited_ms=self._request.read_ms - arrived_ms,
             caller_waits_ms=self._request.patience_ms,
             **self.log_fields,
--- a/tests/test_core/test_loop_times.py
+++ b/tests/test_core/test_loop_times.py
@@ -74,7 +74,7 @@
 def test_the_duration_of_each_turn_is_reported():
     clock, times, _, observed = observed_poller()
     durations_ms = []
-    times.on_turn = durations_ms.append
+    times.on_turn = lambda took_ms, events: durations_ms.append(took_ms)
     observed.poll(1, 9)
     clock.advance(120)
     observed.poll(1, 9)
