--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -14,7 +14,7 @@
 from cicadahoist.requests import PromptPart
 from cicadahoist.serving.collector_role import CollectorRole
 from cicadahoist.serving.context import ServingContext
-from cicadahoist.serving.datagrams import MAX_DATAGRAM_BYTES
+from cicadahoist.serving.datagrams import listen_for_datagrams
 from cicadahoist.serving.digest_exchange import DigestExchange
 from cicadahoist.serving.digest_messages import DIGEST_MARK
 from cicadahoist.serving.digest_peers import DigestPeers
@@ -146,11 +146,8 @@
 
     async def start(self) -> None:
         """Listen, and begin to send load reports."""
-        self._port = self._reactor.listenUDP(
-            self._record.port,
-            self,
-            interface=self._record.host,
-            maxPacketSize=MAX_DATAGRAM_BYTES,
+        self._port = listen_for_datagrams(
+            self._reactor, self._record.port, self, self._record.host
         )
         self._send_due_loads()
 
