Run timers between the events of a long turn

Callers were held past the time-out of their route: on machines five times slower, in a burst of long prompts, turns of the event loop took up to 593 ms, and deadlines were met up to 443 ms late, beside which the answer itself waits.

Cause: a turn handles all events that a poll has found, each of them work of milliseconds, and the timers run only after it. All time limits of the process have it in common; the work for one event does not matter, their number does.

Change: the poller hands events out as long as the turn has lasted less than 50 ms; the rest waits for the next turn, behind the timers that are due. What a descriptor is no longer registered for is dropped.

The tests of loop times take the events of each poll, as the reactor does.

--- a/cicadahoist/loop_times.py
+++ b/cicadahoist/loop_times.py
@@ -1,17 +1,26 @@
 """Turns of the event loop: how long they take, how old their input is."""
 
-from collections.abc import Callable
+import select
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 from cicadahoist.clock import Clock
 
+# Time after which the rest of the events of a poll waits until timers have run.
+MAX_TURN_MS = 50
+# What a poll reports of a descriptor whatever it is registered for.
+_ALWAYS_REPORTED = select.EPOLLERR | select.EPOLLHUP
+
+Event = tuple[int, int]
+
 
 class LoopTimes:
     """
     Bounds how long input has waited before this process reads it.
 
-    A poll returns everything that is ready. What a turn of the loop reads has
-    therefore arrived after the poll before, however long that turn took. Time
+    A poll returns everything that is ready. What the turns after a poll read
+    has therefore arrived after the poll before, however long they took. Time
     in which the machine does not schedule an idle process is not included.
 
     Before the first turn, input counts as read when it arrives.
@@ -36,7 +45,7 @@
         self._polled_ms = self._began_ms
         self._event_count = 0
         self.turn_number = 0
-        # Called with the duration of each turn in ms, and its events.
+        # Called with the duration of each turn in ms, and its event count.
         self.on_turn: Callable[[int, int], None] = _ignore
 
     @property
@@ -60,30 +69,33 @@
             self.on_turn(now_ms - self._began_ms, self._event_count)
         self._began_ms = now_ms
 
-    def begin_turn(self, event_count: int = 0) -> None:
-        """
-        Record that a poll found input without waiting for it.
-
-        :param event_count: number of events that it found
-        """
-        self._event_count = event_count
+    def begin_turn(self) -> None:
+        """Record that a poll found input without waiting for it."""
+        self._event_count = 0
         self._input_since_ms = self._polled_ms
         self._polled_ms = self._began_ms
         self.turn_number += 1
 
-    def begin_turn_after_idle(self, event_count: int = 0) -> None:
-        """
-        Record that a poll has waited until now, when input arrived.
-
-        :param event_count: number of events that it found
-        """
-        self._event_count = event_count
+    def begin_turn_after_idle(self) -> None:
+        """Record that a poll has waited until now, when input arrived."""
+        self._event_count = 0
         now_ms = self._clock.now_ms()
         self._input_since_ms = now_ms
         self._polled_ms = now_ms
         self._began_ms = now_ms
         self.turn_number += 1
 
+    def count_event(self) -> bool:
+        """Return whether the turn has time for one more event; count it."""
+        if self._clock.now_ms() - self._began_ms > MAX_TURN_MS:
+            return False
+        self._event_count += 1
+        return True
+
+    def resume_turn(self) -> None:
+        """Record that a turn handles what the one before has left."""
+        self._event_count = 0
+
 
 class ConnectionInput:
     """
@@ -110,36 +122,71 @@
 
 class ObservedPoller:
     """
-    Passes the calls of a reactor on to its poller and records the turns.
+    Passes the calls of a reactor on to its poller and bounds its turns.
+
+    Timers run between turns only. Events that a turn has no time for wait, and
+    the next turn goes on with them; none is reported that its descriptor is no
+    longer registered for, which may belong to another connection by then.
 
     :param poller: the ``select.epoll`` object of the reactor
     :param times: where the turns are recorded
     """
 
-    __slots__ = ('_poller', '_times', 'modify', 'register', 'unregister')
+    __slots__ = ('_poller', '_times', '_waiting', 'register')
 
     def __init__(self, poller: Any, times: LoopTimes) -> None:
         self._poller = poller
         self._times = times
-        self.modify = poller.modify
+        self._waiting: deque[Event] = deque()
         self.register = poller.register
-        self.unregister = poller.unregister
 
-    def poll(self, timeout_s: float, max_events: int) -> list[tuple[int, int]]:
+    def modify(self, descriptor: int, mask: int) -> None:
+        """
+        Change what a descriptor is registered for.
+
+        :param mask: the events to report
+        """
+        self._poller.modify(descriptor, mask)
+        self._restrict(descriptor, mask | _ALWAYS_REPORTED)
+
+    def unregister(self, descriptor: int) -> None:
+        """Report nothing more of a descriptor."""
+        self._poller.unregister(descriptor)
+        self._restrict(descriptor, 0)
+
+    def poll(self, timeout_s: float, max_events: int) -> Iterable[Event]:
         """
         Return the events that are ready, or wait for some.
 
         :param timeout_s: time to wait, negative for no limit
-        :param max_events: greatest number of events to return
+        :param max_events: greatest number of events to ask for
         """
         self._times.end_turn()
+        if self._waiting:
+            self._times.resume_turn()
+            return self._take_events()
         events = self._poller.poll(0, max_events)
         if events or not timeout_s:
-            self._times.begin_turn(len(events))
-            return events
-        events = self._poller.poll(timeout_s, max_events)
-        self._times.begin_turn_after_idle(len(events))
-        return events
+            self._times.begin_turn()
+        else:
+            events = self._poller.poll(timeout_s, max_events)
+            self._times.begin_turn_after_idle()
+        self._waiting.extend(events)
+        return self._take_events()
+
+    def _take_events(self) -> Iterator[Event]:
+        """Yield events as long as the turn has time for them."""
+        while self._waiting and self._times.count_event():
+            yield self._waiting.popleft()
+
+    def _restrict(self, descriptor: int, mask: int) -> None:
+        """Drop what waits of a descriptor beyond a mask."""
+        if self._waiting:
+            self._waiting = deque(
+                (waiting, found & mask if waiting == descriptor else found)
+                for waiting, found in self._waiting
+                if waiting != descriptor or found & mask
+            )
 
 
 def _ignore(took_ms: int, event_count: int) -> None:
--- a/tests/test_core/test_loop_times.py
+++ b/tests/test_core/test_loop_times.py
@@ -44,22 +44,22 @@
     clock, times, poller, observed = observed_poller()
     clock.advance(1000)
     poller.idle_ms = 40
-    observed.poll(1, 9)
+    list(observed.poll(1, 9))
     assert times.input_since_ms == 1040
     clock.advance(600)
     poller.events = [(4, select.EPOLLIN)]
-    observed.poll(1, 9)
+    list(observed.poll(1, 9))
     assert times.input_since_ms == 1040
     clock.advance(5)
-    observed.poll(1, 9)
+    list(observed.poll(1, 9))
     assert times.input_since_ms == 1640
 
 
 def test_input_that_ends_an_idle_time_is_new():
     clock, times, poller, observed = observed_poller()
-    observed.poll(1, 9)
+    list(observed.poll(1, 9))
     poller.idle_ms = 3000
-    observed.poll(5, 9)
+    list(observed.poll(5, 9))
     assert times.input_since_ms == clock.now_ms() == 3000
 
 
@@ -75,11 +75,11 @@
     clock, times, _, observed = observed_poller()
     durations_ms = []
     times.on_turn = lambda took_ms, events: durations_ms.append(took_ms)
-    observed.poll(1, 9)
+    list(observed.poll(1, 9))
     clock.advance(120)
-    observed.poll(1, 9)
+    list(observed.poll(1, 9))
     clock.advance(7)
-    observed.poll(1, 9)
+    list(observed.poll(1, 9))
     assert durations_ms == [120, 7]
 
 
@@ -89,7 +89,7 @@
         observed = ObservedPoller(poller, LoopTimes(Clock.manual()))
         observed.register(read_end, select.EPOLLIN)
         os.write(write_end, b'x')
-        assert observed.poll(-1, 9) == [(read_end, select.EPOLLIN)]
+        assert list(observed.poll(-1, 9)) == [(read_end, select.EPOLLIN)]
         observed.unregister(read_end)
     os.close(read_end)
     os.close(write_end)
@@ -97,14 +97,14 @@
 
 def test_first_input_of_a_connection_is_as_old_as_its_opening():
     clock, times, poller, observed = observed_poller()
-    observed.poll(1, 9)
+    list(observed.poll(1, 9))
     clock.advance(300)
     poller.events = [(4, select.EPOLLIN)]
-    observed.poll(1, 9)
+    list(observed.poll(1, 9))
     connection_input = ConnectionInput(times)
     clock.advance(200)
-    observed.poll(1, 9)
+    list(observed.poll(1, 9))
     assert connection_input.since_ms == 0
     clock.advance(50)
-    observed.poll(1, 9)
+    list(observed.poll(1, 9))
     assert connection_input.since_ms == 300 + 200
