End a request in time for its answer to leave the link

Cause: the deadline of a request was met when the answer was handed to the socket.

Change: from half a second before the deadline on, the request ends as soon as the wait at the link is longer than the time left.

test_a_refusal_leaves_the_link_by_the_time_out failed before (no answer at the time-out) and holds now.

--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -143,6 +143,10 @@
         self.streams.apply_deployment(deployment)
         self._quotas.apply_quotas(deployment.quota_by_workspace)
 
+    def compute_link_wait_ms(self) -> float:
+        """Return how long what is sent now waits at the link."""
+        return self.link.compute_wait_ms(self.clock.now_ms())
+
     def get_caller_limits(self, since_ms: int) -> CallerLimits:
         """Return the limits for what a caller began at a time."""
         return self._caller_limits.get_since(since_ms)
--- a/cicadahoist/serving/deadline.py
+++ b/cicadahoist/serving/deadline.py
@@ -9,6 +9,10 @@
 # Subtracted from the caller's deadline, because the answer has to reach the
 # caller before it.
 ANSWER_MARGIN_MS = 15
+# The time that a message takes to leave may grow while a request is open. It is
+# looked at this often, from this long before the deadline on.
+LEAD_CHECK_PERIOD_MS = 100
+MAX_LEAD_MS = 500
 
 
 class Deadline:
@@ -22,12 +26,14 @@
     :param clock: clock of the process
     """
 
-    __slots__ = ('_clock', '_timer', 'due_ms')
+    __slots__ = ('_action', '_clock', '_compute_lead_ms', '_timer', 'due_ms')
 
     def __init__(self, due_ms: int, clock: Clock) -> None:
         self._clock = clock
         self.due_ms = due_ms
         self._timer: Timer | None = None
+        self._action: Callable[[], None] = _ignore
+        self._compute_lead_ms: Callable[[], float] = float
 
     @classmethod
     def from_request(
@@ -49,11 +55,40 @@
         """Whether no time is left."""
         return self.remaining_ms <= 0
 
-    def start(self, action: Callable[[], None]) -> None:
-        """Call ``action`` at the deadline, unless cancelled before."""
-        self._timer = self._clock.call_later(self.remaining_ms, action)
+    def start(
+        self,
+        action: Callable[[], None],
+        compute_lead_ms: Callable[[], float] = float,
+    ) -> None:
+        """
+        Call ``action`` before the deadline, unless cancelled before.
+
+        :param compute_lead_ms: returns how long what is sent now takes to
+            leave, by which the call comes earlier
+        """
+        self._action = action
+        self._compute_lead_ms = compute_lead_ms
+        self._wait()
+
+    def _wait(self) -> None:
+        left_ms = self.remaining_ms - self._compute_lead_ms()
+        wait_ms = min(left_ms, LEAD_CHECK_PERIOD_MS)
+        if left_ms > MAX_LEAD_MS:
+            wait_ms = left_ms - MAX_LEAD_MS
+        self._timer = self._clock.call_later(wait_ms, self._check)
+
+    def _check(self) -> None:
+        """Call the action, or wait on if less time is needed by now."""
+        if self.remaining_ms > self._compute_lead_ms():
+            self._wait()
+        else:
+            self._action()
 
     def cancel(self) -> None:
         """Cancel the call at the deadline."""
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+
+
+def _ignore() -> None:
+    """Do nothing: the deadline was not started."""
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -146,7 +146,7 @@
             service=self._service,
             targets=self._tried_targets,
         )
-        self._deadline.start(self._expire)
+        self._deadline.start(self._expire, context.compute_link_wait_ms)
 
     def start(self) -> None:
         """Start to handle the request, or refuse it if quarantined."""
@@ -206,7 +206,7 @@
             since then
         """
         now_ms = self._context.clock.now_ms()
-        link_wait_ms = round(self._context.link.compute_wait_ms(now_ms))
+        link_wait_ms = round(self._context.compute_link_wait_ms())
         remaining_ms = self._deadline.remaining_ms - link_wait_ms
         is_too_late = remaining_ms <= 0
         # Another open attempt may still answer in time.
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -216,7 +216,7 @@
             first_ms=self._first_byte_ms and self._first_byte_ms - arrived_ms,
             took_ms=now_ms - arrived_ms,
             late_ms=max(0, -self._deadline.remaining_ms),
-            link_wait_ms=round(self._context.link.compute_wait_ms(now_ms)),
+            link_wait_ms=round(self._context.compute_link_wait_ms()),
             waited_ms=self._request.read_ms - arrived_ms,
             caller_waits_ms=self._request.patience_ms,
             **self.log_fields,
--- a/tests/test_serving/test_full_link.py
+++ b/tests/test_serving/test_full_link.py
@@ -65,6 +65,27 @@
     assert caller.status == 503
 
 
+def test_a_refusal_leaves_the_link_by_the_time_out(world):
+    """Guard against CONFIG: answers that wait in the link past a time-out."""
+    caller = world.send_request(b'/submit/x', patience=5000)
+    # The time-out of the route is 2,000 ms.
+    world.clock.advance(1800)
+    assert caller.status is None
+    fill_link(world, 600)
+    world.clock.advance(100)
+    assert caller.status == 504
+
+
+def test_a_wait_in_the_link_that_has_ended_does_not_shorten_a_request(world):
+    """Guard against requests that are ended early for bytes long gone."""
+    fill_link(world, 600)
+    caller = world.send_request(b'/submit/x', patience=5000)
+    world.clock.advance(1500)
+    assert caller.status is None
+    world.sent[0].answer()
+    assert caller.status == 200
+
+
 def test_requests_themselves_fill_the_link(world):
     for _ in range(4):
         world.send_request(b'/submit/x', patience=1500, body=b'x' * 9400)
