Meet deadlines between the events of a turn, other timers after it

Change: only prompt calls of the clock, which deadlines of requests are, run between the events of a turn and between datagrams. All else is as it was before: the poller hands out all events, and the socket for datagrams reads as much as waits.

--- a/cicadahoist/clock.py
+++ b/cicadahoist/clock.py
@@ -2,6 +2,8 @@
 
 import time
 from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
@@ -22,6 +24,10 @@
         """Return whether the call is still pending."""
 
 
+# When a call is due, its number, its timer and the call.
+_PromptCall = tuple[float, int, Timer, Callable[[], None]]
+
+
 class Clock:
     """
     Monotonic clock and scheduler in milliseconds.
@@ -33,11 +39,13 @@
     :param read_ms: returns the current reading
     """
 
-    __slots__ = ('_read_ms', '_scheduler')
+    __slots__ = ('_numbers', '_prompt_calls', '_read_ms', '_scheduler')
 
     def __init__(self, scheduler: Any, read_ms: Callable[[], int]) -> None:
         self._scheduler = scheduler
         self._read_ms = read_ms
+        self._numbers = count()
+        self._prompt_calls: list[_PromptCall] = []
 
     @classmethod
     def from_reactor(cls, reactor: Any) -> 'Clock':
@@ -66,6 +74,29 @@
         delay_s = max(0, delay_ms) / MS_PER_S
         return self._scheduler.callLater(delay_s, action, *args)
 
+    def call_promptly(
+        self, delay_ms: float, action: Callable[[], None]
+    ) -> Timer:
+        """
+        Call ``action`` after ``delay_ms``, also before input that waits.
+
+        For what holds whatever may have arrived, as the end of a request by its
+        deadline does; what concludes that nothing has arrived must wait.
+        """
+        timer = self.call_later(delay_ms, action)
+        due_ms = self.now_ms() + max(0, delay_ms)
+        call = (due_ms, next(self._numbers), timer, action)
+        heappush(self._prompt_calls, call)
+        return timer
+
+    def run_prompt_calls(self) -> None:
+        """Make the prompt calls that are due; for long work in pieces."""
+        while self._prompt_calls and self._prompt_calls[0][0] <= self.now_ms():
+            _, _, timer, action = heappop(self._prompt_calls)
+            if timer.active():
+                timer.cancel()
+                action()
+
     def sleep(self, delay_ms: float) -> 'Deferred[None]':
         """Return a deferred that fires after ``delay_ms`` milliseconds."""
         pause: Deferred[None] = Deferred(lambda _: timer.cancel())
--- a/cicadahoist/loop_times.py
+++ b/cicadahoist/loop_times.py
@@ -1,17 +1,10 @@
 """Turns of the event loop: how long they take, how old their input is."""
 
-import select
-from collections import deque
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from cicadahoist.clock import Clock
 
-# Time after which the rest of the events of a poll waits until timers have run.
-MAX_TURN_MS = 50
-# What a poll reports of a descriptor whatever it is registered for.
-_ALWAYS_REPORTED = select.EPOLLERR | select.EPOLLHUP
-
 Event = tuple[int, int]
 
 
@@ -19,8 +12,8 @@
     """
     Bounds how long input has waited before this process reads it.
 
-    A poll returns everything that is ready. What the turns after a poll read
-    has therefore arrived after the poll before, however long they took. Time
+    A poll returns everything that is ready. What a turn of the loop reads has
+    therefore arrived after the poll before, however long that turn took. Time
     in which the machine does not schedule an idle process is not included.
 
     Before the first turn, input counts as read when it arrives.
@@ -85,16 +78,10 @@
         self._began_ms = now_ms
         self.turn_number += 1
 
-    def count_event(self) -> bool:
-        """Return whether the turn has time for one more event; count it."""
-        if self._clock.now_ms() - self._began_ms > MAX_TURN_MS:
-            return False
+    def begin_event(self) -> None:
+        """Count an event of the turn, after the calls that are due by then."""
+        self._clock.run_prompt_calls()
         self._event_count += 1
-        return True
-
-    def resume_turn(self) -> None:
-        """Record that a turn handles what the one before has left."""
-        self._event_count = 0
 
 
 class ConnectionInput:
@@ -122,71 +109,45 @@
 
 class ObservedPoller:
     """
-    Passes the calls of a reactor on to its poller and bounds its turns.
+    Passes the calls of a reactor on to its poller and records the turns.
 
-    Timers run between turns only. Events that a turn has no time for wait, and
-    the next turn goes on with them; none is reported that its descriptor is no
-    longer registered for, which may belong to another connection by then.
+    Timers run between turns only, as they may conclude from what has not been
+    read that nothing has arrived. Calls that conclude nothing, the prompt calls
+    of the clock, run between the events of a turn.
 
     :param poller: the ``select.epoll`` object of the reactor
     :param times: where the turns are recorded
     """
 
-    __slots__ = ('_poller', '_times', '_waiting', 'register')
+    __slots__ = ('_poller', '_times', 'modify', 'register', 'unregister')
 
     def __init__(self, poller: Any, times: LoopTimes) -> None:
         self._poller = poller
         self._times = times
-        self._waiting: deque[Event] = deque()
+        self.modify = poller.modify
         self.register = poller.register
+        self.unregister = poller.unregister
 
-    def modify(self, descriptor: int, mask: int) -> None:
-        """
-        Change what a descriptor is registered for.
-
-        :param mask: the events to report
-        """
-        self._poller.modify(descriptor, mask)
-        self._restrict(descriptor, mask | _ALWAYS_REPORTED)
-
-    def unregister(self, descriptor: int) -> None:
-        """Report nothing more of a descriptor."""
-        self._poller.unregister(descriptor)
-        self._restrict(descriptor, 0)
-
-    def poll(self, timeout_s: float, max_events: int) -> Iterable[Event]:
+    def poll(self, timeout_s: float, max_events: int) -> Iterator[Event]:
         """
         Return the events that are ready, or wait for some.
 
         :param timeout_s: time to wait, negative for no limit
-        :param max_events: greatest number of events to ask for
+        :param max_events: greatest number of events to return
         """
         self._times.end_turn()
-        if self._waiting:
-            self._times.resume_turn()
-            return self._take_events()
         events = self._poller.poll(0, max_events)
         if events or not timeout_s:
             self._times.begin_turn()
-        else:
-            events = self._poller.poll(timeout_s, max_events)
-            self._times.begin_turn_after_idle()
-        self._waiting.extend(events)
-        return self._take_events()
-
-    def _take_events(self) -> Iterator[Event]:
-        """Yield events as long as the turn has time for them."""
-        while self._waiting and self._times.count_event():
-            yield self._waiting.popleft()
-
-    def _restrict(self, descriptor: int, mask: int) -> None:
-        """Drop what waits of a descriptor beyond a mask."""
-        if self._waiting:
-            self._waiting = deque(
-                (waiting, found & mask if waiting == descriptor else found)
-                for waiting, found in self._waiting
-                if waiting != descriptor or found & mask
-            )
+            return self._take_events(events)
+        events = self._poller.poll(timeout_s, max_events)
+        self._times.begin_turn_after_idle()
+        return self._take_events(events)
+
+    def _take_events(self, events: list[Event]) -> Iterator[Event]:
+        for event in events:
+            self._times.begin_event()
+            yield event
 
 
 def _ignore(took_ms: int, event_count: int) -> None:
--- a/cicadahoist/serving/datagrams.py
+++ b/cicadahoist/serving/datagrams.py
@@ -5,8 +5,6 @@
 # The most that UDP over IPv4 carries. The socket of each instance reads this
 # much, so that whatever one sends, another reads whole.
 MAX_DATAGRAM_BYTES = 65_507
-# Bytes that are read before other input and timers have their turn.
-MAX_TURN_BYTES = 5000
 
 
 def listen_for_datagrams(
@@ -17,8 +15,6 @@
 
     :param receiver: the protocol that receives them
     """
-    listening_port = reactor.listenUDP(
+    return reactor.listenUDP(
         port, receiver, interface=host, maxPacketSize=MAX_DATAGRAM_BYTES
     )
-    listening_port.maxThroughput = MAX_TURN_BYTES
-    return listening_port
--- a/cicadahoist/serving/deadline.py
+++ b/cicadahoist/serving/deadline.py
@@ -75,7 +75,7 @@
         wait_ms = min(left_ms, LEAD_CHECK_PERIOD_MS)
         if left_ms > MAX_LEAD_MS:
             wait_ms = left_ms - MAX_LEAD_MS
-        self._timer = self._clock.call_later(wait_ms, self._check)
+        self._timer = self._clock.call_promptly(wait_ms, self._check)
 
     def _check(self) -> None:
         """Call the action, or wait on if less time is needed by now."""
--- a/cicadahoist/serving/load_exchange.py
+++ b/cicadahoist/serving/load_exchange.py
@@ -187,6 +187,8 @@
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
         """Apply a datagram of a peer; drop one that is of no known kind."""
+        # Many datagrams may be read at once.
+        self._clock.run_prompt_calls()
         self._context.meters.count_load_received()
         if self._context.fleet.balances.receive(datagram):
             return
