Bound the memory that an instance spends on its callers

Callers that sent many large bodies of legal size, whole, in chunks or one byte short of their end, ended a process: it ran out of memory. Callers without a key could do so, too, and callers that did not read large answers.

Cause: nothing counted the sum. Each body was kept until its end, joined with its head into one more copy in the buffer of the socket, and kept by its connection after its request had ended; what the head alone decides (key, route, length) was decided after the body.

Change: one budget owns all bytes of bodies and of whole answers, half of what the memory limit leaves beside 96 MiB. The stated length is taken before the body is read, one without a length grows with it, and the last holder gives it back: answered, refused, closed, lost, expired or at the end of the process. Without room a request is refused as not run (memory-full), after callers that have stalled for a second; a quarter is for bodies of up to 64 KiB, and one body has room whenever nothing else is held. Size, route and key are checked before the body is read. Long bodies leave in pieces of 64 KiB; a connection whose request was answered before its body had left is not used again.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -89,6 +89,7 @@
         self._context.set_notice(settings.config_ms)
         self._context.quotas.set_terms(build_quota_terms(settings))
         self._context.link = LinkQueue.from_mbps(settings.link_mbps)
+        self._context.set_memory_limit(settings.memory_mb)
 
     def build(self) -> None:
         """
--- a/cicadahoist/outside/sockets.py
+++ b/cicadahoist/outside/sockets.py
@@ -68,6 +68,16 @@
     return queued_bytes[0] + len(transport.dataBuffer) - transport.offset
 
 
+def count_buffered_bytes(transport: Any) -> int:
+    """
+    Return the bytes that a transport has not handed to the system yet.
+
+    :param transport: a twisted TCP transport that is not lost yet
+    """
+    unjoined_bytes: int = transport._tempDataLen  # noqa: SLF001
+    return len(transport.dataBuffer) - transport.offset + unjoined_bytes
+
+
 def accept_waiting(port: Any) -> None:
     """
     Accept the connections that the system has made but the process has not.
--- a/cicadahoist/reasons.py
+++ b/cicadahoist/reasons.py
@@ -233,6 +233,13 @@
         'look up whether it took effect; tell your operator the request id',
         'look for the request id in the log of the entry, and report the error',
     )
+    memory_full = RefusalSpec(
+        503,
+        Outcome.not_run,
+        'send the request again',
+        'see which callers send large bodies and do not finish them; give the '
+        'machines of the instances more memory',
+    )
     leaving = RefusalSpec(
         503,
         Outcome.not_run,
--- a/cicadahoist/requests.py
+++ b/cicadahoist/requests.py
@@ -1,6 +1,7 @@
 """Requests and answers in the core's terms, independent of any platform."""
 
 from enum import Enum
+from typing import Protocol
 
 import msgspec
 
@@ -56,6 +57,16 @@
         return self.parts[:-1]
 
 
+class BodyHold(Protocol):
+    """Memory that is taken for a body."""
+
+    def share(self) -> 'BodyHold':
+        """Add a holder; the memory is given back by the last one."""
+
+    def release(self) -> None:
+        """Give the memory back if no other holder is left."""
+
+
 class InboundRequest(msgspec.Struct, kw_only=True):
     """
     A request that was received completely.
@@ -73,6 +84,7 @@
     :param work: work for an engine, none for plain services
     :param arrived_ms: earliest time at which the first byte can have arrived
     :param read_ms: time at which the last byte was read
+    :param hold: the memory for the body, none if it is not counted
     """
 
     attempt_id: str
@@ -88,6 +100,14 @@
     work: ModelWork | None = None
     arrived_ms: int = 0
     read_ms: int = 0
+    hold: BodyHold | None = None
+
+    def release_body(self) -> None:
+        """Drop the body, and give its memory back."""
+        self.body = b''  # noqa: WPS601
+        if self.hold is not None:
+            self.hold.release()
+            self.hold = None  # noqa: WPS601
 
 
 class Handle(msgspec.Struct, frozen=True):
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -10,6 +10,7 @@
 
 from cicadahoist.errors import NotSentError
 from cicadahoist.listings import Listing
+from cicadahoist.policy.caller_admission.memory_budget import HeldBytes
 from cicadahoist.policy.stream_continuity.answer_check import StreamFlaw
 from cicadahoist.requests import (
     AnswerHead,
@@ -151,6 +152,7 @@
         'is_stranded',
         'listing',
         'max_body_bytes',
+        'memory',
         'needs_new_connection',
         'on_activity',
         'on_head',
@@ -189,6 +191,8 @@
         self.is_paused = False
         # Longest body that is collected, unless it is the answer to a prefill.
         self.max_body_bytes = CallerLimits().body_bytes
+        # Memory for the body that is collected, none if it is not counted.
+        self.memory: HeldBytes | None = None
         # Called when the head or a piece of the answer arrives.
         self.on_activity: Callable[[], None] = _ignore
         # Called with the head of the answer.
@@ -236,7 +240,14 @@
                 self._request, options, self.listing.address
             ),
         )
-        connection.send(outgoing, self._request.body, self, pool)
+        hold = self._request.hold
+        connection.send(
+            outgoing,
+            self._request.body,
+            self,
+            pool,
+            None if hold is None else hold.share(),
+        )
         return await end_deferred
 
     def stop(self) -> None:
@@ -323,6 +334,10 @@
         return flaw is None
 
     def _collect(self, piece: bytes) -> None:
+        if self.memory is not None and not self.memory.try_grow(len(piece)):
+            self._body.clear()
+            self.abandon(AnswerLoss.no_memory.value)
+            return
         self._body += piece
         max_bytes = self.max_body_bytes
         if self._options.prefill_only:
@@ -377,6 +392,7 @@
                 outcome = AttemptOutcome.lost
                 detail = detail or UNSIGNED
         body = bytes(self._body)
+        self._body.clear()
         self._end(AttemptEnd(outcome, head, body, detail, ending=ending))
 
     def _end(self, end: AttemptEnd) -> None:
@@ -384,6 +400,9 @@
         self._end_deferred = None
         if end_deferred is not None:
             end_deferred.callback(end)
+            # What was passed on is counted by the connection of the caller.
+            if self.memory is not None:
+                self.memory.release()
 
 
 def _was_used(connection: TargetConnection | None) -> bool:
--- a/cicadahoist/serving/attempt_results.py
+++ b/cicadahoist/serving/attempt_results.py
@@ -36,6 +36,8 @@
     """Return whether a target, not the path to it, has lost an attempt."""
     if has_sent_junk(end):
         return True
+    if end.detail == AnswerLoss.no_memory.value:
+        return False
     return end.outcome is AttemptOutcome.lost and not end.is_stranded
 
 
--- a/cicadahoist/serving/context.py
+++ b/cicadahoist/serving/context.py
@@ -6,6 +6,7 @@
 from cicadahoist.metrics import Metrics
 from cicadahoist.policy.caller_admission.caller_limits import CallerLimitHistory
 from cicadahoist.policy.caller_admission.config_currency import ConfigCurrency
+from cicadahoist.policy.caller_admission.memory_budget import MemoryBudget
 from cicadahoist.policy.demand_rate import DemandRate
 from cicadahoist.policy.link_queue import LinkQueue
 from cicadahoist.policy.retry_share import RetryShares, RetryTerms
@@ -44,6 +45,7 @@
         '_caller_limits',
         '_currency',
         '_deployed_ms',
+        '_memory',
         '_quotas',
         'clock',
         'demand',
@@ -95,6 +97,7 @@
         self.retries = RetryShares(retry_terms)
         self.usage = UsageCounts()
         self.link = LinkQueue()
+        self._memory = MemoryBudget(clock.now_ms)
         self.streams = StreamExchange(clock)
         self._quotas = QuotaExchange(clock, metrics)
         self.fleet.directory.on_change(self._observe_versions)
@@ -114,6 +117,11 @@
         """Whether the configuration may be relied on for keys."""
         return self._currency
 
+    @property
+    def memory(self) -> MemoryBudget:
+        """Memory that may be spent on callers."""
+        return self._memory
+
     @property
     def is_large_fleet(self) -> bool:
         """Whether the deployment has many instances."""
@@ -151,6 +159,14 @@
         """Return the limits for what a caller began at a time."""
         return self._caller_limits.get_since(since_ms)
 
+    def set_memory_limit(self, memory_mb: float | None) -> None:
+        """
+        Set the memory limit of the process, before it serves callers.
+
+        :param memory_mb: the limit in MiB, none for no limit
+        """
+        self._memory = MemoryBudget.from_memory_mb(self.clock.now_ms, memory_mb)
+
     def set_notice(self, notice_ms: int) -> None:
         """Set the time in which callers hear of a new configuration."""
         self._caller_limits.notice_ms = notice_ms
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -146,6 +146,9 @@
             service=self._service,
             targets=self._tried_targets,
         )
+        self._reply.on_over = partial(
+            _release_body, request, self._reply, self._open_attempts
+        )
         self._deadline.start(self._expire, context.compute_link_wait_ms)
 
     def start(self) -> None:
@@ -259,6 +262,7 @@
         )
         limits = self._context.get_caller_limits(self._request.arrived_ms)
         attempt.max_body_bytes = limits.body_bytes
+        attempt.memory = self._context.memory.open()
         end = await AttemptWatch(self._context).run(
             attempt,
             silence_ms + self._context.link.compute_wait_ms(chosen_ms),
@@ -278,6 +282,7 @@
             self._reply.log_attempt(name, end)
         elif end.ending is not None:
             self._reply.record_ending(end.ending)
+        _release_body(self._request, self._reply, self._open_attempts)
         return end
 
     def _refuse(
@@ -340,6 +345,14 @@
     Deferred.fromCoroutine(serving).addErrback(on_defect)
 
 
+def _release_body(
+    request: InboundRequest, reply: Reply, open_attempts: OpenAttempts
+) -> None:
+    """Drop the body of a request once no attempt can need it."""
+    if reply.is_over and not open_attempts:
+        request.release_body()
+
+
 def explain_no_target(
     pause_ms: int | None, *, is_unrecorded: bool = False
 ) -> tuple[Refusal, int]:
--- a/cicadahoist/serving/front.py
+++ b/cicadahoist/serving/front.py
@@ -6,9 +6,10 @@
 from cicadahoist.errors import CallerError
 from cicadahoist.log import get_logger
 from cicadahoist.policy.caller_admission.departure import Departure
+from cicadahoist.policy.caller_admission.memory_budget import MemoryBudget
 from cicadahoist.policy.placement import estimate_engine_ms
 from cicadahoist.reasons import Refusal
-from cicadahoist.requests import InboundRequest
+from cicadahoist.requests import BodyHold, InboundRequest
 from cicadahoist.rules import CallerLimits, Deployment, KeyHolder, RouteRule
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.deadline import Deadline
@@ -18,7 +19,7 @@
 from cicadahoist.serving.model_flow import FreeHandle, ModelFlow
 from cicadahoist.serving.plain_flow import PlainFlow
 from cicadahoist.serving.reply import MIN_RETRY_AFTER_MS
-from cicadahoist.serving.request_reader import RawRequest
+from cicadahoist.serving.request_reader import HeadRefusal, RawRequest
 
 logger = get_logger(__name__)
 
@@ -29,6 +30,8 @@
 # Another instance may have a current table, so that a retry can succeed soon.
 OTHER_INSTANCE_RETRY_AFTER_MS = 100
 STARTUP_RETRY_AFTER_MS = 300
+# Bodies that are read or sent when there is no room are mostly gone by then.
+MEMORY_RETRY_AFTER_MS = 500
 MAX_URGENCY = 9
 
 
@@ -95,39 +98,70 @@
         """Metrics of the data path."""
         return self._context.meters
 
+    @property
+    def memory(self) -> MemoryBudget:
+        """Memory that may be spent on callers."""
+        return self._context.memory
+
+    def check_head(self, raw: RawRequest) -> HeadRefusal | None:
+        """Return how a request is refused whatever its body is."""
+        decoded = self._decode(raw)
+        if isinstance(decoded, _Denial):
+            return self._deny(None, decoded)
+        judged = self._judge(decoded)
+        if isinstance(judged, _Denial):
+            return self._deny(decoded, judged)
+        return None
+
+    def refuse_for_memory(self, raw: RawRequest) -> HeadRefusal:
+        """Return how a request is refused for whose body there is no room."""
+        decoded = self._decode(raw)
+        request = None if isinstance(decoded, _Denial) else decoded
+        denial = _Denial(
+            HTTP_UNAVAILABLE, Refusal.memory_full, MEMORY_RETRY_AFTER_MS
+        )
+        return self._deny(request, denial)
+
     def handle(
         self, raw: RawRequest, exchange: Exchange
     ) -> 'Flow | AnsweredRequest':
         """Start to handle a request, or answer it immediately."""
-        try:
-            request = self._context.dialect.request_from(
-                raw.method, raw.path, raw.headers, raw.body
-            )
-        except CallerError as error:
-            logger.info('malformed request: {0}', error)
-            self._answer(exchange, None, HTTP_BAD_REQUEST, Refusal.bad_request)
-            return ANSWERED_REQUEST
+        request = self._decode(raw)
+        if isinstance(request, _Denial):
+            return self._answer(exchange, None, request, raw.hold)
         request.arrived_ms = raw.since_ms
         request.read_ms = self._context.clock.now_ms()
+        request.hold = raw.hold
         self._context.meters.record_read_wait(
             request.read_ms - request.arrived_ms
         )
-        if self.departure.is_over:
-            return self._refuse_leaving(exchange, request)
-        deployment = self._context.deployment
-        if deployment is None:
-            self._refuse(
-                exchange, request, Refusal.not_ready, STARTUP_RETRY_AFTER_MS
+        judged = self._judge(request)
+        if isinstance(judged, _Denial):
+            return self._answer(exchange, request, judged, raw.hold)
+        return self._admit(request, *judged, exchange)
+
+    def _decode(self, raw: RawRequest) -> 'InboundRequest | _Denial':
+        try:
+            return self._context.dialect.request_from(
+                raw.method, raw.path, raw.headers, raw.body
             )
-            return ANSWERED_REQUEST
-        return self._admit(deployment, request, exchange)
+        except CallerError as error:
+            logger.info('malformed request: {0}', error)
+            return _Denial(HTTP_BAD_REQUEST, Refusal.bad_request)
 
-    def _admit(
-        self,
-        deployment: Deployment,
-        request: InboundRequest,
-        exchange: Exchange,
-    ) -> 'Flow | AnsweredRequest':
+    def _judge(
+        self, request: InboundRequest
+    ) -> 'tuple[RouteRule, KeyHolder | None] | _Denial':
+        """Return the route of a request and whose it is, or why it has none."""
+        if self.departure.is_over:
+            return _LEAVING
+        if self._context.deployment is None:
+            return _NOT_READY
+        return self._find_route(self._context.deployment, request)
+
+    def _find_route(
+        self, deployment: Deployment, request: InboundRequest
+    ) -> 'tuple[RouteRule, KeyHolder | None] | _Denial':
         path = request.path.partition(b'?')[0].decode('latin-1')
         route = deployment.find_route(request.host, path)
         holders = deployment.holder_by_key
@@ -135,33 +169,33 @@
         if not is_open and not self._may_use_keys():
             # The key may have been withdrawn, or the route may be newer than
             # the configuration of this instance.
-            self._refuse(
-                exchange,
-                request,
+            return _Denial(
+                HTTP_UNAVAILABLE,
                 Refusal.stale_table,
                 OTHER_INSTANCE_RETRY_AFTER_MS,
             )
-            return ANSWERED_REQUEST
         if route is None:
-            self._answer(
-                exchange, request, HTTP_NOT_FOUND, Refusal.unknown_route
-            )
-            return ANSWERED_REQUEST
+            return _Denial(HTTP_NOT_FOUND, Refusal.unknown_route)
         holder = holders.get(request.key) if holders else None
         if holder is None and not is_open:
             reason = Refusal.wrong_key if request.key else Refusal.no_key
-            self._answer(exchange, request, HTTP_UNAUTHORIZED, reason)
-            return ANSWERED_REQUEST
+            return _Denial(HTTP_UNAUTHORIZED, reason)
         if not request.attempt_id:
-            self._answer(
-                exchange, request, HTTP_BAD_REQUEST, Refusal.bad_request
-            )
-            return ANSWERED_REQUEST
+            return _Denial(HTTP_BAD_REQUEST, Refusal.bad_request)
+        return route, holder
+
+    def _admit(
+        self,
+        request: InboundRequest,
+        route: RouteRule,
+        holder: KeyHolder | None,
+        exchange: Exchange,
+    ) -> 'Flow | AnsweredRequest':
         due_ms = Deadline.from_request(
             request, route, self._context.clock
         ).due_ms
         if not self.departure.admits(self._context.clock.now_ms(), due_ms):
-            return self._refuse_leaving(exchange, request)
+            return self._answer(exchange, request, _LEAVING, request.hold)
         flow = self._create_flow(request, route, holder, exchange)
         if flow.gate.is_open:
             self._start(flow, request)
@@ -204,40 +238,64 @@
             )
         flow.start()
 
-    def _refuse_leaving(
-        self, exchange: Exchange, request: InboundRequest
-    ) -> AnsweredRequest:
-        """Send a request elsewhere that this instance would cut off."""
-        self._refuse(exchange, request, Refusal.leaving, MIN_RETRY_AFTER_MS)
-        return ANSWERED_REQUEST
-
-    def _refuse(
-        self,
-        exchange: Exchange,
-        request: InboundRequest,
-        reason: Refusal,
-        retry_after_ms: int,
-    ) -> None:
-        self._answer(
-            exchange, request, HTTP_UNAVAILABLE, reason, retry_after_ms
-        )
-
     def _answer(
         self,
         exchange: Exchange,
         request: InboundRequest | None,
-        status: int,
-        reason: Refusal,
-        retry_after_ms: int | None = None,
-    ) -> None:
+        denial: '_Denial',
+        hold: BodyHold | None,
+    ) -> AnsweredRequest:
+        """
+        Answer a request that goes to no target.
+
+        :param hold: the memory for its body, which is given back
+        """
+        if hold is not None:
+            hold.release()
+        refusal = self._deny(request, denial)
+        exchange.answer(refusal.status, refusal.headers)
+        return ANSWERED_REQUEST
+
+    def _deny(
+        self, request: InboundRequest | None, denial: '_Denial'
+    ) -> HeadRefusal:
+        """Log and count a refusal, and return its answer."""
         logger.bind(
             request=request.attempt_id if request else '',
-            reason=reason.name,
-            status=status,
+            reason=denial.reason.name,
+            status=denial.status,
             version=self._context.version,
             config_age_ms=self._context.config_age_ms,
         ).info('request refused')
-        self._context.meters.count_refusal(reason)
-        exchange.answer(
-            status, self._context.dialect.own_headers(request, retry_after_ms)
+        self._context.meters.count_refusal(denial.reason)
+        return HeadRefusal(
+            denial.status,
+            self._context.dialect.own_headers(request, denial.retry_after_ms),
         )
+
+
+class _Denial:
+    """
+    Refusal of a request that goes to no target.
+
+    :param status: status of the answer
+    :param reason: reason for the log and the metrics
+    :param retry_after_ms: time after which a retry can succeed, none if none
+        can
+    """
+
+    __slots__ = ('reason', 'retry_after_ms', 'status')
+
+    def __init__(
+        self, status: int, reason: Refusal, retry_after_ms: int | None = None
+    ) -> None:
+        self.status = status
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+
+
+# A request that this instance would cut off is sent elsewhere.
+_LEAVING = _Denial(HTTP_UNAVAILABLE, Refusal.leaving, MIN_RETRY_AFTER_MS)
+_NOT_READY = _Denial(
+    HTTP_UNAVAILABLE, Refusal.not_ready, STARTUP_RETRY_AFTER_MS
+)
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -17,10 +17,12 @@
 from cicadahoist.serving.meters import Meters
 from cicadahoist.serving.peer_close import is_closed_by_peer
 from cicadahoist.serving.request_reader import (
+    HeadRefusal,
     RawRequest,
-    RequestReader,
     check_incomplete_head,
 )
+from cicadahoist.serving.unsent_answers import UnsentAnswers
+from cicadahoist.serving.upload import HeadJudge, Upload
 
 logger = get_logger(__name__)
 
@@ -56,7 +58,7 @@
         """Continue to read from the target."""
 
 
-class Handler(Protocol):
+class Handler(HeadJudge, Protocol):
     """Handles complete requests."""
 
     def get_limits(self, since_ms: int) -> CallerLimits:
@@ -118,6 +120,7 @@
             return
         length = (b'Content-Length', b'%d' % len(body))
         self._begin(status, [*headers, length], closes=closes)
+        self._connection.unsent_answers.add(len(body))
         self.send(body)
         self.finish()
 
@@ -205,13 +208,15 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._reader: RequestReader | None = None
         self._exchange: Exchange | None = None
         self.active_request: ActiveRequest | None = None
         self._is_closed = False
         self.last_close = LastClose()
         self._linger: Timer | None = None
         self._read_ahead_bytes = 0
+        # Memory for the body that is being read, and for answers that leave.
+        self._upload: Upload | None = None
+        self.unsent_answers = UnsentAnswers(handler.memory, self.abort)
         self._wait_started_ms = clock.now_ms()
         # Whether a part of a request has been read, and no more than that.
         self.is_reading = False
@@ -249,11 +254,14 @@
             limits = self._handler.get_limits(self._wait_started_ms)
             error = check_incomplete_head(self._http, limits)
             if error is not None:
-                self.refuse_incomplete(error)
+                self.refuse_incomplete(HeadRefusal(error))
 
     def connectionLost(self, reason: Any = None) -> None:
         """Notify the active request that its caller has disconnected."""
         self._is_closed = True
+        if self._upload is not None:
+            self._upload.drop()
+        self.unsent_answers.drop()
         linger = self._linger
         self._linger = None
         if linger is not None and linger.active():
@@ -331,6 +339,8 @@
         if self._is_closed:
             return
         self._is_closed = True
+        if self._upload is not None:
+            self._upload.drop()
         self._linger = self._clock.call_later(
             LINGER_MS, self.transport.abortConnection
         )
@@ -344,6 +354,7 @@
 
     def sweep(self, now_ms: int) -> None:
         """Close the connection if it is idle or sends a request too slowly."""
+        self.unsent_answers.check(self.transport)
         if self._exchange is not None or self._is_closed:
             return
         limits = self._handler.get_limits(self._wait_started_ms)
@@ -352,7 +363,7 @@
             if waited_ms > limits.header_timeout_ms and not has_unread_input(
                 self.transport
             ):
-                self.refuse_incomplete(HTTP_TIMEOUT)
+                self.refuse_incomplete(HeadRefusal(HTTP_TIMEOUT))
         elif waited_ms > limits.idle_timeout_ms:
             self.close_unused()
 
@@ -360,41 +371,46 @@
         try:
             while self._exchange is None and not self._is_closed:
                 event = self._http.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
+                refusal = self._process_event(event)
+                if refusal is not None:
+                    self.refuse_incomplete(refusal)
+                elif event is h11.NEED_DATA or event is h11.PAUSED:
                     return
-                error = self._process_event(event)
-                if error is not None:
-                    self.refuse_incomplete(error)
         except h11.RemoteProtocolError as broken:
-            self.refuse_incomplete(broken.error_status_hint)
+            self.refuse_incomplete(HeadRefusal(broken.error_status_hint))
 
-    def _process_event(self, event: Any) -> int | None:
+    def _process_event(self, event: Any) -> HeadRefusal | None:
         """
         Process a part of a request.
 
-        :return: status of the refusal, none if the part is accepted
+        :return: the refusal, none if the part is accepted
         """
         if isinstance(event, h11.Request):
             limits = self._handler.get_limits(self._wait_started_ms)
-            self._reader = RequestReader(limits, event)
-            error = self._reader.check_head()
-            if error is None and self._http.they_are_waiting_for_100_continue:
+            self._upload = Upload(self._handler, limits, event)
+            refusal = self._upload.begin(self.refuse_incomplete)
+            if refusal is None and self._http.they_are_waiting_for_100_continue:
                 self.write(_CONTINUE)
-            return error
-        if isinstance(event, h11.Data) and self._reader is not None:
-            return self._reader.add_body(bytes(event.data))
-        if isinstance(event, h11.EndOfMessage) and self._reader is not None:
-            since_ms = self._request_since_ms
-            if since_ms is None:
-                since_ms = self._clock.now_ms()
-            if not self._http.trailing_data[0]:
-                self._request_since_ms = None
-            self._dispatch(self._reader.build_request(since_ms))
+            return refusal
+        upload = self._upload
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return None if upload is None else upload.check_head()
+        if isinstance(event, h11.Data) and upload is not None:
+            return upload.add(bytes(event.data))
+        if isinstance(event, h11.EndOfMessage) and upload is not None:
+            self._dispatch(upload)
         else:
             self.close()
         return None
 
-    def _dispatch(self, raw: RawRequest) -> None:
+    def _dispatch(self, upload: Upload) -> None:
+        since_ms = self._request_since_ms
+        if since_ms is None:
+            since_ms = self._clock.now_ms()
+        if not self._http.trailing_data[0]:
+            self._request_since_ms = None
+        self._upload = None
+        raw = upload.finish(since_ms)
         exchange = Exchange(self)
         self._exchange = exchange
         self.is_reading = False
@@ -405,14 +421,20 @@
                 BackpressureProducer(active_request), True
             )
 
-    def refuse_incomplete(self, status: int) -> None:
+    def refuse_incomplete(self, refusal: HeadRefusal) -> None:
         """Refuse a request that was not read completely, and close."""
-        logger.bind(status=status).info(
+        if self._is_closed:
+            return
+        logger.bind(status=refusal.status).info(
             'caller request rejected before it was complete'
         )
         if self._http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-            headers = [(b'Content-Length', b'0'), (b'Connection', b'close')]
-            response = h11.Response(status_code=status, headers=headers)
+            headers = [
+                *refusal.headers,
+                (b'Content-Length', b'0'),
+                (b'Connection', b'close'),
+            ]
+            response = h11.Response(status_code=refusal.status, headers=headers)
             self.write(response)
             self.write(h11.EndOfMessage())
         self.close()
@@ -467,7 +489,7 @@
             if connection.active_request is not None:
                 connection.active_request.give_up()
             elif connection.is_reading:
-                connection.refuse_incomplete(HTTP_UNAVAILABLE)
+                connection.refuse_incomplete(HeadRefusal(HTTP_UNAVAILABLE))
 
     def abort_unsent(self) -> None:
         """Reset the connections whose close would cut an answer unseen."""
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -9,8 +9,9 @@
 from twisted.internet.protocol import Protocol as TwistedProtocol
 
 from cicadahoist.clock import Clock
-from cicadahoist.requests import HeaderList
+from cicadahoist.requests import BodyHold, HeaderList
 from cicadahoist.serving.answer_overhead import AnswerOverhead
+from cicadahoist.serving.body_sender import BodySender
 
 # TCP closes a connection on which nothing was acknowledged for this time. It
 # counts from the last byte, which may be older than the silence of a target by
@@ -41,12 +42,14 @@
     Why an answer is incomplete by its framing.
 
     ``too_long``: more than an answer, its overhead or an event may hold.
+    ``no_memory``: this instance has no room for the answer.
     """
 
     closed = 'closed'
     reset = 'reset'
     malformed = 'malformed'
     too_long = 'too-long'
+    no_memory = 'no-memory'
 
 
 class Receiver(Protocol):
@@ -103,6 +106,7 @@
         self._is_skipping = False
         self._has_skipped = False
         self._overhead = AnswerOverhead()
+        self._body_sender: BodySender | None = None
         self.idle_timeout_ms = DEFAULT_IDLE_MS
         self.idle_since_ms = 0
         self.is_open = True
@@ -129,6 +133,7 @@
         body: bytes,
         receiver: Receiver,
         pool: Pool,
+        hold: BodyHold | None = None,
     ) -> None:
         """
         Send a complete request.
@@ -137,16 +142,20 @@
         :param body: the body, empty for none
         :param receiver: receives the answer
         :param pool: where the connection goes after the answer
+        :param hold: the memory for the body, released once it is sent; none if
+            it is not counted
         """
         self._sent_request = request
         self._receiver = receiver
         self._pool = pool
         self._overhead = AnswerOverhead()
-        pieces = [self._http.send(request)]
+        head = self._http.send(request)
+        framed_body = b''
         if body:
-            pieces.append(self._http.send(h11.Data(data=body)))
-        pieces.append(self._http.send(h11.EndOfMessage()))
-        self.transport.write(b''.join(filter(None, pieces)))
+            framed_body = self._http.send(h11.Data(data=body)) or b''
+        self._http.send(h11.EndOfMessage())
+        self._body_sender = BodySender(self.transport, framed_body, hold)
+        self._body_sender.start(head or b'')
 
     def abandon(self) -> None:
         """Close without a report to the receiver; the target stops its work."""
@@ -269,7 +278,13 @@
         """Return the connection to its pool, or close it if not reusable."""
         http = self._http
         is_done = (http.our_state, http.their_state) == (h11.DONE, h11.DONE)
-        if not is_done or http.trailing_data[0] or self._has_skipped:
+        is_sent = self._body_sender is None or self._body_sender.is_over
+        if (
+            not is_sent
+            or not is_done
+            or http.trailing_data[0]
+            or self._has_skipped
+        ):
             self.close()
             return
         http.start_next_cycle()
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -45,6 +45,7 @@
         'is_over',
         'log_fields',
         'on_end',
+        'on_over',
     )
 
     def __init__(
@@ -64,8 +65,9 @@
         self.is_over = False
         # Grounds of the decisions on the request, for its last log line.
         self.log_fields: dict[str, Any] = {}
-        # Called at the end of the request.
+        # Called at the end of the request, for its quota and its memory.
         self.on_end: Callable[[], None] = _ignore
+        self.on_over: Callable[[], None] = _ignore
 
     @property
     def is_begun(self) -> bool:
@@ -201,6 +203,7 @@
         self.is_over = True
         self._deadline.cancel()
         self.on_end()
+        self.on_over()
         self._context.meters.count_end(
             is_cut=is_cut, is_beside_change=self._context.is_beside_change
         )
--- a/cicadahoist/serving/request_reader.py
+++ b/cicadahoist/serving/request_reader.py
@@ -2,7 +2,7 @@
 
 import h11
 
-from cicadahoist.requests import HeaderList
+from cicadahoist.requests import BodyHold, HeaderList
 from cicadahoist.rules import CallerLimits
 
 HTTP_BAD_REQUEST = 400
@@ -21,7 +21,7 @@
     :param since_ms: earliest time at which its first byte can have arrived
     """
 
-    __slots__ = ('body', 'headers', 'method', 'path', 'since_ms')
+    __slots__ = ('body', 'headers', 'hold', 'method', 'path', 'since_ms')
 
     def __init__(
         self,
@@ -36,6 +36,22 @@
         self.headers = headers
         self.body = body
         self.since_ms = since_ms
+        self.hold: BodyHold | None = None
+
+
+class HeadRefusal:
+    """
+    Answer to a request whose body is not read.
+
+    :param status: status of the answer
+    :param headers: headers of the answer, none for no special ones
+    """
+
+    __slots__ = ('headers', 'status')
+
+    def __init__(self, status: int, headers: HeaderList | None = None) -> None:
+        self.status = status
+        self.headers = headers or []
 
 
 class RequestReader:
@@ -53,6 +69,14 @@
         self._request = request
         self._body = bytearray()
 
+    @property
+    def stated_bytes(self) -> int | None:
+        """Length of the body as stated, none if it is sent in chunks."""
+        names = dict(self._request.headers)
+        if b'transfer-encoding' in names:
+            return None
+        return int(names.get(b'content-length', b'0'))
+
     def check_head(self) -> int | None:
         """
         Check the head of the request.
@@ -67,6 +91,8 @@
         if names.issuperset((b'transfer-encoding', b'content-length')):
             # A body with two framings is a means of request smuggling.
             return HTTP_BAD_REQUEST
+        if (self.stated_bytes or 0) > self._limits.body_bytes:
+            return HTTP_TOO_LARGE
         return None
 
     def add_body(self, piece: bytes) -> int | None:
@@ -80,21 +106,32 @@
             return HTTP_TOO_LARGE
         return None
 
-    def build_request(self, since_ms: int) -> RawRequest:
-        """
-        Return the complete request.
+    def clear(self) -> None:
+        """Drop what was added of the body."""
+        self._body.clear()
 
-        :param since_ms: earliest time at which its first byte can have arrived
-        """
+    def build_head(self) -> RawRequest:
+        """Return the request without its body."""
         request = self._request
         return RawRequest(
             bytes(request.method),
             bytes(request.target),
             [(bytes(name), bytes(text)) for name, text in request.headers],
-            bytes(self._body),
-            since_ms,
+            b'',
+            0,
         )
 
+    def build_request(self, since_ms: int) -> RawRequest:
+        """
+        Return the complete request.
+
+        :param since_ms: earliest time at which its first byte can have arrived
+        """
+        raw = self.build_head()
+        raw.body = bytes(self._body)
+        raw.since_ms = since_ms
+        return raw
+
 
 def check_incomplete_head(
     http: h11.Connection, limits: CallerLimits
--- a/tests/test_serving/world.py
+++ b/tests/test_serving/world.py
@@ -64,7 +64,15 @@
 
 
 class Transport(StringTransport):
-    """In-memory transport that records whether and how it was closed."""
+    """
+    In-memory transport that records whether and how it was closed.
+
+    All bytes leave at once.
+    """
+
+    dataBuffer = b''
+    offset = 0
+    _tempDataLen = 0
 
     def __init__(self) -> None:
         super().__init__()
@@ -72,6 +80,11 @@
         self.protocol = None
         self._socket = Socket()
 
+    def registerProducer(self, producer, streaming):
+        super().registerProducer(producer, streaming)
+        while not streaming and self.producer is producer:
+            producer.resumeProducing()
+
     def setTcpNoDelay(self, enabled):
         """Do nothing."""
 
