Take an answer whose status HTTP does not have for none

Seen on other systems: a worker in trouble answers with the status 000, and the client gets it as an answer.

Cause: h11 takes any status of three digits from 200, so that 600 and 999 were passed on with the signature of their target, in plain answers, streams and through peers; twisted's client takes any number, so that cicadahoist-entry passed on 000, 001, 099, 600 and 999 as well.

Change: the data path takes such an answer for malformed, the HTTP client of the entry for a call that was lost after sending.

test_odd_answers failed before in 6 of 33 cases and the case of test_http; both hold now. The other 27 show that a part of an early answer to a long upload that is reset does not look complete: plain, streamed, and through a peer, where the reset of the target arrives as a reset. They held before.

--- a/cicadahoist/outside/http.py
+++ b/cicadahoist/outside/http.py
@@ -42,6 +42,9 @@
 HTTP_BUSY = 429
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
+# Statuses of answers are below this one; RFC 9110, section 15.
+STATUS_END = 600
+FINAL_STATUSES = range(HTTP_OK, STATUS_END)
 
 # Raised before the first byte of a request was written.
 NOT_SENT_ERRORS = (
@@ -244,7 +247,14 @@
             ) from unsent
         except MAYBE_SENT_ERRORS as lost:
             raise build_lost_error(f'{method} {url}', lost) from lost
-        return TargetResponse(response, self._reactor, max_body_bytes)
+        answer = TargetResponse(response, self._reactor, max_body_bytes)
+        if answer.status not in FINAL_STATUSES:
+            answer.abort()
+            raise LostAfterSendError(
+                f'{method} {url}: answer with status {answer.status}',
+                remedy='look up whether it took effect',
+            )
+        return answer
 
     def close(self) -> 'Deferred[Any]':
         """Close the idle connections of the pool."""
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -23,6 +23,8 @@
 DEFAULT_IDLE_MS = 900
 # A target closes idle connections by its own clock, so reuse stops earlier.
 IDLE_MARGIN_MS = 400
+# RFC 9110, section 15; h11 takes any number of three digits from 200.
+MAX_STATUS = 599
 
 
 class AnswerEnding(Enum):
@@ -237,6 +239,9 @@
             self._report_loss(AnswerLoss.closed)
 
     def _process_head(self, response: h11.Response, receiver: Receiver) -> None:
+        if response.status_code > MAX_STATUS:
+            self._report_loss(AnswerLoss.malformed)
+            return
         headers = [
             (bytes(name), bytes(text)) for name, text in response.headers
         ]
--- a/tests/test_outside/test_http.py
+++ b/tests/test_outside/test_http.py
@@ -66,6 +66,15 @@
         )
         assert len(self.factory.requests) == 1
 
+    async def test_a_status_that_is_none_raises_lost_after_send(self):
+        # Guards against a status that HTTP does not have at a caller.
+        statuses = (b'000', b'001', b'099', b'600', b'999', b'2000', b'20')
+        for status in statuses:
+            url = self.listen(ANSWER.replace(b'200', status))
+            await self.raises(
+                LostAfterSendError, self.client().call('POST', url, body=b'x')
+            )
+
     async def test_timeout_raises_lost_after_send(self):
         url = self.listen(b'')
         call = self.client().call('GET', url, timeout_ms=30)
