Bound the connections of callers by the descriptor limit

Callers could open connections until the process had no descriptor left for targets, the store and peers: 4,100 on the users' machines, of which each held request needs one more.

Change: callers have 0.6 of what limits.max-fds leaves beside 200 for files. A further connection replaces the one that has been unused longest, and is closed if all are in use.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -16,6 +16,9 @@
 from cicadahoist.platform.engines import EngineCalls
 from cicadahoist.platform.names import READY_PATH
 from cicadahoist.platform.settings_file import InstanceSettings
+from cicadahoist.policy.caller_admission.connection_bound import (
+    compute_max_connections,
+)
 from cicadahoist.policy.link_queue import LinkQueue
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.front import Front
@@ -164,6 +167,7 @@
                 self._clock,
                 self._application.loop_times,
                 self._reactor,
+                compute_max_connections(settings.max_descriptors),
             )
         )
         self._application.add(
--- a/cicadahoist/platform/settings_file.py
+++ b/cicadahoist/platform/settings_file.py
@@ -54,6 +54,7 @@
     :param retry_slack: retries allowed beyond the share, over all instances
     :param link_mbps: bandwidth of the instance in Mbit/s, none if not stated
     :param memory_mb: memory limit of the process, none if not stated
+    :param max_descriptors: descriptor limit of the process, none if not stated
     :param core_count: processor capacity in cores, none if not stated
     :param term_ms: lease term: shortest time between two changes of a duty's
         holder
@@ -83,6 +84,7 @@
     retry_slack: float = 0
     link_mbps: float | None = None
     memory_mb: float | None = None
+    max_descriptors: int | None = None
     core_count: float | None = None
     term_ms: int = 3000
     usage_window_ms: int = 5000
@@ -158,6 +160,7 @@
             order_address=Address.from_text(orders) if orders else None,
             link_mbps=float(fields.get('limits.link-mbps', '') or 0) or None,
             memory_mb=float(fields.get('limits.memory-mb', '') or 0) or None,
+            max_descriptors=int(fields.get('limits.max-fds', '') or 0) or None,
             core_count=_parse_core_count(fields),
         ).with_bounds(_parse_bounds(fields))
 
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -217,7 +217,8 @@
         # Memory for the body that is being read, and for answers that leave.
         self._upload: Upload | None = None
         self.unsent_answers = UnsentAnswers(handler.memory, self.abort)
-        self._wait_started_ms = clock.now_ms()
+        # Begin of the wait for a request, or of its first byte.
+        self.wait_started_ms = clock.now_ms()
         # Whether a part of a request has been read, and no more than that.
         self.is_reading = False
         self.on_lost: Callable[[CallerConnection], None] | None = None
@@ -247,11 +248,11 @@
                 self.transport.pauseProducing()
         elif not self.is_reading:
             self.is_reading = True
-            self._wait_started_ms = self._clock.now_ms()
+            self.wait_started_ms = self._clock.now_ms()
         self._http.receive_data(received)
         self._read()
         if self._exchange is None and not self._is_closed:
-            limits = self._handler.get_limits(self._wait_started_ms)
+            limits = self._handler.get_limits(self.wait_started_ms)
             error = check_incomplete_head(self._http, limits)
             if error is not None:
                 self.refuse_incomplete(HeadRefusal(error))
@@ -307,7 +308,7 @@
         if self._read_ahead_bytes > READ_AHEAD_BYTES:
             self.transport.resumeProducing()
         self._read_ahead_bytes = 0
-        self._wait_started_ms = self._clock.now_ms()
+        self.wait_started_ms = self._clock.now_ms()
         self.is_reading = bool(self._http.trailing_data[0])
         if self._is_closed:
             return
@@ -357,8 +358,8 @@
         self.unsent_answers.check(self.transport)
         if self._exchange is not None or self._is_closed:
             return
-        limits = self._handler.get_limits(self._wait_started_ms)
-        waited_ms = now_ms - self._wait_started_ms
+        limits = self._handler.get_limits(self.wait_started_ms)
+        waited_ms = now_ms - self.wait_started_ms
         if self.is_reading:
             if waited_ms > limits.header_timeout_ms and not has_unread_input(
                 self.transport
@@ -386,7 +387,7 @@
         :return: the refusal, none if the part is accepted
         """
         if isinstance(event, h11.Request):
-            limits = self._handler.get_limits(self._wait_started_ms)
+            limits = self._handler.get_limits(self.wait_started_ms)
             self._upload = Upload(self._handler, limits, event)
             refusal = self._upload.begin(self.refuse_incomplete)
             if refusal is None and self._http.they_are_waiting_for_100_continue:
@@ -447,21 +448,33 @@
     :param handler: handles the requests
     :param clock: clock of the process
     :param loop_times: turns of the event loop
+    :param max_open: connections that may be open, none for no bound
     """
 
     noisy = False
 
     def __init__(
-        self, handler: Handler, clock: Clock, loop_times: LoopTimes
+        self,
+        handler: Handler,
+        clock: Clock,
+        loop_times: LoopTimes,
+        max_open: int | None = None,
     ) -> None:
         self._handler = handler
         self._clock = clock
         self._loop_times = loop_times
+        self._max_open = max_open
         self._connections: set[CallerConnection] = set()
         self._timer: Timer | None = None
 
-    def buildProtocol(self, addr: Any) -> CallerConnection:
-        """Return the protocol of a new connection."""
+    def buildProtocol(self, addr: Any) -> CallerConnection | None:
+        """Return the protocol of a new connection, none to close it."""
+        is_full = self._max_open is not None and (
+            len(self._connections) >= self._max_open
+        )
+        if is_full and not self._close_longest_unused():
+            logger.info('caller connection closed: too many are open')
+            return None
         connection = CallerConnection(
             self._handler, self._clock, self._loop_times
         )
@@ -483,6 +496,14 @@
             if not connection.is_busy:
                 connection.close_unused()
 
+    def _close_longest_unused(self) -> bool:
+        """Close the connection that is unused longest; return if there is."""
+        unused = [one for one in self._connections if not one.is_busy]
+        if not unused:
+            return False
+        min(unused, key=_get_wait_start).close_unused()
+        return True
+
     def end_requests(self) -> None:
         """Refuse or fail all requests that are read, as the process ends."""
         for connection in list(self._connections):
@@ -515,3 +536,7 @@
         for connection in list(self._connections):
             connection.sweep(now_ms)
         self._timer = self._clock.call_later(SWEEP_PERIOD_MS, self._sweep)
+
+
+def _get_wait_start(connection: CallerConnection) -> int:
+    return connection.wait_started_ms
--- a/cicadahoist/serving/server.py
+++ b/cicadahoist/serving/server.py
@@ -37,6 +37,8 @@
     :param clock: clock of the process
     :param loop_times: turns of the event loop
     :param reactor: the twisted reactor
+    :param max_connections: connections of callers that may be open, none for
+        no bound
     """
 
     __slots__ = (
@@ -59,6 +61,7 @@
         clock: Clock,
         loop_times: LoopTimes,
         reactor: Any,
+        max_connections: int | None = None,
     ) -> None:
         self._front = front
         self._host = host
@@ -66,7 +69,9 @@
         self._grace_ms = grace_ms
         self._clock = clock
         self._reactor = reactor
-        self._connections = CallerConnections(front, clock, loop_times)
+        self._connections = CallerConnections(
+            front, clock, loop_times, max_connections
+        )
         self._listening_port: Any = None
 
     async def start(self) -> None:
