Let a cancelled deadline go

Cause: the clock keeps prompt calls until they would be due, and with them the requests that had ended long before, up to their time-out.

Change: a cancelled call drops what it would call.

test_a_cancelled_call_keeps_nothing_alive failed before and holds now.

--- a/cicadahoist/clock.py
+++ b/cicadahoist/clock.py
@@ -3,7 +3,6 @@
 import time
 from collections.abc import Callable
 from heapq import heappop, heappush
-from itertools import count
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
@@ -24,8 +23,42 @@
         """Return whether the call is still pending."""
 
 
-# When a call is due, its number, its timer and the call.
-_PromptCall = tuple[float, int, Timer, Callable[[], None]]
+class PromptCall:
+    """
+    A call that its clock makes at a timer, or earlier between pieces of work.
+
+    :param due_ms: when it is due
+    :param timer: timer that makes it
+    :param action: the call
+    """
+
+    __slots__ = ('_action', '_timer', 'due_ms')
+
+    def __init__(
+        self, due_ms: float, timer: Timer, action: Callable[[], None]
+    ) -> None:
+        self.due_ms = due_ms
+        self._timer = timer
+        self._action: Callable[[], None] | None = action
+
+    def __lt__(self, other: 'PromptCall') -> bool:
+        return self.due_ms < other.due_ms
+
+    def active(self) -> bool:
+        """Return whether the call is still pending."""
+        return self._timer.active()
+
+    def cancel(self) -> None:
+        """Cancel the call, which the clock may keep until it would be due."""
+        self._timer.cancel()
+        self._action = None
+
+    def run(self) -> None:
+        """Make the call, unless it was made or cancelled."""
+        action = self._action
+        if action is not None and self._timer.active():
+            self.cancel()
+            action()
 
 
 class Clock:
@@ -39,13 +72,12 @@
     :param read_ms: returns the current reading
     """
 
-    __slots__ = ('_numbers', '_prompt_calls', '_read_ms', '_scheduler')
+    __slots__ = ('_prompt_calls', '_read_ms', '_scheduler')
 
     def __init__(self, scheduler: Any, read_ms: Callable[[], int]) -> None:
         self._scheduler = scheduler
         self._read_ms = read_ms
-        self._numbers = count()
-        self._prompt_calls: list[_PromptCall] = []
+        self._prompt_calls: list[PromptCall] = []
 
     @classmethod
     def from_reactor(cls, reactor: Any) -> 'Clock':
@@ -76,7 +108,7 @@
 
     def call_promptly(
         self, delay_ms: float, action: Callable[[], None]
-    ) -> Timer:
+    ) -> PromptCall:
         """
         Call ``action`` after ``delay_ms``, also before input that waits.
 
@@ -84,18 +116,15 @@
         deadline does; what concludes that nothing has arrived must wait.
         """
         timer = self.call_later(delay_ms, action)
-        due_ms = self.now_ms() + max(0, delay_ms)
-        call = (due_ms, next(self._numbers), timer, action)
+        call = PromptCall(self.now_ms() + max(0, delay_ms), timer, action)
         heappush(self._prompt_calls, call)
-        return timer
+        return call
 
     def run_prompt_calls(self) -> None:
         """Make the prompt calls that are due; for long work in pieces."""
-        while self._prompt_calls and self._prompt_calls[0][0] <= self.now_ms():
-            _, _, timer, action = heappop(self._prompt_calls)
-            if timer.active():
-                timer.cancel()
-                action()
+        calls = self._prompt_calls
+        while calls and calls[0].due_ms <= self.now_ms():
+            heappop(calls).run()
 
     def sleep(self, delay_ms: float) -> 'Deferred[None]':
         """Return a deferred that fires after ``delay_ms`` milliseconds."""
--- a/tests/test_core/test_long_turns.py
+++ b/tests/test_core/test_long_turns.py
@@ -7,6 +7,7 @@
 """
 
 import os
+import weakref
 
 import pytest
 from twisted.internet.epollreactor import EPollReactor
@@ -115,6 +116,15 @@
     assert not ended_ms
 
 
+def test_a_cancelled_call_keeps_nothing_alive(clock):
+    # Guards against requests that stay in memory until they would have ended.
+    held = Time()
+    clock.call_promptly(60_000, held.work).cancel()
+    is_alive = weakref.ref(held)
+    del held
+    assert is_alive() is None
+
+
 def test_a_timer_that_watches_for_input_runs_after_what_has_arrived(
     reactor, clock, time
 ):
