Drop only large bodies and answers of stalled callers

A slow caller with a body of some hundred bytes could be dropped before stalled ones with megabytes, though it sends within the header time-out. Only holders of more than 64 KiB yield now; an answer of a connection that is closing already is cut off as well.

test_a_slow_caller_with_a_small_body_keeps_its_bytes failed before and holds now.

--- a/cicadahoist/policy/caller_admission/memory_budget.py
+++ b/cicadahoist/policy/caller_admission/memory_budget.py
@@ -18,8 +18,8 @@
 # is reserved: many large ones then leave room for the others.
 SMALL_BYTES = 65_536
 RESERVED_SHARE = 0.25
-# A holder that waits for its caller may be dropped for another one if nothing
-# of it has arrived or left for this time.
+# A large holder that waits for its caller may be dropped for another one if
+# nothing of it has arrived or left for this time.
 STALL_MS = 1000
 
 
@@ -158,12 +158,14 @@
         return self.held_bytes + count <= bound_bytes
 
     def _drop_stalled(self, held: HeldBytes, count: int) -> None:
-        """Drop holders whose callers have stalled, the longest first."""
+        """Drop large holders whose callers stall, the longest first."""
         now_ms = self.read_ms()
         stalled = [
             one
             for one in self._drop_by_waiting
-            if one is not held and now_ms - one.progress_ms >= STALL_MS
+            if one is not held
+            and one.count > SMALL_BYTES
+            and now_ms - one.progress_ms >= STALL_MS
         ]
         stalled.sort(key=_get_progress_ms)
         for one in stalled:
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -120,7 +120,8 @@
             return
         length = (b'Content-Length', b'%d' % len(body))
         self._begin(status, [*headers, length], closes=closes)
-        self._connection.unsent_answers.add(len(body))
+        connection = self._connection
+        connection.unsent_answers.add(len(body), connection.transport)
         self.send(body)
         self.finish()
 
@@ -216,7 +217,7 @@
         self._read_ahead_bytes = 0
         # Memory for the body that is being read, and for answers that leave.
         self._upload: Upload | None = None
-        self.unsent_answers = UnsentAnswers(handler.memory, self.abort)
+        self.unsent_answers = UnsentAnswers(handler.memory)
         # Begin of the wait for a request, or of its first byte.
         self.wait_started_ms = clock.now_ms()
         # Whether a part of a request has been read, and no more than that.
--- a/cicadahoist/serving/unsent_answers.py
+++ b/cicadahoist/serving/unsent_answers.py
@@ -1,6 +1,6 @@
 """Memory for answers that wait for a slow caller."""
 
-from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from cicadahoist.outside.sockets import count_buffered_bytes
@@ -17,30 +17,30 @@
 
     Short ones are not counted: a connection has one at a time.
 
+    The connection is reset where its caller stalls while others need memory.
+
     :param memory: memory that may be spent on callers
-    :param abort: resets the connection, whose caller has stalled while others
-        need the memory
     """
 
-    __slots__ = ('_abort', '_buffered_bytes', '_hold', '_memory')
+    __slots__ = ('_buffered_bytes', '_hold', '_memory')
 
-    def __init__(self, memory: MemoryBudget, abort: Callable[[], None]) -> None:
+    def __init__(self, memory: MemoryBudget) -> None:
         self._memory = memory
-        self._abort = abort
         self._hold: HeldBytes | None = None
         self._buffered_bytes = 0
 
-    def add(self, answer_bytes: int) -> None:
+    def add(self, answer_bytes: int, transport: Any) -> None:
         """
         Count an answer.
 
         :param answer_bytes: its length; it was held until now as it was read
+        :param transport: the connection
         """
         if answer_bytes <= SMALL_BYTES:
             return
         if self._hold is None:
             self._hold = self._memory.open()
-            self._hold.wait_for_caller(self._end_stalled)
+            self._hold.wait_for_caller(partial(self._end_stalled, transport))
         self._hold.grow(answer_bytes)
 
     def check(self, transport: Any) -> None:
@@ -60,6 +60,6 @@
             self._hold.release()
             self._hold = None
 
-    def _end_stalled(self) -> None:
+    def _end_stalled(self, transport: Any) -> None:
         self.drop()
-        self._abort()
+        transport.abortConnection()
--- a/tests/test_policy/test_memory_budget.py
+++ b/tests/test_policy/test_memory_budget.py
@@ -89,6 +89,18 @@
     assert not dropped
 
 
+def test_a_slow_caller_with_a_small_body_keeps_its_bytes():
+    # Guards against a bound that hangs on the speed of ordinary callers.
+    clock, budget = make_budget()
+    dropped = []
+    hold(budget, 800).wait_for_caller(lambda: dropped.append('small'))
+    large = hold(budget, 6_000_000 - 800)
+    large.wait_for_caller(lambda: (dropped.append('large'), large.release()))
+    clock.advance(STALL_MS)
+    assert hold(budget, 1_000_000) is not None
+    assert dropped == ['large']
+
+
 def test_a_request_that_is_served_is_not_dropped():
     clock, budget = make_budget()
     held = hold(budget, 6_000_000)
