--- a/cicadahoist/policy/caller_admission/memory_budget.py
+++ b/cicadahoist/policy/caller_admission/memory_budget.py
@@ -10,7 +10,8 @@
 from cicadahoist.rules import CallerLimits
 
 BYTES_PER_MB = 1_048_576
-# Memory of a process without callers, with room for the state of a large fleet.
+# Memory of a process without callers, 96 MiB: it includes the state of a large
+# fleet.
 PROCESS_BYTES = 100_663_296
 # Held bytes may be copied once, into the buffer of a socket.
 COPIES = 2
