Keep to the bound on callers' connections beside unread requests

Cause: a further connection counted as replacing the one that had been unused longest also where that one was not closed, as bytes of a request waited to be read, so that connections with bytes unread went beyond the bound. Seen in review.

Change: the first of the unused connections that can be closed is replaced; if there is none, the further one is closed.

test_a_connection_with_a_request_unread_is_not_replaced failed before (a fourth connection of three) and holds now.

--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -349,10 +349,16 @@
         self.last_close.start(self.transport, is_half=self.is_reading)
         self.is_reading = False
 
-    def close_unused(self) -> None:
-        """Close the connection, unless bytes of a request wait to be read."""
-        if not self._is_closed and not has_unread_input(self.transport):
-            self.close()
+    def close_unused(self) -> bool:
+        """
+        Close the connection, unless bytes of a request wait to be read.
+
+        :return: whether it is closed now
+        """
+        if self._is_closed or has_unread_input(self.transport):
+            return False
+        self.close()
+        return True
 
     def sweep(self, now_ms: int) -> None:
         """Close the connection if it is idle or sends a request too slowly."""
@@ -500,10 +506,8 @@
     def _close_longest_unused(self) -> bool:
         """Close the connection that is unused longest; return if there is."""
         unused = [one for one in self._connections if not one.is_busy]
-        if not unused:
-            return False
-        min(unused, key=_get_wait_start).close_unused()
-        return True
+        unused.sort(key=_get_wait_start)
+        return any(one.close_unused() for one in unused)
 
     def end_requests(self) -> None:
         """Refuse or fail all requests that are read, as the process ends."""
--- a/tests/test_serving/test_connection_bound.py
+++ b/tests/test_serving/test_connection_bound.py
@@ -53,6 +53,16 @@
     assert not any(transport.protocol is None for _, transport in opened)
 
 
+def test_a_connection_with_a_request_unread_is_not_replaced():
+    # Guards against a bound that connections with bytes unread go beyond.
+    world = make_world()
+    opened = [open_connection(world) for _ in range(MAX_OPEN)]
+    for _, transport in opened:
+        transport.receive_unread(b'GET')
+    assert open_connection(world) is None
+    assert world.caller_connections.count_open() == MAX_OPEN
+
+
 def test_descriptors_are_left_for_the_request_of_each_connection():
     connections = compute_max_connections(4100)
     assert connections == 2340
