--- /dev/null
+++ b/review/stand_ins_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: platform, workers, clients and links."""
