Review: requests read ahead behind open answers end processes

Cause: what arrives during an answer is kept, up to 256 kB a connection, and is not counted by the memory budget. The software is not changed.

--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -36,9 +36,7 @@
 class Deployment:
     """Store, duty interface, workers of one service and three machines."""
 
-    def __init__(
-        self, record, folder, down_s=4.0, worker_count=3, *, is_dark=False
-    ):
+    def __init__(self, record, folder, worker_count=3, **options):
         self.record = record
         self._folder = Path(folder)
         self._numbers = count(1)
@@ -53,8 +51,7 @@
                 number,
                 ZONES[number % 3],
                 self._note_run,
-                down_s,
-                is_dark=is_dark,
+                **options,
             )
             for number in range(worker_count)
         ]
@@ -104,6 +101,7 @@
         routes = [
             _build_route('book', 'unsafe', 1),
             _build_route('look', 'safe', 1),
+            _build_route('chat', 'unsafe', 1, 15000),
         ]
         config = {
             'version': self._version,
@@ -163,13 +161,13 @@
         self.record(f'{attempt} runs at worker {worker.name}')
 
 
-def _build_route(name, kind, attempts):
+def _build_route(name, kind, attempts, timeout_ms=4000):
     return {
         'name': f'r-{name}',
         'host': HOST,
         'path-prefix': f'/{name}/',
         'kind': kind,
-        'timeout-ms': 4000,
+        'timeout-ms': timeout_ms,
         'target-latency-ms': 400,
         'priority': 2,
         'service': 'desk',
--- a/review/stand_ins_2/front.py
+++ b/review/stand_ins_2/front.py
@@ -139,6 +139,16 @@
         self._process.send_signal(number)
         return True
 
+    def read_memory_mb(self):
+        """Return the memory that the process has taken, without its files."""
+        path = Path(f'/proc/{self._process.pid}/status')
+        try:
+            lines = path.read_text().splitlines()
+        except OSError:
+            return 0
+        taken = [line for line in lines if line.startswith('RssAnon:')]
+        return int(taken[0].split()[1]) / 1024 if taken else 0
+
     async def restart(self):
         """Stop by SIGTERM, SIGKILL after the grace; return once it is back."""
         self._is_expected = True
--- a/review/stand_ins_2/http.py
+++ b/review/stand_ins_2/http.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 
+CLOSE_CHECK_S = 0.2
 LINGER_RESET = struct.pack('ii', 1, 0)
 
 
@@ -149,7 +150,17 @@
         first, headers = head
         method, target, _ = first.split(' ')
         body = await read_body(reader, headers)
-        answer = await self._handle(Request(method, target, headers, body))
+        request = Request(method, target, headers, body)
+        handling = asyncio.ensure_future(self._handle(request))
+        try:
+            # A request is dropped when its connection closes.
+            while not handling.done():
+                await asyncio.wait({handling}, timeout=CLOSE_CHECK_S)
+                if reader.at_eof():
+                    return False
+        finally:
+            handling.cancel()
+        answer = handling.result()
         if answer is None:
             return False
         writer.write(build_answer(*answer))
--- a/review/stand_ins_2/worker.py
+++ b/review/stand_ins_2/worker.py
@@ -20,12 +20,30 @@
     :param number: distinguishes it from other workers
     :param on_run: called with the worker and the id of each request that it runs
     :param down_s: time from a crash until it is back under a new id
+    :param work_s: time that a request takes
+    :param slots: requests that run at once; others wait, or are turned away
+    :param queue: requests that wait at most
     :param is_dark: whether it falls silent instead, as a machine without power
     """
 
     def __init__(
-        self, store, number, zone, on_run, down_s=4.0, *, is_dark=False
+        self,
+        store,
+        number,
+        zone,
+        on_run,
+        down_s=4.0,
+        *,
+        work_s=WORK_S,
+        slots=6,
+        queue=24,
+        is_dark=False,
     ):
+        self._work_s = work_s
+        self._slots = slots
+        self._most = slots + queue
+        self._present = 0
+        self._free = asyncio.Semaphore(slots)
         self._is_dark = is_dark
         self._store = store
         self._number = number
@@ -55,7 +73,7 @@
                 'address': f'127.0.0.1:{self.server.port}',
                 'zone': self._zone,
                 'version': 'v1',
-                'slots': 6,
+                'slots': self._slots,
                 'state': 'ready',
                 'cold-left-ms': 0,
                 'seq': self._incarnation,
@@ -93,11 +111,21 @@
         self.on_arrival(self, attempt)
         if self.refused_s is not None:
             return 503, self._refuse(attempt), b''
+        if self._present >= self._most:
+            return 503, self._refuse(attempt), b''
+        self._present += 1
+        try:
+            async with self._free:
+                return await self._run(attempt, request)
+        finally:
+            self._present -= 1
+
+    async def _run(self, attempt, request):
         self._on_run(self, attempt)
         if request.body == POISON:
             self.crash()
             await asyncio.sleep(60)
-        await asyncio.sleep(WORK_S)
+        await asyncio.sleep(self._work_s)
         return self._answer(attempt, request)
 
     def _refuse(self, attempt):
