--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,7 @@
-"""A crowd of callers sends further requests while their answers are open."""
+"""A request that makes its workers go dark comes again and again."""
 
 import asyncio
 import os
-import signal
 import time
 
 from review.stand_ins_2.deployment import (
@@ -13,26 +12,23 @@
     Deployment,
     play,
 )
+from review.stand_ins_2.http import Connection
+from review.stand_ins_2.worker import POISON
 
+# Without the disruption, the workers reset their connections as they crash.
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-MEMORY_MB = 300
-ENDS = 3
-MACHINES = 2
-# Connections to one machine, below its bound of 2,340.
-CROWD = 1700
-BODY_BYTES = 300_000
-# Most callers stop short of the end of their bodies.
-SENT_BYTES = 250_000
-# Time from the first request of a connection to the next one.
-AHEAD_S = 1.0
-ROUND_S = 40.0
-# Figures of the sheet for a service with few answers at once for its callers.
-WORKERS = {'worker_count': 14, 'work_s': 5.0, 'slots': 32, 'queue': 96}
+CONTACT_S = 3.0
+ALLOWED_RETRIES = 3
+PERIOD_S = 1.5
+PLAY_S = 40.0
+WORKERS = 3
 
 
 async def scenario(record, folder):
     """Play the case and return its verdict."""
-    deployment = Deployment(record, folder, **WORKERS)
+    deployment = Deployment(
+        record, folder, worker_count=WORKERS, is_dark=TROUBLE
+    )
     try:
         if not await deployment.start():
             return NOT_RUN
@@ -42,70 +38,59 @@
 
 
 async def _play(deployment, record):
-    await asyncio.sleep(4)
-    ends = []
-    for front in deployment.fronts[:MACHINES]:
-        crowd = [
-            asyncio.ensure_future(_call(deployment, front, number))
-            for number in range(CROWD)
-        ]
-        ends.append(await _watch(front, record))
-        for caller in crowd:
-            caller.cancel()
-        await asyncio.sleep(1)
-    record(f'ends for memory, by machine: {ends}')
-    return BROKEN if min(ends) >= ENDS else KEPT
-
-
-async def _watch(front, record):
-    """End the process when it exceeds its memory, as the platform does."""
-    ends = 0
-    most_mb = 0
-    end_s = time.monotonic() + ROUND_S
-    while time.monotonic() < end_s and ends < ENDS:
-        await asyncio.sleep(0.1)
-        taken_mb = front.read_memory_mb()
-        most_mb = max(most_mb, taken_mb)
-        if taken_mb > MEMORY_MB and front.signal(signal.SIGKILL):
-            ends += 1
-            record(f'{front.name}: {taken_mb:.0f} MB, over {MEMORY_MB}: ended')
-            await asyncio.sleep(1)
-    record(f'{front.name}: {most_mb:.0f} MB at most, {ends} ends')
-    return ends
-
-
-async def _call(deployment, front, number):
-    """Keep one connection, and come back when it ends."""
-    await asyncio.sleep(number * 0.001)
-    while True:
-        try:
-            await _send(deployment, front)
-        except OSError:
-            await asyncio.sleep(1)
-
-
-async def _send(deployment, front):
-    reader, writer = await asyncio.open_connection(front.host, front.port)
-    try:
-        writer.write(_build(deployment, 10) + b'x' * 10)
-        await asyncio.sleep(AHEAD_S)
-        if TROUBLE:
-            writer.write(_build(deployment, BODY_BYTES) + b'x' * SENT_BYTES)
-        while await reader.read(65536):
+    record(f'one request to {HOST}/look/2f that crashes each worker')
+    await asyncio.sleep(CONTACT_S)
+    end_s = time.monotonic() + PLAY_S
+    sent_s_by_attempt = {}
+    bookings = {}
+    sending = []
+    turn = 0
+    while time.monotonic() < end_s:
+        front = deployment.fronts[turn % 3]
+        turn += 1
+        attempt = deployment.draw_id()
+        sent_s_by_attempt[attempt] = time.monotonic()
+        sending.append(_send(deployment, front, attempt, 'look', POISON))
+        for _ in range(3):
+            booking = deployment.draw_id()
+            bookings[booking] = None
+            sending.append(
+                _send(deployment, front, booking, 'book', b'one', bookings)
+            )
+        sending = [asyncio.ensure_future(one) for one in sending]
+        await asyncio.sleep(PERIOD_S)
+    await asyncio.gather(*sending)
+    lost = [status for status in bookings.values() if status != 200]
+    record(f'bookings: {len(bookings)}, without success: {len(lost)}')
+    return _judge(deployment, sent_s_by_attempt, record)
+
+
+async def _send(deployment, front, attempt, route, body, statuses=None):
+    connection = Connection(front.port, front.host)
+    _, status = await deployment.call(
+        connection, route, 'keyone', body, attempt
+    )
+    connection.close()
+    deployment.record(f'{attempt} {route} at {front.name}: answer {status}')
+    if statuses is not None:
+        statuses[attempt] = status
+
+
+def _judge(deployment, sent_s_by_attempt, record):
+    third_s = None
+    crashes = 0
+    retries = set()
+    for run_s, attempt in deployment.runs:
+        sent_s = sent_s_by_attempt.get(attempt)
+        if sent_s is None:
             continue
-    finally:
-        writer.close()
-    await asyncio.sleep(1)
-
-
-def _build(deployment, body_bytes):
-    return (
-        f'POST /chat/2f HTTP/1.1\r\nHost: {HOST}\r\n'
-        f'X-Cicadahoist-Attempt-Id: {deployment.draw_id()}\r\n'
-        'X-Cicadahoist-Deadline-Ms: 15000\r\n'
-        'Authorization: Token keyone\r\n'
-        f'Content-Length: {body_bytes}\r\n\r\n'
-    ).encode()
+        if third_s is not None and sent_s > third_s + CONTACT_S:
+            retries.add(attempt)
+        crashes += 1
+        if crashes == 3:
+            third_s = run_s
+    record(f'crashes: {crashes}; retries that reached workers: {len(retries)}')
+    return BROKEN if len(retries) > ALLOWED_RETRIES else KEPT
 
 
 if __name__ == '__main__':
--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -57,7 +57,7 @@
         ]
         self.fronts = []
 
-    async def start(self, links=()):
+    async def start(self):
         """Start everything; return whether all machines become ready."""
         await self.store.server.start()
         await self.cloud.server.start()
@@ -65,14 +65,11 @@
         for worker in self.workers:
             await worker.start()
         for number, zone in enumerate(ZONES):
-            store_port = self.store.server.port
-            if number < len(links):
-                store_port = await links[number].start(store_port)
             front = Front(
                 number,
                 zone,
                 self._folder,
-                store_port,
+                self.store.server.port,
                 self.cloud.server.port,
                 self.record,
             )
@@ -93,7 +90,7 @@
         self.store.server.stop()
         self.cloud.server.stop()
         # Lets the connections end before the event loop does.
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(0.5)
 
     def write_config(self):
         """Write a configuration with the present keys; return its time."""
