Log and count answers to other requests, and attempts that cannot be told

Change: a log line for each skipped answer with what its connection has carried, two counters, and both figures in the line of an attempt. What is decided is the same.

--- a/cicadahoist/metrics.py
+++ b/cicadahoist/metrics.py
@@ -211,6 +211,23 @@
         'chunks',
     )
 )
+ANSWERS_SKIPPED = METRICS.declare(
+    MetricSpec(
+        'serving_answers_skipped',
+        'Answers of targets to other requests than the one that waited.',
+        operator_remedy='find the targets in the log, and see why they answer '
+        'twice',
+    )
+)
+ANSWERS_UNATTRIBUTED = METRICS.declare(
+    MetricSpec(
+        'serving_answers_unattributed',
+        'Attempts that were given up as their answer could not be told from '
+        'another one.',
+        operator_remedy='find the targets in the log, and see why they answer '
+        'twice, or break off an answer on a connection that goes on',
+    )
+)
 CLOSED_UNDER_REQUEST = METRICS.declare(
     MetricSpec(
         'serving_closed_under_request',
--- a/cicadahoist/platform/dialect.py
+++ b/cicadahoist/platform/dialect.py
@@ -138,7 +138,7 @@
             int(found[1]) * MS_PER_S if found else None,
             by_name.get(LEAVING.lower(), b'').strip() == b'1',
             _read_pause_ms(status, by_name),
-            names_request=bool(_read_text(by_name, ATTEMPT_ID)),
+            named_request=_read_text(by_name, ATTEMPT_ID),
         )
 
     def own_headers(
--- a/cicadahoist/requests.py
+++ b/cicadahoist/requests.py
@@ -176,7 +176,8 @@
     :param is_target_leaving: whether the target states that it leaves
     :param pause_ms: time for which the target wants no requests from this
         instance, none if it does not state this
-    :param names_request: whether the answer states which request it belongs to
+    :param named_request: id of the attempt that the answer states, empty if it
+        states none
     """
 
     meaning: AnswerMeaning
@@ -185,7 +186,7 @@
     idle_timeout_ms: int | None = None
     is_target_leaving: bool = False
     pause_ms: int | None = None
-    names_request: bool = True
+    named_request: str = ''
 
     @property
     def media_type(self) -> bytes:
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -10,6 +10,7 @@
 
 from cicadahoist.errors import NotSentError
 from cicadahoist.listings import Listing
+from cicadahoist.log import get_logger
 from cicadahoist.policy.caller_admission.memory_budget import HeldBytes
 from cicadahoist.policy.stream_continuity.answer_check import StreamFlaw
 from cicadahoist.requests import (
@@ -30,6 +31,8 @@
 )
 from cicadahoist.serving.target_connections import TargetConnections
 
+logger = get_logger(__name__)
+
 
 class Dialect(Protocol):
     """Translates between the wire format of the platform and the core."""
@@ -90,6 +93,8 @@
     :param is_relayed: whether it was sent through a peer
     :param silent_ms: time since the target last sent a byte to this attempt, or
         since its start
+    :param is_reused: whether its connection had carried other requests
+    :param skipped_count: answers to other requests that came before its own
     """
 
     outcome: AttemptOutcome
@@ -101,6 +106,8 @@
     is_relayed: bool = False
     ending: AnswerEnding | None = None
     silent_ms: int = 0
+    is_reused: bool = False
+    skipped_count: int = 0
 
 
 # Detail of an attempt that this instance ended because its target was silent.
@@ -109,6 +116,8 @@
 STRANDED = 'stranded'
 # The same because it cannot be told which request the answer belongs to.
 UNATTRIBUTED = 'unattributed'
+# Details of attempts whose answer cannot be told from another one.
+UNATTRIBUTABLE = frozenset((UNATTRIBUTED,))
 # Detail of a complete answer that lacks the signature of its target.
 UNSIGNED = 'unsigned'
 
@@ -142,9 +151,11 @@
         '_dialect',
         '_end_deferred',
         '_head',
+        '_is_reused',
         '_on_pieces',
         '_options',
         '_request',
+        '_skipped_count',
         '_stream',
         'is_direct',
         'is_paused',
@@ -179,6 +190,9 @@
         self._connection: TargetConnection | None = None
         self._end_deferred: Deferred[AttemptEnd] | None = Deferred()
         self._head: AnswerHead | None = None
+        # Whether a late answer to an earlier request may arrive.
+        self._is_reused = False
+        self._skipped_count = 0
         self.is_sent = False
         # Whether it was sent without a peer.
         self.is_direct = False
@@ -233,6 +247,7 @@
         self._connection = connection
         self.is_sent = True
         self.is_direct = not connection.peer
+        self._is_reused = connection.is_reused
         outgoing = h11.Request(
             method=self._request.method,
             target=self._request.path,
@@ -247,6 +262,7 @@
             self,
             pool,
             None if hold is None else hold.share(),
+            self._request.attempt_id,
         )
         return await end_deferred
 
@@ -287,8 +303,10 @@
         head = self._dialect.answer_head(self._request, status, headers)
         self.on_activity()
         if head.meaning is AnswerMeaning.foreign:
+            self._skipped_count += 1
+            _log_skipped(self._request, self.listing, head, self._connection)
             return False
-        if not head.names_request and _was_used(self._connection):
+        if not head.named_request and self._is_reused:
             self.abandon(UNATTRIBUTED)
             return False
         self._head = head
@@ -393,7 +411,17 @@
                 detail = detail or UNSIGNED
         body = bytes(self._body)
         self._body.clear()
-        self._end(AttemptEnd(outcome, head, body, detail, ending=ending))
+        self._end(
+            AttemptEnd(
+                outcome,
+                head,
+                body,
+                detail,
+                ending=ending,
+                is_reused=self._is_reused,
+                skipped_count=self._skipped_count,
+            )
+        )
 
     def _end(self, end: AttemptEnd) -> None:
         end_deferred = self._end_deferred
@@ -405,9 +433,27 @@
                 self.memory.release()
 
 
-def _was_used(connection: TargetConnection | None) -> bool:
-    """Return whether a late answer to an earlier request may arrive."""
-    return connection is not None and connection.is_reused
+def _log_skipped(
+    request: InboundRequest,
+    listing: Listing,
+    head: AnswerHead,
+    connection: TargetConnection | None,
+) -> None:
+    """Log an answer to another request, and what its connection has carried."""
+    named = head.named_request
+    log = logger.bind(
+        request=request.attempt_id,
+        target=listing.name,
+        named=named,
+        status=head.status,
+    )
+    if connection is not None:
+        log = log.bind(
+            is_reused=connection.is_reused,
+            is_earlier=named in connection.earlier_names,
+            is_relayed=bool(connection.peer),
+        )
+    log.info('answer to another request skipped')
 
 
 def _keep_options(options: SendOptions) -> SendOptions:
--- a/cicadahoist/serving/flow.py
+++ b/cicadahoist/serving/flow.py
@@ -16,7 +16,12 @@
     SendOptions,
 )
 from cicadahoist.rules import RouteRule
-from cicadahoist.serving.attempt import Attempt, AttemptEnd, AttemptOutcome
+from cicadahoist.serving.attempt import (
+    UNATTRIBUTABLE,
+    Attempt,
+    AttemptEnd,
+    AttemptOutcome,
+)
 from cicadahoist.serving.attempt_watch import AttemptWatch
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.crash_watch import CrashWatch
@@ -380,3 +385,6 @@
         context.meters.balance.count_rejection(target)
     elif meaning is AnswerMeaning.misplaced:
         context.fleet.exclude(target)
+    context.meters.record_attribution(
+        end.skipped_count, is_given_up=end.detail in UNATTRIBUTABLE
+    )
--- a/cicadahoist/serving/meters.py
+++ b/cicadahoist/serving/meters.py
@@ -2,6 +2,8 @@
 
 from cicadahoist.metrics import (
     ANSWERED,
+    ANSWERS_SKIPPED,
+    ANSWERS_UNATTRIBUTED,
     CLOSED_UNDER_REQUEST,
     COLLECTOR_CHANGES,
     CUT_BESIDE_CHANGE,
@@ -33,6 +35,8 @@
 
     __slots__ = (
         '_answered',
+        '_answers_skipped',
+        '_answers_unattributed',
         '_closed_under_request',
         '_collector_changes',
         '_cut_beside_change',
@@ -59,6 +63,8 @@
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         self._answered = metrics.counter(ANSWERED)
+        self._answers_skipped = metrics.counter(ANSWERS_SKIPPED)
+        self._answers_unattributed = metrics.counter(ANSWERS_UNATTRIBUTED)
         self._closed_under_request = metrics.counter(CLOSED_UNDER_REQUEST)
         self._cut_beside_change = metrics.counter(CUT_BESIDE_CHANGE)
         self._cut_otherwise = metrics.counter(CUT_OTHERWISE)
@@ -89,6 +95,20 @@
         """Count an answer whose only end was that of its connection."""
         self._ended_by_close.add(1)
 
+    def record_attribution(
+        self, skipped_count: int, *, is_given_up: bool
+    ) -> None:
+        """
+        Record whether the answer to an attempt could be told from others.
+
+        :param skipped_count: answers to other requests that came before it
+        :param is_given_up: whether the attempt ended as it could not be told
+        """
+        if skipped_count:
+            self._answers_skipped.add(skipped_count)
+        if is_given_up:
+            self._answers_unattributed.add(1)
+
     def count_end(self, *, is_cut: bool, is_beside_change: bool) -> None:
         """
         Count the end of a request.
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -1,6 +1,7 @@
 """HTTP connections to targets, parsed by h11."""
 
 import socket
+from collections import deque
 from enum import Enum
 from typing import Any, Protocol
 
@@ -23,6 +24,8 @@
 DEFAULT_IDLE_MS = 900
 # A target closes idle connections by its own clock, so reuse stops earlier.
 IDLE_MARGIN_MS = 400
+# Answers to older requests of a connection are not told from those of others.
+MAX_EARLIER_NAMES = 32
 # RFC 9110, section 15; h11 takes any number of three digits from 200.
 MAX_STATUS = 599
 
@@ -109,6 +112,9 @@
         self._has_skipped = False
         self._overhead = AnswerOverhead()
         self._body_sender: BodySender | None = None
+        self._name = ''
+        # Ids of the attempts that were sent before the one that waits.
+        self.earlier_names: deque[str] = deque(maxlen=MAX_EARLIER_NAMES)
         self.idle_timeout_ms = DEFAULT_IDLE_MS
         self.idle_since_ms = 0
         self.is_open = True
@@ -136,6 +142,7 @@
         receiver: Receiver,
         pool: Pool,
         hold: BodyHold | None = None,
+        name: str = '',
     ) -> None:
         """
         Send a complete request.
@@ -146,7 +153,11 @@
         :param pool: where the connection goes after the answer
         :param hold: the memory for the body, released once it is sent; none if
             it is not counted
+        :param name: id of the attempt, which its answer states
         """
+        if self._name:
+            self.earlier_names.append(self._name)
+        self._name = name
         self._sent_request = request
         self._receiver = receiver
         self._pool = pool
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -186,6 +186,8 @@
             status=end.head.status if end.head else None,
             detail=end.detail,
             silent_ms=end.silent_ms,
+            is_reused=end.is_reused,
+            skipped=end.skipped_count,
             left_ms=self._deadline.remaining_ms,
         ).info('attempt ended')
 
