Read answers of targets in one place

Change: serving/answers/reader.py reads the bytes that follow one request; a connection opens, sends, closes and goes back to its pool. What is decided is the same.

--- /dev/null
+++ b/cicadahoist/serving/answers/reader.py
@@ -0,0 +1,158 @@
+"""Reads the answer to one request; decides where it begins and ends."""
+
+from collections.abc import Callable
+from typing import Any
+
+import h11
+
+from cicadahoist.serving.answers.endings import (
+    AnswerEnding,
+    AnswerLoss,
+    Receiver,
+)
+from cicadahoist.serving.answers.overhead import AnswerOverhead
+
+# RFC 9110, section 15; h11 takes any number of three digits from 200.
+MAX_STATUS = 599
+
+
+class AnswerReader:
+    """
+    Reads the bytes that follow one request on its connection.
+
+    No other part of the data path decides which of these bytes answer the
+    request. Answers that the receiver takes for others are skipped.
+
+    :param request: the head of the request
+    :param receiver: receives the answer
+    :param on_end: called before the receiver learns the end, with whether the
+        connection can carry another request
+    """
+
+    __slots__ = (
+        '_ending',
+        '_has_skipped',
+        '_http',
+        '_is_skipping',
+        '_on_end',
+        '_overhead',
+        '_receiver',
+        '_request',
+    )
+
+    def __init__(
+        self,
+        request: h11.Request,
+        receiver: Receiver,
+        on_end: Callable[[bool], None],
+    ) -> None:
+        self._request = request
+        self._receiver: Receiver | None = receiver
+        self._on_end = on_end
+        self._http = h11.Connection(h11.CLIENT)
+        self._ending = AnswerEnding.stated
+        self._is_skipping = False
+        self._has_skipped = False
+        self._overhead = AnswerOverhead()
+
+    def encode_request(self, body: bytes) -> tuple[bytes, bytes]:
+        """Return the head and the body of the request as they are sent."""
+        head = self._http.send(self._request) or b''
+        framed_body = b''
+        if body:
+            framed_body = self._http.send(h11.Data(data=body)) or b''
+        self._http.send(h11.EndOfMessage())
+        return head, framed_body
+
+    def read(self, received: bytes) -> None:
+        """Process bytes of the connection."""
+        self._overhead.record_received(len(received))
+        self._parse(received, AnswerLoss.malformed)
+        if self._receiver is not None and self._overhead.is_too_long:
+            self.lose(AnswerLoss.too_long)
+
+    def read_close(self) -> None:
+        """Process a clean close, which ends an answer without a length."""
+        self._ending = AnswerEnding.closed
+        self._parse(b'', AnswerLoss.closed)
+        self.lose(AnswerLoss.closed)
+
+    def lose(self, cause: AnswerLoss) -> None:
+        """Report that the rest of the answer is lost, unless it has ended."""
+        receiver = self._receiver
+        if receiver is not None:
+            self._receiver = None
+            self._on_end(False)
+            receiver.answer_lost(cause)
+
+    def cancel(self) -> None:
+        """Report nothing any more."""
+        self._receiver = None
+
+    def _parse(self, received: bytes, loss: AnswerLoss) -> None:
+        """
+        Parse bytes, none for the end of the connection.
+
+        :param loss: what bytes that are no HTTP mean
+        """
+        try:
+            self._http.receive_data(received)
+            self._read_events()
+        except h11.RemoteProtocolError:
+            self.lose(loss)
+
+    def _read_events(self) -> None:
+        while self._receiver is not None:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            self._overhead.record_event(event, is_skipped=self._is_skipping)
+            self._process_event(event, self._receiver)
+
+    def _process_event(self, event: Any, receiver: Receiver) -> None:
+        if isinstance(event, h11.Response):
+            self._process_head(event, receiver)
+        elif isinstance(event, h11.Data) and not self._is_skipping:
+            receiver.body_received(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._end_answer(receiver)
+        elif isinstance(event, h11.ConnectionClosed):
+            self.lose(AnswerLoss.closed)
+
+    def _process_head(self, response: h11.Response, receiver: Receiver) -> None:
+        if response.status_code > MAX_STATUS:
+            self.lose(AnswerLoss.malformed)
+            return
+        headers = [
+            (bytes(name), bytes(text)) for name, text in response.headers
+        ]
+        is_for_this_attempt = receiver.head_received(
+            response.status_code, headers
+        )
+        self._is_skipping = not is_for_this_attempt
+
+    def _end_answer(self, receiver: Receiver) -> None:
+        if self._is_skipping:
+            self._read_next_answer()
+            return
+        self._receiver = None
+        self._on_end(self._is_connection_reusable())
+        receiver.answer_ended(self._ending)
+
+    def _read_next_answer(self) -> None:
+        """Continue after the skipped late answer to an earlier request."""
+        rest, _ = self._http.trailing_data
+        self._http = h11.Connection(h11.CLIENT)
+        self._is_skipping = False
+        self._has_skipped = True
+        length = dict(self._request.headers).get(b'content-length', b'0')
+        self.encode_request(bytes(int(length)))
+        if rest:
+            # h11 takes an empty piece for the end of the connection.
+            self._http.receive_data(rest)
+
+    def _is_connection_reusable(self) -> bool:
+        """Return whether the next bytes can only be those of a new answer."""
+        http = self._http
+        is_done = (http.our_state, http.their_state) == (h11.DONE, h11.DONE)
+        return is_done and not http.trailing_data[0] and not self._has_skipped
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -22,13 +22,9 @@
     SendOptions,
 )
 from cicadahoist.rules import CallerLimits
+from cicadahoist.serving.answers.endings import AnswerEnding, AnswerLoss
 from cicadahoist.serving.event_stream import EventStream
-from cicadahoist.serving.outbound import (
-    IDLE_MARGIN_MS,
-    AnswerEnding,
-    AnswerLoss,
-    TargetConnection,
-)
+from cicadahoist.serving.outbound import IDLE_MARGIN_MS, TargetConnection
 from cicadahoist.serving.target_connections import TargetConnections
 
 logger = get_logger(__name__)
--- a/cicadahoist/serving/attempt_results.py
+++ b/cicadahoist/serving/attempt_results.py
@@ -3,8 +3,8 @@
 from cicadahoist.policy.caller_admission.promise_status import may_pass_on
 from cicadahoist.policy.stream_continuity.answer_check import StreamFlaw
 from cicadahoist.requests import AnswerMeaning
+from cicadahoist.serving.answers.endings import AnswerLoss
 from cicadahoist.serving.attempt import AttemptEnd, AttemptOutcome
-from cicadahoist.serving.outbound import AnswerLoss
 
 HTTP_SERVER_ERROR = 500
 # How a target ends an answer that it does not complete. All other losses are
--- a/cicadahoist/serving/prompt_watch.py
+++ b/cicadahoist/serving/prompt_watch.py
@@ -3,10 +3,10 @@
 from cicadahoist.listings import Listing
 from cicadahoist.policy.crash_containment import BegunRun
 from cicadahoist.requests import AnswerHead, AnswerMeaning, ModelWork
+from cicadahoist.serving.answers.endings import AnswerEnding
 from cicadahoist.serving.attempt import AttemptEnd, AttemptOutcome, OnPieces
 from cicadahoist.serving.attempt_results import is_broken_off
 from cicadahoist.serving.context import ServingContext
-from cicadahoist.serving.outbound import AnswerEnding
 from cicadahoist.serving.target_crashes import BEGUN_MS, LostRun
 
 
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -8,11 +8,11 @@
 from cicadahoist.reasons import Refusal
 from cicadahoist.requests import AnswerHead, InboundRequest
 from cicadahoist.rules import RouteRule
+from cicadahoist.serving.answers.endings import AnswerEnding
 from cicadahoist.serving.attempt import AttemptEnd
 from cicadahoist.serving.context import ServingContext
 from cicadahoist.serving.deadline import Deadline
 from cicadahoist.serving.inbound import Exchange
-from cicadahoist.serving.outbound import AnswerEnding
 
 logger = get_logger(__name__)
 
--- a/tests/test_serving/test_cut_heads.py
+++ b/tests/test_serving/test_cut_heads.py
@@ -11,7 +11,8 @@
 from twisted.internet.error import ConnectionDone, ConnectionLost
 
 from cicadahoist.clock import Clock
-from cicadahoist.serving.outbound import AnswerLoss, TargetConnection
+from cicadahoist.serving.answers.endings import AnswerLoss
+from cicadahoist.serving.outbound import TargetConnection
 from cicadahoist.serving.target_pool import TargetPool
 from tests.test_serving.relay_world import Answer, relay_world, reset
 from tests.test_serving.world import (
--- a/tests/test_serving/test_endless_answers.py
+++ b/tests/test_serving/test_endless_answers.py
@@ -10,7 +10,7 @@
 from cicadahoist.outside.bodies import MAX_EVENT_BYTES
 from cicadahoist.policy.caller_admission.caller_limits import DEFAULT_NOTICE_MS
 from cicadahoist.rules import CallerLimits
-from cicadahoist.serving.answer_overhead import (
+from cicadahoist.serving.answers.overhead import (
     MAX_INTERIM_HEADS,
     MAX_OVERHEAD_BYTES,
 )
--- a/tests/test_serving/test_odd_answers.py
+++ b/tests/test_serving/test_odd_answers.py
@@ -9,7 +9,7 @@
 import h11
 import pytest
 
-from cicadahoist.serving.outbound import AnswerLoss
+from cicadahoist.serving.answers.endings import AnswerLoss
 from tests.test_serving.relay_world import (
     Answer,
     read_some,
--- a/tests/test_serving/test_relay_client.py
+++ b/tests/test_serving/test_relay_client.py
@@ -12,7 +12,7 @@
 from twisted.internet.defer import CancelledError
 
 from cicadahoist.reasons import RelayRefusal
-from cicadahoist.serving.outbound import AnswerEnding
+from cicadahoist.serving.answers.endings import AnswerEnding
 from cicadahoist.serving.relay_client import (
     OPEN_TIMEOUT_MS,
     RelayError,
--- a/tests/test_serving/test_relay_server.py
+++ b/tests/test_serving/test_relay_server.py
@@ -13,7 +13,7 @@
 import pytest
 
 from cicadahoist.policy.link_queue import LinkQueue
-from cicadahoist.serving.outbound import AnswerEnding, AnswerLoss
+from cicadahoist.serving.answers.endings import AnswerEnding, AnswerLoss
 from cicadahoist.serving.relay_admission import RelayAdmission
 from cicadahoist.serving.relay_connection import REQUEST_TIMEOUT_MS
 from cicadahoist.serving.relay_messages import OPENED, encode_request
--- a/tests/test_serving/test_relayed_targets.py
+++ b/tests/test_serving/test_relayed_targets.py
@@ -11,8 +11,8 @@
 from twisted.python.failure import Failure
 
 from cicadahoist.errors import NotSentError
-from cicadahoist.serving.answer_overhead import MAX_INTERIM_HEADS
-from cicadahoist.serving.outbound import AnswerEnding, AnswerLoss
+from cicadahoist.serving.answers.endings import AnswerEnding, AnswerLoss
+from cicadahoist.serving.answers.overhead import MAX_INTERIM_HEADS
 from cicadahoist.serving.relay_peers import RelayState
 from cicadahoist.serving.target_connections import TargetConnections
 from tests.coroutines import Pending
