Take a head that holds the beginning of another one for no answer

What callers saw: the status of another answer, under the name and the signature of their own; or 504 after a wait to the deadline. Cause: a target that answers twice breaks off the late copy inside its head and goes on with the next answer. The status line of that one continues a header or the reason of the copy, so that both are parsed as one head: the status is the copy's, the name the next answer's. If the copy had named its request before, the first name counted, and the real answer was skipped as foreign. Change: a head, an interim head or trailers that hold a status line are of two answers, and so is a head that names two requests or two signatures. The attempt is lost at once; a request that may be repeated goes elsewhere.

--- a/cicadahoist/platform/dialect.py
+++ b/cicadahoist/platform/dialect.py
@@ -130,9 +130,12 @@
             for name, content in headers
             if name not in CONNECTION_HEADERS
         ]
+        meaning = _classify_answer(request, status, by_name)
+        if _is_ambiguous(headers):
+            meaning = AnswerMeaning.ambiguous
         found = _KEEP_ALIVE_TIMEOUT.search(by_name.get(b'keep-alive', b''))
         return AnswerHead(
-            _classify_answer(request, status, by_name),
+            meaning,
             status,
             forwarded,
             int(found[1]) * MS_PER_S if found else None,
@@ -190,6 +193,14 @@
     return AnswerMeaning.failure
 
 
+def _is_ambiguous(headers: HeaderList) -> bool:
+    """Return whether an answer names several requests or signatures."""
+    for identity in (ATTEMPT_ID.lower(), SIGNATURE.lower()):
+        if len({content for name, content in headers if name == identity}) > 1:
+            return True
+    return False
+
+
 def _read_pause_ms(status: int, by_name: dict[bytes, bytes]) -> int | None:
     """Return the pause that a target asks for, none if it asks for none."""
     text = by_name.get(RETRY_AFTER.lower(), b'').strip()
--- /dev/null
+++ b/cicadahoist/policy/answer_bounds/__init__.py
@@ -0,0 +1,1 @@
+"""Signs that bytes of a target belong to more than one answer."""
--- a/cicadahoist/requests.py
+++ b/cicadahoist/requests.py
@@ -153,14 +153,16 @@
 
     ``not_run``: the target did not run the request. ``misplaced``: another
     target has this address now. ``foreign``: the answer belongs to another
-    request. ``unsigned``: a success without the signature of the target, which
-    must not reach a caller. ``whole``: a success. ``failure``: the target ran
-    the request, and the request failed.
+    request. ``ambiguous``: it names several requests, or several signatures.
+    ``unsigned``: a success without the signature of the target, which must not
+    reach a caller. ``whole``: a success. ``failure``: the target ran the
+    request, and the request failed.
     """
 
     not_run = 'not-run'
     misplaced = 'misplaced'
     foreign = 'foreign'
+    ambiguous = 'ambiguous'
     unsigned = 'unsigned'
     whole = 'whole'
     failure = 'failure'
--- a/cicadahoist/serving/answers/reader.py
+++ b/cicadahoist/serving/answers/reader.py
@@ -5,6 +5,8 @@
 
 import h11
 
+from cicadahoist.policy.answer_bounds.joined_heads import is_joined_head
+from cicadahoist.requests import HeaderList
 from cicadahoist.serving.answers.endings import (
     AnswerEnding,
     AnswerLoss,
@@ -107,37 +109,53 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             self._overhead.record_event(event, is_skipped=self._is_skipping)
-            self._process_event(event, self._receiver)
-
-    def _process_event(self, event: Any, receiver: Receiver) -> None:
-        if isinstance(event, h11.Response):
-            self._process_head(event, receiver)
-        elif isinstance(event, h11.Data) and not self._is_skipping:
-            receiver.body_received(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            self._end_answer(receiver)
-        elif isinstance(event, h11.ConnectionClosed):
-            self.lose(AnswerLoss.closed)
-
-    def _process_head(self, response: h11.Response, receiver: Receiver) -> None:
+            _PROCESSORS[type(event)](self, event)
+
+    def _process_interim_head(self, event: h11.InformationalResponse) -> None:
+        self._check_head(_list_headers(event), event.reason)
+
+    def _process_head(self, response: h11.Response) -> None:
         if response.status_code > MAX_STATUS:
             self.lose(AnswerLoss.malformed)
             return
-        headers = [
-            (bytes(name), bytes(text)) for name, text in response.headers
-        ]
-        is_for_this_attempt = receiver.head_received(
+        headers = _list_headers(response)
+        if self._receiver is None or not self._check_head(
+            headers, response.reason
+        ):
+            return
+        is_for_this_attempt = self._receiver.head_received(
             response.status_code, headers
         )
         self._is_skipping = not is_for_this_attempt
 
-    def _end_answer(self, receiver: Receiver) -> None:
+    def _process_piece(self, event: h11.Data) -> None:
+        if self._receiver is not None and not self._is_skipping:
+            self._receiver.body_received(bytes(event.data))
+
+    def _process_end(self, event: h11.EndOfMessage) -> None:
+        if not self._check_head(_list_headers(event)):
+            return
         if self._is_skipping:
             self._read_next_answer()
-            return
-        self._receiver = None
-        self._on_end(self._is_connection_reusable())
-        receiver.answer_ended(self._ending)
+        else:
+            self._end_answer()
+
+    def _process_close(self, event: h11.ConnectionClosed) -> None:
+        self.lose(AnswerLoss.closed)
+
+    def _check_head(self, headers: HeaderList, reason: bytes = b'') -> bool:
+        """Return whether headers or trailers are of one answer; lose others."""
+        is_joined = is_joined_head(headers, reason)
+        if is_joined:
+            self.lose(AnswerLoss.joined)
+        return not is_joined
+
+    def _end_answer(self) -> None:
+        receiver = self._receiver
+        if receiver is not None:
+            self._receiver = None
+            self._on_end(not self._has_skipped and _is_quiet(self._http))
+            receiver.answer_ended(self._ending)
 
     def _read_next_answer(self) -> None:
         """Continue after the skipped late answer to an earlier request."""
@@ -151,8 +169,21 @@
             # h11 takes an empty piece for the end of the connection.
             self._http.receive_data(rest)
 
-    def _is_connection_reusable(self) -> bool:
-        """Return whether the next bytes can only be those of a new answer."""
-        http = self._http
-        is_done = (http.our_state, http.their_state) == (h11.DONE, h11.DONE)
-        return is_done and not http.trailing_data[0] and not self._has_skipped
+
+_PROCESSORS: dict[type, Callable[[AnswerReader, Any], None]] = {
+    h11.InformationalResponse: AnswerReader._process_interim_head,
+    h11.Response: AnswerReader._process_head,
+    h11.Data: AnswerReader._process_piece,
+    h11.EndOfMessage: AnswerReader._process_end,
+    h11.ConnectionClosed: AnswerReader._process_close,
+}
+
+
+def _list_headers(event: Any) -> HeaderList:
+    return [(bytes(name), bytes(text)) for name, text in event.headers]
+
+
+def _is_quiet(http: h11.Connection) -> bool:
+    """Return whether an answer has ended, and nothing has come behind it."""
+    is_done = (http.our_state, http.their_state) == (h11.DONE, h11.DONE)
+    return is_done and not http.trailing_data[0]
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -113,7 +113,7 @@
 # The same because it cannot be told which request the answer belongs to.
 UNATTRIBUTED = 'unattributed'
 # Details of attempts whose answer cannot be told from another one.
-UNATTRIBUTABLE = frozenset((UNATTRIBUTED,))
+UNATTRIBUTABLE = frozenset((UNATTRIBUTED, AnswerLoss.joined.value))
 # Detail of a complete answer that lacks the signature of its target.
 UNSIGNED = 'unsigned'
 
@@ -302,7 +302,8 @@
             self._skipped_count += 1
             _log_skipped(self._request, self.listing, head, self._connection)
             return False
-        if not head.named_request and self._is_reused:
+        is_unnamed = not head.named_request and self._is_reused
+        if is_unnamed or head.meaning is AnswerMeaning.ambiguous:
             self.abandon(UNATTRIBUTED)
             return False
         self._head = head
--- a/cicadahoist/serving/attempt_results.py
+++ b/cicadahoist/serving/attempt_results.py
@@ -18,8 +18,16 @@
         StreamFlaw.no_event,
     )
 )
-# What no target sends that works: no HTTP, or more than an answer may hold.
-_JUNK = frozenset((AnswerLoss.malformed.value, AnswerLoss.too_long.value))
+# What no target sends that works: no HTTP, two answers in one, or more than an
+# answer may hold.
+_JUNK = frozenset(
+    cause.value
+    for cause in (
+        AnswerLoss.malformed,
+        AnswerLoss.joined,
+        AnswerLoss.too_long,
+    )
+)
 
 
 def is_final(end: AttemptEnd) -> bool:
--- a/tests/test_serving/test_answers/copies.py
+++ b/tests/test_serving/test_answers/copies.py
@@ -46,11 +46,9 @@
     world.send_request(path, *headers, method=method, **fields)
     first = world.sent[0]
     first.answer()
-    world.add(target('t2'))
-    world.connections.refusing_targets = {'t2'}
     caller = world.send_request(path, *headers, method=method, **fields)
     again = world.sent[-1]
     assert again.connection is first.connection
     assert again.connection.is_reused
-    world.connections.refusing_targets = set()
+    world.add(target('t2'))
     return world, caller, first, again
