--- a/cicadahoist/requests.py
+++ b/cicadahoist/requests.py
@@ -153,14 +153,16 @@
 
     ``not_run``: the target did not run the request. ``misplaced``: another
     target has this address now. ``foreign``: the answer belongs to another
-    request. ``unsigned``: a success without the signature of the target, which
-    must not reach a caller. ``whole``: a success. ``failure``: the target ran
-    the request, and the request failed.
+    request. ``ambiguous``: it names several requests, or several signatures.
+    ``unsigned``: a success without the signature of the target, which must not
+    reach a caller. ``whole``: a success. ``failure``: the target ran the
+    request, and the request failed.
     """
 
     not_run = 'not-run'
     misplaced = 'misplaced'
     foreign = 'foreign'
+    ambiguous = 'ambiguous'
     unsigned = 'unsigned'
     whole = 'whole'
     failure = 'failure'
@@ -176,7 +178,8 @@
     :param is_target_leaving: whether the target states that it leaves
     :param pause_ms: time for which the target wants no requests from this
         instance, none if it does not state this
-    :param names_request: whether the answer states which request it belongs to
+    :param named_request: id of the attempt that the answer states, empty if it
+        states none
     """
 
     meaning: AnswerMeaning
@@ -185,7 +188,7 @@
     idle_timeout_ms: int | None = None
     is_target_leaving: bool = False
     pause_ms: int | None = None
-    names_request: bool = True
+    named_request: str = ''
 
     @property
     def media_type(self) -> bytes:
--- a/cicadahoist/serving/attempt_results.py
+++ b/cicadahoist/serving/attempt_results.py
@@ -3,8 +3,8 @@
 from cicadahoist.policy.caller_admission.promise_status import may_pass_on
 from cicadahoist.policy.stream_continuity.answer_check import StreamFlaw
 from cicadahoist.requests import AnswerMeaning
+from cicadahoist.serving.answers.endings import AnswerLoss
 from cicadahoist.serving.attempt import AttemptEnd, AttemptOutcome
-from cicadahoist.serving.outbound import AnswerLoss
 
 HTTP_SERVER_ERROR = 500
 # How a target ends an answer that it does not complete. All other losses are
@@ -18,8 +18,16 @@
         StreamFlaw.no_event,
     )
 )
-# What no target sends that works: no HTTP, or more than an answer may hold.
-_JUNK = frozenset((AnswerLoss.malformed.value, AnswerLoss.too_long.value))
+# What no target sends that works: no HTTP, two answers in one, or more than an
+# answer may hold.
+_JUNK = frozenset(
+    cause.value
+    for cause in (
+        AnswerLoss.malformed,
+        AnswerLoss.joined,
+        AnswerLoss.too_long,
+    )
+)
 
 
 def is_final(end: AttemptEnd) -> bool:
