Read nothing behind a skipped answer that holds the next one's head

What callers can see: text from the body of their answer, told as the answer itself with its signature, where the answer was another one. Cause: an answer that names another request is skipped by its own framing, and what follows is read on. Where a late copy breaks off in its body or its trailers, these take the head of the next answer; what is left of that answer's body is then read as an answer, and a body may hold any text. Change: while an answer is skipped, its bytes are searched for a head that names the request that waits. If one is found, or the skipped bytes end within a head, the attempt is lost. Such a head cannot be part of a copy that was made before the request was sent.

--- a/cicadahoist/serving/answers/endings.py
+++ b/cicadahoist/serving/answers/endings.py
@@ -22,15 +22,16 @@
     """
     Why an answer is incomplete, by its framing or by what it holds.
 
-    ``joined``: its bytes hold the beginning of another answer, so that it
-    cannot be told which are its own. ``too_long``: more than an answer, its
-    overhead or an event may hold. ``no_memory``: this instance has no room for
-    the answer.
+    ``foreign``: only an answer to another request can still come. ``joined``:
+    its bytes hold the beginning of another answer, so that it cannot be told
+    which are its own. ``too_long``: more than an answer, its overhead or an
+    event may hold. ``no_memory``: this instance has no room for the answer.
     """
 
     closed = 'closed'
     reset = 'reset'
     malformed = 'malformed'
+    foreign = 'foreign'
     joined = 'joined'
     too_long = 'too-long'
     no_memory = 'no-memory'
--- a/cicadahoist/serving/answers/reader.py
+++ b/cicadahoist/serving/answers/reader.py
@@ -1,12 +1,13 @@
 """Reads the answer to one request; decides where it begins and ends."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import h11
 
 from cicadahoist.policy.answer_bounds.joined_heads import is_joined_head
 from cicadahoist.requests import HeaderList
+from cicadahoist.serving.answers.body import AnswerBody
 from cicadahoist.serving.answers.endings import (
     AnswerEnding,
     AnswerLoss,
@@ -26,16 +27,19 @@
     request. Answers that the receiver takes for others are skipped.
 
     :param request: the head of the request
+    :param name: id of the attempt, which its answer states
+    :param earlier_names: ids of the attempts before it on the connection
     :param receiver: receives the answer
     :param on_end: called before the receiver learns the end, with whether the
         connection can carry another request
     """
 
     __slots__ = (
+        '_body',
         '_ending',
         '_has_skipped',
         '_http',
-        '_is_skipping',
+        '_names',
         '_on_end',
         '_overhead',
         '_receiver',
@@ -45,15 +49,19 @@
     def __init__(
         self,
         request: h11.Request,
+        name: str,
+        earlier_names: Iterable[str],
         receiver: Receiver,
         on_end: Callable[[bool], None],
     ) -> None:
         self._request = request
+        self._names = (name, *earlier_names)
         self._receiver: Receiver | None = receiver
         self._on_end = on_end
         self._http = h11.Connection(h11.CLIENT)
         self._ending = AnswerEnding.stated
-        self._is_skipping = False
+        # Body that the next bytes belong to, none before its head.
+        self._body: AnswerBody | None = None
         self._has_skipped = False
         self._overhead = AnswerOverhead()
 
@@ -108,7 +116,11 @@
             event = self._http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
-            self._overhead.record_event(event, is_skipped=self._is_skipping)
+            if isinstance(event, h11.ConnectionClosed):
+                self.lose(AnswerLoss.closed)
+                return
+            is_skipped = self._body is not None and self._body.is_skipped
+            self._overhead.record_event(event, is_skipped=is_skipped)
             _PROCESSORS[type(event)](self, event)
 
     def _process_interim_head(self, event: h11.InformationalResponse) -> None:
@@ -123,25 +135,33 @@
             headers, response.reason
         ):
             return
-        is_for_this_attempt = self._receiver.head_received(
-            response.status_code, headers
+        is_own = self._receiver.head_received(response.status_code, headers)
+        self._body = AnswerBody.from_head(
+            self._request, response, self._names, is_skipped=not is_own
         )
-        self._is_skipping = not is_for_this_attempt
 
     def _process_piece(self, event: h11.Data) -> None:
-        if self._receiver is not None and not self._is_skipping:
-            self._receiver.body_received(bytes(event.data))
+        if self._body is not None:
+            self._deliver(self._body.feed(bytes(event.data)), self._body)
 
     def _process_end(self, event: h11.EndOfMessage) -> None:
-        if not self._check_head(_list_headers(event)):
+        body = self._body
+        if body is None or not self._check_head(_list_headers(event)):
+            return
+        self._deliver(body.end(), body)
+        if self._receiver is None:
             return
-        if self._is_skipping:
+        if body.is_skipped:
             self._read_next_answer()
         else:
-            self._end_answer()
+            self._end_answer(self._receiver)
 
-    def _process_close(self, event: h11.ConnectionClosed) -> None:
-        self.lose(AnswerLoss.closed)
+    def _deliver(self, piece: bytes, body: AnswerBody) -> None:
+        """Pass a piece of a body on, unless two answers run into each other."""
+        if body.is_joined:
+            self.lose(AnswerLoss.joined)
+        elif piece and self._receiver is not None:
+            self._receiver.body_received(piece)
 
     def _check_head(self, headers: HeaderList, reason: bytes = b'') -> bool:
         """Return whether headers or trailers are of one answer; lose others."""
@@ -150,18 +170,16 @@
             self.lose(AnswerLoss.joined)
         return not is_joined
 
-    def _end_answer(self) -> None:
-        receiver = self._receiver
-        if receiver is not None:
-            self._receiver = None
-            self._on_end(not self._has_skipped and _is_quiet(self._http))
-            receiver.answer_ended(self._ending)
+    def _end_answer(self, receiver: Receiver) -> None:
+        self._receiver = None
+        self._on_end(not self._has_skipped and _is_quiet(self._http))
+        receiver.answer_ended(self._ending)
 
     def _read_next_answer(self) -> None:
         """Continue after the skipped late answer to an earlier request."""
         rest, _ = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT)
-        self._is_skipping = False
+        self._body = None
         self._has_skipped = True
         length = dict(self._request.headers).get(b'content-length', b'0')
         self.encode_request(bytes(int(length)))
@@ -175,7 +193,6 @@
     h11.Response: AnswerReader._process_head,
     h11.Data: AnswerReader._process_piece,
     h11.EndOfMessage: AnswerReader._process_end,
-    h11.ConnectionClosed: AnswerReader._process_close,
 }
 
 
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -113,7 +113,9 @@
 # The same because it cannot be told which request the answer belongs to.
 UNATTRIBUTED = 'unattributed'
 # Details of attempts whose answer cannot be told from another one.
-UNATTRIBUTABLE = frozenset((UNATTRIBUTED, AnswerLoss.joined.value))
+UNATTRIBUTABLE = frozenset(
+    (UNATTRIBUTED, AnswerLoss.joined.value, AnswerLoss.foreign.value)
+)
 # Detail of a complete answer that lacks the signature of its target.
 UNSIGNED = 'unsigned'
 
--- a/cicadahoist/serving/attempt_results.py
+++ b/cicadahoist/serving/attempt_results.py
@@ -18,12 +18,13 @@
         StreamFlaw.no_event,
     )
 )
-# What no target sends that works: no HTTP, two answers in one, or more than an
-# answer may hold.
+# What no target sends that works: no HTTP, the answer to another request, two
+# answers in one, or more than an answer may hold.
 _JUNK = frozenset(
     cause.value
     for cause in (
         AnswerLoss.malformed,
+        AnswerLoss.foreign,
         AnswerLoss.joined,
         AnswerLoss.too_long,
     )
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -104,7 +104,9 @@
             self.earlier_names.append(self._name)
         self._name = name
         self._pool = pool
-        self._reader = AnswerReader(request, receiver, self._release_or_close)
+        self._reader = AnswerReader(
+            request, name, self.earlier_names, receiver, self._release_or_close
+        )
         head, framed_body = self._reader.encode_request(body)
         self._body_sender = BodySender(self.transport, framed_body, hold)
         self._body_sender.start(head)
