Take no bytes of a copy for the end of an answer without a length

What callers saw: an answer without a length with a copy behind it, head and all, told as whole (716 of 8,878 requests where a tenth of all answers were sent so). Cause: where neither a length nor chunks state the end, every byte before the close is the body. A copy behind it comes before the close. Change: such a body is searched for the head of another answer to this request, or to an earlier one of its connection, and may not end within a head that begins with its own status line. If there is one, the attempt is lost: the bytes before it need not be the whole body. Text that only looks like a head is passed on. An answer without a length to another request ends the attempt at once, as nothing can follow it. Why this works: a target names the request that it answers, and no other part of a body repeats that name in a head.

--- a/cicadahoist/policy/answer_bounds/embedded_heads.py
+++ b/cicadahoist/policy/answer_bounds/embedded_heads.py
@@ -70,9 +70,8 @@
         """Return the rest of the body; it may end within a head, however."""
         held = self._held
         self._held = b''
-        if self._may_be_cut_head(held):
-            self.has_found = True
-        return held
+        self.has_found = self.has_found or self._may_be_cut_head(held)
+        return b'' if self.has_found else held
 
     def _names_request(self, head: bytes) -> bool:
         return bool(self._name_line and self._name_line.search(head))
--- a/cicadahoist/serving/answers/body.py
+++ b/cicadahoist/serving/answers/body.py
@@ -55,6 +55,8 @@
         if is_skipped:
             # A target that has broken off here goes on with the next answer.
             search = EmbeddedHeadSearch(names[:1])
+        elif not is_end_stated:
+            search = EmbeddedHeadSearch(names, _build_status_line(response))
         return cls(
             is_skipped=is_skipped, is_end_stated=is_end_stated, search=search
         )
@@ -80,3 +82,9 @@
     if request.method == b'HEAD' or response.status_code in BODILESS_STATUSES:
         return True
     return any(name in FRAMING_HEADERS for name, _ in response.headers)
+
+
+def _build_status_line(response: h11.Response) -> bytes:
+    version = b'HTTP/%s' % response.http_version
+    parts = (version, b'%d' % response.status_code, response.reason)
+    return b' '.join(parts).strip()
--- a/cicadahoist/serving/answers/reader.py
+++ b/cicadahoist/serving/answers/reader.py
@@ -139,6 +139,9 @@
         self._body = AnswerBody.from_head(
             self._request, response, self._names, is_skipped=not is_own
         )
+        if not is_own and not self._body.is_end_stated:
+            # The answer that is awaited cannot follow.
+            self.lose(AnswerLoss.foreign)
 
     def _process_piece(self, event: h11.Data) -> None:
         if self._body is not None:
@@ -157,11 +160,11 @@
             self._end_answer(self._receiver)
 
     def _deliver(self, piece: bytes, body: AnswerBody) -> None:
-        """Pass a piece of a body on, unless two answers run into each other."""
+        """Pass a piece on; lose the rest where another answer begins."""
+        if piece and self._receiver is not None:
+            self._receiver.body_received(piece)
         if body.is_joined:
             self.lose(AnswerLoss.joined)
-        elif piece and self._receiver is not None:
-            self._receiver.body_received(piece)
 
     def _check_head(self, headers: HeaderList, reason: bytes = b'') -> bool:
         """Return whether headers or trailers are of one answer; lose others."""
