Send requests whose answers have no body on connections of their own

Cause: the framing of an answer depends on the method of its request: that to HEAD has no body, whatever its length states. A late copy of such an answer, read as that of a GET, takes the next answer for its body; the copy of a GET, read as that of a HEAD, leaves its body to be read as an answer. Change: HEAD and CONNECT get a new connection, which is closed behind their answer.

--- a/cicadahoist/serving/answers/body.py
+++ b/cicadahoist/serving/answers/body.py
@@ -6,6 +6,8 @@
 
 # RFC 9112, section 6.3.
 BODILESS_STATUSES = frozenset((204, 304))
+# Their answers have no body, whatever their headers state.
+ODDLY_FRAMED_METHODS = frozenset((b'HEAD', b'CONNECT'))
 FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 
 
@@ -79,7 +81,8 @@
 
 
 def _is_end_stated(request: h11.Request, response: h11.Response) -> bool:
-    if request.method == b'HEAD' or response.status_code in BODILESS_STATUSES:
+    is_bodiless = response.status_code in BODILESS_STATUSES
+    if is_bodiless or request.method in ODDLY_FRAMED_METHODS:
         return True
     return any(name in FRAMING_HEADERS for name, _ in response.headers)
 
--- a/cicadahoist/serving/answers/reader.py
+++ b/cicadahoist/serving/answers/reader.py
@@ -7,7 +7,7 @@
 
 from cicadahoist.policy.answer_bounds.joined_heads import is_joined_head
 from cicadahoist.requests import HeaderList
-from cicadahoist.serving.answers.body import AnswerBody
+from cicadahoist.serving.answers.body import ODDLY_FRAMED_METHODS, AnswerBody
 from cicadahoist.serving.answers.endings import (
     AnswerEnding,
     AnswerLoss,
@@ -175,7 +175,9 @@
 
     def _end_answer(self, receiver: Receiver) -> None:
         self._receiver = None
-        self._on_end(not self._has_skipped and _is_quiet(self._http))
+        is_plain = self._request.method not in ODDLY_FRAMED_METHODS
+        is_known = is_plain and not self._has_skipped
+        self._on_end(is_known and _is_quiet(self._http))
         receiver.answer_ended(self._ending)
 
     def _read_next_answer(self) -> None:
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -22,6 +22,7 @@
     SendOptions,
 )
 from cicadahoist.rules import CallerLimits
+from cicadahoist.serving.answers.body import ODDLY_FRAMED_METHODS
 from cicadahoist.serving.answers.endings import AnswerEnding, AnswerLoss
 from cicadahoist.serving.event_stream import EventStream
 from cicadahoist.serving.outbound import IDLE_MARGIN_MS, TargetConnection
@@ -230,9 +231,12 @@
         end_deferred = self._end_deferred
         if end_deferred is None:
             return AttemptEnd(AttemptOutcome.stopped)
+        # A late copy is framed by the method of the request that it answers.
+        has_odd_framing = self._request.method in ODDLY_FRAMED_METHODS
         try:
             connection, pool = await connections.open(
-                self.listing, is_new=self.needs_new_connection
+                self.listing,
+                is_new=self.needs_new_connection or has_odd_framing,
             )
         except NotSentError as error:
             self._end_deferred = None
