Fill no truncated answer up with the bytes of a copy behind it

What callers can see: the first part of their answer with the head and a part of a copy behind it, told as whole, as the length fits. Cause: where a target truncates an answer with a length and answers once more on the connection, the bytes of the copy count up to the length. The rest of the copy only closed the connection. Change: the search for the head of another answer also watches bodies whose end is stated, without holding bytes back. The attempt is lost if such a head names the request, or begins in the body and goes on behind it, and bytes are left behind the body. A body of stated length without such bytes is passed on whatever it holds. Skipped bodies are bounded by the same rule: one that ends in text of a head is lost only if the head goes on behind it, which replaces test_what_is_skipped_may_end_within_no_head by tests of both sides of each cut.

--- a/cicadahoist/policy/answer_bounds/embedded_heads.py
+++ b/cicadahoist/policy/answer_bounds/embedded_heads.py
@@ -22,34 +22,24 @@
     """
     Searches a body for the head of another answer.
 
-    The end of a body is not known where nothing but a close states it, nor
-    where a target has broken off and goes on with its next answer. A body may
-    hold any text, also that of a head; what tells them apart is that a target
-    names the request that it answers.
+    A body may hold any text, also that of a head; what tells them apart is that
+    a target names the request that it answers.
 
     :param names: ids of the attempts whose answers may follow
-    :param status_line: status line of the answer itself; a body may not end
-        within a head that begins with it. None if it may end in no head at all
     """
 
-    __slots__ = ('_held', '_name_line', '_status_line', 'has_found')
-
-    def __init__(
-        self, names: Iterable[str], status_line: bytes | None = None
-    ) -> None:
-        patterns = [re.escape(name.encode('latin-1')) for name in names if name]
-        self._name_line: re.Pattern[bytes] | None = None
-        if patterns:
-            self._name_line = re.compile(
-                rb':[ \t]*(?:%s)[ \t]*\r?(?:\n|$)' % b'|'.join(patterns)
-            )
-        self._status_line = status_line
+    __slots__ = ('_held', '_names', 'has_found')
+
+    def __init__(self, names: Iterable[str]) -> None:
+        self._names = names
         # Bytes from the first mark on that it is not decided about.
         self._held = b''
         self.has_found = False
 
     def feed(self, piece: bytes) -> bytes:
         """Return the bytes that are known to be part of the body."""
+        if not self._held and _has_no_mark(piece):
+            return piece
         held = self._held + piece
         sure_bytes = 0
         while sure_bytes < len(held):
@@ -66,25 +56,52 @@
         self._held = held[sure_bytes:]
         return held[:sure_bytes]
 
-    def end(self) -> bytes:
-        """Return the rest of the body; it may end within a head, however."""
-        held = self._held
+    def take_rest(self) -> bytes:
+        """Return the bytes that it is not decided about, and forget them."""
+        rest = self._held
         self._held = b''
-        self.has_found = self.has_found or self._may_be_cut_head(held)
-        return b'' if self.has_found else held
+        return rest
 
-    def _names_request(self, head: bytes) -> bool:
-        return bool(self._name_line and self._name_line.search(head))
+    def is_cut(self, status_line: bytes) -> bool:
+        """
+        Return whether what was fed last may be the beginning of a head.
 
-    def _may_be_cut_head(self, held: bytes) -> bool:
+        :param status_line: status line of the answer whose copy it may be
+        """
+        held = self._held
         if not held.startswith(MARK):
             return False
-        if self._names_request(held) or self._status_line is None:
-            return True
         first_line, has_more, _ = held.partition(b'\n')
+        first_line = first_line.rstrip(b'\r')
+        if self._names_request(held):
+            return True
         if has_more:
-            return first_line.rstrip(b'\r') == self._status_line
-        return self._status_line.startswith(first_line.rstrip(b'\r'))
+            return first_line == status_line
+        return status_line.startswith(first_line)
+
+    def is_continued(self, behind: bytes) -> bool:
+        """
+        Return whether a head begins in the body and ends behind it.
+
+        :param behind: bytes of the connection behind the body
+        """
+        if not self._held or not behind or behind.startswith(MARK):
+            return False
+        text = self._held + behind
+        head_end = _find_head_end(text, 0)
+        return head_end is None or head_end > len(self._held)
+
+    def _names_request(self, head: bytes) -> bool:
+        lines = head.split(b'\n')[1:]
+        texts = {line.partition(b':')[2].strip() for line in lines}
+        return any(
+            name.encode('latin-1') in texts for name in self._names if name
+        )
+
+
+def _has_no_mark(piece: bytes) -> bool:
+    """Return whether no mark is in a piece, nor may begin at its end."""
+    return MARK not in piece and MARK[:1] not in piece[1 - len(MARK) :]
 
 
 def _find_mark(held: bytes, start: int) -> int:
--- a/cicadahoist/serving/answers/body.py
+++ b/cicadahoist/serving/answers/body.py
@@ -1,4 +1,6 @@
-"""The body of one answer, as far as its bytes are known to belong to it."""
+"""Bodies of answers, as far as their bytes are known to belong to them."""
+
+from typing import Protocol
 
 import h11
 
@@ -11,76 +13,130 @@
 FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 
 
-class AnswerBody:
-    """
-    The body of one answer.
+class AnswerBody(Protocol):
+    """The body of one answer."""
 
-    :param is_skipped: whether it answers another request
-    :param is_end_stated: whether it ends otherwise than with its connection
-    :param search: search for the head of another answer; none where the framing
-        tells the bytes apart
-    """
+    is_skipped: bool
+    # Whether bytes of another answer are among its own.
+    is_joined: bool
+
+    def feed(self, piece: bytes) -> bytes:
+        """Return the bytes that can be passed on."""
 
-    __slots__ = ('_search', 'is_end_stated', 'is_skipped')
-
-    def __init__(
-        self,
-        *,
-        is_skipped: bool,
-        is_end_stated: bool,
-        search: EmbeddedHeadSearch | None,
-    ) -> None:
-        self._search = search
-        self.is_skipped = is_skipped
-        self.is_end_stated = is_end_stated
-
-    @classmethod
-    def from_head(
-        cls,
-        request: h11.Request,
-        response: h11.Response,
-        names: tuple[str, ...],
-        *,
-        is_skipped: bool,
-    ) -> 'AnswerBody':
+    def end(self, behind: bytes) -> bytes:
         """
-        Return the body that follows a head.
+        Return the rest that can be passed on.
 
-        :param request: head of the request that waits
-        :param response: head of the answer
-        :param names: id of the attempt that waits, and those of attempts before
-            it on the connection
-        :param is_skipped: whether it answers another request
+        :param behind: bytes of the connection behind the body
         """
-        is_end_stated = _is_end_stated(request, response)
-        search: EmbeddedHeadSearch | None = None
-        if is_skipped:
-            # A target that has broken off here goes on with the next answer.
-            search = EmbeddedHeadSearch(names[:1])
-        elif not is_end_stated:
-            search = EmbeddedHeadSearch(names, _build_status_line(response))
-        return cls(
-            is_skipped=is_skipped, is_end_stated=is_end_stated, search=search
-        )
-
-    @property
-    def is_joined(self) -> bool:
-        """Whether it holds the beginning of another answer."""
-        return self._search is not None and self._search.has_found
+
+
+class StatedBody:
+    """
+    The body of the answer that is awaited, with a length or in chunks.
+
+    A target that truncates it and answers once more fills it up with a copy,
+    which then also has bytes behind it.
+
+    :param names: ids of the attempt, and of those before it on the connection
+    """
+
+    __slots__ = ('_search', 'is_joined')
+
+    is_skipped = False
+
+    def __init__(self, names: tuple[str, ...]) -> None:
+        self._search = EmbeddedHeadSearch(names)
+        self.is_joined = False
 
     def feed(self, piece: bytes) -> bytes:
-        """Return the bytes that can be passed on."""
-        if self._search is not None:
-            piece = self._search.feed(piece)
-        return b'' if self.is_skipped else piece
+        """Return the piece."""
+        if not self._search.has_found:
+            self._search.feed(piece)
+        return piece
+
+    def end(self, behind: bytes) -> bytes:
+        """Return nothing, as no bytes are held."""
+        has_head = self._search.has_found or self._search.is_continued(behind)
+        self.is_joined = bool(behind) and has_head
+        return b''
+
+
+class ClosedBody:
+    """
+    The body of the answer that is awaited, which ends with its connection.
+
+    A copy of the answer would count as the end of it.
+
+    :param names: ids of the attempt, and of those before it on the connection
+    :param status_line: status line of the answer
+    """
 
-    def end(self) -> bytes:
-        """Return the rest that can be passed on."""
-        rest = b'' if self._search is None else self._search.end()
-        return b'' if self.is_skipped else rest
+    __slots__ = ('_search', '_status_line', 'is_joined')
+
+    is_skipped = False
+
+    def __init__(self, names: tuple[str, ...], status_line: bytes) -> None:
+        self._search = EmbeddedHeadSearch(names)
+        self._status_line = status_line
+        self.is_joined = False
+
+    def feed(self, piece: bytes) -> bytes:
+        """Return the bytes that are not held."""
+        passed = self._search.feed(piece)
+        self.is_joined = self._search.has_found
+        return passed
+
+    def end(self, behind: bytes) -> bytes:
+        """Return the bytes that are held, unless they may begin a head."""
+        self.is_joined = self._search.is_cut(self._status_line)
+        return b'' if self.is_joined else self._search.take_rest()
+
+
+class SkippedBody:
+    """
+    The body of an answer to another request.
+
+    Where its target has broken off, it takes the head of the next answer.
+
+    :param name: id of the attempt that waits
+    """
+
+    __slots__ = ('_search', 'is_joined')
+
+    is_skipped = True
+
+    def __init__(self, name: str) -> None:
+        self._search = EmbeddedHeadSearch((name,))
+        self.is_joined = False
+
+    def feed(self, piece: bytes) -> bytes:
+        """Return nothing."""
+        self._search.feed(piece)
+        self.is_joined = self._search.has_found
+        return b''
+
+    def end(self, behind: bytes) -> bytes:
+        """Return nothing."""
+        self.is_joined = self._search.is_continued(behind)
+        return b''
+
+
+def build_body(
+    request: h11.Request, response: h11.Response, names: tuple[str, ...]
+) -> AnswerBody:
+    """
+    Return the body of the answer that is awaited.
+
+    :param names: ids of the attempt, and of those before it on the connection
+    """
+    if is_end_stated(request, response):
+        return StatedBody(names)
+    return ClosedBody(names, _build_status_line(response))
 
 
-def _is_end_stated(request: h11.Request, response: h11.Response) -> bool:
+def is_end_stated(request: h11.Request, response: h11.Response) -> bool:
+    """Return whether an answer ends otherwise than with its connection."""
     is_bodiless = response.status_code in BODILESS_STATUSES
     if is_bodiless or request.method in ODDLY_FRAMED_METHODS:
         return True
--- a/cicadahoist/serving/answers/reader.py
+++ b/cicadahoist/serving/answers/reader.py
@@ -7,7 +7,13 @@
 
 from cicadahoist.policy.answer_bounds.joined_heads import is_joined_head
 from cicadahoist.requests import HeaderList
-from cicadahoist.serving.answers.body import ODDLY_FRAMED_METHODS, AnswerBody
+from cicadahoist.serving.answers.body import (
+    ODDLY_FRAMED_METHODS,
+    AnswerBody,
+    SkippedBody,
+    build_body,
+    is_end_stated,
+)
 from cicadahoist.serving.answers.endings import (
     AnswerEnding,
     AnswerLoss,
@@ -135,11 +141,11 @@
             headers, response.reason
         ):
             return
-        is_own = self._receiver.head_received(response.status_code, headers)
-        self._body = AnswerBody.from_head(
-            self._request, response, self._names, is_skipped=not is_own
-        )
-        if not is_own and not self._body.is_end_stated:
+        if self._receiver.head_received(response.status_code, headers):
+            self._body = build_body(self._request, response, self._names)
+            return
+        self._body = SkippedBody(self._names[0])
+        if not is_end_stated(self._request, response):
             # The answer that is awaited cannot follow.
             self.lose(AnswerLoss.foreign)
 
@@ -151,7 +157,7 @@
         body = self._body
         if body is None or not self._check_head(_list_headers(event)):
             return
-        self._deliver(body.end(), body)
+        self._deliver(body.end(self._http.trailing_data[0]), body)
         if self._receiver is None:
             return
         if body.is_skipped:
--- a/tests/test_policy/test_answer_bounds/test_embedded_heads.py
+++ b/tests/test_policy/test_answer_bounds/test_embedded_heads.py
@@ -30,16 +30,16 @@
 )
 
 
-def search_in_pieces(body, size, status_line=STATUS_LINE, names=('own', 'old')):
+def search_in_pieces(body, size):
     """Return whether a head was found, and what was passed on."""
-    search = EmbeddedHeadSearch(names, status_line)
+    search = EmbeddedHeadSearch(('own', 'old'))
     passed = b''
     for start in range(0, len(body), size):
         if not search.has_found:
             passed += search.feed(body[start : start + size])
-    if not search.has_found:
-        passed += search.end()
-    return search.has_found, passed
+    if search.has_found or search.is_cut(STATUS_LINE):
+        return True, passed
+    return False, passed + search.take_rest()
 
 
 @pytest.mark.parametrize('size', [1, 3, 64, 4096])
@@ -75,15 +75,30 @@
         assert search_in_pieces(b'body' + end, 3) == (False, b'body' + end)
 
 
-# Guards against an answer that begins inside what was skipped.
-def test_what_is_skipped_may_end_within_no_head():
-    assert search_in_pieces(b'old' + STATUS_LINE, 3, status_line=None)[0]
+# Guards against a body whose end is stated and lies inside another answer.
+@pytest.mark.parametrize('size', [1, 64])
+def test_a_head_may_begin_in_a_body_and_end_behind_it(size):
+    head = HEAD % b'another'
+    for cut in range(1, len(head)):
+        search = EmbeddedHeadSearch(('own',))
+        for start in range(0, cut, size):
+            search.feed(head[start : min(start + size, cut)])
+        assert search.is_continued(head[cut:]), cut
+        assert not search.is_continued(b''), cut
+        assert not search.is_continued(head), cut
+
+
+def test_an_answer_behind_a_body_continues_no_text():
+    for text in (b'', b'body', b'H', b'HTTP/1.1 ', STATUS_LINE, b'HTTP/1.'):
+        search = EmbeddedHeadSearch(('own',))
+        search.feed(text)
+        assert not search.is_continued(HEAD % b'own')
 
 
 # Guards against bytes that are held, or searched again and again.
 def test_a_long_text_of_heads_is_passed_on_at_once():
     line = STATUS_LINE + b'\r\n' + b'a: b\r\n' * (MAX_HEAD_BYTES // 6 + 1)
-    search = EmbeddedHeadSearch(('own',), STATUS_LINE)
+    search = EmbeddedHeadSearch(('own',))
     passed = search.feed(line)
     assert len(passed) >= len(line) - len(b'a: b\r\n')
     lines = (STATUS_LINE + b'\n') * 4096
--- a/tests/test_serving/test_answers/test_cut_copies.py
+++ b/tests/test_serving/test_answers/test_cut_copies.py
@@ -133,3 +133,29 @@
     head.write(build_head(head.attempt_id))
     world.send_request(b'/lookup/x', method=b'GET')
     assert world.sent[-1].connection is not head.connection
+
+
+# Guards against an answer that its target truncates, filled up with the bytes of
+# the copy behind it.
+@pytest.mark.parametrize('number', [0, 1])
+@pytest.mark.parametrize('is_split', [False, True])
+def test_a_truncated_answer_is_not_filled_up_by_a_copy(number, is_split):
+    body = b'b' * 200
+    for lost_bytes in range(1, len(body)):
+        _, caller, *both = reuse_connection()
+        again = both[1]
+        answer = build_answer(again.attempt_id, body=body)[:-lost_bytes]
+        copy = build_answer(both[number].attempt_id, body=body)
+        for piece in (answer, copy) if is_split else (answer + copy,):
+            again.write(piece)
+        assert caller.status == 502, lost_bytes
+
+
+# A body that its length states may hold and end in any text.
+@pytest.mark.parametrize('name', [b'another', b''])
+def test_a_body_of_stated_length_may_end_within_text_of_a_head(name):
+    head = build_head(name)
+    for cut in range(1, len(head) + 1):
+        _, caller, _, again = reuse_connection()
+        again.write(build_answer(again.attempt_id, body=head[:cut]))
+        assert (caller.status, caller.body) == (200, head[:cut])
