End the use of a connection on which bytes came that no call was due

A part of a copy that came in one read with its answer was dropped, the connection was kept, and the rest of the copy counted as the begin of the next answer. Bytes on an idle connection closed it, but its pool used it until the close was reported, so that a call on it was lost.

CallConnection (HeadBoundConnection until now) is spent once bytes come behind an answer or while no call is open: it tells its pool so, takes no call, closes, and logs the number of bytes. The use of twisted's pool stays as it is.

--- a/cicadahoist/outside/connections.py
+++ b/cicadahoist/outside/connections.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from twisted.internet.abstract import isIPAddress, isIPv6Address
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail
 from twisted.internet.endpoints import (
     HostnameEndpoint,
     TCP4ClientEndpoint,
@@ -13,12 +13,19 @@
 )
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
-from twisted.web.client import HTTP11ClientProtocol, HTTPConnectionPool
+from twisted.web.client import (
+    HTTP11ClientProtocol,
+    HTTPConnectionPool,
+    RequestNotSent,
+)
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
 from cicadahoist.clock import MS_PER_S
 from cicadahoist.errors import AnswerTooLongError
+from cicadahoist.log import get_logger
+
+logger = get_logger(__name__)
 
 MAX_CONNECTIONS = 256
 # Longest head of an answer, with the interim (1xx) heads before it. An answer
@@ -30,12 +37,13 @@
 RESET_ON_CLOSE = b'\x01\x00\x00\x00\x00\x00\x00\x00'
 
 
-class HeadBoundConnection(HTTP11ClientProtocol):
+class CallConnection(HTTP11ClientProtocol):
     """
-    Connection that ends when the head of an answer is too long.
+    Connection that is used again only if each byte belonged to a call.
 
-    The protocol of twisted bounds each line, but neither their number nor that
-    of the interim heads.
+    The protocol of twisted drops what follows an answer in one read, and lets
+    its pool use a connection until its close is reported. It bounds each line
+    of a head, but neither their number nor that of the interim heads.
 
     :param on_idle: called when the connection can be used again
     """
@@ -47,15 +55,27 @@
         self._received_bytes = 0
         self._is_in_head = False
         self._is_too_long = False
+        self._is_spent = False
+
+    @property
+    def state(self) -> str:
+        """State that the pool reads before it uses the connection again."""
+        return 'SPENT' if self._is_spent else self._state
 
     def request(self, request: Any) -> 'Deferred[Any]':
         """Send a request; return its answer once the head has arrived."""
+        if self._is_spent:
+            return fail(RequestNotSent())
         self._received_bytes = 0
         self._is_in_head = True
         return super().request(request).addBoth(self._leave_head)
 
     def dataReceived(self, received: bytes) -> None:  # noqa: N802
         """Parse bytes of an answer, and end it if its head is too long."""
+        if self._parser is None:
+            self._end_use(len(received))
+            self.transport.abortConnection()
+            return
         self._received_bytes += len(received)
         super().dataReceived(received)
         if self._is_in_head and self._received_bytes > MAX_HEAD_BYTES:
@@ -77,6 +97,21 @@
         self._is_in_head = False
         return answer
 
+    def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
+        if rest:
+            self._end_use(len(rest))
+            if self._currentRequest is not None:
+                self._currentRequest.persistent = False
+        super()._finishResponse(rest)
+
+    def _end_use(self, excess_bytes: int) -> None:
+        if not self._is_spent:
+            logger.info(
+                'connection closed, {0} bytes came that no call was due',
+                excess_bytes,
+            )
+        self._is_spent = True
+
 
 class _ConnectionFactory(Factory):
     noisy = False
@@ -88,8 +123,8 @@
     def __repr__(self) -> str:
         return f'connections to {self._endpoint}'
 
-    def buildProtocol(self, addr: Any) -> HeadBoundConnection:  # noqa: N802
-        return HeadBoundConnection(self._on_idle)
+    def buildProtocol(self, addr: Any) -> CallConnection:  # noqa: N802
+        return CallConnection(self._on_idle)
 
 
 class _Pool(HTTPConnectionPool):
--- a/tests/test_outside/test_quiet_connections.py
+++ b/tests/test_outside/test_quiet_connections.py
@@ -11,7 +11,7 @@
 
 from cicadahoist.errors import LostAfterSendError
 from cicadahoist.outside.bodies import BodyCollector
-from cicadahoist.outside.connections import HeadBoundConnection
+from cicadahoist.outside.connections import CallConnection
 from cicadahoist.outside.http import HttpClient
 from tests.loopback import LoopbackCase
 from tests.stutter import StutteringServer, build_answer
@@ -32,7 +32,7 @@
     def setUp(self):
         super().setUp()
         self.idle = []
-        self.connection = HeadBoundConnection(self.idle.append)
+        self.connection = CallConnection(self.idle.append)
         self.transport = Transport()
         self.connection.makeConnection(self.transport)
 
