Give each call to an engine or a service a connection of its own

Callers of cicadahoist-entry got the status, the body or the stream of another request where a worker answered twice, and a role order that an engine refused counted as accepted: the late copy of the answer before it, or the head of a copy that broke off with the rest of the next one, came first on a connection in use again. The answers state no call, but for the ids of chunks, so that no reading of them can tell.

On all other connections there is one call, and what follows its answer is closed with it. HttpService needs no second client for calls that may not be repeated.

The price: a report and a role order have a connection each, and so has each released handle. By the code, the duty's holder looks for role changes every 500 ms, and sends a report and an order only where the plan wants another role; an order that was refused or lost is repeated after 13 s (9 calls an engine and minute with the reports), an accepted one once the role is listed and the plan changes again, a report that fails after 500 ms. One handle is released at most for each prefilled request that does not run on. The entry opens one connection a request, and two for each engine and 2 s (load, cache events). A connection can't be proved quiet instead, as a copy may come at any time after its answer.

Tests of kept connections ask for them now; the test of calls to services that may not be repeated covers all calls.

--- a/cicadahoist/cmd/front_assembly.py
+++ b/cicadahoist/cmd/front_assembly.py
@@ -10,7 +10,7 @@
 from cicadahoist.ids import new_nonce
 from cicadahoist.platform.clients import (
     ORDER_TIMEOUT_MS,
-    new_http_client,
+    new_engine_client,
 )
 from cicadahoist.platform.dialect import Dialect
 from cicadahoist.platform.engines import EngineCalls
@@ -83,7 +83,7 @@
             application.metrics,
         )
         self._engine_calls = EngineCalls(
-            new_http_client(self._reactor),
+            new_engine_client(self._reactor),
             settings.instance,
             ORDER_TIMEOUT_MS,
             self._context.fleet.notices.record_engine_departure,
--- a/cicadahoist/cmd/front_duties.py
+++ b/cicadahoist/cmd/front_duties.py
@@ -7,7 +7,7 @@
 from cicadahoist.control.term_deadlines import TermDeadlines
 from cicadahoist.platform.clients import (
     ORDER_TIMEOUT_MS,
-    new_http_client,
+    new_platform_client,
     new_store_client,
 )
 from cicadahoist.platform.cloud import PlatformCalls
@@ -85,7 +85,7 @@
         store = new_store_client(settings.store_address, self._reactor)
         calls = PlatformCalls.from_address(
             self._orders,
-            new_http_client(self._reactor),
+            new_platform_client(self._reactor),
             settings.instance,
             ORDER_TIMEOUT_MS,
         )
--- a/cicadahoist/entry/service_handler.py
+++ b/cicadahoist/entry/service_handler.py
@@ -134,7 +134,6 @@
             self._path,
             _select_forwarded_headers(caller),
             caller.body,
-            repeatable=self._request.grant.route.repeatable,
         )
         sent.record_first_token()
         body = await response.read_body()
--- a/cicadahoist/outside/engine.py
+++ b/cicadahoist/outside/engine.py
@@ -98,14 +98,14 @@
     """
     Adapter to engines with an OpenAI-compatible interface over HTTP.
 
-    :param pooled_client: client that reuses connections
-    :param order_client: client that opens a connection for each order, whose
-        unsent bytes the kernel drops within the order bound
+    :param client: client for all calls but orders
+    :param order_client: client for orders, whose unsent bytes the kernel drops
+        within the order bound
     """
 
     __slots__ = (
+        '_client',
         '_credential',
-        '_pooled_client',
         '_order_bound_ms',
         '_order_client',
         '_timeout_ms',
@@ -113,13 +113,13 @@
 
     def __init__(
         self,
-        pooled_client: HttpClient,
+        client: HttpClient,
         order_client: HttpClient,
         credential: str,
         timeout_ms: int,
         order_bound_ms: int,
     ) -> None:
-        self._pooled_client = pooled_client
+        self._client = client
         self._order_client = order_client
         self._credential = credential
         self._timeout_ms = timeout_ms
@@ -132,9 +132,7 @@
         bound_ms = config.read(ORDER_BOUND)
         return cls(
             HttpClient(reactor, connect_ms),
-            HttpClient(
-                reactor, connect_ms, reuse=False, send_timeout_ms=bound_ms
-            ),
+            HttpClient(reactor, connect_ms, send_timeout_ms=bound_ms),
             config.read(ENGINE_CREDENTIAL),
             config.read(TARGET_TIMEOUT),
             bound_ms,
@@ -152,7 +150,7 @@
         headers = self._build_headers()
         headers['X-Request-Id'] = attempt
         headers['X-Priority'] = str(priority)
-        return await self._pooled_client.call(
+        return await self._client.call(
             'POST', _build_url(target, path), headers=headers, body=body
         )
 
@@ -215,7 +213,7 @@
 
     async def close(self) -> None:
         """Close idle connections."""
-        await self._pooled_client.close()
+        await self._client.close()
 
     async def _call(
         self,
@@ -225,7 +223,7 @@
         body: bytes | None = None,
         max_body_bytes: int = MAX_REPLY_BYTES,
     ) -> bytes:
-        response = await self._pooled_client.call(
+        response = await self._client.call(
             method,
             _build_url(target, path),
             headers=self._build_headers(),
--- a/cicadahoist/outside/http.py
+++ b/cicadahoist/outside/http.py
@@ -144,9 +144,14 @@
     """
     Sends calls; its errors separate unsent calls from those lost after sending.
 
+    An answer does not state which call it belongs to. It counts for the call
+    of its connection, so that each call has a connection of its own unless the
+    server is known to answer each call once.
+
     :param connect_timeout_ms: time limit for connecting
-    :param reuse: whether connections are kept for later calls; a call on a
-        kept connection that the other side just closed is lost after sending
+    :param reuse: whether connections are kept for later calls; not for targets,
+        which may answer twice. A call on a kept connection that the other side
+        just closed is lost after sending
     :param idle_ms: time after which an idle connection is closed
     :param send_timeout_ms: time after which the kernel drops bytes that the
         other side has not acknowledged, 0 for the kernel's default
@@ -159,7 +164,7 @@
         reactor: Any,
         connect_timeout_ms: int,
         *,
-        reuse: bool = True,
+        reuse: bool = False,
         idle_ms: int = IDLE_MS,
         send_timeout_ms: int = 0,
     ) -> None:
--- a/cicadahoist/outside/platform_client.py
+++ b/cicadahoist/outside/platform_client.py
@@ -66,10 +66,8 @@
         connect_ms = config.read(CONNECT_TIMEOUT)
         bound_ms = config.read(ORDER_BOUND)
         return cls(
-            HttpClient(reactor, connect_ms),
-            HttpClient(
-                reactor, connect_ms, reuse=False, send_timeout_ms=bound_ms
-            ),
+            HttpClient(reactor, connect_ms, reuse=True),
+            HttpClient(reactor, connect_ms, send_timeout_ms=bound_ms),
             config.read(PLATFORM_URL),
             config.read(PLATFORM_CREDENTIAL),
             min(config.read(PLATFORM_TIMEOUT), bound_ms),
--- a/cicadahoist/outside/service.py
+++ b/cicadahoist/outside/service.py
@@ -20,16 +20,12 @@
         path: str,
         headers: dict[str, str],
         body: bytes,
-        *,
-        repeatable: bool = True,
     ) -> TargetResponse:
         """
         Send one call.
 
         :param attempt: id of this attempt
         :param headers: the allowed headers of the caller
-        :param repeatable: whether the call may run twice; if not, it gets a
-            new connection
         :raises NotSentError: no byte was sent
         :raises LostAfterSendError: the call may have run
         """
@@ -50,22 +46,15 @@
 class HttpService:
     """Adapter to plain services over HTTP."""
 
-    __slots__ = ('_unpooled_client', '_pooled_client')
+    __slots__ = ('_client',)
 
-    def __init__(
-        self, pooled_client: HttpClient, unpooled_client: HttpClient
-    ) -> None:
-        self._pooled_client = pooled_client
-        self._unpooled_client = unpooled_client
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
 
     @classmethod
     def from_config(cls, config: Config, reactor: Any) -> 'HttpService':
         """Return an adapter configured by the settings."""
-        timeout_ms = config.read(CONNECT_TIMEOUT)
-        return cls(
-            HttpClient(reactor, timeout_ms),
-            HttpClient(reactor, timeout_ms, reuse=False),
-        )
+        return cls(HttpClient(reactor, config.read(CONNECT_TIMEOUT)))
 
     async def call(
         self,
@@ -75,12 +64,9 @@
         path: str,
         headers: dict[str, str],
         body: bytes,
-        *,
-        repeatable: bool = True,
     ) -> TargetResponse:
         """Send one call."""
-        client = self._pooled_client if repeatable else self._unpooled_client
-        return await client.call(
+        return await self._client.call(
             method,
             target.url.rstrip('/') + path,
             headers={**headers, 'X-Request-Id': attempt},
@@ -89,8 +75,8 @@
 
     async def probe(self, target: Target) -> None:
         """Check that a target accepts connections."""
-        await self._unpooled_client.probe(target.url)
+        await self._client.probe(target.url)
 
     async def close(self) -> None:
         """Close idle connections."""
-        await self._pooled_client.close()
+        await self._client.close()
--- a/cicadahoist/outside/store.py
+++ b/cicadahoist/outside/store.py
@@ -117,7 +117,7 @@
         """Return a client for the store named in the settings."""
         timeout_ms = config.read(STORE_TIMEOUT)
         return cls(
-            HttpClient(reactor, timeout_ms),
+            HttpClient(reactor, timeout_ms, reuse=True),
             config.read(STORE_URL),
             config.read(STORE_PREFIX),
             timeout_ms,
--- a/cicadahoist/platform/clients.py
+++ b/cicadahoist/platform/clients.py
@@ -1,4 +1,4 @@
-"""HTTP clients for the platform, with their timeouts."""
+"""HTTP clients for the platform and for engines, with their timeouts."""
 
 from typing import Any
 
@@ -12,8 +12,18 @@
 ORDER_TIMEOUT_MS = 800
 
 
-def new_http_client(reactor: Any) -> HttpClient:
+def new_platform_client(reactor: Any) -> HttpClient:
     """Return an HTTP client with its own connection pool."""
+    return HttpClient(
+        reactor,
+        CONNECT_TIMEOUT_MS,
+        reuse=True,
+        send_timeout_ms=STORE_TIMEOUT_MS,
+    )
+
+
+def new_engine_client(reactor: Any) -> HttpClient:
+    """Return an HTTP client that opens a connection for each call."""
     return HttpClient(
         reactor, CONNECT_TIMEOUT_MS, send_timeout_ms=STORE_TIMEOUT_MS
     )
@@ -22,5 +32,5 @@
 def new_store_client(address: Address, reactor: Any) -> ObjectStore:
     """Return a store client with its own connection pool."""
     return ObjectStore.from_address(
-        address, new_http_client(reactor), STORE_TIMEOUT_MS
+        address, new_platform_client(reactor), STORE_TIMEOUT_MS
     )
--- a/cicadahoist/platform/engines.py
+++ b/cicadahoist/platform/engines.py
@@ -43,7 +43,7 @@
     """
     Sends management calls to engines.
 
-    :param http: client with its own connection pool
+    :param http: client that opens a connection for each call
     :param holder: name of this instance, sent as the duty holder
     :param timeout_ms: time limit for an answer
     :param on_departure: called with the id of an engine that states in an
--- a/cicadahoist/standin/engine_server.py
+++ b/cicadahoist/standin/engine_server.py
@@ -96,7 +96,7 @@
         self._engine = engine
         self.faults = EngineFaults(engine, clock)
         self._seen_calls = SeenCalls()
-        self._peers = HttpClient(reactor, KV_FETCH_TIMEOUT_MS, reuse=False)
+        self._peers = HttpClient(reactor, KV_FETCH_TIMEOUT_MS)
         self._completions = EngineCompletions(
             engine, self.faults, self._seen_calls
         )
--- a/tests/test_entry/world.py
+++ b/tests/test_entry/world.py
@@ -77,7 +77,7 @@
             OpenAiHttpEngine(
                 client, client, CREDENTIAL, config.read(TARGET_TIMEOUT), 1000
             ),
-            HttpService(client, client),
+            HttpService(client),
             self.store,
         )
         self.usage = []
--- a/tests/test_outside/test_endless_calls.py
+++ b/tests/test_outside/test_endless_calls.py
@@ -103,7 +103,7 @@
         self.addCleanup(self.until, lambda: not self.factory.connections)
         self.addCleanup(port.stopListening)
         self.address = f'127.0.0.1:{port.getHost().port}'
-        self.http = HttpClient(self.reactor, TIMEOUT_MS)
+        self.http = HttpClient(self.reactor, TIMEOUT_MS, reuse=True)
         self.addCleanup(self.close, self.http)
 
     def send_endlessly(self, form, sound_count=0):
--- a/tests/test_outside/test_http.py
+++ b/tests/test_outside/test_http.py
@@ -82,7 +82,7 @@
 
     async def test_call_lost_on_a_reused_connection_is_not_repeated(self):
         url = self.listen(ANSWER, None, ANSWER)
-        client = self.client()
+        client = self.client(reuse=True)
         for method in ('GET', 'DELETE'):
             self.factory.scripts[:] = [ANSWER, None, ANSWER]
             response = await client.call(method, url)
@@ -92,7 +92,7 @@
 
     async def test_without_reuse_each_call_opens_a_connection(self):
         url = self.listen(ANSWER, ANSWER)
-        client = self.client(reuse=False, send_timeout_ms=500)
+        client = self.client(send_timeout_ms=500)
         for _ in range(2):
             response = await client.call('GET', url)
             assert await response.read_body() == b'ok'
@@ -101,7 +101,7 @@
 
     async def test_idle_connections_are_closed_after_their_timeout(self):
         url = self.listen(ANSWER)
-        response = await self.client(idle_ms=20).call('GET', url)
+        response = await self.client(reuse=True, idle_ms=20).call('GET', url)
         await response.read_body()
         assert self.factory.connections
         await self.until(lambda: not self.factory.connections)
--- a/tests/test_outside/test_service.py
+++ b/tests/test_outside/test_service.py
@@ -1,8 +1,8 @@
 """
 Test the adapter to plain services against the stand-in over loopback.
 
-A call that may not run twice must not be sent on a reused connection, where a
-close by the service leaves open whether it ran.
+A call must not be sent on a reused connection, where a close by the service
+leaves open whether it ran, and a copy of an earlier answer counts for its own.
 """
 
 from twisted.internet.defer import Deferred
@@ -24,17 +24,17 @@
         self.target = target_at(self.serve(self.service.app))
         self.service_adapter = self.adapter(HttpService)
 
-    def call(self, **options):
+    def call(self):
         return self.service_adapter.call(
-            self.target, 'a1', 'POST', '/returns/7?x=1', KEY, b'body', **options
+            self.target, 'a1', 'POST', '/returns/7?x=1', KEY, b'body'
         )
 
     def runs(self):
         return self.service.seen().runs_by_key.get('k1', 0)
 
     async def test_call_reaches_the_service_with_its_headers(self):
-        for repeatable in (True, False):
-            response = await self.call(repeatable=repeatable)
+        for _ in range(2):
+            response = await self.call()
             answer = await response.read_json()
             assert answer['path'] == '/returns/7'
             assert answer['body'] == 'body'
@@ -48,24 +48,22 @@
 
     async def test_call_with_a_lost_answer_runs_once(self):
         self.service.set_fault(Fault(kind='lose-answer'))
-        await (await self.leave_reusable_connection()).read_body()
-        for repeatable in (True, False):
+        await (await self.answer_one_call()).read_body()
+        for _ in range(2):
             before = self.runs()
-            await self.raises(
-                LostAfterSendError, self.call(repeatable=repeatable)
-            )
+            await self.raises(LostAfterSendError, self.call())
             assert self.runs() == before + 1
 
-    async def leave_reusable_connection(self):
-        """Return an answer whose connection the next call reuses."""
+    async def answer_one_call(self):
+        """Return the answer to a call before those that are lost."""
         self.service.set_fault(Fault(kind='none'))
         response = await self.call()
         self.service.set_fault(Fault(kind='lose-answer'))
         return response
 
-    async def test_unrepeatable_call_uses_a_new_connection(self):
+    async def test_each_call_uses_a_new_connection(self):
         for _ in range(2):
-            await (await self.call(repeatable=False)).read_body()
+            await (await self.call()).read_body()
         calls = self.service.seen().calls
         assert [call.headers['connection'] for call in calls] == ['close'] * 2
 
@@ -91,4 +89,4 @@
 
     async def test_unreachable_service_raises_not_sent(self):
         self.target = target_at('http://127.0.0.1:1')
-        await self.raises(NotSentError, self.call(repeatable=False))
+        await self.raises(NotSentError, self.call())
--- a/tests/test_platform/test_answer_copies.py
+++ b/tests/test_platform/test_answer_copies.py
@@ -8,7 +8,7 @@
 from msgspec.structs import replace
 
 from cicadahoist.errors import TargetError
-from cicadahoist.platform.clients import new_http_client
+from cicadahoist.platform.clients import new_engine_client
 from cicadahoist.platform.engines import EngineCalls
 from cicadahoist.requests import Handle
 from cicadahoist.serving.duty_calls import OrderReply
@@ -35,7 +35,7 @@
         self.connect()
 
     def connect(self):
-        http = new_http_client(self.reactor)
+        http = new_engine_client(self.reactor)
         self.addCleanup(self.close, http)
         self.calls = EngineCalls(http, 'i1', TIMEOUT_MS, self.fail)
 
--- a/tests/test_platform/test_cloud.py
+++ b/tests/test_platform/test_cloud.py
@@ -8,7 +8,7 @@
 from twisted.internet import reactor
 from twisted.web.server import Site
 
-from cicadahoist.platform.clients import ORDER_TIMEOUT_MS, new_http_client
+from cicadahoist.platform.clients import ORDER_TIMEOUT_MS, new_platform_client
 from cicadahoist.platform.cloud import PlatformCalls
 from cicadahoist.platform.settings_file import Address
 from cicadahoist.serving.duty_calls import OrderReply, TargetOrder
@@ -26,7 +26,7 @@
             0, Site(self.pages.app.resource()), interface='127.0.0.1'
         )
         self.addCleanup(port.stopListening)
-        http = new_http_client(reactor)
+        http = new_platform_client(reactor)
         self.addCleanup(http.close)
         self.calls = PlatformCalls.from_address(
             Address('127.0.0.1', port.getHost().port),
