Take no body for whole that a reset ended, or a close before its request is sent

The entry decodes these bodies, so that a JSON answer that broke off was not passed on; nothing else stopped it.

twisted reports the same end of such a body for a close and for a reset. CallConnection now reports the body as cut unless the other side has closed cleanly, and looks at that close whether all bytes of the request are acknowledged: a reset that the rest causes comes after the close.

The two listed tests of tests/test_outside/test_quiet_connections.py, which failed before, pass; a third ending (the sending side is closed first) and answers that are whole are tested beside them.

--- a/cicadahoist/outside/connections.py
+++ b/cicadahoist/outside/connections.py
@@ -11,6 +11,8 @@
     TCP4ClientEndpoint,
     TCP6ClientEndpoint,
 )
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 from twisted.web.client import (
@@ -18,12 +20,14 @@
     HTTPConnectionPool,
     RequestNotSent,
 )
+from twisted.web.http import _DataLoss
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
 from cicadahoist.clock import MS_PER_S
 from cicadahoist.errors import AnswerTooLongError
 from cicadahoist.log import get_logger
+from cicadahoist.outside.sockets import count_unsent_bytes
 
 logger = get_logger(__name__)
 
@@ -37,13 +41,22 @@
 RESET_ON_CLOSE = b'\x01\x00\x00\x00\x00\x00\x00\x00'
 
 
+class _CutBody:
+    """Decoder of a body that is not whole, whatever has arrived of it."""
+
+    def noMoreData(self) -> None:  # noqa: N802
+        raise _DataLoss
+
+
+@implementer(IHalfCloseableProtocol)
 class CallConnection(HTTP11ClientProtocol):
     """
     Connection that is used again only if each byte belonged to a call.
 
     The protocol of twisted drops what follows an answer in one read, and lets
     its pool use a connection until its close is reported. It bounds each line
-    of a head, but neither their number nor that of the interim heads.
+    of a head, but neither their number nor that of the interim heads. It takes
+    a reset for the end of a body without a length.
 
     :param on_idle: called when the connection can be used again
     """
@@ -56,6 +69,7 @@
         self._is_in_head = False
         self._is_too_long = False
         self._is_spent = False
+        self._is_request_unsent = False
 
     @property
     def state(self) -> str:
@@ -82,8 +96,26 @@
             self._is_too_long = True
             self.transport.abortConnection()
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Close as the other side has closed, which ends a body."""
+        self._is_spent = True
+        # A reset by a side that does not read the rest comes after its close.
+        self._is_request_unsent = bool(count_unsent_bytes(self.transport))
+        if self._is_request_unsent:
+            self.transport.abortConnection()
+        else:
+            self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: this side never closes only its half."""
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Report the end of the connection to the call that uses it."""
+        is_clean = reason is not None and reason.check(ConnectionDone)
+        parser: Any = self._parser
+        if parser is not None and parser.bodyDecoder is not None:
+            if self._is_request_unsent or not is_clean:
+                parser.bodyDecoder = _CutBody()
         if self._is_too_long:
             reason = Failure(
                 AnswerTooLongError(
--- a/tests/test_outside/test_quiet_connections.py
+++ b/tests/test_outside/test_quiet_connections.py
@@ -116,6 +116,19 @@
         assert not self.flushLoggedErrors()
 
 
+def end_half(transport):
+    """Close the sending side only, and all of it later."""
+    transport.loseWriteConnection()
+    transport.reactor.callLater(0.05, transport.abortConnection)
+
+
+ENDINGS = (
+    lambda transport: transport.loseConnection(),
+    lambda transport: transport.abortConnection(),
+    end_half,
+)
+
+
 class EarlyServer(Protocol):
     """Answers at the first bytes of a request, and reads no more of it."""
 
@@ -154,10 +167,10 @@
     # Half a body was taken for whole: the connection ended while most of the
     # request was not sent.
     async def test_an_answer_before_its_request_is_sent_is_not_whole(self):
-        for ending in ('loseConnection', 'abortConnection'):
+        for ending in ENDINGS:
             for delay_ms in (0, 5):
                 self.factory.end = lambda transport, end=ending, ms=delay_ms: (
-                    self.reactor.callLater(ms / 1000, getattr(transport, end))
+                    self.reactor.callLater(ms / 1000, end, transport)
                 )
                 for accepts_unframed in (True, False):
                     reading = self.read(accepts_unframed=accepts_unframed)
@@ -177,6 +190,13 @@
     # Guards against a check that takes sound answers for broken ones.
     async def test_an_unframed_answer_that_is_closed_is_whole(self):
         self.factory.end = lambda transport: transport.loseConnection()
+        await self.read_short()
+
+    async def test_an_unframed_answer_that_is_half_closed_is_whole(self):
+        self.factory.end = end_half
+        await self.read_short()
+
+    async def read_short(self):
         client = HttpClient(self.reactor, TIMEOUT_MS)
         self.addCleanup(self.close, client)
         response = await client.call('POST', self.url, body=b'x')
