Take only a 200 for a report of an engine

An answer with any status counted as a report if its body was JSON, without a number of orders as none accepted: also the 421 of another engine at the address. The order that follows would state a wrong number.

The test failed before: a 421 with a body in JSON was taken for a report.

--- a/cicadahoist/platform/engines.py
+++ b/cicadahoist/platform/engines.py
@@ -79,6 +79,11 @@
         )
         self._read_departure(engine.name, response)
         body = await response.read_body(self._timeout_ms)
+        if response.status != HTTP_OK:
+            raise RefusedError(
+                f'{engine.name}: HTTP {response.status} for a report',
+                remedy='see whether the engine is still listed',
+            )
         try:
             return _decode_report(body).seq
         except msgspec.MsgspecError as error:
--- a/tests/test_platform/test_answer_copies.py
+++ b/tests/test_platform/test_answer_copies.py
@@ -121,3 +121,12 @@
             return answer
 
         self.factory.answer = end
+
+    # A refusal in JSON was taken for a report of no orders.
+    async def test_a_refused_report_is_no_report(self):
+        for status in (421, 404, 429, 500, 503, 204):
+            self.factory.answer = lambda request, code=status: build_answer(
+                code, b'{"seq":0}' if code > 204 else b''
+            )
+            error = await self.raises(TargetError, self.fetch_count())
+            assert f'HTTP {status}' in str(error)
