Refuse replies of engines that can't be decoded with a typed error

A 200 whose body is no reply raised the error of the decoder, a missing handle a KeyError. The adapter raises RefusedError now, which callers of engines handle.

The test failed before with msgspec.DecodeError.

--- a/cicadahoist/outside/engine.py
+++ b/cicadahoist/outside/engine.py
@@ -1,6 +1,6 @@
 """Adapter to engines: completions, orders and KV cache transfer over HTTP."""
 
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -11,6 +11,7 @@
 from cicadahoist.outside.engine_messages import (
     AttemptState,
     CacheEvents,
+    CacheHandle,
     EngineLoad,
     EngineOrder,
     EngineOrders,
@@ -35,6 +36,8 @@
 
 JSON_TYPE = 'application/json'
 
+Reply = TypeVar('Reply')
+
 
 class EngineAdapter(Protocol):
     """
@@ -163,12 +166,12 @@
     ) -> AttemptState:
         """Return the state of an attempt at the engine."""
         answer = await self._call(target, 'GET', f'/requests/{quote(attempt)}')
-        return msgspec.json.decode(answer, type=AttemptState)
+        return _decode(answer, AttemptState)
 
     async def fetch_load(self, target: Target) -> EngineLoad:
         """Return the load report, which lags by its ``age_ms``."""
         answer = await self._call(target, 'GET', '/load')
-        return msgspec.json.decode(answer, type=EngineLoad)
+        return _decode(answer, EngineLoad)
 
     async def fetch_cache_events(
         self, target: Target, after: int
@@ -178,13 +181,13 @@
         answer = await self._call(
             target, 'GET', path, max_body_bytes=MAX_PAGE_BYTES
         )
-        return msgspec.json.decode(answer, type=CacheEvents)
+        return _decode(answer, CacheEvents)
 
     async def export_kv(self, target: Target, attempt: str) -> str:
         """Return a handle by which others fetch the KV cache of an attempt."""
         body = msgspec.json.encode({'attempt': attempt})
         answer = await self._call(target, 'POST', '/kv/export', body)
-        return msgspec.json.decode(answer)['handle']
+        return _decode(answer, CacheHandle).handle
 
     async def import_kv(
         self, target: Target, handle: str, source: Target
@@ -192,12 +195,12 @@
         """Make an engine fetch KV cache from another one; return its handle."""
         body = msgspec.json.encode({'handle': handle, 'source': source.url})
         answer = await self._call(target, 'POST', '/kv/import', body)
-        return msgspec.json.decode(answer)['handle']
+        return _decode(answer, CacheHandle).handle
 
     async def read_orders(self, target: Target) -> EngineOrders:
         """Return the last order that an engine accepted, and its state."""
         answer = await self._call(target, 'GET', '/orders')
-        return msgspec.json.decode(answer, type=EngineOrders)
+        return _decode(answer, EngineOrders)
 
     async def send_order(self, target: Target, order: EngineOrder) -> None:
         """Send an order within the order bound."""
@@ -246,6 +249,16 @@
     return target.url.rstrip('/') + path
 
 
+def _decode(reply: bytes, kind: type[Reply]) -> Reply:
+    try:
+        return msgspec.json.decode(reply, type=kind)
+    except msgspec.MsgspecError as error:
+        raise RefusedError(
+            f'undecodable {kind.__name__}: {error}',
+            remedy='check the version of the engine',
+        ) from error
+
+
 async def _read_success(
     response: TargetResponse, call_name: str, timeout_ms: int
 ) -> bytes:
--- a/cicadahoist/outside/engine_messages.py
+++ b/cicadahoist/outside/engine_messages.py
@@ -52,6 +52,12 @@
     next: int
 
 
+class CacheHandle(msgspec.Struct, frozen=True):
+    """Name by which other engines fetch a KV cache."""
+
+    handle: str
+
+
 class EngineOrder(msgspec.Struct, frozen=True, kw_only=True):
     """
     An order to an engine.
--- a/tests/test_outside/test_engine.py
+++ b/tests/test_outside/test_engine.py
@@ -26,6 +26,7 @@
 from cicadahoist.standin.faults import Fault
 from cicadahoist.standin.tokens import output_text
 from tests.loopback import LoopbackCase, target_at
+from tests.stutter import build_answer
 
 PATH = '/v1/completions'
 CHAT = '/v1/chat/completions'
@@ -324,3 +325,47 @@
             LostAfterSendError,
             self.adapter_under_test.open_stream(target, 'a1', PATH, body(), 1),
         )
+
+
+JUNK_REPLIES = (
+    b'',
+    b'{',
+    b'x',
+    b'7',
+    b'[]',
+    b'{}',
+    b'{"handle":7}',
+    b'\xff',
+    b'{"handle":"\xff","state":"\xff","role":"\xff"}',
+)
+
+
+class JunkServer(Protocol):
+    """Answers each request with 200 and the same body."""
+
+    def dataReceived(self, received):
+        self.transport.write(build_answer(200, self.factory.body))
+
+
+class JunkTest(LoopbackCase):
+    def setUp(self):
+        super().setUp()
+        self.factory = Factory.forProtocol(JunkServer)
+        port = self.reactor.listenTCP(0, self.factory, interface='127.0.0.1')
+        self.addCleanup(port.stopListening)
+        self.target = target_at(f'http://127.0.0.1:{port.getHost().port}')
+        self.engine = self.adapter(OpenAiHttpEngine)
+
+    # Raised the error of the decoder, which most callers do not handle.
+    async def test_a_reply_that_is_none_is_refused(self):
+        for junk in JUNK_REPLIES:
+            self.factory.body = junk
+            for call in (
+                self.engine.fetch_attempt_state(self.target, 'a1'),
+                self.engine.fetch_load(self.target),
+                self.engine.fetch_cache_events(self.target, 0),
+                self.engine.export_kv(self.target, 'a1'),
+                self.engine.import_kv(self.target, 'h1', self.target),
+                self.engine.read_orders(self.target),
+            ):
+                await self.raises(RefusedError, call)
