Test copies beside answers, and behind answers without a length, at the entry

Copies that begin in one read with the answer before them, and bodies that end with their connection with a copy behind them: a stream ends with its last event, a whole answer of an engine must be one value of JSON, and a service's answer without a length is not passed on.

--- a/tests/test_entry/test_answer_copies.py
+++ b/tests/test_entry/test_answer_copies.py
@@ -6,12 +6,13 @@
 """
 
 import re
+from functools import partial
 from itertools import product
 
 import msgspec
 import pytest
 
-from tests.stutter import StutteringServer, build_answer
+from tests.stutter import END_OF_HEAD, StutteringServer, build_answer
 from tests.test_entry.world import World, join_text
 
 TEXTS = ('first', 'second', 'third')
@@ -69,12 +70,12 @@
 
 
 def list_worlds(target, answer, answer_id=''):
-    """Yield a world for each size of copies, with that size."""
-    for copied in COPIED_SIZES:
+    """Yield a world for each size and time of copies, with both."""
+    for copied, sent_at_once in product(COPIED_SIZES, (0, 3, 40)):
         world = World(engines=1, services=1, targets__answer_id=answer_id)
-        server = StutteringServer(answer, copied)
+        server = StutteringServer(answer, copied, sent_at_once)
         world.net.add_site(f'{target}:80', server)
-        yield world, copied
+        yield world, (copied, sent_at_once)
 
 
 @pytest.mark.parametrize('answer', [echo, fail_first])
@@ -110,3 +111,46 @@
                 assert got.status == 200, copied
                 (choice,) = msgspec.json.decode(got.body)['choices']
                 assert choice['message']['content'] == text, copied
+
+
+class ClosingServer(StutteringServer):
+    """Sends answers without a length with a part of a copy, and closes."""
+
+    def buildProtocol(self, addr):
+        built = super().buildProtocol(addr)
+        built.dataReceived = partial(self.answer_and_close, built)
+        return built
+
+    def answer_and_close(self, connection, request):
+        head, _, body = self.answer(request).partition(END_OF_HEAD)
+        unframed = head.partition(b'\r\n')[0] + END_OF_HEAD + body
+        connection.transport.write(unframed + unframed[: self.copied])
+        connection.transport.loseConnection()
+
+
+def make_closing_world(target, answer, copied):
+    world = World(engines=1, services=1, targets__answer_id='')
+    world.net.add_site(f'{target}:80', ClosingServer(answer, copied))
+    return world
+
+
+# Guards against a copy that counts as a part of the answer before it.
+@pytest.mark.parametrize('copied', [1, 7, 19, 50, None])
+def test_an_answer_without_a_length_and_its_copy_are_no_answer(copied):
+    for path in ('lookup', 'filing'):
+        world = make_closing_world('service-0', echo, copied)
+        got = world.finish(world.send('POST', f'/services/{path}/x', b'first'))
+        assert got.status == 502
+    for model in MODELS:
+        world = make_closing_world('engine-0', complete, copied)
+        got = world.finish(world.chat(model, text='first', stream=False))
+        assert got.status == 502
+
+
+@pytest.mark.parametrize('copied', [1, 7, 19, 50, None])
+def test_a_copy_behind_a_stream_without_a_length_is_no_part_of_it(copied):
+    for model in MODELS:
+        world = make_closing_world('engine-0', complete, copied)
+        got = world.finish(world.chat(model, text='first'))
+        assert join_text(got) == 'first'
+        assert got.body.count(b'[DONE]') == 1
