--- a/cicadahoist/platform/engines.py
+++ b/cicadahoist/platform/engines.py
@@ -43,7 +43,7 @@
     """
     Sends management calls to engines.
 
-    :param http: client with its own connection pool
+    :param http: client that opens a connection for each call
     :param holder: name of this instance, sent as the duty holder
     :param timeout_ms: time limit for an answer
     :param on_departure: called with the id of an engine that states in an
@@ -79,6 +79,11 @@
         )
         self._read_departure(engine.name, response)
         body = await response.read_body(self._timeout_ms)
+        if response.status != HTTP_OK:
+            raise RefusedError(
+                f'{engine.name}: HTTP {response.status} for a report',
+                remedy='see whether the engine is still listed',
+            )
         try:
             return _decode_report(body).seq
         except msgspec.MsgspecError as error:
