Send no request on a connection that has carried one of its name

What callers saw: where two requests bear one name, a late copy of the first answer was told as the answer to the second one; after the role of an engine had changed, the JSON of a prefill was taken for the answer to a run (502 where it has no signature), and the answer to a run for that to a prefill. Cause: an answer is told by the name that it states, and a pool handed out a connection whatever it had carried. Only the attempts of one request were kept apart. Change: the pool knows the name of the attempt and passes over connections that have carried it; they stay for other requests.

--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -230,7 +230,9 @@
             return AttemptEnd(AttemptOutcome.stopped)
         try:
             connection, pool = await connections.open(
-                self.listing, is_new=self.needs_new_connection
+                self.listing,
+                self._request.attempt_id,
+                is_new=self.needs_new_connection,
             )
         except NotSentError as error:
             self._end_deferred = None
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -65,6 +65,14 @@
         self.is_open = True
         self.is_reused = False
 
+    def has_carried(self, name: str) -> bool:
+        """
+        Return whether an attempt of this id was sent before.
+
+        Its answer may come once more, and states the same id.
+        """
+        return bool(name) and name in (self._name, *self.earlier_names)
+
     def connectionMade(self) -> None:
         """Set the TCP options that detect dead connections."""
         transport = self.transport
--- a/cicadahoist/serving/target_connections.py
+++ b/cicadahoist/serving/target_connections.py
@@ -61,11 +61,12 @@
         self._connector.relays = relays
 
     async def open(
-        self, listing: Listing, *, is_new: bool = False
+        self, listing: Listing, name: str = '', *, is_new: bool = False
     ) -> tuple[TargetConnection, TargetPool]:
         """
         Return an idle or new connection to a target, and its pool.
 
+        :param name: id of the attempt that is to be sent
         :param is_new: whether an idle connection must not be used
         :raises NotSentError: no path to the target works
         """
@@ -73,7 +74,7 @@
         path = self.paths.get(listing.name)
         if path.is_bypassed and path.is_probe_due(self._clock.now_ms()):
             self._connector.probe(listing)
-        connection = None if is_new else self._acquire(pool)
+        connection = None if is_new else self._acquire(pool, name)
         if connection is None:
             connection = await self._connector.connect(listing)
         return connection, pool
@@ -138,15 +139,16 @@
             self._pools_by_name[listing.name] = pool
         return pool
 
-    def _acquire(self, pool: TargetPool) -> TargetConnection | None:
+    def _acquire(self, pool: TargetPool, name: str) -> TargetConnection | None:
         now_ms = self._clock.now_ms()
-        name = pool.listing.name
-        if self.paths.may_reuse_direct(name, now_ms):
-            connection = pool.acquire(now_ms)
+        target = pool.listing.name
+        if self.paths.may_reuse_direct(target, now_ms):
+            connection = pool.acquire(now_ms, name)
             if connection is not None:
                 return connection
-        if self.paths.get(name).is_bypassed:
-            return pool.acquire(now_ms, self._connector.list_sound_peers())
+        if self.paths.get(target).is_bypassed:
+            peers = self._connector.list_sound_peers()
+            return pool.acquire(now_ms, name, peers)
         return None
 
     def _keep(self, listing: Listing, connection: TargetConnection) -> None:
--- a/cicadahoist/serving/target_pool.py
+++ b/cicadahoist/serving/target_pool.py
@@ -37,16 +37,20 @@
         )
 
     def acquire(
-        self, now_ms: int, peers: Collection[str] = _DIRECT
+        self, now_ms: int, name: str, peers: Collection[str] = _DIRECT
     ) -> TargetConnection | None:
         """
         Return an idle connection that the target keeps open, or none.
 
+        :param name: id of the attempt; a connection that has carried an attempt
+            of this id is not returned
         :param peers: the instances that may pass its bytes on; an empty name
             stands for none
         """
         idle = [
-            connection for connection in self._idle if connection.peer in peers
+            connection
+            for connection in self._idle
+            if connection.peer in peers and not connection.has_carried(name)
         ]
         while idle:
             connection = idle.pop()
