Read kept connections whatever their last caller waited for

What callers saw: nothing until the deadline where their request was sent on a kept connection whose last answer had a slow caller; the target counted as silent, and its other requests were moved. Cause: a connection is paused while its caller reads slowly. Where the answer ended in the same read, or its last bytes were passed on at its end, the connection went back to the pool paused, and nothing resumed it. Change: a connection resumes when it is released, and is paused only while an answer is read from it. Why it works: the pause of an attempt cannot outlast its answer on the connection.

--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -131,8 +131,8 @@
             self.transport.abortConnection()
 
     def pause(self) -> None:
-        """Stop reading until `resume` is called."""
-        if self.is_open:
+        """Stop reading the answer until `resume` is called, or it ends."""
+        if self.is_open and self._reader is not None:
             self.transport.pauseProducing()
 
     def resume(self) -> None:
@@ -170,6 +170,8 @@
         if not is_reusable or not is_sent:
             self.close()
             return
+        # The next answer must be read, whatever this one waited for.
+        self.resume()
         self.idle_since_ms = self._clock.now_ms()
         self.is_reused = True
         if self._pool is not None and self.is_open:
