Close connections whose target was replaced during their request

What workers saw: after a change of the list, connections on which a request had been under way stayed open without use, and counted towards the number that a worker accepts. Cause: the pool was closed with the connections that were idle then; one that came back later was kept by a pool that nobody asked any more. Change: a closed pool closes what comes back.

--- a/cicadahoist/serving/target_pool.py
+++ b/cicadahoist/serving/target_pool.py
@@ -19,13 +19,14 @@
     :param on_heard: called when bytes arrive on a direct connection
     """
 
-    __slots__ = ('_idle', '_on_heard', 'listing')
+    __slots__ = ('_idle', '_is_closed', '_on_heard', 'listing')
 
     def __init__(
         self, listing: Listing, on_heard: Callable[[str], Any] = str
     ) -> None:
         self.listing = listing
         self._idle: list[TargetConnection] = []
+        self._is_closed = False
         self._on_heard = on_heard
 
     def belongs_to(self, listing: Listing) -> bool:
@@ -66,11 +67,11 @@
         return None
 
     def release(self, connection: TargetConnection) -> None:
-        """Keep a connection for later attempts; close it beyond the limit."""
-        if len(self._idle) < MAX_IDLE_CONNECTIONS:
-            self._idle.append(connection)
-        else:
+        """Keep a connection for later attempts; close one beyond the limit."""
+        if self._is_closed or len(self._idle) >= MAX_IDLE_CONNECTIONS:
             connection.close()
+        else:
+            self._idle.append(connection)
 
     def discard(self, connection: TargetConnection) -> None:
         """Remove a connection that was closed."""
@@ -83,7 +84,8 @@
             self._on_heard(self.listing.name)
 
     def close(self) -> None:
-        """Close all idle connections."""
+        """Close all connections, those under way after their answers."""
+        self._is_closed = True
         idle = self._idle
         self._idle = []
         for connection in idle:
