Test bytes of a process before another one of its name (failing, listed)

Cause: the connection of a pool that was closed reports what it hears under the name of the target, which is listed at another address by now. Measured: the new test fails, and is listed in KNOWN-RED.txt.

--- a/tests/test_serving/test_answers/test_replaced_targets.py
+++ b/tests/test_serving/test_answers/test_replaced_targets.py
@@ -95,3 +95,17 @@
     assert second.connection is not first.connection
     second.write(build_answer(second.attempt_id))
     assert caller.body == b'own'
+
+
+# Guards against a process at another address that counts as reached, as the one
+# before it still answers.
+def test_the_process_before_does_not_show_the_path_to_the_next():
+    world = build_world()
+    _, first = send(world)
+    world.network.cut(Cut.silent)
+    move(world)
+    world.send_request(b'/submit/x')
+    world.advance(SETTLE_MS)
+    sent_ms = world.clock.now_ms()
+    first.answer()
+    assert not world.connections.paths.get('t1').has_heard(sent_ms)
