Let bytes of a process that is not listed show no path

What callers saw: nothing of its own; a target at a new address counted as reached directly, for 300 ms or until its next attempt, as the process before still answered. Cause: the pools of both report under one name. Change: a closed pool reports nothing.

--- a/cicadahoist/serving/target_pool.py
+++ b/cicadahoist/serving/target_pool.py
@@ -80,7 +80,7 @@
 
     def record_heard(self, connection: TargetConnection) -> None:
         """Record that bytes of the target have arrived."""
-        if not connection.peer:
+        if not (connection.peer or self._is_closed):
             self._on_heard(self.listing.name)
 
     def close(self) -> None:
