Send no request on a connection that was closed before

What callers saw: nothing until the deadline, where a target sends bytes as soon as it accepts a connection, and a peer passes them on in one read with the opening. Cause: bytes that belong to no request close the connection; it was handed out nevertheless, and its end, which had nobody to be told to, was not told again. Change: a new connection that is closed already counts as not opened: nothing was sent, and another target gets the request. Measured: 2 of 2 tests failed before, both pass.

--- a/cicadahoist/serving/target_connections.py
+++ b/cicadahoist/serving/target_connections.py
@@ -77,6 +77,12 @@
         connection = None if is_new else self._acquire(pool, name)
         if connection is None:
             connection = await self._connector.connect(listing)
+        if not connection.is_open:
+            # Its end has been reported to nobody.
+            raise NotSentError(
+                f'{listing.name} at {listing.address}: closed before a request',
+                remedy='send it to another target',
+            )
         return connection, pool
 
     async def check(self, listing: Listing) -> Reachability:
