State no length where an answer has no body

What callers saw: HEAD, 204 and 304 with a length of 0: the answer to GET seemed to have an empty body. Cause: the length that a target states was dropped with the framing of its connection, and the length of the body that was read, none, was stated instead. Change: an answer without a body keeps the length that its target states for HEAD and 304, and states none for 204.

--- a/cicadahoist/platform/dialect.py
+++ b/cicadahoist/platform/dialect.py
@@ -38,6 +38,7 @@
     ModelWork,
     PromptPart,
     SendOptions,
+    may_state_other_length,
 )
 
 logger = get_logger(__name__)
@@ -125,10 +126,11 @@
     ) -> AnswerHead:
         """Decode the status and headers of a target's answer."""
         by_name = dict(reversed(headers))
+        dropped = CONNECTION_HEADERS
+        if may_state_other_length(request.method, status):
+            dropped -= {b'content-length'}
         forwarded = [
-            (name, content)
-            for name, content in headers
-            if name not in CONNECTION_HEADERS
+            (name, content) for name, content in headers if name not in dropped
         ]
         meaning = _classify_answer(request, status, by_name)
         if _is_ambiguous(headers):
--- a/cicadahoist/requests.py
+++ b/cicadahoist/requests.py
@@ -8,6 +8,27 @@
 HeaderList = list[tuple[bytes, bytes]]
 
 
+_HTTP_NO_CONTENT = 204
+_HTTP_NOT_MODIFIED = 304
+
+
+def may_have_body(method: bytes, status: int) -> bool:
+    """Return whether an answer may have a body, whatever its head states."""
+    return method != b'HEAD' and status not in {
+        _HTTP_NO_CONTENT,
+        _HTTP_NOT_MODIFIED,
+    }
+
+
+def may_state_other_length(method: bytes, status: int) -> bool:
+    """
+    Return whether an answer may state the length of a body that it lacks.
+
+    It is that of the answer to GET; RFC 9110, section 8.6.
+    """
+    return status != _HTTP_NO_CONTENT and not may_have_body(method, status)
+
+
 class RepeatRule(Enum):
     """
     Whether a request may be repeated after it may have run.
--- a/cicadahoist/serving/inbound.py
+++ b/cicadahoist/serving/inbound.py
@@ -114,12 +114,19 @@
         body: bytes = b'',
         *,
         closes: bool = False,
+        has_body: bool = True,
     ) -> None:
-        """Send a complete answer."""
+        """
+        Send a complete answer.
+
+        :param has_body: whether there is a body, also an empty one, whose
+            length is to be stated
+        """
         if self.is_over:
             return
-        length = (b'Content-Length', b'%d' % len(body))
-        self._begin(status, [*headers, length], closes=closes)
+        if has_body:
+            headers = [*headers, (b'Content-Length', b'%d' % len(body))]
+        self._begin(status, headers, closes=closes)
         connection = self._connection
         connection.unsent_answers.add(len(body), connection.transport)
         self.send(body)
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -6,7 +6,11 @@
 from cicadahoist.log import get_logger
 from cicadahoist.policy.caller_admission.promise_status import may_pass_on
 from cicadahoist.reasons import Refusal
-from cicadahoist.requests import AnswerHead, InboundRequest
+from cicadahoist.requests import (
+    AnswerHead,
+    InboundRequest,
+    may_have_body,
+)
 from cicadahoist.rules import RouteRule
 from cicadahoist.serving.answers.endings import AnswerEnding
 from cicadahoist.serving.attempt import AttemptEnd
@@ -89,7 +93,12 @@
             return
         self._record_bytes(len(body))
         self._record_first_byte()
-        self._exchange.answer(head.status, head.headers, body)
+        self._exchange.answer(
+            head.status,
+            head.headers,
+            body,
+            has_body=may_have_body(self._request.method, head.status),
+        )
         self._context.meters.count_answer()
         self.end('answered', status=head.status)
 
