Pass on no header that concerns the connection of a target only

What callers saw: headers that the Connection header of a target names, as those of their own connection. Cause: only the usual names were dropped from answers; of several Connection headers in a request, the first one counted. Change: all names that the Connection headers of a request or an answer list are dropped, but never the name and the signature of an answer.

--- a/cicadahoist/platform/dialect.py
+++ b/cicadahoist/platform/dialect.py
@@ -46,6 +46,8 @@
 MS_PER_S = 1000
 HTTP_MISDIRECTED = 421
 HTTP_UNAVAILABLE = 503
+# What an answer is attributed and verified by, whatever a connection states.
+_IDENTITY = frozenset((ATTEMPT_ID.lower(), SIGNATURE.lower()))
 HTTP_SUCCESSES = range(HTTP_OK, HTTP_MULTIPLE_CHOICES)
 _SECONDS = re.compile(rb'\d{1,12}(\.\d*)?')
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
@@ -75,7 +77,7 @@
         :raises CallerError: a header that the core relies on is malformed
         """
         by_name = dict(reversed(headers))
-        hop_by_hop = _parse_connection_options(by_name.get(b'connection', b''))
+        hop_by_hop = _list_connection_options(headers)
         forwarded = [
             (name, content)
             for name, content in headers
@@ -126,7 +128,7 @@
     ) -> AnswerHead:
         """Decode the status and headers of a target's answer."""
         by_name = dict(reversed(headers))
-        dropped = CONNECTION_HEADERS
+        dropped = CONNECTION_HEADERS | _list_connection_options(headers)
         if may_state_other_length(request.method, status):
             dropped -= {b'content-length'}
         forwarded = [
@@ -197,7 +199,7 @@
 
 def _is_ambiguous(headers: HeaderList) -> bool:
     """Return whether an answer names several requests or signatures."""
-    for identity in (ATTEMPT_ID.lower(), SIGNATURE.lower()):
+    for identity in _IDENTITY:
         if len({content for name, content in headers if name == identity}) > 1:
             return True
     return False
@@ -214,9 +216,13 @@
     return round(float(text) * MS_PER_S)
 
 
-def _parse_connection_options(connection: bytes) -> frozenset[bytes]:
-    """Return the names that a Connection header declares hop-by-hop."""
-    return frozenset(name.strip().lower() for name in connection.split(b','))
+def _list_connection_options(headers: HeaderList) -> frozenset[bytes]:
+    """Return the names that Connection headers declare hop-by-hop."""
+    options = b','.join(
+        content for name, content in headers if name == b'connection'
+    )
+    named = {option.strip().lower() for option in options.split(b',')}
+    return frozenset(named - _IDENTITY)
 
 
 def _read_text(by_name: dict[bytes, bytes], name: bytes) -> str:
