--- a/tests/test_serving/test_answers/test_names_used_twice.py
+++ b/tests/test_serving/test_answers/test_names_used_twice.py
@@ -133,3 +133,20 @@
     assert prefill.target == 'd1'
     assert prefill.header(b'X-Cicadahoist-Serving-Stage') == b'prefill'
     assert prefill.connection is not split.run.connection
+
+
+# Guards against a name that reaches the target changed: the answer that states
+# it would be taken for that to another request until the deadline.
+@pytest.mark.parametrize('name', [b'n\xe9', b'n\xc3\xa9', b'\xa0n\x85'])
+def test_a_name_of_any_bytes_is_told_from_others(name):
+    world = World()
+    world.add(target('t1'))
+    send_named(world, b'/submit/x', b'n')
+    world.sent[0].answer()
+    caller = send_named(world, b'/submit/x', name)
+    again = world.sent[1]
+    assert again.attempt_id == name
+    assert again.connection is world.sent[0].connection
+    again.write(build_answer(b'n', 500) + build_answer(name))
+    assert (caller.status, caller.body) == (200, b'own')
+    assert name in caller.received
