Send the name of an attempt to its target byte by byte

What callers saw: nothing until the deadline where the id of their attempt has a byte beyond ASCII: the answer was skipped as that to another request. Cause: headers were read as Latin-1 and sent as UTF-8, so that the target had, and stated, another id; spaces of Latin-1 at the ends were dropped, which makes two ids one. Change: both ways are Latin-1, and only the spaces of HTTP are dropped.

--- a/cicadahoist/platform/dialect.py
+++ b/cicadahoist/platform/dialect.py
@@ -46,6 +46,8 @@
 MS_PER_S = 1000
 HTTP_MISDIRECTED = 421
 HTTP_UNAVAILABLE = 503
+# Any byte of a header is a character of its text, and the same byte again.
+ENCODING = 'latin-1'
 # What an answer is attributed and verified by, whatever a connection states.
 _IDENTITY = frozenset((ATTEMPT_ID.lower(), SIGNATURE.lower()))
 HTTP_SUCCESSES = range(HTTP_OK, HTTP_MULTIPLE_CHOICES)
@@ -103,9 +105,9 @@
         self, request: InboundRequest, options: SendOptions, address: str
     ) -> HeaderList:
         """Return the request headers of one attempt at a target."""
-        headers: HeaderList = [(b'Host', request.host.encode())]
+        headers: HeaderList = [(b'Host', request.host.encode(ENCODING))]
         headers.extend(request.headers)
-        headers.append((ATTEMPT_ID, request.attempt_id.encode()))
+        headers.append((ATTEMPT_ID, request.attempt_id.encode(ENCODING)))
         headers.append((EXPECTED_TARGET, options.target.encode()))
         if options.workspace:
             headers.append((TENANT, options.workspace.encode()))
@@ -154,7 +156,7 @@
         """Return the headers of an answer that originates here."""
         headers: HeaderList = []
         if request is not None and request.attempt_id:
-            headers.append((ATTEMPT_ID, request.attempt_id.encode()))
+            headers.append((ATTEMPT_ID, request.attempt_id.encode(ENCODING)))
         if retry_after_ms is not None:
             seconds = retry_after_ms / MS_PER_S
             headers.append((RETRY_AFTER, b'%.3f' % seconds))
@@ -226,7 +228,7 @@
 
 
 def _read_text(by_name: dict[bytes, bytes], name: bytes) -> str:
-    return by_name.get(name.lower(), b'').decode('latin-1').strip()
+    return by_name.get(name.lower(), b'').strip().decode(ENCODING)
 
 
 def _read_number(by_name: dict[bytes, bytes], name: bytes) -> int | None:
