Read nothing behind an answer whose end its target may see elsewhere

What callers saw: the next answer on a kept connection lost behind a 204 that states a body; text behind a late 204 or 304 as their answer, where it looks like one. Cause: the framing that was read is not the one that the target has stated: a body behind a status that has none, or a length beside chunks. What is left counts as the next answer. Change: such an answer is the last one of its connection, and ends the attempt if it is to another request.

--- a/cicadahoist/serving/answers/body.py
+++ b/cicadahoist/serving/answers/body.py
@@ -5,9 +5,8 @@
 import h11
 
 from cicadahoist.policy.answer_bounds.embedded_heads import EmbeddedHeadSearch
+from cicadahoist.requests import may_have_body
 
-# RFC 9112, section 6.3.
-BODILESS_STATUSES = frozenset((204, 304))
 # Their answers have no body, whatever their headers state.
 ODDLY_FRAMED_METHODS = frozenset((b'HEAD', b'CONNECT'))
 FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
@@ -137,12 +136,31 @@
 
 def is_end_stated(request: h11.Request, response: h11.Response) -> bool:
     """Return whether an answer ends otherwise than with its connection."""
-    is_bodiless = response.status_code in BODILESS_STATUSES
-    if is_bodiless or request.method in ODDLY_FRAMED_METHODS:
+    if not _may_have_body(request, response):
         return True
     return any(name in FRAMING_HEADERS for name, _ in response.headers)
 
 
+def is_end_doubtful(request: h11.Request, response: h11.Response) -> bool:
+    """
+    Return whether a target may take an answer to end elsewhere.
+
+    It states both a length and chunks, or a body where there can be none.
+    """
+    by_name = dict(response.headers)
+    stated_names = FRAMING_HEADERS.intersection(by_name)
+    if _may_have_body(request, response):
+        return stated_names == FRAMING_HEADERS
+    return bool(stated_names) and by_name.get(b'content-length') != b'0'
+
+
+def _may_have_body(request: h11.Request, response: h11.Response) -> bool:
+    is_bodiless = request.method in ODDLY_FRAMED_METHODS
+    return not is_bodiless and may_have_body(
+        request.method, response.status_code
+    )
+
+
 def _build_status_line(response: h11.Response) -> bytes:
     version = b'HTTP/%s' % response.http_version
     parts = (version, b'%d' % response.status_code, response.reason)
--- a/cicadahoist/serving/answers/endings.py
+++ b/cicadahoist/serving/answers/endings.py
@@ -22,10 +22,11 @@
     """
     Why an answer is incomplete, by its framing or by what it holds.
 
-    ``foreign``: only an answer to another request can still come. ``joined``:
-    its bytes hold the beginning of another answer, so that it cannot be told
-    which are its own. ``too_long``: more than an answer, its overhead or an
-    event may hold. ``no_memory``: this instance has no room for the answer.
+    ``foreign``: the end of an answer to another request is not known.
+    ``joined``: its bytes hold the beginning of another answer, so that it
+    cannot be told which are its own. ``too_long``: more than an answer, its
+    overhead or an event may hold. ``no_memory``: this instance has no room for
+    the answer.
     """
 
     closed = 'closed'
--- a/cicadahoist/serving/answers/reader.py
+++ b/cicadahoist/serving/answers/reader.py
@@ -12,6 +12,7 @@
     AnswerBody,
     SkippedBody,
     build_body,
+    is_end_doubtful,
     is_end_stated,
 )
 from cicadahoist.serving.answers.endings import (
@@ -43,8 +44,8 @@
     __slots__ = (
         '_body',
         '_ending',
-        '_has_skipped',
         '_http',
+        '_is_spent',
         '_names',
         '_on_end',
         '_overhead',
@@ -68,7 +69,8 @@
         self._ending = AnswerEnding.stated
         # Body that the next bytes belong to, none before its head.
         self._body: AnswerBody | None = None
-        self._has_skipped = False
+        # Whether late bytes of this answer or another one may still come.
+        self._is_spent = request.method in ODDLY_FRAMED_METHODS
         self._overhead = AnswerOverhead()
 
     def encode_request(self, body: bytes) -> tuple[bytes, bytes]:
@@ -141,12 +143,14 @@
             headers, response.reason
         ):
             return
+        is_doubtful = is_end_doubtful(self._request, response)
         if self._receiver.head_received(response.status_code, headers):
             self._body = build_body(self._request, response, self._names)
+            self._is_spent = self._is_spent or is_doubtful
             return
         self._body = SkippedBody(self._names[0])
-        if not is_end_stated(self._request, response):
-            # The answer that is awaited cannot follow.
+        if is_doubtful or not is_end_stated(self._request, response):
+            # It is not known where the answer that is awaited begins.
             self.lose(AnswerLoss.foreign)
 
     def _process_piece(self, event: h11.Data) -> None:
@@ -181,9 +185,7 @@
 
     def _end_answer(self, receiver: Receiver) -> None:
         self._receiver = None
-        is_plain = self._request.method not in ODDLY_FRAMED_METHODS
-        is_known = is_plain and not self._has_skipped
-        self._on_end(is_known and _is_quiet(self._http))
+        self._on_end(not self._is_spent and _is_quiet(self._http))
         receiver.answer_ended(self._ending)
 
     def _read_next_answer(self) -> None:
@@ -191,7 +193,7 @@
         rest, _ = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT)
         self._body = None
-        self._has_skipped = True
+        self._is_spent = True
         length = dict(self._request.headers).get(b'content-length', b'0')
         self.encode_request(bytes(int(length)))
         if rest:
