Judge the end of a connection before it ends an answer without a length

Callers got a part of an early answer as a whole one. Two causes, both seen in the events of twisted's epoll reactor and in the socket at the read end:

- The target closed while nothing was unread, so that its kernel sent a clean close and reset the connection only for the bytes of the request that came later.
The read shows the clean close, also after the reset (EPIPE pending, and bytes of the request not acknowledged).
- A reset came while epoll looked at the socket.
It then tells of an error but not yet of input, which twisted reports as a clean close (ECONNRESET pending).
The failing write has no part in it: twisted ends the connection as lost.

`ConnectionEnd` reads the pending error and the bytes that are not acknowledged while the socket still exists, at twisted's notice of a half close. An answer without a length is whole only if there is neither. A relay passes a close on as a reset if bytes for the target were not taken, as only the relay knows that; the bytes of the answer go first, so that answers with a length arrive. `count_unsent_bytes` now counts bytes that the transport has not joined yet. `attempt ended` has `unsent_bytes`.

--- a/cicadahoist/outside/sockets.py
+++ b/cicadahoist/outside/sockets.py
@@ -65,7 +65,7 @@
     """
     queued_bytes = array('i', [0])
     fcntl.ioctl(transport.getHandle(), termios.TIOCOUTQ, queued_bytes)
-    return queued_bytes[0] + len(transport.dataBuffer) - transport.offset
+    return queued_bytes[0] + count_buffered_bytes(transport)
 
 
 def count_buffered_bytes(transport: Any) -> int:
@@ -78,6 +78,18 @@
     return len(transport.dataBuffer) - transport.offset + unjoined_bytes
 
 
+def take_error(transport: Any) -> int:
+    """
+    Return the pending error of a connection, 0 for none, and clear it.
+
+    :param transport: a twisted TCP transport that is not lost yet
+    """
+    error_number: int = transport.getHandle().getsockopt(
+        socket.SOL_SOCKET, socket.SO_ERROR
+    )
+    return error_number
+
+
 def accept_waiting(port: Any) -> None:
     """
     Accept the connections that the system has made but the process has not.
--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -91,6 +91,7 @@
         since its start
     :param is_reused: whether its connection had carried other requests
     :param skipped_count: answers to other requests that came before its own
+    :param unsent_bytes: bytes that its target had not acknowledged at its close
     """
 
     outcome: AttemptOutcome
@@ -104,6 +105,7 @@
     silent_ms: int = 0
     is_reused: bool = False
     skipped_count: int = 0
+    unsent_bytes: int = 0
 
 
 # Detail of an attempt that this instance ended because its target was silent.
@@ -417,6 +419,7 @@
                 ending=ending,
                 is_reused=self._is_reused,
                 skipped_count=self._skipped_count,
+                unsent_bytes=_count_unsent_bytes(self._connection),
             )
         )
 
@@ -430,6 +433,10 @@
                 self.memory.release()
 
 
+def _count_unsent_bytes(connection: TargetConnection | None) -> int:
+    return 0 if connection is None else connection.unsent_bytes
+
+
 def _log_skipped(
     request: InboundRequest,
     listing: Listing,
--- a/cicadahoist/serving/body_sender.py
+++ b/cicadahoist/serving/body_sender.py
@@ -33,6 +33,11 @@
         self._offset = 0
         self.is_over = False
 
+    @property
+    def unwritten_bytes(self) -> int:
+        """Bytes of a long body that the connection has not taken yet."""
+        return len(self._body) - self._offset
+
     def start(self, head: bytes) -> None:
         """
         Write the request, a long body as the connection takes it.
@@ -59,6 +64,7 @@
         """Drop the body, as it is sent or its connection has ended."""
         self.is_over = True
         self._body = b''
+        self._offset = 0
         if self._hold is not None:
             self._hold.release()
             self._hold = None
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -6,10 +6,14 @@
 
 import h11
 from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol as TwistedProtocol
+from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from cicadahoist.clock import Clock
 from cicadahoist.requests import BodyHold
+from cicadahoist.serving.answers.connection_end import ConnectionEnd
 from cicadahoist.serving.answers.endings import AnswerLoss, Receiver
 from cicadahoist.serving.answers.reader import AnswerReader
 from cicadahoist.serving.body_sender import BodySender
@@ -41,6 +45,7 @@
         """Record that bytes of the target have arrived."""
 
 
+@implementer(IHalfCloseableProtocol)
 class TargetConnection(TwistedProtocol):
     """
     One connection to a target, for one attempt at a time.
@@ -58,6 +63,7 @@
         self._pool: Pool | None = None
         self._body_sender: BodySender | None = None
         self._name = ''
+        self._end: ConnectionEnd | None = None
         # Ids of the attempts that were sent before the one that waits.
         self.earlier_names: deque[str] = deque(maxlen=MAX_EARLIER_NAMES)
         self.idle_timeout_ms = DEFAULT_IDLE_MS
@@ -142,6 +148,22 @@
             self._pool.record_heard(self)
         self._reader.read(received)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the target had not acknowledged when it closed."""
+        return 0 if self._end is None else self._end.unsent_bytes
+
+    def readConnectionLost(self) -> None:
+        """Judge the close while the socket shows what was not sent."""
+        sender = self._body_sender
+        self._end = ConnectionEnd.from_transport(
+            self.transport, 0 if sender is None else sender.unwritten_bytes
+        )
+        self.transport.connectionLost(Failure(ConnectionDone()))
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing: no connection to a target is half closed from here."""
+
     def connectionLost(self, reason: Any = None) -> None:
         """Complete an answer without a stated length, or report its loss."""
         was_open = self.is_open
@@ -150,10 +172,14 @@
             self._pool.discard(self)
         if self._reader is None or not was_open:
             return
-        if reason is not None and reason.check(ConnectionDone):
+        is_closed = reason is not None and reason.check(ConnectionDone)
+        end = self._end
+        if not is_closed or (end is not None and end.is_reset):
+            self._reader.lose(AnswerLoss.reset)
+        elif end is None or end.is_clean:
             self._reader.read_close()
         else:
-            self._reader.lose(AnswerLoss.reset)
+            self._reader.lose(AnswerLoss.closed)
 
     def _release_or_close(self, is_reusable: bool) -> None:
         """Return the connection to its pool, or close it if not reusable."""
--- a/cicadahoist/serving/relay_splice.py
+++ b/cicadahoist/serving/relay_splice.py
@@ -5,10 +5,18 @@
 from typing import Any
 
 from twisted.internet.error import ConnectionDone
-from twisted.internet.interfaces import IPushProducer
+from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer
 from twisted.internet.protocol import Protocol as TwistedProtocol
+from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from cicadahoist.clock import MS_PER_S
+from cicadahoist.outside.sockets import (
+    count_unsent_bytes,
+    has_unread_input,
+    take_error,
+)
+from cicadahoist.serving.answers.connection_end import ConnectionEnd
 from cicadahoist.serving.clean_close import close_when_drained, reset_on_exit
 from cicadahoist.serving.outbound import (
     PROBE_IDLE_S,
@@ -18,15 +26,20 @@
 
 # Bytes read at once, and bytes that wait at one end before the other is paused.
 BUFFER_BYTES = 32_768
+# Period of the check whether the last bytes before a reset have arrived.
+RESET_CHECK_MS = 5
 
 
-@implementer(IPushProducer)
+@implementer(IHalfCloseableProtocol, IPushProducer)
 class SplicedEnd(TwistedProtocol):
     """
     One of two connections whose bytes are passed on to each other.
 
-    A clean close is passed on after all bytes before it, a reset at once. What
-    arrives while the connections are not joined yet goes to `on_early_data`.
+    A clean close is passed on after all bytes before it, a reset at once. A
+    close before all bytes of the other connection were taken is passed on as a
+    reset, after all bytes before it: the other one cannot see that they were
+    acknowledged only here. What arrives while the connections are not joined
+    yet goes to `on_early_data`.
 
     :param on_early_data: called with bytes that arrive before the join
     :param on_lost: called once, after the end of the connection
@@ -43,6 +56,9 @@
         self._on_lost = on_lost
         self._other: SplicedEnd | None = None
         self._count_bytes: Callable[[int], None] | None = None
+        self._end: ConnectionEnd | None = None
+        # Whether bytes of this connection were not taken by the other one.
+        self._has_lost_bytes = False
         self.received_bytes = 0
         self.is_open = False
         self.is_reset = False
@@ -82,27 +98,43 @@
             self._on_early_data(received)
             return
         if not self._other.is_open:
+            self._has_lost_bytes = True
             return
         self.received_bytes += len(received)
         self._count_bytes(len(received))
         self._other.transport.write(received)
 
+    def readConnectionLost(self) -> None:
+        """Judge the close while the socket shows what was not sent."""
+        self._end = ConnectionEnd.from_transport(self.transport)
+        self.transport.connectionLost(Failure(ConnectionDone()))
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing: no end is half closed from here."""
+
     def connectionLost(self, reason: Any = None) -> None:
         """Pass the end on as the clean close or the reset that it is."""
         self.is_open = False
-        self.is_reset = reason is None or not reason.check(ConnectionDone)
+        is_lost = reason is None or not reason.check(ConnectionDone)
+        is_clean = self._end is None or self._end.is_clean
+        self.is_reset = is_lost or not is_clean
         other = self._other
         if other is not None and other.is_open:
-            if self.is_reset:
+            if is_lost:
                 other.abort()
             else:
-                other.close()
+                other.close(is_clean=is_clean)
         self._on_lost(self)
 
-    def close(self) -> None:
-        """Close cleanly once all bytes are sent."""
+    def close(self, *, is_clean: bool = True) -> None:
+        """
+        Close once all bytes are sent.
+
+        :param is_clean: whether the other connection took all bytes of this one
+        """
+        self._has_lost_bytes = self._has_lost_bytes or not is_clean
         self.transport.unregisterProducer()
-        close_when_drained(self.transport, self.transport.loseConnection)
+        close_when_drained(self.transport, self._close_drained)
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -118,3 +150,23 @@
 
     def stopProducing(self) -> None:
         """Do nothing: the end of a connection is passed on as its kind."""
+
+    def _close_drained(self) -> None:
+        if self._has_lost_bytes or has_unread_input(self.transport):
+            reset_on_exit(self.transport)
+            self._reset_when_acknowledged()
+        else:
+            self.transport.loseConnection()
+
+    def _reset_when_acknowledged(self) -> None:
+        """Reset after the last bytes have arrived, which it would overtake."""
+        if not self.is_open:
+            return
+        transport = self.transport
+        # The event loop does not watch a connection that is not read any more.
+        if take_error(transport) or not count_unsent_bytes(transport):
+            self.abort()
+        else:
+            transport.reactor.callLater(
+                RESET_CHECK_MS / MS_PER_S, self._reset_when_acknowledged
+            )
--- a/cicadahoist/serving/reply.py
+++ b/cicadahoist/serving/reply.py
@@ -188,6 +188,7 @@
             silent_ms=end.silent_ms,
             is_reused=end.is_reused,
             skipped=end.skipped_count,
+            unsent_bytes=end.unsent_bytes,
             left_ms=self._deadline.remaining_ms,
         ).info('attempt ended')
 
--- a/tests/test_serving/test_answers/test_early_closes.py
+++ b/tests/test_serving/test_answers/test_early_closes.py
@@ -9,15 +9,20 @@
 import errno
 import select
 import socket
+from time import monotonic
 
 import h11
 import pytest
+from loguru import logger
+from twisted.internet.defer import succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory
 
+from cicadahoist.rules import CallerLimits
 from cicadahoist.serving.answers.endings import AnswerEnding, AnswerLoss
 from cicadahoist.serving.outbound import TargetConnection
 from cicadahoist.serving.relay_messages import OPENED
+from cicadahoist.serving.target_pool import TargetPool
 from tests.coroutines import Pending
 from tests.test_serving.relay_world import (
     Answer,
@@ -25,10 +30,20 @@
     relay_world,
     reset,
 )
+from tests.test_serving.turned_reactor import SocketCaller, TurnedReactor
+from tests.test_serving.world import (
+    SHORT_PROMPT_HEADERS,
+    TARGETS,
+    FakeConnections,
+    World,
+    deployment,
+)
 
 # More than both sockets hold.
 UPLOAD_BYTES = 16_000_000
 SHORT_BYTES = 1000
+# Time in which callers hear of a new configuration.
+CALLER_NOTICE_MS = 2001
 HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
 FRAMED = b'HTTP/1.1 413 X\r\nContent-Length: 4\r\n\r\npart'
 
@@ -49,6 +64,8 @@
 @pytest.fixture
 def world():
     with relay_world() as world:
+        # A reset waits until the kernel has delivered what was sent before it.
+        world.reactor.seconds = monotonic
         yield world
 
 
@@ -108,7 +125,8 @@
     def is_complete():
         nonlocal received
         received += read_some(accepted, 65_536)
-        return len(received.partition(b'\r\n\r\n')[2]) == body_bytes
+        _, head_end, body = received.partition(b'\r\n\r\n')
+        return head_end and len(body) == body_bytes
 
     world.turn_until(is_complete)
 
@@ -240,6 +258,25 @@
     assert world.receive_end(raw) == (HEAD + b'part', 'reset')
 
 
+# Guards against a connection that is kept for a peer that has gone.
+@pytest.mark.parametrize('is_reset', [True, False])
+def test_a_reset_does_not_wait_for_a_peer_that_has_gone(
+    world, target, is_reset
+):
+    raw, accepted = open_raw(world, target)
+    fill(world.list_ends()[0].transport.getHandle())
+    raw.sendall(b'x' * SHORT_BYTES)
+    accepted.sendall(HEAD + b'part')
+    accepted.close()
+    world.turn_for_a_while()
+    assert world.list_ends()
+    if is_reset:
+        reset(raw)
+    else:
+        raw.close()
+    world.turn_until(lambda: not world.list_ends())
+
+
 def fill(one_socket):
     """Send until a socket takes no more; return the number of bytes."""
     sent_bytes = 0
@@ -299,3 +336,108 @@
         assert accepted.recv(1) == b''
     except OSError as error:
         assert error.errno == errno.ECONNRESET
+
+
+class SocketConnections(FakeConnections):
+    """Opens connections to targets on real sockets, which a test holds."""
+
+    def __init__(self, clock, paths, reactor) -> None:
+        super().__init__(clock, paths)
+        self._clock = clock
+        self._reactor = reactor
+        self.workers = []
+
+    def open(self, listing, *, is_new=False):
+        connection = TargetConnection(self._clock)
+        self.workers.append(SocketCaller(self._reactor, connection))
+        return succeed((connection, TargetPool(listing)))
+
+
+class SocketWorld(World):
+    """One instance whose connections to targets are real sockets."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reactor = TurnedReactor()
+        self.connections = SocketConnections(
+            self.clock, self.context.fleet.connections.paths, self.reactor
+        )
+        self.context.fleet.connections = self.connections
+        self.add(*TARGETS)
+
+    def answer_early(self, attempt_id, body):
+        """Let the target that was asked last answer in part and close."""
+        worker = self.connections.workers[-1].socket
+        worker.sendall(
+            b'HTTP/1.1 200 OK\r\nX-Cicadahoist-Attempt-Id: '
+            + attempt_id
+            + b'\r\nX-Cicadahoist-Server-Seal: s\r\n\r\n'
+            + body
+        )
+        worker.close()
+        self.reactor.turn_until_idle()
+
+
+@pytest.fixture
+def log_lines():
+    """Return the fields of each log line, by its message."""
+    lines_by_message = {}
+
+    def keep(message):
+        record = message.record
+        lines_by_message[record['message']] = record['extra']
+
+    handler = logger.add(keep, level='INFO')
+    yield lines_by_message
+    logger.remove(handler)
+
+
+@pytest.fixture
+def sockets():
+    sockets = SocketWorld()
+    yield sockets
+    for worker in sockets.connections.workers:
+        worker.close()
+
+
+def send_upload(sockets, path, *headers):
+    """Return a caller, and the id of its request with a long body."""
+    caller = sockets.caller()
+    key = b'Authorization: Token k1'
+    body = b'x' * UPLOAD_BYTES
+    return caller, caller.send(path, [key, *headers], body)
+
+
+@pytest.fixture
+def uploads_allowed(sockets):
+    limits = CallerLimits(body_bytes=2 * UPLOAD_BYTES)
+    sockets.context.apply_deployment(deployment(2, limits=limits))
+    # Callers have heard of it.
+    sockets.clock.advance(CALLER_NOTICE_MS)
+
+
+# Guards against the part of an answer that reaches a caller as a whole one, and
+# against a loss whose cause the log does not tell.
+def test_a_part_of_an_answer_does_not_reach_the_caller(
+    sockets, uploads_allowed, log_lines
+):
+    caller, attempt_id = send_upload(sockets, b'/submit/x')
+    sockets.answer_early(attempt_id, b'part')
+    assert caller.status == 502
+    assert b'part' not in caller.received
+    ended = log_lines['attempt ended']
+    assert ended['outcome'] == 'lost'
+    assert 0 < ended['unsent_bytes'] <= UPLOAD_BYTES + SHORT_BYTES
+
+
+# Guards against a part of a stream that ends between two events.
+def test_a_stream_that_is_closed_early_is_broken_off(sockets, uploads_allowed):
+    caller, attempt_id = send_upload(
+        sockets,
+        b'/check/x',
+        b'X-Cicadahoist-Deadline-Ms: 15000',
+        *SHORT_PROMPT_HEADERS,
+    )
+    sockets.answer_early(attempt_id, b'id: 1\ndata: t\n\n')
+    assert caller.status == 200
+    assert caller.transport.is_aborted
