Judge the ends of connections of calls as those of requests

Cause: a call of ours took a reset for a clean close where the event loop tells of an error without input: only the bytes that were not acknowledged were looked at. Measured: tests of calls, early closes, relays and cut heads pass.

--- a/cicadahoist/outside/connections.py
+++ b/cicadahoist/outside/connections.py
@@ -27,7 +27,7 @@
 from cicadahoist.clock import MS_PER_S
 from cicadahoist.errors import AnswerTooLongError
 from cicadahoist.log import get_logger
-from cicadahoist.outside.sockets import count_unsent_bytes
+from cicadahoist.outside.connection_end import ConnectionEnd
 
 logger = get_logger(__name__)
 
@@ -69,7 +69,7 @@
         self._is_in_head = False
         self._is_too_long = False
         self._is_spent = False
-        self._is_request_unsent = False
+        self._end: ConnectionEnd | None = None
 
     @property
     def state(self) -> str:
@@ -99,22 +99,22 @@
     def readConnectionLost(self) -> None:  # noqa: N802
         """Close as the other side has closed, which ends a body."""
         self._is_spent = True
-        # A reset by a side that does not read the rest comes after its close.
-        self._is_request_unsent = bool(count_unsent_bytes(self.transport))
-        if self._is_request_unsent:
-            self.transport.abortConnection()
-        else:
+        self._end = ConnectionEnd.from_transport(self.transport)
+        if self._end.is_clean:
             self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
 
     def writeConnectionLost(self) -> None:  # noqa: N802
         """Do nothing: this side never closes only its half."""
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Report the end of the connection to the call that uses it."""
-        is_clean = reason is not None and reason.check(ConnectionDone)
+        is_closed = reason is not None and reason.check(ConnectionDone)
+        is_clean = is_closed and (self._end is None or self._end.is_clean)
         parser: Any = self._parser
         if parser is not None and parser.bodyDecoder is not None:
-            if self._is_request_unsent or not is_clean:
+            if not is_clean:
                 parser.bodyDecoder = _CutBody()
         if self._is_too_long:
             reason = Failure(
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -12,8 +12,8 @@
 from zope.interface import implementer
 
 from cicadahoist.clock import Clock
-from cicadahoist.requests import BodyHold
 from cicadahoist.outside.connection_end import ConnectionEnd
+from cicadahoist.requests import BodyHold
 from cicadahoist.serving.answers.endings import AnswerLoss, Receiver
 from cicadahoist.serving.answers.reader import AnswerReader
 from cicadahoist.serving.body_sender import BodySender
--- a/cicadahoist/serving/relay_splice.py
+++ b/cicadahoist/serving/relay_splice.py
@@ -11,12 +11,12 @@
 from zope.interface import implementer
 
 from cicadahoist.clock import MS_PER_S
+from cicadahoist.outside.connection_end import ConnectionEnd
 from cicadahoist.outside.sockets import (
     count_unsent_bytes,
     has_unread_input,
     take_error,
 )
-from cicadahoist.outside.connection_end import ConnectionEnd
 from cicadahoist.serving.clean_close import close_when_drained, reset_on_exit
 from cicadahoist.serving.outbound import (
     PROBE_IDLE_S,
--- a/tests/test_serving/test_answers/test_early_closes.py
+++ b/tests/test_serving/test_answers/test_early_closes.py
@@ -347,7 +347,7 @@
         self._reactor = reactor
         self.workers = []
 
-    def open(self, listing, *, is_new=False):
+    def open(self, listing, name='', *, is_new=False):
         connection = TargetConnection(self._clock)
         self.workers.append(SocketCaller(self._reactor, connection))
         return succeed((connection, TargetPool(listing)))
