--- a/tests/test_serving/test_answers/test_cut_copies.py
+++ b/tests/test_serving/test_answers/test_cut_copies.py
@@ -111,8 +111,8 @@
     assert both[1].is_closed
 
 
-# Guards against a copy of an answer with a body, read as that of HEAD, which has
-# none: its body would be read as the next answer.
+# Guards against a copy of an answer with a body, read as that of HEAD, which
+# has none: its body would be read as the next answer.
 @pytest.mark.parametrize('framing', FRAMINGS[:2])
 def test_a_copy_is_read_by_the_method_of_its_own_request(framing):
     _, caller, first, again = reuse_connection(b'/lookup/x', method=b'GET')
@@ -135,8 +135,8 @@
     assert world.sent[-1].connection is not head.connection
 
 
-# Guards against an answer that its target truncates, filled up with the bytes of
-# the copy behind it.
+# Guards against an answer that its target truncates, filled up with the bytes
+# of the copy behind it.
 @pytest.mark.parametrize('number', [0, 1])
 @pytest.mark.parametrize('is_split', [False, True])
 def test_a_truncated_answer_is_not_filled_up_by_a_copy(number, is_split):
