--- a/tests/test_policy/test_answer_bounds/test_joined_heads.py
+++ b/tests/test_policy/test_answer_bounds/test_joined_heads.py
@@ -1,7 +1,7 @@
 """
 Recognition of heads that were made of two.
 
-It guards against a status that belongs to another answer than the name below it.
+It guards against a status that belongs to another answer than the name below.
 """
 
 import pytest
