Soak: pass on a reset of a target as a reset

Where a target reset a connection in an answer without a length, its instance saw a clean close, since the proxy of the soak closed the other side in due form; a close also came before bytes that the proxy delayed. Such an answer looked complete at half its length, so that the soak could not send one. The proxy now resets the connection of the instance, and closes behind the last delayed byte. The test failed before: ConnectionDone instead of ConnectionLost, and without the last bytes.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,6 +3,7 @@
 import socket
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol
 
 from bench.launch import find_free_port
@@ -26,6 +27,7 @@
         self.unsent: list[bytes] = []
         self.delayed_count = 0
         self.is_open = False
+        self.is_reset = False
 
     def connectionMade(self) -> None:
         self.is_open = True
@@ -38,6 +40,7 @@
 
     def connectionLost(self, reason=None) -> None:
         self.is_open = False
+        self.is_reset = not (reason is None or reason.check(ConnectionDone))
         self.link.handle_close(self)
 
     def write(self, piece: bytes) -> None:
@@ -131,7 +134,11 @@
                 # A broken link does not transmit a close either.
                 self._held.append((side, None))
             else:
-                self._reactor.callLater(0.001, self._close, side.other)
+                # A close must not overtake delayed bytes either.
+                delay_s = self.delay_s if side.delayed_count else 0
+                self._reactor.callLater(
+                    delay_s + 0.001, self._close, side.other
+                )
 
     def stop(self) -> None:
         self._set_hanging(False)
@@ -195,5 +202,8 @@
             side.other.write(received)
 
     def _close(self, side: ProxySide) -> None:
-        if side.is_open:
+        if side.is_open and side.other.is_reset and side.is_caller:
+            # A reset of a server must not look like the end of its answer.
+            side.transport.abortConnection()
+        elif side.is_open:
             side.transport.loseConnection()
