Soak: let targets stutter, and judge answers by what was sent

Beside copies, plain targets sign failures as well. What is sent follows from a random source of its own, so that the series of other faults of a seed is as it was.

Callers judge a signed answer against the one that its signature stands for: attempt, status, body, and whether the target sent all of it (MIXED).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
+from soak.instances import ROOT
 from soak.run import Soak
 
 app = typer.Typer(add_completion=False)
@@ -24,6 +25,15 @@
     logs: Annotated[
         Path | None, typer.Option(help='Folder for logs of broken seeds.')
     ] = None,
+    program: Annotated[
+        Path,
+        typer.Option(
+            help='Folder of the build of the instances.',
+            exists=True,
+            file_okay=False,
+            resolve_path=True,
+        ),
+    ] = ROOT,
     beside: Annotated[
         Path | None,
         typer.Option(
@@ -41,7 +51,12 @@
         for number in range(seed, seed + seeds):
             with tempfile.TemporaryDirectory() as folder:
                 run = Soak(
-                    reactor, number, instances, Path(folder), beside=beside
+                    reactor,
+                    number,
+                    instances,
+                    Path(folder),
+                    program=program,
+                    beside=beside,
                 )
                 verdict = await run.run(seconds)
                 typer.echo(json.dumps(verdict))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 
 from soak.promises import Attempt
 from soak.proxy import HOST
-from soak.targets import build_body, build_event
+from soak.targets import build_event
 
 TIMEOUT_MS_BY_KIND = {
     'submit': 1500,
@@ -262,34 +262,35 @@
         return headers
 
     def _judge(self, attempt, status, headers, body, is_whole) -> str:
-        promises = self.world.promises
         if not status:
             return self._judge_missing_answer(attempt)
+        is_signed = b'x-cicadahoist-server-seal' in headers
+        is_stream = attempt.kind in EVENT_COUNT_BY_KIND and status == 200
+        if is_signed or status == 200:
+            self.world.promises.check_signed(
+                attempt,
+                status,
+                headers.get(b'x-cicadahoist-server-seal', b'').decode(),
+                None if is_stream else body,
+                is_whole=is_whole,
+            )
         echoed = headers.get(b'x-cicadahoist-attempt-id', b'').decode()
         if echoed and echoed != attempt.attempt_id:
-            promises.report_breach(
+            self.world.promises.report_breach(
                 'MIXED', f'{attempt.attempt_id} gets {echoed}'
             )
         if status in NOT_RUN_STATUSES:
-            promises.check_refusal(attempt, status)
+            self.world.promises.check_refusal(attempt, status)
             return 'refused'
         if status != 200:
-            return self._judge_denial(attempt, status)
-        if b'x-cicadahoist-server-seal' not in headers:
-            promises.report_breach(
-                'MIXED', f'{attempt.attempt_id}: 200 unsigned'
-            )
-        if attempt.kind in EVENT_COUNT_BY_KIND:
+            return self._judge_failure(attempt, status, is_signed=is_signed)
+        if is_stream:
             return self._judge_stream(attempt, body, is_whole)
-        if is_whole and body != build_body(attempt.attempt_id):
-            promises.report_breach(
-                'MIXED', f'{attempt.attempt_id} gets {body!r}'
-            )
         return 'served' if is_whole else 'cut'
 
-    def _judge_denial(self, attempt, status) -> str:
+    def _judge_failure(self, attempt, status, *, is_signed) -> str:
         """Check an error status; a valid request must not be denied."""
-        if status >= 500:
+        if is_signed or status >= 500:
             return 'failed'
         is_known = attempt.key in self.world.list_settled_keys()
         if status != 401 or is_known:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 MIN_AGE_S = 1
 MIN_PAUSE_MS = 500
 MAX_PAUSE_MS = 1900
+STUTTERING_SERVICE_SHARE = 0.5
 LINK_FAULTS = ('delay', 'reset', 'silent', 'to', 'back')
 TARGET_FAULTS = ('hang', 'lost', 'busy', 'cut', 'torn', 'extra')
 STORE_FAULTS = ('down', 'lost', 'slow')
@@ -139,6 +140,23 @@
     world.crashing_part = f'{world.rng.getrandbits(32):08x}'
 
 
+def stutter(world):
+    """Let a target or all of a service send copies of their answers."""
+    rng = world.stutter_rng
+    chosen = [rng.choice(world.targets)]
+    if rng.random() < STUTTERING_SERVICE_SHARE:
+        service = chosen[0].service
+        chosen = [one for one in world.targets if one.service == service]
+    for target in chosen:
+        target.stutter.begin()
+
+    def heal():
+        for target in chosen:
+            target.stutter.end()
+
+    return heal
+
+
 def drill(world):
     """Take the store away; it comes back from a copy."""
     if world.store.is_away:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from soak.duties import DutyChecker
+from soak.stutters import Answer
 
 # Bounds that the settings of the instances set and the soak checks.
 REVOKE_MS = 5000
@@ -77,6 +78,7 @@
         self._checks_times = checks_times
         self.breaches: list[str] = []
         self.attempt_by_id: dict[str, Attempt] = {}
+        self._answer_by_seal: dict[str, Answer] = {}
         self.withdrawn_ms_by_key: dict[str, int] = {}
         self.leaving_ms_by_target: dict[str, int] = {}
         # Time of the last disturbance by instance; an empty name means all.
@@ -96,6 +98,40 @@
     def record_attempt(self, attempt: Attempt) -> None:
         self.attempt_by_id[attempt.attempt_id] = attempt
 
+    def record_answer(self, answer: Answer) -> None:
+        """Record a signed answer, which its target may still complete."""
+        self._answer_by_seal[answer.seal] = answer
+
+    def check_signed(
+        self,
+        attempt: Attempt,
+        status: int,
+        seal: str,
+        body: bytes | None,
+        *,
+        is_whole: bool,
+    ) -> None:
+        """
+        Check a signed answer against what its target sent.
+
+        :param body: body that the caller received, none for a stream
+        """
+        answer = self._answer_by_seal.get(seal)
+        is_own = answer is not None and (
+            (answer.attempt_id, answer.status) == (attempt.attempt_id, status)
+        )
+        if is_own and body is not None:
+            is_own = answer.body.startswith(body)
+            if is_whole:
+                is_own = answer.is_whole and body == answer.body
+        if not is_own:
+            sent = answer and (answer.attempt_id, answer.status, answer.body)
+            self.report_breach(
+                'MIXED',
+                f'{attempt.attempt_id} ({attempt.kind}) at {attempt.instance}'
+                f' gets {status} {body!r}, signed {seal} for {sent}',
+            )
+
     def report_breach(self, rule: str, text: str) -> None:
         if rule in TIMED_RULES and not self._checks_times:
             return
@@ -180,6 +216,11 @@
     def check_cut(self, attempt: Attempt) -> None:
         """Check an answer that broke off long before its deadline."""
         ended = self.crashed_targets | self.leaving_ms_by_target.keys()
+        ended |= {
+            answer.seal.partition('.')[0]
+            for answer in self._answer_by_seal.values()
+            if answer.attempt_id == attempt.attempt_id and answer.may_be_cut
+        }
         if attempt.runs and ended.isdisjoint(attempt.runs):
             if self.is_undisturbed(attempt.instance, attempt.sent_ms):
                 waited_ms = self.now_ms() - attempt.sent_ms
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,7 +8,15 @@
 
 from soak.callers import Caller
 from soak.cuts import choose_cut
-from soak.faults import FAULTS, HOLDER_FAULTS, PLANS, crash_engine, drill
+from soak.faults import (
+    FAULTS,
+    HOLDER_FAULTS,
+    PLANS,
+    crash_engine,
+    drill,
+    stutter,
+)
+from soak.instances import ROOT
 from soak.promises import CONTACT_MS
 from soak.world import World
 
@@ -22,6 +30,7 @@
 # A takeover ends within the longest pause.
 DRILL_PAUSES_MS = (1000, 9000)
 FIRST_TRY_MS = 40
+STUTTER_PAUSES_MS = (100, 2500)
 KINDS = ('submit', 'lookup', 'ask', 'check')
 # Share of planned work that comes with new limits of callers.
 LIMITS_SHARE = 0.4
@@ -40,6 +49,7 @@
     :param instances: number of instances
     :param folder: folder for settings and logs of the instances
     :param checks_times: whether bounds in time are checked
+    :param program: folder of the build that the instances run
     :param beside: folder of another build, which every second instance runs
     """
 
@@ -51,6 +61,7 @@
         folder: Path,
         *,
         checks_times: bool = True,
+        program: Path = ROOT,
         beside: Path | None = None,
     ) -> None:
         self.seed = seed
@@ -60,6 +71,7 @@
             instances,
             folder,
             checks_times=checks_times,
+            program=program,
             beside=beside,
         )
         # First tries leave the series of faults as it is.
@@ -67,6 +79,7 @@
         self.injected: list[str] = []
         self.cuts: list[str] = []
         self._heal_callbacks: list = []
+        self._is_recovering = False
 
     async def run(self, seconds: float) -> dict:
         """
@@ -78,6 +91,7 @@
         world = self.world
         try:
             await world.start()
+            self._spawn(self._run_stutters())
             end_ms = world.now_ms() + 1000 * seconds
             while world.now_ms() < end_ms:
                 await self._run_storm()
@@ -132,6 +146,14 @@
         world.promises.record_disturbance('')
         await world.clock.sleep(CONTACT_MS + 1000)
 
+    async def _run_stutters(self) -> None:
+        """Let targets stutter beside all other faults and planned work."""
+        rng = self.world.stutter_rng
+        while not self._is_recovering:
+            self.injected.append(stutter.__name__)
+            self._heal_later(stutter(self.world), rng)
+            await self.world.clock.sleep(rng.uniform(*STUTTER_PAUSES_MS))
+
     async def _run_planned_work(self) -> None:
         """Do only planned work, which must not interrupt any request."""
         world = self.world
@@ -179,12 +201,17 @@
             await caller.send_request(self._try_rng.choice(KINDS))
             caller.drop_connection()
 
-        Deferred.fromCoroutine(send()).addErrback(world.report_defect)
+        self._spawn(send())
+
+    def _spawn(self, running) -> None:
+        report_defect = self.world.report_defect
+        Deferred.fromCoroutine(running).addErrback(report_defect)
 
     async def _check_recovery(self) -> None:
         world = self.world
         world.crashing_part = ''
         world.promises.check_sound_prompts()
+        self._is_recovering = True
         self._heal_all()
         await world.clock.sleep(RECOVERY_LIMIT_MS)
         caller = Caller(world, world.rng)
@@ -205,10 +232,12 @@
         if name not in PLANS:
             world.promises.record_disturbance('')
         heal = action(world)
-        if heal is None:
-            return
+        if heal is not None:
+            self._heal_later(heal, rng)
+
+    def _heal_later(self, heal, rng) -> None:
         self._heal_callbacks.append(heal)
-        world.clock.call_later(rng.uniform(300, 3500), self._heal, heal)
+        self.world.clock.call_later(rng.uniform(300, 3500), self._heal, heal)
 
     def _heal(self, heal) -> None:
         if heal in self._heal_callbacks:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -8,6 +8,7 @@
 from twisted.web.server import NOT_DONE_YET, Site
 
 from soak.proxy import HOST
+from soak.stutters import Answer, Stutter
 from soak.target_links import TargetLinks
 
 # Pause that a full target asks for.
@@ -62,6 +63,8 @@
         self.accepted_order_count = 0
         self.is_leaving = False
         self._requests: set = set()
+        self._answer_by_request: dict = {}
+        self.stutter = Stutter(world.reactor, world.stutter_rng)
         self._port = None
         self.links = TargetLinks(
             world.reactor, [instance.name for instance in world.instances]
@@ -136,10 +139,30 @@
         if self.is_leaving:
             request.setHeader(b'Server-Leaving', b'1')
         request.notifyFinish().addBoth(
-            lambda _: self._requests.discard(request)
+            self._finish_request, request, request.channel
         )
         if self.fault == 'hang':
             return NOT_DONE_YET
+        wait_s = self.stutter.receive_request(request.channel)
+        if wait_s:
+            self._continue_later(
+                wait_s, request, self._answer_late, request, headers
+            )
+            return NOT_DONE_YET
+        return self._answer(request, headers)
+
+    def _finish_request(self, ended, request, channel) -> None:
+        self._requests.discard(request)
+        answer = self._answer_by_request.pop(request, None)
+        if ended is None:
+            self.stutter.finish_answer(channel, answer)
+
+    def _answer_late(self, request, headers) -> None:
+        answered = self._answer(request, headers)
+        if answered is not NOT_DONE_YET:
+            self._send_and_finish(request, answered)
+
+    def _answer(self, request, headers):
         path = request.path.decode()
         if path == '/cicadahoist/report':
             return json.dumps({'seq': self.accepted_order_count}).encode()
@@ -156,6 +179,7 @@
     def _render_attempt(self, request, headers):
         attempt_id = headers.get(b'x-cicadahoist-attempt-id', b'').decode()
         request.setHeader(b'X-Cicadahoist-Attempt-Id', attempt_id)
+        self._answer_by_request[request] = Answer(attempt_id)
         part = self.world.promises.check_crashing_part(attempt_id)
         if self.fault == 'busy' or self.running_count >= 2 * SLOTS:
             request.setHeader(b'Retry-After', b'%.3f' % BUSY_PAUSE_S)
@@ -187,33 +211,46 @@
                 WORK_S, request, request.transport.abortConnection
             )
             return NOT_DONE_YET
-        request.setHeader(b'X-Cicadahoist-Server-Seal', self.name.encode())
+        answer = self._sign_answer(request)
         if not self.role:
             self._continue_later(
-                WORK_S, request, self._send_answer, request, attempt_id
+                WORK_S, request, self._send_answer, request, answer
             )
             return NOT_DONE_YET
-        request.setHeader(b'Content-Type', b'text/event-stream')
+        answer.content_type = 'text/event-stream'
+        request.setHeader(b'Content-Type', answer.content_type.encode())
         first = int(headers.get(b'last-event-id', b'0') or 0) + 1
         counts = headers[b'x-cicadahoist-token-count'].decode()
         last = int(counts.partition(',')[2])
         if self.fault == 'torn':
             self._continue_later(
-                EVENT_S, request, self._tear_stream, request, attempt_id, first
+                EVENT_S, request, self._tear_stream, request, answer, first
             )
             return NOT_DONE_YET
         self._continue_later(
-            EVENT_S, request, self._send_event, request, attempt_id, first, last
+            EVENT_S, request, self._send_stream, request, answer, first, last
         )
         return NOT_DONE_YET
 
-    def _send_answer(self, request, attempt_id) -> None:
-        body = build_body(attempt_id)
+    def _sign_answer(self, request) -> Answer:
+        answer = self._answer_by_request[request]
+        answer.seal = f'{self.name}.{next(_numbers)}'
+        request.setHeader(b'X-Cicadahoist-Server-Seal', answer.seal.encode())
+        self.world.promises.record_answer(answer)
+        return answer
+
+    def _send_answer(self, request, answer) -> None:
+        answer.body = body = build_body(answer.attempt_id)
+        answer.status = self.stutter.choose_status()
+        request.setResponseCode(answer.status)
         request.setHeader(b'Content-Length', b'%d' % len(body))
         if self.fault == 'cut':
+            answer.is_whole = False
             request.write(body[:5])
             request.transport.abortConnection()
             return
+        if self.stutter.send_unframed(request.channel, answer):
+            return
         request.write(body)
         if self.fault == 'extra':
             request.transport.write(
@@ -227,10 +264,21 @@
         versions = versions_by_event.setdefault((attempt_id, number), set())
         versions.add(self.version)
 
-    def _send_event(self, request, attempt_id, number, last) -> None:
-        event = build_event(attempt_id, number)
-        self._record_event(attempt_id, number)
+    def _send_stream(self, request, answer, first, last) -> None:
+        numbers = range(first, last + 1)
+        events = [build_event(answer.attempt_id, number) for number in numbers]
+        answer.body = b''.join(events)
+        if not self.stutter.send_unframed(request.channel, answer):
+            self._send_event(request, answer, first, last)
+            return
+        for number in numbers:
+            self._record_event(answer.attempt_id, number)
+
+    def _send_event(self, request, answer, number, last) -> None:
+        event = build_event(answer.attempt_id, number)
+        self._record_event(answer.attempt_id, number)
         if self.fault == 'cut':
+            answer.is_whole = False
             request.write(event[: len(event) // 2])
             request.transport.abortConnection()
             return
@@ -243,21 +291,17 @@
             request,
             self._send_event,
             request,
-            attempt_id,
+            answer,
             number + 1,
             last,
         )
 
-    def _tear_stream(self, request, attempt_id, number) -> None:
-        head = [
-            b'HTTP/1.1 200 OK',
-            b'X-Cicadahoist-Attempt-Id: ' + attempt_id.encode(),
-            b'X-Cicadahoist-Server-Seal: ' + self.name.encode(),
-        ]
-        self._record_event(attempt_id, number)
-        next_event = build_event(attempt_id, number + 1)
-        request.transport.write(b'\r\n'.join(head) + b'\r\n\r\n')
-        request.transport.write(build_event(attempt_id, number))
+    def _tear_stream(self, request, answer, number) -> None:
+        answer.is_whole = False
+        self._record_event(answer.attempt_id, number)
+        next_event = build_event(answer.attempt_id, number + 1)
+        request.transport.write(answer.encode_head())
+        request.transport.write(build_event(answer.attempt_id, number))
         request.transport.write(next_event[: len(next_event) // 2])
         request.transport.loseConnection()
 
@@ -267,6 +311,7 @@
         name = f'h{next(_numbers)}'
         self.attempt_by_handle[name] = attempt_id
         body = json.dumps({'kv-handle': name, 'tokens': 1, 'version': 1})
+        self._answer_by_request[request].body = body.encode()
         self._continue_later(
             PREFILL_S, request, self._send_and_finish, request, body.encode()
         )
@@ -287,6 +332,9 @@
         return b''
 
     def _reject(self, request, status):
+        answer = self._answer_by_request.get(request)
+        if answer is not None:
+            answer.status, answer.is_run = status, False
         request.setResponseCode(status)
         request.setHeader(b'X-Cicadahoist-Not-Executed', b'1')
         return b''
--- a/soak/world.py
+++ b/soak/world.py
@@ -48,6 +48,7 @@
     :param instances: number of instances
     :param folder: folder for settings and logs of the instances
     :param checks_times: whether bounds in time are checked
+    :param program: folder of the build that the instances run
     :param beside: folder of another build, which every second instance runs
     """
 
@@ -59,6 +60,7 @@
         folder: Path,
         *,
         checks_times: bool,
+        program: Path = ROOT,
         beside: Path | None = None,
     ) -> None:
         self.reactor = reactor
@@ -68,6 +70,7 @@
         self.rng = random.Random(seed)
         # Drills leave the series of the other faults as it is.
         self.drill_rng = random.Random(f'{seed}/drills')
+        self.stutter_rng = random.Random(f'{seed}/stutters')
         self.promises = PromiseChecker(self.now_ms, checks_times=checks_times)
         self.store = StoreStandIn(reactor, era=1)
         self.store.late_rng = random.Random(f'{seed}/late')
@@ -87,7 +90,7 @@
                 number,
                 ZONES[number % len(ZONES)],
                 folder,
-                beside if beside and number % 2 else ROOT,
+                beside if beside and number % 2 else program,
             )
             for number in range(instances)
         ]
--- a/tests/test_soak/test_promises.py
+++ b/tests/test_soak/test_promises.py
@@ -17,8 +17,10 @@
     Attempt,
     PromiseChecker,
 )
+from soak.stutters import Answer
 
 PART = 'beef'
+BODY = b'answer to a1'
 
 
 class CheckedRun:
@@ -207,3 +209,43 @@
     checked.send_sound(MIN_SOUND_COUNT - begun_count, later_ms)
     checked.promises.check_sound_prompts()
     assert checked.rules == rules
+
+
+@pytest.mark.parametrize(
+    ('status', 'seal', 'body', 'is_whole', 'rules'),
+    [
+        (404, 't1.1', BODY, True, []),
+        (404, 't1.1', BODY[:5], False, []),
+        (404, 't1.1', BODY[:5], True, ['MIXED']),
+        (404, 't1.1', BODY + b'HTTP/1.1 404', True, ['MIXED']),
+        (404, 't1.1', b'answer to a2', False, ['MIXED']),
+        (200, 't1.1', BODY, True, ['MIXED']),
+        (404, 't1.2', BODY, True, ['MIXED']),
+        (404, 't1.3', BODY, True, ['MIXED']),
+        (200, '', BODY, True, ['MIXED']),
+    ],
+)
+def test_an_answer_that_its_target_did_not_send_is_a_breach(
+    status, seal, body, is_whole, rules
+):
+    checked = CheckedRun()
+    for signed, attempt in (('t1.1', 'a1'), ('t1.2', 'a2')):
+        checked.promises.record_answer(Answer(attempt, signed, 404, BODY))
+    checked.promises.check_signed(
+        checked.attempt, status, seal, body, is_whole=is_whole
+    )
+    assert checked.rules == rules
+
+
+@pytest.mark.parametrize('is_whole', [True, False])
+def test_an_answer_that_its_target_broke_off_is_not_whole(is_whole):
+    checked = CheckedRun()
+    answer = Answer('a1', 't1.1', 200, BODY)
+    answer.is_whole, answer.may_be_cut = False, True
+    checked.promises.record_answer(answer)
+    checked.promises.check_signed(
+        checked.attempt, 200, 't1.1', BODY, is_whole=is_whole
+    )
+    checked.run('t1')
+    checked.promises.check_cut(checked.attempt)
+    assert checked.rules == ['MIXED'] * is_whole
--- a/tests/test_soak/test_short_run.py
+++ b/tests/test_soak/test_short_run.py
@@ -34,5 +34,5 @@
         assert not verdict['broken']
         assert verdict['struck'] >= 4
         assert verdict['outcomes'].get('submit served')
-        assert 'drill' in verdict['kinds']
+        assert {'drill', 'stutter'} <= set(verdict['kinds'])
         assert verdict['duties'].get('scaling')
