Soak: end a stream that is taken up behind its last event

A caller that had all events of a stream but could not tell its end took it up, and the stand-in went on with event 21 of 20 and so without end.

--- a/soak/targets.py
+++ b/soak/targets.py
@@ -268,11 +268,14 @@
         numbers = range(first, last + 1)
         events = [build_event(answer.attempt_id, number) for number in numbers]
         answer.body = b''.join(events)
-        if not self.stutter.send_unframed(request.channel, answer):
+        if not events:
+            # Its caller had all events, but could not tell the end.
+            request.finish()
+        elif not self.stutter.send_unframed(request.channel, answer):
             self._send_event(request, answer, first, last)
-            return
-        for number in numbers:
-            self._record_event(answer.attempt_id, number)
+        else:
+            for number in numbers:
+                self._record_event(answer.attempt_id, number)
 
     def _send_event(self, request, answer, number, last) -> None:
         event = build_event(answer.attempt_id, number)
