--- a/soak/stutters.py
+++ b/soak/stutters.py
@@ -11,6 +11,7 @@
 UNFRAMED_SHARE = 0.2
 FAILED_SHARE = 0.3
 FAILED_STATUSES = (404, 500)
+SIZES = (1, 1, 8, 60)
 MAX_IDLE_S = 0.06
 PART_S = 0.02
 
@@ -208,6 +209,14 @@
             return self._rng.choice(FAILED_STATUSES)
         return 200
 
+    def choose_size(self) -> int:
+        """
+        Return how often an answer repeats its text.
+
+        The rest of a long copy that breaks off covers whole short answers.
+        """
+        return self._rng.choice(SIZES) if self._moments else 1
+
     def receive_request(self, channel) -> float:
         """
         Process the arrival of a request.
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -240,7 +240,8 @@
         return answer
 
     def _send_answer(self, request, answer) -> None:
-        answer.body = body = build_body(answer.attempt_id)
+        text = build_body(answer.attempt_id)
+        answer.body = body = text * self.stutter.choose_size()
         answer.status = self.stutter.choose_status()
         request.setResponseCode(answer.status)
         request.setHeader(b'Content-Length', b'%d' % len(body))
--- a/tests/test_soak/test_stutters.py
+++ b/tests/test_soak/test_stutters.py
@@ -87,7 +87,10 @@
     case.answer_request()
     case.clock.advance(1)
     assert not case.channel.sent
-    assert case.stutter.choose_status() == 200
+    assert (case.stutter.choose_status(), case.stutter.choose_size()) == (
+        200,
+        1,
+    )
     case.stutter.begin()
     case.answer_request()
     assert bool(case.channel.sent) == (moment != 'idle')
