--- a/soak/promises.py
+++ b/soak/promises.py
@@ -140,8 +140,12 @@
     def check_versions(self, attempt: Attempt) -> None:
         """Check that one version can have sent all events of a stream."""
         received = attempt.origin.events if attempt.origin else []
+        keys = received + attempt.events
+        unsent = [key for key in keys if key not in self.versions_by_event]
+        if unsent:
+            self.report_breach('MIXED', f'{attempt.attempt_id}: {unsent}')
         versions = [
-            self.versions_by_event[key] for key in received + attempt.events
+            self.versions_by_event[key] for key in keys if key not in unsent
         ]
         if versions and not set.intersection(*versions):
             self.report_breach('ORDER', f'{attempt.attempt_id}: {versions}')
--- a/tests/test_soak/test_promises.py
+++ b/tests/test_soak/test_promises.py
@@ -249,3 +249,14 @@
     checked.run('t1')
     checked.promises.check_cut(checked.attempt)
     assert checked.rules == ['MIXED'] * is_whole
+
+
+def test_an_event_that_no_target_sent_is_a_breach():
+    checked = CheckedRun('ask')
+    checked.promises.versions_by_event['a1', 1] = {'v1'}
+    checked.attempt.events = [('a1', 1)]
+    checked.promises.check_versions(checked.attempt)
+    assert checked.rules == []
+    checked.attempt.events.append(('a1', 2))
+    checked.promises.check_versions(checked.attempt)
+    assert checked.rules == ['MIXED']
