--- a/soak/promises.py
+++ b/soak/promises.py
@@ -220,11 +220,8 @@
     def check_cut(self, attempt: Attempt) -> None:
         """Check an answer that broke off long before its deadline."""
         ended = self.crashed_targets | self.leaving_ms_by_target.keys()
-        ended |= {
-            answer.seal.partition('.')[0]
-            for answer in self._answer_by_seal.values()
-            if answer.attempt_id == attempt.attempt_id and answer.may_be_cut
-        }
+        if self._may_be_cut(attempt):
+            return
         if attempt.runs and ended.isdisjoint(attempt.runs):
             if self.is_undisturbed(attempt.instance, attempt.sent_ms):
                 waited_ms = self.now_ms() - attempt.sent_ms
@@ -240,6 +237,8 @@
 
         :param what: what is known of the request
         """
+        if self._may_be_cut(attempt):
+            return
         if self.is_undisturbed(attempt.instance, attempt.sent_ms):
             waited_ms = self.now_ms() - attempt.sent_ms
             self.report_breach(
@@ -248,6 +247,13 @@
                 f' after {waited_ms} ms, {what}, run by {attempt.runs}',
             )
 
+    def _may_be_cut(self, attempt: Attempt) -> bool:
+        """Return whether a target gave an answer whose end cannot be told."""
+        return any(
+            answer.attempt_id == attempt.attempt_id and answer.may_be_cut
+            for answer in self._answer_by_seal.values()
+        )
+
     def check_limit(
         self,
         rule: str,
--- a/soak/stutters.py
+++ b/soak/stutters.py
@@ -14,6 +14,8 @@
 SIZES = (1, 1, 8, 60)
 MAX_IDLE_S = 0.06
 PART_S = 0.02
+# Fewer bytes of a copy cannot be told from the end of an unframed body.
+MIN_BYTES = len(b'HTTP/')
 
 
 class Answer:
@@ -252,10 +254,11 @@
         connection = self._get_connection(channel)
         copied = self._rng.choice((answer, connection.last or answer))
         framing = self._rng.choice(('', *FRAMINGS))
+        copy = self._build_copy(copied, framing)
+        if len(b''.join(copy)) < MIN_BYTES:
+            copy = [answer.encode_head()[:MIN_BYTES]]
         name = self._rng.choice(self._unframed)
-        connection.send(
-            UNFRAMED[name](answer, self._build_copy(copied, framing))
-        )
+        connection.send(UNFRAMED[name](answer, copy))
         connection.close(is_clean=answer.is_whole)
         return True
 
--- a/tests/test_soak/test_promises.py
+++ b/tests/test_soak/test_promises.py
@@ -248,6 +248,7 @@
     )
     checked.run('t1')
     checked.promises.check_cut(checked.attempt)
+    checked.promises.check_lost(checked.attempt, 'read')
     assert checked.rules == ['MIXED'] * is_whole
 
 
