--- a/cicadahoist/serving/attempt.py
+++ b/cicadahoist/serving/attempt.py
@@ -236,6 +236,7 @@
         try:
             connection, pool = await connections.open(
                 self.listing,
+                self._request.attempt_id,
                 is_new=self.needs_new_connection or has_odd_framing,
             )
         except NotSentError as error:
--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -65,6 +65,14 @@
         self.is_open = True
         self.is_reused = False
 
+    def has_carried(self, name: str) -> bool:
+        """
+        Return whether an attempt of this id was sent before.
+
+        Its answer may come once more, and states the same id.
+        """
+        return bool(name) and name in (self._name, *self.earlier_names)
+
     def connectionMade(self) -> None:
         """Set the TCP options that detect dead connections."""
         transport = self.transport
@@ -125,8 +133,8 @@
             self.transport.abortConnection()
 
     def pause(self) -> None:
-        """Stop reading until `resume` is called."""
-        if self.is_open:
+        """Stop reading the answer until `resume` is called, or it ends."""
+        if self.is_open and self._reader is not None:
             self.transport.pauseProducing()
 
     def resume(self) -> None:
@@ -164,6 +172,8 @@
         if not is_reusable or not is_sent:
             self.close()
             return
+        # The next answer must be read, whatever this one waited for.
+        self.resume()
         self.idle_since_ms = self._clock.now_ms()
         self.is_reused = True
         if self._pool is not None and self.is_open:
--- a/cicadahoist/serving/target_pool.py
+++ b/cicadahoist/serving/target_pool.py
@@ -19,13 +19,14 @@
     :param on_heard: called when bytes arrive on a direct connection
     """
 
-    __slots__ = ('_idle', '_on_heard', 'listing')
+    __slots__ = ('_idle', '_is_closed', '_on_heard', 'listing')
 
     def __init__(
         self, listing: Listing, on_heard: Callable[[str], Any] = str
     ) -> None:
         self.listing = listing
         self._idle: list[TargetConnection] = []
+        self._is_closed = False
         self._on_heard = on_heard
 
     def belongs_to(self, listing: Listing) -> bool:
@@ -37,16 +38,20 @@
         )
 
     def acquire(
-        self, now_ms: int, peers: Collection[str] = _DIRECT
+        self, now_ms: int, name: str, peers: Collection[str] = _DIRECT
     ) -> TargetConnection | None:
         """
         Return an idle connection that the target keeps open, or none.
 
+        :param name: id of the attempt; a connection that has carried an attempt
+            of this id is not returned
         :param peers: the instances that may pass its bytes on; an empty name
             stands for none
         """
         idle = [
-            connection for connection in self._idle if connection.peer in peers
+            connection
+            for connection in self._idle
+            if connection.peer in peers and not connection.has_carried(name)
         ]
         while idle:
             connection = idle.pop()
@@ -62,11 +67,11 @@
         return None
 
     def release(self, connection: TargetConnection) -> None:
-        """Keep a connection for later attempts; close it beyond the limit."""
-        if len(self._idle) < MAX_IDLE_CONNECTIONS:
-            self._idle.append(connection)
-        else:
+        """Keep a connection for later attempts; close one beyond the limit."""
+        if self._is_closed or len(self._idle) >= MAX_IDLE_CONNECTIONS:
             connection.close()
+        else:
+            self._idle.append(connection)
 
     def discard(self, connection: TargetConnection) -> None:
         """Remove a connection that was closed."""
@@ -75,11 +80,12 @@
 
     def record_heard(self, connection: TargetConnection) -> None:
         """Record that bytes of the target have arrived."""
-        if not connection.peer:
+        if not (connection.peer or self._is_closed):
             self._on_heard(self.listing.name)
 
     def close(self) -> None:
-        """Close all idle connections."""
+        """Close all connections, those under way after their answers."""
+        self._is_closed = True
         idle = self._idle
         self._idle = []
         for connection in idle:
