--- a/tests/test_serving/test_answers/test_filled_streams.py
+++ b/tests/test_serving/test_answers/test_filled_streams.py
@@ -51,3 +51,17 @@
         rest.end_stream()
     looks_whole = caller.received.endswith(b'0\r\n\r\n')
     assert not (looks_whole and b'seal-of' in caller.body)
+
+
+# Guards against the interim head of a copy that is passed on as an event, as it
+# names no request and ends as an event does.
+def test_no_event_is_the_interim_head_of_a_copy():
+    world = World()
+    world.add(target('d1', 'llm', 'decode'))
+    caller = world.send_request(
+        b'/ask/x', *SHORT_PROMPT_HEADERS, patience=15_000
+    )
+    sent = world.sent[0]
+    stream = build_answer(sent.attempt_id, framing='close', body=EVENTS)
+    sent.write(stream + b'HTTP/1.1 103 Early Hints\r\n\r\n' + stream)
+    assert b'Early Hints' not in caller.received
