--- a/cicadahoist/platform/dialect.py
+++ b/cicadahoist/platform/dialect.py
@@ -38,6 +38,7 @@
     ModelWork,
     PromptPart,
     SendOptions,
+    may_state_other_length,
 )
 
 logger = get_logger(__name__)
@@ -45,6 +46,10 @@
 MS_PER_S = 1000
 HTTP_MISDIRECTED = 421
 HTTP_UNAVAILABLE = 503
+# Any byte of a header is a character of its text, and the same byte again.
+ENCODING = 'latin-1'
+# What an answer is attributed and verified by, whatever a connection states.
+_IDENTITY = frozenset((ATTEMPT_ID.lower(), SIGNATURE.lower()))
 HTTP_SUCCESSES = range(HTTP_OK, HTTP_MULTIPLE_CHOICES)
 _SECONDS = re.compile(rb'\d{1,12}(\.\d*)?')
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
@@ -74,7 +79,7 @@
         :raises CallerError: a header that the core relies on is malformed
         """
         by_name = dict(reversed(headers))
-        hop_by_hop = _parse_connection_options(by_name.get(b'connection', b''))
+        hop_by_hop = _list_connection_options(headers)
         forwarded = [
             (name, content)
             for name, content in headers
@@ -100,9 +105,9 @@
         self, request: InboundRequest, options: SendOptions, address: str
     ) -> HeaderList:
         """Return the request headers of one attempt at a target."""
-        headers: HeaderList = [(b'Host', request.host.encode())]
+        headers: HeaderList = [(b'Host', request.host.encode(ENCODING))]
         headers.extend(request.headers)
-        headers.append((ATTEMPT_ID, request.attempt_id.encode()))
+        headers.append((ATTEMPT_ID, request.attempt_id.encode(ENCODING)))
         headers.append((EXPECTED_TARGET, options.target.encode()))
         if options.workspace:
             headers.append((TENANT, options.workspace.encode()))
@@ -125,10 +130,11 @@
     ) -> AnswerHead:
         """Decode the status and headers of a target's answer."""
         by_name = dict(reversed(headers))
+        dropped = CONNECTION_HEADERS | _list_connection_options(headers)
+        if may_state_other_length(request.method, status):
+            dropped -= {b'content-length'}
         forwarded = [
-            (name, content)
-            for name, content in headers
-            if name not in CONNECTION_HEADERS
+            (name, content) for name, content in headers if name not in dropped
         ]
         meaning = _classify_answer(request, status, by_name)
         if _is_ambiguous(headers):
@@ -150,7 +156,7 @@
         """Return the headers of an answer that originates here."""
         headers: HeaderList = []
         if request is not None and request.attempt_id:
-            headers.append((ATTEMPT_ID, request.attempt_id.encode()))
+            headers.append((ATTEMPT_ID, request.attempt_id.encode(ENCODING)))
         if retry_after_ms is not None:
             seconds = retry_after_ms / MS_PER_S
             headers.append((RETRY_AFTER, b'%.3f' % seconds))
@@ -195,7 +201,7 @@
 
 def _is_ambiguous(headers: HeaderList) -> bool:
     """Return whether an answer names several requests or signatures."""
-    for identity in (ATTEMPT_ID.lower(), SIGNATURE.lower()):
+    for identity in _IDENTITY:
         if len({content for name, content in headers if name == identity}) > 1:
             return True
     return False
@@ -212,13 +218,17 @@
     return round(float(text) * MS_PER_S)
 
 
-def _parse_connection_options(connection: bytes) -> frozenset[bytes]:
-    """Return the names that a Connection header declares hop-by-hop."""
-    return frozenset(name.strip().lower() for name in connection.split(b','))
+def _list_connection_options(headers: HeaderList) -> frozenset[bytes]:
+    """Return the names that Connection headers declare hop-by-hop."""
+    options = b','.join(
+        content for name, content in headers if name == b'connection'
+    )
+    named = {option.strip().lower() for option in options.split(b',')}
+    return frozenset(named - _IDENTITY)
 
 
 def _read_text(by_name: dict[bytes, bytes], name: bytes) -> str:
-    return by_name.get(name.lower(), b'').decode('latin-1').strip()
+    return by_name.get(name.lower(), b'').strip().decode(ENCODING)
 
 
 def _read_number(by_name: dict[bytes, bytes], name: bytes) -> int | None:
