Bound the search for heads, and the answers that are skipped

Cause: each mark in a long line was searched to the end of the line or of 16 kB, and interim heads before a head without a bound. Each skipped answer cost a log line and another request body. Change: a reason phrase has 256 bytes at most and a head three interim heads; an attempt is lost behind 32 skipped answers. An answer that a truncation leaves to be filled up exactly to the end of one read stays listed: its bytes do not tell.

--- a/cicadahoist/policy/answer_bounds/embedded_heads.py
+++ b/cicadahoist/policy/answer_bounds/embedded_heads.py
@@ -11,13 +11,15 @@
     *(b'[0-9]', b'[0-9]'),
 )
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]"
+# Longer ones are text: each mark in a long line would be searched to its end.
+_REASON = rb'[^\n]{0,256}'
 # Lines of a head, and lines that continue another one.
 _FIELDS = rb'(?:(?:%s+:|[ \t])[^\n]*\n)*' % _TOKEN
 
 
 def _build_lines_pattern(status: bytes) -> bytes:
     """Return a pattern of a status line and the headers below it."""
-    parts = (rb'HTTP/[0-9]\.[0-9] ', status, rb'[^\n]*\n', _FIELDS)
+    parts = (rb'HTTP/[0-9]\.[0-9] ', status, _REASON, rb'\n', _FIELDS)
     return b''.join(parts)
 
 
@@ -30,15 +32,18 @@
 
 
 _INTERIM_HEAD = rb'(?:%s\r?\n)' % _build_lines_pattern(b'1[0-9]{2}')
+# More of them are text.
+_INTERIM_HEADS = rb'%s{0,3}' % _INTERIM_HEAD
 _HEAD = re.compile(
-    rb'%s*%s\r?\n' % (_INTERIM_HEAD, _build_lines_pattern(b'[2-9][0-9]{2}'))
+    rb'%s%s\r?\n' % (_INTERIM_HEADS, _build_lines_pattern(b'[2-9][0-9]{2}'))
 )
 # What may become a head with the bytes that follow.
 _HEAD_START = re.compile(
-    rb'%s*(?:%s|HTTP/[0-9]\.[0-9] [0-9]{3}[^\n]*|%s(?:\r|%s))\Z'
+    rb'%s(?:%s|HTTP/[0-9]\.[0-9] [0-9]{3}%s|%s(?:\r|%s))\Z'
     % (
-        _INTERIM_HEAD,
+        _INTERIM_HEADS,
         _build_start_pattern(_STATUS_LINE_PARTS),
+        _REASON,
         _build_lines_pattern(b'[0-9]{3}'),
         rb'[ \t][^\n]*|%s*(?::[^\n]*)?' % _TOKEN,
     )
--- a/cicadahoist/serving/answers/reader.py
+++ b/cicadahoist/serving/answers/reader.py
@@ -26,6 +26,8 @@
 
 # RFC 9110, section 15; h11 takes any number of three digits from 200.
 MAX_STATUS = 599
+# Answers to other requests that may come before the one that is awaited.
+MAX_SKIPPED_ANSWERS = 32
 
 
 class AnswerReader:
@@ -55,6 +57,7 @@
         '_overhead',
         '_receiver',
         '_request',
+        '_skipped_count',
         '_unsearched',
     )
 
@@ -79,6 +82,7 @@
         # Whether late bytes of this answer or another one may still come.
         self._is_spent = request.method in ODDLY_FRAMED_METHODS
         self._overhead = AnswerOverhead()
+        self._skipped_count = 0
         # Bytes behind the head of a skipped answer that were not searched yet.
         self._unsearched = b''
 
@@ -215,6 +219,10 @@
 
     def _read_next_answer(self) -> None:
         """Continue after the skipped late answer to an earlier request."""
+        self._skipped_count += 1
+        if self._skipped_count > MAX_SKIPPED_ANSWERS:
+            self.lose(AnswerLoss.foreign)
+            return
         rest, _ = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT)
         self._body = None
