Take a prefill whose cache has no usable name for a failure

What callers saw: 502 by an unexpected error, though no engine had run the request, where the name of a cache holds a line end, a null or a space at its begin; a run for a cache without a name, which the engine cannot fetch. Cause: the name was put into a header of the run as it came. Change: a name is of visible ASCII characters; any other answer counts as a failed prefill, and the request is sent on without a cache.

--- a/cicadahoist/platform/dialect.py
+++ b/cicadahoist/platform/dialect.py
@@ -1,6 +1,7 @@
 """Translates requests and answers between platform headers and the core."""
 
 import re
+from typing import Annotated
 
 import msgspec
 
@@ -53,11 +54,13 @@
 HTTP_SUCCESSES = range(HTTP_OK, HTTP_MULTIPLE_CHOICES)
 _SECONDS = re.compile(rb'\d{1,12}(\.\d*)?')
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
+# It becomes a part of a header and of a path.
+_HANDLE_NAME = r'\A[!-~]+\Z'
 
 
 class _WireHandle(msgspec.Struct, rename='kebab', kw_only=True):
     # Identifies the KV cache that the prefill engine holds for pickup.
-    kv_handle: str
+    kv_handle: Annotated[str, msgspec.Meta(pattern=_HANDLE_NAME)]
     tokens: int = 0
 
 
