Look for a kept connection from the latest one on

Change: they are compared one by one, the latest first, until one can be used; a test on the connections themselves, direct and through a peer, holds the rule on names.

--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -71,7 +71,8 @@
 
         Its answer may come once more, and states the same id.
         """
-        return bool(name) and name in (self._name, *self.earlier_names)
+        is_known = name == self._name or name in self.earlier_names
+        return bool(name) and is_known
 
     def connectionMade(self) -> None:
         """Set the TCP options that detect dead connections."""
--- a/cicadahoist/serving/target_pool.py
+++ b/cicadahoist/serving/target_pool.py
@@ -48,20 +48,11 @@
         :param peers: the instances that may pass its bytes on; an empty name
             stands for none
         """
-        idle = [
-            connection
-            for connection in self._idle
-            if connection.peer in peers and not connection.has_carried(name)
-        ]
-        while idle:
-            connection = idle.pop()
-            self._idle.remove(connection)
-            max_idle_ms = connection.idle_timeout_ms - IDLE_MARGIN_MS
-            if not connection.is_open:
+        for connection in reversed(tuple(self._idle)):
+            if connection.peer not in peers or connection.has_carried(name):
                 continue
-            # The target may have closed it, or sent bytes of no request.
-            is_quiet = peek_input(connection.transport) is SocketInput.nothing
-            if is_quiet and now_ms - connection.idle_since_ms <= max_idle_ms:
+            self._idle.remove(connection)
+            if _is_usable(connection, now_ms):
                 return connection
             connection.close()
         return None
@@ -90,3 +81,13 @@
         self._idle = []
         for connection in idle:
             connection.close()
+
+
+def _is_usable(connection: TargetConnection, now_ms: int) -> bool:
+    """Return whether the target keeps a connection open, and sends nothing."""
+    if not connection.is_open:
+        return False
+    max_idle_ms = connection.idle_timeout_ms - IDLE_MARGIN_MS
+    # The target may have closed it, or sent bytes of no request.
+    is_quiet = peek_input(connection.transport) is SocketInput.nothing
+    return is_quiet and now_ms - connection.idle_since_ms <= max_idle_ms
--- a/tests/test_serving/test_answers/test_names_used_twice.py
+++ b/tests/test_serving/test_answers/test_names_used_twice.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from tests.test_serving.cut_world import CutWorld
+from tests.test_serving.network import Cut
 from tests.test_serving.test_answers.copies import build_answer
 from tests.test_serving.world import (
     HANDLE_BODY,
@@ -17,6 +19,7 @@
 )
 
 NAME = b'one-name'
+SETTLE_MS = 50
 
 
 def send_named(world, path, name=NAME, headers=(), patience=15_000):
@@ -59,6 +62,21 @@
     assert len({sent.connection for sent in world.sent}) == 1
 
 
+# Guards against the same on the connections themselves, also through a peer.
+@pytest.mark.parametrize('is_relayed', [False, True])
+def test_no_path_carries_a_name_twice(is_relayed):
+    world = CutWorld(target('t1'))
+    if is_relayed:
+        world.network.cut(Cut.refused)
+    for name in (NAME, b'other', NAME):
+        send_named(world, b'/submit/x', name)
+        world.advance(SETTLE_MS)
+    first, other, again = world.network.arrivals
+    assert first.is_relayed is is_relayed
+    assert other.connection is first.connection
+    assert again.connection is not first.connection
+
+
 # Guards against a connection that waits for another name and is in the way of
 # those behind it.
 def test_a_connection_without_the_name_is_found_behind_one_with_it():
