--- a/cicadahoist/outside/engine.py
+++ b/cicadahoist/outside/engine.py
@@ -1,6 +1,6 @@
 """Adapter to engines: completions, orders and KV cache transfer over HTTP."""
 
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -11,6 +11,7 @@
 from cicadahoist.outside.engine_messages import (
     AttemptState,
     CacheEvents,
+    CacheHandle,
     EngineLoad,
     EngineOrder,
     EngineOrders,
@@ -35,6 +36,8 @@
 
 JSON_TYPE = 'application/json'
 
+Reply = TypeVar('Reply')
+
 
 class EngineAdapter(Protocol):
     """
@@ -98,14 +101,14 @@
     """
     Adapter to engines with an OpenAI-compatible interface over HTTP.
 
-    :param pooled_client: client that reuses connections
-    :param order_client: client that opens a connection for each order, whose
-        unsent bytes the kernel drops within the order bound
+    :param client: client for all calls but orders
+    :param order_client: client for orders, whose unsent bytes the kernel drops
+        within the order bound
     """
 
     __slots__ = (
+        '_client',
         '_credential',
-        '_pooled_client',
         '_order_bound_ms',
         '_order_client',
         '_timeout_ms',
@@ -113,13 +116,13 @@
 
     def __init__(
         self,
-        pooled_client: HttpClient,
+        client: HttpClient,
         order_client: HttpClient,
         credential: str,
         timeout_ms: int,
         order_bound_ms: int,
     ) -> None:
-        self._pooled_client = pooled_client
+        self._client = client
         self._order_client = order_client
         self._credential = credential
         self._timeout_ms = timeout_ms
@@ -132,9 +135,7 @@
         bound_ms = config.read(ORDER_BOUND)
         return cls(
             HttpClient(reactor, connect_ms),
-            HttpClient(
-                reactor, connect_ms, reuse=False, send_timeout_ms=bound_ms
-            ),
+            HttpClient(reactor, connect_ms, send_timeout_ms=bound_ms),
             config.read(ENGINE_CREDENTIAL),
             config.read(TARGET_TIMEOUT),
             bound_ms,
@@ -152,7 +153,7 @@
         headers = self._build_headers()
         headers['X-Request-Id'] = attempt
         headers['X-Priority'] = str(priority)
-        return await self._pooled_client.call(
+        return await self._client.call(
             'POST', _build_url(target, path), headers=headers, body=body
         )
 
@@ -165,12 +166,12 @@
     ) -> AttemptState:
         """Return the state of an attempt at the engine."""
         answer = await self._call(target, 'GET', f'/requests/{quote(attempt)}')
-        return msgspec.json.decode(answer, type=AttemptState)
+        return _decode(answer, AttemptState)
 
     async def fetch_load(self, target: Target) -> EngineLoad:
         """Return the load report, which lags by its ``age_ms``."""
         answer = await self._call(target, 'GET', '/load')
-        return msgspec.json.decode(answer, type=EngineLoad)
+        return _decode(answer, EngineLoad)
 
     async def fetch_cache_events(
         self, target: Target, after: int
@@ -180,13 +181,13 @@
         answer = await self._call(
             target, 'GET', path, max_body_bytes=MAX_PAGE_BYTES
         )
-        return msgspec.json.decode(answer, type=CacheEvents)
+        return _decode(answer, CacheEvents)
 
     async def export_kv(self, target: Target, attempt: str) -> str:
         """Return a handle by which others fetch the KV cache of an attempt."""
         body = msgspec.json.encode({'attempt': attempt})
         answer = await self._call(target, 'POST', '/kv/export', body)
-        return msgspec.json.decode(answer)['handle']
+        return _decode(answer, CacheHandle).handle
 
     async def import_kv(
         self, target: Target, handle: str, source: Target
@@ -194,12 +195,12 @@
         """Make an engine fetch KV cache from another one; return its handle."""
         body = msgspec.json.encode({'handle': handle, 'source': source.url})
         answer = await self._call(target, 'POST', '/kv/import', body)
-        return msgspec.json.decode(answer)['handle']
+        return _decode(answer, CacheHandle).handle
 
     async def read_orders(self, target: Target) -> EngineOrders:
         """Return the last order that an engine accepted, and its state."""
         answer = await self._call(target, 'GET', '/orders')
-        return msgspec.json.decode(answer, type=EngineOrders)
+        return _decode(answer, EngineOrders)
 
     async def send_order(self, target: Target, order: EngineOrder) -> None:
         """Send an order within the order bound."""
@@ -215,7 +216,7 @@
 
     async def close(self) -> None:
         """Close idle connections."""
-        await self._pooled_client.close()
+        await self._client.close()
 
     async def _call(
         self,
@@ -225,7 +226,7 @@
         body: bytes | None = None,
         max_body_bytes: int = MAX_REPLY_BYTES,
     ) -> bytes:
-        response = await self._pooled_client.call(
+        response = await self._client.call(
             method,
             _build_url(target, path),
             headers=self._build_headers(),
@@ -248,6 +249,16 @@
     return target.url.rstrip('/') + path
 
 
+def _decode(reply: bytes, kind: type[Reply]) -> Reply:
+    try:
+        return msgspec.json.decode(reply, type=kind)
+    except msgspec.MsgspecError as error:
+        raise RefusedError(
+            f'undecodable {kind.__name__}: {error}',
+            remedy='check the version of the engine',
+        ) from error
+
+
 async def _read_success(
     response: TargetResponse, call_name: str, timeout_ms: int
 ) -> bytes:
