Reset a connection whose answer has no other end, however it is lost

What callers of HTTP/1.0 saw: a stream without a length that was cut by a clean close where they had closed their own direction, or where an unexpected error ended the connection: it looked whole. Cause: twisted calls shutdown before it closes a socket, which sends a clean close ahead of the reset that SO_LINGER asks for. Change: a connection that is to be reset on exit is closed without a shutdown.

--- a/cicadahoist/serving/clean_close.py
+++ b/cicadahoist/serving/clean_close.py
@@ -96,10 +96,12 @@
 
 def reset_on_exit(transport: Any) -> None:
     """
-    Let the end of this process reset a connection.
+    Let the end of this process, and an unexpected close, reset a connection.
 
     :param transport: a twisted TCP transport that is not lost yet
     """
+    # Twisted shuts a socket down before it closes it, ahead of the reset.
+    transport._shouldShutdown = False  # noqa: SLF001
     _set_linger(transport, LINGER_RESET)
 
 
