Tell the beginning of a copy by its status, not by its reason

Cause: only the whole status line of an answer of the connection was looked for. Change: where a header follows, the status tells. The copies of the soak now state the reason of their answers; its proxy tells resets from closes as the instances do, and a target does not close in due form behind a part of an answer without a length.

--- a/cicadahoist/policy/answer_bounds/embedded_heads.py
+++ b/cicadahoist/policy/answer_bounds/embedded_heads.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Sequence
 
 MARK = b'HTTP/'
+STATUS_BYTES = len(b'HTTP/1.1 200')
 # Longest head, with interim (1xx) heads before it, that is searched for.
 MAX_HEAD_BYTES = 32_768
 _STATUS_LINE_PARTS = (
@@ -48,6 +49,7 @@
         rb'[ \t][^\n]*|%s*(?::[^\n]*)?' % _TOKEN,
     )
 )
+_FIELD_START = re.compile(rb'%s+:' % _TOKEN)
 _INTERIM_HEAD_START = re.compile(_INTERIM_HEAD)
 
 
@@ -101,8 +103,12 @@
             return self.has_found
         if self._names_request(held) or _INTERIM_HEAD_START.match(held):
             return True
-        first_line, has_more, _ = held.partition(b'\n')
+        first_line, has_more, fields = held.partition(b'\n')
         first_line = first_line.rstrip(b'\r')
+        if _FIELD_START.match(fields):
+            # A copy may state another reason.
+            statuses = {line[:STATUS_BYTES] for line in status_lines}
+            return first_line[:STATUS_BYTES] in statuses
         if has_more:
             return first_line in status_lines
         return any(line.startswith(first_line) for line in status_lines)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -4,9 +4,13 @@
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from bench.launch import find_free_port
+from cicadahoist.outside.connection_end import ConnectionEnd
 
 HOST = '127.0.0.1'
 BACKLOG = 50
@@ -17,6 +21,7 @@
 HOLDING_FAULTS = frozenset(('silent', 'to', 'back', 'hang'))
 
 
+@implementer(IHalfCloseableProtocol)
 class ProxySide(Protocol):
     """One side of a forwarded connection."""
 
@@ -28,6 +33,7 @@
         self.delayed_count = 0
         self.is_open = False
         self.is_reset = False
+        self._end: ConnectionEnd | None = None
 
     def connectionMade(self) -> None:
         self.is_open = True
@@ -38,9 +44,18 @@
     def dataReceived(self, received: bytes) -> None:
         self.link.forward(self, received)
 
+    def readConnectionLost(self) -> None:
+        """Tell a close from a reset, which the event loop may take for one."""
+        self._end = ConnectionEnd.from_transport(self.transport)
+        self.transport.connectionLost(Failure(ConnectionDone()))
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing: no side is half closed from here."""
+
     def connectionLost(self, reason=None) -> None:
         self.is_open = False
-        self.is_reset = not (reason is None or reason.check(ConnectionDone))
+        is_lost = not (reason is None or reason.check(ConnectionDone))
+        self.is_reset = is_lost or bool(self._end and self._end.is_reset)
         self.link.handle_close(self)
 
     def write(self, piece: bytes) -> None:
--- a/soak/stutters.py
+++ b/soak/stutters.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from weakref import WeakKeyDictionary
 
+from twisted.web.http import RESPONSES
+
 SHAPES: dict[str, Callable] = {}
 UNFRAMED: dict[str, Callable] = {}
 MOMENTS = ('behind', 'idle', 'next')
@@ -62,7 +64,7 @@
     def encode_head(self, framing: str = '') -> bytes:
         """Return the head; other headers come before the name."""
         lines = [
-            f'HTTP/1.1 {self.status} Answer',
+            f'HTTP/1.1 {self.status} {RESPONSES[self.status].decode()}',
             'Server: target',
             f'Content-Type: {self.content_type}',
             f'X-Cicadahoist-Attempt-Id: {self.attempt_id}',
@@ -171,13 +173,15 @@
         if self.is_idle and not self.busy_s:
             self.send(parts)
 
-    def close(self, *, is_clean: bool) -> None:
-        """Close once what was sent has left this process."""
+    def close(self, *, is_clean: bool) -> float:
+        """Close once what was sent has left this process; return when."""
         transport = self._transport
         end = (
             transport.loseConnection if is_clean else transport.abortConnection
         )
-        self._reactor.callLater(PART_S + self.busy_s, end)
+        delay_s = PART_S + self.busy_s
+        self._reactor.callLater(delay_s, end)
+        return self._reactor.seconds() + delay_s
 
 
 class Stutter:
@@ -195,6 +199,12 @@
         self._shapes: list[str] = []
         self._unframed: list[str] = []
         self._connection_by_channel: WeakKeyDictionary = WeakKeyDictionary()
+        self._closing_until_s = 0.0
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether a connection is to be closed behind an unframed answer."""
+        return self._reactor.seconds() <= self._closing_until_s
 
     def begin(self) -> None:
         """Choose what is played until `end`."""
@@ -259,7 +269,8 @@
             copy = [answer.encode_head()[:MIN_BYTES]]
         name = self._rng.choice(self._unframed)
         connection.send(UNFRAMED[name](answer, copy))
-        connection.close(is_clean=answer.is_whole)
+        close_s = connection.close(is_clean=answer.is_whole)
+        self._closing_until_s = max(self._closing_until_s, close_s)
         return True
 
     def _send_copy(self, moment: str, send: Callable, answer: Answer) -> None:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -110,7 +110,8 @@
         """
         old_name = self.name
         self.world.promises.crashed_targets.add(old_name)
-        self._close(is_clean=is_clean)
+        # A close in due form would make a part of an unframed answer whole.
+        self._close(is_clean=is_clean and not self.stutter.is_closing)
         later = self.world.reactor.callLater
         later(3.6, self.world.store.remove, 'servers', old_name)
         later(down_s, self.start)
--- a/tests/test_policy/test_answer_bounds/test_embedded_heads.py
+++ b/tests/test_policy/test_answer_bounds/test_embedded_heads.py
@@ -70,6 +70,15 @@
         assert search_in_pieces(body, 64) == (False, body)
 
 
+# Guards against a copy that states another reason than the answer did.
+def test_a_cut_head_is_told_by_its_status():
+    for line_end in (b'\r\n', b'\n'):
+        head = b'HTTP/1.1 200 Sure' + line_end + b'Server: w'
+        assert search_in_pieces(b'body' + head, 64)[0]
+        other = head.replace(b'200', b'404')
+        assert search_in_pieces(other, 64) == (False, other)
+
+
 def test_a_body_may_end_within_text_that_is_no_head():
     for end in (b'HTTP/2 is newer', b'HTTP/1.1 404 Not Found', b'HTTP', b'H'):
         assert search_in_pieces(b'body' + end, 3) == (False, b'body' + end)
