--- a/cicadahoist/serving/outbound.py
+++ b/cicadahoist/serving/outbound.py
@@ -29,7 +29,7 @@
 IDLE_MARGIN_MS = 400
 # All attempts of a connection are remembered, as any of their answers may come
 # once more.
-MAX_CARRIED_ATTEMPTS = 64
+MAX_CARRIED_ATTEMPTS = 1024
 
 
 class Pool(Protocol):
