--- a/tests/memory_net.py
+++ b/tests/memory_net.py
@@ -29,6 +29,7 @@
 
     dataBuffer = b''
     offset = 0
+    _tempDataLen = 0
 
     def getHandle(self):
         return SILENT_SOCKETS[0]
